--- /dev/null
+++ b/eelgrassmount.thrift
@@ -0,0 +1,221 @@
+// Messages between the nodes. Fields may be added, never renumbered: nodes of
+// two releases run side by side and skip fields that they do not know.
+
+namespace py eelgrassmount.gen
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+// The request context between nodes. Times are durations in milliseconds.
+struct Context {
+  1: string root_id
+  2: string call_id
+  3: string parent_id
+  4: string class_name
+  5: i32 remaining_ms
+  6: i32 attempts_left
+  7: i32 tier
+  8: i32 priority
+  9: i32 depth
+  10: bool idempotent
+  11: string key
+  12: string digest
+}
+
+enum Route {
+  RUN = 0
+  OWN = 1
+}
+
+// A call of a service. RUN asks the receiver to run it on its own backend
+// server, OWN asks it as the owner of the key.
+struct Call {
+  1: Context context
+  2: string service_name
+  3: string method
+  4: string path
+  5: list<Header> headers
+  6: binary body
+  7: Route route
+}
+
+enum VerdictKind {
+  ANSWERED = 0
+  NOT_RUN = 1
+  MAY_HAVE_RUN = 2
+}
+
+// Load of one service as its sender sees it.
+struct ServiceLoad {
+  1: string service_name
+  2: i32 threshold
+  3: i32 headroom
+  4: i32 retry_after_ms
+}
+
+struct Outcome {
+  1: string call_id
+  2: VerdictKind kind
+  3: string reason
+  4: i32 retry_after_ms
+  5: i32 status
+  6: list<Header> headers
+  7: binary body
+  8: i32 attempts_left
+  9: list<ServiceLoad> loads
+}
+
+struct Cancel {
+  1: string call_id
+}
+
+enum CallState {
+  UNKNOWN = 0
+  PENDING = 1
+  DONE = 2
+}
+
+// What became of a call. The receiver of a question about a call it has not
+// seen remembers the id and never runs it: UNKNOWN means not run.
+struct FateQuestion {
+  1: string call_id
+}
+
+struct FateAnswer {
+  1: string call_id
+  2: CallState state
+  3: Outcome outcome
+}
+
+struct Hello {
+  1: string address
+  2: string failure_domain
+  3: string region
+  4: string incarnation
+  5: i32 release
+}
+
+struct Ping {
+  1: i64 sequence
+}
+
+// One node as the members know it.
+struct Member {
+  1: string address
+  2: string failure_domain
+  3: string region
+  4: string incarnation
+  5: i64 heartbeat
+  6: i32 state
+  7: string service_name
+  8: i32 server_state
+  9: i32 headroom
+  10: i64 started
+  11: i32 threshold
+}
+
+// What one failure domain tells another about one service.
+struct ServiceSummary {
+  1: string failure_domain
+  2: string service_name
+  3: i64 sequence
+  4: i32 servers
+  5: i32 headroom
+  6: list<string> addresses
+  7: i32 threshold
+}
+
+struct Gossip {
+  1: list<Member> members
+  2: list<ServiceSummary> summaries
+  3: i64 config_version
+  4: map<i32, i64> slot_versions
+  5: list<QuarantineNote> quarantine
+  6: i64 digest
+  7: bool full
+}
+
+struct QuarantineNote {
+  1: string digest
+  2: i32 crashes
+  3: i32 remaining_ms
+}
+
+struct ConfigQuestion {
+  1: i64 version
+}
+
+struct ConfigAnswer {
+  1: i64 version
+  2: binary body
+  3: i64 offset
+}
+
+// A key of one slot, replicated from the slot's primary to its backup.
+struct KeyMark {
+  1: string key
+  2: string digest
+  3: i32 age_ms
+  4: Outcome outcome
+  5: string call_id
+}
+
+struct MarkQuestion {
+  1: i32 slot
+  2: i64 version
+  3: list<KeyMark> marks
+}
+
+struct MarkAnswer {
+  1: bool accepted
+  2: i64 version
+}
+
+// The whole table of a slot, sent to a new backup or a successor.
+struct SlotTransfer {
+  1: i32 slot
+  2: i64 version
+  3: list<KeyMark> marks
+  4: bool last
+}
+
+struct SlotView {
+  1: i32 slot
+  2: i64 version
+  3: string primary
+  4: string backup
+  5: bool lost
+}
+
+struct SlotQuestion {
+  1: string failure_domain
+}
+
+struct SlotAnswer {
+  1: string failure_domain
+  2: list<SlotView> views
+}
+
+// Exactly one of the optional fields is set. A message with reply set answers
+// the message of the same sequence number that went the other way.
+struct Message {
+  1: i64 sequence
+  2: bool reply
+  3: optional Hello hello
+  4: optional Call call
+  5: optional Outcome outcome
+  6: optional Cancel cancel
+  7: optional FateQuestion fate_question
+  8: optional FateAnswer fate_answer
+  9: optional Ping ping
+  10: optional Gossip gossip
+  11: optional ConfigQuestion config_question
+  12: optional ConfigAnswer config_answer
+  13: optional MarkQuestion mark_question
+  14: optional MarkAnswer mark_answer
+  15: optional SlotTransfer slot_transfer
+  16: optional SlotQuestion slot_question
+  17: optional SlotAnswer slot_answer
+}
--- /dev/null
+++ b/eelgrassmount/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
