--- /dev/null
+++ b/eelgrassmount/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The listener for operators."""
--- /dev/null
+++ b/eelgrassmount/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a call through a node."""
--- /dev/null
+++ b/eelgrassmount/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration of the classes of work."""
--- /dev/null
+++ b/eelgrassmount/edge/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and backend servers."""
--- /dev/null
+++ b/eelgrassmount/keys/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run for each idempotency key."""
--- /dev/null
+++ b/eelgrassmount/load/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, queues, admission and routing."""
--- /dev/null
+++ b/eelgrassmount/members/__init__.py
@@ -0,0 +1,1 @@
+"""Knowledge of other nodes."""
--- /dev/null
+++ b/eelgrassmount/members/table.py
@@ -0,0 +1,100 @@
+"""The nodes that this node knows."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+from attrs import define, field, frozen
+
+
+class MemberState(IntEnum):
+    """What is thought of a node, in order of precedence for one heartbeat."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEFT = 2
+    DEAD = 3
+
+
+class ServerState(IntEnum):
+    """What a backend server says of itself."""
+
+    ABSENT = 0
+    STARTING = 1
+    SERVING = 2
+    DRAINING = 3
+
+
+@frozen
+class Identity:
+    """Who a node is. A restarted process is a new incarnation."""
+
+    address: str
+    failure_domain: str
+    region: str
+    incarnation: str
+
+
+@frozen
+class Member:
+    """One node with its backend server, as known here.
+
+    ``heartbeat`` grows at its owner; a higher one replaces a lower one of the
+    same incarnation. ``started`` orders the incarnations at one address.
+    ``threshold`` and ``headroom`` are the node's last word on its load.
+    """
+
+    identity: Identity
+    heartbeat: int = 0
+    state: MemberState = MemberState.ALIVE
+    service: str = ""
+    server_state: ServerState = ServerState.ABSENT
+    headroom: int = 0
+    threshold: int = 0
+    started: int = 0
+    heard_s: float = 0.0
+
+    @property
+    def serves(self) -> bool:
+        """Tell whether new work may be sent to this node's backend server."""
+        return (
+            self.state is MemberState.ALIVE and self.server_state is ServerState.SERVING
+        )
+
+
+@frozen
+class ServiceSummary:
+    """What another failure domain says of one service."""
+
+    failure_domain: str
+    service: str
+    sequence: int
+    servers: int
+    headroom: int
+    threshold: int
+    addresses: tuple[str, ...]
+    heard_s: float = 0.0
+
+
+@define
+class MemberTable:
+    """All members of the own failure domain and summaries of the others."""
+
+    members: dict[str, Member] = field(factory=dict)
+    summaries: dict[tuple[str, str], ServiceSummary] = field(factory=dict)
+
+    def find_serving(self, service: str) -> list[Member]:
+        """Return the members of the own failure domain that serve a service."""
+        return [
+            member
+            for member in self.members.values()
+            if member.service == service and member.serves
+        ]
+
+    def find_summaries(self, service: str) -> list[ServiceSummary]:
+        """Return what the other failure domains say of a service."""
+        return [
+            summary
+            for summary in self.summaries.values()
+            if summary.service == service and summary.servers > 0
+        ]
--- /dev/null
+++ b/eelgrassmount/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes."""
--- /dev/null
+++ b/eelgrassmount/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The log service of the platform."""
--- /dev/null
+++ b/eelgrassmount/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on retries."""
--- /dev/null
+++ b/eelgrassmount/timers.py
@@ -0,0 +1,141 @@
+"""A timer service that controllers subscribe to."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from typing import TYPE_CHECKING, Protocol
+
+import anyio
+from attrs import define, field
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+_IDLE_WAIT_S = 0.05
+
+
+class Clock(Protocol):
+    """A monotonic clock, in seconds from an arbitrary start."""
+
+    def read(self) -> float:
+        """Return the present time in seconds."""
+
+
+class MonotonicClock:
+    """The clock of the operating system; it never goes back."""
+
+    def read(self) -> float:
+        """Return the present time in seconds."""
+        return time.monotonic()
+
+
+@define
+class ManualClock:
+    """A clock for tests, which only moves when told to."""
+
+    now_s: float = 1000.0
+
+    def read(self) -> float:
+        """Return the present time in seconds."""
+        return self.now_s
+
+
+@define(order=True)
+class Timer:
+    """One subscription; ``cancel`` ends it."""
+
+    due_s: float
+    order: int
+    action: Callable[[], None] = field(order=False)
+    period_s: float = field(order=False, default=0.0)
+    jitter: float = field(order=False, default=0.0)
+    active: bool = field(order=False, default=True)
+
+    def cancel(self) -> None:
+        """End the subscription."""
+        self.active = False
+
+
+@define
+class TimerService:
+    """Runs functions once or periodically on a given clock.
+
+    Production code awaits `run`; a test moves a `ManualClock` by calling
+    `advance`, which runs what falls due on the way, in order::
+
+        timers = TimerService(ManualClock(), random.Random(1))
+        timers.subscribe(1.0, refresh)
+        timers.advance(3.0)
+    """
+
+    clock: Clock
+    rng: random.Random
+    _heap: list[Timer] = field(factory=list)
+    _order: itertools.count = field(factory=itertools.count)
+
+    def read(self) -> float:
+        """Return the present time in seconds."""
+        return self.clock.read()
+
+    def subscribe(
+        self, period_s: float, action: Callable[[], None], jitter: float = 0.0
+    ) -> Timer:
+        """Call ``action`` every ``period_s`` seconds, from one period on.
+
+        Each interval is varied by a random fraction of up to ``jitter`` in
+        both directions, so that many nodes do not act in step.
+        """
+        return self._add(period_s, action, period_s, jitter)
+
+    def schedule(self, delay_s: float, action: Callable[[], None]) -> Timer:
+        """Call ``action`` once, ``delay_s`` seconds from now."""
+        return self._add(delay_s, action, 0.0, 0.0)
+
+    def _add(
+        self, delay_s: float, action: Callable[[], None], period_s: float, jitter: float
+    ) -> Timer:
+        due_s = self.read() + self._vary(delay_s, jitter)
+        timer = Timer(due_s, next(self._order), action, period_s, jitter)
+        heapq.heappush(self._heap, timer)
+        return timer
+
+    def _vary(self, delay_s: float, jitter: float) -> float:
+        if not jitter:
+            return delay_s
+        return delay_s * (1.0 + self.rng.uniform(-jitter, jitter))
+
+    def run_due(self) -> float:
+        """Run all that is due and return the seconds until the next timer."""
+        while self._heap and self._heap[0].due_s <= self.read():
+            timer = heapq.heappop(self._heap)
+            if timer.active:
+                self._fire(timer)
+        if not self._heap:
+            return _IDLE_WAIT_S
+        return max(0.0, self._heap[0].due_s - self.read())
+
+    def _fire(self, timer: Timer) -> None:
+        if timer.period_s:
+            # from now, not from when it was due: a frozen process that wakes
+            # runs each timer once instead of catching up
+            timer.due_s = self.read() + self._vary(timer.period_s, timer.jitter)
+            timer.order = next(self._order)
+            heapq.heappush(self._heap, timer)
+        timer.action()
+
+    def advance(self, seconds: float) -> None:
+        """Move a `ManualClock` on, running all timers that fall due on the way."""
+        end_s = self.clock.now_s + seconds
+        while self._heap and self._heap[0].due_s <= end_s:
+            self.clock.now_s = max(self.clock.now_s, self._heap[0].due_s)
+            self.run_due()
+        self.clock.now_s = end_s
+
+    async def run(self) -> None:
+        """Run timers as they fall due, until cancelled."""
+        while True:
+            wait_s = self.run_due()
+            await anyio.sleep(min(wait_s, _IDLE_WAIT_S))
