--- /dev/null
+++ b/eelgrassmount/logs.py
@@ -0,0 +1,77 @@
+"""Log lines: JSON for programs, plain text on a terminal."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING, Any, TextIO
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+_READABLE = (
+    "<green>{time:HH:mm:ss.SSS}</green> <level>{level: <7}</level> {message} "
+    "<dim>{extra}</dim>"
+)
+
+
+def setup_logs(level: str, stream: TextIO | None = None) -> None:
+    """Send log lines of at least ``level`` to ``stream``, by default stderr.
+
+    On a terminal the lines are for people, anywhere else each is one JSON
+    object. Fields are passed by name and stay apart from the text::
+
+        logger.info("configuration in force", version=7)
+
+    A stream that fails later costs the line, never the caller.
+    """
+    stream = sys.stderr if stream is None else stream
+    logger.remove()
+    if stream is None:
+        return
+    sink: Any = _make_json_sink(stream)
+    if _is_terminal(stream):
+        sink = stream
+    logger.add(
+        sink,
+        level=level.upper(),
+        format=_READABLE,
+        catch=True,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def _is_terminal(stream: TextIO) -> bool:
+    try:
+        return stream.isatty()
+    except (AttributeError, ValueError):
+        return False
+
+
+def _make_json_sink(stream: TextIO) -> Any:
+    def write(message: Message) -> None:
+        try:
+            stream.write(_format_json(message) + "\n")
+            stream.flush()
+        except (OSError, ValueError):
+            # a closed or full pipe must not end a request
+            return
+
+    return write
+
+
+def _format_json(message: Message) -> str:
+    record = message.record
+    line = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name.lower(),
+        "module": record["name"],
+        "message": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = str(record["exception"].value)
+    return json.dumps(line, default=str)
--- /dev/null
+++ b/eelgrassmount/metrics.py
@@ -0,0 +1,197 @@
+"""All metrics of a node, in one place."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from eelgrassmount.verdict import ANSWERED, MAY_HAVE_RUN, NOT_RUN, Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+PREFIX = "eelgrassmount"
+CALL_BUCKETS_S = (
+    *(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5),
+    *(1.0, 2.0, 5.0, 10.0, 30.0),
+)
+
+
+class RetryReason(StrEnum):
+    """Why a node sent a call once more."""
+
+    SERVER_SHED = "server-shed"
+    NO_ROOM = "no-room"
+    DRAINING = "draining"
+    PEER_LOST = "peer-lost"
+    SERVER_CRASHED = "server-crashed"
+    SERVER_SILENT = "server-silent"
+    BAD_ANSWER = "bad-answer"
+
+
+class DropReason(StrEnum):
+    """Why an answer was thrown away."""
+
+    LATE = "late"
+    DOUBLED = "doubled"
+    REORDERED = "reordered"
+    TRUNCATED = "truncated"
+    OVER_LONG = "over-long"
+    WRONG_CALL = "wrong-call"
+    BAD_DIGEST = "bad-digest"
+
+
+class LinkReason(StrEnum):
+    """Why a link to a peer was replaced."""
+
+    SILENT = "silent"
+    CLOSED = "closed"
+    BAD_FRAME = "bad-frame"
+    NEW_INCARNATION = "new-incarnation"
+
+
+class FrameReason(StrEnum):
+    """Why a frame from a peer was rejected."""
+
+    OVER_LONG = "over-long"
+    TRUNCATED = "truncated"
+    MALFORMED = "malformed"
+    UNEXPECTED = "unexpected"
+
+
+class KeyOutcome(StrEnum):
+    """What became of a call with an idempotency key."""
+
+    NEW = "new"
+    REPEATED = "repeated"
+    JOINED = "joined"
+    REUSED = "reused"
+    EXPIRED = "expired"
+    TABLE_FULL = "table-full"
+    OWNER_LOST = "owner-lost"
+    MINTED = "minted"
+
+
+class LogError(StrEnum):
+    """How a call of the platform's log failed."""
+
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    STATUS = "status"
+    BAD_RECORD = "bad-record"
+    GAP = "gap"
+
+
+class MemberState(StrEnum):
+    """How a node sees another one."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+
+
+@frozen
+class Metrics:
+    """The metrics of one node, on a registry of their own.
+
+    Several nodes can so live in one test process. Build it with `make_metrics`.
+    """
+
+    registry: CollectorRegistry
+    calls: Counter
+    call_seconds: Histogram
+    refusals: Counter
+    retries: Counter
+    dropped_answers: Counter
+    peer_links_replaced: Counter
+    rejected_frames: Counter
+    keys: Counter
+    keys_held: Gauge
+    quarantines: Counter
+    log_appends: Counter
+    log_errors: Counter
+    config_version: Gauge
+    members: Gauge
+    limit: Gauge
+    in_flight: Gauge
+    queued: Gauge
+    drains: Counter
+
+
+def make_metrics() -> Metrics:
+    """Return fresh metrics, with every label value known beforehand at zero."""
+    registry = CollectorRegistry()
+
+    def count(name: str, text: str, *labels: str) -> Counter:
+        return Counter(name, text, labels, namespace=PREFIX, registry=registry)
+
+    def gauge(name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(name, text, labels, namespace=PREFIX, registry=registry)
+
+    metrics = Metrics(
+        registry=registry,
+        calls=count("calls", "Requests of callers.", "class", "verdict"),
+        call_seconds=Histogram(
+            "call_seconds",
+            "Time from a caller's request to its answer.",
+            ["class"],
+            namespace=PREFIX,
+            registry=registry,
+            buckets=CALL_BUCKETS_S,
+        ),
+        refusals=count("refusals", "Calls refused or of unknown fate.", "reason"),
+        retries=count("retries", "Calls sent once more.", "reason"),
+        dropped_answers=count("dropped_answers", "Answers thrown away.", "reason"),
+        peer_links_replaced=count(
+            "peer_links_replaced", "Links to peers replaced.", "reason"
+        ),
+        rejected_frames=count("rejected_frames", "Frames rejected.", "reason"),
+        keys=count("keys", "Calls with an idempotency key.", "outcome"),
+        keys_held=gauge("keys_held", "Idempotency keys held by this node."),
+        quarantines=count("quarantines", "Request contents put in quarantine."),
+        log_appends=count("log_appends", "Records appended to the log.", "stream"),
+        log_errors=count("log_errors", "Failed calls of the log.", "kind"),
+        config_version=gauge("config_version", "Configuration version in force."),
+        members=gauge("members", "Nodes known in this failure domain.", "state"),
+        limit=gauge("limit", "Limit of calls at once at the backend server."),
+        in_flight=gauge("in_flight", "Calls running at the backend server."),
+        queued=gauge("queued", "Calls waiting for the backend server."),
+        drains=count("drains", "Graceful shutdowns begun."),
+    )
+    _create_labels(metrics)
+    return metrics
+
+
+def record_call(
+    metrics: Metrics, class_name: str, verdict_name: str, seconds: float
+) -> None:
+    """Count one finished request of a caller and its duration in seconds."""
+    metrics.calls.labels(class_name, verdict_name).inc()
+    metrics.call_seconds.labels(class_name).observe(seconds)
+
+
+def create_class_labels(metrics: Metrics, class_names: Iterable[str]) -> None:
+    """Create the series of these classes, so that they show zero before use."""
+    for class_name in class_names:
+        metrics.call_seconds.labels(class_name)
+        for verdict_name in (ANSWERED, NOT_RUN, MAY_HAVE_RUN):
+            metrics.calls.labels(class_name, verdict_name)
+
+
+def _create_labels(metrics: Metrics) -> None:
+    for metric, values in (
+        (metrics.refusals, Reason),
+        (metrics.retries, RetryReason),
+        (metrics.dropped_answers, DropReason),
+        (metrics.peer_links_replaced, LinkReason),
+        (metrics.rejected_frames, FrameReason),
+        (metrics.keys, KeyOutcome),
+        (metrics.log_errors, LogError),
+        (metrics.members, MemberState),
+    ):
+        for value in values:
+            metric.labels(value)
--- /dev/null
+++ b/eelgrassmount/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a home of their own."""
