--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins for the world around eelgrassmount: log, backend servers, callers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/standins/deploy.py
@@ -0,0 +1,401 @@
+"""Deployments of real processes on loopback, for the demo, tests and benchmarks."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Self
+
+from attrs import field, frozen
+
+from standins.faults import call_admin, get_runs, get_stats, set_fault
+from standins.plans import Plan, dump_plans, expect_shape
+from standins.processes import ROOT, Process, find_free_address
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from types import TracebackType
+
+PYTHON = sys.executable
+NODE_COMMAND = (PYTHON, "-m", "eelgrassmount")
+
+_FIRST_OCTET = 20
+_OCTETS = 200
+_POLL_S = 0.05
+_PUBLISH_TIMEOUT_S = 30.0
+
+
+@frozen
+class ServiceSpec:
+    """One service: how many servers in each failure domain, and how they work.
+
+    ``flags`` are further flags of ``standins.backend``, for example
+    ``{"cold_s": 3}``.
+    """
+
+    name: str
+    servers: int = 1
+    slots: int = 25
+    service_time_ms: float = 10.0
+    plans: dict[str, Plan] = field(factory=dict)
+    flags: dict[str, object] = field(factory=dict)
+
+
+@frozen
+class DeploymentSpec:
+    """What to deploy.
+
+    With ``relays``, a link relay stands before every peer listener, before the log
+    in each failure domain, and before every backend server, so that links can be
+    delayed (``peer_delay_ms`` one way between failure domains), cut and silenced.
+    ``seeds`` is the number of nodes of each failure domain named in ``--peers``.
+    """
+
+    failure_domains: tuple[str, ...]
+    services: tuple[ServiceSpec, ...]
+    relays: bool = False
+    peer_delay_ms: float = 0.0
+    seeds: int = 1
+    node_flags: dict[str, object] = field(factory=dict)
+    node_command: tuple[str, ...] = NODE_COMMAND
+    ready_timeout_s: float = 30.0
+
+    @property
+    def plans(self) -> dict[str, Plan]:
+        """Downstream calls of every route."""
+        plans: dict[str, Plan] = {}
+        for service in self.services:
+            plans.update(service.plans)
+        return plans
+
+    def expect(self, method: str, path: str) -> str:
+        """Return the shape of the complete answer to a request."""
+        return expect_shape(self.plans, method, path)
+
+
+@frozen
+class VM:
+    """One VM: a node and its backend server at one IP address."""
+
+    name: str
+    service: str
+    failure_domain: str
+    caller_address: str
+    backend_address: str
+    peer_address: str
+    advertise_address: str
+    admin_address: str
+    server_address: str
+    server_announced: str
+    server_admin_address: str
+    node: Process
+    server: Process
+
+    def kill(self) -> None:
+        """End both processes at once."""
+        self.node.kill()
+        self.server.kill()
+
+    def restart(self) -> None:
+        """Start both anew, as a replaced VM at the same address."""
+        self.node.restart()
+        self.server.restart()
+
+    def freeze(self) -> None:
+        """Stop both where they stand."""
+        self.node.freeze()
+        self.server.freeze()
+
+    def wake(self) -> None:
+        """Let both go on."""
+        self.node.wake()
+        self.server.wake()
+
+
+class Deployment:
+    """A running deployment; as a context manager it always ends its processes.
+
+    An example, with ``spec`` a ``DeploymentSpec``::
+
+        with Deployment(spec) as deployment:
+            deployment.publish(toml_text)
+            deployment.vms[0].node.freeze()
+    """
+
+    def __init__(self, spec: DeploymentSpec) -> None:
+        self.spec = spec
+        self.vms: list[VM] = []
+        self.processes: list[Process] = []
+        self._temporary = tempfile.TemporaryDirectory(prefix="standins-")
+        self.folder = Path(self._temporary.name)
+        first = _FIRST_OCTET + os.getpid() % _OCTETS
+        self._octets = {
+            domain: first + 1 + index
+            for index, domain in enumerate(spec.failure_domains)
+        }
+        platform_ip = f"127.{first}.0.1"
+        self.log_address = find_free_address(platform_ip)
+        self.log_admin_address = find_free_address(platform_ip)
+        self.journal_address = find_free_address(platform_ip)
+        self.journal_admin_address = find_free_address(platform_ip)
+        self.relay_admin_address = find_free_address(platform_ip)
+        self.log = self._add("log", self._command_log())
+        self.journal = self._add("journal", self._command_journal())
+        self.relay = self._add("relay", self._command_relay())
+        self._log_addresses = {
+            domain: self._front(f"127.{octet}.0.1", self.log_address)
+            for domain, octet in self._octets.items()
+        }
+        self._place_vms()
+
+    def __enter__(self) -> Self:
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """Kill every process and remove the folder of their output."""
+        for process in self.processes:
+            process.kill()
+        self._temporary.cleanup()
+
+    @property
+    def caller_addresses(self) -> list[str]:
+        """Caller listener of every node."""
+        return [vm.caller_address for vm in self.vms]
+
+    def find_vms(
+        self, service: str | None = None, failure_domain: str | None = None
+    ) -> list[VM]:
+        """Return the VMs of a service, of a failure domain, or of both."""
+        return [
+            vm
+            for vm in self.vms
+            if service in (None, vm.service)
+            and failure_domain in (None, vm.failure_domain)
+        ]
+
+    def publish(self, text: str, *flags: str) -> subprocess.CompletedProcess[str]:
+        """Publish a class configuration through the first running node."""
+        path = self.folder / "classes.toml"
+        path.write_text(text)
+        admin = next(vm.admin_address for vm in self.vms if vm.node.running)
+        command = (*self.spec.node_command, "config", "publish", str(path))
+        return subprocess.run(
+            (*command, "--admin", admin, *flags),
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=_PUBLISH_TIMEOUT_S,
+            check=False,
+        )
+
+    def set_link_fault(self, source: str, destination: str, **fault: object) -> None:
+        """Set a fault on the links that carry bytes from ``source`` to ``destination``.
+
+        Each is a failure domain, ``log``, the name of a VM's server, or empty for
+        any. See ``standins.relay`` for the faults.
+        """
+        rule = {"source": source, "destination": destination, **fault}
+        call_admin(self.relay_admin_address, "POST", "/faults", rule)
+
+    def cut(self, one: str, other: str, mode: str = "hold") -> None:
+        """Cut two failure domains (or one from the log) off from each other."""
+        self.set_link_fault(one, other, cut=mode)
+        self.set_link_fault(other, one, cut=mode)
+
+    def heal(self) -> None:
+        """End every cut and silence; delays stay."""
+        call_admin(self.relay_admin_address, "POST", "/heal", {})
+
+    def get_runs(self, query: str = "") -> list[dict[str, object]]:
+        """Return every run that the journal knows, also of servers that crashed."""
+        return get_runs(self.journal_admin_address, query)
+
+    def set_log_fault(self, **fault: object) -> None:
+        """Switch faults of the log service."""
+        set_fault(self.log_admin_address, **fault)
+
+    def wait_until_ready(self) -> None:
+        """Wait until each node answers and knows its backend server."""
+        deadline = time.monotonic() + self.spec.ready_timeout_s
+        for vm in self.vms:
+            self._wait(vm, deadline)
+
+    def _add(self, name: str, command: tuple[str, ...]) -> Process:
+        process = Process(name, command, self.folder)
+        self.processes.append(process)
+        return process
+
+    def _front(self, ip: str, target: str) -> str:
+        return find_free_address(ip) if self.spec.relays else target
+
+    def _command_log(self) -> tuple[str, ...]:
+        return _make_command(
+            "log", address=self.log_address, admin_address=self.log_admin_address
+        )
+
+    def _command_journal(self) -> tuple[str, ...]:
+        return _make_command(
+            "journal",
+            address=self.journal_address,
+            admin_address=self.journal_admin_address,
+        )
+
+    def _command_relay(self) -> tuple[str, ...]:
+        return _make_command("relay", admin_address=self.relay_admin_address)
+
+    def _place_vms(self) -> None:
+        slots = [
+            (domain, service, number)
+            for domain in self.spec.failure_domains
+            for service in self.spec.services
+            for number in range(service.servers)
+        ]
+        counts = dict.fromkeys(self.spec.failure_domains, 0)
+        seeds: list[str] = []
+        for domain, service, number in slots:
+            counts[domain] += 1
+            ip = f"127.{self._octets[domain]}.{counts[domain]}.1"
+            peer = find_free_address(ip)
+            advertise = self._front(ip, peer)
+            name = f"{service.name}-{domain}-{number}"
+            vm = self._make_vm(name, service, domain, ip, peer, advertise)
+            self.vms.append(vm)
+            if counts[domain] <= self.spec.seeds:
+                seeds.append(advertise)
+        for vm in self.vms:
+            others = [seed for seed in seeds if seed != vm.advertise_address]
+            if others:
+                vm.node.command += (f"--peers={','.join(others)}",)
+
+    def _make_vm(
+        self,
+        name: str,
+        service: ServiceSpec,
+        domain: str,
+        ip: str,
+        peer: str,
+        advertise: str,
+    ) -> VM:
+        caller, backend, admin = (find_free_address(ip) for _ in range(3))
+        server, server_admin = find_free_address(ip), find_free_address(ip)
+        announced = self._front(ip, server)
+        node_flags = {
+            "caller_address": caller,
+            "backend_address": backend,
+            "peer_address": peer,
+            "admin_address": admin,
+            "advertise_address": advertise,
+            "failure_domain": domain,
+            "region": "region",
+            "log_address": self._log_addresses[domain],
+            "log_level": "INFO",
+            **self.spec.node_flags,
+        }
+        server_flags = {
+            "service": service.name,
+            "server": name,
+            "address": server,
+            "admin_address": server_admin,
+            "node_address": backend,
+            "advertise_address": announced,
+            "journal_address": self.journal_address,
+            "slots": service.slots,
+            "service_time_ms": service.service_time_ms,
+            "seed": len(self.vms),
+            "routes": dump_plans(service.plans),
+            **service.flags,
+        }
+        node_command = (*self.spec.node_command, "node", *_make_flags(node_flags))
+        return VM(
+            name,
+            service.name,
+            domain,
+            caller,
+            backend,
+            peer,
+            advertise,
+            admin,
+            server,
+            announced,
+            server_admin,
+            self._add(f"node-{name}", node_command),
+            self._add(f"server-{name}", _make_command("backend", **server_flags)),
+        )
+
+    def _start(self) -> None:
+        for process in self.processes:
+            if process is not self.relay or self.spec.relays:
+                process.start()
+        if self.spec.relays:
+            self._add_links()
+        self.wait_until_ready()
+
+    def _add_links(self) -> None:
+        links = [
+            {"listen": address, "target": self.log_address}
+            | {"source": domain, "destination": "log"}
+            for domain, address in self._log_addresses.items()
+        ]
+        for vm in self.vms:
+            links.append(
+                {"listen": vm.advertise_address, "target": vm.peer_address}
+                | {"destination": vm.failure_domain}
+            )
+            links.append(
+                {"listen": vm.server_announced, "target": vm.server_address}
+                | {"source": "node", "destination": vm.name}
+            )
+        prefixes = {f"127.{octet}.": name for name, octet in self._octets.items()}
+        deadline = time.monotonic() + self.spec.ready_timeout_s
+        for _ in _poll_until(deadline, "the relay"):
+            with contextlib.suppress(OSError):
+                body = {"links": links, "domains": prefixes}
+                call_admin(self.relay_admin_address, "POST", "/links", body)
+                break
+        for one in self.spec.failure_domains:
+            for other in self.spec.failure_domains:
+                if one != other and self.spec.peer_delay_ms:
+                    self.set_link_fault(one, other, delay_ms=self.spec.peer_delay_ms)
+
+    def _wait(self, vm: VM, deadline: float) -> None:
+        for _ in _poll_until(deadline, vm.name):
+            for process in (vm.node, vm.server):
+                if not process.running:
+                    raise RuntimeError(f"{process.name} ended: {process.read_log()}")
+            with contextlib.suppress(OSError):
+                call_admin(vm.admin_address, "GET", "/state")
+                if get_stats(vm.server_admin_address)["node"] is not None:
+                    return
+
+
+def _make_flags(flags: dict[str, object]) -> tuple[str, ...]:
+    return tuple(f"--{name.replace('_', '-')}={value}" for name, value in flags.items())
+
+
+def _make_command(module: str, **flags: object) -> tuple[str, ...]:
+    return (PYTHON, "-m", f"standins.{module}", *_make_flags(flags))
+
+
+def _poll_until(deadline: float, what: str) -> Iterator[None]:
+    while time.monotonic() < deadline:
+        yield
+        time.sleep(_POLL_S)
+    raise TimeoutError(f"{what} was not ready in time")
--- /dev/null
+++ b/standins/journal.py
@@ -0,0 +1,119 @@
+"""The journal: every run of every backend server, kept apart from their crashes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import deque
+from typing import Any
+
+import anyio
+import fire
+
+from standins.web import (
+    Listener,
+    Request,
+    Response,
+    serve_until_signal,
+    split_address,
+)
+
+
+class Journal:
+    """Runs in the order of their starts, each by the ``run`` id that its server gave."""
+
+    def __init__(self) -> None:
+        self._runs: dict[str, dict[str, Any]] = {}
+
+    def record(self, line: bytes) -> None:
+        """Take one line: a run that begins, or the end of one known before."""
+        entry = json.loads(line)
+        self._runs.setdefault(entry["run"], {}).update(entry)
+
+    async def handle(self, request: Request) -> Response:
+        """Serve ``GET /runs`` (filters ``request`` and ``route``) and ``DELETE``."""
+        await request.read()
+        if request.path != "/runs":
+            return Response.from_json({"error": "no such resource"}, 404)
+        if request.method == "DELETE":
+            self._runs.clear()
+        wanted = request.query.items()
+        runs = [
+            run
+            for run in self._runs.values()
+            if all(run.get(name) == value for name, value in wanted)
+        ]
+        return Response.from_json({"runs": runs})
+
+
+class _Intake(asyncio.Protocol):
+    def __init__(self, journal: Journal) -> None:
+        self._journal = journal
+        self._rest = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        for line in lines:
+            self._journal.record(line)
+        self._transport.write(b"." * len(lines))
+
+
+class JournalLine(asyncio.Protocol):
+    """A backend server's line to the journal: one dot comes back for each entry."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self._waiters: deque[asyncio.Future[None]] = deque()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Settle the oldest entries."""
+        for _ in data:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail every entry that is not settled."""
+        self.closed = True
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_exception(ConnectionResetError("the journal is gone"))
+
+    def write(self, entry: dict[str, Any]) -> asyncio.Future[None]:
+        """Send an entry; the future ends when the journal has it."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        self._transport.write(json.dumps(entry).encode() + b"\n")
+        return waiter
+
+
+async def open_line(address: str) -> JournalLine:
+    """Connect to the journal at ``address`` (ip:port)."""
+    host, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    _, line = await loop.create_connection(JournalLine, host, port)
+    return line
+
+
+def serve(address: str, admin_address: str) -> None:
+    """Collect entries at ``address`` and serve ``GET /runs`` at the admin address."""
+
+    async def run() -> None:
+        journal = Journal()
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        await loop.create_server(lambda: _Intake(journal), host, port, backlog=1024)
+        await serve_until_signal(Listener(admin_address, journal.handle).serve)
+
+    anyio.run(run)
+
+
+if __name__ == "__main__":
+    fire.Fire(serve)
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,96 @@
+"""Child processes with handles to kill, freeze, wake, stop and restart them."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+ROOT = Path(__file__).resolve().parent.parent
+
+_KILL_WAIT_S = 10.0
+
+
+def find_free_address(ip: str) -> str:
+    """Return ``ip:port`` with a port that the kernel says is free now."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return f"{ip}:{probe.getsockname()[1]}"
+
+
+class Process:
+    """One child process; its output goes to a file of its own."""
+
+    def __init__(self, name: str, command: Sequence[str], folder: Path) -> None:
+        self.name = name
+        self.command = tuple(command)
+        self.log_path = folder / f"{name}.log"
+        self._child: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id of the latest start."""
+        if self._child is None:
+            raise RuntimeError(f"{self.name} was never started")
+        return self._child.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._child is not None and self._child.poll() is None
+
+    def start(self) -> None:
+        """Start it; it must not be running."""
+        if self.running:
+            raise RuntimeError(f"{self.name} is running already")
+        paths = [str(ROOT), *filter(None, [os.environ.get("PYTHONPATH")])]
+        env = {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
+        with self.log_path.open("ab") as log:
+            self._child = subprocess.Popen(
+                self.command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=env,
+            )
+
+    def kill(self) -> None:
+        """End it at once (SIGKILL) and wait until it is gone."""
+        if self.running:
+            self._child.kill()
+            self._child.wait(_KILL_WAIT_S)
+
+    def freeze(self) -> None:
+        """Stop it where it stands (SIGSTOP)."""
+        self._send(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let it go on (SIGCONT)."""
+        self._send(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to stop (SIGTERM); ``wait`` tells how it ended."""
+        self._send(signal.SIGTERM)
+
+    def wait(self, timeout_s: float) -> int:
+        """Return its exit status; raise ``TimeoutExpired`` when it goes on."""
+        return self._child.wait(timeout_s)
+
+    def restart(self) -> None:
+        """Kill it if it runs, and start it anew with the same command."""
+        self.kill()
+        self.start()
+
+    def read_log(self) -> str:
+        """Return what it wrote so far, over all its starts."""
+        return self.log_path.read_text(errors="replace")
+
+    def _send(self, number: signal.Signals) -> None:
+        if self.running:
+            self._child.send_signal(number)
