--- /dev/null
+++ b/eelgrassmount/calls/downstream.py
@@ -0,0 +1,98 @@
+"""Calls that the backend server on this VM makes while it serves a call."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, evolve
+
+from eelgrassmount.calls.request import Call, Outcome, Request
+from eelgrassmount.calls.table import CallRecord, CallTable, Child
+from eelgrassmount.config.classes import is_idempotent
+from eelgrassmount.context import MAX_DEPTH, compute_digest, derive_child
+from eelgrassmount.retry.budget import split_attempts
+from eelgrassmount.verdict import MayHaveRun, NotRun, Reason, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.keys.port import Runner
+    from eelgrassmount.timers import TimerService
+
+
+@define(eq=False)
+class Downstream:
+    """Runs downstream calls, each once for its parent.
+
+    A repeat of a call under the same parent (same name, method, path and
+    body) is the same call: it waits for, or gets again, the same outcome.
+    """
+
+    board: Blackboard
+    timers: TimerService
+    table: CallTable
+    run: Runner
+    group: TaskGroup
+    make_id: Callable[[], str]
+    note_touched: Callable[[str, str], None]
+
+    async def handle(self, parent_id: str, call_name: str, request: Request) -> Verdict:
+        """Return the verdict on a downstream call.
+
+        A call whose parent is not running here (any more) is refused, since
+        nobody waits for the result.
+        """
+        parent = self.table.find(parent_id)
+        if parent is None or parent.outcome is not None or parent.cancelled:
+            return NotRun(Reason.CANCELLED)
+        if parent.call.context.depth + 1 >= MAX_DEPTH:
+            return NotRun(Reason.ATTEMPTS_SPENT)
+        digest = compute_digest(request.method, request.path, request.body)
+        child_key = f"{call_name}/{digest}"
+        child = parent.children.get(child_key)
+        if child is None:
+            child = self._start(parent, child_key, digest, request)
+        await child.done.wait()
+        return child.outcome.verdict
+
+    def _start(
+        self, parent: CallRecord, child_key: str, digest: str, request: Request
+    ) -> Child:
+        child = Child()
+        parent.children[child_key] = child
+        attempts = split_attempts(parent.attempts_left)
+        parent.attempts_left -= attempts
+        context = derive_child(parent.call.context, self.make_id(), attempts)
+        context = evolve(
+            context,
+            digest=digest,
+            idempotent=is_idempotent(
+                self.board.configuration.document, request.method, request.path
+            ),
+        )
+        parent_service = parent.call.request.service
+        self.note_touched(context.class_name, request.service)
+        if parent_service != request.service:
+            self.note_touched(context.class_name, parent_service)
+        # in the node's own group: the server may drop its connection and ask
+        # again without ending the call
+        self.group.start_soon(self._run, parent, child, Call(context, request))
+        return child
+
+    async def _run(self, parent: CallRecord, child: Child, call: Call) -> None:
+        outcome = Outcome(MayHaveRun(Reason.CANCELLED), 0)
+        parent.note_child_start(self.timers.read())
+        child.scope.deadline = call.context.deadline_s
+        try:
+            with child.scope:
+                outcome = await self.run(call)
+            if child.scope.cancelled_caught:
+                outcome = Outcome(MayHaveRun(Reason.DEADLINE), 0)
+        finally:
+            child.outcome = outcome
+            parent.attempts_left += outcome.attempts_left
+            parent.note_child_end(self.timers.read())
+            child.done.set()
--- /dev/null
+++ b/eelgrassmount/calls/entry.py
@@ -0,0 +1,129 @@
+"""Requests of callers."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from attrs import define, frozen
+
+from eelgrassmount.calls.request import Call, Outcome, Request
+from eelgrassmount.config.classes import WorkClass, find_class
+from eelgrassmount.context import Context, compute_digest, compute_priority
+from eelgrassmount.edge import headers as names
+from eelgrassmount.edge.headers import find_header, read_whole_number
+from eelgrassmount.metrics import record_call
+from eelgrassmount.retry.budget import EXTRA_ATTEMPTS
+from eelgrassmount.verdict import NotRun, Reason, Verdict, name_verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.keys.port import KeyPort, Runner
+    from eelgrassmount.metrics import Metrics
+    from eelgrassmount.timers import TimerService
+
+# unreserved characters of RFC 3986, with an optional failure domain in front
+_KEY_PATTERN = re.compile(r"([A-Za-z0-9._-]{1,63}:)?[A-Za-z0-9._~-]{1,128}")
+MAX_TIMEOUT_MS = 600_000
+
+
+@frozen
+class Reply:
+    """What a caller is told: the verdict and what goes along with it."""
+
+    verdict: Verdict
+    root_id: str
+    next_key: str
+
+
+@define(eq=False)
+class Entry:
+    """Takes requests of callers: class, deadline, admission, key."""
+
+    board: Blackboard
+    timers: TimerService
+    run: Runner
+    keys: KeyPort
+    admit: Callable[[WorkClass, str, int], NotRun | None]
+    note_outcome: Callable[[WorkClass, str, Verdict, float], None]
+    metrics: Metrics
+    make_id: Callable[[], str]
+
+    async def handle(self, request: Request) -> Reply:
+        """Return the final word on a caller's request."""
+        root_id = self.make_id()
+        started_s = self.timers.read()
+        work_class = find_class(
+            self.board.configuration.document, request.method, request.path
+        )
+        if work_class is None:
+            verdict = NotRun(self._explain_no_class())
+        else:
+            verdict = await self._run_class(request, work_class, root_id)
+            seconds = self.timers.read() - started_s
+            self.note_outcome(work_class, request.service, verdict, seconds)
+            record_call(self.metrics, work_class.name, name_verdict(verdict), seconds)
+        return Reply(verdict, root_id, self.keys.mint())
+
+    def _explain_no_class(self) -> Reason:
+        if self.board.configuration.version == 0:
+            return Reason.NO_CONFIGURATION
+        return Reason.NO_ROUTE
+
+    async def _run_class(
+        self, request: Request, work_class: WorkClass, root_id: str
+    ) -> Verdict:
+        key = find_header(request.headers, names.IDEMPOTENCY_KEY) or ""
+        refusal = _check_key(key, work_class)
+        if refusal is not None:
+            return refusal
+        try:
+            context = self._make_context(request, work_class, root_id, key)
+        except ValueError:
+            return NotRun(Reason.MALFORMED)
+        call = Call(context, request)
+        outcome = await self._run_call(call, work_class)
+        return outcome.verdict
+
+    async def _run_call(self, call: Call, work_class: WorkClass) -> Outcome:
+        context = call.context
+        if not context.idempotent:
+            # admission of a keyed call is up to the owner of its key, which
+            # knows whether the answer is there already
+            return await self.keys.run(call)
+        refusal = self.admit(work_class, call.request.service, context.priority)
+        if refusal is not None:
+            return Outcome(refusal, context.attempts_left)
+        return await self.run(call)
+
+    def _make_context(
+        self, request: Request, work_class: WorkClass, root_id: str, key: str
+    ) -> Context:
+        timeout_ms = read_whole_number(request.headers, names.TIMEOUT_MS)
+        if timeout_ms is None:
+            timeout_ms = work_class.within_ms
+        timeout_ms = min(timeout_ms, MAX_TIMEOUT_MS)
+        return Context(
+            root_id=root_id,
+            call_id=root_id,
+            parent_id="",
+            class_name=work_class.name,
+            deadline_s=self.timers.read() + timeout_ms / 1000,
+            attempts_left=EXTRA_ATTEMPTS,
+            tier=work_class.tier,
+            priority=compute_priority(root_id),
+            depth=0,
+            idempotent=work_class.idempotent,
+            key=key,
+            digest=compute_digest(request.method, request.path, request.body),
+        )
+
+
+def _check_key(key: str, work_class: WorkClass) -> NotRun | None:
+    if key and not _KEY_PATTERN.fullmatch(key):
+        return NotRun(Reason.KEY_MALFORMED)
+    if not key and not work_class.idempotent:
+        return NotRun(Reason.KEY_MISSING)
+    return None
--- /dev/null
+++ b/eelgrassmount/calls/handlers.py
@@ -0,0 +1,98 @@
+"""Answers to the messages that other nodes send about calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from eelgrassmount.calls.request import Outcome
+from eelgrassmount.calls.table import Fate
+from eelgrassmount.errors import BadFrameError
+from eelgrassmount.gen.ttypes import CallState, FateAnswer, Hello, Message, Route
+from eelgrassmount.metrics import FrameReason
+from eelgrassmount.peer.codec import decode_call, encode_outcome
+from eelgrassmount.verdict import NotRun, Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.calls.local import LocalRunner
+    from eelgrassmount.calls.table import CallTable
+    from eelgrassmount.gen.ttypes import Outcome as OutcomeFrame
+    from eelgrassmount.gen.ttypes import ServiceLoad
+    from eelgrassmount.keys.port import Runner
+    from eelgrassmount.metrics import Metrics
+    from eelgrassmount.peer.port import Handlers
+    from eelgrassmount.timers import TimerService
+
+_STATE_BY_FATE = {
+    Fate.UNKNOWN: CallState.UNKNOWN,
+    Fate.PENDING: CallState.PENDING,
+    Fate.DONE: CallState.DONE,
+}
+
+
+@define(eq=False)
+class CallHandlers:
+    """Handlers for calls, cancellations and questions about calls."""
+
+    timers: TimerService
+    table: CallTable
+    local: LocalRunner
+    run_owned: Runner
+    describe_loads: Callable[[], list[ServiceLoad]]
+    metrics: Metrics
+
+    def make_handlers(self) -> Handlers:
+        """Return the handlers by the message fields that they answer."""
+        return {
+            "call": self.handle_call,
+            "cancel": self.handle_cancel,
+            "fate_question": self.handle_fate,
+        }
+
+    async def handle_call(self, sender: Hello, message: Message) -> Message:
+        """Run a call, as its owner or on the own backend server."""
+        frame = message.call
+        try:
+            call = decode_call(frame, self.timers.read())
+        except BadFrameError:
+            self.metrics.rejected_frames.labels(FrameReason.MALFORMED).inc()
+            return self._reply(_find_call_id(frame), _refuse_malformed())
+        if frame.route == Route.OWN:
+            outcome = await self.run_owned(call)
+        else:
+            outcome = await self.local.run(call)
+        return self._reply(call.context.call_id, outcome)
+
+    def _reply(self, call_id: str, outcome: Outcome) -> Message:
+        return Message(outcome=self._encode(call_id, outcome))
+
+    def _encode(self, call_id: str, outcome: Outcome) -> OutcomeFrame:
+        frame = encode_outcome(call_id, outcome)
+        frame.loads = self.describe_loads()
+        return frame
+
+    async def handle_cancel(self, sender: Hello, message: Message) -> None:
+        """Cancel a call, or seal its id if it has not arrived."""
+        self.table.cancel(message.cancel.call_id, self.timers.read())
+
+    async def handle_fate(self, sender: Hello, message: Message) -> Message:
+        """Say what became of a call."""
+        call_id = message.fate_question.call_id
+        fate = self.table.ask_fate(call_id, self.timers.read())
+        answer = FateAnswer(call_id=call_id, state=_STATE_BY_FATE[fate])
+        if fate is Fate.DONE:
+            outcome = self.table.find(call_id).outcome
+            answer.outcome = self._encode(call_id, outcome)
+        return Message(fate_answer=answer)
+
+
+def _find_call_id(frame: object) -> str:
+    context = getattr(frame, "context", None)
+    return getattr(context, "call_id", None) or ""
+
+
+def _refuse_malformed() -> Outcome:
+    return Outcome(NotRun(Reason.MALFORMED), 0)
--- /dev/null
+++ b/eelgrassmount/calls/local.py
@@ -0,0 +1,168 @@
+"""Running a call on the backend server of this VM."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from eelgrassmount.calls.request import Outcome
+from eelgrassmount.load.port import Sample, SampleKind
+from eelgrassmount.members.table import ServerState
+from eelgrassmount.verdict import (
+    Answered,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+    weaken_verdict,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.calls.request import Call
+    from eelgrassmount.calls.table import CallRecord, CallTable
+    from eelgrassmount.edge.server import ServerClient
+    from eelgrassmount.load.port import Gate
+    from eelgrassmount.metrics import Metrics
+    from eelgrassmount.retry.quarantine import Quarantine
+    from eelgrassmount.timers import TimerService
+
+_KIND_BY_REASON = {
+    Reason.SERVER_SHED: SampleKind.SHED,
+    Reason.DEADLINE: SampleKind.TIMEOUT,
+    Reason.SERVER_SILENT: SampleKind.TIMEOUT,
+    Reason.CANCELLED: SampleKind.CANCELLED,
+}
+
+
+@define(eq=False)
+class LocalRunner:
+    """Runs calls on the own backend server: each call id once."""
+
+    board: Blackboard
+    timers: TimerService
+    table: CallTable
+    gate: Gate
+    client: ServerClient
+    quarantine: Quarantine
+    metrics: Metrics
+    lose_server: Callable[[], None]
+
+    async def run(self, call: Call) -> Outcome:
+        """Run a call and return its outcome.
+
+        A call id that is known already is not run again: its outcome is
+        waited for.
+        """
+        record = self.table.find(call.context.call_id)
+        if record is not None:
+            await record.done.wait()
+            return record.outcome
+        record = self.table.open(call)
+        if record is None:
+            return Outcome(NotRun(Reason.CANCELLED), call.context.attempts_left)
+        return await self._run_record(record)
+
+    async def _run_record(self, record: CallRecord) -> Outcome:
+        verdict: Verdict = MayHaveRun(Reason.CANCELLED)
+        record.scope.deadline = record.call.context.deadline_s
+        try:
+            with record.scope:
+                verdict = await self._admit(record)
+            if record.scope.cancelled_caught:
+                verdict = _describe_cut(record)
+        finally:
+            self._cancel_children(record)
+            outcome = Outcome(_judge_subtree(record, verdict), record.attempts_left)
+            self.table.finish(record, outcome, self.timers.read())
+        return outcome
+
+    async def _admit(self, record: CallRecord) -> Verdict:
+        context = record.call.context
+        refusal = self._check(record.call)
+        if refusal is not None:
+            return refusal
+        refusal = await self.gate.enter(context)
+        if refusal is not None:
+            return refusal
+        started_s = self.timers.read()
+        verdict: Verdict = MayHaveRun(Reason.CANCELLED)
+        try:
+            verdict = await self._send(record)
+        finally:
+            self.gate.leave(self._measure(record, verdict, started_s))
+        return verdict
+
+    def _check(self, call: Call) -> NotRun | None:
+        if call.request.service != self.board.server.service:
+            return NotRun(Reason.NO_SERVER)
+        if not self.board.accepts_work:
+            return NotRun(_explain_closed(self.board))
+        return self.quarantine.check(call.context.digest, self.timers.read())
+
+    async def _send(self, record: CallRecord) -> Verdict:
+        def note_begun() -> None:
+            record.begun = True
+
+        verdict = await self.client.send(
+            self.board.server.address, record.call, record.attempts_left, note_begun
+        )
+        self._note_fate(record.call.context.digest, verdict)
+        return verdict
+
+    def _note_fate(self, digest: str, verdict: Verdict) -> None:
+        match verdict:
+            case Answered():
+                self.quarantine.note_success(digest)
+            case MayHaveRun(Reason.SERVER_CRASHED):
+                self.quarantine.note_crash(digest, self.timers.read())
+            case NotRun(Reason.NO_SERVER):
+                self.lose_server()
+
+    def _measure(
+        self, record: CallRecord, verdict: Verdict, started_s: float
+    ) -> Sample:
+        now_s = self.timers.read()
+        kind = SampleKind.COMPLETE
+        if not isinstance(verdict, Answered):
+            kind = _KIND_BY_REASON.get(verdict.reason, SampleKind.FAILED)
+        if kind is SampleKind.CANCELLED and now_s >= record.call.context.deadline_s:
+            kind = SampleKind.TIMEOUT
+        return Sample(kind, now_s - started_s, record.measure_downstream(now_s))
+
+    def _cancel_children(self, record: CallRecord) -> None:
+        for child in record.children.values():
+            if child.outcome is None:
+                child.scope.cancel()
+
+
+def _explain_closed(board: Blackboard) -> Reason:
+    if board.server.state is ServerState.STARTING:
+        return Reason.SERVER_STARTING
+    if board.server.state is ServerState.ABSENT:
+        return Reason.NO_SERVER
+    return Reason.DRAINING
+
+
+def _describe_cut(record: CallRecord) -> Verdict:
+    reason = Reason.CANCELLED if record.cancelled else Reason.DEADLINE
+    if record.begun:
+        return MayHaveRun(reason)
+    return NotRun(reason)
+
+
+def _judge_subtree(record: CallRecord, verdict: Verdict) -> Verdict:
+    """Return the verdict on a call with its downstream calls.
+
+    An answer that was made while a downstream call failed is not taken, since
+    it may lack a part; a server that did no work itself may still have had
+    downstream calls that ran.
+    """
+    children = record.children.values()
+    failed = any(not child.answered for child in children)
+    if isinstance(verdict, Answered) and failed:
+        return MayHaveRun(Reason.PARTIAL)
+    return weaken_verdict(verdict, any(child.may_have_run for child in children))
--- /dev/null
+++ b/eelgrassmount/calls/remote.py
@@ -0,0 +1,112 @@
+"""Sending a call to another node, and finding out what became of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define
+
+from eelgrassmount.calls.request import Outcome
+from eelgrassmount.errors import BadFrameError
+from eelgrassmount.gen.ttypes import CallState, Cancel, FateQuestion, Message, Route
+from eelgrassmount.peer.codec import decode_outcome, encode_call
+from eelgrassmount.peer.port import PeerFailure
+from eelgrassmount.verdict import MayHaveRun, NotRun, Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.calls.request import Call
+    from eelgrassmount.gen.ttypes import Outcome as OutcomeFrame
+    from eelgrassmount.peer.pool import PeerPool
+    from eelgrassmount.timers import TimerService
+
+# the other node gives its answer by the deadline; this is for the way back
+GRACE_S = 0.02
+CANCEL_LIMIT_S = 0.5
+
+
+@define(eq=False)
+class RemoteRunner:
+    """Lets other nodes run calls on their backend servers."""
+
+    peers: PeerPool
+    timers: TimerService
+    note_loads: Callable[[str, OutcomeFrame], None]
+
+    async def run(self, address: str, call: Call) -> Outcome:
+        """Let the node at ``address`` run a call and return its outcome."""
+        try:
+            return await self._ask(address, call)
+        except anyio.get_cancelled_exc_class():
+            await self._cancel(address, call)
+            raise
+
+    async def _ask(self, address: str, call: Call) -> Outcome:
+        reply = await self._send(address, call, incarnation="")
+        if isinstance(reply, PeerFailure) and reply.sent:
+            reply = await self._settle(call, reply)
+        if isinstance(reply, PeerFailure):
+            return Outcome(_judge_failure(reply), call.context.attempts_left)
+        return self._read(address, call, reply)
+
+    async def _send(
+        self, address: str, call: Call, incarnation: str
+    ) -> Message | PeerFailure:
+        now_s = self.timers.read()
+        frame = encode_call(call, Route.RUN, now_s)
+        remaining_s = call.context.measure_remaining(now_s) + GRACE_S
+        return await self.peers.ask(
+            address, Message(call=frame), remaining_s, incarnation
+        )
+
+    async def _settle(self, call: Call, failure: PeerFailure) -> Message | PeerFailure:
+        """Ask the same process over a new link what became of a call."""
+        now_s = self.timers.read()
+        remaining_s = call.context.measure_remaining(now_s)
+        if remaining_s <= 0:
+            await self._cancel(failure.address, call)
+            return failure
+        question = Message(fate_question=FateQuestion(call.context.call_id))
+        reply = await self.peers.ask(
+            failure.address, question, remaining_s, failure.incarnation
+        )
+        if isinstance(reply, PeerFailure) or reply.fate_answer is None:
+            return failure
+        match reply.fate_answer.state:
+            case CallState.UNKNOWN:
+                return PeerFailure(failure.address, sent=False)
+            case CallState.DONE:
+                return Message(outcome=reply.fate_answer.outcome)
+        # it is known there, so this joins it instead of running it again
+        return await self._rejoin(call, failure)
+
+    async def _rejoin(self, call: Call, failure: PeerFailure) -> Message | PeerFailure:
+        reply = await self._send(failure.address, call, failure.incarnation)
+        if isinstance(reply, PeerFailure):
+            return failure
+        return reply
+
+    def _read(self, address: str, call: Call, reply: Message) -> Outcome:
+        frame = reply.outcome
+        if frame is None or frame.call_id != call.context.call_id:
+            return Outcome(MayHaveRun(Reason.BAD_ANSWER), 0)
+        self.note_loads(address, frame)
+        try:
+            outcome = decode_outcome(frame)
+        except BadFrameError:
+            return Outcome(MayHaveRun(Reason.BAD_ANSWER), 0)
+        attempts_left = min(outcome.attempts_left, call.context.attempts_left)
+        return Outcome(outcome.verdict, attempts_left)
+
+    async def _cancel(self, address: str, call: Call) -> None:
+        with anyio.CancelScope(shield=True), anyio.move_on_after(CANCEL_LIMIT_S):
+            message = Message(cancel=Cancel(call.context.call_id))
+            await self.peers.tell(address, message)
+
+
+def _judge_failure(failure: PeerFailure) -> NotRun | MayHaveRun:
+    if failure.sent:
+        return MayHaveRun(Reason.PEER_LOST)
+    return NotRun(Reason.PEER_LOST)
--- /dev/null
+++ b/eelgrassmount/edge/announcements.py
@@ -0,0 +1,132 @@
+"""What the backend server on this VM says of itself."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from attrs import define
+from loguru import logger
+
+from eelgrassmount.blackboard import LocalServer
+from eelgrassmount.errors import AddressError, AnnouncementError
+from eelgrassmount.members.table import ServerState
+from eelgrassmount.util.addresses import parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.timers import TimerService
+
+# a server that has not announced itself for this long is gone
+ANNOUNCEMENT_LIMIT_S = 3.5
+CHECK_PERIOD_S = 0.5
+
+_STATES = {
+    "starting": ServerState.STARTING,
+    "serving": ServerState.SERVING,
+    "draining": ServerState.DRAINING,
+}
+
+
+@define(eq=False)
+class Announcements:
+    """Keeps the blackboard's ``server`` as the server announces it.
+
+    ``note_change`` is called when the service, address or state changes.
+    """
+
+    board: Blackboard
+    timers: TimerService
+    note_change: Callable[[], None]
+    count_running: Callable[[], int]
+
+    def start(self) -> None:
+        """Watch for a server that stops announcing itself."""
+        self.timers.subscribe(CHECK_PERIOD_S, self._check)
+
+    def take(self, body: bytes) -> dict[str, Any]:
+        """Take an announcement and return the answer to it.
+
+        Raises `AnnouncementError` for one that can't be read; what was
+        announced before stays.
+        """
+        server = parse_announcement(body, self.timers.read())
+        self._put(server)
+        return {
+            "incarnation": self.board.identity.incarnation,
+            "in_flight": self.count_running(),
+        }
+
+    def remove(self) -> None:
+        """Note that the server is gone."""
+        self._put(LocalServer())
+
+    def _put(self, server: LocalServer) -> None:
+        before = self.board.server
+        self.board.server = server
+        if (server.service, server.address, server.state) == (
+            before.service,
+            before.address,
+            before.state,
+        ):
+            return
+        logger.info(
+            "backend server changed",
+            service=server.service or before.service,
+            state=server.state.name.lower(),
+        )
+        self.note_change()
+
+    def _check(self) -> None:
+        server = self.board.server
+        if server.state is ServerState.ABSENT:
+            return
+        if self.timers.read() - server.announced_s > ANNOUNCEMENT_LIMIT_S:
+            self.remove()
+
+
+def parse_announcement(body: bytes, now_s: float) -> LocalServer:
+    """Return what an announcement says, raising `AnnouncementError`."""
+    try:
+        fields = json.loads(body)
+    except ValueError as error:
+        raise AnnouncementError(f"the body is not JSON ({error})") from error
+    if not isinstance(fields, dict):
+        raise AnnouncementError("the body must be a JSON object")
+    return LocalServer(
+        service=_parse_service(fields.get("service")),
+        address=_parse_address(fields.get("address")),
+        state=_parse_state(fields.get("state")),
+        load=_parse_load(fields.get("load", 0.0)),
+        announced_s=now_s,
+    )
+
+
+def _parse_service(value: Any) -> str:
+    if not isinstance(value, str) or not value or "/" in value:
+        raise AnnouncementError(
+            f"service is {value!r}; give the first path segment of its routes"
+        )
+    return value
+
+
+def _parse_address(value: Any) -> str:
+    try:
+        return str(parse_address(str(value)))
+    except AddressError as error:
+        raise AnnouncementError(f"address: {error}") from error
+
+
+def _parse_state(value: Any) -> ServerState:
+    if value not in _STATES:
+        allowed = ", ".join(_STATES)
+        raise AnnouncementError(f"state is {value!r}; allowed are {allowed}")
+    return _STATES[value]
+
+
+def _parse_load(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise AnnouncementError(f"load is {value!r}; give a number from 0 to 1")
+    return min(1.0, max(0.0, float(value)))
--- /dev/null
+++ b/eelgrassmount/edge/backend.py
@@ -0,0 +1,80 @@
+"""The listener for the backend server on this VM."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from attrs import define
+
+from eelgrassmount.edge import headers as names
+from eelgrassmount.edge.caller import convert_request, make_reply
+from eelgrassmount.edge.headers import find_header
+from eelgrassmount.edge.http import (
+    BodyTooLong,
+    HttpReply,
+    HttpRequest,
+    read_request,
+    run_until_gone,
+    send_reply,
+)
+from eelgrassmount.errors import AnnouncementError
+from eelgrassmount.verdict import NotRun, Reason
+
+if TYPE_CHECKING:
+    from eelgrassmount.calls.downstream import Downstream
+    from eelgrassmount.edge.announcements import Announcements
+    from eelgrassmount.edge.http import Receive, Send
+    from eelgrassmount.verdict import Verdict
+
+ANNOUNCEMENT_PATH = "/_eelgrassmount/server"
+
+
+@define(eq=False)
+class BackendListener:
+    """The ASGI application for announcements and downstream calls."""
+
+    announcements: Announcements
+    downstream: Downstream
+    max_body_bytes: int
+
+    async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Answer one request of the backend server."""
+        try:
+            request = await read_request(scope, receive, self.max_body_bytes)
+        except BodyTooLong:
+            await send_reply(send, make_reply(NotRun(Reason.TOO_LARGE), []))
+            return
+        if request is None:
+            return
+        if request.path == ANNOUNCEMENT_PATH:
+            await send_reply(send, self._announce(request))
+            return
+
+        async def work() -> Verdict:
+            return await self._call(request)
+
+        verdict = await run_until_gone(receive, work)
+        if verdict is not None:
+            await send_reply(send, make_reply(verdict, []))
+
+    def _announce(self, request: HttpRequest) -> HttpReply:
+        if request.method == "DELETE":
+            self.announcements.remove()
+            return HttpReply(200)
+        if request.method != "PUT":
+            return HttpReply(405, body=b"announce with PUT or DELETE\n")
+        try:
+            answer = self.announcements.take(request.body)
+        except AnnouncementError as error:
+            return HttpReply(400, body=f"{error}\n".encode())
+        return HttpReply(200, body=json.dumps(answer).encode())
+
+    async def _call(self, request: HttpRequest) -> Verdict:
+        parent_id = find_header(request.headers, names.PARENT)
+        if parent_id is None:
+            return NotRun(Reason.MALFORMED)
+        call_name = find_header(request.headers, names.CALL_NAME) or ""
+        return await self.downstream.handle(
+            parent_id, call_name, convert_request(request)
+        )
--- /dev/null
+++ b/eelgrassmount/edge/caller.py
@@ -0,0 +1,92 @@
+"""The listener for callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from attrs import define
+
+from eelgrassmount.calls.entry import Reply
+from eelgrassmount.calls.request import Request
+from eelgrassmount.edge import headers as names
+from eelgrassmount.edge.headers import choose_status, make_verdict_headers
+from eelgrassmount.edge.http import (
+    BodyTooLong,
+    HttpReply,
+    HttpRequest,
+    read_request,
+    run_until_gone,
+    send_reply,
+)
+from eelgrassmount.verdict import Answered, Header, NotRun, Reason
+
+if TYPE_CHECKING:
+    from eelgrassmount.calls.entry import Entry
+    from eelgrassmount.edge.http import Receive, Send
+    from eelgrassmount.metrics import Metrics
+    from eelgrassmount.verdict import Verdict
+
+
+@define(eq=False)
+class CallerListener:
+    """The ASGI application for callers."""
+
+    entry: Entry
+    max_body_bytes: int
+    metrics: Metrics
+
+    async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Answer one request of a caller."""
+        try:
+            request = await read_request(scope, receive, self.max_body_bytes)
+        except BodyTooLong:
+            reply = Reply(NotRun(Reason.TOO_LARGE), "", "")
+            await self._answer(send, reply)
+            return
+        if request is None:
+            return
+
+        async def work() -> Reply:
+            return await self.entry.handle(convert_request(request))
+
+        reply = await run_until_gone(receive, work)
+        if reply is not None:
+            await self._answer(send, reply)
+
+    async def _answer(self, send: Send, reply: Reply) -> None:
+        if not isinstance(reply.verdict, Answered):
+            self.metrics.refusals.labels(reply.verdict.reason).inc()
+        await send_reply(send, make_reply(reply.verdict, _make_extra(reply)))
+
+
+def _make_extra(reply: Reply) -> list[Header]:
+    extra = []
+    if reply.root_id:
+        extra.append(Header(names.ROOT, reply.root_id))
+    if reply.next_key:
+        extra.append(Header(names.NEXT_KEY, reply.next_key))
+    return extra
+
+
+def convert_request(request: HttpRequest) -> Request:
+    """Return the content of a call that came over HTTP.
+
+    The service is the first segment of the path.
+    """
+    service = request.path.lstrip("/").partition("/")[0]
+    return Request(
+        service=service,
+        method=request.method,
+        path=request.target,
+        headers=request.headers,
+        body=request.body,
+    )
+
+
+def make_reply(verdict: Verdict, extra: list[Header]) -> HttpReply:
+    """Return the HTTP answer that tells a verdict."""
+    own = (*make_verdict_headers(verdict), *extra)
+    match verdict:
+        case Answered(status, headers, body):
+            return HttpReply(status, (*headers, *own), body)
+    return HttpReply(choose_status(verdict), own)
--- a/eelgrassmount/errors.py
+++ b/eelgrassmount/errors.py
@@ -48,3 +48,46 @@
             f"no answer from a node at {self.address} ({self.cause}); "
             "check --admin and that the node runs"
         )
+
+
+@dataclass(eq=False)
+class BadFrameError(EelgrassmountError):
+    """A frame from another node that can't be taken.
+
+    The connection that it came on is closed, since what follows a bad frame
+    can't be trusted either.
+    """
+
+    detail: str
+
+    def __str__(self) -> str:
+        return f"bad frame: {self.detail}; check the release of the other node"
+
+
+@dataclass(eq=False)
+class OverlongFrameError(BadFrameError):
+    """A frame longer than ``max_frame_bytes``."""
+
+
+@dataclass(eq=False)
+class LinkLostError(EelgrassmountError):
+    """A link to another node ended while an answer was awaited on it.
+
+    ``sent`` tells whether the other node may have received the message.
+    """
+
+    address: str
+    sent: bool
+
+    def __str__(self) -> str:
+        return f"the link to {self.address} was lost; check that the node runs"
+
+
+@dataclass(eq=False)
+class AnnouncementError(EelgrassmountError):
+    """An announcement of a backend server that can't be read."""
+
+    detail: str
+
+    def __str__(self) -> str:
+        return f"bad announcement: {self.detail}"
--- a/eelgrassmount/peer/codec.py
+++ b/eelgrassmount/peer/codec.py
@@ -7,7 +7,7 @@
 
 from eelgrassmount.calls.request import Call, Outcome, Request
 from eelgrassmount.context import MAX_DEPTH, PRIORITY_LEVELS, Context, Tier
-from eelgrassmount.errors import BadFrame
+from eelgrassmount.errors import BadFrameError
 from eelgrassmount.gen import ttypes
 from eelgrassmount.verdict import (
     Answered,
@@ -31,15 +31,15 @@
 
 
 def decode_payload(payload: bytes) -> ttypes.Message:
-    """Return the message in a frame, raising `BadFrame` if it has none."""
+    """Return the message in a frame, raising `BadFrameError` if it has none."""
     message = ttypes.Message()
     try:
         message.read(TBinaryProtocolAccelerated(TMemoryBuffer(payload)))
     # the accelerated decoder raises many types on malformed input
     except Exception as error:
-        raise BadFrame(f"not a thrift message: {error!r}") from error
+        raise BadFrameError(f"not a thrift message: {error!r}") from error
     if message.sequence is None:
-        raise BadFrame("the message has no sequence number")
+        raise BadFrameError("the message has no sequence number")
     return message
 
 
@@ -76,11 +76,11 @@
 
 
 def decode_call(frame: ttypes.Call, now_s: float) -> Call:
-    """Return a call that arrived at ``now_s``, raising `BadFrame`."""
+    """Return a call that arrived at ``now_s``, raising `BadFrameError`."""
     try:
         return Call(_decode_context(frame.context, now_s), _decode_request(frame))
     except (AttributeError, TypeError, ValueError) as error:
-        raise BadFrame(f"not a valid call: {error}") from error
+        raise BadFrameError(f"not a valid call: {error}") from error
 
 
 def _decode_context(frame: ttypes.Context, now_s: float) -> Context:
@@ -152,7 +152,7 @@
 
 
 def decode_outcome(frame: ttypes.Outcome) -> Outcome:
-    """Return the outcome that a node sent, raising `BadFrame`."""
+    """Return the outcome that a node sent, raising `BadFrameError`."""
     return Outcome(_decode_verdict(frame), max(0, frame.attempts_left or 0))
 
 
@@ -166,7 +166,9 @@
             return NotRun(_decode_reason(frame.reason), retry_after_s)
         case ttypes.VerdictKind.MAY_HAVE_RUN:
             return MayHaveRun(_decode_reason(frame.reason), retry_after_s)
-    raise BadFrame(f"not a valid verdict: kind {frame.kind}, status {frame.status}")
+    raise BadFrameError(
+        f"not a valid verdict: kind {frame.kind}, status {frame.status}"
+    )
 
 
 def _decode_reason(text: str | None) -> Reason:
--- /dev/null
+++ b/eelgrassmount/peer/listener.py
@@ -0,0 +1,132 @@
+"""The listener that other nodes connect to."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define, field
+
+from eelgrassmount.errors import BadFrameError, OverlongFrameError
+from eelgrassmount.gen.ttypes import Message
+from eelgrassmount.metrics import FrameReason
+from eelgrassmount.peer.frames import FrameReader, FrameWriter
+from eelgrassmount.peer.link import MAX_WAITING_BYTES
+from eelgrassmount.peer.pool import make_hello
+
+if TYPE_CHECKING:
+    from anyio.abc import SocketStream, TaskGroup
+
+    from eelgrassmount.gen.ttypes import Hello
+    from eelgrassmount.members.table import Identity
+    from eelgrassmount.metrics import Metrics
+    from eelgrassmount.peer.port import Handler, Handlers
+    from eelgrassmount.util.addresses import Address
+
+GREETING_LIMIT_S = 5.0
+_CLOSED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
+@define(eq=False)
+class PeerListener:
+    """Accepts links of other nodes and hands their messages to handlers.
+
+    A frame that can't be taken is counted and costs its connection, nothing
+    else.
+    """
+
+    identity: Identity
+    address: Address
+    max_frame_bytes: int
+    handlers: Handlers
+    metrics: Metrics
+    _group: TaskGroup | None = field(default=None)
+
+    async def start(self, group: TaskGroup) -> None:
+        """Bind the address and accept links in the given task group."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self.address.host, local_port=self.address.port
+        )
+        self._group = group
+        group.start_soon(listener.serve, self._serve)
+
+    async def _serve(self, stream: SocketStream) -> None:
+        async with stream:
+            reader = FrameReader(stream, self.max_frame_bytes)
+            greeting = await self._read(reader, GREETING_LIMIT_S)
+            if greeting is None:
+                return
+            if greeting.hello is None:
+                self._reject(FrameReason.UNEXPECTED)
+                return
+            await self._talk(stream, reader, greeting)
+
+    async def _read(
+        self, reader: FrameReader, limit_s: float = math.inf
+    ) -> Message | None:
+        try:
+            with anyio.move_on_after(limit_s):
+                return await reader.read()
+        except OverlongFrameError:
+            self._reject(FrameReason.OVER_LONG)
+        except BadFrameError:
+            self._reject(FrameReason.MALFORMED)
+        except _CLOSED:
+            return None
+        return None
+
+    def _reject(self, reason: FrameReason) -> None:
+        self.metrics.rejected_frames.labels(reason).inc()
+
+    async def _talk(
+        self, stream: SocketStream, reader: FrameReader, greeting: Message
+    ) -> None:
+        writer = FrameWriter(stream, MAX_WAITING_BYTES)
+        hello = make_hello(self.identity)
+        writer.write(Message(sequence=greeting.sequence, reply=True, hello=hello))
+        async with anyio.create_task_group() as group:
+            group.start_soon(_send, writer, group)
+            await self._read_all(reader, writer, greeting.hello)
+            group.cancel_scope.cancel()
+
+    async def _read_all(
+        self, reader: FrameReader, writer: FrameWriter, sender: Hello
+    ) -> None:
+        while (message := await self._read(reader)) is not None:
+            if message.ping is not None:
+                message.reply = True
+                writer.write(message)
+                continue
+            handler = self._find_handler(message)
+            if handler is None:
+                self._reject(FrameReason.UNEXPECTED)
+                continue
+            # in the node's own group: a call outlives the link it came on
+            self._group.start_soon(_handle, handler, sender, message, writer)
+        writer.closed = True
+
+    def _find_handler(self, message: Message) -> Handler | None:
+        for name, handler in self.handlers.items():
+            if getattr(message, name) is not None:
+                return handler
+        return None
+
+
+async def _send(writer: FrameWriter, group: TaskGroup) -> None:
+    try:
+        await writer.run()
+    except _CLOSED:
+        writer.closed = True
+        group.cancel_scope.cancel()
+
+
+async def _handle(
+    handler: Handler, sender: Hello, message: Message, writer: FrameWriter
+) -> None:
+    reply = await handler(sender, message)
+    if reply is None:
+        return
+    reply.sequence = message.sequence
+    reply.reply = True
+    writer.write(reply)
--- /dev/null
+++ b/eelgrassmount/peer/pool.py
@@ -0,0 +1,170 @@
+"""Links to other nodes, opened when needed and replaced when lost."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define, field
+
+from eelgrassmount.errors import BadFrameError, LinkLostError
+from eelgrassmount.gen.ttypes import Hello, Message
+from eelgrassmount.peer.codec import encode_frame
+from eelgrassmount.peer.frames import FrameReader, FrameWriter
+from eelgrassmount.peer.link import MAX_WAITING_BYTES, PINGS_PER_SILENCE, Link
+from eelgrassmount.peer.port import PeerFailure
+from eelgrassmount.util.addresses import parse_address
+
+if TYPE_CHECKING:
+    from anyio.abc import SocketStream, TaskGroup
+
+    from eelgrassmount.members.table import Identity
+    from eelgrassmount.metrics import Metrics
+    from eelgrassmount.timers import TimerService
+
+RELEASE = 1
+# after a failed connection, the address is not tried again for this long
+CONNECT_PAUSE_S = 0.1
+
+
+@define(eq=False)
+class PeerPool:
+    """All links that this node has opened, one for each address.
+
+    It implements `eelgrassmount.peer.port.PeerPort`. A link that is waited on
+    and stays silent for ``silence_s`` is replaced; what was asked on it fails
+    as *sent*, and the asker finds out over the new link what became of it.
+    """
+
+    identity: Identity
+    local_host: str
+    silence_s: float
+    max_frame_bytes: int
+    timers: TimerService
+    metrics: Metrics
+    _group: TaskGroup | None = None
+    _links: dict[str, Link] = field(factory=dict)
+    _locks: dict[str, anyio.Lock] = field(factory=dict)
+    _failed_s: dict[str, float] = field(factory=dict)
+
+    async def start(self, group: TaskGroup) -> None:
+        """Run the links in the given task group from now on."""
+        self._group = group
+        self.timers.subscribe(self.silence_s / PINGS_PER_SILENCE, self._watch)
+
+    async def ask(
+        self, address: str, message: Message, timeout_s: float, incarnation: str = ""
+    ) -> Message | PeerFailure:
+        """Send a message and wait for its reply.
+
+        With ``incarnation``, only that process is asked: when another one now
+        answers at the address, nothing is sent.
+        """
+        deadline_s = self.timers.read() + timeout_s
+        link = await self._get(address)
+        if link is None or incarnation not in ("", link.hello.incarnation):
+            return PeerFailure(address, sent=False)
+        remaining_s = deadline_s - self.timers.read()
+        try:
+            reply = await link.ask(message, remaining_s)
+        except LinkLostError as error:
+            return PeerFailure(address, error.sent, link.hello.incarnation)
+        if reply is None:
+            return PeerFailure(address, True, link.hello.incarnation)
+        return reply
+
+    async def tell(self, address: str, message: Message) -> bool:
+        """Send a message that has no reply; tell whether it was handed over."""
+        link = await self._get(address)
+        return link is not None and link.tell(message)
+
+    def find_hello(self, address: str) -> Hello | None:
+        """Return how the node at an address introduced itself, if linked."""
+        link = self._links.get(address)
+        return link.hello if link is not None else None
+
+    async def _get(self, address: str) -> Link | None:
+        link = self._links.get(address)
+        if link is not None and not link.lost:
+            return link
+        lock = self._locks.setdefault(address, anyio.Lock())
+        async with lock:
+            return await self._reopen(address)
+
+    async def _reopen(self, address: str) -> Link | None:
+        link = self._links.get(address)
+        if link is not None and not link.lost:
+            return link
+        if self.timers.read() - self._failed_s.get(address, -1.0) < CONNECT_PAUSE_S:
+            return None
+        link = await self._open(address)
+        if link is None:
+            self._failed_s[address] = self.timers.read()
+            return None
+        self._links[address] = link
+        self._group.start_soon(self._run, link)
+        return link
+
+    async def _open(self, address: str) -> Link | None:
+        target = parse_address(address)
+        # a peer that is frozen accepts connections but does not greet
+        with anyio.move_on_after(self.silence_s):
+            try:
+                stream = await anyio.connect_tcp(
+                    target.host, target.port, local_host=self.local_host
+                )
+            except OSError:
+                return None
+            try:
+                return await self._greet(address, stream)
+            except (BadFrameError, anyio.EndOfStream, anyio.BrokenResourceError):
+                await anyio.aclose_forcefully(stream)
+                return None
+            except BaseException:
+                with anyio.CancelScope(shield=True):
+                    await anyio.aclose_forcefully(stream)
+                raise
+        return None
+
+    async def _greet(self, address: str, stream: SocketStream) -> Link | None:
+        reader = FrameReader(stream, self.max_frame_bytes)
+        hello = make_hello(self.identity)
+        greeting = Message(sequence=0, reply=False, hello=hello)
+        await stream.send(encode_frame(greeting))
+        reply = await reader.read()
+        if reply.hello is None:
+            raise BadFrameError("the first message is not a greeting")
+        writer = FrameWriter(stream, MAX_WAITING_BYTES)
+        return Link(
+            address, reply.hello, writer, reader, stream, self.timers, self.metrics
+        )
+
+    async def _run(self, link: Link) -> None:
+        reason = await link.run()
+        self.metrics.peer_links_replaced.labels(reason).inc()
+        if self._links.get(link.address) is link:
+            del self._links[link.address]
+
+    def _watch(self) -> None:
+        for link in list(self._links.values()):
+            if link.watch(self.silence_s):
+                self._group.start_soon(link.abort)
+
+    def forget(self, address: str) -> None:
+        """Close the link to a node that is gone for good."""
+        link = self._links.get(address)
+        if link is not None:
+            self._group.start_soon(link.abort)
+        self._locks.pop(address, None)
+        self._failed_s.pop(address, None)
+
+
+def make_hello(identity: Identity) -> Hello:
+    """Return the greeting of a node."""
+    return Hello(
+        address=identity.address,
+        failure_domain=identity.failure_domain,
+        region=identity.region,
+        incarnation=identity.incarnation,
+        release=RELEASE,
+    )
--- a/eelgrassmount/peer/port.py
+++ b/eelgrassmount/peer/port.py
@@ -13,11 +13,13 @@
 class PeerFailure:
     """A question to another node had no answer.
 
-    ``sent`` tells whether the other node may have received it.
+    ``sent`` tells whether the other node may have received it, and
+    ``incarnation`` which process it was that may have, if it is known.
     """
 
     address: str
     sent: bool
+    incarnation: str = ""
 
 
 class PeerPort(Protocol):
--- /dev/null
+++ b/eelgrassmount/retry/budget.py
@@ -0,0 +1,42 @@
+"""The attempts that a whole request may spend."""
+
+from __future__ import annotations
+
+from attrs import define
+
+# sendings beyond the first, over the whole tree of one request
+EXTRA_ATTEMPTS = 3
+# extra sendings that a node may make, as a part of the first sendings
+RETRY_FRACTION = 0.1
+# what a quiet node may still spend
+MIN_RETRIES = 10.0
+# credit is not saved up beyond this
+MAX_RETRIES = 100.0
+
+
+def split_attempts(attempts_left: int) -> int:
+    """Return the attempts that go down with one of several downstream calls.
+
+    Half, rounded up, goes along and what is not used comes back; the rest
+    stays for the calls made at the same time. The sum over a whole tree never
+    exceeds what its root was given.
+    """
+    return (attempts_left + 1) // 2
+
+
+@define
+class RetryRatio:
+    """Limits the retries of a node to a fraction of its first sendings."""
+
+    credit: float = MIN_RETRIES
+
+    def note_first(self) -> None:
+        """Note a first sending, which earns credit for retries."""
+        self.credit = min(MAX_RETRIES, self.credit + RETRY_FRACTION)
+
+    def take(self) -> bool:
+        """Take the credit for one retry; ``False`` when there is none."""
+        if self.credit < 1.0:
+            return False
+        self.credit -= 1.0
+        return True
