Keep a faulty task from ending the node, and answer operators

Ruled out: letting the task group propagate, which ends every request in flight on one programming error. Such errors are now logged and counted; a caller is told 'may have run, internal'. The admin listener answers state, members, metrics and drain; a listener that can't bind says which address.

--- /dev/null
+++ b/eelgrassmount/admin/state.py
@@ -0,0 +1,109 @@
+"""What a node shows of itself and of the members it knows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from eelgrassmount.admin.json import make_json_reply
+from eelgrassmount.edge.http import HttpReply, HttpRequest
+from eelgrassmount.verdict import Header
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.admin.listener import AdminHandler
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.load.port import Gate
+    from eelgrassmount.metrics import Metrics
+
+
+def make_state_handler(
+    board: Blackboard, gate: Gate, count_running: Callable[[], int]
+) -> AdminHandler:
+    """Return the handler of ``GET /state``."""
+
+    async def show_state(request: HttpRequest) -> HttpReply:
+        load = gate.describe()
+        return make_json_reply(
+            200,
+            {
+                "address": board.identity.address,
+                "failure_domain": board.identity.failure_domain,
+                "region": board.identity.region,
+                "incarnation": board.identity.incarnation,
+                "service": board.server.service,
+                "server_address": board.server.address,
+                "server_state": board.server.state.name.lower(),
+                "drain": board.drain.name.lower(),
+                "config_version": board.configuration.version,
+                "log_reachable": board.log_reachable,
+                "threshold": load.threshold,
+                "headroom": load.headroom,
+                "in_flight": count_running(),
+            },
+        )
+
+    return show_state
+
+
+def make_members_handler(board: Blackboard) -> AdminHandler:
+    """Return the handler of ``GET /members``."""
+
+    async def show_members(request: HttpRequest) -> HttpReply:
+        table = board.members
+        return make_json_reply(
+            200,
+            {
+                "members": [_describe_member(item) for item in table.members.values()],
+                "summaries": [
+                    _describe_summary(item) for item in table.summaries.values()
+                ],
+            },
+        )
+
+    return show_members
+
+
+def _describe_member(member: Any) -> dict[str, Any]:
+    return {
+        "address": member.identity.address,
+        "failure_domain": member.identity.failure_domain,
+        "incarnation": member.identity.incarnation,
+        "state": member.state.name.lower(),
+        "service": member.service,
+        "server_state": member.server_state.name.lower(),
+        "headroom": member.headroom,
+        "heartbeat": member.heartbeat,
+    }
+
+
+def _describe_summary(summary: Any) -> dict[str, Any]:
+    return {
+        "failure_domain": summary.failure_domain,
+        "service": summary.service,
+        "servers": summary.servers,
+        "headroom": summary.headroom,
+        "addresses": list(summary.addresses),
+    }
+
+
+def make_metrics_handler(metrics: Metrics) -> AdminHandler:
+    """Return the handler of ``GET /metrics``."""
+
+    async def show_metrics(request: HttpRequest) -> HttpReply:
+        body = generate_latest(metrics.registry)
+        return HttpReply(200, (Header("content-type", CONTENT_TYPE_LATEST),), body)
+
+    return show_metrics
+
+
+def make_drain_handler(start_drain: Callable[[], None]) -> AdminHandler:
+    """Return the handler of ``POST /drain``."""
+
+    async def drain(request: HttpRequest) -> HttpReply:
+        start_drain()
+        return make_json_reply(202, {"message": "draining"})
+
+    return drain
--- a/eelgrassmount/calls/downstream.py
+++ b/eelgrassmount/calls/downstream.py
@@ -16,11 +16,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from anyio.abc import TaskGroup
-
     from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.keys.port import Runner
     from eelgrassmount.timers import TimerService
+    from eelgrassmount.util.background import Background
 
 
 @define(eq=False)
@@ -35,7 +34,7 @@
     timers: TimerService
     table: CallTable
     run: Runner
-    group: TaskGroup
+    group: Background
     make_id: Callable[[], str]
     note_touched: Callable[[str, str], None]
 
--- a/eelgrassmount/compose.py
+++ b/eelgrassmount/compose.py
@@ -33,6 +33,7 @@
 from eelgrassmount.retry.budget import RetryRatio
 from eelgrassmount.retry.quarantine import Quarantine
 from eelgrassmount.timers import MonotonicClock, TimerService
+from eelgrassmount.util.background import Background
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -61,7 +62,9 @@
 ) -> None:
     """Run a node until it is told to stop."""
     async with anyio.create_task_group() as group:
-        node = await _start_node(settings, group, configuration)
+        node = await _start_node(
+            settings, Background(group, lambda: None), configuration
+        )
         group.start_soon(_wait_for_signal, node)
         await node.stopped.wait()
         group.cancel_scope.cancel()
--- a/eelgrassmount/edge/caller.py
+++ b/eelgrassmount/edge/caller.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define
+from loguru import logger
 
 from eelgrassmount.calls.entry import Reply
 from eelgrassmount.calls.request import Request
@@ -18,7 +19,7 @@
     run_until_gone,
     send_reply,
 )
-from eelgrassmount.verdict import Answered, Header, NotRun, Reason
+from eelgrassmount.verdict import Answered, Header, MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
     from eelgrassmount.calls.entry import Entry
@@ -47,7 +48,12 @@
             return
 
         async def work() -> Reply:
-            return await self.entry.handle(convert_request(request))
+            try:
+                return await self.entry.handle(convert_request(request))
+            except Exception:
+                logger.exception("a request failed on a programming error")
+                self.metrics.internal_errors.inc()
+                return Reply(MayHaveRun(Reason.INTERNAL), "", "")
 
         reply = await run_until_gone(receive, work)
         if reply is not None:
--- a/eelgrassmount/edge/http.py
+++ b/eelgrassmount/edge/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -10,14 +11,14 @@
 from attrs import frozen
 
 from eelgrassmount.edge import headers as names
+from eelgrassmount.errors import ListenError
 from eelgrassmount.verdict import Header
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable, Iterator
 
-    from anyio.abc import TaskGroup
-
     from eelgrassmount.util.addresses import Address
+    from eelgrassmount.util.background import Background
 
 Receive = "Callable[[], Awaitable[Any]]"
 Send = "Callable[[Any], Awaitable[None]]"
@@ -64,12 +65,14 @@
     """The body of a request is longer than allowed."""
 
 
-async def serve_http(app: Any, address: Address, group: TaskGroup) -> uvicorn.Server:
-    """Start a listener in the task group and return when it is bound."""
+async def serve_http(app: Any, address: Address, group: Background) -> uvicorn.Server:
+    """Start a listener in the task group and return when it listens.
+
+    Raises `ListenError` when the address can't be bound.
+    """
+    listening = _bind_socket(address)
     config = uvicorn.Config(
         app,
-        host=address.host,
-        port=address.port,
         log_config=None,
         access_log=False,
         lifespan="off",
@@ -78,16 +81,27 @@
         timeout_keep_alive=KEEP_ALIVE_S,
         backlog=BACKLOG,
         server_header=False,
-        proxy_headers=False,
         date_header=False,
+        proxy_headers=False,
     )
     server = _Server(config)
-    group.start_soon(server.serve)
+    group.start_soon(server.serve, [listening])
     while not server.started:
         await anyio.sleep(_START_POLL_S)
     return server
 
 
+def _bind_socket(address: Address) -> socket.socket:
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listening.bind((address.host, address.port))
+    except OSError as error:
+        listening.close()
+        raise ListenError(str(address), error.strerror or str(error)) from error
+    return listening
+
+
 async def read_request(
     scope: Any, receive: Receive, max_body_bytes: int
 ) -> HttpRequest | None:
--- a/eelgrassmount/errors.py
+++ b/eelgrassmount/errors.py
@@ -91,3 +91,17 @@
 
     def __str__(self) -> str:
         return f"bad announcement: {self.detail}"
+
+
+@dataclass(eq=False)
+class ListenError(EelgrassmountError):
+    """An address of the settings on which the node can't listen."""
+
+    address: str
+    cause: str
+
+    def __str__(self) -> str:
+        return (
+            f"can't listen on {self.address} ({self.cause}); give an address of this "
+            "VM that no other process uses"
+        )
--- a/eelgrassmount/metrics.py
+++ b/eelgrassmount/metrics.py
@@ -120,6 +120,7 @@
     in_flight: Gauge
     queued: Gauge
     drains: Counter
+    internal_errors: Counter
 
 
 def make_metrics() -> Metrics:
@@ -161,6 +162,7 @@
         in_flight=gauge("in_flight", "Calls running at the backend server."),
         queued=gauge("queued", "Calls waiting for the backend server."),
         drains=count("drains", "Graceful shutdowns begun."),
+        internal_errors=count("internal_errors", "Programming errors caught."),
     )
     _create_labels(metrics)
     return metrics
--- a/eelgrassmount/peer/listener.py
+++ b/eelgrassmount/peer/listener.py
@@ -8,7 +8,7 @@
 import anyio
 from attrs import define, field
 
-from eelgrassmount.errors import BadFrameError, OverlongFrameError
+from eelgrassmount.errors import BadFrameError, ListenError, OverlongFrameError
 from eelgrassmount.gen.ttypes import Message
 from eelgrassmount.metrics import FrameReason
 from eelgrassmount.peer.frames import FrameReader, FrameWriter
@@ -23,6 +23,7 @@
     from eelgrassmount.metrics import Metrics
     from eelgrassmount.peer.port import Handler, Handlers
     from eelgrassmount.util.addresses import Address
+    from eelgrassmount.util.background import Background
 
 GREETING_LIMIT_S = 5.0
 _CLOSED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
@@ -41,13 +42,19 @@
     max_frame_bytes: int
     handlers: Handlers
     metrics: Metrics
-    _group: TaskGroup | None = field(default=None)
+    _group: Background | None = field(default=None)
 
-    async def start(self, group: TaskGroup) -> None:
-        """Bind the address and accept links in the given task group."""
-        listener = await anyio.create_tcp_listener(
-            local_host=self.address.host, local_port=self.address.port
-        )
+    async def start(self, group: Background) -> None:
+        """Bind the address and accept links in the given task group.
+
+        Raises `ListenError` when the address can't be bound.
+        """
+        try:
+            listener = await anyio.create_tcp_listener(
+                local_host=self.address.host, local_port=self.address.port
+            )
+        except OSError as error:
+            raise ListenError(str(self.address), str(error)) from error
         self._group = group
         group.start_soon(listener.serve, self._serve)
 
--- a/eelgrassmount/peer/pool.py
+++ b/eelgrassmount/peer/pool.py
@@ -16,11 +16,12 @@
 from eelgrassmount.util.addresses import parse_address
 
 if TYPE_CHECKING:
-    from anyio.abc import SocketStream, TaskGroup
+    from anyio.abc import SocketStream
 
     from eelgrassmount.members.table import Identity
     from eelgrassmount.metrics import Metrics
     from eelgrassmount.timers import TimerService
+    from eelgrassmount.util.background import Background
 
 RELEASE = 1
 # after a failed connection, the address is not tried again for this long
@@ -42,12 +43,12 @@
     max_frame_bytes: int
     timers: TimerService
     metrics: Metrics
-    _group: TaskGroup | None = None
+    _group: Background | None = None
     _links: dict[str, Link] = field(factory=dict)
     _locks: dict[str, anyio.Lock] = field(factory=dict)
     _failed_s: dict[str, float] = field(factory=dict)
 
-    async def start(self, group: TaskGroup) -> None:
+    async def start(self, group: Background) -> None:
         """Run the links in the given task group from now on."""
         self._group = group
         self.timers.subscribe(self.silence_s / PINGS_PER_SILENCE, self._watch)
--- a/eelgrassmount/timers.py
+++ b/eelgrassmount/timers.py
@@ -9,6 +9,7 @@
 
 import anyio
 from attrs import define, field
+from loguru import logger
 
 if TYPE_CHECKING:
     import random
@@ -73,6 +74,7 @@
 
     clock: Clock
     rng: random.Random
+    note_error: Callable[[], None] = lambda: None
     _heap: list[Timer] = field(factory=list)
     _order: itertools.count = field(factory=itertools.count)
 
@@ -124,7 +126,12 @@
             timer.due_s = self.read() + self._vary(timer.period_s, timer.jitter)
             timer.order = next(self._order)
             heapq.heappush(self._heap, timer)
-        timer.action()
+        try:
+            timer.action()
+        except Exception:
+            # one faulty action must not stop the others
+            logger.exception("a timer's action failed")
+            self.note_error()
 
     def advance(self, seconds: float) -> None:
         """Move a `ManualClock` on, running all timers that fall due on the way."""
