--- /dev/null
+++ b/eelgrassmount/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/eelgrassmount/cmd/main.py
@@ -0,0 +1,95 @@
+"""Reads the command line and runs one command."""
+
+from __future__ import annotations
+
+import os
+import re
+import sys
+from typing import TYPE_CHECKING, Any
+
+import fire
+from fire.core import FireExit
+
+from eelgrassmount.cmd.action import Action, ExitCode
+from eelgrassmount.cmd.node import node
+from eelgrassmount.errors import EelgrassmountError, NodeUnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+COMMANDS = {
+    "node": node,
+}
+PROGRAM = "eelgrassmount"
+
+_FLAG = re.compile(r"--|-[a-z]")
+_BOOLEAN_FLAGS = ("--json",)
+_HELP_FLAGS = ("--help", "-h")
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command that the arguments name and return the exit code."""
+    words = list(sys.argv[1:] if arguments is None else arguments)
+    # otherwise help on a terminal is shown by a pager, a process of its own
+    os.environ["PAGER"] = "-"
+    try:
+        action = fire.Fire(
+            COMMANDS, _prepare_words(words), PROGRAM, serialize=lambda _: None
+        )
+    except FireExit as stop:
+        return stop.code
+    if not isinstance(action, Action):
+        return _explain_missing(words)
+    return _run(action)
+
+
+def _prepare_words(words: list[str]) -> list[str]:
+    """Return the words so that `fire` reads them as people mean them.
+
+    Help is asked of the command instead of passed to it, a flag without a value
+    does not swallow the word after it, and each value stays the text that it is.
+    """
+    path, command = _find_command(words)
+    if any(word in _HELP_FLAGS for word in words):
+        return [*path, "--", "--help"]
+    if isinstance(command, dict):
+        return words
+    return path + [_prepare_word(word) for word in words[len(path) :]]
+
+
+def _prepare_word(word: str) -> str:
+    if word in _BOOLEAN_FLAGS:
+        return f"{word}=True"
+    if not _FLAG.match(word):
+        return repr(word)
+    flag, equals, value = word.partition("=")
+    return f"{flag}={value!r}" if equals else flag
+
+
+def _find_command(words: list[str]) -> tuple[list[str], Any]:
+    """Return the leading words that name a command, and the command or group."""
+    path: list[str] = []
+    command: Any = COMMANDS
+    for word in words:
+        if not isinstance(command, dict) or word not in command:
+            break
+        path.append(word)
+        command = command[word]
+    return path, command
+
+
+def _explain_missing(words: list[str]) -> int:
+    path, _ = _find_command(words)
+    print(f"name a command, see: {' '.join([PROGRAM, *path])} --help", file=sys.stderr)
+    return ExitCode.USAGE
+
+
+def _run(action: Action) -> int:
+    try:
+        return action.start()
+    except NodeUnreachableError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.UNREACHABLE
+    except EelgrassmountError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.USAGE
