--- /dev/null
+++ b/tests/calls/test_table.py
@@ -0,0 +1,84 @@
+"""Fate, sealing and cancellation of calls."""
+
+from __future__ import annotations
+
+import pytest
+from attrs import evolve
+
+from eelgrassmount.calls.request import Call, Outcome, Request
+from eelgrassmount.calls.table import KEEP_S, SEAL_S, CallTable, Fate
+from eelgrassmount.context import Context, Tier
+from eelgrassmount.verdict import NotRun, Reason
+
+
+pytestmark = pytest.mark.anyio
+
+
+def make_call(call_id: str, idempotent: bool = True) -> Call:
+    context = Context(
+        root_id="root",
+        call_id=call_id,
+        parent_id="",
+        class_name="lookup",
+        deadline_s=1e9,
+        attempts_left=3,
+        tier=Tier.REFUSED_FIRST,
+        priority=0,
+        depth=0,
+        idempotent=idempotent,
+    )
+    return Call(context, Request("jobdesk", "GET", "/jobdesk/x", (), b""))
+
+
+async def test_call_that_was_asked_for_before_it_arrived_never_runs() -> None:
+    table = CallTable()
+    assert table.ask_fate("late", 0.0) is Fate.UNKNOWN
+    assert table.open(make_call("late")) is None
+    table.expire(SEAL_S + 1.0)
+    assert table.open(make_call("late")) is not None
+
+
+async def test_fate_follows_the_call() -> None:
+    table = CallTable()
+    record = table.open(make_call("one"))
+    assert table.ask_fate("one", 0.0) is Fate.PENDING
+    table.finish(record, Outcome(NotRun(Reason.DEADLINE)), 1.0)
+    assert table.ask_fate("one", 2.0) is Fate.DONE
+    table.expire(1.0 + KEEP_S + 0.1)
+    assert table.find("one") is None
+
+
+async def test_call_that_is_not_idempotent_is_cancelled_only_before_it_begins() -> None:
+    table = CallTable()
+    waiting = table.open(make_call("waiting", idempotent=False))
+    begun = table.open(make_call("begun", idempotent=False))
+    begun.begun = True
+    assert table.cancel("waiting", 0.0)
+    assert waiting.cancelled
+    assert not table.cancel("begun", 0.0)
+    assert not begun.cancelled
+
+
+async def test_cancel_that_overtakes_its_call_seals_it() -> None:
+    table = CallTable()
+    assert table.cancel("ahead", 0.0)
+    assert table.open(make_call("ahead")) is None
+
+
+async def test_downstream_time_is_the_union_of_overlapping_calls() -> None:
+    record = CallTable().open(make_call("one"))
+    record.note_child_start(1.0)
+    record.note_child_start(2.0)
+    record.note_child_end(3.0)
+    assert record.measure_downstream(4.0) == 3.0
+    record.note_child_end(5.0)
+    assert record.measure_downstream(9.0) == 4.0
+
+
+async def test_context_is_kept_apart_by_call_id() -> None:
+    table = CallTable()
+    call = make_call("one")
+    table.open(call)
+    other = Call(evolve(call.context, call_id="two"), call.request)
+    assert table.open(other) is not None
+    assert table.count_running() == 2
