--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,252 @@
+"""Open-loop callers with timeouts and hard retries, as a library and a process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+import time
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import fire
+from attrs import field, frozen
+
+from standins.client import Answer, Client, Unanswered
+from standins.plans import expect_shape, read_plans
+from standins.records import Record, Sending, judge_answer, summarise
+from standins.relay import make_loop
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_FINAL = frozenset({"complete", "failed", "partial", "mixed"})
+_FINAL_STATUSES = frozenset({400, 404, 413, 422})
+
+
+@frozen
+class CallClass:
+    """Requests of one kind; ``extra`` is merged into their bodies.
+
+    ``expect`` is the shape of the complete answer, for example ``a(b,c)``.
+    """
+
+    name: str
+    method: str
+    path: str
+    expect: str
+    weight: float = 1.0
+    keyed: bool = False
+    timeout_ms: float = 2000.0
+    extra: dict[str, Any] = field(factory=dict)
+
+
+@frozen
+class Phase:
+    """A stretch of time with one rate of requests a second."""
+
+    seconds: float
+    rate: float
+
+
+@frozen
+class Load:
+    """What callers send, and how they behave.
+
+    After an outcome that isn't final the request is sent again up to ``retries``
+    times, with the same key, at once after ``pause_ms`` or, with
+    ``obey_retry_after``, when the refusal says. ``sticky`` callers stay with the
+    node that they began with. A key begins with ``key_domain`` and a colon when
+    one is given.
+    """
+
+    nodes: tuple[str, ...]
+    classes: tuple[CallClass, ...]
+    phases: tuple[Phase, ...]
+    retries: int = 0
+    pause_ms: float = 0.0
+    obey_retry_after: bool = False
+    sticky: bool = False
+    key_domain: str = ""
+    seed: int = 0
+
+
+class Caller:
+    """Sends requests and records what became of each."""
+
+    def __init__(
+        self,
+        load: Load,
+        client: Client,
+        take: Callable[[Record], None],
+        name: str = "",
+    ) -> None:
+        self._load = load
+        self._client = client
+        self._take = take
+        self._name = name or uuid.uuid4().hex[:8]
+        self._random = random.Random(load.seed)
+        self._number = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Send the whole load, and return when its last request has ended."""
+        loop = asyncio.get_running_loop()
+        weights = [call_class.weight for call_class in self._load.classes]
+        due = loop.time()
+        end = due
+        for phase in self._load.phases:
+            end += phase.seconds
+            while phase.rate > 0:
+                gap = self._random.expovariate(phase.rate)
+                if due + gap > end:
+                    break
+                due += gap
+                if due > loop.time():
+                    await asyncio.sleep(due - loop.time())
+                [call_class] = self._random.choices(self._load.classes, weights)
+                task = loop.create_task(self.send(call_class, due))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            due = end
+        await asyncio.sleep(max(0.0, end - loop.time()))
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def send(
+        self, call_class: CallClass, t_start: float | None = None, key: str = ""
+    ) -> None:
+        """Send one request until its outcome is final or no retry is left."""
+        self._number += 1
+        request = f"{self._name}-{self._number}"
+        if call_class.keyed and not key:
+            prefix = f"{self._load.key_domain}:" if self._load.key_domain else ""
+            key = prefix + uuid.UUID(int=self._random.getrandbits(128)).hex
+        record = Record(call_class.name, key, t_start or time.monotonic())
+        node = self._random.choice(self._load.nodes)
+        for attempt in range(1 + self._load.retries):
+            # what has no key is another request each time
+            name = request if key else f"{request}.{attempt + 1}"
+            sending = await self._send_once(call_class, node, name, key)
+            record.sendings.append(sending)
+            if sending.outcome in _FINAL or sending.status in _FINAL_STATUSES:
+                break
+            if attempt < self._load.retries:
+                await self._pause(sending)
+                if not self._load.sticky:
+                    node = self._random.choice(self._load.nodes)
+        record.t_end = record.sendings[-1].t_end
+        record.outcome = record.sendings[-1].outcome
+        self._take(record)
+
+    async def _send_once(
+        self, call_class: CallClass, node: str, request: str, key: str
+    ) -> Sending:
+        body = json.dumps({"request": request, **call_class.extra}).encode()
+        headers = {
+            "content-type": "application/json",
+            "eelgrassmount-timeout-ms": str(int(call_class.timeout_ms)),
+        }
+        if key:
+            headers["idempotency-key"] = key
+        start = time.monotonic()
+        try:
+            answer = await self._client.request(
+                node,
+                call_class.method,
+                call_class.path,
+                headers,
+                body,
+                call_class.timeout_ms / 1000,
+            )
+        except Unanswered as error:
+            outcome = "unreached" if error.reason == "connect" else "unknown"
+            end = time.monotonic()
+            return Sending(request, node, start, end, outcome, "", 0, error.reason)
+        name = call_class.extra.get("request", request)
+        outcome = judge_answer(answer, name, call_class.expect)
+        return _make_sending(request, node, start, outcome, answer)
+
+    async def _pause(self, sending: Sending) -> None:
+        pause_ms = self._load.pause_ms
+        if self._load.obey_retry_after:
+            pause_ms = max(pause_ms, sending.retry_after_ms)
+        if pause_ms:
+            await asyncio.sleep(pause_ms / 1000)
+
+
+def _make_sending(
+    request: str, node: str, start: float, outcome: str, answer: Answer
+) -> Sending:
+    headers = answer.headers
+    after_s = float(headers.get("retry-after", 0))
+    return Sending(
+        request,
+        node,
+        start,
+        time.monotonic(),
+        outcome,
+        headers.get("eelgrassmount-verdict", ""),
+        answer.status,
+        headers.get("eelgrassmount-reason", ""),
+        float(headers.get("eelgrassmount-retry-after-ms", after_s * 1000)),
+    )
+
+
+def run_load(load: Load, name: str = "") -> list[Record]:
+    """Send a load from this process and return a record of each request."""
+    records: list[Record] = []
+
+    async def run() -> None:
+        client = Client()
+        await Caller(load, client, records.append, name).run()
+        client.close()
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        runner.run(run())
+    return records
+
+
+def _read(value: Any) -> Any:
+    return json.loads(value) if isinstance(value, str) else value
+
+
+def serve(
+    nodes: str | tuple[str, ...],
+    classes: str | list[Any],
+    phases: str | list[Any],
+    routes: str | dict[str, Any] = "{}",
+    output: str = "-",
+    **options: Any,
+) -> None:
+    """Send a load and write one JSON line for each request, then a summary.
+
+    ``nodes`` is a comma list of ip:port, ``classes`` a JSON list of objects with
+    ``name``, ``method``, ``path``, ``weight``, ``keyed``, ``timeout_ms`` and
+    ``extra``, ``phases`` a JSON list of (seconds, rate), ``routes`` the route table
+    of the backend servers, from which complete answers are known. Lines go to the
+    file ``output``, the summary to standard output. Options are ``retries``,
+    ``pause_ms``, ``obey_retry_after``, ``sticky``, ``key_domain`` and ``seed``.
+    """
+    plans = read_plans(routes)
+    kinds = [
+        CallClass(
+            **{"expect": expect_shape(plans, entry["method"], entry["path"]), **entry}
+        )
+        for entry in _read(classes)
+    ]
+    listed = nodes.split(",") if isinstance(nodes, str) else nodes
+    shape = tuple(Phase(*phase) for phase in _read(phases))
+    records = run_load(Load(tuple(listed), tuple(kinds), shape, **options))
+    lines = "".join(record.dump() + "\n" for record in records)
+    if output == "-":
+        sys.stdout.write(lines)
+    else:
+        with open(output, "w") as file:
+            file.write(lines)
+    print(json.dumps({"summary": summarise(records)}))
+
+
+if __name__ == "__main__":
+    fire.Fire(serve)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -16,12 +16,21 @@
 
 _KILL_WAIT_S = 10.0
 
+_given: set[str] = set()
+
 
 def find_free_address(ip: str) -> str:
-    """Return ``ip:port`` with a port that the kernel says is free now."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return f"{ip}:{probe.getsockname()[1]}"
+    """Return ``ip:port`` with a port that the kernel says is free now.
+
+    None is returned twice in the life of this process.
+    """
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ip, 0))
+            address = f"{ip}:{probe.getsockname()[1]}"
+        if address not in _given:
+            _given.add(address)
+            return address
 
 
 class Process:
--- /dev/null
+++ b/standins/records.py
@@ -0,0 +1,182 @@
+"""What callers were told, and how it compares with what ran."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING, Any
+
+from attrs import asdict, define, field, frozen
+
+from standins.plans import list_requests, measure_shape
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from standins.client import Answer
+
+OUTCOMES = (
+    "complete",
+    "refused",
+    "unknown",
+    "unreached",
+    "failed",
+    "partial",
+    "mixed",
+)
+
+
+@frozen
+class Sending:
+    """One sending of a request; times are monotonic seconds."""
+
+    request: str
+    node: str
+    t_start: float
+    t_end: float
+    outcome: str
+    verdict: str
+    status: int
+    reason: str
+    retry_after_ms: float = 0.0
+
+
+@define
+class Record:
+    """One request of a caller, over all its sendings; the last one decides."""
+
+    class_name: str
+    key: str
+    t_start: float
+    t_end: float = 0.0
+    outcome: str = "unreached"
+    sendings: list[Sending] = field(factory=list)
+
+    def dump(self) -> str:
+        """Return the record as one JSON line."""
+        last = self.sendings[-1]
+        flags = {name: self.outcome == name for name in OUTCOMES}
+        named = {"verdict": last.verdict, "status": last.status, "reason": last.reason}
+        return json.dumps({**asdict(self), **flags, **named})
+
+    @classmethod
+    def load(cls, line: str) -> Record:
+        """Read what ``dump`` wrote."""
+        entry = json.loads(line)
+        sendings = [Sending(**sending) for sending in entry["sendings"]]
+        return cls(
+            entry["class_name"],
+            entry["key"],
+            entry["t_start"],
+            entry["t_end"],
+            entry["outcome"],
+            sendings,
+        )
+
+
+def judge_answer(answer: Answer, request: str, expect: str) -> str:
+    """Return the outcome that an answer means, after checking it through."""
+    verdict = answer.headers.get("eelgrassmount-verdict", "")
+    if verdict == "not-run":
+        return "refused"
+    if verdict == "may-have-run":
+        return "unknown"
+    if answer.status != 200:
+        return "failed"
+    if not _check_digest(answer):
+        return "partial"
+    try:
+        content = json.loads(answer.body)
+        if list_requests(content) != {request}:
+            return "mixed"
+        return "complete" if measure_shape(content) == expect else "partial"
+    except (ValueError, KeyError, TypeError):
+        return "partial"
+
+
+def _check_digest(answer: Answer) -> bool:
+    digest = answer.headers.get("content-digest")
+    if digest is None:
+        return True
+    found = base64.b64encode(hashlib.sha256(answer.body).digest()).decode()
+    return digest == f"sha-256=:{found}:"
+
+
+def find_doubled(runs: Iterable[Mapping[str, Any]]) -> list[tuple[str, str]]:
+    """Return each (request, route) that ran more than once, lookups (GET) aside.
+
+    A route must stand only once in the tree of calls of a request.
+    """
+    counts = Counter(
+        (run["request"], run["route"])
+        for run in runs
+        if not run["route"].startswith("GET ")
+    )
+    return [what for what, count in counts.items() if count > 1]
+
+
+def find_false_refusals(
+    records: Iterable[Record], runs: Iterable[Mapping[str, Any]]
+) -> list[Sending]:
+    """Return the sendings that were told "not run" of a request that ran.
+
+    A run is no contradiction when it began after the refusal and the caller had
+    sent the request again.
+    """
+    starts: dict[str, list[float]] = defaultdict(list)
+    for run in runs:
+        starts[run["request"]].append(run["started"])
+    found = []
+    for record in records:
+        for index, sending in enumerate(record.sendings):
+            if sending.verdict != "not-run":
+                continue
+            later = any(
+                other.request == sending.request
+                for other in record.sendings[index + 1 :]
+            )
+            began = starts.get(sending.request, ())
+            if any(not later or start < sending.t_end for start in began):
+                found.append(sending)
+    return found
+
+
+def summarise(
+    records: Iterable[Record], doubled: Iterable[tuple[str, str]] = ()
+) -> dict[str, dict[str, float]]:
+    """Return counts and latencies (ms, of complete answers) by class and over all."""
+    groups: dict[str, list[Record]] = defaultdict(list)
+    for record in records:
+        groups[record.class_name].append(record)
+        groups["all"].append(record)
+    wrong = {request for request, _ in doubled}
+    return {name: _summarise_group(group, wrong) for name, group in groups.items()}
+
+
+def _summarise_group(group: list[Record], wrong: set[str]) -> dict[str, float]:
+    counts = Counter(record.outcome for record in group)
+    times_ms = sorted(
+        (record.t_end - record.t_start) * 1000
+        for record in group
+        if record.outcome == "complete"
+    )
+    return {
+        "sent": len(group),
+        **{name: counts[name] for name in OUTCOMES},
+        "doubled": sum(
+            any(sending.request in wrong for sending in record.sendings)
+            for record in group
+        ),
+        "sendings": sum(len(record.sendings) for record in group),
+        "p50_ms": round(find_quantile(times_ms, 0.50), 2),
+        "p99_ms": round(find_quantile(times_ms, 0.99), 2),
+    }
+
+
+def find_quantile(ordered: list[float], fraction: float) -> float:
+    """Return the quantile of values in ascending order; 0 when there is none."""
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
