--- a/standins/deploy.py
+++ b/standins/deploy.py
@@ -64,7 +64,7 @@
         self.log = self._add("log", self._command_log())
         self.journal = self._add("journal", self._command_journal())
         self.relay = self._add("relay", self._command_relay())
-        self._log_addresses = {
+        self.log_addresses = {
             domain: self._front(f"127.{octet}.0.1", self.log_address)
             for domain, octet in self._octets.items()
         }
@@ -222,7 +222,7 @@
             "advertise_address": advertise,
             "failure_domain": domain,
             "region": "region",
-            "log_address": self._log_addresses[domain],
+            "log_address": self.log_addresses[domain],
             "log_level": "INFO",
             **self.spec.node_flags,
         }
@@ -269,7 +269,7 @@
         links = [
             {"listen": address, "target": self.log_address}
             | {"source": domain, "destination": "log"}
-            for domain, address in self._log_addresses.items()
+            for domain, address in self.log_addresses.items()
         ]
         for vm in self.vms:
             links.append(
--- a/standins/plans.py
+++ b/standins/plans.py
@@ -53,8 +53,14 @@
 
 
 def find_plan(plans: Mapping[str, Plan], route: str) -> Plan:
-    """Return the plan of the longest prefix of ``route``, or one without calls."""
-    prefixes = [prefix for prefix in plans if route.startswith(prefix)]
+    """Return the plan of the longest prefix of ``route``, or one without calls.
+
+    A prefix ends where a segment of the path does.
+    """
+    whole = route.partition("?")[0].rstrip("/") + "/"
+    prefixes = [
+        prefix for prefix in plans if whole.startswith(prefix.rstrip("/") + "/")
+    ]
     return plans[max(prefixes, key=len)] if prefixes else _NO_CALLS
 
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -74,6 +74,7 @@
         self.broken = False
         self._queue: deque[tuple[float, bytes]] = deque()
         self._held_bytes = 0
+        self._full = False
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
@@ -85,6 +86,7 @@
     def data_received(self, data: bytes) -> None:
         self._push(data)
         if self._held_bytes > _HELD_BYTES_MOST:
+            self._full = True
             self.transport.pause_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -118,7 +120,8 @@
                 target.write(data)
         if self._queue:
             self.relay.loop.call_at(self._queue[0][0], self.pump)
-        if self._held_bytes == 0 and not self.transport.is_closing():
+        if self._full and self._held_bytes == 0 and not self.transport.is_closing():
+            self._full = False
             self.transport.resume_reading()
 
     def _push(self, data: bytes) -> None:
@@ -202,6 +205,8 @@
         # a connection can't be made while either way is cut
         while self.find_cut(end.way) or self.find_cut(end.other.way):
             await self._healed.wait()
+        if end.transport.is_closing():
+            return
         target = split_address(end.link.target)
         try:
             await self.loop.create_connection(
--- /dev/null
+++ b/tests/standins/test_records.py
@@ -0,0 +1,100 @@
+"""Shapes of answers, their judging, and what contradicts the callers' verdicts."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from standins.answers import make_answer
+from standins.client import Answer
+from standins.plans import dump_plans, expect_shape, read_plans
+from standins.records import (
+    Record,
+    Sending,
+    find_doubled,
+    find_false_refusals,
+    judge_answer,
+    summarise,
+)
+from standins.runs import Run
+
+TABLE = {
+    "POST /a": {"calls": [["GET", "/c/x"], ["POST", "/b/x"]], "mode": "parallel"},
+    "POST /b": {"calls": [["GET", "/c/x"]], "mode": "sequence"},
+}
+
+
+def _answer(request="r", service="a", inner=("b", "c"), **headers):
+    runs = [_content(name, request) for name in inner]
+    response = make_answer(Run("1", service, "v", "", "", request), runs)
+    return Answer(200, {**response.headers, **headers}, response.body)
+
+
+def _content(service, request):
+    runs = [_content("c", request)] if service == "b" else []
+    return {"service": service, "request": request, "runs": runs, "depth": 1}
+
+
+def test_shape_follows_the_route_table_through_json():
+    plans = read_plans(json.dumps(TABLE))
+    assert read_plans(dump_plans(plans)) == plans
+    assert expect_shape(plans, "POST", "/a/x") == "a(b(c),c)"
+    assert expect_shape(plans, "POST", "/ab/x") == "ab"
+    with pytest.raises(ValueError, match="mode"):
+        read_plans({"GET /a": {"mode": "both"}})
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        (_answer(), "complete"),
+        (_answer(inner=("c", "b")), "complete"),
+        (_answer(inner=("b",)), "partial"),
+        (_answer(inner=("b", "c", "c")), "partial"),
+        (_answer(request="other"), "mixed"),
+        (Answer(200, {}, b'{"service": "a"'), "partial"),
+        (_answer(**{"content-digest": "sha-256=:AAAA:"}), "partial"),
+        (_answer(**{"eelgrassmount-verdict": "may-have-run"}), "unknown"),
+        (Answer(503, {"eelgrassmount-verdict": "not-run"}), "refused"),
+        (Answer(500, {"eelgrassmount-verdict": "answered"}), "failed"),
+    ],
+)
+def test_answers_are_judged(answer, outcome):
+    assert judge_answer(answer, "r", "a(b(c),c)") == outcome
+
+
+def _record(*sendings):
+    made = [
+        Sending(request, "n", start, start + 1, "refused", verdict, 503, "")
+        for request, start, verdict in sendings
+    ]
+    return Record("class", "key", 0.0, 9.0, "refused", made)
+
+
+@pytest.mark.parametrize(
+    ("sendings", "started", "false_refusals"),
+    [
+        ([("r", 0, "not-run")], None, 0),
+        ([("r", 0, "not-run")], 0.5, 1),
+        ([("r", 0, "not-run")], 5.0, 1),
+        ([("r", 0, "not-run"), ("r", 4, "answered")], 5.0, 0),
+        ([("r", 0, "not-run"), ("r", 4, "answered")], 0.5, 1),
+        ([("r", 0, ""), ("r", 4, "not-run")], 0.5, 1),
+        ([("r", 0, "may-have-run")], 0.5, 0),
+        ([("other", 0, "not-run")], 0.5, 0),
+    ],
+)
+def test_false_refusals_are_found(sendings, started, false_refusals):
+    runs = [] if started is None else [{"request": "r", "started": started}]
+    assert len(find_false_refusals([_record(*sendings)], runs)) == false_refusals
+
+
+def test_doubled_runs_are_found_and_counted_by_class():
+    routes = ["POST /a", "POST /a", "GET /c", "GET /c", "POST /b"]
+    doubled = find_doubled({"request": "r", "route": route} for route in routes)
+    assert doubled == [("r", "POST /a")]
+    record = Record.load(_record(("r", 0, "answered")).dump())
+    summary = summarise([record], doubled)
+    assert summary["class"]["doubled"] == 1
+    assert summary["all"]["sent"] == summary["all"]["refused"] == 1
--- /dev/null
+++ b/tests/standins/test_standins.py
@@ -0,0 +1,254 @@
+"""The stand-ins as processes, with a bare fake node between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import pytest
+
+from standins.caller import CallClass, Load, Phase, run_load
+from standins.client import Client, Unanswered
+from standins.deploy import PYTHON, Deployment, DeploymentSpec, ServiceSpec
+from standins.faults import get_runs, get_stats, set_fault
+from standins.plans import Plan
+from standins.records import find_doubled, find_false_refusals
+
+DEPTH = 12
+SERVICES = tuple(
+    ServiceSpec(
+        f"s{level}",
+        slots=4,
+        service_time_ms=5.0,
+        plans={f"POST /s{level}": Plan((("POST", f"/s{level + 1}/x"),))}
+        if level < DEPTH - 1
+        else {},
+        flags={"queue_limit": 1} if level == DEPTH - 1 else {},
+    )
+    for level in range(DEPTH)
+)
+LAST = f"s{DEPTH - 1}"
+NODE_COMMAND = (PYTHON, "-m", "tests.standins.fake_node")
+WAIT_S = 20.0
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory):
+    folder = str(tmp_path_factory.mktemp("addresses"))
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setenv("FAKE_NODE_FOLDER", folder)
+        spec = DeploymentSpec(
+            ("north",), SERVICES, relays=True, node_command=NODE_COMMAND
+        )
+        with Deployment(spec) as running:
+            yield running
+
+
+def _wait_for(check):
+    deadline = time.monotonic() + WAIT_S
+    while not check():
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+
+
+def _ask(*requests, timeout_s=WAIT_S, gap_s=0.0):
+    """Send (address, method, path, headers, body) side by side."""
+
+    async def send(client, delay_s, request):
+        await asyncio.sleep(delay_s)
+        try:
+            return await client.request(*request, timeout_s=timeout_s)
+        except Unanswered as error:
+            return error.reason
+
+    async def run():
+        client = Client()
+        sends = [
+            send(client, gap_s * index, request)
+            for index, request in enumerate(requests)
+        ]
+        answers = await asyncio.gather(*sends)
+        client.close()
+        return answers
+
+    return asyncio.run(run())
+
+
+def _make_request(address, service, request, **headers):
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    body = json.dumps({"request": request}).encode()
+    return (address, "POST", f"/{service}/x", named, body)
+
+
+def test_deep_chain_is_complete_and_runs_once(deployment):
+    expect = deployment.spec.expect("POST", "/s0/x")
+    assert expect.count("(") == DEPTH - 1
+    kind = CallClass("deep", "POST", "/s0/x", expect, keyed=True, timeout_ms=20_000)
+    nodes = tuple(deployment.caller_addresses)
+    records = run_load(Load(nodes, (kind,), (Phase(1.0, 15.0),), seed=3))
+    assert len(records) > 5
+    assert {record.outcome for record in records} == {"complete"}
+    runs = deployment.get_runs()
+    assert len(runs) == len(records) * DEPTH
+    assert {run["outcome"] for run in runs} == {"finished"}
+    assert find_doubled(runs) == find_false_refusals(records, runs) == []
+
+
+@pytest.mark.parametrize(
+    ("fault", "check"),
+    [
+        ({"truncated": 1}, lambda answer, _: answer == "closed"),
+        ({"garbled": 1}, lambda answer, _: answer.body.endswith(b" " * 9)),
+        ({"doubled": 1}, lambda answer, _: answer.status == 200),
+        ({"wrong_call": 1}, lambda answer, before: answer == before),
+        ({"silent": True}, lambda answer, _: answer == "timeout"),
+    ],
+)
+def test_answers_are_spoiled(deployment, fault, check):
+    [vm] = deployment.find_vms(LAST)
+    request = _make_request(vm.server_address, LAST, "spoiled", eelgrassmount_call="7")
+    [before] = _ask(request)
+    assert before.headers["eelgrassmount-call"] == "7"
+    set_fault(vm.server_admin_address, **fault)
+    other = _make_request(vm.server_address, LAST, "other", eelgrassmount_call="8")
+    timeout_s = 0.5 if "silent" in fault else WAIT_S
+    [answer] = _ask(other, timeout_s=timeout_s)
+    assert check(answer, before)
+    set_fault(vm.server_admin_address, silent=False)
+    [after] = _ask(request)
+    assert json.loads(after.body)["request"] == "spoiled"
+
+
+def test_overloaded_server_sheds_gives_up_and_obeys_cancellation(deployment):
+    [vm] = deployment.find_vms(LAST)
+    # a server that is slow enough for its slots to stay full
+    set_fault(vm.server_admin_address, slow_factor=400.0)
+    requests = [
+        _make_request(vm.server_address, LAST, "r", eelgrassmount_timeout_ms=limit)
+        for limit in ["500"] * 4 + ["300", "9000"]
+    ]
+    answers = _ask(*requests, gap_s=0.02)
+    assert [answer.status for answer in answers] == [504] * 4 + [503, 503]
+    verdicts = [answer.headers["eelgrassmount-verdict"] for answer in answers]
+    assert verdicts == ["may-have-run"] * 4 + ["not-run"] * 2
+    [gone] = _ask(_make_request(vm.server_address, LAST, "r"), timeout_s=0.3)
+    assert gone == "timeout"
+    _wait_for(lambda: get_stats(vm.server_admin_address)["running"] == 0)
+    stats = get_stats(vm.server_admin_address)
+    assert stats["outcomes"]["gave_up"] == 4
+    assert stats["outcomes"]["cancelled"] == 1
+    assert stats["counts"]["gave_up_waiting"] == stats["counts"]["shed"] == 1
+    assert stats["wasted_ms"] > 0
+    set_fault(vm.server_admin_address, slow_factor=1.0)
+
+
+def test_journal_outlives_a_crash_and_a_stop_finishes_what_runs(deployment):
+    [vm] = deployment.find_vms("s3")
+    body = json.dumps({"request": "bad", "crash": True, "crash_service": "s3"})
+    [answer] = _ask((vm.server_address, "POST", "/s3/x", {}, body.encode()))
+    assert answer == "closed"
+    assert vm.server.wait(WAIT_S) != 0
+    [run] = deployment.get_runs("request=bad")
+    assert (run["service"], run["outcome"]) == ("s3", "running")
+    vm.server.start()
+    _wait_for(lambda: "Traceback" not in vm.server.read_log() and _is_up(vm))
+    set_fault(vm.server_admin_address, slow_factor=300.0)
+    request = _make_request(vm.server_address, "s3", "last")
+    vm.server.terminate()
+    [answer] = _ask(request)
+    assert answer.status == 200
+    assert vm.server.wait(WAIT_S) == 0
+
+
+def _is_up(vm):
+    try:
+        return get_runs(vm.server_admin_address) == []
+    except OSError:
+        return False
+
+
+def test_log_appends_trims_waits_and_fails_as_told(deployment):
+    path = "/streams/t/records"
+    log = deployment.log_address
+
+    def append(body):
+        [answer] = _ask((log, "POST", path, {}, body))
+        return answer if isinstance(answer, str) else json.loads(answer.body)["offset"]
+
+    def read(query):
+        [answer] = _ask((log, "GET", f"{path}?{query}", {}, b""))
+        return json.loads(answer.body)
+
+    assert [append(b"a"), append(b"b"), append(b"c")] == [0, 1, 2]
+    assert read("from=1&limit=1")["records"] == [{"offset": 1, "body": "Yg=="}]
+    waiting, _ = _ask(
+        (log, "GET", f"{path}?from=3&wait_ms=9000", {}, b""),
+        (log, "POST", path, {}, b"d"),
+        gap_s=0.1,
+    )
+    assert json.loads(waiting.body)["next"] == 4
+    deployment.set_log_fault(lose_answer=1, retention=2)
+    assert append(b"e") == "closed"
+    found = read("from=0")
+    assert (found["first"], found["next"]) == (3, 5)
+    deployment.set_log_fault(down=True)
+    assert append(b"f") in ("closed", "connect")
+    deployment.set_log_fault(down=False, slow_ms=200)
+    began = time.monotonic()
+    assert append(b"g") == 5
+    assert time.monotonic() - began >= 0.2
+    deployment.set_log_fault(slow_ms=0)
+    appends = get_stats(deployment.log_admin_address)["appends"]["t"]
+    assert sum(appends.values()) == 6
+
+
+def test_relay_delays_holds_resets_and_silences(deployment):
+    relayed = deployment.log_addresses["north"]
+
+    async def run():
+        client = Client()
+
+        async def ask(timeout_s=WAIT_S):
+            try:
+                answer = await client.request(
+                    relayed, "GET", "/streams/r/records", timeout_s=timeout_s
+                )
+            except Unanswered as error:
+                return error.reason
+            return answer.status
+
+        async def fault(**fault):
+            await asyncio.to_thread(deployment.set_link_fault, **fault)
+
+        way = {"source": "north", "destination": "log"}
+        back = {"source": "log", "destination": "north"}
+        assert await ask() == 200
+        await fault(**way, delay_ms=50)
+        await fault(**back, delay_ms=100)
+        began = time.monotonic()
+        assert await ask() == 200
+        assert time.monotonic() - began >= 0.15
+        # an open connection is held in one direction and goes on once healed
+        await fault(**back, cut="hold")
+        held = asyncio.create_task(ask())
+        await asyncio.sleep(0.4)
+        assert not held.done()
+        await asyncio.to_thread(deployment.heal)
+        assert await held == 200
+        for mode in ("hold", "drop"):
+            await fault(**way, cut=mode)
+            assert await ask(0.4) == "timeout"
+            await asyncio.to_thread(deployment.heal)
+            assert await ask() == 200
+        await fault(**way, cut="reset")
+        assert await ask() in ("closed", "connect")
+        await asyncio.to_thread(deployment.heal)
+        # the kept connection is lost for good, a new one works
+        assert await ask() == 200
+        await fault(**way, silent=True)
+        assert await ask(0.4) == "timeout"
+        assert await ask() == 200
+        client.close()
+
+    asyncio.run(run())
