--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -97,8 +97,11 @@
   5: i32 release
 }
 
+// With an address, the receiver is asked to ping that node and to reply only
+// when it answered.
 struct Ping {
   1: i64 sequence
+  2: string address
 }
 
 // One node as the members know it.
@@ -127,6 +130,8 @@
   7: i32 threshold
 }
 
+// A digest asks for a reply. Buckets are digests of parts of what the sender
+// knows; wanted names the parts that it asks for.
 struct Gossip {
   1: list<Member> members
   2: list<ServiceSummary> summaries
@@ -135,6 +140,8 @@
   5: list<QuarantineNote> quarantine
   6: i64 digest
   7: bool full
+  8: list<i64> buckets
+  9: list<i32> wanted
 }
 
 struct QuarantineNote {
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -998,12 +998,14 @@
     """
     Attributes:
      - sequence
+     - address
 
     """
 
 
-    def __init__(self, sequence=None,):
+    def __init__(self, sequence=None, address=None,):
         self.sequence = sequence
+        self.address = address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1019,6 +1021,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1033,6 +1040,10 @@
             oprot.writeFieldBegin('sequence', TType.I64, 1)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1359,11 +1370,13 @@
      - quarantine
      - digest
      - full
+     - buckets
+     - wanted
 
     """
 
 
-    def __init__(self, members=None, summaries=None, config_version=None, slot_versions=None, quarantine=None, digest=None, full=None,):
+    def __init__(self, members=None, summaries=None, config_version=None, slot_versions=None, quarantine=None, digest=None, full=None, buckets=None, wanted=None,):
         self.members = members
         self.summaries = summaries
         self.config_version = config_version
@@ -1371,6 +1384,8 @@
         self.quarantine = quarantine
         self.digest = digest
         self.full = full
+        self.buckets = buckets
+        self.wanted = wanted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1440,6 +1455,26 @@
                     self.full = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.buckets = []
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = iprot.readI64()
+                        self.buckets.append(_elem58)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.wanted = []
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = iprot.readI32()
+                        self.wanted.append(_elem64)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1453,15 +1488,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter53 in self.members:
-                iter53.write(oprot)
+            for iter65 in self.members:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.summaries is not None:
             oprot.writeFieldBegin('summaries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.summaries))
-            for iter54 in self.summaries:
-                iter54.write(oprot)
+            for iter66 in self.summaries:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -1471,16 +1506,16 @@
         if self.slot_versions is not None:
             oprot.writeFieldBegin('slot_versions', TType.MAP, 4)
             oprot.writeMapBegin(TType.I32, TType.I64, len(self.slot_versions))
-            for kiter55, viter56 in self.slot_versions.items():
-                oprot.writeI32(kiter55)
-                oprot.writeI64(viter56)
+            for kiter67, viter68 in self.slot_versions.items():
+                oprot.writeI32(kiter67)
+                oprot.writeI64(viter68)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.quarantine is not None:
             oprot.writeFieldBegin('quarantine', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantine))
-            for iter57 in self.quarantine:
-                iter57.write(oprot)
+            for iter69 in self.quarantine:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1491,6 +1526,20 @@
             oprot.writeFieldBegin('full', TType.BOOL, 7)
             oprot.writeBool(self.full)
             oprot.writeFieldEnd()
+        if self.buckets is not None:
+            oprot.writeFieldBegin('buckets', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.buckets))
+            for iter70 in self.buckets:
+                oprot.writeI64(iter70)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.LIST, 9)
+            oprot.writeListBegin(TType.I32, len(self.wanted))
+            for iter71 in self.wanted:
+                oprot.writeI32(iter71)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1863,11 +1912,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.marks = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = KeyMark()
-                        _elem63.read(iprot)
-                        self.marks.append(_elem63)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = KeyMark()
+                        _elem77.read(iprot)
+                        self.marks.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1892,8 +1941,8 @@
         if self.marks is not None:
             oprot.writeFieldBegin('marks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.marks))
-            for iter64 in self.marks:
-                iter64.write(oprot)
+            for iter78 in self.marks:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2021,11 +2070,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.marks = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = KeyMark()
-                        _elem70.read(iprot)
-                        self.marks.append(_elem70)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = KeyMark()
+                        _elem84.read(iprot)
+                        self.marks.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2055,8 +2104,8 @@
         if self.marks is not None:
             oprot.writeFieldBegin('marks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.marks))
-            for iter71 in self.marks:
-                iter71.write(oprot)
+            for iter85 in self.marks:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last is not None:
@@ -2269,11 +2318,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.views = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = SlotView()
-                        _elem77.read(iprot)
-                        self.views.append(_elem77)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = SlotView()
+                        _elem91.read(iprot)
+                        self.views.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2294,8 +2343,8 @@
         if self.views is not None:
             oprot.writeFieldBegin('views', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.views))
-            for iter78 in self.views:
-                iter78.write(oprot)
+            for iter92 in self.views:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2646,6 +2695,7 @@
 Ping.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
 )
 all_structs.append(Member)
 Member.thrift_spec = (
@@ -2683,6 +2733,8 @@
     (5, TType.LIST, 'quarantine', (TType.STRUCT, [QuarantineNote, None], False), None, ),  # 5
     (6, TType.I64, 'digest', None, None, ),  # 6
     (7, TType.BOOL, 'full', None, None, ),  # 7
+    (8, TType.LIST, 'buckets', (TType.I64, None, False), None, ),  # 8
+    (9, TType.LIST, 'wanted', (TType.I32, None, False), None, ),  # 9
 )
 all_structs.append(QuarantineNote)
 QuarantineNote.thrift_spec = (
--- /dev/null
+++ b/eelgrassmount/members/rounds.py
@@ -0,0 +1,298 @@
+"""Rounds of gossip inside a failure domain, which are its probes as well."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define
+from loguru import logger
+
+from eelgrassmount.gen import ttypes
+from eelgrassmount.members import exchange
+from eelgrassmount.members.counts import Count
+from eelgrassmount.members.updates import MemberKey
+from eelgrassmount.peer.port import PeerFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.gen.ttypes import Gossip, Hello, Message
+    from eelgrassmount.members.roster import Roster
+    from eelgrassmount.peer.port import PeerPort
+    from eelgrassmount.timers import TimerService
+
+_MAX_WAKE_PROBES = 3
+_FREE_RAISES = 3
+
+
+def _do_nothing() -> None:
+    pass
+
+
+@define
+class Rounds:
+    """Talks to the members of the own failure domain.
+
+    ``fill`` adds what other parts of the node have to say to a message that is
+    about to be sent, and ``observe`` hands them what came in; both may be
+    called very often and must be cheap. ``react`` is called before urgent news
+    is sent.
+    """
+
+    roster: Roster
+    timers: TimerService
+    peers: PeerPort
+    spawn: Callable[..., None]
+    fill: Callable[[Gossip], None]
+    observe: Callable[[str, Gossip], None]
+    react: Callable[[], None] = _do_nothing
+    _flush_pending: bool = False
+    _last_sweep_s: float = 0.0
+    _awake_s: float = 0.0
+    _pulled_s: float = 0.0
+    _raises: int = 0
+    _checking: bool = False
+
+    # periodic work
+
+    def start(self) -> None:
+        """Subscribe to the timers."""
+        pace = self.roster.pace
+        self._last_sweep_s = self.timers.read()
+        self.timers.subscribe(pace.round_s, self.start_round, pace.round_jitter)
+        self.timers.subscribe(pace.sweep_s, self.sweep)
+        self.timers.subscribe(pace.dead_probe_s, self.start_dead_probe, 0.3)
+
+    def sweep(self) -> None:
+        """Give verdicts that are due, and notice gaps in this node's own time."""
+        now_s = self.timers.read()
+        gap_s = now_s - self._last_sweep_s
+        self._last_sweep_s = now_s
+        if gap_s > self.roster.pace.frozen_s:
+            self._wake_up(gap_s, now_s)
+        for address in self.roster.bury_overdue(now_s):
+            logger.info("member {} is declared dead", address)
+            self._tell_suspect(address)
+        self.roster.release_held(now_s)
+        self.roster.forget_gone(now_s)
+        self.flush_soon()
+
+    def start_round(self) -> None:
+        """Probe the next member with one message of gossip."""
+        if not self.roster.own.present:
+            return
+        target = self.roster.detector.choose_target(frozenset(self.roster.others))
+        if target is not None:
+            self.spawn(self.probe, target)
+
+    def start_dead_probe(self) -> None:
+        """Ask one of the dead: after a cut both sides hold the other for dead."""
+        gone = [
+            address
+            for address, member in self.roster.table.members.items()
+            if not member.present and address != self.roster.identity.address
+        ]
+        if gone and self.roster.own.present:
+            self.spawn(self.greet, self.roster.rng.choice(gone))
+
+    def _wake_up(self, gap_s: float, now_s: float) -> None:
+        """Distrust what is known after this process stood still."""
+        logger.info("this process stood still for {:.2f} s", gap_s)
+        self.roster.counts.add(Count.OWN_GAPS)
+        self._awake_s = now_s
+        self.roster.detector.extend_suspicions(gap_s)
+        self.roster.change_own(now_s)
+        others = self.roster.others
+        count = min(len(others), _MAX_WAKE_PROBES)
+        for address in self.roster.rng.sample(others, count):
+            self.spawn(self.greet, address)
+
+    # probing
+
+    async def probe(self, address: str) -> None:
+        """Ask a member for news, and suspect it when nobody can reach it."""
+        detector = self.roster.detector
+        started_s = self.timers.read()
+        timeout_s = detector.compute_timeout_s()
+        self.roster.counts.add(Count.ROUNDS)
+        if await self.greet(address, timeout_s):
+            detector.note_answer(self.timers.read() - started_s)
+            return
+        self.roster.counts.add(Count.PROBES_FAILED)
+        if self._was_disturbed(started_s):
+            return
+        if await self._probe_through_others(address):
+            self.roster.counts.add(Count.PROBES_INDIRECT_OK)
+            return
+        if self._was_disturbed(started_s) or self._heard_since(address, started_s):
+            return
+        detector.note_silence()
+        if self.roster.suspect(address, self.timers.read()):
+            logger.info("member {} is suspected", address)
+            self._tell_suspect(address)
+
+    async def greet(self, address: str, timeout_s: float = 0.0) -> bool:
+        """Exchange news with a node; tell whether it answered."""
+        gossip = exchange.build_round(self.roster)
+        self.fill(gossip)
+        reply = await self.ask(address, gossip, timeout_s or self.roster.pace.ask_s)
+        if reply is None:
+            return False
+        self.roster.note_heard(address, self.timers.read())
+        if reply.buckets:
+            self.spawn(self._pull, address, reply.buckets)
+        return True
+
+    async def ask(
+        self, address: str, gossip: Gossip, timeout_s: float
+    ) -> Gossip | None:
+        """Send a question and take its answer in; ``None`` when there was none."""
+        reply = await self.peers.ask(address, ttypes.Message(gossip=gossip), timeout_s)
+        if isinstance(reply, PeerFailure) or reply.gossip is None:
+            return None
+        self.take_in(address, reply.gossip)
+        return reply.gossip
+
+    def take_in(self, address: str, gossip: Gossip) -> None:
+        """Learn from a message and act on what cannot wait."""
+        exchange.learn(self.roster, gossip, self.timers.read())
+        self.observe(address, gossip)
+        if self.roster.conflict is not None and not self._checking:
+            self._checking = True
+            self.spawn(self._settle_conflict)
+        self.flush_soon()
+
+    async def _pull(self, address: str, buckets: list[int]) -> None:
+        now_s = self.timers.read()
+        differing = self.roster.digest.compare(buckets)
+        if not differing or now_s - self._pulled_s < self.roster.pace.pull_s:
+            return
+        self._pulled_s = now_s
+        self.roster.counts.add(Count.PULLS)
+        question = exchange.build_pull(self.roster, differing)
+        await self.ask(address, question, self.roster.pace.ask_s)
+
+    async def _probe_through_others(self, address: str) -> bool:
+        others = [other for other in self.roster.others if other != address]
+        count = min(len(others), self.roster.pace.indirect_probes)
+        helpers = self.roster.rng.sample(others, count)
+        reached: list[str] = []
+        async with anyio.create_task_group() as group:
+
+            async def ping(helper: str) -> None:
+                if await self._ping(helper, address):
+                    reached.append(helper)
+                    group.cancel_scope.cancel()
+
+            for helper in helpers:
+                group.start_soon(ping, helper)
+        return bool(reached)
+
+    async def _ping(self, helper: str, address: str) -> bool:
+        question = ttypes.Message(ping=ttypes.Ping(sequence=0, address=address))
+        timeout_s = 2 * self.roster.detector.compute_timeout_s()
+        reply = await self.peers.ask(helper, question, timeout_s)
+        if isinstance(reply, PeerFailure) or reply.ping is None:
+            return False
+        return reply.ping.address == address
+
+    def _was_disturbed(self, started_s: float) -> bool:
+        """Tell whether this node itself stood still while it waited."""
+        gap_s = self.timers.read() - self._last_sweep_s
+        return self._awake_s >= started_s or gap_s > self.roster.pace.frozen_s
+
+    def _heard_since(self, address: str, started_s: float) -> bool:
+        member = self.roster.table.members.get(address)
+        return member is None or member.heard_s > started_s
+
+    def _tell_suspect(self, address: str) -> None:
+        """Let a suspect know at once, so that it can refute."""
+        member = self.roster.table.members.get(address)
+        if member is not None:
+            keys = [MemberKey(address)]
+            self.spawn(self.tell, address, exchange.build_updates(self.roster, keys))
+
+    # urgent news
+
+    def flush_soon(self) -> None:
+        """Send what is urgent, together with what comes up right after it."""
+        if self.roster.urgent and not self._flush_pending:
+            self._flush_pending = True
+            self.timers.schedule(self.roster.pace.flush_s, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_pending = False
+        self.react()
+        gossip = exchange.build_urgent(self.roster)
+        others = self.roster.others
+        count = min(len(others), self.roster.pace.fan_out)
+        for address in self.roster.rng.sample(others, count):
+            self.roster.counts.add(Count.URGENT_SENT)
+            self.spawn(self.tell, address, gossip)
+        self.flush_soon()
+
+    async def tell(self, address: str, gossip: Gossip) -> None:
+        """Send a message that has no answer."""
+        await self.peers.tell(address, ttypes.Message(gossip=gossip))
+
+    # two incarnations at one address
+
+    async def _settle_conflict(self) -> None:
+        """Go above another incarnation that claims this address.
+
+        A restarted node does so as soon as it hears of its former incarnation.
+        When it happens again and again, there are two processes; the one that
+        is reached at the address goes on and the other one gives in.
+        """
+        self._raises += 1
+        if self._raises <= _FREE_RAISES or await self._reaches_itself():
+            self.roster.raise_own(self.timers.read())
+            self.flush_soon()
+        else:
+            self.roster.conflict = None
+            self.roster.counts.add(Count.ADDRESS_CONFLICTS)
+            logger.warning("another process is reached at the address of this node")
+        self._checking = False
+
+    async def _reaches_itself(self) -> bool:
+        identity = self.roster.identity
+        gossip = exchange.build_pull(self.roster, [0])
+        reply = await self.peers.ask(
+            identity.address, ttypes.Message(gossip=gossip), self.roster.pace.ask_s
+        )
+        if isinstance(reply, PeerFailure) or not (
+            reply.gossip and reply.gossip.members
+        ):
+            return False
+        return reply.gossip.members[0].incarnation == identity.incarnation
+
+    # handlers
+
+    async def answer_gossip(self, sender: Hello, message: Message) -> Message | None:
+        """Take gossip in, and answer it if it is a question."""
+        gossip = message.gossip
+        if sender.failure_domain == self.roster.identity.failure_domain:
+            self.roster.note_heard(sender.address, self.timers.read())
+        else:
+            self.roster.contacts.add(sender.failure_domain, sender.address)
+        self.take_in(sender.address, gossip)
+        if not exchange.needs_answer(gossip):
+            return None
+        reply = exchange.answer(self.roster, sender, gossip)
+        if gossip.wanted is None:
+            self.fill(reply)
+        return ttypes.Message(gossip=reply)
+
+    async def answer_ping(self, sender: Hello, message: Message) -> Message | None:
+        """Answer a ping, or ping a third node on behalf of the sender."""
+        target = message.ping.address
+        own = self.roster.identity.address
+        if target and target not in (own, sender.address):
+            question = ttypes.Message(ping=ttypes.Ping(sequence=0, address=target))
+            timeout_s = self.roster.detector.compute_timeout_s()
+            reply = await self.peers.ask(target, question, timeout_s)
+            reached = not isinstance(reply, PeerFailure)
+        else:
+            reached = True
+        return ttypes.Message(ping=ttypes.Ping(address=target if reached else ""))
--- a/eelgrassmount/members/table.py
+++ b/eelgrassmount/members/table.py
@@ -42,6 +42,8 @@
     ``heartbeat`` grows at its owner; a higher one replaces a lower one of the
     same incarnation. ``started`` orders the incarnations at one address.
     ``threshold`` and ``headroom`` are the node's last word on its load.
+    ``held`` is this node's own decision to give no new work to a member that
+    came back from a suspicion once too often.
     """
 
     identity: Identity
@@ -53,12 +55,20 @@
     threshold: int = 0
     started: int = 0
     heard_s: float = 0.0
+    held: bool = False
+
+    @property
+    def present(self) -> bool:
+        """Tell whether the node counts as a member, suspected or not."""
+        return self.state <= MemberState.SUSPECT
 
     @property
     def serves(self) -> bool:
         """Tell whether new work may be sent to this node's backend server."""
         return (
-            self.state is MemberState.ALIVE and self.server_state is ServerState.SERVING
+            self.state is MemberState.ALIVE
+            and self.server_state is ServerState.SERVING
+            and not self.held
         )
 
 
