--- a/benchmarks/member_network.py
+++ b/benchmarks/member_network.py
@@ -118,6 +118,8 @@
 
     async def receive(self, sender: Node, body: bytes) -> bytes | None:
         message = deserialize(ttypes.Message(), body, _PROTOCOL)
+        if message.ping is not None and not message.ping.address:
+            return body
         kind = "gossip" if message.gossip is not None else "ping"
         who = sender.identity
         hello = ttypes.Hello(
--- a/eelgrassmount/members/delegates.py
+++ b/eelgrassmount/members/delegates.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import heapq
-from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -21,7 +20,6 @@
 DOMAIN_ADDRESSES = 4
 
 
-@lru_cache(maxsize=65536)
 def _score(key: str, address: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}|{address}".encode())
 
--- a/eelgrassmount/members/membership.py
+++ b/eelgrassmount/members/membership.py
@@ -24,14 +24,13 @@
     import random
     from collections.abc import Callable, Sequence
 
-    from anyio.abc import TaskGroup
-
     from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.gen.ttypes import Gossip
     from eelgrassmount.load.state import ServiceLoad
     from eelgrassmount.peer.port import Handlers, PeerPort
     from eelgrassmount.platform.port import LogPort
     from eelgrassmount.timers import TimerService
+    from eelgrassmount.util.background import Background
 
 _LEAVE_TELLS = 6
 _LEAVE_S = 0.5
@@ -66,7 +65,7 @@
         self._board = board
         self._timers = timers
         self._describe_load = describe_load
-        self._tasks: TaskGroup | None = None
+        self._tasks: Background | None = None
         self._load_told_s = -math.inf
         self.roster = Roster(
             board.identity,
@@ -91,7 +90,7 @@
             "ping": self._rounds.answer_ping,
         }
 
-    async def start(self, task_group: TaskGroup) -> None:
+    async def start(self, task_group: Background) -> None:
         """Join the other nodes and keep going in ``task_group``."""
         self._tasks = task_group
         self._rounds.start()
@@ -124,12 +123,12 @@
         self.roster.change_own(
             now_s, state=MemberState.LEFT, server_state=ServerState.DRAINING
         )
-        others = self.roster.others
-        count = min(len(others), _LEAVE_TELLS)
+        partners = self._rounds.partners
+        count = min(len(partners), _LEAVE_TELLS)
         gossip = exchange.build_updates(self.roster, ())
         with anyio.move_on_after(_LEAVE_S):
             async with anyio.create_task_group() as group:
-                for address in self.roster.rng.sample(others, count):
+                for address in self.roster.rng.sample(partners, count):
                     group.start_soon(self._rounds.tell, address, gossip)
         logger.info("left the membership")
 
--- a/eelgrassmount/members/pace.py
+++ b/eelgrassmount/members/pace.py
@@ -13,7 +13,10 @@
 MAX_JOIN_SUMMARIES = 128
 MAX_CROSS_SUMMARIES = 32
 MAX_ADDRESSES = 8
-MAX_CONTACTS = 16
+MAX_CONTACTS = 8
+
+# members that a node exchanges news with, so that its connections stay few
+PARTNERS = 12
 
 # how often one update is passed on by each node that learns of it
 SENDS_OF_STATE = 4
--- a/eelgrassmount/members/roster.py
+++ b/eelgrassmount/members/roster.py
@@ -42,6 +42,7 @@
     ``urgent`` holds what has to be told at once. ``conflict`` is another
     incarnation that claims this node's address and stands above it.
     ``fresh`` holds what was newly published by the own failure domain.
+    ``version`` grows when a member comes, goes or changes its state.
     """
 
     identity: Identity
@@ -61,6 +62,7 @@
     domain_heard_s: dict[str, float] = field(factory=dict)
     fresh: dict[SummaryKey, None] = field(factory=dict)
     conflict: Member | None = None
+    version: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.detector = Detector(self.pace, self.rng)
@@ -205,6 +207,7 @@
         self.digest.toggle(address, before)
         self.digest.toggle(address, after)
         only_load = known is not None and before == after and known.state is kept.state
+        self.version += not only_load
         sends = SENDS_OF_LOAD if only_load else SENDS_OF_STATE
         self.updates.add(MemberKey(address), sends)
 
--- a/eelgrassmount/members/rounds.py
+++ b/eelgrassmount/members/rounds.py
@@ -5,12 +5,14 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from attrs import define
+from attrs import define, field
 from loguru import logger
 
 from eelgrassmount.gen import ttypes
 from eelgrassmount.members import exchange
 from eelgrassmount.members.counts import Count
+from eelgrassmount.members.delegates import choose_addresses
+from eelgrassmount.members.pace import PARTNERS
 from eelgrassmount.members.updates import MemberKey
 from eelgrassmount.peer.port import PeerFailure
 
@@ -25,6 +27,12 @@
 _MAX_WAKE_PROBES = 3
 _FREE_RAISES = 3
 
+# sequence of a ping through a third node, and of the reply to it; a node that does
+# not know such pings returns them as they came
+_ASKED = 0
+_REACHED = 1
+_UNREACHED = 2
+
 
 def _do_nothing() -> None:
     pass
@@ -53,6 +61,21 @@
     _pulled_s: float = 0.0
     _raises: int = 0
     _checking: bool = False
+    _partners: list[str] = field(factory=list)
+    _partners_version: int = -1
+
+    @property
+    def partners(self) -> list[str]:
+        """Return the members that this node talks to, a bounded number of them.
+
+        Each node chooses its own by hash; together the choices connect all members
+        within a few steps.
+        """
+        if self._partners_version != self.roster.version:
+            self._partners_version = self.roster.version
+            own = self.roster.identity.address
+            self._partners = choose_addresses(own, self.roster.others, PARTNERS)
+        return self._partners
 
     # periodic work
 
@@ -82,7 +105,7 @@
         """Probe the next member with one message of gossip."""
         if not self.roster.own.present:
             return
-        target = self.roster.detector.choose_target(frozenset(self.roster.others))
+        target = self.roster.detector.choose_target(frozenset(self.partners))
         if target is not None:
             self.spawn(self.probe, target)
 
@@ -103,9 +126,7 @@
         self._awake_s = now_s
         self.roster.detector.extend_suspicions(gap_s)
         self.roster.change_own(now_s)
-        others = self.roster.others
-        count = min(len(others), _MAX_WAKE_PROBES)
-        for address in self.roster.rng.sample(others, count):
+        for address in self._sample(self.partners, _MAX_WAKE_PROBES):
             self.spawn(self.greet, address)
 
     # probing
@@ -174,9 +195,8 @@
         await self.ask(address, question, self.roster.pace.ask_s)
 
     async def _probe_through_others(self, address: str) -> bool:
-        others = [other for other in self.roster.others if other != address]
-        count = min(len(others), self.roster.pace.indirect_probes)
-        helpers = self.roster.rng.sample(others, count)
+        others = [other for other in self.partners if other != address]
+        helpers = self._sample(others, self.roster.pace.indirect_probes)
         reached: list[str] = []
         async with anyio.create_task_group() as group:
 
@@ -190,12 +210,12 @@
         return bool(reached)
 
     async def _ping(self, helper: str, address: str) -> bool:
-        question = ttypes.Message(ping=ttypes.Ping(sequence=0, address=address))
+        question = ttypes.Message(ping=ttypes.Ping(sequence=_ASKED, address=address))
         timeout_s = 2 * self.roster.detector.compute_timeout_s()
         reply = await self.peers.ask(helper, question, timeout_s)
         if isinstance(reply, PeerFailure) or reply.ping is None:
             return False
-        return reply.ping.address == address
+        return reply.ping.sequence == _REACHED
 
     def _was_disturbed(self, started_s: float) -> bool:
         """Tell whether this node itself stood still while it waited."""
@@ -225,13 +245,14 @@
         self._flush_pending = False
         self.react()
         gossip = exchange.build_urgent(self.roster)
-        others = self.roster.others
-        count = min(len(others), self.roster.pace.fan_out)
-        for address in self.roster.rng.sample(others, count):
+        for address in self._sample(self.partners, self.roster.pace.fan_out):
             self.roster.counts.add(Count.URGENT_SENT)
             self.spawn(self.tell, address, gossip)
         self.flush_soon()
 
+    def _sample(self, addresses: list[str], count: int) -> list[str]:
+        return self.roster.rng.sample(addresses, min(len(addresses), count))
+
     async def tell(self, address: str, gossip: Gossip) -> None:
         """Send a message that has no answer."""
         await self.peers.tell(address, ttypes.Message(gossip=gossip))
@@ -285,14 +306,10 @@
         return ttypes.Message(gossip=reply)
 
     async def answer_ping(self, sender: Hello, message: Message) -> Message | None:
-        """Answer a ping, or ping a third node on behalf of the sender."""
+        """Ping a third node on behalf of the sender."""
         target = message.ping.address
-        own = self.roster.identity.address
-        if target and target not in (own, sender.address):
-            question = ttypes.Message(ping=ttypes.Ping(sequence=0, address=target))
-            timeout_s = self.roster.detector.compute_timeout_s()
-            reply = await self.peers.ask(target, question, timeout_s)
-            reached = not isinstance(reply, PeerFailure)
-        else:
-            reached = True
-        return ttypes.Message(ping=ttypes.Ping(address=target if reached else ""))
+        question = ttypes.Message(ping=ttypes.Ping(sequence=_ASKED))
+        timeout_s = self.roster.detector.compute_timeout_s()
+        reply = await self.peers.ask(target, question, timeout_s)
+        verdict = _UNREACHED if isinstance(reply, PeerFailure) else _REACHED
+        return ttypes.Message(ping=ttypes.Ping(sequence=verdict, address=target))
