--- a/eelgrassmount/config/classes.py
+++ b/eelgrassmount/config/classes.py
@@ -64,8 +64,8 @@
 class Configuration:
     """A configuration in force: its version, its content and its text.
 
-    Version 0 means that none has been accepted yet. ``offset`` is the
-    record's place on the log.
+    Version 0 means that none has been accepted yet. ``offset`` is a place on the
+    log right after which this version was in force, or -1 if none is known.
     """
 
     version: int = 0
--- /dev/null
+++ b/eelgrassmount/platform/backoff.py
@@ -0,0 +1,53 @@
+"""Back-off with jitter for everything that uses the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+if TYPE_CHECKING:
+    import random
+
+_MAX_DOUBLINGS = 16
+
+
+def compute_backoff(
+    failures: int, rng: random.Random, base_s: float, limit_s: float
+) -> float:
+    """Return the seconds to wait after ``failures`` failures in a row.
+
+    The ceiling doubles with each failure, from ``base_s`` up to ``limit_s``, and
+    the wait is a random part of it, at least half, so that nodes that failed
+    together do not come back together.
+    """
+    doublings = min(max(failures - 1, 0), _MAX_DOUBLINGS)
+    ceiling_s = min(limit_s, base_s * 2.0**doublings)
+    return ceiling_s * rng.uniform(0.5, 1.0)
+
+
+@define
+class Backoff:
+    """Counts failures in a row and says how long to wait.
+
+    For example::
+
+        backoff = Backoff(rng)
+        backoff.fail()  # 0.1 to 0.2 seconds
+        backoff.fail()  # 0.2 to 0.4 seconds
+        backoff.reset()
+    """
+
+    rng: random.Random
+    base_s: float = 0.2
+    limit_s: float = 5.0
+    failures: int = 0
+
+    def fail(self) -> float:
+        """Count a failure and return the seconds to wait before trying again."""
+        self.failures += 1
+        return compute_backoff(self.failures, self.rng, self.base_s, self.limit_s)
+
+    def reset(self) -> None:
+        """Forget the failures, after a success."""
+        self.failures = 0
--- /dev/null
+++ b/eelgrassmount/platform/client.py
@@ -0,0 +1,138 @@
+"""A client of the platform's log service over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING
+
+import anyio
+import httpcore
+from attrs import define, field
+
+from eelgrassmount.platform.port import Appended, LogFailure, Page, Record
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MAX_CONNECTIONS = 4
+DEFAULT_LIMIT_S = 2.0
+_CONNECT_LIMIT_S = 1.0
+_KEEP_ALIVE_S = 30.0
+_SENDING = "http11.send_request_headers.started"
+
+
+@define
+class _Attempt:
+    """One request: whether any byte of it may have left this process."""
+
+    sent: bool = False
+
+    async def watch(self, event: str, info: Mapping[str, object]) -> None:
+        if event == _SENDING:
+            self.sent = True
+
+
+@define
+class LogClient:
+    """Speaks to the log service at ``url``, for example ``http://127.0.0.1:80``.
+
+    Every request ends within ``limit_s`` seconds (a read that waits for records:
+    that much later than it waits). A request without a usable answer gives a
+    `LogFailure`; it is never sent a second time from here, because the first one
+    may have taken effect.
+    """
+
+    url: str
+    limit_s: float = DEFAULT_LIMIT_S
+    _pool: httpcore.AsyncConnectionPool = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the connections; none is opened yet."""
+        self.url = self.url.rstrip("/")
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS,
+            keepalive_expiry=_KEEP_ALIVE_S,
+            network_backend=httpcore.AnyIOBackend(),
+        )
+
+    async def append(self, stream: str, body: bytes) -> Appended | LogFailure:
+        """Append one record."""
+        content = await self._request("POST", f"/streams/{stream}/records", body, 0.0)
+        if isinstance(content, LogFailure):
+            return content
+        try:
+            return Appended(_read_offset(json.loads(content)["offset"]))
+        except (ValueError, TypeError, KeyError):
+            return LogFailure("the log's answer to an append is malformed", True)
+
+    async def read(
+        self, stream: str, offset: int, limit: int, wait_s: float
+    ) -> Page | LogFailure:
+        """Read records from ``offset`` on, waiting up to ``wait_s`` for one."""
+        query = f"from={offset}&limit={limit}&wait_ms={round(wait_s * 1000)}"
+        target = f"/streams/{stream}/records?{query}"
+        content = await self._request("GET", target, b"", wait_s)
+        if isinstance(content, LogFailure):
+            return content
+        try:
+            return _parse_page(content)
+        except (ValueError, TypeError, KeyError):
+            return LogFailure("the log's answer to a read is malformed", True)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def _request(
+        self, method: str, target: str, body: bytes, wait_s: float
+    ) -> bytes | LogFailure:
+        attempt = _Attempt()
+        try:
+            with anyio.fail_after(self.limit_s + wait_s):
+                response = await self._pool.request(
+                    method,
+                    self.url + target,
+                    headers=_make_headers(method),
+                    content=body,
+                    extensions={
+                        "timeout": {"connect": min(_CONNECT_LIMIT_S, self.limit_s)},
+                        "trace": attempt.watch,
+                    },
+                )
+        except TimeoutError:
+            return LogFailure(f"no answer within {self.limit_s} s", attempt.sent)
+        except (httpcore.TimeoutException, httpcore.NetworkError, OSError) as error:
+            return LogFailure(f"{type(error).__name__}: {error}", attempt.sent)
+        except httpcore.ProtocolError as error:
+            return LogFailure(f"{type(error).__name__}: {error}", attempt.sent)
+        return _check_status(response)
+
+
+def _make_headers(method: str) -> list[tuple[str, str]]:
+    if method == "POST":
+        return [("Content-Type", "application/octet-stream")]
+    return []
+
+
+def _check_status(response: httpcore.Response) -> bytes | LogFailure:
+    if response.status == 200:
+        return response.content
+    # an error of the server may come after the write, a refusal may not
+    may_have_written = response.status >= 500
+    return LogFailure(f"the log answered {response.status}", may_have_written)
+
+
+def _parse_page(content: bytes) -> Page:
+    page = json.loads(content)
+    records = tuple(
+        Record(_read_offset(record["offset"]), base64.b64decode(record["body"]))
+        for record in page["records"]
+    )
+    return Page(_read_offset(page["first"]), _read_offset(page["next"]), records)
+
+
+def _read_offset(value: object) -> int:
+    if type(value) is not int or value < 0:
+        raise ValueError("an offset must be a whole number")
+    return value
