Run keyed calls at most once: slots, backups, minted keys

One primary and one backup hold each slot of a failure domain; the log decides who they are by compare-and-set.

--- /dev/null
+++ b/eelgrassmount/keys/service.py
@@ -0,0 +1,317 @@
+"""Runs calls that have an idempotency key, each key at most once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define, field
+
+from eelgrassmount.calls.request import Outcome
+from eelgrassmount.errors import BadFrameError
+from eelgrassmount.gen.ttypes import Message, Route
+from eelgrassmount.keys.core import Core, KeySettings
+from eelgrassmount.keys.follower import TICK_S, Follower
+from eelgrassmount.keys.holder import has_runs
+from eelgrassmount.keys.minted import MINTED_SLOT, Minter
+from eelgrassmount.keys.owner import Owner, wait_change
+from eelgrassmount.keys.placement import choose_heirs, find_home, find_slot
+from eelgrassmount.keys.replica import Replica
+from eelgrassmount.keys.syntax import BadKey, MintedKey, OwnKey, parse_key
+from eelgrassmount.peer.codec import decode_outcome, encode_call
+from eelgrassmount.peer.port import PeerFailure
+from eelgrassmount.verdict import MayHaveRun, NotRun, Reason
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.calls.request import Call
+    from eelgrassmount.gen.ttypes import Hello
+    from eelgrassmount.keys.holder import SlotHolder
+    from eelgrassmount.keys.port import Runner
+    from eelgrassmount.peer.port import Handlers, PeerPort
+    from eelgrassmount.platform.port import LogPort
+    from eelgrassmount.timers import TimerService
+
+RELAYS = 2
+ROUTE_ATTEMPTS = 4
+HAND_OVER_S = 20.0
+_POLL_S = 0.1
+
+
+def _ignore(name: str) -> None:
+    """Count nothing."""
+
+
+@define
+class KeyService:
+    """The at-most-once part of one node; implements `KeyPort`.
+
+    ``run`` of the constructor runs a call on some node of its service;
+    ``count`` counts an event by its name. Nothing is run before `start`.
+    """
+
+    core: Core
+    follower: Follower
+    owner: Owner
+    replica: Replica
+    minter: Minter
+    _forwarding: set[str] = field(factory=set)
+
+    @classmethod
+    def create(
+        cls,
+        board: Blackboard,
+        timers: TimerService,
+        peers: PeerPort,
+        log: LogPort,
+        run: Runner,
+        rng: random.Random,
+        settings: KeySettings | None = None,
+        count: Callable[[str], None] = _ignore,
+    ) -> KeyService:
+        """Return a service with its parts wired up."""
+        settings = settings or KeySettings()
+        core = Core(board, timers, peers, log, run, rng, settings, count)
+        follower = Follower(core)
+        return cls(
+            core=core,
+            follower=follower,
+            owner=Owner(core, follower),
+            replica=Replica(core, follower),
+            minter=Minter(core),
+        )
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Begin to follow views, to keep backups and to expire keys."""
+        self.core.tasks = tasks
+        self.minter.note_checkpoint()
+        self.core.timers.subscribe(TICK_S, self._tick)
+        tasks.start_soon(self.follower.tail)
+        tasks.start_soon(self.follower.steward)
+        tasks.start_soon(self.replica.run)
+
+    def _tick(self) -> None:
+        now_s = self.core.timers.read()
+        window_s = self.core.settings.window_s
+        self.core.is_stalled()
+        self.core.read_roster()
+        self.minter.note_checkpoint()
+        self.minter.expire(now_s, window_s)
+        for holder in self.core.holders:
+            holder.table.expire(now_s, window_s)
+            holder.ledger.drop_idle_tickets()
+
+    def handlers(self) -> Handlers:
+        """Return what answers the messages about slots."""
+        return {
+            "mark_question": self.replica.answer_marks,
+            "slot_transfer": self._answer_transfer,
+            "slot_question": self.follower.answer,
+        }
+
+    async def _answer_transfer(self, sender: Hello, message: Message) -> Message | None:
+        if message.slot_transfer.slot == MINTED_SLOT:
+            return self.minter.answer_transfer(sender, message.slot_transfer)
+        return await self.replica.answer_transfer(sender, message)
+
+    def mint(self) -> str:
+        """Return a new key, empty while this node is leaving."""
+        return self.minter.mint()
+
+    async def run(self, call: Call) -> Outcome:
+        """Find the owner of the call's key and let it run the call.
+
+        Refusals are *may have run* wherever an earlier sending of the key may
+        have been run, also when this very sending certainly was not.
+        """
+        match parse_key(call.context.key):
+            case BadKey():
+                self.core.count("key-malformed")
+                return Outcome(NotRun(Reason.KEY_MALFORMED))
+            case MintedKey() as key:
+                return await self._run_minted(key, call)
+            case OwnKey() as key:
+                return await self._run_own(key, call)
+
+    async def handle_own(self, call: Call) -> Outcome:
+        """Act on a call that another node sent to the owner of its key."""
+        if call.context.call_id in self._forwarding:
+            # two nodes that take each other for the owner
+            self.core.count("route-loop")
+            return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+        return await self.run(call)
+
+    async def _run_own(self, key: OwnKey, call: Call) -> Outcome:
+        domains = self.core.board.configuration.document.failure_domains
+        home = find_home(key.text, key.failure_domain, domains)
+        if not domains:
+            self.core.count("key-no-configuration")
+            return Outcome(MayHaveRun(Reason.NO_CONFIGURATION))
+        if not home:
+            self.core.count("key-malformed")
+            return Outcome(NotRun(Reason.KEY_MALFORMED))
+        if home != self.core.board.identity.failure_domain:
+            return await self._relay(home, "", call)
+        return await self._run_in_slot(self.core.holders[find_slot(key.text)], call)
+
+    async def _run_in_slot(self, holder: SlotHolder, call: Call) -> Outcome:
+        outcome = Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+        for _ in range(ROUTE_ATTEMPTS):
+            view = holder.view
+            if view.primary == self.core.me:
+                outcome = await self.owner.run(holder, call)
+            elif view.version:
+                outcome = await self._forward(view.primary.address, call)
+            if not _is_changing(outcome) or not await self._await_view(holder, call):
+                break
+        return outcome
+
+    async def _await_view(self, holder: SlotHolder, call: Call) -> bool:
+        """Hear of a later view of a slot; tell whether to try again."""
+        view = holder.view
+        left_s = call.context.deadline_s - self.core.timers.read()
+        if left_s <= 0:
+            return False
+        await self.follower.refresh()
+        if holder.view != view:
+            return True
+        gone = self.core.read_roster().is_gone(view.primary)
+        if holder.is_waiting(self.core.me, self.core.timers.read()):
+            return False
+        if gone and not self.core.board.log_reachable:
+            return False
+        await wait_change(holder, min(left_s, self.core.settings.change_wait_s))
+        return holder.view != view
+
+    async def _run_minted(self, key: MintedKey, call: Call) -> Outcome:
+        identity = self.core.board.identity
+        if key.incarnation == identity.incarnation:
+            return await self.minter.run(key, call)
+        if key.failure_domain != identity.failure_domain:
+            return await self._relay(key.failure_domain, key.address, call)
+        if self._is_live(key):
+            outcome = await self._forward(key.address, call)
+            if not _is_changing(outcome):
+                return outcome
+        return await self._ask_heirs(key, call)
+
+    def _is_live(self, key: MintedKey) -> bool:
+        roster = self.core.read_roster()
+        live = roster.known - roster.gone
+        return any(
+            node.incarnation == key.incarnation and node.address == key.address
+            for node in live
+        )
+
+    async def _ask_heirs(self, key: MintedKey, call: Call) -> Outcome:
+        outcome = await self.minter.answer_for(key, call)
+        if outcome is not None:
+            return outcome
+        for heir in choose_heirs(key.incarnation, self.core.read_roster().fit):
+            if heir != self.core.me:
+                outcome = await self._forward(heir.address, call)
+                if not _is_changing(outcome):
+                    return outcome
+        self.core.count("minted-owner-unreachable")
+        return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
+
+    async def _relay(self, domain: str, preferred: str, call: Call) -> Outcome:
+        """Send a call to a node of another failure domain, which finds the owner."""
+        addresses = self._find_relays(domain)
+        if preferred in addresses:
+            addresses = [preferred, *addresses]
+        outcome = Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
+        for address in addresses[:RELAYS]:
+            outcome = await self._forward(address, call)
+            if not _is_changing(outcome):
+                break
+        return outcome
+
+    def _find_relays(self, domain: str) -> list[str]:
+        summaries = self.core.board.members.summaries.values()
+        addresses = {
+            address
+            for summary in summaries
+            if summary.failure_domain == domain
+            for address in summary.addresses
+        }
+        ordered = sorted(addresses)
+        self.core.rng.shuffle(ordered)
+        return ordered
+
+    async def _forward(self, address: str, call: Call) -> Outcome:
+        """Send a call towards its owner; sending it twice can't run it twice."""
+        now_s = self.core.timers.read()
+        left_s = call.context.deadline_s - now_s
+        call_id = call.context.call_id
+        if left_s <= 0:
+            return Outcome(MayHaveRun(Reason.DEADLINE))
+        if call_id in self._forwarding:
+            return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+        message = Message(call=encode_call(call, Route.OWN, now_s))
+        self._forwarding.add(call_id)
+        try:
+            reply = await self.core.peers.ask(address, message, left_s)
+        finally:
+            self._forwarding.discard(call_id)
+        return self._read_reply(reply)
+
+    def _read_reply(self, reply: Message | PeerFailure) -> Outcome:
+        # also when nothing was sent: an earlier sending of the key may have run
+        if isinstance(reply, PeerFailure) or reply.outcome is None:
+            self.core.count("owner-unreachable")
+            return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
+        try:
+            return decode_outcome(reply.outcome)
+        except BadFrameError:
+            self.core.count("owner-bad-answer")
+            return Outcome(MayHaveRun(Reason.BAD_ANSWER))
+
+    def hear_version(self, version: int, address: str) -> None:
+        """Note that a node of this failure domain knows a view of ``version``."""
+        if version > self.find_version() and self.core.tasks is not None:
+            self.core.tasks.start_soon(self.follower.ask_peer, address)
+
+    def find_version(self) -> int:
+        """Return the latest version among all slots' views, for gossip."""
+        return max(holder.view.version for holder in self.core.holders)
+
+    async def hand_over(self) -> None:
+        """Give slots and answers to others, as part of a graceful shutdown.
+
+        Calls under way are finished first. Returns when no slot needs this
+        node any more, or after `HAND_OVER_S` at the latest.
+        """
+        self.core.leaving = True
+        with anyio.move_on_after(HAND_OVER_S):
+            await self._leave_slots()
+            while not self.minter.idle:
+                await anyio.sleep(_POLL_S)
+            await self.minter.hand_over()
+
+    async def _leave_slots(self) -> None:
+        while any(self._is_needed(holder) for holder in self.core.holders):
+            await self.follower.propose_due()
+            await anyio.sleep(_POLL_S)
+
+    def _is_needed(self, holder: SlotHolder) -> bool:
+        view = holder.view
+        if has_runs(holder.ledger) or holder.facts:
+            return True
+        if len(self.core.read_roster().fit) == 0:
+            return False
+        return self.core.me in (view.primary, view.backup)
+
+
+def _is_changing(outcome: Outcome) -> bool:
+    """Tell whether another way to the owner may give a better answer."""
+    verdict = outcome.verdict
+    return isinstance(verdict, MayHaveRun) and verdict.reason in (
+        Reason.OWNER_CHANGING,
+        Reason.OWNER_UNREACHABLE,
+    )
--- /dev/null
+++ b/eelgrassmount/keys/syntax.py
@@ -0,0 +1,120 @@
+"""The syntax of idempotency keys."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from eelgrassmount.members.table import Identity
+
+MINTED_PREFIX = "em1~"
+MAX_KEY_LENGTH = 128
+_KEY_PATTERN = re.compile(r"(?:([A-Za-z0-9._-]{1,63}):)?[A-Za-z0-9._~-]{1,128}")
+_PART_PATTERN = re.compile(r"[A-Za-z0-9._-]+")
+_NONCE_PATTERN = re.compile(r"([0-9a-f]{1,12})-([0-9a-f]{16})")
+_SEAL_BYTES = 8
+
+
+@frozen
+class MintedKey:
+    """A key that the system minted: it names its owner, which alone may run it."""
+
+    text: str
+    address: str
+    failure_domain: str
+    incarnation: str
+    number: int
+    seal: str
+
+
+@frozen
+class OwnKey:
+    """A key of the caller's own; ``failure_domain`` is empty if none is named."""
+
+    text: str
+    failure_domain: str
+
+
+@frozen
+class BadKey:
+    """A text that is no key; ``detail`` says what to mend."""
+
+    detail: str
+
+
+def parse_key(text: str) -> MintedKey | OwnKey | BadKey:
+    """Return what a key says, or why it is none.
+
+    A caller's own key is kept under its whole text, so ``howrah:7`` and ``7``
+    are two keys.
+    """
+    if text.startswith(MINTED_PREFIX):
+        return _parse_minted(text)
+    match = _KEY_PATTERN.fullmatch(text)
+    if match is None:
+        return BadKey(f"a key has 1 to {MAX_KEY_LENGTH} of A-Z a-z 0-9 . _ ~ -")
+    return OwnKey(text, match[1] or "")
+
+
+def _parse_minted(text: str) -> MintedKey | BadKey:
+    parts = text[len(MINTED_PREFIX) :].split("~")
+    if len(parts) != 4:
+        return BadKey(f"a key that begins with {MINTED_PREFIX} must be a minted one")
+    address, failure_domain, incarnation, nonce = parts
+    match = _NONCE_PATTERN.fullmatch(nonce)
+    if match is None or not all(_PART_PATTERN.fullmatch(part) for part in parts):
+        return BadKey("the minted key has been changed")
+    return MintedKey(
+        text=text,
+        address=_decode_address(address),
+        failure_domain=failure_domain,
+        incarnation=incarnation,
+        number=int(match[1], 16),
+        seal=match[2],
+    )
+
+
+def format_minted(identity: Identity, number: int, secret: bytes) -> str:
+    """Return the minted key with a number, sealed so that it can't be guessed."""
+    parts = (
+        _encode_address(identity.address),
+        identity.failure_domain,
+        identity.incarnation,
+        f"{number:x}-{compute_seal(number, secret)}",
+    )
+    return MINTED_PREFIX + "~".join(parts)
+
+
+def compute_seal(number: int, secret: bytes) -> str:
+    """Return what proves that the owner of ``secret`` minted a number."""
+    text = str(number).encode()
+    return hashlib.blake2s(text, digest_size=_SEAL_BYTES, key=secret).hexdigest()
+
+
+def check_identity(identity: Identity) -> None:
+    """Raise `ValueError` if keys can't be minted in the name of a node."""
+    for name in (identity.failure_domain, identity.incarnation):
+        if not _PART_PATTERN.fullmatch(name):
+            raise ValueError(
+                f"{name!r} can't stand in a key: use the characters "
+                "A-Z a-z 0-9 . _ - for failure domains and incarnations"
+            )
+    if len(format_minted(identity, 16**12 - 1, b"")) > MAX_KEY_LENGTH:
+        raise ValueError(
+            f"the name of the failure domain {identity.failure_domain!r} is too "
+            f"long: keys have {MAX_KEY_LENGTH} characters at most"
+        )
+
+
+def _encode_address(address: str) -> str:
+    # the brackets of IPv6 numbers and colons are not allowed in a key
+    return address.replace(":", "_").replace("[", "-").replace("]", "-")
+
+
+def _decode_address(text: str) -> str:
+    address = text.replace("_", ":")
+    return address.replace("-", "[", 1).replace("-", "]", 1)
--- /dev/null
+++ b/tests/keys/world.py
@@ -0,0 +1,453 @@
+"""Several key services over a log and a network in memory, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+from itertools import count
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define, evolve, field
+
+from eelgrassmount.blackboard import Blackboard
+from eelgrassmount.calls.request import Call, Outcome, Request
+from eelgrassmount.config.classes import Configuration, Document
+from eelgrassmount.context import Context, Tier, compute_digest
+from eelgrassmount.gen.ttypes import Hello, Message
+from eelgrassmount.keys.core import KeySettings
+from eelgrassmount.keys.service import KeyService
+from eelgrassmount.members.table import (
+    Identity,
+    Member,
+    MemberState,
+    ServerState,
+    ServiceSummary,
+)
+from eelgrassmount.peer.codec import (
+    FRAME_HEADER_BYTES,
+    decode_call,
+    decode_payload,
+    encode_frame,
+    encode_outcome,
+)
+from eelgrassmount.peer.port import PeerFailure
+from eelgrassmount.platform.port import Appended, LogFailure, Page, Record
+from eelgrassmount.timers import TimerService
+from eelgrassmount.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+WINDOW_S = 600.0
+HOP_S = 0.001
+SUSPECT_S = 2.0
+
+
+class _Selector(selectors.DefaultSelector):
+    """Moves virtual time on instead of waiting."""
+
+    now_s = 1000.0
+
+    def select(self, timeout: float | None = None) -> list[object]:
+        assert timeout is not None, "every task waits for ever"
+        self.now_s += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time passes at once."""
+
+    def __init__(self) -> None:
+        self._virtual = _Selector()
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        return self._virtual.now_s
+
+
+@define
+class NodeClock:
+    """The clock as code on a node reads it; it can't read while it is frozen."""
+
+    loop: VirtualLoop
+    frozen_s: float | None = None
+
+    def read(self) -> float:
+        return self.loop.time() if self.frozen_s is None else self.frozen_s
+
+
+@define
+class Run:
+    key: str
+    call_id: str
+    at_s: float
+
+
+@define
+class Sending:
+    key: str
+    call_id: str
+    started_s: float
+    verdict: Verdict | None = None
+
+
+@define
+class FakeLog:
+    world: World
+    records: dict[str, list[Record]] = field(factory=dict)
+    first: dict[str, int] = field(factory=dict)
+    up: bool = True
+    lose_answers: int = 0
+    appends: int = 0
+
+    def port(self, node: Node) -> LogPortOf:
+        return LogPortOf(self, node)
+
+    def drop_before(self, stream: str, offset: int) -> None:
+        kept = self.records.get(stream, [])
+        self.records[stream] = [r for r in kept if r.offset >= offset]
+        self.first[stream] = offset
+
+
+@define
+class LogPortOf:
+    log: FakeLog
+    node: Node
+
+    async def append(self, stream: str, body: bytes) -> Appended | LogFailure:
+        await self.node.stand()
+        if not self.log.up or self.node.log_cut:
+            await anyio.sleep(0.5)
+            return LogFailure("down", False)
+        records = self.log.records.setdefault(stream, [])
+        offset = records[-1].offset + 1 if records else self.log.first.get(stream, 0)
+        records.append(Record(offset, body))
+        self.log.appends += 1
+        await anyio.sleep(HOP_S)
+        await self.node.stand()
+        if self.log.lose_answers:
+            self.log.lose_answers -= 1
+            return LogFailure("answer lost", True)
+        return Appended(offset)
+
+    async def read(
+        self, stream: str, offset: int, limit: int, wait_s: float
+    ) -> Page | LogFailure:
+        end_s = self.node.clock.loop.time() + wait_s
+        while True:
+            await self.node.stand()
+            if not self.log.up or self.node.log_cut:
+                await anyio.sleep(0.2)
+                return LogFailure("down", False)
+            first = self.log.first.get(stream, 0)
+            records = self.log.records.get(stream, [])
+            after = records[-1].offset + 1 if records else first
+            found = [r for r in records if r.offset >= offset][:limit]
+            if found or self.node.clock.loop.time() >= end_s:
+                await self.node.stand()
+                return Page(first, after, tuple(found))
+            await anyio.sleep(0.05)
+
+
+@define(eq=False)
+class Node:
+    """One process: a key service, its peers, and how it is doing."""
+
+    world: World
+    identity: Identity
+    clock: NodeClock
+    service: KeyService = field(init=False)
+    thawed: anyio.Event = field(factory=anyio.Event)
+    alive: bool = True
+    log_cut: bool = False
+    suspected_s: float = -1.0
+    tasks: set[asyncio.Task] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        self.thawed.set()
+        world = self.world
+        board = Blackboard(self.identity)
+        document = Document(failure_domains=world.failure_domains)
+        board.configuration = Configuration(version=1, document=document)
+        self.service = KeyService.create(
+            board,
+            TimerService(self.clock, world.rng),
+            self,
+            world.log.port(self),
+            self._run_call,
+            world.rng,
+            KeySettings(window_s=WINDOW_S, table_size=world.table_size),
+            world.note,
+        )
+
+    @property
+    def frozen(self) -> bool:
+        return self.clock.frozen_s is not None
+
+    async def stand(self) -> None:
+        """Stand still while the process is frozen."""
+        while not self.thawed.is_set():
+            await self.thawed.wait()
+
+    async def main(self) -> None:
+        async with anyio.create_task_group() as group:
+            await self.service.start(group)
+            while True:
+                await anyio.sleep(0.1)
+                if not self.frozen:
+                    self.service.core.timers.run_due()
+
+    def spawn(self, work: Awaitable) -> asyncio.Task:
+        task = self.world.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def _run_call(self, call: Call) -> Outcome:
+        await self.stand()
+        world = self.world
+        await anyio.sleep(HOP_S)
+        await self.stand()
+        if world.shed_next:
+            world.shed_next = False
+            return Outcome(NotRun(Reason.OVERLOAD))
+        if call.context.deadline_s < self.clock.read():
+            return Outcome(NotRun(Reason.DEADLINE))
+        key = call.context.key
+        world.runs.append(Run(key, call.context.call_id, world.loop.time()))
+        await anyio.sleep(world.run_s)
+        await self.stand()
+        return Outcome(Answered(200, (), f"{key} {len(world.runs)}".encode()))
+
+    # the peer port
+    async def ask(
+        self, address: str, message: Message, timeout_s: float
+    ) -> Message | PeerFailure:
+        await self.stand()
+        start_s = self.world.loop.time()
+        message.sequence = 1
+        copy = decode_payload(encode_frame(message)[FRAME_HEADER_BYTES:])
+        target = self.world.nodes.get(address)
+        await anyio.sleep(HOP_S)
+        if target is None or not target.alive:
+            return PeerFailure(address, False)
+        reply = None
+        if not self.world.is_cut(self, target) and not self.world.loses():
+            work = target.spawn(target.handle(self.hello(), copy))
+            with anyio.move_on_after(timeout_s):
+                reply = await asyncio.wait([work]) and await _result(work)
+        lost = self.world.is_cut(target, self) or self.world.loses()
+        if reply is None or lost:
+            left_s = timeout_s - (self.world.loop.time() - start_s)
+            await anyio.sleep(max(0.0, min(left_s, 1.0)))
+            await self.stand()
+            return PeerFailure(address, True)
+        await anyio.sleep(HOP_S)
+        await self.stand()
+        return reply
+
+    async def tell(self, address: str, message: Message) -> bool:
+        return not isinstance(await self.ask(address, message, 1.0), PeerFailure)
+
+    def hello(self) -> Hello:
+        identity = self.identity
+        return Hello(
+            identity.address,
+            identity.failure_domain,
+            identity.region,
+            identity.incarnation,
+            1,
+        )
+
+    async def handle(self, sender: Hello, message: Message) -> Message | None:
+        await self.stand()
+        if message.call is not None:
+            call = decode_call(message.call, self.clock.read())
+            outcome = await self.service.handle_own(call)
+            return Message(outcome=encode_outcome(call.context.call_id, outcome))
+        for name, handler in self.service.handlers().items():
+            if getattr(message, name) is not None:
+                return await handler(sender, message)
+        raise AssertionError(f"nobody handles {message}")
+
+
+async def _result(work: asyncio.Task) -> Message | None:
+    return None if work.cancelled() else work.result()
+
+
+@define(eq=False)
+class World:
+    """Nodes, callers and what really happened."""
+
+    rng: random.Random
+    failure_domains: tuple[str, ...] = ("howrah", "sealdah")
+    table_size: int = 10_000
+    loop: VirtualLoop = field(factory=VirtualLoop)
+    nodes: dict[str, Node] = field(factory=dict)
+    runs: list[Run] = field(factory=list)
+    sendings: list[Sending] = field(factory=list)
+    counts: dict[str, int] = field(factory=dict)
+    cuts: set[tuple[str, str]] = field(factory=set)
+    loss: float = 0.0
+    run_s: float = 0.05
+    shed_next: bool = False
+    log: FakeLog = field(init=False)
+    _numbers: count = field(factory=lambda: count(1))
+
+    def __attrs_post_init__(self) -> None:
+        self.log = FakeLog(self)
+
+    def note(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def loses(self) -> bool:
+        return self.rng.random() < self.loss
+
+    def is_cut(self, source: Node, target: Node) -> bool:
+        ends = (source.identity.failure_domain, target.identity.failure_domain)
+        return ends in self.cuts
+
+    def start_node(self, failure_domain: str, address: str = "") -> Node:
+        number = next(self._numbers)
+        address = address or f"127.0.0.{number}:7000"
+        identity = Identity(address, failure_domain, "kolkata", f"i{number}")
+        node = Node(self, identity, NodeClock(self.loop))
+        self.nodes[address] = node
+        self.detect()
+        node.spawn(node.main())
+        return node
+
+    def kill(self, node: Node) -> None:
+        node.alive = False
+        for task in list(node.tasks):
+            task.cancel()
+        self.advance(0.0)
+
+    def freeze(self, node: Node) -> None:
+        node.clock.frozen_s = self.loop.time()
+        node.thawed = anyio.Event()
+
+    def thaw(self, node: Node) -> None:
+        node.clock.frozen_s = None
+        node.thawed.set()
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, with membership following what happens."""
+        end_s = self.loop.time() + seconds
+        while True:
+            self.detect()
+            left_s = end_s - self.loop.time()
+            self.loop.run_until_complete(asyncio.sleep(min(0.5, max(0.0, left_s))))
+            if left_s <= 0:
+                return
+
+    def detect(self) -> None:
+        for observer in self.nodes.values():
+            if not observer.alive or observer.frozen:
+                continue
+            board = observer.service.core.board
+            board.log_reachable = self.log.up and not observer.log_cut
+            for node in self.nodes.values():
+                self._note_member(board, observer, node)
+
+    def _note_member(self, board: Blackboard, observer: Node, node: Node) -> None:
+        identity = node.identity
+        if identity.failure_domain != observer.identity.failure_domain:
+            key = (identity.failure_domain, "jobdesk")
+            addresses = tuple(
+                sorted(
+                    other.identity.address
+                    for other in self.nodes.values()
+                    if other.identity.failure_domain == identity.failure_domain
+                    and other.alive
+                )
+            )
+            summary = ServiceSummary(*key, 1, 1, 1, 1, addresses)
+            board.members.summaries[key] = summary
+            return
+        member = Member(identity, server_state=ServerState.SERVING)
+        frozen_s = node.clock.frozen_s
+        silent = frozen_s is not None and self.loop.time() - frozen_s > SUSPECT_S
+        suspected = self.loop.time() < node.suspected_s
+        if not node.alive or ((silent or suspected) and node is not observer):
+            member = evolve(member, state=MemberState.DEAD)
+        board.members.members[identity.address] = member
+
+    def make_call(self, key: str, body: bytes = b"", within_s: float = 5.0) -> Call:
+        call_id = f"c{next(self._numbers)}"
+        context = Context(
+            call_id,
+            call_id,
+            "",
+            "booking",
+            self.loop.time() + within_s,
+            1,
+            Tier.REFUSED_LAST,
+            0,
+            0,
+            False,
+            key,
+            compute_digest("POST", "/jobdesk/bookings", body),
+        )
+        request = Request("jobdesk", "POST", "/jobdesk/bookings", (), body)
+        return Call(context, request)
+
+    def send(self, node: Node, key: str, body: bytes = b"") -> Sending:
+        """Send a request to a node; `settle` or `advance` brings the answer."""
+        call = self.make_call(key, body)
+        sending = Sending(key, call.context.call_id, self.loop.time())
+        self.sendings.append(sending)
+        node.spawn(self._deliver(node, sending, call))
+        return sending
+
+    async def _deliver(self, node: Node, sending: Sending, call: Call) -> None:
+        await node.stand()
+        outcome = await node.service.run(call)
+        await node.stand()
+        sending.verdict = outcome.verdict
+        self.check(sending)
+
+    def tell(self, node: Node, key: str, body: bytes = b"") -> Verdict | None:
+        """Send a request and return what its caller was told."""
+        sending = self.send(node, key, body)
+        self.advance(6.0)
+        return sending.verdict
+
+    def check(self, sending: Sending) -> None:
+        """Check what a caller was told against what was run."""
+        runs = [run for run in self.runs if run.key == sending.key]
+        assert len(runs) <= 1, f"{sending.key} ran twice: {runs}"
+        match sending.verdict:
+            case NotRun():
+                false = [
+                    run
+                    for run in runs
+                    if run.at_s < sending.started_s or run.call_id == sending.call_id
+                ]
+                assert not false, f"a false 'not run': {sending}, {false}"
+            case Answered(_, _, body):
+                assert body.split()[0].decode() == sending.key
+                told = {
+                    other.verdict
+                    for other in self.sendings
+                    if other.key == sending.key and isinstance(other.verdict, Answered)
+                }
+                assert len(told) == 1, f"different answers: {told}"
+            case MayHaveRun():
+                pass
+
+    def check_all(self) -> None:
+        for key in {run.key for run in self.runs}:
+            runs = [run for run in self.runs if run.key == key]
+            assert len(runs) == 1, f"{key} ran twice: {runs}"
+
+    def close(self) -> None:
+        for node in self.nodes.values():
+            node.thawed.set()
+            for task in list(node.tasks):
+                task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
