--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/benchmarks/simulation.py
@@ -0,0 +1,145 @@
+"""A discrete simulation of one backend server behind a concurrency limit."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from typing import TYPE_CHECKING, Protocol
+
+from attrs import define, field
+
+from eelgrassmount.load.port import Sample, SampleKind
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+_ADJUST_PERIOD_S = 0.1
+
+
+class LimiterPort(Protocol):
+    """What the simulation asks of a limiter."""
+
+    @property
+    def limit(self) -> int:
+        """Return how many calls may run now."""
+
+    def record(self, sample: Sample, in_flight: int, now_s: float) -> None:
+        """Take in one run that has ended."""
+
+    def observe(self, in_flight: int, now_s: float) -> None:
+        """Note how many calls run."""
+
+    def adjust(self, in_flight: int, now_s: float) -> None:
+        """Do what is periodic."""
+
+
+@define
+class ServerModel:
+    """A server with slots and an internal queue that it sheds beyond.
+
+    ``draw_service_s`` gives a service time at a time; ``downstream_s`` is added
+    while the slot is held, and reported as such.
+    """
+
+    slots: int
+    draw_service_s: Callable[[float], float]
+    downstream_s: float = 0.0
+    most_in_flight: int = 1_000_000
+
+
+@define
+class Point:
+    """One second of a simulation."""
+
+    second: int
+    limit: float = 0.0
+    in_server: float = 0.0
+    completed: int = 0
+    shed: int = 0
+
+
+@define
+class Run:
+    """A simulation in progress."""
+
+    server: ServerModel
+    limiter: LimiterPort
+    offered_per_s: Callable[[float], float]
+    rng: random.Random
+    now_s: float = 0.0
+    in_flight: int = 0
+    busy: int = 0
+    waiting: int = 0
+    inside: deque[float] = field(factory=deque)
+    events: list[tuple[float, int, str, float]] = field(factory=list)
+    order: int = 0
+    points: list[Point] = field(factory=list)
+
+    def push(self, at_s: float, kind: str, started_s: float = 0.0) -> None:
+        """Schedule an event."""
+        self.order += 1
+        heapq.heappush(self.events, (at_s, self.order, kind, started_s))
+
+    def start_waiting(self) -> None:
+        """Hand calls to the server as far as the limit allows."""
+        while self.waiting and self.in_flight < self.limiter.limit:
+            self.waiting -= 1
+            self._start()
+
+    def _start(self) -> None:
+        self.in_flight += 1
+        self.limiter.observe(self.in_flight, self.now_s)
+        if self.in_flight > self.server.most_in_flight:
+            self.points[-1].shed += 1
+            self.push(self.now_s + 0.001, "shed", self.now_s)
+        elif self.busy < self.server.slots:
+            self._serve(self.now_s)
+        else:
+            self.inside.append(self.now_s)
+
+    def _serve(self, started_s: float) -> None:
+        self.busy += 1
+        service_s = self.server.draw_service_s(self.now_s) + self.server.downstream_s
+        self.push(self.now_s + service_s, "end", started_s)
+
+    def end(self, kind: str, started_s: float) -> None:
+        """End one run."""
+        latency_s = self.now_s - started_s
+        if kind == "shed":
+            sample = Sample(SampleKind.SHED, latency_s)
+        else:
+            self.busy -= 1
+            if self.inside:
+                self._serve(self.inside.popleft())
+            self.points[-1].completed += 1
+            sample = Sample(SampleKind.COMPLETE, latency_s, self.server.downstream_s)
+        self.limiter.record(sample, self.in_flight, self.now_s)
+        self.in_flight -= 1
+
+
+def simulate(run: Run, seconds: float) -> list[Point]:
+    """Run an open-loop simulation and return one point for each second."""
+    run.push(0.0, "arrive")
+    run.push(0.0, "adjust")
+    while run.events and run.events[0][0] < seconds:
+        run.now_s, _, kind, started_s = heapq.heappop(run.events)
+        if not run.points or run.now_s >= run.points[-1].second + 1:
+            run.points.append(Point(int(run.now_s)))
+        _handle(run, kind, started_s)
+        run.start_waiting()
+    return run.points
+
+
+def _handle(run: Run, kind: str, started_s: float) -> None:
+    if kind == "arrive":
+        run.waiting = min(run.waiting + 1, 50)
+        gap_s = run.rng.expovariate(run.offered_per_s(run.now_s))
+        run.push(run.now_s + gap_s, "arrive")
+    elif kind == "adjust":
+        run.limiter.adjust(run.in_flight, run.now_s)
+        run.points[-1].limit += run.limiter.limit * _ADJUST_PERIOD_S
+        run.points[-1].in_server += run.in_flight * _ADJUST_PERIOD_S
+        run.push(run.now_s + _ADJUST_PERIOD_S, "adjust")
+    else:
+        run.end(kind, started_s)
