--- a/benchmarks/limiter.py
+++ b/benchmarks/limiter.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import sys
 from collections.abc import Callable
 
 from attrs import define, frozen
@@ -31,7 +32,7 @@
         """Return how many calls may run now."""
         return max(2, round(self.size))
 
-    def observe(self, in_flight: int, now_s: float) -> None:
+    def note_start(self, in_flight: int, now_s: float) -> None:
         """Note nothing."""
 
     def adjust(self, in_flight: int, now_s: float) -> None:
@@ -69,7 +70,7 @@
         """Return how many calls may run now."""
         return max(2, round(self.size))
 
-    def observe(self, in_flight: int, now_s: float) -> None:
+    def note_start(self, in_flight: int, now_s: float) -> None:
         """Note nothing."""
 
     def adjust(self, in_flight: int, now_s: float) -> None:
@@ -164,8 +165,9 @@
     print("limit in second 0 1 2 4 8 11 13 18 20 22 28; share of capacity; shed")
     for scenario in SCENARIOS:
         _report(scenario, "probe", Limiter())
-        _report(scenario, "gradient", Gradient())
-        _report(scenario, "aimd", Aimd())
+        if "--all" in sys.argv:
+            _report(scenario, "gradient", Gradient())
+            _report(scenario, "aimd", Aimd())
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/eelgrassmount/load/gate.py
@@ -0,0 +1,297 @@
+"""The gate before a backend server: its limit, queue and threshold."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define, field
+
+from eelgrassmount.blackboard import DrainStage
+from eelgrassmount.context import Tier
+from eelgrassmount.load.limiter import Limiter
+from eelgrassmount.load.port import Sample, SampleKind
+from eelgrassmount.load.queue import (
+    Waiting,
+    WaitingQueue,
+    compute_capacity,
+    estimate_wait,
+    make_waiting,
+)
+from eelgrassmount.load.refusals import (
+    ExcessMeter,
+    compute_retry_after,
+    spread_retry_after,
+)
+from eelgrassmount.load.state import ServiceLoad
+from eelgrassmount.load.threshold import (
+    THRESHOLD_PERIOD_S,
+    TIER_HOLD_S,
+    Observation,
+    ThresholdState,
+    adjust_threshold,
+)
+from eelgrassmount.members.table import ServerState
+from eelgrassmount.verdict import NotRun, Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.context import Context
+    from eelgrassmount.timers import TimerService
+
+_SWEEP_PERIOD_S = 0.02
+_CLASS_WEIGHT = 0.1
+# the queue stands when it has not been empty for so many typical run times
+_STANDING_RUNS = 2.0
+
+
+@define
+class Period:
+    """What the gate counts between two adjustments of the threshold."""
+
+    ranks: list[int] = field(factory=list)
+    refused: int = 0
+    refused_last: bool = False
+    waiting: float = 0.0
+    sweeps: int = 0
+
+
+@define
+class LimitedGate:
+    """Admits calls to the backend server of this node.
+
+    A call starts at once while the limit allows, else it waits in a short queue
+    until a slot is free, or is refused. The gate and all it knows of the
+    server begin anew when the server announces that it serves again.
+    """
+
+    board: Blackboard
+    timers: TimerService
+    make_limiter: Callable[[float], Limiter] = Limiter
+    in_flight: int = 0
+    limiter: Limiter = field(init=False)
+    queue: WaitingQueue = field(factory=WaitingQueue)
+    threshold: ThresholdState = field(factory=ThresholdState)
+    excess: ExcessMeter = field(factory=ExcessMeter)
+    _period: Period = field(factory=Period)
+    _run_s_by_class: dict[str, float] = field(factory=dict)
+    _shut_until_s: float = 0.0
+    _served_address: str = ""
+
+    def __attrs_post_init__(self) -> None:
+        """Subscribe to the timer service."""
+        self.limiter = self.make_limiter(self.timers.read())
+        self.timers.subscribe(_SWEEP_PERIOD_S, self.sweep)
+        self.timers.subscribe(THRESHOLD_PERIOD_S, self.adjust)
+
+    async def enter(self, context: Context) -> NotRun | None:
+        """Wait for a slot. ``None`` means admitted; then `leave` must follow.
+
+        A call that is cancelled while it waits leaves nothing behind.
+        """
+        waiting = self.offer(context)
+        if waiting.admitted or waiting.refusal is not None:
+            return waiting.refusal
+        try:
+            await waiting.done.wait()
+        except anyio.get_cancelled_exc_class():
+            self.abandon(waiting)
+            raise
+        return waiting.refusal
+
+    def offer(self, context: Context) -> Waiting:
+        """Decide on a call at once: it is admitted, refused or queued."""
+        now_s = self.timers.read()
+        waiting = make_waiting(context, now_s)
+        refusal = self._check_server() or self._check_call(waiting, now_s)
+        if refusal is not None:
+            self._refuse(waiting, refusal)
+        elif not self.queue and self.in_flight < self.limiter.limit:
+            self._note_arrival(waiting)
+            self._admit(waiting, now_s)
+        else:
+            self._note_arrival(waiting)
+            self._enqueue(waiting, now_s)
+        return waiting
+
+    def _note_arrival(self, waiting: Waiting) -> None:
+        self._period.ranks.append(waiting.rank)
+
+    def _check_server(self) -> NotRun | None:
+        if self.board.drain is not DrainStage.RUNNING:
+            return NotRun(Reason.DRAINING)
+        match self.board.server.state:
+            case ServerState.SERVING:
+                return None
+            case ServerState.STARTING:
+                return NotRun(Reason.SERVER_STARTING)
+            case ServerState.DRAINING:
+                return NotRun(Reason.DRAINING)
+        return NotRun(Reason.NO_SERVER)
+
+    def _check_call(self, waiting: Waiting, now_s: float) -> NotRun | None:
+        if waiting.tier is Tier.REFUSED_FIRST and now_s < self._shut_until_s:
+            return self._make_refusal(Reason.OVERLOAD, now_s)
+        if self._has_room():
+            ahead = 0
+        else:
+            ahead = self.queue.count_ahead(waiting.rank) + 1
+        if self._can_finish(waiting, ahead, now_s):
+            return None
+        if self._can_finish(waiting, 0, now_s):
+            # there is time enough for it, but not with this queue
+            self._note_scarcity(waiting, now_s)
+            self._note_arrival(waiting)
+        return self._make_refusal(Reason.DEADLINE, now_s)
+
+    def _has_room(self) -> bool:
+        return not self.queue and self.in_flight < self.limiter.limit
+
+    def _can_finish(self, waiting: Waiting, ahead: int, now_s: float) -> bool:
+        remaining_s = waiting.context.measure_remaining(now_s)
+        needed_s = self._run_s_by_class.get(waiting.context.class_name, 0.0)
+        if ahead:
+            needed_s += estimate_wait(
+                ahead - 1, self.limiter.limit, self.limiter.typical_s
+            )
+        return remaining_s > 0 and needed_s <= remaining_s
+
+    def _enqueue(self, waiting: Waiting, now_s: float) -> None:
+        if len(self.queue) < compute_capacity(self.limiter.limit):
+            self.queue.push(waiting)
+            self._admit_waiting(now_s)
+            return
+        worst = self.queue.find_worst()
+        if worst is not None and worst.rank > waiting.rank:
+            self.queue.remove(worst)
+            self.queue.push(waiting)
+            waiting = worst
+        self._note_scarcity(waiting, now_s)
+        self._refuse(waiting, self._make_refusal(Reason.OVERLOAD, now_s))
+
+    def _note_scarcity(self, waiting: Waiting, now_s: float) -> None:
+        if waiting.rank < self.threshold.threshold:
+            self._period.refused += 1
+        if waiting.tier is Tier.REFUSED_LAST:
+            self._period.refused_last = True
+            self._shut_until_s = now_s + TIER_HOLD_S
+            self._refuse_tier(Tier.REFUSED_FIRST, now_s)
+
+    def _refuse_tier(self, tier: Tier, now_s: float) -> None:
+        for waiting in self.queue.find_all():
+            if waiting.tier is tier:
+                self.queue.remove(waiting)
+                self._refuse(waiting, self._make_refusal(Reason.OVERLOAD, now_s))
+
+    def _make_refusal(self, reason: Reason, now_s: float) -> NotRun:
+        self.excess.note_refused(now_s)
+        delay_s = compute_retry_after(self.excess, now_s)
+        return NotRun(reason, spread_retry_after(delay_s, self.timers.rng))
+
+    def _refuse(self, waiting: Waiting, refusal: NotRun) -> None:
+        waiting.refusal = refusal
+        waiting.done.set()
+
+    def _admit(self, waiting: Waiting, now_s: float) -> None:
+        self.in_flight += 1
+        self.limiter.note_start(self.in_flight, now_s)
+        self.excess.note_admitted(now_s)
+        waiting.admitted = True
+        waiting.done.set()
+
+    def _admit_waiting(self, now_s: float) -> None:
+        while self.queue and self.in_flight < self.limiter.limit:
+            waiting = self.queue.pop_next(self._is_standing(now_s))
+            if waiting is None:
+                return
+            if self._can_finish(waiting, 0, now_s):
+                self._admit(waiting, now_s)
+            else:
+                self._refuse(waiting, self._make_refusal(Reason.DEADLINE, now_s))
+
+    def _is_standing(self, now_s: float) -> bool:
+        standing_s = self.queue.measure_standing(now_s)
+        return standing_s > _STANDING_RUNS * self.limiter.typical_s
+
+    def abandon(self, waiting: Waiting) -> None:
+        """Forget a call whose caller has gone before it was told to start."""
+        if self.queue.remove(waiting):
+            return
+        if waiting.admitted:
+            self.leave(Sample(SampleKind.CANCELLED, 0.0))
+
+    def leave(self, sample: Sample) -> None:
+        """Give the slot back and start the next call."""
+        now_s = self.timers.read()
+        self.limiter.record(sample, self.in_flight, now_s)
+        self.in_flight -= 1
+        if sample.kind is SampleKind.COMPLETE:
+            self._note_run(sample)
+        self._admit_waiting(now_s)
+
+    def _note_run(self, sample: Sample) -> None:
+        known_s = self._run_s_by_class.get(sample.class_name, sample.latency_s)
+        known_s += _CLASS_WEIGHT * (sample.latency_s - known_s)
+        self._run_s_by_class[sample.class_name] = known_s
+
+    def sweep(self) -> None:
+        """Refuse waiting calls that cannot finish any more, or not here."""
+        now_s = self.timers.read()
+        self._follow_server(now_s)
+        self._period.waiting += self.queue.count_below(self.threshold.advertised)
+        self._period.sweeps += 1
+        gone = self._check_server()
+        for waiting in self.queue.find_all():
+            if gone is not None:
+                refusal = gone
+            elif not self._can_finish(waiting, 0, now_s):
+                refusal = self._make_refusal(Reason.DEADLINE, now_s)
+            else:
+                continue
+            self.queue.remove(waiting)
+            self._refuse(waiting, refusal)
+        self._admit_waiting(now_s)
+
+    def _follow_server(self, now_s: float) -> None:
+        server = self.board.server
+        if server.state in (ServerState.ABSENT, ServerState.STARTING):
+            self._served_address = ""
+        elif server.state is ServerState.SERVING:
+            if server.address != self._served_address:
+                self._begin_anew(now_s)
+            self._served_address = server.address
+
+    def _begin_anew(self, now_s: float) -> None:
+        self.limiter = self.make_limiter(now_s)
+        self.threshold = ThresholdState()
+        self._run_s_by_class.clear()
+
+    def adjust(self) -> None:
+        """Adjust the limit and the threshold; runs several times a second."""
+        now_s = self.timers.read()
+        self.limiter.adjust(self.in_flight, now_s)
+        period, self._period = self._period, Period()
+        seen = Observation(
+            ranks=tuple(period.ranks),
+            refused=period.refused,
+            waiting=period.waiting / max(period.sweeps, 1),
+            in_flight=self.in_flight,
+            limit=self.limiter.limit,
+            refused_last=period.refused_last,
+        )
+        adjust_threshold(self.threshold, seen, now_s)
+
+    def describe(self) -> ServiceLoad:
+        """Return the load that is sent along with answers."""
+        now_s = self.timers.read()
+        threshold = self.threshold.advertised if self.board.accepts_work else 0
+        room = self.limiter.limit - self.in_flight - len(self.queue)
+        return ServiceLoad(
+            service=self.board.server.service,
+            threshold=threshold,
+            headroom=max(0, room),
+            retry_after_s=compute_retry_after(self.excess, now_s),
+            heard_s=now_s,
+        )
--- a/eelgrassmount/load/limiter.py
+++ b/eelgrassmount/load/limiter.py
@@ -13,44 +13,67 @@
 LEAST_LIMIT = 2
 MOST_LIMIT = 4096
 
-# a measurement ends when it has this many runs, or enough and has lasted
-_MANY_RUNS = 100
-_ENOUGH_RUNS = 20
-_LONG_MEASUREMENT_S = 0.5
+# a measurement is over when most of a cohort of runs has ended
+_COHORT_RUNS = 50
+_COHORT_ENDED = 0.95
 _LONGEST_MEASUREMENT_S = 2.0
+_LEAST_COHORT_RUNS = 20
 
 # the probe below the limit: how deep it goes, and how far above the knee the
 # limit is kept so that the server's slots stay full
 _PROBE_DEPTH = 0.75
-_MARGIN = 1.08
+_MARGIN = 1.2
 _SMOOTHING = 0.4
+_HOLD_RATIO = 3.0
 _START_GROWTH = 2.0
 _GROWTH = 1.25
 # latency may rise with concurrency by this exponent and still count as flat
 _FLAT_ELASTICITY = 0.3
 _VERY_FLAT_ELASTICITY = 0.1
+_LEAST_LEVEL_RATIO = 1.1
 
 _BAD_FRACTION = 0.1
 _BAD_CUT = 0.8
 _SHED_MARGIN = 0.95
 _SATURATED = 0.9
+_TYPICAL_WEIGHT = 0.05
+_LEAST_SERVICE_S = 1e-4
 
 
 class Phase(Enum):
-    """What the present measurement is for."""
+    """What the present level of concurrency is kept for."""
 
     STARTING = auto()
-    AT_LIMIT = auto()
+    HOLD = auto()
+    BEFORE = auto()
     PROBE = auto()
+    AFTER = auto()
+
+
+_NEXT_PHASE = {
+    Phase.STARTING: Phase.HOLD,
+    Phase.HOLD: Phase.BEFORE,
+    Phase.BEFORE: Phase.PROBE,
+    Phase.PROBE: Phase.AFTER,
+    Phase.AFTER: Phase.HOLD,
+}
 
 
 @define
 class Measurement:
-    """Runs that began while one level of concurrency was kept up."""
+    """A cohort of runs that began while one level of concurrency was kept up.
+
+    Whole cohorts are measured because the runs that end first are the short
+    ones. ``settled_s`` is when the level was reached and ``closed_s`` when the
+    cohort was complete.
+    """
 
     level: int
     began_s: float
-    settled_s: float | None = None
+    settled_s: float = math.inf
+    closed_s: float = math.inf
+    started: int = 0
+    ended: int = 0
     runs: int = 0
     log_sum: float = 0.0
     bad: int = 0
@@ -60,6 +83,11 @@
         """Return the mean logarithm of the service times."""
         return self.log_sum / self.runs
 
+    @property
+    def failing(self) -> bool:
+        """Tell whether too many runs timed out."""
+        return self.bad > _BAD_FRACTION * (self.bad + self.runs)
+
 
 @define
 class Limiter:
@@ -83,6 +111,7 @@
     _current: Measurement = field(init=False)
     _previous: Measurement | None = field(init=False, default=None)
     _last_cut_s: float = field(init=False, default=-math.inf)
+    _hold_s: float = field(init=False, default=0.0)
 
     def __attrs_post_init__(self) -> None:
         """Begin with a measurement at the initial limit."""
@@ -93,96 +122,128 @@
         """Return how many calls may run now."""
         return self._current.level
 
+    def note_start(self, in_flight: int, now_s: float) -> None:
+        """Note that a run starts; ``in_flight`` counts it already."""
+        current = self._current
+        if self.phase is Phase.HOLD:
+            return
+        if now_s < current.settled_s:
+            self._settle(in_flight, now_s)
+        if current.settled_s <= now_s < current.closed_s:
+            current.started += 1
+            self._close_cohort(now_s)
+
+    def _settle(self, in_flight: int, now_s: float) -> None:
+        current = self._current
+        if self.phase is Phase.PROBE:
+            settled = in_flight <= current.level
+        else:
+            settled = in_flight >= current.level * _SATURATED
+        if settled:
+            current.settled_s = now_s
+
+    def _close_cohort(self, now_s: float) -> None:
+        current = self._current
+        if current.started < _COHORT_RUNS:
+            return
+        if now_s >= current.settled_s + self.typical_s:
+            current.closed_s = now_s
+
     def record(self, sample: Sample, in_flight: int, now_s: float) -> None:
         """Take in one run that has ended.
 
         ``in_flight`` counts the runs on the server, with this one.
         """
-        current = self._current
         started_s = now_s - sample.latency_s
         if sample.kind is SampleKind.SHED:
             self._cut_for_shed(in_flight, started_s, now_s)
             return
-        if sample.kind is SampleKind.TIMEOUT:
-            current.bad += 1
-        elif sample.kind is SampleKind.COMPLETE:
+        if sample.kind is SampleKind.COMPLETE:
+            self._note_typical(sample.latency_s)
+        if self.phase is not Phase.HOLD:
             self._add_run(sample, started_s)
-        self.observe(in_flight, now_s)
-        self._finish_measurement(now_s)
+        self._finish(now_s)
+
+    def _note_typical(self, latency_s: float) -> None:
+        if not self.typical_s:
+            self.typical_s = latency_s
+        self.typical_s += _TYPICAL_WEIGHT * (latency_s - self.typical_s)
 
-    def observe(self, in_flight: int, now_s: float) -> None:
-        """Note how many calls run, whenever one starts or ends."""
+    def _add_run(self, sample: Sample, started_s: float) -> None:
         current = self._current
-        if current.settled_s is not None:
+        if sample.kind is SampleKind.TIMEOUT:
+            current.bad += 1
+        if not current.settled_s <= started_s <= current.closed_s:
             return
-        if self.phase is Phase.PROBE:
-            settled = in_flight <= current.level
-        else:
-            settled = in_flight >= current.level * _SATURATED
-        if settled:
-            current.settled_s = now_s
+        current.ended += 1
+        if sample.kind is SampleKind.COMPLETE:
+            service_s = max(sample.latency_s - sample.downstream_s, _LEAST_SERVICE_S)
+            current.runs += 1
+            current.log_sum += math.log(service_s)
 
     def adjust(self, in_flight: int, now_s: float) -> None:
-        """End a measurement that makes no progress; call it several times a second."""
+        """End what makes no progress; call it several times a second."""
+        self._finish(now_s)
         current = self._current
-        if now_s - current.began_s < _LONGEST_MEASUREMENT_S:
+        if self.phase is Phase.HOLD:
             return
-        if current.bad > _BAD_FRACTION * (current.bad + current.runs):
-            self._cut(_BAD_CUT, now_s)
+        if now_s - current.began_s < _LONGEST_MEASUREMENT_S + 3.0 * self.typical_s:
             return
-        if in_flight < current.level * _SATURATED and current.runs < _ENOUGH_RUNS:
+        if current.failing:
+            self._cut(_BAD_CUT, now_s)
+        elif current.runs >= _LEAST_COHORT_RUNS:
+            self._compare(now_s)
+        elif in_flight < current.level * _SATURATED:
             # nothing to learn while fewer calls are wanted
-            self._previous = None
-            self._begin(self._leave_probe(), self.size, now_s)
+            self._give_up(now_s)
 
-    def _leave_probe(self) -> Phase:
-        return Phase.AT_LIMIT if self.phase is Phase.PROBE else self.phase
+    def _give_up(self, now_s: float) -> None:
+        self._previous = None
+        phase = Phase.STARTING if self.phase is Phase.STARTING else Phase.HOLD
+        self._begin(phase, self.size, now_s)
 
-    def _add_run(self, sample: Sample, started_s: float) -> None:
-        service_s = max(sample.latency_s - sample.downstream_s, 1e-4)
-        self._note_typical(sample.latency_s)
+    def _finish(self, now_s: float) -> None:
         current = self._current
-        if current.settled_s is None or started_s < current.settled_s:
+        if self.phase is Phase.HOLD:
+            if now_s >= current.began_s + self._hold_s:
+                self._begin(Phase.BEFORE, self.size, now_s)
             return
-        current.runs += 1
-        current.log_sum += math.log(service_s)
-
-    def _note_typical(self, latency_s: float) -> None:
-        if not self.typical_s:
-            self.typical_s = latency_s
-        self.typical_s += 0.05 * (latency_s - self.typical_s)
-
-    def _finish_measurement(self, now_s: float) -> None:
-        current = self._current
-        if not _is_finished(current, now_s):
+        if current.closed_s > now_s or current.ended < _COHORT_ENDED * current.started:
             return
-        if current.bad > _BAD_FRACTION * (current.bad + current.runs):
+        if current.failing:
             self._cut(_BAD_CUT, now_s)
-        elif self.phase is Phase.STARTING:
-            self._finish_start(now_s)
-        else:
-            self._finish_probe(now_s)
+        elif current.runs >= _LEAST_COHORT_RUNS:
+            self._compare(now_s)
 
-    def _finish_start(self, now_s: float) -> None:
+    def _compare(self, now_s: float) -> None:
         current, previous = self._current, self._previous
+        self._previous = current
+        if self.phase is Phase.STARTING:
+            self._grow_first(previous, current, now_s)
+            return
+        if previous is not None:
+            low, high = sorted((previous, current), key=lambda one: one.level)
+            self.size = move_limit(self.size, low, high)
+        self._go_on(now_s)
+
+    def _grow_first(
+        self, previous: Measurement | None, current: Measurement, now_s: float
+    ) -> None:
         if previous is None or compute_elasticity(previous, current) < _FLAT_ELASTICITY:
-            self._previous = current
             self._begin(Phase.STARTING, self.size * _START_GROWTH, now_s)
             return
         self.size = estimate_limit(previous, current)
-        self._previous = None
-        self._begin(Phase.AT_LIMIT, self.size, now_s)
+        self._go_on(now_s)
 
-    def _finish_probe(self, now_s: float) -> None:
-        current, previous = self._current, self._previous
-        if previous is not None and previous.level != current.level:
-            low, high = sorted((previous, current), key=lambda one: one.level)
-            self.size = move_limit(self.size, low, high)
-        self._previous = current
-        if self.phase is Phase.AT_LIMIT:
-            self._begin(Phase.PROBE, self.size * _PROBE_DEPTH, now_s)
-        else:
-            self._begin(Phase.AT_LIMIT, self.size, now_s)
+    def _go_on(self, now_s: float) -> None:
+        current = self._current
+        if self.phase is Phase.PROBE:
+            self._hold_s = _HOLD_RATIO * (now_s - current.began_s)
+        phase = _NEXT_PHASE[self.phase]
+        if phase is Phase.HOLD:
+            self._previous = None
+        depth = _PROBE_DEPTH if phase is Phase.PROBE else 1.0
+        self._begin(phase, self.size * depth, now_s)
 
     def _cut_for_shed(self, in_flight: int, started_s: float, now_s: float) -> None:
         # calls that started before the last cut say nothing about it
@@ -191,45 +252,36 @@
         self._cut(min(1.0, in_flight / self.size) * _SHED_MARGIN, now_s)
 
     def _cut(self, factor: float, now_s: float) -> None:
-        self.size *= factor
         self._last_cut_s = now_s
         self._previous = None
-        self._begin(Phase.AT_LIMIT, self.size, now_s)
+        self._begin(Phase.HOLD, self.size * factor, now_s)
 
     def _begin(self, phase: Phase, level: float, now_s: float) -> None:
         if phase is not Phase.PROBE:
-            self.size = min(max(level, LEAST_LIMIT), MOST_LIMIT)
-            level = self.size
+            level = min(max(level, LEAST_LIMIT), MOST_LIMIT)
+            self.size = level
         self.phase = phase
         self._current = Measurement(max(1, round(level)), now_s)
 
 
-def _is_finished(measurement: Measurement, now_s: float) -> bool:
-    if measurement.runs >= _MANY_RUNS:
-        return True
-    lasted_s = now_s - measurement.began_s
-    return measurement.runs >= _ENOUGH_RUNS and lasted_s >= _LONG_MEASUREMENT_S
-
-
 def compute_elasticity(low: Measurement, high: Measurement) -> float:
     """Return the exponent by which service time grows with concurrency.
 
     It is 0 while slots are free and 1 when all of them are taken.
     """
-    rise = high.mean_log - low.mean_log
-    elasticity = rise / math.log(high.level / low.level)
+    ratio = max(high.level / low.level, _LEAST_LEVEL_RATIO)
+    elasticity = (high.mean_log - low.mean_log) / math.log(ratio)
     return min(max(elasticity, 0.0), 1.0)
 
 
 def estimate_limit(low: Measurement, high: Measurement) -> float:
     """Return the limit at which the slots are just full, with a margin."""
-    ratio = math.log(high.level / low.level)
-    return _MARGIN * high.level * math.exp(-ratio * compute_elasticity(low, high))
+    ratio = max(high.level / low.level, _LEAST_LEVEL_RATIO)
+    return _MARGIN * high.level * ratio ** -compute_elasticity(low, high)
 
 
 def move_limit(size: float, low: Measurement, high: Measurement) -> float:
     """Return the limit after one comparison of two levels."""
-    elasticity = compute_elasticity(low, high)
-    if elasticity < _VERY_FLAT_ELASTICITY:
+    if compute_elasticity(low, high) < _VERY_FLAT_ELASTICITY:
         return size * _GROWTH**_SMOOTHING
     return size * (estimate_limit(low, high) / size) ** _SMOOTHING
--- a/eelgrassmount/load/port.py
+++ b/eelgrassmount/load/port.py
@@ -33,6 +33,7 @@
     kind: SampleKind
     latency_s: float
     downstream_s: float = 0.0
+    class_name: str = ""
 
 
 class Gate(Protocol):
--- /dev/null
+++ b/eelgrassmount/load/queue.py
@@ -0,0 +1,126 @@
+"""The short queue before the limit of a backend server."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define, field
+
+from eelgrassmount.context import PRIORITY_LEVELS, Tier
+from eelgrassmount.load.state import FULL_THRESHOLD, rank_call
+
+if TYPE_CHECKING:
+    from eelgrassmount.context import Context
+    from eelgrassmount.verdict import NotRun
+
+LEAST_CAPACITY = 4
+# calls of one band of priorities are taken by age, not by priority
+_BAND = PRIORITY_LEVELS // 8
+_BANDS = FULL_THRESHOLD // _BAND
+
+
+@define(eq=False)
+class Waiting:
+    """A call in the queue.
+
+    ``done`` is set when the call has been admitted or, with ``refusal``, refused.
+    """
+
+    context: Context
+    rank: int
+    arrived_s: float
+    done: anyio.Event = field(factory=anyio.Event)
+    admitted: bool = False
+    refusal: NotRun | None = None
+
+    @property
+    def tier(self) -> Tier:
+        """Return the tier of the call."""
+        return self.context.tier
+
+
+@define
+class WaitingQueue:
+    """Calls in the order of their tier, their priority and their age.
+
+    While the queue is only now and then in use the oldest call goes first;
+    once it has stood for long the newest does, because the old ones are
+    those that will miss their time limit anyway.
+    """
+
+    size: int = 0
+    empty_s: float = 0.0
+    _bands: list[deque[Waiting]] = field(
+        factory=lambda: [deque() for _ in range(_BANDS)]
+    )
+
+    def __len__(self) -> int:
+        return self.size
+
+    def push(self, waiting: Waiting) -> None:
+        """Add a call."""
+        if not self.size:
+            self.empty_s = waiting.arrived_s
+        self._bands[waiting.rank // _BAND].append(waiting)
+        self.size += 1
+
+    def remove(self, waiting: Waiting) -> bool:
+        """Take out one call; tell whether it was there."""
+        band = self._bands[waiting.rank // _BAND]
+        if waiting not in band:
+            return False
+        band.remove(waiting)
+        self.size -= 1
+        return True
+
+    def pop_next(self, newest_first: bool) -> Waiting | None:
+        """Take out the call that should start next."""
+        for band in self._bands:
+            if band:
+                self.size -= 1
+                return band.pop() if newest_first else band.popleft()
+        return None
+
+    def find_worst(self) -> Waiting | None:
+        """Return the call that should be refused first."""
+        for band in reversed(self._bands):
+            if band:
+                return max(band, key=lambda waiting: waiting.rank)
+        return None
+
+    def find_all(self) -> list[Waiting]:
+        """Return all calls, the first one to be refused last."""
+        return [waiting for band in self._bands for waiting in band]
+
+    def count_below(self, threshold: int) -> int:
+        """Return how many waiting calls have a rank below a threshold."""
+        full, rest = divmod(threshold, _BAND)
+        count = sum(map(len, self._bands[:full]))
+        if rest:
+            count += sum(waiting.rank < threshold for waiting in self._bands[full])
+        return count
+
+    def count_ahead(self, rank: int) -> int:
+        """Return how many waiting calls go before one of this rank."""
+        return sum(map(len, self._bands[: rank // _BAND + 1]))
+
+    def measure_standing(self, now_s: float) -> float:
+        """Return for how many seconds there have been calls without a break."""
+        return now_s - self.empty_s if self.size else 0.0
+
+
+def make_waiting(context: Context, now_s: float) -> Waiting:
+    """Return the queue entry of a call."""
+    return Waiting(context, rank_call(context.tier, context.priority), now_s)
+
+
+def compute_capacity(limit: int) -> int:
+    """Return how many calls may wait before a limit."""
+    return max(LEAST_CAPACITY, limit)
+
+
+def estimate_wait(ahead: int, limit: int, typical_s: float) -> float:
+    """Return how long a call will wait behind ``ahead`` others."""
+    return (ahead + 1) * typical_s / max(limit, 1)
--- /dev/null
+++ b/eelgrassmount/load/rates.py
@@ -0,0 +1,33 @@
+"""Counts that forget."""
+
+from __future__ import annotations
+
+import math
+
+from attrs import define
+
+
+@define
+class DecayedCount:
+    """A count in which older events weigh less, by ``window_s``.
+
+    In a steady state its value is the number of events in one window.
+    """
+
+    window_s: float
+    _value: float = 0.0
+    _at_s: float = 0.0
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Count something that happens now."""
+        self._value = self.read(now_s) + amount
+        self._at_s = now_s
+
+    def read(self, now_s: float) -> float:
+        """Return the count as it weighs now."""
+        elapsed_s = max(0.0, now_s - self._at_s)
+        return self._value * math.exp(-elapsed_s / self.window_s)
+
+    def read_per_s(self, now_s: float) -> float:
+        """Return the present rate of events, per second."""
+        return self.read(now_s) / self.window_s
--- /dev/null
+++ b/eelgrassmount/load/shares.py
@@ -0,0 +1,117 @@
+"""Shares of classes inside a tier, from the shortfall of their targets."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.context import PRIORITY_LEVELS, Tier
+from eelgrassmount.load.rates import DecayedCount
+
+if TYPE_CHECKING:
+    from eelgrassmount.config.classes import Document, WorkClass
+
+SHARE_PERIOD_S = 0.5
+_WINDOW_S = 5.0
+_GAIN = 0.5
+_RELAX = 0.97
+_MOST_LOG_SHARE = math.log(8.0)
+_LEAST_REQUESTS = 1.0
+
+
+@define
+class ClassRecord:
+    """What was measured of one class, and its share (as a logarithm)."""
+
+    offered: DecayedCount = field(factory=lambda: DecayedCount(_WINDOW_S))
+    complete: DecayedCount = field(factory=lambda: DecayedCount(_WINDOW_S))
+    log_share: float = 0.0
+
+
+@define
+class ShareTable:
+    """Records of all classes.
+
+    Each node keeps its own, of the requests that entered the system at it.
+    """
+
+    records: dict[str, ClassRecord] = field(factory=dict)
+
+    def note_request(self, class_name: str, complete: bool, now_s: float) -> None:
+        """Count a request; ``complete`` if answered within its target."""
+        record = self.records.setdefault(class_name, ClassRecord())
+        record.offered.add(1.0, now_s)
+        if complete:
+            record.complete.add(1.0, now_s)
+
+    def find_share(self, class_name: str) -> float:
+        """Return the share of a class; 1 is neutral."""
+        record = self.records.get(class_name)
+        return math.exp(record.log_share) if record else 1.0
+
+
+def measure_shortfall(
+    record: ClassRecord, work_class: WorkClass, now_s: float
+) -> float | None:
+    """Return the part of the target that is missing, negative if surpassed.
+
+    ``None`` means that there were too few requests to tell.
+    """
+    offered = record.offered.read(now_s)
+    if offered < _LEAST_REQUESTS or work_class.complete_fraction <= 0:
+        return None
+    complete = record.complete.read(now_s) / offered
+    return 1.0 - complete / work_class.complete_fraction
+
+
+def adjust_shares(table: ShareTable, document: Document, now_s: float) -> None:
+    """Move the shares inside each tier towards equal shortfall.
+
+    A changed target moves them on from where they are. While all classes of a
+    tier meet their targets the shares return to neutral.
+    """
+    for tier in Tier:
+        classes = [one for one in document.classes if one.tier is tier]
+        _adjust_tier(table, classes, now_s)
+    known = {work_class.name for work_class in document.classes}
+    for name in table.records.keys() - known:
+        del table.records[name]
+
+
+def _adjust_tier(table: ShareTable, classes: list[WorkClass], now_s: float) -> None:
+    shortfalls: dict[str, float] = {}
+    for work_class in classes:
+        record = table.records.get(work_class.name)
+        if record is None:
+            continue
+        shortfall = measure_shortfall(record, work_class, now_s)
+        if shortfall is not None:
+            shortfalls[work_class.name] = shortfall
+    short = any(shortfall > 0 for shortfall in shortfalls.values())
+    mean = sum(shortfalls.values()) / len(shortfalls) if shortfalls else 0.0
+    for work_class in classes:
+        record = table.records.get(work_class.name)
+        if record is None:
+            continue
+        if short and work_class.name in shortfalls:
+            record.log_share += _GAIN * (shortfalls[work_class.name] - mean)
+        else:
+            record.log_share *= _RELAX
+        record.log_share = min(
+            max(record.log_share, -_MOST_LOG_SHARE), _MOST_LOG_SHARE
+        )
+
+
+def scale_priority(priority: int, share: float) -> int:
+    """Return the admission priority of a request of a class with a share.
+
+    Applied once, at the entry, to the priority of the root request: below a
+    threshold inside the tier the class then has ``share`` times as many
+    requests as with a neutral share::
+
+        >>> scale_priority(512, 2.0)
+        256
+    """
+    return min(int(priority / share), PRIORITY_LEVELS - 1)
--- a/eelgrassmount/load/state.py
+++ b/eelgrassmount/load/state.py
@@ -34,7 +34,14 @@
 
 @define
 class LoadTable:
-    """Load by service and node address, and the services each class touches."""
+    """Load of services, and the services that each class touches.
+
+    ``by_node`` holds what the nodes of a service said of their own server, by
+    address; ``relayed`` what a node said of services deeper in the chain, by
+    service and address. ``touched`` holds, by class and service, the share of
+    the class's recent requests that touched the service.
+    """
 
     by_node: dict[str, ServiceLoad] = field(factory=dict)
+    relayed: dict[str, dict[str, ServiceLoad]] = field(factory=dict)
     touched: dict[str, dict[str, float]] = field(factory=dict)
