--- a/benchmarks/limiter.py
+++ b/benchmarks/limiter.py
@@ -127,10 +127,15 @@
 )
 
 
-def measure(scenario: Scenario, limiter: LimiterPort, load: float = 2.0) -> Run:
+def measure(
+    scenario: Scenario,
+    limiter: LimiterPort,
+    load: float = 2.0,
+    seconds: float = _SECONDS,
+) -> Run:
     """Run one scenario at a multiple of its capacity."""
     rng = random.Random(_SEED)
-    shift = -scenario.spread**2 / 2.0
+    shift = -(scenario.spread**2) / 2.0
 
     def draw_service_s(now_s: float) -> float:
         factor = rng.lognormvariate(shift, scenario.spread)
@@ -142,7 +147,7 @@
         scenario.slots, draw_service_s, scenario.downstream_s, scenario.most_in_flight
     )
     run = Run(server, limiter, lambda now_s: offered, rng)
-    simulate(run, _SECONDS)
+    simulate(run, seconds)
     return run
 
 
--- /dev/null
+++ b/eelgrassmount/load/admission.py
@@ -0,0 +1,77 @@
+"""Admission of requests at the node where they enter."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.load.exchange import find_load, find_services
+from eelgrassmount.load.refusals import (
+    ExcessMeter,
+    compute_retry_after,
+    spread_retry_after,
+)
+from eelgrassmount.load.state import rank_call
+from eelgrassmount.verdict import NotRun, Reason
+
+if TYPE_CHECKING:
+    import random
+
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.config.classes import WorkClass
+
+
+@define
+class EntryState:
+    """What this node admitted and refused lately as an entry, by service."""
+
+    excess: dict[str, ExcessMeter] = field(factory=dict)
+
+    def find_meter(self, service: str) -> ExcessMeter:
+        """Return the meter of a service."""
+        return self.excess.setdefault(service, ExcessMeter())
+
+
+def find_bottleneck(
+    board: Blackboard,
+    work_class: WorkClass,
+    service: str,
+    priority: int,
+    now_s: float,
+) -> str | None:
+    """Return the service that would refuse a request somewhere in its chain.
+
+    Looked at are the service itself and those that the class was seen to touch.
+    """
+    rank = rank_call(work_class.tier, priority)
+    names = {service, *find_services(board.loads, work_class.name)}
+    for name in sorted(names):
+        load = find_load(board.loads, name, now_s)
+        if load is not None and rank >= load.threshold:
+            return name
+    return None
+
+
+def admit_at_entry(
+    board: Blackboard,
+    state: EntryState,
+    work_class: WorkClass,
+    service: str,
+    priority: int,
+    rng: random.Random,
+    now_s: float,
+) -> NotRun | None:
+    """Refuse a request at once that would be refused deep in its chain.
+
+    ``priority`` is that of the root request, which every hop uses.
+    """
+    bottleneck = find_bottleneck(board, work_class, service, priority, now_s)
+    if bottleneck is None:
+        for name in {service, *find_services(board.loads, work_class.name)}:
+            state.find_meter(name).note_admitted(now_s)
+        return None
+    meter = state.find_meter(bottleneck)
+    meter.note_refused(now_s)
+    delay_s = compute_retry_after(meter, now_s)
+    return NotRun(Reason.OVERLOAD, spread_retry_after(delay_s, rng))
--- /dev/null
+++ b/eelgrassmount/load/control.py
@@ -0,0 +1,126 @@
+"""The load decisions of one node, as the path of a call uses them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.context import compute_priority
+from eelgrassmount.load.admission import EntryState, admit_at_entry
+from eelgrassmount.load.exchange import LoadExchange
+from eelgrassmount.load.routing import RoutingState, choose_server
+from eelgrassmount.load.shares import (
+    SHARE_PERIOD_S,
+    ShareTable,
+    adjust_shares,
+    scale_priority,
+)
+from eelgrassmount.load.state import rank_call
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.config.classes import WorkClass
+    from eelgrassmount.context import Context
+    from eelgrassmount.load.state import ServiceLoad
+    from eelgrassmount.timers import TimerService
+    from eelgrassmount.verdict import NotRun, Verdict
+
+_REFRESH_PERIOD_S = 0.5
+_FORGET_PERIOD_S = 5.0
+
+
+@define
+class LoadControl:
+    """Admission, routing and the exchange of load on one node.
+
+    ``prioritize`` and ``admit`` serve the entry, ``choose`` and ``note_end``
+    each attempt at a call, ``note_request`` the end of a whole request.
+    """
+
+    board: Blackboard
+    timers: TimerService
+    exchange: LoadExchange = field(init=False)
+    routing: RoutingState = field(init=False)
+    entry: EntryState = field(factory=EntryState)
+    shares: ShareTable = field(factory=ShareTable)
+
+    def __attrs_post_init__(self) -> None:
+        """Subscribe to the timer service."""
+        self.exchange = LoadExchange(self.board.loads)
+        self.routing = RoutingState(self.timers.read())
+        self.timers.subscribe(SHARE_PERIOD_S, self._adjust_shares)
+        self.timers.subscribe(_REFRESH_PERIOD_S, self._refresh_routing)
+        self.timers.subscribe(_FORGET_PERIOD_S, self._forget_loads)
+
+    def _adjust_shares(self) -> None:
+        document = self.board.configuration.document
+        adjust_shares(self.shares, document, self.timers.read())
+
+    def _refresh_routing(self) -> None:
+        self.routing.refresh(self.board, self.timers.read())
+
+    def _forget_loads(self) -> None:
+        self.exchange.forget_old(self.timers.read())
+
+    def prioritize(self, work_class: WorkClass, root_id: str) -> int:
+        """Return the admission priority of a new root request."""
+        share = self.shares.find_share(work_class.name)
+        return scale_priority(compute_priority(root_id), share)
+
+    def admit(
+        self, work_class: WorkClass, service: str, priority: int
+    ) -> NotRun | None:
+        """Decide on a request where it enters; ``None`` means admitted."""
+        return admit_at_entry(
+            self.board,
+            self.entry,
+            work_class,
+            service,
+            priority,
+            self.timers.rng,
+            self.timers.read(),
+        )
+
+    def choose(
+        self, context: Context, service: str, excluded: Collection[str]
+    ) -> str | None:
+        """Return the node to send a call to and count the call as sent.
+
+        `note_end` must follow with the same address.
+        """
+        now_s = self.timers.read()
+        rank = rank_call(context.tier, context.priority)
+        address = choose_server(
+            self.board, self.routing, service, excluded, rank, self.timers.rng, now_s
+        )
+        if address is not None:
+            self.routing.note_start(address, now_s)
+        return address
+
+    def note_end(
+        self,
+        address: str,
+        service: str,
+        verdict: Verdict,
+        loads: Iterable[ServiceLoad],
+        latency_s: float,
+    ) -> None:
+        """Take in the end of one attempt and the loads that its answer carried."""
+        now_s = self.timers.read()
+        self.routing.note_end(address, verdict, latency_s, now_s)
+        self.exchange.merge(address, service, loads, now_s)
+
+    def note_request(
+        self, class_name: str, complete: bool, touched: Collection[str]
+    ) -> None:
+        """Count a whole request that entered here, refused ones too.
+
+        ``complete`` means that it was answered within the target of its class,
+        ``touched`` names the services of the loads on its answer, if it had one.
+        """
+        self.shares.note_request(class_name, complete, self.timers.read())
+        if touched:
+            self.exchange.learn(class_name, touched)
--- a/eelgrassmount/load/gate.py
+++ b/eelgrassmount/load/gate.py
@@ -134,10 +134,8 @@
     def _check_call(self, waiting: Waiting, now_s: float) -> NotRun | None:
         if waiting.tier is Tier.REFUSED_FIRST and now_s < self._shut_until_s:
             return self._make_refusal(Reason.OVERLOAD, now_s)
-        if self._has_room():
-            ahead = 0
-        else:
-            ahead = self.queue.count_ahead(waiting.rank) + 1
+        has_room = not self.queue and self.in_flight < self.limiter.limit
+        ahead = 0 if has_room else self.queue.count_ahead(waiting.rank) + 1
         if self._can_finish(waiting, ahead, now_s):
             return None
         if self._can_finish(waiting, 0, now_s):
@@ -146,9 +144,6 @@
             self._note_arrival(waiting)
         return self._make_refusal(Reason.DEADLINE, now_s)
 
-    def _has_room(self) -> bool:
-        return not self.queue and self.in_flight < self.limiter.limit
-
     def _can_finish(self, waiting: Waiting, ahead: int, now_s: float) -> bool:
         remaining_s = waiting.context.measure_remaining(now_s)
         needed_s = self._run_s_by_class.get(waiting.context.class_name, 0.0)
--- a/eelgrassmount/load/shares.py
+++ b/eelgrassmount/load/shares.py
@@ -99,9 +99,7 @@
             record.log_share += _GAIN * (shortfalls[work_class.name] - mean)
         else:
             record.log_share *= _RELAX
-        record.log_share = min(
-            max(record.log_share, -_MOST_LOG_SHARE), _MOST_LOG_SHARE
-        )
+        record.log_share = min(max(record.log_share, -_MOST_LOG_SHARE), _MOST_LOG_SHARE)
 
 
 def scale_priority(priority: int, share: float) -> int:
--- a/eelgrassmount/load/threshold.py
+++ b/eelgrassmount/load/threshold.py
@@ -57,9 +57,7 @@
         return round(self.threshold)
 
 
-def adjust_threshold(
-    state: ThresholdState, seen: Observation, now_s: float
-) -> None:
+def adjust_threshold(state: ThresholdState, seen: Observation, now_s: float) -> None:
     """Move the threshold once for each period.
 
     The number of calls admitted is cut by the fraction that had to be
