--- /dev/null
+++ b/eelgrassmount/calls/admission.py
@@ -0,0 +1,64 @@
+"""Admission of root requests, in front of the dispatcher."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, evolve
+
+from eelgrassmount.calls.request import Outcome
+from eelgrassmount.config.classes import find_class
+from eelgrassmount.verdict import Answered
+
+if TYPE_CHECKING:
+    from eelgrassmount.blackboard import Blackboard
+    from eelgrassmount.calls.request import Call
+    from eelgrassmount.keys.port import Runner
+    from eelgrassmount.load.control import LoadControl
+
+
+@define(eq=False)
+class AdmittingRunner:
+    """Refuses a root request at once that would be refused in its chain.
+
+    It stands at the entry for idempotent requests and at the owner of the key
+    for all others, which runs a key only if it has no outcome yet.
+    """
+
+    board: Blackboard
+    control: LoadControl
+    run: Runner
+
+    async def __call__(self, call: Call) -> Outcome:
+        """Run a root request, or refuse it."""
+        request = call.request
+        work_class = find_class(
+            self.board.configuration.document, request.method, request.path
+        )
+        if work_class is not None:
+            refusal = self.control.admit(
+                work_class, request.service, call.context.priority
+            )
+            if refusal is not None:
+                return Outcome(refusal, call.context.attempts_left)
+        return await self.run(call)
+
+
+@define(eq=False)
+class OwnedRunner:
+    """Runs calls for the owner of their keys, which keeps the outcome.
+
+    The loads on the outcome serve this node; kept with a key they would be
+    stale when the outcome is given again.
+    """
+
+    control: LoadControl
+    run: Runner
+
+    async def __call__(self, call: Call) -> Outcome:
+        """Run a call and return its outcome without loads."""
+        outcome = await self.run(call)
+        if isinstance(outcome.verdict, Answered):
+            touched = {load.service for load in outcome.loads}
+            self.control.exchange.learn(call.context.class_name, touched)
+        return evolve(outcome, loads=())
--- a/eelgrassmount/calls/dispatch.py
+++ b/eelgrassmount/calls/dispatch.py
@@ -15,9 +15,10 @@
 
     from eelgrassmount.calls.local import LocalRunner
     from eelgrassmount.calls.remote import RemoteRunner
-    from eelgrassmount.calls.router import Router
-    from eelgrassmount.metrics import Metrics
+    from eelgrassmount.load.control import LoadControl
+    from eelgrassmount.metrics import Metrics, RetryReason
     from eelgrassmount.retry.budget import RetryRatio
+    from eelgrassmount.retry.quarantine import Quarantine
     from eelgrassmount.timers import TimerService
 
 
@@ -27,10 +28,11 @@
 
     own_address: str
     timers: TimerService
-    router: Router
+    control: LoadControl
     local: LocalRunner
     remote: RemoteRunner
     ratio: RetryRatio
+    quarantine: Quarantine
     metrics: Metrics
     make_id: Callable[[], str]
 
@@ -43,24 +45,29 @@
         self.ratio.note_first()
         excluded: set[str] = set()
         may_have_run = False
-        attempts_left = call.context.attempts_left
-        outcome = Outcome(NotRun(Reason.NO_SERVER), attempts_left)
-        while True:
-            address = self._choose(call, excluded)
-            if address is None:
-                break
-            outcome = await self._attempt(address, call, attempts_left)
-            attempts_left = outcome.attempts_left
+        outcome = Outcome(NotRun(Reason.NO_SERVER), call.context.attempts_left)
+        refusal = self._check(call)
+        if refusal is not None:
+            return Outcome(refusal, call.context.attempts_left)
+        address = self._choose(call, excluded)
+        while address is not None:
+            outcome = await self._attempt(address, call, outcome.attempts_left)
             may_have_run |= isinstance(outcome.verdict, MayHaveRun)
             excluded.add(address)
-            if not self._spend(call, outcome, excluded):
+            reason = self._find_retry_reason(call, outcome, excluded)
+            if reason is None:
                 break
-            attempts_left -= 1
-        verdict = weaken_verdict(outcome.verdict, may_have_run)
-        return Outcome(verdict, attempts_left)
+            address = self._choose(call, excluded)
+            if address is not None:
+                self.metrics.retries.labels(reason).inc()
+                outcome = evolve(outcome, attempts_left=outcome.attempts_left - 1)
+        return evolve(outcome, verdict=weaken_verdict(outcome.verdict, may_have_run))
+
+    def _check(self, call: Call) -> NotRun | None:
+        return self.quarantine.check(call.context.digest, self.timers.read())
 
     def _choose(self, call: Call, excluded: set[str]) -> str | None:
-        return self.router.choose(call.request.service, excluded)
+        return self.control.choose(call.context, call.request.service, excluded)
 
     async def _attempt(self, address: str, call: Call, attempts_left: int) -> Outcome:
         context = evolve(
@@ -68,27 +75,41 @@
         )
         attempt = Call(context, call.request)
         started_s = self.timers.read()
-        self.router.note_start(address)
-        outcome = None
+        outcome = Outcome(MayHaveRun(Reason.CANCELLED))
         try:
             if address == self.own_address:
                 outcome = await self.local.run(attempt)
             else:
                 outcome = await self.remote.run(address, attempt)
+                self._note_crash(context.digest, outcome)
         finally:
-            verdict = None if outcome is None else outcome.verdict
-            self.router.note_end(address, verdict, self.timers.read() - started_s)
+            self.control.note_end(
+                address,
+                call.request.service,
+                outcome.verdict,
+                outcome.loads,
+                self.timers.read() - started_s,
+            )
         return outcome
 
-    def _spend(self, call: Call, outcome: Outcome, excluded: set[str]) -> bool:
-        """Tell whether to send once more, and take the cost of it."""
-        room_elsewhere = self.router.has_room(call.request.service, excluded)
-        reason = choose_retry(outcome.verdict, call.context, room_elsewhere)
-        if reason is None or outcome.attempts_left < 1:
-            return False
-        if call.context.measure_remaining(self.timers.read()) <= 0:
-            return False
-        if self._choose(call, excluded) is None or not self.ratio.take():
-            return False
-        self.metrics.retries.labels(reason).inc()
-        return True
+    def _note_crash(self, digest: str, outcome: Outcome) -> None:
+        match outcome.verdict:
+            case MayHaveRun(Reason.SERVER_CRASHED):
+                self.quarantine.note_crash(digest, self.timers.read())
+
+    def _find_retry_reason(
+        self, call: Call, outcome: Outcome, excluded: set[str]
+    ) -> RetryReason | None:
+        """Return why to send once more, ``None`` when that is not allowed."""
+        context = call.context
+        if outcome.attempts_left < 1:
+            return None
+        if context.measure_remaining(self.timers.read()) <= 0:
+            return None
+        if self._check(call) is not None:
+            return None
+        room_elsewhere = self.control.has_room(context, call.request.service, excluded)
+        reason = choose_retry(outcome.verdict, context, room_elsewhere)
+        if reason is None or not self.ratio.take():
+            return None
+        return reason
--- a/eelgrassmount/calls/downstream.py
+++ b/eelgrassmount/calls/downstream.py
@@ -18,6 +18,7 @@
 
     from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.keys.port import Runner
+    from eelgrassmount.load.exchange import LoadExchange
     from eelgrassmount.timers import TimerService
     from eelgrassmount.util.background import Background
 
@@ -36,7 +37,7 @@
     run: Runner
     group: Background
     make_id: Callable[[], str]
-    note_touched: Callable[[str, str], None]
+    exchange: LoadExchange
 
     async def handle(self, parent_id: str, call_name: str, request: Request) -> Verdict:
         """Return the verdict on a downstream call.
@@ -72,10 +73,6 @@
                 self.board.configuration.document, request.method, request.path
             ),
         )
-        parent_service = parent.call.request.service
-        self.note_touched(context.class_name, request.service)
-        if parent_service != request.service:
-            self.note_touched(context.class_name, parent_service)
         # in the node's own group: the server may drop its connection and ask
         # again without ending the call
         self.group.start_soon(self._run, parent, child, Call(context, request))
@@ -92,6 +89,9 @@
                 outcome = Outcome(MayHaveRun(Reason.DEADLINE), 0)
         finally:
             child.outcome = outcome
+            self.exchange.note_downstream(
+                call.context.parent_id, call.request.service, outcome.loads
+            )
             parent.attempts_left += outcome.attempts_left
             parent.note_child_end(self.timers.read())
             child.done.set()
--- a/eelgrassmount/calls/entry.py
+++ b/eelgrassmount/calls/entry.py
@@ -9,18 +9,19 @@
 
 from eelgrassmount.calls.request import Call, Outcome, Request
 from eelgrassmount.config.classes import WorkClass, find_class
-from eelgrassmount.context import Context, compute_digest, compute_priority
+from eelgrassmount.context import Context, compute_digest
 from eelgrassmount.edge import headers as names
 from eelgrassmount.edge.headers import find_header, read_whole_number
 from eelgrassmount.metrics import record_call
 from eelgrassmount.retry.budget import EXTRA_ATTEMPTS
-from eelgrassmount.verdict import NotRun, Reason, Verdict, name_verdict
+from eelgrassmount.verdict import Answered, NotRun, Reason, Verdict, name_verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.keys.port import KeyPort, Runner
+    from eelgrassmount.load.control import LoadControl
     from eelgrassmount.metrics import Metrics
     from eelgrassmount.timers import TimerService
 
@@ -46,8 +47,7 @@
     timers: TimerService
     run: Runner
     keys: KeyPort
-    admit: Callable[[WorkClass, str, int], NotRun | None]
-    note_outcome: Callable[[WorkClass, str, Verdict, float], None]
+    control: LoadControl
     metrics: Metrics
     make_id: Callable[[], str]
 
@@ -61,12 +61,21 @@
         if work_class is None:
             verdict = NotRun(self._explain_no_class())
         else:
-            verdict = await self._run_class(request, work_class, root_id)
-            seconds = self.timers.read() - started_s
-            self.note_outcome(work_class, request.service, verdict, seconds)
-            record_call(self.metrics, work_class.name, name_verdict(verdict), seconds)
+            outcome = await self._run_class(request, work_class, root_id)
+            verdict = outcome.verdict
+            self._note_outcome(work_class, outcome, self.timers.read() - started_s)
         return Reply(verdict, root_id, self.keys.mint())
 
+    def _note_outcome(
+        self, work_class: WorkClass, outcome: Outcome, seconds: float
+    ) -> None:
+        answered = isinstance(outcome.verdict, Answered)
+        complete = answered and seconds * 1000 <= work_class.within_ms
+        touched = {load.service for load in outcome.loads}
+        self.control.note_request(work_class.name, complete, touched)
+        verdict_name = name_verdict(outcome.verdict)
+        record_call(self.metrics, work_class.name, verdict_name, seconds)
+
     def _explain_no_class(self) -> Reason:
         if self.board.configuration.version == 0:
             return Reason.NO_CONFIGURATION
@@ -74,28 +83,20 @@
 
     async def _run_class(
         self, request: Request, work_class: WorkClass, root_id: str
-    ) -> Verdict:
+    ) -> Outcome:
         key = find_header(request.headers, names.IDEMPOTENCY_KEY) or ""
         refusal = _check_key(key, work_class)
         if refusal is not None:
-            return refusal
+            return Outcome(refusal)
         try:
             context = self._make_context(request, work_class, root_id, key)
         except ValueError:
-            return NotRun(Reason.MALFORMED)
+            return Outcome(NotRun(Reason.MALFORMED))
         call = Call(context, request)
-        outcome = await self._run_call(call, work_class)
-        return outcome.verdict
-
-    async def _run_call(self, call: Call, work_class: WorkClass) -> Outcome:
-        context = call.context
         if not context.idempotent:
             # admission of a keyed call is up to the owner of its key, which
             # knows whether the answer is there already
             return await self.keys.run(call)
-        refusal = self.admit(work_class, call.request.service, context.priority)
-        if refusal is not None:
-            return Outcome(refusal, context.attempts_left)
         return await self.run(call)
 
     def _make_context(
@@ -113,7 +114,7 @@
             deadline_s=self.timers.read() + timeout_ms / 1000,
             attempts_left=EXTRA_ATTEMPTS,
             tier=work_class.tier,
-            priority=compute_priority(root_id),
+            priority=self.control.prioritize(work_class, root_id),
             depth=0,
             idempotent=work_class.idempotent,
             key=key,
--- a/eelgrassmount/calls/handlers.py
+++ b/eelgrassmount/calls/handlers.py
@@ -15,12 +15,8 @@
 from eelgrassmount.verdict import NotRun, Reason
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from eelgrassmount.calls.local import LocalRunner
     from eelgrassmount.calls.table import CallTable
-    from eelgrassmount.gen.ttypes import Outcome as OutcomeFrame
-    from eelgrassmount.gen.ttypes import ServiceLoad
     from eelgrassmount.keys.port import Runner
     from eelgrassmount.metrics import Metrics
     from eelgrassmount.peer.port import Handlers
@@ -41,7 +37,6 @@
     table: CallTable
     local: LocalRunner
     run_owned: Runner
-    describe_loads: Callable[[], list[ServiceLoad]]
     metrics: Metrics
 
     def make_handlers(self) -> Handlers:
@@ -67,12 +62,7 @@
         return self._reply(call.context.call_id, outcome)
 
     def _reply(self, call_id: str, outcome: Outcome) -> Message:
-        return Message(outcome=self._encode(call_id, outcome))
-
-    def _encode(self, call_id: str, outcome: Outcome) -> OutcomeFrame:
-        frame = encode_outcome(call_id, outcome)
-        frame.loads = self.describe_loads()
-        return frame
+        return Message(outcome=encode_outcome(call_id, outcome))
 
     async def handle_cancel(self, sender: Hello, message: Message) -> None:
         """Cancel a call, or seal its id if it has not arrived."""
@@ -85,7 +75,7 @@
         answer = FateAnswer(call_id=call_id, state=_STATE_BY_FATE[fate])
         if fate is Fate.DONE:
             outcome = self.table.find(call_id).outcome
-            answer.outcome = self._encode(call_id, outcome)
+            answer.outcome = encode_outcome(call_id, outcome)
         return Message(fate_answer=answer)
 
 
--- a/eelgrassmount/calls/local.py
+++ b/eelgrassmount/calls/local.py
@@ -25,6 +25,7 @@
     from eelgrassmount.calls.request import Call
     from eelgrassmount.calls.table import CallRecord, CallTable
     from eelgrassmount.edge.server import ServerClient
+    from eelgrassmount.load.exchange import LoadExchange
     from eelgrassmount.load.port import Gate
     from eelgrassmount.metrics import Metrics
     from eelgrassmount.retry.quarantine import Quarantine
@@ -48,6 +49,7 @@
     gate: Gate
     client: ServerClient
     quarantine: Quarantine
+    exchange: LoadExchange
     metrics: Metrics
     lose_server: Callable[[], None]
 
@@ -76,8 +78,16 @@
                 verdict = _describe_cut(record)
         finally:
             self._cancel_children(record)
-            outcome = Outcome(_judge_subtree(record, verdict), record.attempts_left)
-            self.table.finish(record, outcome, self.timers.read())
+            outcome = self._finish(record, verdict)
+        return outcome
+
+    def _finish(self, record: CallRecord, verdict: Verdict) -> Outcome:
+        now_s = self.timers.read()
+        loads = self.exchange.collect(
+            record.call.context.call_id, self.gate.describe(), now_s
+        )
+        outcome = Outcome(_judge_subtree(record, verdict), record.attempts_left, loads)
+        self.table.finish(record, outcome, now_s)
         return outcome
 
     async def _admit(self, record: CallRecord) -> Verdict:
--- a/eelgrassmount/calls/remote.py
+++ b/eelgrassmount/calls/remote.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from attrs import define
+from attrs import define, evolve
 
 from eelgrassmount.calls.request import Outcome
 from eelgrassmount.errors import BadFrameError
@@ -15,10 +15,7 @@
 from eelgrassmount.verdict import MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from eelgrassmount.calls.request import Call
-    from eelgrassmount.gen.ttypes import Outcome as OutcomeFrame
     from eelgrassmount.peer.pool import PeerPool
     from eelgrassmount.timers import TimerService
 
@@ -33,7 +30,6 @@
 
     peers: PeerPool
     timers: TimerService
-    note_loads: Callable[[str, OutcomeFrame], None]
 
     async def run(self, address: str, call: Call) -> Outcome:
         """Let the node at ``address`` run a call and return its outcome."""
@@ -49,7 +45,7 @@
             reply = await self._settle(call, reply)
         if isinstance(reply, PeerFailure):
             return Outcome(_judge_failure(reply), call.context.attempts_left)
-        return self._read(address, call, reply)
+        return self._read(call, reply)
 
     async def _send(
         self, address: str, call: Call, incarnation: str
@@ -88,17 +84,16 @@
             return failure
         return reply
 
-    def _read(self, address: str, call: Call, reply: Message) -> Outcome:
+    def _read(self, call: Call, reply: Message) -> Outcome:
         frame = reply.outcome
         if frame is None or frame.call_id != call.context.call_id:
             return Outcome(MayHaveRun(Reason.BAD_ANSWER), 0)
-        self.note_loads(address, frame)
         try:
             outcome = decode_outcome(frame)
         except BadFrameError:
             return Outcome(MayHaveRun(Reason.BAD_ANSWER), 0)
         attempts_left = min(outcome.attempts_left, call.context.attempts_left)
-        return Outcome(outcome.verdict, attempts_left)
+        return evolve(outcome, attempts_left=attempts_left)
 
     async def _cancel(self, address: str, call: Call) -> None:
         with anyio.CancelScope(shield=True), anyio.move_on_after(CANCEL_LIMIT_S):
--- a/eelgrassmount/calls/request.py
+++ b/eelgrassmount/calls/request.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from eelgrassmount.context import Context
+from eelgrassmount.load.state import ServiceLoad
 from eelgrassmount.verdict import Header, Verdict
 
 
@@ -29,7 +30,12 @@
 
 @frozen
 class Outcome:
-    """The verdict on a call and the attempts that its subtree did not use."""
+    """The verdict on a call and the attempts that its subtree did not use.
+
+    ``loads`` are those of the services that the call touched, for admission
+    further up the chain.
+    """
 
     verdict: Verdict
     attempts_left: int = 0
+    loads: tuple[ServiceLoad, ...] = ()
--- a/eelgrassmount/edge/server.py
+++ b/eelgrassmount/edge/server.py
@@ -16,6 +16,7 @@
     read_whole_number,
 )
 from eelgrassmount.metrics import DropReason
+from eelgrassmount.retry.decisions import LOST_REASONS
 from eelgrassmount.util.addresses import parse_address
 from eelgrassmount.verdict import (
     NOT_RUN,
@@ -218,6 +219,8 @@
 
 def _read_reason(headers: tuple[Header, ...]) -> Reason:
     try:
-        return Reason(find_header(headers, names.REASON))
+        reason = Reason(find_header(headers, names.REASON))
     except ValueError:
         return Reason.PARTIAL
+    # its own hop has spent retries on these; this hop must not do so again
+    return Reason.PARTIAL if reason in LOST_REASONS else reason
--- a/eelgrassmount/load/control.py
+++ b/eelgrassmount/load/control.py
@@ -9,7 +9,7 @@
 from eelgrassmount.context import compute_priority
 from eelgrassmount.load.admission import EntryState, admit_at_entry
 from eelgrassmount.load.exchange import LoadExchange
-from eelgrassmount.load.routing import RoutingState, choose_server
+from eelgrassmount.load.routing import RoutingState, choose_server, find_room
 from eelgrassmount.load.shares import (
     SHARE_PERIOD_S,
     ShareTable,
@@ -100,6 +100,15 @@
             self.routing.note_start(address, now_s)
         return address
 
+    def has_room(
+        self, context: Context, service: str, excluded: Collection[str]
+    ) -> bool:
+        """Tell whether some other node would admit a call at once."""
+        rank = rank_call(context.tier, context.priority)
+        return find_room(
+            self.board, self.routing, service, excluded, rank, self.timers.read()
+        )
+
     def note_end(
         self,
         address: str,
--- a/eelgrassmount/load/routing.py
+++ b/eelgrassmount/load/routing.py
@@ -189,6 +189,20 @@
     return None
 
 
+def find_room(
+    board: Blackboard,
+    state: RoutingState,
+    service: str,
+    excluded: Collection[str],
+    rank: int,
+    now_s: float,
+) -> bool:
+    """Tell whether some server is known to have room for a call of this rank."""
+    near = _find_near(board, state, service, excluded, now_s)
+    far = _find_far(board, state, service, excluded, now_s)
+    return bool(_keep_open([*near, *far], rank, least_room=1))
+
+
 def _keep_open(
     candidates: list[Candidate], rank: int, least_room: int = 0
 ) -> list[Candidate]:
--- a/eelgrassmount/members/membership.py
+++ b/eelgrassmount/members/membership.py
@@ -64,7 +64,7 @@
         self.observers: list[Callable[[str, Gossip], None]] = []
         self._board = board
         self._timers = timers
-        self._describe_load = describe_load
+        self.describe_load = describe_load
         self._tasks: Background | None = None
         self._load_told_s = -math.inf
         self.roster = Roster(
@@ -139,14 +139,14 @@
         return ServerState.DRAINING
 
     def _announce_load(self, now_s: float) -> None:
-        if self._describe_load is None:
+        if self.describe_load is None:
             return
         interval_s = compute_load_interval_s(
             self.roster.pace, len(self.roster.table.members)
         )
         if now_s - self._load_told_s < interval_s:
             return
-        load = self._describe_load()
+        load = self.describe_load()
         own = self.roster.own
         if differ_in_load(own.headroom, load.headroom) or differ_in_load(
             own.threshold, load.threshold
--- a/eelgrassmount/metrics.py
+++ b/eelgrassmount/metrics.py
@@ -62,19 +62,6 @@
     UNEXPECTED = "unexpected"
 
 
-class KeyOutcome(StrEnum):
-    """What became of a call with an idempotency key."""
-
-    NEW = "new"
-    REPEATED = "repeated"
-    JOINED = "joined"
-    REUSED = "reused"
-    EXPIRED = "expired"
-    TABLE_FULL = "table-full"
-    OWNER_LOST = "owner-lost"
-    MINTED = "minted"
-
-
 class LogError(StrEnum):
     """How a call of the platform's log failed."""
 
@@ -109,8 +96,8 @@
     dropped_answers: Counter
     peer_links_replaced: Counter
     rejected_frames: Counter
-    keys: Counter
-    keys_held: Gauge
+    key_events: Counter
+    member_events: Counter
     quarantines: Counter
     log_appends: Counter
     log_errors: Counter
@@ -151,8 +138,8 @@
             "peer_links_replaced", "Links to peers replaced.", "reason"
         ),
         rejected_frames=count("rejected_frames", "Frames rejected.", "reason"),
-        keys=count("keys", "Calls with an idempotency key.", "outcome"),
-        keys_held=gauge("keys_held", "Idempotency keys held by this node."),
+        key_events=count("key_events", "Events of the key service.", "event"),
+        member_events=count("member_events", "Events of the membership.", "event"),
         quarantines=count("quarantines", "Request contents put in quarantine."),
         log_appends=count("log_appends", "Records appended to the log.", "stream"),
         log_errors=count("log_errors", "Failed calls of the log.", "kind"),
@@ -191,7 +178,6 @@
         (metrics.dropped_answers, DropReason),
         (metrics.peer_links_replaced, LinkReason),
         (metrics.rejected_frames, FrameReason),
-        (metrics.keys, KeyOutcome),
         (metrics.log_errors, LogError),
         (metrics.members, MemberState),
     ):
--- a/eelgrassmount/peer/codec.py
+++ b/eelgrassmount/peer/codec.py
@@ -9,6 +9,7 @@
 from eelgrassmount.context import MAX_DEPTH, PRIORITY_LEVELS, Context, Tier
 from eelgrassmount.errors import BadFrameError
 from eelgrassmount.gen import ttypes
+from eelgrassmount.load.state import FULL_THRESHOLD, ServiceLoad
 from eelgrassmount.verdict import (
     Answered,
     Header,
@@ -133,7 +134,11 @@
 
 def encode_outcome(call_id: str, outcome: Outcome) -> ttypes.Outcome:
     """Return the outcome of a call as it goes back to another node."""
-    frame = ttypes.Outcome(call_id=call_id, attempts_left=outcome.attempts_left)
+    frame = ttypes.Outcome(
+        call_id=call_id,
+        attempts_left=outcome.attempts_left,
+        loads=[_encode_load(load) for load in outcome.loads],
+    )
     match outcome.verdict:
         case Answered(status, headers, body):
             frame.kind = ttypes.VerdictKind.ANSWERED
@@ -153,7 +158,29 @@
 
 def decode_outcome(frame: ttypes.Outcome) -> Outcome:
     """Return the outcome that a node sent, raising `BadFrameError`."""
-    return Outcome(_decode_verdict(frame), max(0, frame.attempts_left or 0))
+    loads = tuple(_decode_load(load) for load in frame.loads or ())
+    return Outcome(_decode_verdict(frame), max(0, frame.attempts_left or 0), loads)
+
+
+def _encode_load(load: ServiceLoad) -> ttypes.ServiceLoad:
+    return ttypes.ServiceLoad(
+        service_name=load.service,
+        threshold=load.threshold,
+        headroom=load.headroom,
+        retry_after_ms=int(load.retry_after_s * 1000),
+    )
+
+
+def _decode_load(frame: ttypes.ServiceLoad) -> ServiceLoad:
+    if not frame.service_name:
+        raise BadFrameError("a load names no service")
+    threshold = FULL_THRESHOLD if frame.threshold is None else frame.threshold
+    return ServiceLoad(
+        service=frame.service_name,
+        threshold=min(FULL_THRESHOLD, max(0, threshold)),
+        headroom=max(0, frame.headroom or 0),
+        retry_after_s=max(0, frame.retry_after_ms or 0) / 1000,
+    )
 
 
 def _decode_verdict(frame: ttypes.Outcome) -> Verdict:
--- a/eelgrassmount/retry/decisions.py
+++ b/eelgrassmount/retry/decisions.py
@@ -30,6 +30,8 @@
     Reason.SERVER_SILENT: RetryReason.SERVER_SILENT,
     Reason.BAD_ANSWER: RetryReason.BAD_ANSWER,
 }
+# after these a call may have run, but its answer was lost on one hop
+LOST_REASONS = frozenset(_LOST_ON_THE_WAY)
 
 
 def choose_retry(
--- a/tests/calls/test_table.py
+++ b/tests/calls/test_table.py
@@ -10,7 +10,6 @@
 from eelgrassmount.context import Context, Tier
 from eelgrassmount.verdict import NotRun, Reason
 
-
 pytestmark = pytest.mark.anyio
 
 
