--- /dev/null
+++ b/tests/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: every fault at every step, judged from outside."""
--- /dev/null
+++ b/tests/matrix/__main__.py
@@ -0,0 +1,111 @@
+"""The command of `make matrix`."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import sys
+import threading
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import fire
+
+from tests.matrix.driver import Result, run_cells
+from tests.matrix.table import FIXED, Cell, draw_pairs, read_table
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LANES = 3
+
+
+def run_lanes(
+    cells: list[Cell], without: str, lanes: int, tell: Callable[[Result], None]
+) -> None:
+    """Run cells on several deployments side by side."""
+    lock = threading.Lock()
+
+    def tell_one(result: Result) -> None:
+        with lock:
+            tell(result)
+
+    def run_lane(part: list[Cell]) -> None:
+        asyncio.run(run_cells(part, without, tell_one))
+
+    # in turns, so that every lane has cells of all steps
+    parts = [cells[number::lanes] for number in range(lanes)]
+    threads = [
+        threading.Thread(target=run_lane, args=(part,)) for part in parts if part
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def print_result(result: Result) -> None:
+    """Print one row: the cell, how it went, what was told and what ran."""
+    print(
+        f"{result.word:7} {result.cell.name:44} {result.seconds:5.1f} s  "
+        f"{result.runs}  |  {result.told}",
+        flush=True,
+    )
+    for line in (*result.broken, *result.not_run.splitlines()):
+        print(f"        ! {line}", flush=True)
+
+
+def run_matrix(
+    only: str = "",
+    pairs: int = 0,
+    seed: int = 1,
+    without: str = "",
+    lanes: int = LANES,
+    fixed: bool = False,
+) -> None:
+    """Run the cells whose names match ``only``, then ``pairs`` drawn pairs of faults.
+
+    ``without`` names a mechanism that is left out of the nodes; ``fixed`` runs only
+    the cells of `make test`.
+    """
+    table = read_table()
+    cells = [cell for cell in table if re.search(only, cell.name)]
+    if fixed:
+        cells = [cell for cell in cells if (cell.step, cell.faults[0]) in FIXED]
+    drawn, all_pairs = draw_pairs(pairs, seed)
+    cells += drawn
+    results: list[Result] = []
+
+    def tell(result: Result) -> None:
+        results.append(result)
+        print_result(result)
+
+    started_s = time.monotonic()
+    run_lanes(cells, without, lanes, tell)
+    _print_summary(results, len(cells), time.monotonic() - started_s)
+    print(
+        f"not run: {len(table) + len(drawn) - len(cells)} cells of the table and "
+        f"{all_pairs - len(drawn)} of {all_pairs} pairs of faults"
+    )
+    held = len(results) == len(cells) and all(item.word == "held" for item in results)
+    sys.exit(0 if held else 1)
+
+
+def _print_summary(results: list[Result], expected: int, seconds: float) -> None:
+    words = Counter(result.word for result in results)
+    broken = Counter(
+        line.split(": ", 1)[1].split(" (")[0]
+        for result in results
+        for line in result.broken
+    )
+    print(
+        f"{expected} cells in {seconds:.0f} s: {words['held']} held, "
+        f"{words['FAILED']} failed, {words['not run']} not run"
+    )
+    for what, count in broken.most_common():
+        print(f"  {count} x {what}")
+
+
+if __name__ == "__main__":
+    fire.Fire(run_matrix)
--- /dev/null
+++ b/tests/matrix/callers.py
@@ -0,0 +1,86 @@
+"""Requests of stand-in callers, each sent as often as a cell wants."""
+
+from __future__ import annotations
+
+import json
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from standins.client import Answer, Unanswered
+from standins.records import Sending, judge_answer
+
+if TYPE_CHECKING:
+    from standins.client import Client
+
+BOOKING = "/jobdesk/bookings"
+TIMEOUT_S = 3.0
+# how much later than its own deadline an answer may come on a busy machine
+MARGIN_S = 0.6
+PATIENCE_S = 1.0
+
+
+@define(eq=False)
+class Booking:
+    """One non-idempotent request: one key, any number of sendings."""
+
+    key: str
+    expect: str
+    extra: dict[str, object] = field(factory=dict)
+    name: str = field(factory=lambda: f"m{uuid.uuid4().hex[:12]}")
+    sendings: list[Sending] = field(factory=list)
+    bodies: set[bytes] = field(factory=set)
+
+    @property
+    def told(self) -> list[Sending]:
+        """Return the sendings in the order in which their answers came."""
+        return sorted(self.sendings, key=lambda sending: sending.t_end)
+
+    async def send(self, client: Client, node: str) -> Sending:
+        start = time.monotonic()
+        headers = {
+            "idempotency-key": self.key,
+            "eelgrassmount-timeout-ms": str(int(TIMEOUT_S * 1000)),
+        }
+        content = json.dumps({"request": self.name, **self.extra}).encode()
+        try:
+            answer = await client.request(
+                node, "POST", BOOKING, headers, content, TIMEOUT_S + PATIENCE_S
+            )
+        except Unanswered as error:
+            answer = None
+            outcome = "unreached" if error.reason == "connect" else "unknown"
+            reason = error.reason
+        else:
+            outcome = judge_answer(answer, self.name, self.expect)
+            reason = answer.headers.get("eelgrassmount-reason", "")
+        end = time.monotonic()
+        if outcome == "complete":
+            self.bodies.add(answer.body)
+        sending = _make_sending(self.name, node, start, end, outcome, answer, reason)
+        self.sendings.append(sending)
+        return sending
+
+
+def _make_sending(
+    name: str,
+    node: str,
+    start: float,
+    end: float,
+    outcome: str,
+    answer: Answer | None,
+    reason: str,
+) -> Sending:
+    if answer is None:
+        return Sending(name, node, start, end, outcome, "", 0, reason)
+    verdict = answer.headers.get("eelgrassmount-verdict", "")
+    return Sending(name, node, start, end, outcome, verdict, answer.status, reason)
+
+
+async def fetch_key(client: Client, node: str) -> str:
+    """Return a key that a node has minted."""
+    content = json.dumps({"request": "mint"}).encode()
+    answer = await client.request(node, "GET", "/ratebook/price", {}, content, 3.0)
+    return answer.headers["eelgrassmount-next-key"]
--- /dev/null
+++ b/tests/matrix/table.py
@@ -0,0 +1,113 @@
+"""The table of the matrix: which fault at which step, and what must come of it."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+from attrs import frozen
+
+from tests.matrix.faults import FAULTS
+from tests.matrix.steps import STEPS
+
+# A: the request must be answered completely in the end, and all sendings alike
+# t: the promises hold, but its fate may stay unknown
+# -: the fault can't come to this step
+TABLE = """
+                   entry primary minter backup mark link queue edge run-0 run-1 run-2 far-1 answer-0 answer-1 answer-2
+repeats            A     A       A      A      A    A    t     A    A     A     A     A     A        A        A
+kill-node          A     t       t      A      A    t    t     t    t     t     A     t     t        t        A
+kill-server        A     A       A      A      A    A    t     t    t     t     A     t     t        t        A
+kill-vm            A     t       t      A      A    t    t     t    t     t     A     t     t        t        A
+freeze-node-short  A     A       A      A      A    A    t     t    t     t     t     t     t        t        t
+freeze-node-long   A     t       t      A      A    t    t     t    t     t     t     t     t        t        t
+freeze-server-long A     A       A      A      A    A    t     t    t     t     t     t     A        A        A
+freeze-vm-long     A     t       t      A      A    t    t     t    t     t     t     t     t        t        t
+cut-both           A     A       A      A      A    A    t     A    A     A     A     t     A        A        A
+cut-both-drop      A     A       A      A      A    A    t     A    A     A     A     t     A        A        A
+cut-both-reset     A     A       A      A      A    A    t     A    A     A     A     t     A        A        A
+cut-out            A     A       A      A      A    A    t     A    A     A     A     t     A        A        A
+cut-in             A     A       A      A      A    A    t     A    A     A     A     t     A        A        A
+cut-both-long      A     A       A      A      A    A    t     A    A     A     A     t     A        A        A
+silent-peers       A     A       A      A      A    A    t     A    A     A     A     A     A        A        A
+silent-server      -     -       -      -      -    -    t     t    t     t     t     t     t        t        t
+cut-log            A     A       A      A      A    A    t     A    A     A     A     A     A        A        A
+log-down           A     A       A      A      A    A    t     A    A     A     A     A     A        A        A
+log-slow           A     A       A      A      A    A    t     A    A     A     A     A     A        A        A
+log-answer-lost    A     t       t      A      A    t    t     t    t     t     A     t     t        t        A
+late               -     -       -      -      -    -    A     A    A     A     A     A     -        -        -
+too-late           -     -       -      -      -    -    t     t    t     t     t     t     -        -        -
+truncated          -     -       -      -      -    -    t     t    t     t     A     t     -        -        -
+garbled            -     -       -      -      -    -    t     t    t     t     A     t     -        -        -
+wrong-call         -     -       -      -      -    -    t     t    t     t     A     t     -        -        -
+doubled            -     -       -      -      -    -    t     A    A     A     A     A     -        -        -
+silent             -     -       -      -      -    -    t     t    t     t     t     t     -        -        -
+"""  # noqa: E501
+ANSWERED = "A"
+NOT_APPLICABLE = "-"
+
+# the cells of `make test`: every kind of fault, and every step but a few
+FIXED = (
+    ("entry", "kill-node"),
+    ("entry", "cut-both"),
+    ("primary", "kill-vm"),
+    ("primary", "log-down"),
+    ("minter", "freeze-node-short"),
+    ("minter", "silent-peers"),
+    ("backup", "kill-node"),
+    ("link", "cut-both-reset"),
+    ("run-0", "kill-server"),
+    ("run-0", "wrong-call"),
+    ("run-1", "truncated"),
+    ("run-2", "kill-node"),
+    ("far-1", "silent-peers"),
+    ("answer-0", "repeats"),
+)
+
+
+@frozen
+class Cell:
+    """One cell: a step, the faults that come there, and whether it must be answered."""
+
+    step: str
+    faults: tuple[str, ...]
+    must_answer: bool
+
+    @property
+    def name(self) -> str:
+        return f"{self.step}/{'+'.join(self.faults)}"
+
+
+def read_table() -> list[Cell]:
+    """Return all cells of the table."""
+    head, *rows = TABLE.strip().splitlines()
+    steps = head.split()
+    cells = []
+    for row in rows:
+        fault, *marks = row.split()
+        for step, mark in zip(steps, marks, strict=True):
+            if mark != NOT_APPLICABLE:
+                cells.append(Cell(step, (fault,), mark == ANSWERED))
+    return cells
+
+
+def draw_pairs(number: int, seed: int) -> tuple[list[Cell], int]:
+    """Return pairs of faults at one step, and how many pairs there are in all."""
+    by_step: dict[str, list[str]] = {step: [] for step in STEPS}
+    for cell in read_table():
+        by_step[cell.step].append(cell.faults[0])
+    pairs = [
+        Cell(step, pair, False)
+        for step, faults in by_step.items()
+        for pair in itertools.permutations(faults, 2)
+        if "repeats" not in pair and _fit_together(*pair)
+    ]
+    chosen = random.Random(seed).sample(pairs, min(number, len(pairs)))
+    return chosen, len(pairs)
+
+
+def _fit_together(one: str, other: str) -> bool:
+    # a process that is killed can't be frozen, nor told how to answer
+    at_process = [name.split("-")[0] in ("kill", "freeze") for name in (one, other)]
+    spoils = FAULTS[other].spoils or FAULTS[one].spoils
+    return not all(at_process) and not (any(at_process) and spoils)
--- /dev/null
+++ b/tests/matrix/world.py
@@ -0,0 +1,204 @@
+"""The deployment that cells run on, and how their targets are found."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import time
+import urllib.request
+import uuid
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.keys.placement import find_slot
+from eelgrassmount.keys.views import ViewFold, fold_page
+from eelgrassmount.platform.port import Page, Record
+from standins.client import Client
+from standins.deploy import PYTHON, Deployment, DeploymentSpec, ServiceSpec
+from standins.faults import call_admin, set_fault
+from standins.plans import Plan
+from tests.matrix.callers import BOOKING, Booking
+
+if TYPE_CHECKING:
+    from eelgrassmount.keys.views import View
+    from standins.layout import VM
+
+DOMAINS = ("a", "b")
+# so short that a lost slot comes back soon, far longer than a cell
+KEY_WINDOW_S = 30
+WELL_LIMIT_S = 45.0
+SERVICE_TIME_MS = 10.0
+
+CONFIGURATION = """failure_domains = ["a", "b"]
+[[class]]
+name = "lookup"
+routes = ["GET /jobdesk/status", "GET /ratebook/price", "GET /proofline/proofs"]
+idempotent = true
+refuse_last = false
+complete_fraction = 0.9
+within_ms = 1000
+[[class]]
+name = "booking"
+routes = ["POST /jobdesk/bookings", "POST /platehouse/orders"]
+idempotent = false
+refuse_last = true
+complete_fraction = 0.99
+within_ms = 2000
+"""
+
+PLANS = {
+    "jobdesk": {
+        f"POST {BOOKING}": Plan(
+            (("POST", "/platehouse/orders"), ("GET", "/ratebook/price"))
+        )
+    },
+    "platehouse": {"POST /platehouse/orders": Plan((("GET", "/proofline/proofs"),))},
+}
+SERVERS = {"frontdesk": 1, "jobdesk": 2, "platehouse": 1, "ratebook": 1, "proofline": 1}
+
+
+def make_spec(without: str = "") -> DeploymentSpec:
+    """Return the deployment of all cells, with a mechanism left out if named."""
+    services = tuple(
+        ServiceSpec(
+            name, count, service_time_ms=SERVICE_TIME_MS, plans=PLANS.get(name, {})
+        )
+        for name, count in SERVERS.items()
+    )
+    spec = DeploymentSpec(
+        DOMAINS,
+        services,
+        relays=True,
+        seeds=2,
+        node_flags={"key_window_s": KEY_WINDOW_S},
+        node_command=make_node_command(without),
+    )
+    return spec
+
+
+def make_node_command(without: str) -> tuple[str, ...]:
+    """Return the command of a node with a mechanism left out, if one is named."""
+    if not without:
+        return (PYTHON, "-m", "eelgrassmount")
+    return (PYTHON, "-m", "tests.matrix.node", f"--without={without}")
+
+
+@define(eq=False)
+class World:
+    """A running deployment and a stand-in caller's connections."""
+
+    deployment: Deployment
+    client: Client = field(factory=Client)
+
+    @property
+    def expect(self) -> str:
+        return self.deployment.spec.expect("POST", BOOKING)
+
+    def find_vm(self, name: str) -> VM:
+        return next(vm for vm in self.deployment.vms if vm.name == name)
+
+    def make_booking(self, key: str, **extra: object) -> Booking:
+        return Booking(key, self.expect, extra)
+
+    async def publish(self, text: str) -> None:
+        """Publish a configuration and wait until it is in force everywhere."""
+        admin = self.deployment.vms[0].admin_address
+        post = urllib.request.Request(
+            f"http://{admin}/config?base=0", data=text.encode(), method="POST"
+        )
+        await asyncio.to_thread(lambda: urllib.request.urlopen(post, timeout=10).read())
+        deadline = time.monotonic() + WELL_LIMIT_S
+        while not all(await asyncio.to_thread(self._read_versions)):
+            _check_time(deadline, "the configuration")
+            await asyncio.sleep(0.1)
+
+    def _read_versions(self) -> list[int]:
+        return [
+            call_admin(vm.admin_address, "GET", "/state")["config_version"]
+            for vm in self.deployment.vms
+        ]
+
+    async def wait_until_well(self) -> None:
+        """Wait until a booking is answered through every node with every home."""
+        deadline = time.monotonic() + WELL_LIMIT_S
+        left = [(vm, home) for vm in self.deployment.vms for home in DOMAINS]
+        while left:
+            tries = (self._try(vm, home) for vm, home in left)
+            good = await asyncio.gather(*tries)
+            left = [pair for pair, fine in zip(left, good, strict=True) if not fine]
+            if left:
+                _check_time(deadline, f"{left[0][0].name} with home {left[0][1]}")
+                await asyncio.sleep(0.3)
+
+    async def _try(self, vm: VM, home: str) -> bool:
+        booking = self.make_booking(f"{home}:{uuid.uuid4().hex}")
+        sending = await booking.send(self.client, vm.caller_address)
+        return sending.outcome == "complete"
+
+    async def read_views(self, domain: str) -> list[View]:
+        """Return the views of a failure domain's slots, as the log tells them."""
+        fold = ViewFold()
+        while True:
+            path = f"/streams/slots.{domain}/records?from={fold.next}&limit=500"
+            answer = await self.client.request(self.deployment.log_address, "GET", path)
+            page = json.loads(answer.body)
+            records = tuple(
+                Record(entry["offset"], base64.b64decode(entry["body"]))
+                for entry in page["records"]
+            )
+            fold_page(fold, Page(page["first"], page["next"], records))
+            if fold.next >= page["next"]:
+                return fold.views
+
+    async def choose_key(self, domain: str, role: str) -> tuple[str, VM]:
+        """Return a caller's own key, and the VM that is its primary or backup.
+
+        One whose server takes no part in bookings is preferred.
+        """
+        views = await self.read_views(domain)
+        vms = {vm.advertise_address: vm for vm in self.deployment.vms}
+        found = None
+        for _ in range(400):
+            key = f"{domain}:{uuid.uuid4().hex}"
+            vm = vms.get(getattr(views[find_slot(key)], role).address)
+            if vm is None:
+                continue
+            found = (key, vm)
+            if vm.service == "frontdesk":
+                break
+        if found is None:
+            raise LookupError(f"no slot of {domain} has a {role}")
+        return found
+
+    async def read_runs(self, request: str = "") -> list[dict[str, object]]:
+        query = f"request={request}" if request else ""
+        return await asyncio.to_thread(self.deployment.get_runs, query)
+
+    async def set_servers(self, service: str, **fault: object) -> None:
+        """Set a fault of all running servers of a service."""
+        for vm in self.deployment.find_vms(service):
+            if vm.server.running:
+                await self.set_server(vm, **fault)
+
+    async def set_server(self, vm: VM, **fault: object) -> None:
+        """Set a fault of one server."""
+        await asyncio.to_thread(set_fault, vm.server_admin_address, **fault)
+
+    async def wait_for_run(
+        self, request: str, service: str, outcomes: tuple[str, ...], limit_s: float
+    ) -> VM | None:
+        """Return the VM whose server is at work on a request, per the journal."""
+        deadline = time.monotonic() + limit_s
+        while time.monotonic() < deadline:
+            for run in await self.read_runs(request):
+                if run["service"] == service and run["outcome"] in outcomes:
+                    return self.find_vm(run["server"])
+            await asyncio.sleep(0.02)
+        return None
+
+
+def _check_time(deadline: float, what: str) -> None:
+    if time.monotonic() > deadline:
+        raise TimeoutError(f"{what} is not well after {WELL_LIMIT_S} s")
