Wake the timer service only when something is due

An idle node woke 20 times a second from the timer loop alone, and comparing timers by attrs was a third of what the loop did. Now the heap holds plain tuples and the loop sleeps until the next timer or an earlier one is added. Ruled out as the main cause: gossip and the log, which are small in the same profile.

--- a/eelgrassmount/timers.py
+++ b/eelgrassmount/timers.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import math
 import time
 from typing import TYPE_CHECKING, Protocol
 
@@ -15,8 +16,6 @@
     import random
     from collections.abc import Callable
 
-_IDLE_WAIT_S = 0.05
-
 
 class Clock(Protocol):
     """A monotonic clock, in seconds from an arbitrary start."""
@@ -44,16 +43,15 @@
         return self.now_s
 
 
-@define(order=True)
+@define(eq=False)
 class Timer:
     """One subscription; ``cancel`` ends it."""
 
     due_s: float
-    order: int
-    action: Callable[[], None] = field(order=False)
-    period_s: float = field(order=False, default=0.0)
-    jitter: float = field(order=False, default=0.0)
-    active: bool = field(order=False, default=True)
+    action: Callable[[], None]
+    period_s: float = 0.0
+    jitter: float = 0.0
+    active: bool = True
 
     def cancel(self) -> None:
         """End the subscription."""
@@ -75,8 +73,10 @@
     clock: Clock
     rng: random.Random
     note_error: Callable[[], None] = lambda: None
-    _heap: list[Timer] = field(factory=list)
+    # tuples, since comparing them is most of the work of an idle node
+    _heap: list[tuple[float, int, Timer]] = field(factory=list)
     _order: itertools.count = field(factory=itertools.count)
+    _wake: anyio.Event | None = None
 
     def read(self) -> float:
         """Return the present time in seconds."""
@@ -100,10 +100,15 @@
         self, delay_s: float, action: Callable[[], None], period_s: float, jitter: float
     ) -> Timer:
         due_s = self.read() + self._vary(delay_s, jitter)
-        timer = Timer(due_s, next(self._order), action, period_s, jitter)
-        heapq.heappush(self._heap, timer)
+        timer = Timer(due_s, action, period_s, jitter)
+        self._push(timer)
         return timer
 
+    def _push(self, timer: Timer) -> None:
+        heapq.heappush(self._heap, (timer.due_s, next(self._order), timer))
+        if self._wake is not None and self._heap[0][-1] is timer:
+            self._wake.set()
+
     def _vary(self, delay_s: float, jitter: float) -> float:
         if not jitter:
             return delay_s
@@ -111,21 +116,20 @@
 
     def run_due(self) -> float:
         """Run all that is due and return the seconds until the next timer."""
-        while self._heap and self._heap[0].due_s <= self.read():
-            timer = heapq.heappop(self._heap)
+        while self._heap and self._heap[0][0] <= self.read():
+            timer = heapq.heappop(self._heap)[-1]
             if timer.active:
                 self._fire(timer)
         if not self._heap:
-            return _IDLE_WAIT_S
-        return max(0.0, self._heap[0].due_s - self.read())
+            return math.inf
+        return max(0.0, self._heap[0][0] - self.read())
 
     def _fire(self, timer: Timer) -> None:
         if timer.period_s:
             # from now, not from when it was due: a frozen process that wakes
             # runs each timer once instead of catching up
             timer.due_s = self.read() + self._vary(timer.period_s, timer.jitter)
-            timer.order = next(self._order)
-            heapq.heappush(self._heap, timer)
+            self._push(timer)
         try:
             timer.action()
         except Exception:
@@ -136,8 +140,8 @@
     def advance(self, seconds: float) -> None:
         """Move a `ManualClock` on, running all timers that fall due on the way."""
         end_s = self.clock.now_s + seconds
-        while self._heap and self._heap[0].due_s <= end_s:
-            self.clock.now_s = max(self.clock.now_s, self._heap[0].due_s)
+        while self._heap and self._heap[0][0] <= end_s:
+            self.clock.now_s = max(self.clock.now_s, self._heap[0][0])
             self.run_due()
         self.clock.now_s = end_s
 
@@ -145,4 +149,6 @@
         """Run timers as they fall due, until cancelled."""
         while True:
             wait_s = self.run_due()
-            await anyio.sleep(min(wait_s, _IDLE_WAIT_S))
+            self._wake = anyio.Event()
+            with anyio.move_on_after(wait_s):
+                await self._wake.wait()
--- /dev/null
+++ b/tests/test_timers.py
@@ -0,0 +1,79 @@
+"""The timer service, driven by a clock of the test's own."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import pytest
+
+from eelgrassmount.timers import ManualClock, MonotonicClock, TimerService
+
+
+def make_timers(**rest: object) -> TimerService:
+    return TimerService(ManualClock(0.0), random.Random(1), **rest)
+
+
+def test_periodic_and_single_actions_run_in_order() -> None:
+    timers = make_timers()
+    seen: list[str] = []
+    timers.subscribe(1.0, lambda: seen.append(f"tick {timers.read():g}"))
+    timers.schedule(1.5, lambda: seen.append("once"))
+    timers.advance(3.0)
+    assert seen == ["tick 1", "once", "tick 2", "tick 3"]
+
+
+def test_cancelled_timer_stays_quiet() -> None:
+    timers = make_timers()
+    seen: list[int] = []
+    timer = timers.subscribe(1.0, lambda: seen.append(1))
+    timers.advance(1.0)
+    timer.cancel()
+    timers.advance(5.0)
+    assert seen == [1]
+
+
+def test_process_that_was_frozen_does_not_catch_up() -> None:
+    timers = make_timers()
+    seen: list[float] = []
+    timers.subscribe(1.0, lambda: seen.append(timers.read()))
+    timers.clock.now_s = 60.0
+    timers.run_due()
+    assert seen == [60.0]
+
+
+def test_jitter_stays_within_its_fraction() -> None:
+    timers = make_timers()
+    seen: list[float] = []
+    timers.subscribe(1.0, lambda: seen.append(timers.read()), jitter=0.2)
+    timers.advance(100.0)
+    gaps = [later - before for before, later in zip(seen, seen[1:], strict=False)]
+    assert all(0.8 <= gap <= 1.2 for gap in gaps)
+    assert max(gaps) - min(gaps) > 0.1
+
+
+def test_faulty_action_is_counted_and_stops_nothing() -> None:
+    errors: list[int] = []
+    timers = make_timers(note_error=lambda: errors.append(1))
+    seen: list[int] = []
+
+    def fail() -> None:
+        raise ValueError("faulty")
+
+    timers.subscribe(1.0, fail)
+    timers.subscribe(1.0, lambda: seen.append(1))
+    timers.advance(2.0)
+    assert (len(errors), len(seen)) == (2, 2)
+
+
+@pytest.mark.anyio
+async def test_earlier_timer_wakes_the_service() -> None:
+    timers = TimerService(MonotonicClock(), random.Random(1))
+    done = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(timers.run)
+        timers.schedule(3600.0, lambda: None)
+        await anyio.lowlevel.checkpoint()
+        timers.schedule(0.0, done.set)
+        await done.wait()
+        group.cancel_scope.cancel()
