--- a/eelgrassmount/gen/__init__.py
+++ b/eelgrassmount/gen/__init__.py
@@ -1,1 +1,1 @@
-__all__ = ["ttypes", "constants"]
+__all__ = ['ttypes', 'constants']
--- a/eelgrassmount/gen/constants.py
+++ b/eelgrassmount/gen/constants.py
@@ -6,13 +6,7 @@
 #  options string: py
 #
 
-from thrift.Thrift import (
-    TType,
-    TMessageType,
-    TFrozenDict,
-    TException,
-    TApplicationException,
-)
+from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.TRecursive import fix_spec
 
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -6,20 +6,13 @@
 #  options string: py
 #
 
-from thrift.Thrift import (
-    TType,
-    TMessageType,
-    TFrozenDict,
-    TException,
-    TApplicationException,
-)
+from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.TRecursive import fix_spec
 
 import sys
 
 from thrift.transport import TTransport
-
 all_structs = []
 
 
@@ -82,20 +75,13 @@
 
     """
 
-    def __init__(
-        self,
-        name=None,
-        value=None,
-    ):
+
+    def __init__(self, name=None, value=None,):
         self.name = name
         self.value = value
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -105,20 +91,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.name = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.value = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.value = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -128,22 +106,16 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Header")
+        oprot.writeStructBegin('Header')
         if self.name is not None:
-            oprot.writeFieldBegin("name", TType.STRING, 1)
-            oprot.writeString(
-                self.name.encode("utf-8") if sys.version_info[0] == 2 else self.name
-            )
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
             oprot.writeFieldEnd()
         if self.value is not None:
-            oprot.writeFieldBegin("value", TType.STRING, 2)
-            oprot.writeString(
-                self.value.encode("utf-8") if sys.version_info[0] == 2 else self.value
-            )
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeString(self.value.encode('utf-8') if sys.version_info[0] == 2 else self.value)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -152,8 +124,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -180,21 +153,8 @@
 
     """
 
-    def __init__(
-        self,
-        root_id=None,
-        call_id=None,
-        parent_id=None,
-        class_name=None,
-        remaining_ms=None,
-        attempts_left=None,
-        tier=None,
-        priority=None,
-        depth=None,
-        idempotent=None,
-        key=None,
-        digest=None,
-    ):
+
+    def __init__(self, root_id=None, call_id=None, parent_id=None, class_name=None, remaining_ms=None, attempts_left=None, tier=None, priority=None, depth=None, idempotent=None, key=None, digest=None,):
         self.root_id = root_id
         self.call_id = call_id
         self.parent_id = parent_id
@@ -209,11 +169,7 @@
         self.digest = digest
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -223,38 +179,22 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.root_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.root_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.call_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.parent_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.parent_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.class_name = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.class_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -289,20 +229,12 @@
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.STRING:
-                    self.key = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
                 if ftype == TType.STRING:
-                    self.digest = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -312,78 +244,56 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Context")
+        oprot.writeStructBegin('Context')
         if self.root_id is not None:
-            oprot.writeFieldBegin("root_id", TType.STRING, 1)
-            oprot.writeString(
-                self.root_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.root_id
-            )
+            oprot.writeFieldBegin('root_id', TType.STRING, 1)
+            oprot.writeString(self.root_id.encode('utf-8') if sys.version_info[0] == 2 else self.root_id)
             oprot.writeFieldEnd()
         if self.call_id is not None:
-            oprot.writeFieldBegin("call_id", TType.STRING, 2)
-            oprot.writeString(
-                self.call_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.call_id
-            )
+            oprot.writeFieldBegin('call_id', TType.STRING, 2)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
             oprot.writeFieldEnd()
         if self.parent_id is not None:
-            oprot.writeFieldBegin("parent_id", TType.STRING, 3)
-            oprot.writeString(
-                self.parent_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.parent_id
-            )
+            oprot.writeFieldBegin('parent_id', TType.STRING, 3)
+            oprot.writeString(self.parent_id.encode('utf-8') if sys.version_info[0] == 2 else self.parent_id)
             oprot.writeFieldEnd()
         if self.class_name is not None:
-            oprot.writeFieldBegin("class_name", TType.STRING, 4)
-            oprot.writeString(
-                self.class_name.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.class_name
-            )
+            oprot.writeFieldBegin('class_name', TType.STRING, 4)
+            oprot.writeString(self.class_name.encode('utf-8') if sys.version_info[0] == 2 else self.class_name)
             oprot.writeFieldEnd()
         if self.remaining_ms is not None:
-            oprot.writeFieldBegin("remaining_ms", TType.I32, 5)
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 5)
             oprot.writeI32(self.remaining_ms)
             oprot.writeFieldEnd()
         if self.attempts_left is not None:
-            oprot.writeFieldBegin("attempts_left", TType.I32, 6)
+            oprot.writeFieldBegin('attempts_left', TType.I32, 6)
             oprot.writeI32(self.attempts_left)
             oprot.writeFieldEnd()
         if self.tier is not None:
-            oprot.writeFieldBegin("tier", TType.I32, 7)
+            oprot.writeFieldBegin('tier', TType.I32, 7)
             oprot.writeI32(self.tier)
             oprot.writeFieldEnd()
         if self.priority is not None:
-            oprot.writeFieldBegin("priority", TType.I32, 8)
+            oprot.writeFieldBegin('priority', TType.I32, 8)
             oprot.writeI32(self.priority)
             oprot.writeFieldEnd()
         if self.depth is not None:
-            oprot.writeFieldBegin("depth", TType.I32, 9)
+            oprot.writeFieldBegin('depth', TType.I32, 9)
             oprot.writeI32(self.depth)
             oprot.writeFieldEnd()
         if self.idempotent is not None:
-            oprot.writeFieldBegin("idempotent", TType.BOOL, 10)
+            oprot.writeFieldBegin('idempotent', TType.BOOL, 10)
             oprot.writeBool(self.idempotent)
             oprot.writeFieldEnd()
         if self.key is not None:
-            oprot.writeFieldBegin("key", TType.STRING, 11)
-            oprot.writeString(
-                self.key.encode("utf-8") if sys.version_info[0] == 2 else self.key
-            )
+            oprot.writeFieldBegin('key', TType.STRING, 11)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
             oprot.writeFieldEnd()
         if self.digest is not None:
-            oprot.writeFieldBegin("digest", TType.STRING, 12)
-            oprot.writeString(
-                self.digest.encode("utf-8") if sys.version_info[0] == 2 else self.digest
-            )
+            oprot.writeFieldBegin('digest', TType.STRING, 12)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -392,8 +302,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -415,16 +326,8 @@
 
     """
 
-    def __init__(
-        self,
-        context=None,
-        service_name=None,
-        method=None,
-        path=None,
-        headers=None,
-        body=None,
-        route=None,
-    ):
+
+    def __init__(self, context=None, service_name=None, method=None, path=None, headers=None, body=None, route=None,):
         self.context = context
         self.service_name = service_name
         self.method = method
@@ -434,11 +337,7 @@
         self.route = route
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -454,29 +353,17 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.service_name = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.method = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.path = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -507,48 +394,38 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Call")
+        oprot.writeStructBegin('Call')
         if self.context is not None:
-            oprot.writeFieldBegin("context", TType.STRUCT, 1)
+            oprot.writeFieldBegin('context', TType.STRUCT, 1)
             self.context.write(oprot)
             oprot.writeFieldEnd()
         if self.service_name is not None:
-            oprot.writeFieldBegin("service_name", TType.STRING, 2)
-            oprot.writeString(
-                self.service_name.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.service_name
-            )
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.method is not None:
-            oprot.writeFieldBegin("method", TType.STRING, 3)
-            oprot.writeString(
-                self.method.encode("utf-8") if sys.version_info[0] == 2 else self.method
-            )
+            oprot.writeFieldBegin('method', TType.STRING, 3)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
             oprot.writeFieldEnd()
         if self.path is not None:
-            oprot.writeFieldBegin("path", TType.STRING, 4)
-            oprot.writeString(
-                self.path.encode("utf-8") if sys.version_info[0] == 2 else self.path
-            )
+            oprot.writeFieldBegin('path', TType.STRING, 4)
+            oprot.writeString(self.path.encode('utf-8') if sys.version_info[0] == 2 else self.path)
             oprot.writeFieldEnd()
         if self.headers is not None:
-            oprot.writeFieldBegin("headers", TType.LIST, 5)
+            oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
             for iter6 in self.headers:
                 iter6.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
-            oprot.writeFieldBegin("body", TType.STRING, 6)
+            oprot.writeFieldBegin('body', TType.STRING, 6)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         if self.route is not None:
-            oprot.writeFieldBegin("route", TType.I32, 7)
+            oprot.writeFieldBegin('route', TType.I32, 7)
             oprot.writeI32(self.route)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -558,8 +435,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -578,24 +456,15 @@
 
     """
 
-    def __init__(
-        self,
-        service_name=None,
-        threshold=None,
-        headroom=None,
-        retry_after_ms=None,
-    ):
+
+    def __init__(self, service_name=None, threshold=None, headroom=None, retry_after_ms=None,):
         self.service_name = service_name
         self.threshold = threshold
         self.headroom = headroom
         self.retry_after_ms = retry_after_ms
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -605,11 +474,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.service_name = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -634,29 +499,23 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("ServiceLoad")
+        oprot.writeStructBegin('ServiceLoad')
         if self.service_name is not None:
-            oprot.writeFieldBegin("service_name", TType.STRING, 1)
-            oprot.writeString(
-                self.service_name.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.service_name
-            )
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.threshold is not None:
-            oprot.writeFieldBegin("threshold", TType.I32, 2)
+            oprot.writeFieldBegin('threshold', TType.I32, 2)
             oprot.writeI32(self.threshold)
             oprot.writeFieldEnd()
         if self.headroom is not None:
-            oprot.writeFieldBegin("headroom", TType.I32, 3)
+            oprot.writeFieldBegin('headroom', TType.I32, 3)
             oprot.writeI32(self.headroom)
             oprot.writeFieldEnd()
         if self.retry_after_ms is not None:
-            oprot.writeFieldBegin("retry_after_ms", TType.I32, 4)
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 4)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -666,8 +525,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -691,18 +551,8 @@
 
     """
 
-    def __init__(
-        self,
-        call_id=None,
-        kind=None,
-        reason=None,
-        retry_after_ms=None,
-        status=None,
-        headers=None,
-        body=None,
-        attempts_left=None,
-        loads=None,
-    ):
+
+    def __init__(self, call_id=None, kind=None, reason=None, retry_after_ms=None, status=None, headers=None, body=None, attempts_left=None, loads=None,):
         self.call_id = call_id
         self.kind = kind
         self.reason = reason
@@ -714,11 +564,7 @@
         self.loads = loads
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -728,11 +574,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.call_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -742,11 +584,7 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.reason = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -798,54 +636,46 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Outcome")
+        oprot.writeStructBegin('Outcome')
         if self.call_id is not None:
-            oprot.writeFieldBegin("call_id", TType.STRING, 1)
-            oprot.writeString(
-                self.call_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.call_id
-            )
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
             oprot.writeFieldEnd()
         if self.kind is not None:
-            oprot.writeFieldBegin("kind", TType.I32, 2)
+            oprot.writeFieldBegin('kind', TType.I32, 2)
             oprot.writeI32(self.kind)
             oprot.writeFieldEnd()
         if self.reason is not None:
-            oprot.writeFieldBegin("reason", TType.STRING, 3)
-            oprot.writeString(
-                self.reason.encode("utf-8") if sys.version_info[0] == 2 else self.reason
-            )
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
         if self.retry_after_ms is not None:
-            oprot.writeFieldBegin("retry_after_ms", TType.I32, 4)
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 4)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
         if self.status is not None:
-            oprot.writeFieldBegin("status", TType.I32, 5)
+            oprot.writeFieldBegin('status', TType.I32, 5)
             oprot.writeI32(self.status)
             oprot.writeFieldEnd()
         if self.headers is not None:
-            oprot.writeFieldBegin("headers", TType.LIST, 6)
+            oprot.writeFieldBegin('headers', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
             for iter19 in self.headers:
                 iter19.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
-            oprot.writeFieldBegin("body", TType.STRING, 7)
+            oprot.writeFieldBegin('body', TType.STRING, 7)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         if self.attempts_left is not None:
-            oprot.writeFieldBegin("attempts_left", TType.I32, 8)
+            oprot.writeFieldBegin('attempts_left', TType.I32, 8)
             oprot.writeI32(self.attempts_left)
             oprot.writeFieldEnd()
         if self.loads is not None:
-            oprot.writeFieldBegin("loads", TType.LIST, 9)
+            oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
             for iter20 in self.loads:
                 iter20.write(oprot)
@@ -858,8 +688,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -875,18 +706,12 @@
 
     """
 
-    def __init__(
-        self,
-        call_id=None,
-    ):
+
+    def __init__(self, call_id=None,):
         self.call_id = call_id
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -896,11 +721,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.call_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -910,18 +731,12 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Cancel")
+        oprot.writeStructBegin('Cancel')
         if self.call_id is not None:
-            oprot.writeFieldBegin("call_id", TType.STRING, 1)
-            oprot.writeString(
-                self.call_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.call_id
-            )
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -930,8 +745,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -947,18 +763,12 @@
 
     """
 
-    def __init__(
-        self,
-        call_id=None,
-    ):
+
+    def __init__(self, call_id=None,):
         self.call_id = call_id
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -968,11 +778,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.call_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -982,18 +788,12 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("FateQuestion")
+        oprot.writeStructBegin('FateQuestion')
         if self.call_id is not None:
-            oprot.writeFieldBegin("call_id", TType.STRING, 1)
-            oprot.writeString(
-                self.call_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.call_id
-            )
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1002,8 +802,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -1021,22 +822,14 @@
 
     """
 
-    def __init__(
-        self,
-        call_id=None,
-        state=None,
-        outcome=None,
-    ):
+
+    def __init__(self, call_id=None, state=None, outcome=None,):
         self.call_id = call_id
         self.state = state
         self.outcome = outcome
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1046,11 +839,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.call_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -1071,25 +860,19 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("FateAnswer")
+        oprot.writeStructBegin('FateAnswer')
         if self.call_id is not None:
-            oprot.writeFieldBegin("call_id", TType.STRING, 1)
-            oprot.writeString(
-                self.call_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.call_id
-            )
+            oprot.writeFieldBegin('call_id', TType.STRING, 1)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
             oprot.writeFieldEnd()
         if self.state is not None:
-            oprot.writeFieldBegin("state", TType.I32, 2)
+            oprot.writeFieldBegin('state', TType.I32, 2)
             oprot.writeI32(self.state)
             oprot.writeFieldEnd()
         if self.outcome is not None:
-            oprot.writeFieldBegin("outcome", TType.STRUCT, 3)
+            oprot.writeFieldBegin('outcome', TType.STRUCT, 3)
             self.outcome.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1099,8 +882,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -1120,14 +904,8 @@
 
     """
 
-    def __init__(
-        self,
-        address=None,
-        failure_domain=None,
-        region=None,
-        incarnation=None,
-        release=None,
-    ):
+
+    def __init__(self, address=None, failure_domain=None, region=None, incarnation=None, release=None,):
         self.address = address
         self.failure_domain = failure_domain
         self.region = region
@@ -1135,11 +913,7 @@
         self.release = release
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1149,38 +923,22 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.address = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.failure_domain = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.region = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.incarnation = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -1195,43 +953,27 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Hello")
+        oprot.writeStructBegin('Hello')
         if self.address is not None:
-            oprot.writeFieldBegin("address", TType.STRING, 1)
-            oprot.writeString(
-                self.address.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.address
-            )
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
         if self.failure_domain is not None:
-            oprot.writeFieldBegin("failure_domain", TType.STRING, 2)
-            oprot.writeString(
-                self.failure_domain.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.failure_domain
-            )
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 2)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
         if self.region is not None:
-            oprot.writeFieldBegin("region", TType.STRING, 3)
-            oprot.writeString(
-                self.region.encode("utf-8") if sys.version_info[0] == 2 else self.region
-            )
+            oprot.writeFieldBegin('region', TType.STRING, 3)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
             oprot.writeFieldEnd()
         if self.incarnation is not None:
-            oprot.writeFieldBegin("incarnation", TType.STRING, 4)
-            oprot.writeString(
-                self.incarnation.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.incarnation
-            )
+            oprot.writeFieldBegin('incarnation', TType.STRING, 4)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
         if self.release is not None:
-            oprot.writeFieldBegin("release", TType.I32, 5)
+            oprot.writeFieldBegin('release', TType.I32, 5)
             oprot.writeI32(self.release)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1241,8 +983,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -1258,18 +1001,12 @@
 
     """
 
-    def __init__(
-        self,
-        sequence=None,
-    ):
+
+    def __init__(self, sequence=None,):
         self.sequence = sequence
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1289,13 +1026,11 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Ping")
+        oprot.writeStructBegin('Ping')
         if self.sequence is not None:
-            oprot.writeFieldBegin("sequence", TType.I64, 1)
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1305,8 +1040,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -1332,20 +1068,8 @@
 
     """
 
-    def __init__(
-        self,
-        address=None,
-        failure_domain=None,
-        region=None,
-        incarnation=None,
-        heartbeat=None,
-        state=None,
-        service_name=None,
-        server_state=None,
-        headroom=None,
-        started=None,
-        threshold=None,
-    ):
+
+    def __init__(self, address=None, failure_domain=None, region=None, incarnation=None, heartbeat=None, state=None, service_name=None, server_state=None, headroom=None, started=None, threshold=None,):
         self.address = address
         self.failure_domain = failure_domain
         self.region = region
@@ -1359,11 +1083,7 @@
         self.threshold = threshold
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1373,38 +1093,22 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.address = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.failure_domain = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.region = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.incarnation = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -1419,11 +1123,7 @@
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.STRING:
-                    self.service_name = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
@@ -1453,71 +1153,51 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Member")
+        oprot.writeStructBegin('Member')
         if self.address is not None:
-            oprot.writeFieldBegin("address", TType.STRING, 1)
-            oprot.writeString(
-                self.address.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.address
-            )
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
         if self.failure_domain is not None:
-            oprot.writeFieldBegin("failure_domain", TType.STRING, 2)
-            oprot.writeString(
-                self.failure_domain.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.failure_domain
-            )
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 2)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
         if self.region is not None:
-            oprot.writeFieldBegin("region", TType.STRING, 3)
-            oprot.writeString(
-                self.region.encode("utf-8") if sys.version_info[0] == 2 else self.region
-            )
+            oprot.writeFieldBegin('region', TType.STRING, 3)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
             oprot.writeFieldEnd()
         if self.incarnation is not None:
-            oprot.writeFieldBegin("incarnation", TType.STRING, 4)
-            oprot.writeString(
-                self.incarnation.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.incarnation
-            )
+            oprot.writeFieldBegin('incarnation', TType.STRING, 4)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
         if self.heartbeat is not None:
-            oprot.writeFieldBegin("heartbeat", TType.I64, 5)
+            oprot.writeFieldBegin('heartbeat', TType.I64, 5)
             oprot.writeI64(self.heartbeat)
             oprot.writeFieldEnd()
         if self.state is not None:
-            oprot.writeFieldBegin("state", TType.I32, 6)
+            oprot.writeFieldBegin('state', TType.I32, 6)
             oprot.writeI32(self.state)
             oprot.writeFieldEnd()
         if self.service_name is not None:
-            oprot.writeFieldBegin("service_name", TType.STRING, 7)
-            oprot.writeString(
-                self.service_name.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.service_name
-            )
+            oprot.writeFieldBegin('service_name', TType.STRING, 7)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.server_state is not None:
-            oprot.writeFieldBegin("server_state", TType.I32, 8)
+            oprot.writeFieldBegin('server_state', TType.I32, 8)
             oprot.writeI32(self.server_state)
             oprot.writeFieldEnd()
         if self.headroom is not None:
-            oprot.writeFieldBegin("headroom", TType.I32, 9)
+            oprot.writeFieldBegin('headroom', TType.I32, 9)
             oprot.writeI32(self.headroom)
             oprot.writeFieldEnd()
         if self.started is not None:
-            oprot.writeFieldBegin("started", TType.I64, 10)
+            oprot.writeFieldBegin('started', TType.I64, 10)
             oprot.writeI64(self.started)
             oprot.writeFieldEnd()
         if self.threshold is not None:
-            oprot.writeFieldBegin("threshold", TType.I32, 11)
+            oprot.writeFieldBegin('threshold', TType.I32, 11)
             oprot.writeI32(self.threshold)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1527,8 +1207,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -1550,16 +1231,8 @@
 
     """
 
-    def __init__(
-        self,
-        failure_domain=None,
-        service_name=None,
-        sequence=None,
-        servers=None,
-        headroom=None,
-        addresses=None,
-        threshold=None,
-    ):
+
+    def __init__(self, failure_domain=None, service_name=None, sequence=None, servers=None, headroom=None, addresses=None, threshold=None,):
         self.failure_domain = failure_domain
         self.service_name = service_name
         self.sequence = sequence
@@ -1569,11 +1242,7 @@
         self.threshold = threshold
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1583,20 +1252,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.failure_domain = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.service_name = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -1619,11 +1280,7 @@
                     self.addresses = []
                     (_etype24, _size21) = iprot.readListBegin()
                     for _i25 in range(_size21):
-                        _elem26 = (
-                            iprot.readString().decode("utf-8", errors="replace")
-                            if sys.version_info[0] == 2
-                            else iprot.readString()
-                        )
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                         self.addresses.append(_elem26)
                     iprot.readListEnd()
                 else:
@@ -1640,50 +1297,38 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("ServiceSummary")
+        oprot.writeStructBegin('ServiceSummary')
         if self.failure_domain is not None:
-            oprot.writeFieldBegin("failure_domain", TType.STRING, 1)
-            oprot.writeString(
-                self.failure_domain.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.failure_domain
-            )
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
         if self.service_name is not None:
-            oprot.writeFieldBegin("service_name", TType.STRING, 2)
-            oprot.writeString(
-                self.service_name.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.service_name
-            )
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.sequence is not None:
-            oprot.writeFieldBegin("sequence", TType.I64, 3)
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
         if self.servers is not None:
-            oprot.writeFieldBegin("servers", TType.I32, 4)
+            oprot.writeFieldBegin('servers', TType.I32, 4)
             oprot.writeI32(self.servers)
             oprot.writeFieldEnd()
         if self.headroom is not None:
-            oprot.writeFieldBegin("headroom", TType.I32, 5)
+            oprot.writeFieldBegin('headroom', TType.I32, 5)
             oprot.writeI32(self.headroom)
             oprot.writeFieldEnd()
         if self.addresses is not None:
-            oprot.writeFieldBegin("addresses", TType.LIST, 6)
+            oprot.writeFieldBegin('addresses', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.addresses))
             for iter27 in self.addresses:
-                oprot.writeString(
-                    iter27.encode("utf-8") if sys.version_info[0] == 2 else iter27
-                )
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.threshold is not None:
-            oprot.writeFieldBegin("threshold", TType.I32, 7)
+            oprot.writeFieldBegin('threshold', TType.I32, 7)
             oprot.writeI32(self.threshold)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1693,8 +1338,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -1716,16 +1362,8 @@
 
     """
 
-    def __init__(
-        self,
-        members=None,
-        summaries=None,
-        config_version=None,
-        slot_versions=None,
-        quarantine=None,
-        digest=None,
-        full=None,
-    ):
+
+    def __init__(self, members=None, summaries=None, config_version=None, slot_versions=None, quarantine=None, digest=None, full=None,):
         self.members = members
         self.summaries = summaries
         self.config_version = config_version
@@ -1735,11 +1373,7 @@
         self.full = full
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1813,31 +1447,29 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Gossip")
+        oprot.writeStructBegin('Gossip')
         if self.members is not None:
-            oprot.writeFieldBegin("members", TType.LIST, 1)
+            oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
             for iter53 in self.members:
                 iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.summaries is not None:
-            oprot.writeFieldBegin("summaries", TType.LIST, 2)
+            oprot.writeFieldBegin('summaries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.summaries))
             for iter54 in self.summaries:
                 iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
-            oprot.writeFieldBegin("config_version", TType.I64, 3)
+            oprot.writeFieldBegin('config_version', TType.I64, 3)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
         if self.slot_versions is not None:
-            oprot.writeFieldBegin("slot_versions", TType.MAP, 4)
+            oprot.writeFieldBegin('slot_versions', TType.MAP, 4)
             oprot.writeMapBegin(TType.I32, TType.I64, len(self.slot_versions))
             for kiter55, viter56 in self.slot_versions.items():
                 oprot.writeI32(kiter55)
@@ -1845,18 +1477,18 @@
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.quarantine is not None:
-            oprot.writeFieldBegin("quarantine", TType.LIST, 5)
+            oprot.writeFieldBegin('quarantine', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantine))
             for iter57 in self.quarantine:
                 iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
-            oprot.writeFieldBegin("digest", TType.I64, 6)
+            oprot.writeFieldBegin('digest', TType.I64, 6)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
         if self.full is not None:
-            oprot.writeFieldBegin("full", TType.BOOL, 7)
+            oprot.writeFieldBegin('full', TType.BOOL, 7)
             oprot.writeBool(self.full)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1866,8 +1498,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -1885,22 +1518,14 @@
 
     """
 
-    def __init__(
-        self,
-        digest=None,
-        crashes=None,
-        remaining_ms=None,
-    ):
+
+    def __init__(self, digest=None, crashes=None, remaining_ms=None,):
         self.digest = digest
         self.crashes = crashes
         self.remaining_ms = remaining_ms
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1910,11 +1535,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.digest = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -1934,23 +1555,19 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("QuarantineNote")
+        oprot.writeStructBegin('QuarantineNote')
         if self.digest is not None:
-            oprot.writeFieldBegin("digest", TType.STRING, 1)
-            oprot.writeString(
-                self.digest.encode("utf-8") if sys.version_info[0] == 2 else self.digest
-            )
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
         if self.crashes is not None:
-            oprot.writeFieldBegin("crashes", TType.I32, 2)
+            oprot.writeFieldBegin('crashes', TType.I32, 2)
             oprot.writeI32(self.crashes)
             oprot.writeFieldEnd()
         if self.remaining_ms is not None:
-            oprot.writeFieldBegin("remaining_ms", TType.I32, 3)
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 3)
             oprot.writeI32(self.remaining_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1960,8 +1577,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -1977,18 +1595,12 @@
 
     """
 
-    def __init__(
-        self,
-        version=None,
-    ):
+
+    def __init__(self, version=None,):
         self.version = version
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -2008,13 +1620,11 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("ConfigQuestion")
+        oprot.writeStructBegin('ConfigQuestion')
         if self.version is not None:
-            oprot.writeFieldBegin("version", TType.I64, 1)
+            oprot.writeFieldBegin('version', TType.I64, 1)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2024,8 +1634,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -2043,22 +1654,14 @@
 
     """
 
-    def __init__(
-        self,
-        version=None,
-        body=None,
-        offset=None,
-    ):
+
+    def __init__(self, version=None, body=None, offset=None,):
         self.version = version
         self.body = body
         self.offset = offset
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -2088,21 +1691,19 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("ConfigAnswer")
+        oprot.writeStructBegin('ConfigAnswer')
         if self.version is not None:
-            oprot.writeFieldBegin("version", TType.I64, 1)
+            oprot.writeFieldBegin('version', TType.I64, 1)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         if self.body is not None:
-            oprot.writeFieldBegin("body", TType.STRING, 2)
+            oprot.writeFieldBegin('body', TType.STRING, 2)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         if self.offset is not None:
-            oprot.writeFieldBegin("offset", TType.I64, 3)
+            oprot.writeFieldBegin('offset', TType.I64, 3)
             oprot.writeI64(self.offset)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2112,8 +1713,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -2133,14 +1735,8 @@
 
     """
 
-    def __init__(
-        self,
-        key=None,
-        digest=None,
-        age_ms=None,
-        outcome=None,
-        call_id=None,
-    ):
+
+    def __init__(self, key=None, digest=None, age_ms=None, outcome=None, call_id=None,):
         self.key = key
         self.digest = digest
         self.age_ms = age_ms
@@ -2148,11 +1744,7 @@
         self.call_id = call_id
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -2162,20 +1754,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.key = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.digest = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -2191,11 +1775,7 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.STRING:
-                    self.call_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2205,38 +1785,28 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("KeyMark")
+        oprot.writeStructBegin('KeyMark')
         if self.key is not None:
-            oprot.writeFieldBegin("key", TType.STRING, 1)
-            oprot.writeString(
-                self.key.encode("utf-8") if sys.version_info[0] == 2 else self.key
-            )
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
             oprot.writeFieldEnd()
         if self.digest is not None:
-            oprot.writeFieldBegin("digest", TType.STRING, 2)
-            oprot.writeString(
-                self.digest.encode("utf-8") if sys.version_info[0] == 2 else self.digest
-            )
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
         if self.age_ms is not None:
-            oprot.writeFieldBegin("age_ms", TType.I32, 3)
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
         if self.outcome is not None:
-            oprot.writeFieldBegin("outcome", TType.STRUCT, 4)
+            oprot.writeFieldBegin('outcome', TType.STRUCT, 4)
             self.outcome.write(oprot)
             oprot.writeFieldEnd()
         if self.call_id is not None:
-            oprot.writeFieldBegin("call_id", TType.STRING, 5)
-            oprot.writeString(
-                self.call_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.call_id
-            )
+            oprot.writeFieldBegin('call_id', TType.STRING, 5)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2245,8 +1815,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -2264,22 +1835,14 @@
 
     """
 
-    def __init__(
-        self,
-        slot=None,
-        version=None,
-        marks=None,
-    ):
+
+    def __init__(self, slot=None, version=None, marks=None,):
         self.slot = slot
         self.version = version
         self.marks = marks
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -2315,21 +1878,19 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("MarkQuestion")
+        oprot.writeStructBegin('MarkQuestion')
         if self.slot is not None:
-            oprot.writeFieldBegin("slot", TType.I32, 1)
+            oprot.writeFieldBegin('slot', TType.I32, 1)
             oprot.writeI32(self.slot)
             oprot.writeFieldEnd()
         if self.version is not None:
-            oprot.writeFieldBegin("version", TType.I64, 2)
+            oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         if self.marks is not None:
-            oprot.writeFieldBegin("marks", TType.LIST, 3)
+            oprot.writeFieldBegin('marks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.marks))
             for iter64 in self.marks:
                 iter64.write(oprot)
@@ -2342,8 +1903,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -2360,20 +1922,13 @@
 
     """
 
-    def __init__(
-        self,
-        accepted=None,
-        version=None,
-    ):
+
+    def __init__(self, accepted=None, version=None,):
         self.accepted = accepted
         self.version = version
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -2398,17 +1953,15 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("MarkAnswer")
+        oprot.writeStructBegin('MarkAnswer')
         if self.accepted is not None:
-            oprot.writeFieldBegin("accepted", TType.BOOL, 1)
+            oprot.writeFieldBegin('accepted', TType.BOOL, 1)
             oprot.writeBool(self.accepted)
             oprot.writeFieldEnd()
         if self.version is not None:
-            oprot.writeFieldBegin("version", TType.I64, 2)
+            oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2418,8 +1971,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -2438,24 +1992,15 @@
 
     """
 
-    def __init__(
-        self,
-        slot=None,
-        version=None,
-        marks=None,
-        last=None,
-    ):
+
+    def __init__(self, slot=None, version=None, marks=None, last=None,):
         self.slot = slot
         self.version = version
         self.marks = marks
         self.last = last
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -2496,28 +2041,26 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("SlotTransfer")
+        oprot.writeStructBegin('SlotTransfer')
         if self.slot is not None:
-            oprot.writeFieldBegin("slot", TType.I32, 1)
+            oprot.writeFieldBegin('slot', TType.I32, 1)
             oprot.writeI32(self.slot)
             oprot.writeFieldEnd()
         if self.version is not None:
-            oprot.writeFieldBegin("version", TType.I64, 2)
+            oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         if self.marks is not None:
-            oprot.writeFieldBegin("marks", TType.LIST, 3)
+            oprot.writeFieldBegin('marks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.marks))
             for iter71 in self.marks:
                 iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last is not None:
-            oprot.writeFieldBegin("last", TType.BOOL, 4)
+            oprot.writeFieldBegin('last', TType.BOOL, 4)
             oprot.writeBool(self.last)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2527,8 +2070,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -2548,14 +2092,8 @@
 
     """
 
-    def __init__(
-        self,
-        slot=None,
-        version=None,
-        primary=None,
-        backup=None,
-        lost=None,
-    ):
+
+    def __init__(self, slot=None, version=None, primary=None, backup=None, lost=None,):
         self.slot = slot
         self.version = version
         self.primary = primary
@@ -2563,11 +2101,7 @@
         self.lost = lost
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -2587,20 +2121,12 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.primary = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.primary = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.backup = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.backup = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -2615,35 +2141,27 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("SlotView")
+        oprot.writeStructBegin('SlotView')
         if self.slot is not None:
-            oprot.writeFieldBegin("slot", TType.I32, 1)
+            oprot.writeFieldBegin('slot', TType.I32, 1)
             oprot.writeI32(self.slot)
             oprot.writeFieldEnd()
         if self.version is not None:
-            oprot.writeFieldBegin("version", TType.I64, 2)
+            oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         if self.primary is not None:
-            oprot.writeFieldBegin("primary", TType.STRING, 3)
-            oprot.writeString(
-                self.primary.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.primary
-            )
+            oprot.writeFieldBegin('primary', TType.STRING, 3)
+            oprot.writeString(self.primary.encode('utf-8') if sys.version_info[0] == 2 else self.primary)
             oprot.writeFieldEnd()
         if self.backup is not None:
-            oprot.writeFieldBegin("backup", TType.STRING, 4)
-            oprot.writeString(
-                self.backup.encode("utf-8") if sys.version_info[0] == 2 else self.backup
-            )
+            oprot.writeFieldBegin('backup', TType.STRING, 4)
+            oprot.writeString(self.backup.encode('utf-8') if sys.version_info[0] == 2 else self.backup)
             oprot.writeFieldEnd()
         if self.lost is not None:
-            oprot.writeFieldBegin("lost", TType.BOOL, 5)
+            oprot.writeFieldBegin('lost', TType.BOOL, 5)
             oprot.writeBool(self.lost)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2653,8 +2171,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -2670,18 +2189,12 @@
 
     """
 
-    def __init__(
-        self,
-        failure_domain=None,
-    ):
+
+    def __init__(self, failure_domain=None,):
         self.failure_domain = failure_domain
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -2691,11 +2204,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.failure_domain = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2705,18 +2214,12 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("SlotQuestion")
+        oprot.writeStructBegin('SlotQuestion')
         if self.failure_domain is not None:
-            oprot.writeFieldBegin("failure_domain", TType.STRING, 1)
-            oprot.writeString(
-                self.failure_domain.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.failure_domain
-            )
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2725,8 +2228,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -2743,20 +2247,13 @@
 
     """
 
-    def __init__(
-        self,
-        failure_domain=None,
-        views=None,
-    ):
+
+    def __init__(self, failure_domain=None, views=None,):
         self.failure_domain = failure_domain
         self.views = views
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -2766,11 +2263,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.failure_domain = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -2791,21 +2284,15 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("SlotAnswer")
+        oprot.writeStructBegin('SlotAnswer')
         if self.failure_domain is not None:
-            oprot.writeFieldBegin("failure_domain", TType.STRING, 1)
-            oprot.writeString(
-                self.failure_domain.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.failure_domain
-            )
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
         if self.views is not None:
-            oprot.writeFieldBegin("views", TType.LIST, 2)
+            oprot.writeFieldBegin('views', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.views))
             for iter78 in self.views:
                 iter78.write(oprot)
@@ -2818,8 +2305,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
@@ -2851,26 +2339,8 @@
 
     """
 
-    def __init__(
-        self,
-        sequence=None,
-        reply=None,
-        hello=None,
-        call=None,
-        outcome=None,
-        cancel=None,
-        fate_question=None,
-        fate_answer=None,
-        ping=None,
-        gossip=None,
-        config_question=None,
-        config_answer=None,
-        mark_question=None,
-        mark_answer=None,
-        slot_transfer=None,
-        slot_question=None,
-        slot_answer=None,
-    ):
+
+    def __init__(self, sequence=None, reply=None, hello=None, call=None, outcome=None, cancel=None, fate_question=None, fate_answer=None, ping=None, gossip=None, config_question=None, config_answer=None, mark_question=None, mark_answer=None, slot_transfer=None, slot_question=None, slot_answer=None,):
         self.sequence = sequence
         self.reply = reply
         self.hello = hello
@@ -2890,11 +2360,7 @@
         self.slot_answer = slot_answer
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -3009,77 +2475,75 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Message")
+        oprot.writeStructBegin('Message')
         if self.sequence is not None:
-            oprot.writeFieldBegin("sequence", TType.I64, 1)
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
         if self.reply is not None:
-            oprot.writeFieldBegin("reply", TType.BOOL, 2)
+            oprot.writeFieldBegin('reply', TType.BOOL, 2)
             oprot.writeBool(self.reply)
             oprot.writeFieldEnd()
         if self.hello is not None:
-            oprot.writeFieldBegin("hello", TType.STRUCT, 3)
+            oprot.writeFieldBegin('hello', TType.STRUCT, 3)
             self.hello.write(oprot)
             oprot.writeFieldEnd()
         if self.call is not None:
-            oprot.writeFieldBegin("call", TType.STRUCT, 4)
+            oprot.writeFieldBegin('call', TType.STRUCT, 4)
             self.call.write(oprot)
             oprot.writeFieldEnd()
         if self.outcome is not None:
-            oprot.writeFieldBegin("outcome", TType.STRUCT, 5)
+            oprot.writeFieldBegin('outcome', TType.STRUCT, 5)
             self.outcome.write(oprot)
             oprot.writeFieldEnd()
         if self.cancel is not None:
-            oprot.writeFieldBegin("cancel", TType.STRUCT, 6)
+            oprot.writeFieldBegin('cancel', TType.STRUCT, 6)
             self.cancel.write(oprot)
             oprot.writeFieldEnd()
         if self.fate_question is not None:
-            oprot.writeFieldBegin("fate_question", TType.STRUCT, 7)
+            oprot.writeFieldBegin('fate_question', TType.STRUCT, 7)
             self.fate_question.write(oprot)
             oprot.writeFieldEnd()
         if self.fate_answer is not None:
-            oprot.writeFieldBegin("fate_answer", TType.STRUCT, 8)
+            oprot.writeFieldBegin('fate_answer', TType.STRUCT, 8)
             self.fate_answer.write(oprot)
             oprot.writeFieldEnd()
         if self.ping is not None:
-            oprot.writeFieldBegin("ping", TType.STRUCT, 9)
+            oprot.writeFieldBegin('ping', TType.STRUCT, 9)
             self.ping.write(oprot)
             oprot.writeFieldEnd()
         if self.gossip is not None:
-            oprot.writeFieldBegin("gossip", TType.STRUCT, 10)
+            oprot.writeFieldBegin('gossip', TType.STRUCT, 10)
             self.gossip.write(oprot)
             oprot.writeFieldEnd()
         if self.config_question is not None:
-            oprot.writeFieldBegin("config_question", TType.STRUCT, 11)
+            oprot.writeFieldBegin('config_question', TType.STRUCT, 11)
             self.config_question.write(oprot)
             oprot.writeFieldEnd()
         if self.config_answer is not None:
-            oprot.writeFieldBegin("config_answer", TType.STRUCT, 12)
+            oprot.writeFieldBegin('config_answer', TType.STRUCT, 12)
             self.config_answer.write(oprot)
             oprot.writeFieldEnd()
         if self.mark_question is not None:
-            oprot.writeFieldBegin("mark_question", TType.STRUCT, 13)
+            oprot.writeFieldBegin('mark_question', TType.STRUCT, 13)
             self.mark_question.write(oprot)
             oprot.writeFieldEnd()
         if self.mark_answer is not None:
-            oprot.writeFieldBegin("mark_answer", TType.STRUCT, 14)
+            oprot.writeFieldBegin('mark_answer', TType.STRUCT, 14)
             self.mark_answer.write(oprot)
             oprot.writeFieldEnd()
         if self.slot_transfer is not None:
-            oprot.writeFieldBegin("slot_transfer", TType.STRUCT, 15)
+            oprot.writeFieldBegin('slot_transfer', TType.STRUCT, 15)
             self.slot_transfer.write(oprot)
             oprot.writeFieldEnd()
         if self.slot_question is not None:
-            oprot.writeFieldBegin("slot_question", TType.STRUCT, 16)
+            oprot.writeFieldBegin('slot_question', TType.STRUCT, 16)
             self.slot_question.write(oprot)
             oprot.writeFieldEnd()
         if self.slot_answer is not None:
-            oprot.writeFieldBegin("slot_answer", TType.STRUCT, 17)
+            oprot.writeFieldBegin('slot_answer', TType.STRUCT, 17)
             self.slot_answer.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3089,923 +2553,226 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, value) for key, value in self.__dict__.items()]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
 
     def __ne__(self, other):
         return not (self == other)
-
-
 all_structs.append(Header)
 Header.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "name",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "value",
-        "UTF8",
-        None,
-    ),  # 2
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'UTF8', None, ),  # 2
 )
 all_structs.append(Context)
 Context.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "root_id",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "call_id",
-        "UTF8",
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRING,
-        "parent_id",
-        "UTF8",
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRING,
-        "class_name",
-        "UTF8",
-        None,
-    ),  # 4
-    (
-        5,
-        TType.I32,
-        "remaining_ms",
-        None,
-        None,
-    ),  # 5
-    (
-        6,
-        TType.I32,
-        "attempts_left",
-        None,
-        None,
-    ),  # 6
-    (
-        7,
-        TType.I32,
-        "tier",
-        None,
-        None,
-    ),  # 7
-    (
-        8,
-        TType.I32,
-        "priority",
-        None,
-        None,
-    ),  # 8
-    (
-        9,
-        TType.I32,
-        "depth",
-        None,
-        None,
-    ),  # 9
-    (
-        10,
-        TType.BOOL,
-        "idempotent",
-        None,
-        None,
-    ),  # 10
-    (
-        11,
-        TType.STRING,
-        "key",
-        "UTF8",
-        None,
-    ),  # 11
-    (
-        12,
-        TType.STRING,
-        "digest",
-        "UTF8",
-        None,
-    ),  # 12
+    (1, TType.STRING, 'root_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'call_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'parent_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'class_name', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'remaining_ms', None, None, ),  # 5
+    (6, TType.I32, 'attempts_left', None, None, ),  # 6
+    (7, TType.I32, 'tier', None, None, ),  # 7
+    (8, TType.I32, 'priority', None, None, ),  # 8
+    (9, TType.I32, 'depth', None, None, ),  # 9
+    (10, TType.BOOL, 'idempotent', None, None, ),  # 10
+    (11, TType.STRING, 'key', 'UTF8', None, ),  # 11
+    (12, TType.STRING, 'digest', 'UTF8', None, ),  # 12
 )
 all_structs.append(Call)
 Call.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRUCT,
-        "context",
-        [Context, None],
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "service_name",
-        "UTF8",
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRING,
-        "method",
-        "UTF8",
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRING,
-        "path",
-        "UTF8",
-        None,
-    ),  # 4
-    (
-        5,
-        TType.LIST,
-        "headers",
-        (TType.STRUCT, [Header, None], False),
-        None,
-    ),  # 5
-    (
-        6,
-        TType.STRING,
-        "body",
-        "BINARY",
-        None,
-    ),  # 6
-    (
-        7,
-        TType.I32,
-        "route",
-        None,
-        None,
-    ),  # 7
+    (1, TType.STRUCT, 'context', [Context, None], None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'method', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'path', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 5
+    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.I32, 'route', None, None, ),  # 7
 )
 all_structs.append(ServiceLoad)
 ServiceLoad.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "service_name",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I32,
-        "threshold",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.I32,
-        "headroom",
-        None,
-        None,
-    ),  # 3
-    (
-        4,
-        TType.I32,
-        "retry_after_ms",
-        None,
-        None,
-    ),  # 4
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'threshold', None, None, ),  # 2
+    (3, TType.I32, 'headroom', None, None, ),  # 3
+    (4, TType.I32, 'retry_after_ms', None, None, ),  # 4
 )
 all_structs.append(Outcome)
 Outcome.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "call_id",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I32,
-        "kind",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRING,
-        "reason",
-        "UTF8",
-        None,
-    ),  # 3
-    (
-        4,
-        TType.I32,
-        "retry_after_ms",
-        None,
-        None,
-    ),  # 4
-    (
-        5,
-        TType.I32,
-        "status",
-        None,
-        None,
-    ),  # 5
-    (
-        6,
-        TType.LIST,
-        "headers",
-        (TType.STRUCT, [Header, None], False),
-        None,
-    ),  # 6
-    (
-        7,
-        TType.STRING,
-        "body",
-        "BINARY",
-        None,
-    ),  # 7
-    (
-        8,
-        TType.I32,
-        "attempts_left",
-        None,
-        None,
-    ),  # 8
-    (
-        9,
-        TType.LIST,
-        "loads",
-        (TType.STRUCT, [ServiceLoad, None], False),
-        None,
-    ),  # 9
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'kind', None, None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'retry_after_ms', None, None, ),  # 4
+    (5, TType.I32, 'status', None, None, ),  # 5
+    (6, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 6
+    (7, TType.STRING, 'body', 'BINARY', None, ),  # 7
+    (8, TType.I32, 'attempts_left', None, None, ),  # 8
+    (9, TType.LIST, 'loads', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 9
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "call_id",
-        "UTF8",
-        None,
-    ),  # 1
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
 )
 all_structs.append(FateQuestion)
 FateQuestion.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "call_id",
-        "UTF8",
-        None,
-    ),  # 1
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
 )
 all_structs.append(FateAnswer)
 FateAnswer.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "call_id",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I32,
-        "state",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRUCT,
-        "outcome",
-        [Outcome, None],
-        None,
-    ),  # 3
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'state', None, None, ),  # 2
+    (3, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 3
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "address",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "failure_domain",
-        "UTF8",
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRING,
-        "region",
-        "UTF8",
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRING,
-        "incarnation",
-        "UTF8",
-        None,
-    ),  # 4
-    (
-        5,
-        TType.I32,
-        "release",
-        None,
-        None,
-    ),  # 5
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'region', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'incarnation', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'release', None, None, ),  # 5
 )
 all_structs.append(Ping)
 Ping.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "sequence",
-        None,
-        None,
-    ),  # 1
+    (1, TType.I64, 'sequence', None, None, ),  # 1
 )
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "address",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "failure_domain",
-        "UTF8",
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRING,
-        "region",
-        "UTF8",
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRING,
-        "incarnation",
-        "UTF8",
-        None,
-    ),  # 4
-    (
-        5,
-        TType.I64,
-        "heartbeat",
-        None,
-        None,
-    ),  # 5
-    (
-        6,
-        TType.I32,
-        "state",
-        None,
-        None,
-    ),  # 6
-    (
-        7,
-        TType.STRING,
-        "service_name",
-        "UTF8",
-        None,
-    ),  # 7
-    (
-        8,
-        TType.I32,
-        "server_state",
-        None,
-        None,
-    ),  # 8
-    (
-        9,
-        TType.I32,
-        "headroom",
-        None,
-        None,
-    ),  # 9
-    (
-        10,
-        TType.I64,
-        "started",
-        None,
-        None,
-    ),  # 10
-    (
-        11,
-        TType.I32,
-        "threshold",
-        None,
-        None,
-    ),  # 11
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'region', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'incarnation', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'heartbeat', None, None, ),  # 5
+    (6, TType.I32, 'state', None, None, ),  # 6
+    (7, TType.STRING, 'service_name', 'UTF8', None, ),  # 7
+    (8, TType.I32, 'server_state', None, None, ),  # 8
+    (9, TType.I32, 'headroom', None, None, ),  # 9
+    (10, TType.I64, 'started', None, None, ),  # 10
+    (11, TType.I32, 'threshold', None, None, ),  # 11
 )
 all_structs.append(ServiceSummary)
 ServiceSummary.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "failure_domain",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "service_name",
-        "UTF8",
-        None,
-    ),  # 2
-    (
-        3,
-        TType.I64,
-        "sequence",
-        None,
-        None,
-    ),  # 3
-    (
-        4,
-        TType.I32,
-        "servers",
-        None,
-        None,
-    ),  # 4
-    (
-        5,
-        TType.I32,
-        "headroom",
-        None,
-        None,
-    ),  # 5
-    (
-        6,
-        TType.LIST,
-        "addresses",
-        (TType.STRING, "UTF8", False),
-        None,
-    ),  # 6
-    (
-        7,
-        TType.I32,
-        "threshold",
-        None,
-        None,
-    ),  # 7
+    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I32, 'servers', None, None, ),  # 4
+    (5, TType.I32, 'headroom', None, None, ),  # 5
+    (6, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.I32, 'threshold', None, None, ),  # 7
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.LIST,
-        "members",
-        (TType.STRUCT, [Member, None], False),
-        None,
-    ),  # 1
-    (
-        2,
-        TType.LIST,
-        "summaries",
-        (TType.STRUCT, [ServiceSummary, None], False),
-        None,
-    ),  # 2
-    (
-        3,
-        TType.I64,
-        "config_version",
-        None,
-        None,
-    ),  # 3
-    (
-        4,
-        TType.MAP,
-        "slot_versions",
-        (TType.I32, None, TType.I64, None, False),
-        None,
-    ),  # 4
-    (
-        5,
-        TType.LIST,
-        "quarantine",
-        (TType.STRUCT, [QuarantineNote, None], False),
-        None,
-    ),  # 5
-    (
-        6,
-        TType.I64,
-        "digest",
-        None,
-        None,
-    ),  # 6
-    (
-        7,
-        TType.BOOL,
-        "full",
-        None,
-        None,
-    ),  # 7
+    (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
+    (2, TType.LIST, 'summaries', (TType.STRUCT, [ServiceSummary, None], False), None, ),  # 2
+    (3, TType.I64, 'config_version', None, None, ),  # 3
+    (4, TType.MAP, 'slot_versions', (TType.I32, None, TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'quarantine', (TType.STRUCT, [QuarantineNote, None], False), None, ),  # 5
+    (6, TType.I64, 'digest', None, None, ),  # 6
+    (7, TType.BOOL, 'full', None, None, ),  # 7
 )
 all_structs.append(QuarantineNote)
 QuarantineNote.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "digest",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I32,
-        "crashes",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.I32,
-        "remaining_ms",
-        None,
-        None,
-    ),  # 3
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'crashes', None, None, ),  # 2
+    (3, TType.I32, 'remaining_ms', None, None, ),  # 3
 )
 all_structs.append(ConfigQuestion)
 ConfigQuestion.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "version",
-        None,
-        None,
-    ),  # 1
+    (1, TType.I64, 'version', None, None, ),  # 1
 )
 all_structs.append(ConfigAnswer)
 ConfigAnswer.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "version",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "body",
-        "BINARY",
-        None,
-    ),  # 2
-    (
-        3,
-        TType.I64,
-        "offset",
-        None,
-        None,
-    ),  # 3
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
 )
 all_structs.append(KeyMark)
 KeyMark.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "key",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "digest",
-        "UTF8",
-        None,
-    ),  # 2
-    (
-        3,
-        TType.I32,
-        "age_ms",
-        None,
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRUCT,
-        "outcome",
-        [Outcome, None],
-        None,
-    ),  # 4
-    (
-        5,
-        TType.STRING,
-        "call_id",
-        "UTF8",
-        None,
-    ),  # 5
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 4
+    (5, TType.STRING, 'call_id', 'UTF8', None, ),  # 5
 )
 all_structs.append(MarkQuestion)
 MarkQuestion.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I32,
-        "slot",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I64,
-        "version",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.LIST,
-        "marks",
-        (TType.STRUCT, [KeyMark, None], False),
-        None,
-    ),  # 3
+    (1, TType.I32, 'slot', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.LIST, 'marks', (TType.STRUCT, [KeyMark, None], False), None, ),  # 3
 )
 all_structs.append(MarkAnswer)
 MarkAnswer.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.BOOL,
-        "accepted",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I64,
-        "version",
-        None,
-        None,
-    ),  # 2
+    (1, TType.BOOL, 'accepted', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
 )
 all_structs.append(SlotTransfer)
 SlotTransfer.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I32,
-        "slot",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I64,
-        "version",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.LIST,
-        "marks",
-        (TType.STRUCT, [KeyMark, None], False),
-        None,
-    ),  # 3
-    (
-        4,
-        TType.BOOL,
-        "last",
-        None,
-        None,
-    ),  # 4
+    (1, TType.I32, 'slot', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.LIST, 'marks', (TType.STRUCT, [KeyMark, None], False), None, ),  # 3
+    (4, TType.BOOL, 'last', None, None, ),  # 4
 )
 all_structs.append(SlotView)
 SlotView.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I32,
-        "slot",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I64,
-        "version",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRING,
-        "primary",
-        "UTF8",
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRING,
-        "backup",
-        "UTF8",
-        None,
-    ),  # 4
-    (
-        5,
-        TType.BOOL,
-        "lost",
-        None,
-        None,
-    ),  # 5
+    (1, TType.I32, 'slot', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'primary', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'backup', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'lost', None, None, ),  # 5
 )
 all_structs.append(SlotQuestion)
 SlotQuestion.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "failure_domain",
-        "UTF8",
-        None,
-    ),  # 1
+    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
 )
 all_structs.append(SlotAnswer)
 SlotAnswer.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "failure_domain",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.LIST,
-        "views",
-        (TType.STRUCT, [SlotView, None], False),
-        None,
-    ),  # 2
+    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'views', (TType.STRUCT, [SlotView, None], False), None, ),  # 2
 )
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "sequence",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.BOOL,
-        "reply",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRUCT,
-        "hello",
-        [Hello, None],
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRUCT,
-        "call",
-        [Call, None],
-        None,
-    ),  # 4
-    (
-        5,
-        TType.STRUCT,
-        "outcome",
-        [Outcome, None],
-        None,
-    ),  # 5
-    (
-        6,
-        TType.STRUCT,
-        "cancel",
-        [Cancel, None],
-        None,
-    ),  # 6
-    (
-        7,
-        TType.STRUCT,
-        "fate_question",
-        [FateQuestion, None],
-        None,
-    ),  # 7
-    (
-        8,
-        TType.STRUCT,
-        "fate_answer",
-        [FateAnswer, None],
-        None,
-    ),  # 8
-    (
-        9,
-        TType.STRUCT,
-        "ping",
-        [Ping, None],
-        None,
-    ),  # 9
-    (
-        10,
-        TType.STRUCT,
-        "gossip",
-        [Gossip, None],
-        None,
-    ),  # 10
-    (
-        11,
-        TType.STRUCT,
-        "config_question",
-        [ConfigQuestion, None],
-        None,
-    ),  # 11
-    (
-        12,
-        TType.STRUCT,
-        "config_answer",
-        [ConfigAnswer, None],
-        None,
-    ),  # 12
-    (
-        13,
-        TType.STRUCT,
-        "mark_question",
-        [MarkQuestion, None],
-        None,
-    ),  # 13
-    (
-        14,
-        TType.STRUCT,
-        "mark_answer",
-        [MarkAnswer, None],
-        None,
-    ),  # 14
-    (
-        15,
-        TType.STRUCT,
-        "slot_transfer",
-        [SlotTransfer, None],
-        None,
-    ),  # 15
-    (
-        16,
-        TType.STRUCT,
-        "slot_question",
-        [SlotQuestion, None],
-        None,
-    ),  # 16
-    (
-        17,
-        TType.STRUCT,
-        "slot_answer",
-        [SlotAnswer, None],
-        None,
-    ),  # 17
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.BOOL, 'reply', None, None, ),  # 2
+    (3, TType.STRUCT, 'hello', [Hello, None], None, ),  # 3
+    (4, TType.STRUCT, 'call', [Call, None], None, ),  # 4
+    (5, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 5
+    (6, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 6
+    (7, TType.STRUCT, 'fate_question', [FateQuestion, None], None, ),  # 7
+    (8, TType.STRUCT, 'fate_answer', [FateAnswer, None], None, ),  # 8
+    (9, TType.STRUCT, 'ping', [Ping, None], None, ),  # 9
+    (10, TType.STRUCT, 'gossip', [Gossip, None], None, ),  # 10
+    (11, TType.STRUCT, 'config_question', [ConfigQuestion, None], None, ),  # 11
+    (12, TType.STRUCT, 'config_answer', [ConfigAnswer, None], None, ),  # 12
+    (13, TType.STRUCT, 'mark_question', [MarkQuestion, None], None, ),  # 13
+    (14, TType.STRUCT, 'mark_answer', [MarkAnswer, None], None, ),  # 14
+    (15, TType.STRUCT, 'slot_transfer', [SlotTransfer, None], None, ),  # 15
+    (16, TType.STRUCT, 'slot_question', [SlotQuestion, None], None, ),  # 16
+    (17, TType.STRUCT, 'slot_answer', [SlotAnswer, None], None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for those who work on the project."""
