--- /dev/null
+++ b/eelgrassmount/cmd/client.py
@@ -0,0 +1,92 @@
+"""Calls of a node's admin listener."""
+
+from __future__ import annotations
+
+import json
+import os
+from typing import Any
+
+import httpcore
+from attrs import frozen
+
+from eelgrassmount.errors import (
+    AddressError,
+    AdminRefusedError,
+    NodeUnreachableError,
+    SettingError,
+)
+from eelgrassmount.util.addresses import Address, parse_address
+
+ADMIN_VARIABLE = "EELGRASSMOUNT_ADMIN"
+TIMEOUT_S = 10.0
+
+_ALLOWED = f"the IPv4 address and port of a node's admin listener, or {ADMIN_VARIABLE}"
+# raised before anything of the request was sent
+_UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout)
+_FAILURES = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    OSError,
+)
+
+
+@frozen
+class AdminReply:
+    """The status of an answer and its JSON content."""
+
+    status: int
+    content: Any
+
+
+def read_admin_address(text: str) -> Address:
+    """Return the address given by flag or else by environment variable."""
+    text = text or os.environ.get(ADMIN_VARIABLE, "")
+    try:
+        return parse_address(text)
+    except AddressError:
+        raise SettingError("admin", text, _ALLOWED) from None
+
+
+def call_admin(
+    address: Address,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    timeout_s: float = TIMEOUT_S,
+) -> AdminReply:
+    """Send one request and return the answer, whatever its status.
+
+    Raises `NodeUnreachableError` when no JSON answer comes in ``timeout_s``.
+    """
+    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+    try:
+        response = httpcore.request(
+            method,
+            f"http://{address}{path}",
+            content=body,
+            extensions={"timeout": timeouts},
+        )
+        return AdminReply(response.status, json.loads(response.content))
+    except _FAILURES as error:
+        cause = str(error) or type(error).__name__
+        sent = not isinstance(error, _UNSENT)
+        raise NodeUnreachableError(str(address), cause, sent) from error
+    except ValueError:
+        cause = "the answer is not JSON"
+        raise NodeUnreachableError(str(address), cause, True) from None
+
+
+def read_admin(address: Address, path: str) -> Any:
+    """Return the content of a page; raise `AdminRefusedError` if there is none."""
+    return require_success(address, call_admin(address, "GET", path))
+
+
+def require_success(address: Address, reply: AdminReply) -> Any:
+    """Return the content of a successful answer or raise `AdminRefusedError`."""
+    if 200 <= reply.status < 300:
+        return reply.content
+    detail = reply.content
+    if isinstance(detail, dict):
+        detail = detail.get("message", detail)
+    raise AdminRefusedError(str(address), reply.status, str(detail))
