--- a/standins/backend.py
+++ b/standins/backend.py
@@ -13,8 +13,9 @@
 import fire
 from attrs import asdict, frozen
 
+from standins.announcer import Announcer
 from standins.answers import Answerer, Faults, refuse
-from standins.client import Client, Unanswered
+from standins.client import Client
 from standins.downstream import CallFailed, Downstream
 from standins.plans import Plan, find_plan, read_plans
 from standins.runs import Run, RunBook
@@ -23,8 +24,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-_ANNOUNCE_EVERY_S = 1.0
-_ANNOUNCE_TIMEOUT_S = 2.0
 _TIMEOUT_DEFAULT_MS = 60_000
 _DRAIN_LEAST_S = 3.0
 _DRAIN_MOST_S = 60.0
@@ -79,22 +78,13 @@
         self._counts: Counter[str] = Counter()
         self._began = time.monotonic()
         self._drained: float | None = None
-        self._changed = anyio.Event()
-        self._node: dict[str, Any] | None = None
+        self.announcer = Announcer(self._client, settings.node_address, self._describe)
 
     @property
     def running(self) -> int:
         """Requests that hold a slot."""
         return self._settings.slots - self._slots.value
 
-    async def announce(self) -> None:
-        """Announce this server to its node every second and on each change."""
-        while True:
-            await self._tell_node("PUT")
-            with anyio.move_on_after(_ANNOUNCE_EVERY_S):
-                await self._changed.wait()
-            self._changed = anyio.Event()
-
     async def drain(self) -> None:
         """Announce draining, finish what runs, then say goodbye to the node."""
         self._start_draining()
@@ -102,36 +92,22 @@
         with anyio.move_on_after(_DRAIN_MOST_S):
             while self.running or time.monotonic() < least:
                 await anyio.sleep(_DRAIN_STEP_S)
-        await self._tell_node("DELETE")
+        await self.announcer.tell("DELETE")
 
     def _start_draining(self) -> None:
         self._faults.drain = True
         if self._drained is None:
             self._drained = time.monotonic()
-        self._changed.set()
+        self.announcer.change()
 
-    async def _tell_node(self, method: str) -> None:
+    def _describe(self) -> dict[str, Any]:
         load = self._faults.load
-        if load is None:
-            load = self.running / self._settings.slots
-        announcement = {
+        return {
             "service": self._settings.service,
             "address": self._settings.advertise_address,
             "state": "draining" if self._faults.drain else "serving",
-            "load": load,
+            "load": self.running / self._settings.slots if load is None else load,
         }
-        try:
-            answer = await self._client.request(
-                self._settings.node_address,
-                method,
-                "/_eelgrassmount/server",
-                {"content-type": "application/json"},
-                json.dumps(announcement).encode(),
-                _ANNOUNCE_TIMEOUT_S,
-            )
-            self._node = json.loads(answer.body) if answer.status == 200 else None
-        except (Unanswered, ValueError):
-            self._node = None
 
     async def _handle(self, request: Request) -> Response | None:
         body = await request.read()
@@ -221,7 +197,7 @@
             self._start_draining()
         else:
             self._drained = None
-        self._changed.set()
+        self.announcer.change()
         return Response.from_json({"faults": asdict(self._faults)})
 
     def _stats(self) -> dict[str, Any]:
@@ -231,7 +207,7 @@
             "running": self.running,
             "waiting": self._slots.statistics().tasks_waiting,
             "counts": dict(self._counts),
-            "node": self._node,
+            "node": self.announcer.told,
             **self._book.count(),
         }
 
@@ -291,7 +267,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(backend.listener.serve)
             group.start_soon(backend.admin.serve)
-            group.start_soon(backend.announce)
+            group.start_soon(backend.announcer.run)
             await wait_for_signal()
             await backend.drain()
             group.cancel_scope.cancel()
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 import sys
 import time
 import uuid
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import fire
@@ -194,13 +196,23 @@
     )
 
 
-def run_load(load: Load, name: str = "") -> list[Record]:
-    """Send a load from this process and return a record of each request."""
+def run_load(
+    load: Load, name: str = "", take: Callable[[Record], None] | None = None
+) -> list[Record]:
+    """Send a load from this process and return a record of each request.
+
+    ``take`` is given each record as soon as its request has ended.
+    """
     records: list[Record] = []
 
+    def keep(record: Record) -> None:
+        records.append(record)
+        if take is not None:
+            take(record)
+
     async def run() -> None:
         client = Client()
-        await Caller(load, client, records.append, name).run()
+        await Caller(load, client, keep, name).run()
         client.close()
 
     with asyncio.Runner(loop_factory=make_loop) as runner:
@@ -238,13 +250,12 @@
     ]
     listed = nodes.split(",") if isinstance(nodes, str) else nodes
     shape = tuple(Phase(*phase) for phase in _read(phases))
-    records = run_load(Load(tuple(listed), tuple(kinds), shape, **options))
-    lines = "".join(record.dump() + "\n" for record in records)
-    if output == "-":
-        sys.stdout.write(lines)
-    else:
-        with open(output, "w") as file:
-            file.write(lines)
+    load = Load(tuple(listed), tuple(kinds), shape, **options)
+    with contextlib.ExitStack() as stack:
+        file = sys.stdout
+        if output != "-":
+            file = stack.enter_context(Path(output).open("w", buffering=1))
+        records = run_load(load, take=lambda record: file.write(record.dump() + "\n"))
     print(json.dumps({"summary": summarise(records)}))
 
 
--- a/standins/deploy.py
+++ b/standins/deploy.py
@@ -11,12 +11,25 @@
 from typing import TYPE_CHECKING, Self
 
 from standins.faults import call_admin, get_runs, get_stats, set_fault
-from standins.layout import NODE_COMMAND, PYTHON, VM, DeploymentSpec, ServiceSpec
+from standins.layout import (
+    NODE_COMMAND,
+    VM,
+    DeploymentSpec,
+    ServiceSpec,
+    make_links,
+)
 from standins.plans import dump_plans
-from standins.processes import ROOT, Process, find_free_address
+from standins.processes import (
+    PYTHON,
+    ROOT,
+    Process,
+    find_free_address,
+    make_command,
+    make_flags,
+    poll_until,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from types import TracebackType
 
 __all__ = [
@@ -30,7 +43,6 @@
 
 _FIRST_OCTET = 20
 _OCTETS = 200
-_POLL_S = 0.05
 _PUBLISH_TIMEOUT_S = 30.0
 
 
@@ -61,9 +73,15 @@
         self.journal_address = find_free_address(platform_ip)
         self.journal_admin_address = find_free_address(platform_ip)
         self.relay_admin_address = find_free_address(platform_ip)
-        self.log = self._add("log", self._command_log())
-        self.journal = self._add("journal", self._command_journal())
-        self.relay = self._add("relay", self._command_relay())
+        self.log = self._add_standin(
+            "log", address=self.log_address, admin_address=self.log_admin_address
+        )
+        self.journal = self._add_standin(
+            "journal",
+            address=self.journal_address,
+            admin_address=self.journal_admin_address,
+        )
+        self.relay = self._add_standin("relay", admin_address=self.relay_admin_address)
         self.log_addresses = {
             domain: self._front(f"127.{octet}.0.1", self.log_address)
             for domain, octet in self._octets.items()
@@ -155,29 +173,34 @@
         for vm in self.vms:
             self._wait(vm, deadline)
 
+    def wait_until_in_force(self, version: int, timeout_s: float) -> None:
+        """Wait until every running node has a configuration of this version."""
+        deadline = time.monotonic() + timeout_s
+        for vm in self.vms:
+            for _ in poll_until(deadline, f"version {version} at {vm.name}"):
+                if not vm.node.running:
+                    break
+                state = call_admin(vm.admin_address, "GET", "/state")
+                if state.get("config_version", version) >= version:
+                    break
+
+    def start(self, name: str, *command: str) -> Process:
+        """Start one more process, which ends with the deployment."""
+        process = self._add(name, command)
+        process.start()
+        return process
+
     def _add(self, name: str, command: tuple[str, ...]) -> Process:
         process = Process(name, command, self.folder)
         self.processes.append(process)
         return process
 
+    def _add_standin(self, module: str, **flags: object) -> Process:
+        return self._add(module, make_command(module, **flags))
+
     def _front(self, ip: str, target: str) -> str:
         return find_free_address(ip) if self.spec.relays else target
 
-    def _command_log(self) -> tuple[str, ...]:
-        return _make_command(
-            "log", address=self.log_address, admin_address=self.log_admin_address
-        )
-
-    def _command_journal(self) -> tuple[str, ...]:
-        return _make_command(
-            "journal",
-            address=self.journal_address,
-            admin_address=self.journal_admin_address,
-        )
-
-    def _command_relay(self) -> tuple[str, ...]:
-        return _make_command("relay", admin_address=self.relay_admin_address)
-
     def _place_vms(self) -> None:
         slots = [
             (domain, service, number)
@@ -240,7 +263,7 @@
             "routes": dump_plans(service.plans),
             **service.flags,
         }
-        node_command = (*self.spec.node_command, "node", *_make_flags(node_flags))
+        node_command = (*self.spec.node_command, "node", *make_flags(node_flags))
         return VM(
             name,
             service.name,
@@ -254,7 +277,7 @@
             announced,
             server_admin,
             self._add(f"node-{name}", node_command),
-            self._add(f"server-{name}", _make_command("backend", **server_flags)),
+            self._add(f"server-{name}", make_command("backend", **server_flags)),
         )
 
     def _start(self) -> None:
@@ -266,23 +289,10 @@
         self.wait_until_ready()
 
     def _add_links(self) -> None:
-        links = [
-            {"listen": address, "target": self.log_address}
-            | {"source": domain, "destination": "log"}
-            for domain, address in self.log_addresses.items()
-        ]
-        for vm in self.vms:
-            links.append(
-                {"listen": vm.advertise_address, "target": vm.peer_address}
-                | {"destination": vm.failure_domain}
-            )
-            links.append(
-                {"listen": vm.server_announced, "target": vm.server_address}
-                | {"source": "node", "destination": vm.name}
-            )
+        links = make_links(self.vms, self.log_address, self.log_addresses)
         prefixes = {f"127.{octet}.": name for name, octet in self._octets.items()}
         deadline = time.monotonic() + self.spec.ready_timeout_s
-        for _ in _poll_until(deadline, "the relay"):
+        for _ in poll_until(deadline, "the relay"):
             with contextlib.suppress(OSError):
                 body = {"links": links, "domains": prefixes}
                 call_admin(self.relay_admin_address, "POST", "/links", body)
@@ -293,7 +303,7 @@
                     self.set_link_fault(one, other, delay_ms=self.spec.peer_delay_ms)
 
     def _wait(self, vm: VM, deadline: float) -> None:
-        for _ in _poll_until(deadline, vm.name):
+        for _ in poll_until(deadline, vm.name):
             for process in (vm.node, vm.server):
                 if not process.running:
                     raise RuntimeError(f"{process.name} ended: {process.read_log()}")
@@ -301,18 +311,3 @@
                 call_admin(vm.admin_address, "GET", "/state")
                 if get_stats(vm.server_admin_address)["node"] is not None:
                     return
-
-
-def _make_flags(flags: dict[str, object]) -> tuple[str, ...]:
-    return tuple(f"--{name.replace('_', '-')}={value}" for name, value in flags.items())
-
-
-def _make_command(module: str, **flags: object) -> tuple[str, ...]:
-    return (PYTHON, "-m", f"standins.{module}", *_make_flags(flags))
-
-
-def _poll_until(deadline: float, what: str) -> Iterator[None]:
-    while time.monotonic() < deadline:
-        yield
-        time.sleep(_POLL_S)
-    raise TimeoutError(f"{what} was not ready in time")
--- a/standins/layout.py
+++ b/standins/layout.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-import sys
 from typing import TYPE_CHECKING
 
-from attrs import field, frozen
+from attrs import asdict, field, frozen
 
 from standins.plans import Plan, expect_shape
+from standins.processes import PYTHON
+from standins.relay import Link
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
     from standins.processes import Process
 
-PYTHON = sys.executable
 NODE_COMMAND = (PYTHON, "-m", "eelgrassmount")
 
 
@@ -101,3 +103,22 @@
         """Let both go on."""
         self.node.wake()
         self.server.wake()
+
+
+def make_links(
+    vms: Iterable[VM], log_address: str, log_addresses: Mapping[str, str]
+) -> list[dict[str, str]]:
+    """Return the links of a relay before the log, the nodes and the servers.
+
+    ``log_addresses`` is where the nodes of each failure domain find the log.
+    """
+    links = [
+        Link(listen, log_address, "log", domain)
+        for domain, listen in log_addresses.items()
+    ]
+    for vm in vms:
+        links += [
+            Link(vm.advertise_address, vm.peer_address, vm.failure_domain),
+            Link(vm.server_announced, vm.server_address, vm.name, "node"),
+        ]
+    return [asdict(link) for link in links]
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -6,15 +6,19 @@
 import signal
 import socket
 import subprocess
+import sys
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Mapping, Sequence
 
+PYTHON = sys.executable
 ROOT = Path(__file__).resolve().parent.parent
 
 _KILL_WAIT_S = 10.0
+_POLL_S = 0.05
 
 _given: set[str] = set()
 
@@ -33,6 +37,24 @@
             return address
 
 
+def make_flags(flags: Mapping[str, object]) -> tuple[str, ...]:
+    """Return the settings as flags of a command line."""
+    return tuple(f"--{name.replace('_', '-')}={value}" for name, value in flags.items())
+
+
+def make_command(module: str, **flags: object) -> tuple[str, ...]:
+    """Return the command that starts a stand-in."""
+    return (PYTHON, "-m", f"standins.{module}", *make_flags(flags))
+
+
+def poll_until(deadline: float, what: str) -> Iterator[None]:
+    """Yield until the caller breaks; raise ``TimeoutError`` past the deadline."""
+    while time.monotonic() < deadline:
+        yield
+        time.sleep(_POLL_S)
+    raise TimeoutError(f"{what} was not ready in time")
+
+
 class Process:
     """One child process; its output goes to a file of its own."""
 
--- a/standins/records.py
+++ b/standins/records.py
@@ -147,10 +147,11 @@
     records: Iterable[Record], doubled: Iterable[tuple[str, str]] = ()
 ) -> dict[str, dict[str, float]]:
     """Return counts and latencies (ms, of complete answers) by class and over all."""
+    listed = list(records)
     groups: dict[str, list[Record]] = defaultdict(list)
-    for record in records:
+    for record in listed:
         groups[record.class_name].append(record)
-        groups["all"].append(record)
+    groups = {**dict(sorted(groups.items())), "all": listed}
     wrong = {request for request, _ in doubled}
     return {name: _summarise_group(group, wrong) for name, group in groups.items()}
 
