--- a/standins/deploy.py
+++ b/standins/deploy.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import os
 import subprocess
 import tempfile
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING, Self
+from typing import Self
 
 from standins.faults import call_admin, get_runs, get_stats, set_fault
 from standins.layout import (
@@ -29,9 +30,6 @@
     poll_until,
 )
 
-if TYPE_CHECKING:
-    from types import TracebackType
-
 __all__ = [
     "NODE_COMMAND",
     "PYTHON",
@@ -96,12 +94,7 @@
             raise
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.stop()
 
     def stop(self) -> None:
@@ -297,10 +290,9 @@
                 body = {"links": links, "domains": prefixes}
                 call_admin(self.relay_admin_address, "POST", "/links", body)
                 break
-        for one in self.spec.failure_domains:
-            for other in self.spec.failure_domains:
-                if one != other and self.spec.peer_delay_ms:
-                    self.set_link_fault(one, other, delay_ms=self.spec.peer_delay_ms)
+        if self.spec.peer_delay_ms:
+            for way in itertools.permutations(self.spec.failure_domains, 2):
+                self.set_link_fault(*way, delay_ms=self.spec.peer_delay_ms)
 
     def _wait(self, vm: VM, deadline: float) -> None:
         for _ in poll_until(deadline, vm.name):
