--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -1255,14 +1255,17 @@
     """
     Attributes:
      - sequence
+     - address
 
     """
 
     def __init__(
         self,
         sequence=None,
+        address=None,
     ):
         self.sequence = sequence
+        self.address = address
 
     def read(self, iprot):
         if (
@@ -1282,6 +1285,15 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = (
+                        iprot.readString().decode("utf-8", errors="replace")
+                        if sys.version_info[0] == 2
+                        else iprot.readString()
+                    )
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1298,6 +1310,14 @@
             oprot.writeFieldBegin("sequence", TType.I64, 1)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin("address", TType.STRING, 2)
+            oprot.writeString(
+                self.address.encode("utf-8")
+                if sys.version_info[0] == 2
+                else self.address
+            )
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1713,6 +1733,8 @@
      - quarantine
      - digest
      - full
+     - buckets
+     - wanted
 
     """
 
@@ -1725,6 +1747,8 @@
         quarantine=None,
         digest=None,
         full=None,
+        buckets=None,
+        wanted=None,
     ):
         self.members = members
         self.summaries = summaries
@@ -1733,6 +1757,8 @@
         self.quarantine = quarantine
         self.digest = digest
         self.full = full
+        self.buckets = buckets
+        self.wanted = wanted
 
     def read(self, iprot):
         if (
@@ -1806,6 +1832,26 @@
                     self.full = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.buckets = []
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = iprot.readI64()
+                        self.buckets.append(_elem58)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.wanted = []
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = iprot.readI32()
+                        self.wanted.append(_elem64)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1821,15 +1867,15 @@
         if self.members is not None:
             oprot.writeFieldBegin("members", TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter53 in self.members:
-                iter53.write(oprot)
+            for iter65 in self.members:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.summaries is not None:
             oprot.writeFieldBegin("summaries", TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.summaries))
-            for iter54 in self.summaries:
-                iter54.write(oprot)
+            for iter66 in self.summaries:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -1839,16 +1885,16 @@
         if self.slot_versions is not None:
             oprot.writeFieldBegin("slot_versions", TType.MAP, 4)
             oprot.writeMapBegin(TType.I32, TType.I64, len(self.slot_versions))
-            for kiter55, viter56 in self.slot_versions.items():
-                oprot.writeI32(kiter55)
-                oprot.writeI64(viter56)
+            for kiter67, viter68 in self.slot_versions.items():
+                oprot.writeI32(kiter67)
+                oprot.writeI64(viter68)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.quarantine is not None:
             oprot.writeFieldBegin("quarantine", TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantine))
-            for iter57 in self.quarantine:
-                iter57.write(oprot)
+            for iter69 in self.quarantine:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1859,6 +1905,20 @@
             oprot.writeFieldBegin("full", TType.BOOL, 7)
             oprot.writeBool(self.full)
             oprot.writeFieldEnd()
+        if self.buckets is not None:
+            oprot.writeFieldBegin("buckets", TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.buckets))
+            for iter70 in self.buckets:
+                oprot.writeI64(iter70)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin("wanted", TType.LIST, 9)
+            oprot.writeListBegin(TType.I32, len(self.wanted))
+            for iter71 in self.wanted:
+                oprot.writeI32(iter71)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2300,11 +2360,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.marks = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = KeyMark()
-                        _elem63.read(iprot)
-                        self.marks.append(_elem63)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = KeyMark()
+                        _elem77.read(iprot)
+                        self.marks.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2331,8 +2391,8 @@
         if self.marks is not None:
             oprot.writeFieldBegin("marks", TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.marks))
-            for iter64 in self.marks:
-                iter64.write(oprot)
+            for iter78 in self.marks:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2476,11 +2536,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.marks = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = KeyMark()
-                        _elem70.read(iprot)
-                        self.marks.append(_elem70)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = KeyMark()
+                        _elem84.read(iprot)
+                        self.marks.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2512,8 +2572,8 @@
         if self.marks is not None:
             oprot.writeFieldBegin("marks", TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.marks))
-            for iter71 in self.marks:
-                iter71.write(oprot)
+            for iter85 in self.marks:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last is not None:
@@ -2776,11 +2836,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.views = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = SlotView()
-                        _elem77.read(iprot)
-                        self.views.append(_elem77)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = SlotView()
+                        _elem91.read(iprot)
+                        self.views.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2807,8 +2867,8 @@
         if self.views is not None:
             oprot.writeFieldBegin("views", TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.views))
-            for iter78 in self.views:
-                iter78.write(oprot)
+            for iter92 in self.views:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3453,6 +3513,13 @@
         None,
         None,
     ),  # 1
+    (
+        2,
+        TType.STRING,
+        "address",
+        "UTF8",
+        None,
+    ),  # 2
 )
 all_structs.append(Member)
 Member.thrift_spec = (
@@ -3640,6 +3707,20 @@
         None,
         None,
     ),  # 7
+    (
+        8,
+        TType.LIST,
+        "buckets",
+        (TType.I64, None, False),
+        None,
+    ),  # 8
+    (
+        9,
+        TType.LIST,
+        "wanted",
+        (TType.I32, None, False),
+        None,
+    ),  # 9
 )
 all_structs.append(QuarantineNote)
 QuarantineNote.thrift_spec = (
--- a/eelgrassmount/peer/listener.py
+++ b/eelgrassmount/peer/listener.py
@@ -101,7 +101,7 @@
         self, reader: FrameReader, writer: FrameWriter, sender: Hello
     ) -> None:
         while (message := await self._read(reader)) is not None:
-            if message.ping is not None:
+            if message.ping is not None and not message.ping.address:
                 message.reply = True
                 writer.write(message)
                 continue
