--- a/standins/announcer.py
+++ b/standins/announcer.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from standins.client import Unanswered
+from standins.client import UnansweredError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -60,5 +60,5 @@
                 _TIMEOUT_S,
             )
             self.told = json.loads(answer.body) if answer.status == 200 else None
-        except (Unanswered, ValueError):
+        except (UnansweredError, ValueError):
             self.told = None
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -16,7 +16,7 @@
 from standins.announcer import Announcer
 from standins.answers import Answerer, Faults, refuse
 from standins.client import Client
-from standins.downstream import CallFailed, Downstream
+from standins.downstream import CallFailedError, Downstream
 from standins.plans import Plan, find_plan, read_plans
 from standins.runs import Run, RunBook
 from standins.web import Listener, Request, Response, wait_for_signal
@@ -168,7 +168,7 @@
                     runs = await self._downstream.call_all(
                         plan, run.call, body, limit.deadline
                     )
-                except CallFailed as failure:
+                except CallFailedError as failure:
                     self._book.end(run, "failed")
                     return Response(502, b"", failure.headers)
                 await anyio.sleep(self._faults.late_ms / 1000)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -15,7 +15,7 @@
 import fire
 from attrs import field, frozen
 
-from standins.client import Answer, Client, Unanswered
+from standins.client import Answer, Client, UnansweredError
 from standins.plans import expect_shape, read_plans
 from standins.records import Record, Sending, judge_answer, summarise
 from standins.relay import make_loop
@@ -162,7 +162,7 @@
                 body,
                 call_class.timeout_ms / 1000,
             )
-        except Unanswered as error:
+        except UnansweredError as error:
             outcome = "unreached" if error.reason == "connect" else "unknown"
             end = time.monotonic()
             return Sending(request, node, start, end, outcome, "", 0, error.reason)
--- a/standins/client.py
+++ b/standins/client.py
@@ -25,7 +25,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Unanswered(Exception):
+class UnansweredError(Exception):
     """No complete answer came.
 
     The reason is ``connect`` (nothing was sent), ``closed``, ``malformed`` or
@@ -92,7 +92,7 @@
     def _fail(self, reason: str) -> None:
         waiter, self._waiter = self._waiter, None
         if waiter is not None and not waiter.done():
-            waiter.set_exception(Unanswered(reason))
+            waiter.set_exception(UnansweredError(reason))
 
 
 class Client:
@@ -114,7 +114,7 @@
         body: bytes = b"",
         timeout_s: float = 10.0,
     ) -> Answer:
-        """Send one request and return its answer, or raise ``Unanswered``.
+        """Send one request and return its answer, or raise ``UnansweredError``.
 
         A request that times out or is cancelled closes its connection.
         """
@@ -157,5 +157,5 @@
                 )
         except OSError as error:
             # the built-in TimeoutError is an OSError too
-            raise Unanswered("connect") from error
+            raise UnansweredError("connect") from error
         return connection
--- a/standins/downstream.py
+++ b/standins/downstream.py
@@ -9,7 +9,7 @@
 import anyio
 from attrs import frozen
 
-from standins.client import Unanswered
+from standins.client import UnansweredError
 
 if TYPE_CHECKING:
     from standins.client import Answer, Client
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class CallFailed(Exception):
+class CallFailedError(Exception):
     """A downstream call failed; the headers are for the answer to the caller."""
 
     headers: dict[str, str]
@@ -44,16 +44,16 @@
     ) -> list[Any]:
         """Return the answers to all calls of a plan, in its order.
 
-        The first failure cancels the others and is raised as ``CallFailed``. The
+        The first failure cancels the others and is raised as ``CallFailedError``. The
         deadline is on the event loop's clock.
         """
         answers: dict[int, Any] = {}
-        failures: list[CallFailed] = []
+        failures: list[CallFailedError] = []
 
         async def call(index: int, scope: anyio.CancelScope) -> None:
             try:
                 answers[index] = await self._call(plan, index, parent, body, deadline)
-            except CallFailed as failure:
+            except CallFailedError as failure:
                 failures.append(failure)
                 scope.cancel()
 
@@ -74,7 +74,7 @@
         headers = {"eelgrassmount-parent": parent}
         if plan.calls.count((method, path)) > 1:
             headers["eelgrassmount-call-name"] = str(index)
-        failure = CallFailed({})
+        failure = CallFailedError({})
         for _ in range(1 + self.retries):
             left_ms = max(0.0, (deadline - anyio.current_time()) * 1000)
             timeout_ms = min(left_ms, self.call_timeout_ms)
@@ -85,9 +85,9 @@
                 )
                 if answer.status == 200:
                     return json.loads(answer.body)
-                failure = CallFailed(_pass_on(answer))
-            except (Unanswered, ValueError):
-                failure = CallFailed({"eelgrassmount-verdict": "may-have-run"})
+                failure = CallFailedError(_pass_on(answer))
+            except (UnansweredError, ValueError):
+                failure = CallFailedError({"eelgrassmount-verdict": "may-have-run"})
         raise failure
 
 
--- a/standins/journal.py
+++ b/standins/journal.py
@@ -20,7 +20,7 @@
 
 
 class Journal:
-    """Runs in the order of their starts, each by the ``run`` id that its server gave."""
+    """Runs in the order of their starts, by the ``run`` id that the server gave."""
 
     def __init__(self) -> None:
         self._runs: dict[str, dict[str, Any]] = {}
--- a/standins/web.py
+++ b/standins/web.py
@@ -22,7 +22,7 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port``; raise ``ValueError`` naming the address when it is malformed."""
+    """Split ``ip:port``; raise ``ValueError`` for a malformed address."""
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
         raise ValueError(f"address {address!r} must be ip:port")
--- a/tests/standins/fake_node.py
+++ b/tests/standins/fake_node.py
@@ -11,7 +11,7 @@
 import anyio
 import fire
 
-from standins.client import Client, Unanswered
+from standins.client import Client, UnansweredError
 from standins.web import Listener, Request, Response, serve_until_signal
 
 _KEPT = ("eelgrassmount-call", "content-digest")
@@ -53,7 +53,7 @@
                 headers,
                 body,
             )
-        except Unanswered:
+        except UnansweredError:
             return Response(502, b"", {"eelgrassmount-verdict": "may-have-run"})
         kept = {name: answer.headers[name] for name in _KEPT if name in answer.headers}
         verdict = "answered" if answer.status == 200 else "not-run"
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -9,7 +9,7 @@
 import pytest
 
 from standins.caller import CallClass, Load, Phase, run_load
-from standins.client import Client, Unanswered
+from standins.client import Client, UnansweredError
 from standins.deploy import PYTHON, Deployment, DeploymentSpec, ServiceSpec
 from standins.faults import get_runs, get_stats, set_fault
 from standins.plans import Plan
@@ -59,7 +59,7 @@
         await asyncio.sleep(delay_s)
         try:
             return await client.request(*request, timeout_s=timeout_s)
-        except Unanswered as error:
+        except UnansweredError as error:
             return error.reason
 
     async def run():
@@ -214,7 +214,7 @@
                 answer = await client.request(
                     relayed, "GET", "/streams/r/records", timeout_s=timeout_s
                 )
-            except Unanswered as error:
+            except UnansweredError as error:
                 return error.reason
             return answer.status
 
