--- /dev/null
+++ b/eelgrassmount/drain/__init__.py
@@ -0,0 +1,1 @@
+"""Graceful shutdown of a node."""
--- a/eelgrassmount/members/membership.py
+++ b/eelgrassmount/members/membership.py
@@ -10,6 +10,7 @@
 
 from eelgrassmount.blackboard import DrainStage
 from eelgrassmount.members import exchange
+from eelgrassmount.members.conflicts import Conflicts
 from eelgrassmount.members.counts import Counts
 from eelgrassmount.members.delegates import differ_in_load
 from eelgrassmount.members.domains import Domains
@@ -78,7 +79,9 @@
             self.roster, timers, peers, self._spawn, self._fill, self._observe
         )
         self._domains = Domains(self.roster, timers, self._rounds)
+        conflicts = Conflicts(self.roster, self._rounds)
         self._rounds.react = self._domains.react
+        self._rounds.settle_conflict = conflicts.start_settling
         self._joiner = Joiner(
             self.roster, timers, self._rounds, log, tuple(seeds), self._is_delegate
         )
--- a/eelgrassmount/members/rounds.py
+++ b/eelgrassmount/members/rounds.py
@@ -25,7 +25,6 @@
     from eelgrassmount.timers import TimerService
 
 _MAX_WAKE_PROBES = 3
-_FREE_RAISES = 3
 
 # sequence of a ping through a third node, and of the reply to it; a node that does
 # not know such pings returns them as they came
@@ -45,7 +44,7 @@
     ``fill`` adds what other parts of the node have to say to a message that is
     about to be sent, and ``observe`` hands them what came in; both may be
     called very often and must be cheap. ``react`` is called before urgent news
-    is sent.
+    is sent, ``settle_conflict`` when another incarnation claims this address.
     """
 
     roster: Roster
@@ -55,12 +54,11 @@
     fill: Callable[[Gossip], None]
     observe: Callable[[str, Gossip], None]
     react: Callable[[], None] = _do_nothing
+    settle_conflict: Callable[[], None] = _do_nothing
     _flush_pending: bool = False
     _last_sweep_s: float = 0.0
     _awake_s: float = 0.0
     _pulled_s: float = 0.0
-    _raises: int = 0
-    _checking: bool = False
     _partners: list[str] = field(factory=list)
     _partners_version: int = -1
 
@@ -179,9 +177,8 @@
         """Learn from a message and act on what cannot wait."""
         exchange.learn(self.roster, gossip, self.timers.read())
         self.observe(address, gossip)
-        if self.roster.conflict is not None and not self._checking:
-            self._checking = True
-            self.spawn(self._settle_conflict)
+        if self.roster.conflict is not None:
+            self.settle_conflict()
         self.flush_soon()
 
     async def _pull(self, address: str, buckets: list[int]) -> None:
@@ -257,37 +254,6 @@
         """Send a message that has no answer."""
         await self.peers.tell(address, ttypes.Message(gossip=gossip))
 
-    # two incarnations at one address
-
-    async def _settle_conflict(self) -> None:
-        """Go above another incarnation that claims this address.
-
-        A restarted node does so as soon as it hears of its former incarnation.
-        When it happens again and again, there are two processes; the one that
-        is reached at the address goes on and the other one gives in.
-        """
-        self._raises += 1
-        if self._raises <= _FREE_RAISES or await self._reaches_itself():
-            self.roster.raise_own(self.timers.read())
-            self.flush_soon()
-        else:
-            self.roster.conflict = None
-            self.roster.counts.add(Count.ADDRESS_CONFLICTS)
-            logger.warning("another process is reached at the address of this node")
-        self._checking = False
-
-    async def _reaches_itself(self) -> bool:
-        identity = self.roster.identity
-        gossip = exchange.build_pull(self.roster, [0])
-        reply = await self.peers.ask(
-            identity.address, ttypes.Message(gossip=gossip), self.roster.pace.ask_s
-        )
-        if isinstance(reply, PeerFailure) or not (
-            reply.gossip and reply.gossip.members
-        ):
-            return False
-        return reply.gossip.members[0].incarnation == identity.incarnation
-
     # handlers
 
     async def answer_gossip(self, sender: Hello, message: Message) -> Message | None:
