--- a/eelgrassmount/context.py
+++ b/eelgrassmount/context.py
@@ -53,7 +53,7 @@
     Every hop computes the same number, so that under overload all hops admit
     the same whole requests instead of pieces of many.
     """
-    return xxhash.xxh32_intdigest(root_id) % PRIORITY_LEVELS
+    return xxhash.xxh32_intdigest(root_id.encode()) % PRIORITY_LEVELS
 
 
 def compute_digest(method: str, path: str, body: bytes) -> str:
--- a/eelgrassmount/load/exchange.py
+++ b/eelgrassmount/load/exchange.py
@@ -8,12 +8,16 @@
 
 from eelgrassmount.context import PRIORITY_LEVELS
 from eelgrassmount.load.state import FULL_THRESHOLD, LoadTable, ServiceLoad
+from eelgrassmount.load.threshold import TIER_HOLD_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# a load counts in full while fresh, then opens gradually until it lapses
-FRESH_S = 1.0
+# A load counts in full while fresh, then opens gradually until it lapses: first
+# to all refused-last calls, sooner than any node stops shutting out the
+# refused-first ones, then to these too.
+FRESH_S = 0.5
+_OPEN_TO_LAST_S = TIER_HOLD_S
 LAPSE_S = 2.5
 # what was heard longer ago is not passed on
 _RELAY_S = 0.5
@@ -101,10 +105,15 @@
 def open_threshold(load: ServiceLoad, now_s: float) -> float:
     """Return the threshold of a load, opened by its age."""
     age_s = now_s - load.heard_s
+    threshold = float(load.threshold)
     if age_s <= FRESH_S:
-        return load.threshold
-    opened = min(1.0, (age_s - FRESH_S) / (LAPSE_S - FRESH_S))
-    return load.threshold + (FULL_THRESHOLD - load.threshold) * opened
+        return threshold
+    opened = min(1.0, (age_s - FRESH_S) / (_OPEN_TO_LAST_S - FRESH_S))
+    threshold += max(0.0, PRIORITY_LEVELS - threshold) * opened
+    if age_s <= _OPEN_TO_LAST_S:
+        return threshold
+    opened = min(1.0, (age_s - _OPEN_TO_LAST_S) / (LAPSE_S - _OPEN_TO_LAST_S))
+    return threshold + (FULL_THRESHOLD - threshold) * opened
 
 
 def find_services(table: LoadTable, class_name: str) -> list[str]:
--- a/eelgrassmount/load/gate.py
+++ b/eelgrassmount/load/gate.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from eelgrassmount.blackboard import DrainStage
-from eelgrassmount.context import Tier
+from eelgrassmount.context import PRIORITY_LEVELS, Tier
 from eelgrassmount.load.limiter import Limiter
 from eelgrassmount.load.port import Sample, SampleKind
 from eelgrassmount.load.queue import (
@@ -54,7 +54,9 @@
     ranks: list[int] = field(factory=list)
     refused: int = 0
     refused_last: bool = False
-    waiting: float = 0.0
+    waiting: int = 0
+    waiting_last: int = 0
+    in_flight: int = 0
     sweeps: int = 0
 
 
@@ -132,7 +134,7 @@
         return NotRun(Reason.NO_SERVER)
 
     def _check_call(self, waiting: Waiting, now_s: float) -> NotRun | None:
-        if waiting.tier is Tier.REFUSED_FIRST and now_s < self._shut_until_s:
+        if waiting.tier is Tier.REFUSED_FIRST and now_s < self._find_shut_end():
             return self._make_refusal(Reason.OVERLOAD, now_s)
         has_room = not self.queue and self.in_flight < self.limiter.limit
         ahead = 0 if has_room else self.queue.count_ahead(waiting.rank) + 1
@@ -144,6 +146,9 @@
             self._note_arrival(waiting)
         return self._make_refusal(Reason.DEADLINE, now_s)
 
+    def _find_shut_end(self) -> float:
+        return max(self._shut_until_s, self.threshold.hold_until_s)
+
     def _can_finish(self, waiting: Waiting, ahead: int, now_s: float) -> bool:
         remaining_s = waiting.context.measure_remaining(now_s)
         needed_s = self._run_s_by_class.get(waiting.context.class_name, 0.0)
@@ -235,8 +240,7 @@
         """Refuse waiting calls that cannot finish any more, or not here."""
         now_s = self.timers.read()
         self._follow_server(now_s)
-        self._period.waiting += self.queue.count_below(self.threshold.advertised)
-        self._period.sweeps += 1
+        self._observe()
         gone = self._check_server()
         for waiting in self.queue.find_all():
             if gone is not None:
@@ -249,6 +253,13 @@
             self._refuse(waiting, refusal)
         self._admit_waiting(now_s)
 
+    def _observe(self) -> None:
+        period = self._period
+        period.waiting += self.queue.count_below(self.threshold.advertised)
+        period.waiting_last += self.queue.count_below(PRIORITY_LEVELS)
+        period.in_flight += self.in_flight
+        period.sweeps += 1
+
     def _follow_server(self, now_s: float) -> None:
         server = self.board.server
         if server.state in (ServerState.ABSENT, ServerState.STARTING):
@@ -268,12 +279,14 @@
         now_s = self.timers.read()
         self.limiter.adjust(self.in_flight, now_s)
         period, self._period = self._period, Period()
+        sweeps = max(period.sweeps, 1)
         seen = Observation(
             ranks=tuple(period.ranks),
             refused=period.refused,
-            waiting=period.waiting / max(period.sweeps, 1),
-            in_flight=self.in_flight,
+            waiting=period.waiting / sweeps,
+            in_flight=period.in_flight / sweeps,
             limit=self.limiter.limit,
+            waiting_last=period.waiting_last / sweeps,
             refused_last=period.refused_last,
         )
         adjust_threshold(self.threshold, seen, now_s)
--- a/eelgrassmount/load/limiter.py
+++ b/eelgrassmount/load/limiter.py
@@ -15,9 +15,10 @@
 
 # a measurement is over when most of a cohort of runs has ended
 _COHORT_RUNS = 50
+_SMALL_COHORT_RUNS = 10
+_COHORT_ROUNDS = 4
 _COHORT_ENDED = 0.95
 _LONGEST_MEASUREMENT_S = 2.0
-_LEAST_COHORT_RUNS = 20
 
 # the probe below the limit: how deep it goes, and how far above the knee the
 # limit is kept so that the server's slots stay full
@@ -30,10 +31,13 @@
 # latency may rise with concurrency by this exponent and still count as flat
 _FLAT_ELASTICITY = 0.3
 _VERY_FLAT_ELASTICITY = 0.1
+# both levels lie above the knee, somewhere
+_STEEP_ELASTICITY = 0.85
+_STEEP_CUT = 0.7
 _LEAST_LEVEL_RATIO = 1.1
 
-_BAD_FRACTION = 0.1
-_BAD_CUT = 0.8
+_BAD_FRACTION = 0.5
+_BAD_CUT = 0.5
 _SHED_MARGIN = 0.95
 _SATURATED = 0.9
 _TYPICAL_WEIGHT = 0.05
@@ -75,18 +79,30 @@
     started: int = 0
     ended: int = 0
     runs: int = 0
-    log_sum: float = 0.0
     bad: int = 0
+    log_sum: float = 0.0
+    in_flight_sum: int = 0
 
     @property
     def mean_log(self) -> float:
         """Return the mean logarithm of the service times."""
         return self.log_sum / self.runs
 
+    @property
+    def mean_in_flight(self) -> float:
+        """Return the concurrency that the cohort really met."""
+        return self.in_flight_sum / self.started
+
+    @property
+    def least_runs(self) -> int:
+        """Return how many runs a cohort of this level needs."""
+        rounds = _COHORT_ROUNDS * self.level
+        return min(max(rounds, _SMALL_COHORT_RUNS), _COHORT_RUNS)
+
     @property
     def failing(self) -> bool:
-        """Tell whether too many runs timed out."""
-        return self.bad > _BAD_FRACTION * (self.bad + self.runs)
+        """Tell whether most runs timed out."""
+        return self.bad > _BAD_FRACTION * max(self.runs, self.least_runs)
 
 
 @define
@@ -131,6 +147,7 @@
             self._settle(in_flight, now_s)
         if current.settled_s <= now_s < current.closed_s:
             current.started += 1
+            current.in_flight_sum += in_flight
             self._close_cohort(now_s)
 
     def _settle(self, in_flight: int, now_s: float) -> None:
@@ -144,7 +161,7 @@
 
     def _close_cohort(self, now_s: float) -> None:
         current = self._current
-        if current.started < _COHORT_RUNS:
+        if current.started < current.least_runs:
             return
         if now_s >= current.settled_s + self.typical_s:
             current.closed_s = now_s
@@ -171,12 +188,12 @@
 
     def _add_run(self, sample: Sample, started_s: float) -> None:
         current = self._current
-        if sample.kind is SampleKind.TIMEOUT:
-            current.bad += 1
         if not current.settled_s <= started_s <= current.closed_s:
             return
         current.ended += 1
-        if sample.kind is SampleKind.COMPLETE:
+        if sample.kind is SampleKind.TIMEOUT:
+            current.bad += 1
+        if sample.kind in (SampleKind.COMPLETE, SampleKind.TIMEOUT):
             service_s = max(sample.latency_s - sample.downstream_s, _LEAST_SERVICE_S)
             current.runs += 1
             current.log_sum += math.log(service_s)
@@ -189,9 +206,7 @@
             return
         if now_s - current.began_s < _LONGEST_MEASUREMENT_S + 3.0 * self.typical_s:
             return
-        if current.failing:
-            self._cut(_BAD_CUT, now_s)
-        elif current.runs >= _LEAST_COHORT_RUNS:
+        if current.runs >= current.least_runs:
             self._compare(now_s)
         elif in_flight < current.level * _SATURATED:
             # nothing to learn while fewer calls are wanted
@@ -208,12 +223,15 @@
             if now_s >= current.began_s + self._hold_s:
                 self._begin(Phase.BEFORE, self.size, now_s)
             return
+        if current.failing:
+            self._cut(Phase.STARTING, _BAD_CUT, now_s)
+            return
         if current.closed_s > now_s or current.ended < _COHORT_ENDED * current.started:
             return
-        if current.failing:
-            self._cut(_BAD_CUT, now_s)
-        elif current.runs >= _LEAST_COHORT_RUNS:
+        if current.runs >= current.least_runs // 2:
             self._compare(now_s)
+        else:
+            self._give_up(now_s)
 
     def _compare(self, now_s: float) -> None:
         current, previous = self._current, self._previous
@@ -223,12 +241,18 @@
             return
         if previous is not None:
             low, high = sorted((previous, current), key=lambda one: one.level)
+            if not differ_enough(low, high):
+                self._give_up(now_s)
+                return
             self.size = move_limit(self.size, low, high)
         self._go_on(now_s)
 
     def _grow_first(
         self, previous: Measurement | None, current: Measurement, now_s: float
     ) -> None:
+        if current.mean_in_flight < current.level * _SATURATED:
+            self._give_up(now_s)
+            return
         if previous is None or compute_elasticity(previous, current) < _FLAT_ELASTICITY:
             self._begin(Phase.STARTING, self.size * _START_GROWTH, now_s)
             return
@@ -249,12 +273,12 @@
         # calls that started before the last cut say nothing about it
         if started_s < self._last_cut_s:
             return
-        self._cut(min(1.0, in_flight / self.size) * _SHED_MARGIN, now_s)
+        self._cut(Phase.HOLD, min(1.0, in_flight / self.size) * _SHED_MARGIN, now_s)
 
-    def _cut(self, factor: float, now_s: float) -> None:
+    def _cut(self, phase: Phase, factor: float, now_s: float) -> None:
         self._last_cut_s = now_s
         self._previous = None
-        self._begin(Phase.HOLD, self.size * factor, now_s)
+        self._begin(phase, self.size * factor, now_s)
 
     def _begin(self, phase: Phase, level: float, now_s: float) -> None:
         if phase is not Phase.PROBE:
@@ -264,24 +288,35 @@
         self._current = Measurement(max(1, round(level)), now_s)
 
 
+def differ_enough(low: Measurement, high: Measurement) -> bool:
+    """Tell whether two cohorts met concurrency different enough to compare."""
+    return high.mean_in_flight >= _LEAST_LEVEL_RATIO * low.mean_in_flight
+
+
 def compute_elasticity(low: Measurement, high: Measurement) -> float:
     """Return the exponent by which service time grows with concurrency.
 
     It is 0 while slots are free and 1 when all of them are taken.
     """
-    ratio = max(high.level / low.level, _LEAST_LEVEL_RATIO)
+    if not differ_enough(low, high):
+        return 0.0
+    ratio = high.mean_in_flight / low.mean_in_flight
     elasticity = (high.mean_log - low.mean_log) / math.log(ratio)
     return min(max(elasticity, 0.0), 1.0)
 
 
 def estimate_limit(low: Measurement, high: Measurement) -> float:
     """Return the limit at which the slots are just full, with a margin."""
-    ratio = max(high.level / low.level, _LEAST_LEVEL_RATIO)
-    return _MARGIN * high.level * ratio ** -compute_elasticity(low, high)
+    ratio = high.mean_in_flight / low.mean_in_flight
+    knee = high.mean_in_flight * ratio ** -compute_elasticity(low, high)
+    return _MARGIN * knee
 
 
 def move_limit(size: float, low: Measurement, high: Measurement) -> float:
     """Return the limit after one comparison of two levels."""
-    if compute_elasticity(low, high) < _VERY_FLAT_ELASTICITY:
+    elasticity = compute_elasticity(low, high)
+    if elasticity < _VERY_FLAT_ELASTICITY:
         return size * _GROWTH**_SMOOTHING
+    if elasticity > _STEEP_ELASTICITY:
+        return size * _STEEP_CUT**_SMOOTHING
     return size * (estimate_limit(low, high) / size) ** _SMOOTHING
--- a/eelgrassmount/load/routing.py
+++ b/eelgrassmount/load/routing.py
@@ -316,7 +316,7 @@
         return addresses
 
     def sort_key(address: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{own_address}>{address}")
+        return xxhash.xxh3_64_intdigest(f"{own_address}>{address}".encode())
 
     return sorted(addresses, key=sort_key)[:SUBSET_SIZE]
 
--- a/eelgrassmount/load/threshold.py
+++ b/eelgrassmount/load/threshold.py
@@ -12,7 +12,7 @@
 THRESHOLD_PERIOD_S = 0.1
 # after refused-last calls had to be refused, refused-first ones stay shut out
 # until no node can still act on what it heard then
-TIER_HOLD_S = 0.5
+TIER_HOLD_S = 1.0
 
 _BUCKETS = 64
 _BUCKET = FULL_THRESHOLD // _BUCKETS
@@ -20,10 +20,12 @@
 
 _QUEUE_TARGET = 0.25
 _QUEUE_GAIN = 0.1
-_REOPENING = 1.25
 _LEAST_FACTOR = 0.5
-_LEAST_STEP = FULL_THRESHOLD / 100.0
-_BUSY = 0.9
+_LEAST_STEP = FULL_THRESHOLD / 200.0
+# with slots to spare the threshold opens the faster the longer that lasts
+_OPENING_GAIN = 0.05
+_OPENING_GAIN_STEP = 0.03
+_MOST_OPENING_GAIN = 0.4
 
 
 @frozen
@@ -31,15 +33,16 @@
     """What a gate saw in one period.
 
     ``waiting`` is the mean number of calls in the queue with a rank below the
-    threshold. ``refused`` counts those below the threshold that were refused for
-    want of room.
+    threshold, ``waiting_last`` that of refused-last ones. ``refused`` counts the
+    calls below the threshold that were refused for want of room.
     """
 
     ranks: tuple[int, ...]
     refused: int
     waiting: float
-    in_flight: int
+    in_flight: float
     limit: int
+    waiting_last: float = 0.0
     refused_last: bool = False
 
 
@@ -49,6 +52,7 @@
 
     threshold: float = FULL_THRESHOLD
     hold_until_s: float = -math.inf
+    calm_periods: int = 0
     histogram: list[float] = field(factory=lambda: [0.0] * _BUCKETS)
 
     @property
@@ -68,6 +72,8 @@
     _remember(state, seen)
     factor = compute_factor(state, seen)
     threshold = move_threshold(state, factor)
+    if state.threshold >= PRIORITY_LEVELS and not _is_short_of_last(seen):
+        threshold = max(threshold, PRIORITY_LEVELS)
     if threshold < PRIORITY_LEVELS or seen.refused_last:
         state.hold_until_s = now_s + TIER_HOLD_S
     if now_s < state.hold_until_s:
@@ -75,6 +81,15 @@
     state.threshold = threshold
 
 
+def _compute_queue_target(seen: Observation) -> float:
+    return max(1.0, _QUEUE_TARGET * seen.limit)
+
+
+def _is_short_of_last(seen: Observation) -> bool:
+    # refused-last calls alone are too many
+    return seen.refused_last or seen.waiting_last > _compute_queue_target(seen)
+
+
 def _remember(state: ThresholdState, seen: Observation) -> None:
     fade = math.exp(-THRESHOLD_PERIOD_S / _MEMORY_S)
     state.histogram = [count * fade for count in state.histogram]
@@ -85,11 +100,15 @@
 def compute_factor(state: ThresholdState, seen: Observation) -> float:
     """Return the factor by which the number of admitted calls should change."""
     arrived = sum(rank < state.threshold for rank in seen.ranks)
+    spare = 1.0 - seen.in_flight / max(seen.limit, 1)
+    calm = not seen.refused and seen.waiting < 1.0 and spare > 0
+    state.calm_periods = state.calm_periods + 1 if calm else 0
     if seen.refused and arrived:
         return max(_LEAST_FACTOR, 1.0 - seen.refused / arrived)
-    if not seen.waiting and seen.in_flight < seen.limit * _BUSY:
-        return _REOPENING
-    target = max(1.0, _QUEUE_TARGET * seen.limit)
+    if calm:
+        gain = _OPENING_GAIN + _OPENING_GAIN_STEP * state.calm_periods
+        return 1.0 + min(gain, _MOST_OPENING_GAIN) * spare
+    target = _compute_queue_target(seen)
     error = min(max((target - seen.waiting) / target, -1.0), 1.0)
     return 1.0 + _QUEUE_GAIN * error
 
