--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -247,6 +247,8 @@
         print(scenario.name, f"capacity {scenario.capacity_per_s:.0f}/s")
         print("  s offered   entry-refused gate-refused complete inv threshold limit")
         seconds = measure(scenario, 25.0)
+        lows = sum(second.complete.total() for second in seconds[6:15])
+        print(f"  complete in 6-15 s: {lows / 9:.0f}/s")
         if "--short" in sys.argv:
             seconds = seconds[4:20]
         for at, second in enumerate(seconds):
--- a/eelgrassmount/load/exchange.py
+++ b/eelgrassmount/load/exchange.py
@@ -16,7 +16,7 @@
 # A load counts in full while fresh, then opens gradually until it lapses: first
 # to all refused-last calls, sooner than any node stops shutting out the
 # refused-first ones, then to these too.
-FRESH_S = 0.5
+FRESH_S = 0.3
 _OPEN_TO_LAST_S = TIER_HOLD_S
 LAPSE_S = 2.5
 # what was heard longer ago is not passed on
--- a/eelgrassmount/load/gate.py
+++ b/eelgrassmount/load/gate.py
@@ -290,6 +290,8 @@
             refused_last=period.refused_last,
         )
         adjust_threshold(self.threshold, seen, now_s)
+        if now_s < self.threshold.hold_until_s:
+            self._refuse_tier(Tier.REFUSED_FIRST, now_s)
 
     def describe(self) -> ServiceLoad:
         """Return the load that is sent along with answers."""
--- a/eelgrassmount/load/limiter.py
+++ b/eelgrassmount/load/limiter.py
@@ -38,6 +38,8 @@
 
 _BAD_FRACTION = 0.5
 _BAD_CUT = 0.5
+# after most runs timed out, growth by doubling ends short of that limit
+_BAD_CEILING = 0.75
 _SHED_MARGIN = 0.95
 _SATURATED = 0.9
 _TYPICAL_WEIGHT = 0.05
@@ -128,6 +130,7 @@
     _previous: Measurement | None = field(init=False, default=None)
     _last_cut_s: float = field(init=False, default=-math.inf)
     _hold_s: float = field(init=False, default=0.0)
+    _ceiling: float = field(init=False, default=MOST_LIMIT)
 
     def __attrs_post_init__(self) -> None:
         """Begin with a measurement at the initial limit."""
@@ -224,6 +227,7 @@
                 self._begin(Phase.BEFORE, self.size, now_s)
             return
         if current.failing:
+            self._ceiling = _BAD_CEILING * self.size
             self._cut(Phase.STARTING, _BAD_CUT, now_s)
             return
         if current.closed_s > now_s or current.ended < _COHORT_ENDED * current.started:
@@ -254,7 +258,9 @@
             self._give_up(now_s)
             return
         if previous is None or compute_elasticity(previous, current) < _FLAT_ELASTICITY:
-            self._begin(Phase.STARTING, self.size * _START_GROWTH, now_s)
+            size = self.size * _START_GROWTH
+            phase = Phase.STARTING if size < self._ceiling else Phase.HOLD
+            self._begin(phase, min(size, self._ceiling), now_s)
             return
         self.size = estimate_limit(previous, current)
         self._go_on(now_s)
@@ -308,8 +314,7 @@
 def estimate_limit(low: Measurement, high: Measurement) -> float:
     """Return the limit at which the slots are just full, with a margin."""
     ratio = high.mean_in_flight / low.mean_in_flight
-    knee = high.mean_in_flight * ratio ** -compute_elasticity(low, high)
-    return _MARGIN * knee
+    return _MARGIN * high.level * ratio ** -compute_elasticity(low, high)
 
 
 def move_limit(size: float, low: Measurement, high: Measurement) -> float:
--- a/eelgrassmount/load/queue.py
+++ b/eelgrassmount/load/queue.py
@@ -16,6 +16,7 @@
     from eelgrassmount.verdict import NotRun
 
 LEAST_CAPACITY = 4
+_CAPACITY_PER_LIMIT = 2
 # calls of one band of priorities are taken by age, not by priority
 _BAND = PRIORITY_LEVELS // 8
 _BANDS = FULL_THRESHOLD // _BAND
@@ -118,7 +119,7 @@
 
 def compute_capacity(limit: int) -> int:
     """Return how many calls may wait before a limit."""
-    return max(LEAST_CAPACITY, limit)
+    return max(LEAST_CAPACITY, _CAPACITY_PER_LIMIT * limit)
 
 
 def estimate_wait(ahead: int, limit: int, typical_s: float) -> float:
--- a/eelgrassmount/load/threshold.py
+++ b/eelgrassmount/load/threshold.py
@@ -12,20 +12,22 @@
 THRESHOLD_PERIOD_S = 0.1
 # after refused-last calls had to be refused, refused-first ones stay shut out
 # until no node can still act on what it heard then
-TIER_HOLD_S = 1.0
+TIER_HOLD_S = 0.6
 
 _BUCKETS = 64
 _BUCKET = FULL_THRESHOLD // _BUCKETS
 _MEMORY_S = 1.0
 
-_QUEUE_TARGET = 0.25
-_QUEUE_GAIN = 0.1
+_QUEUE_TARGET = 0.5
+_QUEUE_GAIN = 0.06
 _LEAST_FACTOR = 0.5
 _LEAST_STEP = FULL_THRESHOLD / 200.0
 # with slots to spare the threshold opens the faster the longer that lasts
 _OPENING_GAIN = 0.05
 _OPENING_GAIN_STEP = 0.03
 _MOST_OPENING_GAIN = 0.4
+_MUCH_SPARE = 0.5
+_MUCH_SPARE_PERIODS = 4
 
 
 @frozen
@@ -102,7 +104,8 @@
     arrived = sum(rank < state.threshold for rank in seen.ranks)
     spare = 1.0 - seen.in_flight / max(seen.limit, 1)
     calm = not seen.refused and seen.waiting < 1.0 and spare > 0
-    state.calm_periods = state.calm_periods + 1 if calm else 0
+    periods = _MUCH_SPARE_PERIODS if spare > _MUCH_SPARE else 1
+    state.calm_periods = state.calm_periods + periods if calm else 0
     if seen.refused and arrived:
         return max(_LEAST_FACTOR, 1.0 - seen.refused / arrived)
     if calm:
