--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements."""
+"""Benchmarks."""
--- /dev/null
+++ b/eelgrassmount/calls/dispatch.py
@@ -0,0 +1,115 @@
+"""Running a call on some node of its service, with bounded retries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, evolve
+
+from eelgrassmount.calls.request import Call, Outcome
+from eelgrassmount.retry.decisions import choose_retry
+from eelgrassmount.verdict import MayHaveRun, NotRun, Reason, weaken_verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.calls.local import LocalRunner
+    from eelgrassmount.calls.remote import RemoteRunner
+    from eelgrassmount.load.control import LoadControl
+    from eelgrassmount.metrics import Metrics, RetryReason
+    from eelgrassmount.retry.budget import RetryRatio
+    from eelgrassmount.retry.quarantine import Quarantine
+    from eelgrassmount.timers import TimerService
+
+
+@define(eq=False)
+class Dispatcher:
+    """Chooses a node for a call and retries within the request's budget."""
+
+    own_address: str
+    timers: TimerService
+    control: LoadControl
+    local: LocalRunner
+    remote: RemoteRunner
+    ratio: RetryRatio
+    quarantine: Quarantine
+    metrics: Metrics
+    make_id: Callable[[], str]
+
+    async def run(self, call: Call) -> Outcome:
+        """Run a call and return its outcome.
+
+        Every sending has a call id of its own. Once a sending may have run,
+        the final verdict is never *not run*.
+        """
+        self.ratio.note_first()
+        excluded: set[str] = set()
+        may_have_run = False
+        outcome = Outcome(NotRun(Reason.NO_SERVER), call.context.attempts_left)
+        refusal = self._check(call)
+        if refusal is not None:
+            return Outcome(refusal, call.context.attempts_left)
+        address = self._choose(call, excluded)
+        while address is not None:
+            outcome = await self._attempt(address, call, outcome.attempts_left)
+            may_have_run |= isinstance(outcome.verdict, MayHaveRun)
+            excluded.add(address)
+            reason = self._find_retry_reason(call, outcome, excluded)
+            if reason is None:
+                break
+            address = self._choose(call, excluded)
+            if address is not None:
+                self.metrics.retries.labels(reason).inc()
+                outcome = evolve(outcome, attempts_left=outcome.attempts_left - 1)
+        return evolve(outcome, verdict=weaken_verdict(outcome.verdict, may_have_run))
+
+    def _check(self, call: Call) -> NotRun | None:
+        return self.quarantine.check(call.context.digest, self.timers.read())
+
+    def _choose(self, call: Call, excluded: set[str]) -> str | None:
+        return self.control.choose(call.context, call.request.service, excluded)
+
+    async def _attempt(self, address: str, call: Call, attempts_left: int) -> Outcome:
+        context = evolve(
+            call.context, call_id=self.make_id(), attempts_left=attempts_left
+        )
+        attempt = Call(context, call.request)
+        started_s = self.timers.read()
+        outcome = Outcome(MayHaveRun(Reason.CANCELLED))
+        try:
+            if address == self.own_address:
+                outcome = await self.local.run(attempt)
+            else:
+                outcome = await self.remote.run(address, attempt)
+                self._note_crash(context.digest, outcome)
+        finally:
+            self.control.note_end(
+                address,
+                call.request.service,
+                outcome.verdict,
+                outcome.loads,
+                self.timers.read() - started_s,
+            )
+        return outcome
+
+    def _note_crash(self, digest: str, outcome: Outcome) -> None:
+        match outcome.verdict:
+            case MayHaveRun(Reason.SERVER_CRASHED):
+                self.quarantine.note_crash(digest, self.timers.read())
+
+    def _find_retry_reason(
+        self, call: Call, outcome: Outcome, excluded: set[str]
+    ) -> RetryReason | None:
+        """Return why to send once more, ``None`` when that is not allowed."""
+        context = call.context
+        if outcome.attempts_left < 1:
+            return None
+        if context.measure_remaining(self.timers.read()) <= 0:
+            return None
+        if self._check(call) is not None:
+            return None
+        room_elsewhere = self.control.has_room(context, call.request.service, excluded)
+        reason = choose_retry(outcome.verdict, context, room_elsewhere)
+        if reason is None or not self.ratio.take():
+            return None
+        return reason
--- /dev/null
+++ b/eelgrassmount/errors.py
@@ -0,0 +1,107 @@
+"""Every error that the package raises."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+class EelgrassmountError(Exception):
+    """Base of all errors of the package; its text says what to mend."""
+
+
+@dataclass(eq=False)
+class AddressError(EelgrassmountError, ValueError):
+    """A text that is not an IPv4 address with a port."""
+
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.text!r} is not an IPv4 address and port such as 127.1.0.1:8000"
+
+
+@dataclass(eq=False)
+class SettingError(EelgrassmountError):
+    """A setting that is missing, unknown or out of range.
+
+    The text is one line that names the setting, the value and what is allowed::
+
+        drain_limit_s: '-1' is not allowed, give a number from 0.1 to 3600
+    """
+
+    name: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.name}: {self.value!r} is not allowed, give {self.allowed}"
+
+
+@dataclass(eq=False)
+class NodeUnreachableError(EelgrassmountError):
+    """The admin listener of a node gave no usable answer."""
+
+    address: str
+    cause: str
+
+    def __str__(self) -> str:
+        return (
+            f"no answer from a node at {self.address} ({self.cause}); "
+            "check --admin and that the node runs"
+        )
+
+
+@dataclass(eq=False)
+class BadFrameError(EelgrassmountError):
+    """A frame from another node that can't be taken.
+
+    The connection that it came on is closed, since what follows a bad frame
+    can't be trusted either.
+    """
+
+    detail: str
+
+    def __str__(self) -> str:
+        return f"bad frame: {self.detail}; check the release of the other node"
+
+
+@dataclass(eq=False)
+class OverlongFrameError(BadFrameError):
+    """A frame longer than ``max_frame_bytes``."""
+
+
+@dataclass(eq=False)
+class LinkLostError(EelgrassmountError):
+    """A link to another node ended while an answer was awaited on it.
+
+    ``sent`` tells whether the other node may have received the message.
+    """
+
+    address: str
+    sent: bool
+
+    def __str__(self) -> str:
+        return f"the link to {self.address} was lost; check that the node runs"
+
+
+@dataclass(eq=False)
+class AnnouncementError(EelgrassmountError):
+    """An announcement of a backend server that can't be read."""
+
+    detail: str
+
+    def __str__(self) -> str:
+        return f"bad announcement: {self.detail}"
+
+
+@dataclass(eq=False)
+class ListenError(EelgrassmountError):
+    """An address of the settings on which the node can't listen."""
+
+    address: str
+    cause: str
+
+    def __str__(self) -> str:
+        return (
+            f"can't listen on {self.address} ({self.cause}); give an address of this "
+            "VM that no other process uses"
+        )
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,303 @@
+"""A backend server: announces itself, runs requests in slots, calls downstream."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import fire
+from attrs import asdict, frozen
+
+from standins.answers import Answerer, Faults, refuse
+from standins.client import Client, Unanswered
+from standins.downstream import CallFailed, Downstream
+from standins.plans import Plan, find_plan, read_plans
+from standins.runs import Run, RunBook
+from standins.web import Listener, Request, Response, wait_for_signal
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+_ANNOUNCE_EVERY_S = 1.0
+_ANNOUNCE_TIMEOUT_S = 2.0
+_TIMEOUT_DEFAULT_MS = 60_000
+_DRAIN_LEAST_S = 3.0
+_DRAIN_MOST_S = 60.0
+_DRAIN_STEP_S = 0.05
+_CRASH_EXIT = 70
+
+
+@frozen
+class Settings:
+    """What the flags of ``serve`` say."""
+
+    service: str
+    server: str
+    address: str
+    admin_address: str
+    node_address: str
+    advertise_address: str
+    journal_address: str
+    slots: int
+    service_time_ms: float
+    exponential: bool
+    seed: int
+    cold_s: float
+    cold_factor: float
+    queue_limit: int | None
+    plans: dict[str, Plan]
+    retries: int
+    call_timeout_ms: float
+
+
+class Server:
+    """One backend server with its slots, faults and the list of its runs."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.listener = Listener(settings.address, self._handle)
+        self.admin = Listener(settings.admin_address, self._handle_admin)
+        self._settings = settings
+        self._faults = Faults()
+        self._random = random.Random(settings.seed)
+        self._slots = anyio.Semaphore(settings.slots)
+        self._client = Client()
+        self._answerer = Answerer(self._faults)
+        self._book = RunBook(
+            settings.service, settings.server, settings.journal_address
+        )
+        self._downstream = Downstream(
+            self._client,
+            settings.node_address,
+            settings.retries,
+            settings.call_timeout_ms,
+        )
+        self._counts: Counter[str] = Counter()
+        self._began = time.monotonic()
+        self._drained: float | None = None
+        self._changed = anyio.Event()
+        self._node: dict[str, Any] | None = None
+
+    @property
+    def running(self) -> int:
+        """Requests that hold a slot."""
+        return self._settings.slots - self._slots.value
+
+    async def announce(self) -> None:
+        """Announce this server to its node every second and on each change."""
+        while True:
+            await self._tell_node("PUT")
+            with anyio.move_on_after(_ANNOUNCE_EVERY_S):
+                await self._changed.wait()
+            self._changed = anyio.Event()
+
+    async def drain(self) -> None:
+        """Announce draining, finish what runs, then say goodbye to the node."""
+        self._start_draining()
+        least = time.monotonic() + _DRAIN_LEAST_S
+        with anyio.move_on_after(_DRAIN_MOST_S):
+            while self.running or time.monotonic() < least:
+                await anyio.sleep(_DRAIN_STEP_S)
+        await self._tell_node("DELETE")
+
+    def _start_draining(self) -> None:
+        self._faults.drain = True
+        if self._drained is None:
+            self._drained = time.monotonic()
+        self._changed.set()
+
+    async def _tell_node(self, method: str) -> None:
+        load = self._faults.load
+        if load is None:
+            load = self.running / self._settings.slots
+        announcement = {
+            "service": self._settings.service,
+            "address": self._settings.advertise_address,
+            "state": "draining" if self._faults.drain else "serving",
+            "load": load,
+        }
+        try:
+            answer = await self._client.request(
+                self._settings.node_address,
+                method,
+                "/_eelgrassmount/server",
+                {"content-type": "application/json"},
+                json.dumps(announcement).encode(),
+                _ANNOUNCE_TIMEOUT_S,
+            )
+            self._node = json.loads(answer.body) if answer.status == 200 else None
+        except (Unanswered, ValueError):
+            self._node = None
+
+    async def _handle(self, request: Request) -> Response | None:
+        body = await request.read()
+        if self._faults.silent:
+            self._counts["silenced"] += 1
+            await request.wait_disconnect()
+            return None
+        if self._drained is not None:
+            self._counts["after_drain"] += 1
+            since_s = time.monotonic() - self._drained
+            self._counts["after_drain_last_ms"] = int(since_s * 1000)
+        if self._must_shed():
+            self._counts["shed"] += 1
+            return refuse("shedding")
+        route = f"{request.method} {request.path}"
+        call = request.headers.get("eelgrassmount-call", "")
+        run = self._book.make(route, call, json.loads(body)["request"])
+        timeout_ms = float(
+            request.headers.get("eelgrassmount-timeout-ms", _TIMEOUT_DEFAULT_MS)
+        )
+        response = None
+        with anyio.move_on_after(timeout_ms / 1000) as limit:
+            async with anyio.create_task_group() as group:
+                group.start_soon(_cancel_on_disconnect, request, group.cancel_scope)
+                response = await self._run(run, body, limit)
+                group.cancel_scope.cancel()
+        if response is not None:
+            return response
+        return self._give_up(run, limit.cancelled_caught)
+
+    def _must_shed(self) -> bool:
+        limit = self._settings.queue_limit
+        waiting = self._slots.statistics().tasks_waiting
+        full = limit is not None and self.running + waiting >= (
+            self._settings.slots + limit
+        )
+        return full or (self._faults.drain and self._faults.refuse)
+
+    def _give_up(self, run: Run, late: bool) -> Response | None:
+        outcome = "gave_up" if late else "cancelled"
+        if run.started is None:
+            self._counts[f"{outcome}_waiting"] += 1
+            return refuse("deadline") if late else None
+        self._book.end(run, outcome)
+        verdict = {"eelgrassmount-verdict": "may-have-run"}
+        return Response(504, b"", verdict) if late else None
+
+    async def _run(self, run: Run, body: bytes, limit: anyio.CancelScope) -> Response:
+        async with self._slots:
+            await self._book.begin(run)
+            wish = json.loads(body)
+            if wish.get("crash") and wish.get("crash_service") == run.service:
+                os._exit(_CRASH_EXIT)
+            plan = find_plan(self._settings.plans, run.route)
+            with anyio.CancelScope(shield=self._faults.late_ms > 0):
+                await anyio.sleep(self._draw_time_s())
+                try:
+                    runs = await self._downstream.call_all(
+                        plan, run.call, body, limit.deadline
+                    )
+                except CallFailed as failure:
+                    self._book.end(run, "failed")
+                    return Response(502, b"", failure.headers)
+                await anyio.sleep(self._faults.late_ms / 1000)
+            self._book.end(run, "finished")
+            return self._answerer.answer(run, runs)
+
+    def _draw_time_s(self) -> float:
+        time_s = self._settings.service_time_ms / 1000 * self._faults.slow_factor
+        if self._settings.exponential:
+            time_s *= self._random.expovariate(1.0)
+        if time.monotonic() - self._began < self._settings.cold_s:
+            time_s *= self._settings.cold_factor
+        return time_s
+
+    async def _handle_admin(self, request: Request) -> Response:
+        changes = await request.read_json()
+        if request.path == "/runs":
+            runs = [asdict(run) for run in self._book.runs]
+            return Response.from_json({"runs": runs})
+        if request.path == "/stats":
+            return Response.from_json(self._stats())
+        if request.path != "/faults":
+            return Response.from_json({"error": "no such resource"}, 404)
+        self._faults.change(changes)
+        if self._faults.drain:
+            self._start_draining()
+        else:
+            self._drained = None
+        self._changed.set()
+        return Response.from_json({"faults": asdict(self._faults)})
+
+    def _stats(self) -> dict[str, Any]:
+        return {
+            "service": self._settings.service,
+            "server": self._settings.server,
+            "running": self.running,
+            "waiting": self._slots.statistics().tasks_waiting,
+            "counts": dict(self._counts),
+            "node": self._node,
+            **self._book.count(),
+        }
+
+
+async def _cancel_on_disconnect(request: Request, scope: anyio.CancelScope) -> None:
+    await request.wait_disconnect()
+    scope.cancel()
+
+
+def serve(
+    service: str,
+    address: str,
+    admin_address: str,
+    node_address: str,
+    server: str = "",
+    advertise_address: str = "",
+    journal_address: str = "",
+    slots: int = 25,
+    service_time_ms: float = 10.0,
+    exponential: bool = False,
+    seed: int = 0,
+    cold_s: float = 0.0,
+    cold_factor: float = 5.0,
+    queue_limit: int | None = None,
+    routes: str | Mapping[str, Any] = "{}",
+    retries: int = 0,
+    call_timeout_ms: float = _TIMEOUT_DEFAULT_MS,
+) -> None:
+    """Serve one backend server until SIGTERM, which drains it first.
+
+    Its node is told to send calls to ``advertise_address`` (``address`` when
+    empty). ``routes`` is the JSON table of downstream calls; each is repeated
+    ``retries`` times. Over ``queue_limit`` waiting requests it sheds.
+    """
+    settings = Settings(
+        service,
+        server or f"{service}@{address}",
+        address,
+        admin_address,
+        node_address,
+        advertise_address or address,
+        journal_address,
+        slots,
+        service_time_ms,
+        exponential,
+        seed,
+        cold_s,
+        cold_factor,
+        queue_limit,
+        read_plans(routes),
+        retries,
+        call_timeout_ms,
+    )
+
+    async def run() -> None:
+        backend = Server(settings)
+        async with anyio.create_task_group() as group:
+            group.start_soon(backend.listener.serve)
+            group.start_soon(backend.admin.serve)
+            group.start_soon(backend.announce)
+            await wait_for_signal()
+            await backend.drain()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+if __name__ == "__main__":
+    fire.Fire(serve)
