--- a/eelgrassmount/keys/core.py
+++ b/eelgrassmount/keys/core.py
@@ -5,12 +5,13 @@
 import math
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+import anyio
+from attrs import define, evolve, field
 
 from eelgrassmount.keys.holder import Ledger, SlotHolder, adopt_view
 from eelgrassmount.keys.placement import SLOT_COUNT, NodeId, identify_node
 from eelgrassmount.keys.planning import Roster, build_roster
-from eelgrassmount.keys.table import Budget, KeyTable
+from eelgrassmount.keys.table import Budget, Entry, KeyTable
 from eelgrassmount.keys.views import View
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
 # parts of the key window; each is far below it, so that clocks need not agree
 STALL_FRACTION = 0.25
 LONE_FRACTION = 0.5
+ROSTER_AGE_S = 0.2
 
 
 @define
@@ -67,11 +69,14 @@
     holders: list[SlotHolder] = field(init=False)
     tasks: TaskGroup | None = None
     leaving: bool = False
+    exchange_due: anyio.Event = field(factory=anyio.Event)
     marks: int = 0
     seen_s: float = field(init=False)
     stalled_s: float = math.inf
     lone_s: float = -math.inf
     _live: frozenset[NodeId] = frozenset()
+    _roster: Roster | None = None
+    _roster_s: float = -math.inf
     _live_since_s: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -87,16 +92,25 @@
         self._live_since_s = self.seen_s
 
     def read_roster(self) -> Roster:
-        """Return the failure domain's nodes as they are thought of now."""
-        members = self.board.members.members.values()
-        roster = build_roster(self.me, members, self.leaving, settled=False)
+        """Return the failure domain's nodes as they were thought of just now."""
         now_s = self.timers.read()
+        roster = self._roster
+        fresh = now_s - self._roster_s < ROSTER_AGE_S
+        if roster is None or not fresh or (self.leaving and self.me in roster.fit):
+            self._roster = self._build_roster(now_s)
+            self._roster_s = now_s
+        return self._roster
+
+    def _build_roster(self, now_s: float) -> Roster:
+        members = self.board.members.members.values()
+        roster = build_roster(self.me, members, self.leaving)
         live = roster.known - roster.gone
         if live != self._live:
             self._live = live
             self._live_since_s = now_s
-        settled = now_s - self._live_since_s >= self.settings.settle_s
-        return build_roster(self.me, members, self.leaving, settled)
+        if now_s - self._live_since_s < self.settings.settle_s:
+            return roster
+        return evolve(roster, settled=True)
 
     def adopt(self, views: Iterable[View]) -> None:
         """Go over to all views that are later than the present ones."""
@@ -105,6 +119,12 @@
             holder = self.holders[view.slot]
             if adopt_view(holder, view, self.me, now_s, self.settings.window_s):
                 self.count("view-adopted")
+                self.exchange_due.set()
+
+    def add_fact(self, holder: SlotHolder, fact: Entry) -> None:
+        """Note how a call ended, for the other holder of its slot."""
+        holder.facts.append(fact)
+        self.exchange_due.set()
 
     def number_mark(self) -> int:
         """Return a number that no other mark of this incarnation has."""
--- a/eelgrassmount/keys/follower.py
+++ b/eelgrassmount/keys/follower.py
@@ -46,6 +46,7 @@
     fold: ViewFold = field(factory=ViewFold)
     caught_up: bool = False
     _written_s: dict[int, float] = field(factory=dict)
+    _idle_basis: tuple[Roster, list[SlotStanding]] | None = None
     _proposing: bool = False
     _backoff_s: float = FIRST_BACKOFF_S
     _retry_s: float = -math.inf
@@ -178,8 +179,13 @@
             )
             for holder in self.core.holders
         ]
+        # most of the time nothing has changed and nothing is due
+        basis = (roster, standings)
+        if basis == self._idle_basis:
+            return self._plan_rewrites(roster, now_s)
         from_start = self.caught_up and self.fold.first == 0
         proposals = plan_proposals(standings, roster, from_start)
+        self._idle_basis = None if proposals else basis
         return proposals or self._plan_rewrites(roster, now_s)
 
     def _plan_rewrites(self, roster: Roster, now_s: float) -> list[Proposal]:
--- a/eelgrassmount/keys/owner.py
+++ b/eelgrassmount/keys/owner.py
@@ -141,7 +141,7 @@
             outcome=outcome,
         )
         if holder.view.backup or holder.view.primary != self.core.me:
-            holder.facts.append(fact)
+            self.core.add_fact(holder, fact)
 
     async def _mark(
         self, holder: SlotHolder, entries: list[Entry], call: Call
--- a/eelgrassmount/keys/planning.py
+++ b/eelgrassmount/keys/planning.py
@@ -36,7 +36,7 @@
     fit: tuple[NodeId, ...]
     known: frozenset[NodeId]
     gone: frozenset[NodeId]
-    settled: bool
+    settled: bool = False
 
     def is_gone(self, node: NodeId) -> bool:
         """Tell whether a node is dead, has left, or has been replaced."""
@@ -63,28 +63,22 @@
     waiting: bool
 
 
-def build_roster(
-    me: NodeId, members: Iterable[Member], leaving: bool, settled: bool
-) -> Roster:
-    """Return the roster of a failure domain from its members."""
-    fit = {} if leaving else {me}
-    fit = set(fit)
+def build_roster(me: NodeId, members: Iterable[Member], leaving: bool) -> Roster:
+    """Return the roster of a failure domain from its members, not yet settled."""
+    fit = set() if leaving else {me}
     known = {me}
     gone = set()
-    current = {}
     for member in members:
         node = identify_node(member.identity)
-        if node == me:
-            continue
+        # whoever else is known at the own address has been replaced by this node
         if node.address == me.address:
             continue
         known.add(node)
-        current[node.address] = node
         if member.state in (MemberState.DEAD, MemberState.LEFT):
             gone.add(node)
         elif member.state is MemberState.ALIVE and _is_staying(member):
             fit.add(node)
-    return Roster(me, tuple(sorted(fit)), frozenset(known), frozenset(gone), settled)
+    return Roster(me, tuple(sorted(fit)), frozenset(known), frozenset(gone))
 
 
 def _is_staying(member: Member) -> bool:
--- a/eelgrassmount/keys/replica.py
+++ b/eelgrassmount/keys/replica.py
@@ -85,7 +85,7 @@
         holder.ledger.resolve(fact.key, None)
         if holder.view.primary == self.core.me:
             fact.outcome = outcome
-            holder.facts.append(fact)
+            self.core.add_fact(holder, fact)
 
     def _is_backup_for(self, holder: SlotHolder, version: int, sender: Hello) -> bool:
         view = holder.view
@@ -134,7 +134,8 @@
     async def run(self) -> None:
         """Bring backups up to date and send facts, for as long as it runs."""
         while True:
-            await anyio.sleep(FLUSH_S)
+            await self.core.exchange_due.wait()
+            self.core.exchange_due = anyio.Event()
             for holder in self.core.holders:
                 if self._needs_sync(holder):
                     self._begin(self._sync, holder)
@@ -154,6 +155,8 @@
             await send(holder)
         finally:
             self._busy.discard(holder.view.slot)
+            if self._needs_sync(holder) or holder.facts:
+                self.core.exchange_due.set()
 
     def _needs_sync(self, holder: SlotHolder) -> bool:
         return holder.view.primary == self.core.me and not holder.synced
@@ -197,6 +200,8 @@
         return bool(answer.accepted)
 
     async def _send_facts(self, holder: SlotHolder) -> None:
+        # gather what ends in the meantime
+        await anyio.sleep(FLUSH_S)
         view = holder.view
         target = view.backup if view.primary == self.core.me else view.primary
         facts = list(holder.facts)
