Count truncated frames as such and keep one bad link from ending a listener

Found by tests over malformed and fuzzed frames: - a header without a name passed the decoder and failed later in the edge; - a status outside 200-599 from another node passed, uvicorn can't send it; - a long Retry-After overflowed the frame's 32 bits, so no reply was sent; - an address from gossip that can't be read raised in the asker; - an error in one link ended the listener with all other links; - a node that had been frozen blamed its links before it looked at them: silence now counts from the first ping that was not answered; - a reply that a full link did not take was dropped without a word: the link is now closed, so that the asker asks for the call's fate.

--- a/eelgrassmount/errors.py
+++ b/eelgrassmount/errors.py
@@ -69,6 +69,11 @@
     """A frame longer than ``max_frame_bytes``."""
 
 
+@dataclass(eq=False)
+class TruncatedFrameError(BadFrameError):
+    """A frame whose connection ended in the middle of it."""
+
+
 @dataclass(eq=False)
 class LinkLostError(EelgrassmountError):
     """A link to another node ended while an answer was awaited on it.
--- a/eelgrassmount/peer/codec.py
+++ b/eelgrassmount/peer/codec.py
@@ -20,6 +20,8 @@
 
 FRAME_HEADER_BYTES = 4
 MAX_REMAINING_MS = 3_600_000
+MAX_RETRY_AFTER_MS = 3_600_000
+FINAL_STATUSES = range(200, 600)
 
 
 def encode_frame(message: ttypes.Message) -> bytes:
@@ -128,7 +130,11 @@
 
 
 def _decode_headers(frames: list[ttypes.Header] | None) -> tuple[Header, ...]:
-    return tuple(Header(frame.name, frame.value) for frame in frames or ())
+    return tuple(_decode_header(frame) for frame in frames or ())
+
+
+def _decode_header(frame: ttypes.Header) -> Header:
+    return Header(_check_text("header name", frame.name), frame.value or "")
 
 
 def encode_outcome(call_id: str, outcome: Outcome) -> ttypes.Outcome:
@@ -143,32 +149,38 @@
         case NotRun(reason, retry_after_s):
             frame.kind = ttypes.VerdictKind.NOT_RUN
             frame.reason = reason.value
-            frame.retry_after_ms = int(retry_after_s * 1000)
+            frame.retry_after_ms = _encode_delay(retry_after_s)
         case MayHaveRun(reason, retry_after_s):
             frame.kind = ttypes.VerdictKind.MAY_HAVE_RUN
             frame.reason = reason.value
-            frame.retry_after_ms = int(retry_after_s * 1000)
+            frame.retry_after_ms = _encode_delay(retry_after_s)
     return frame
 
 
+def _encode_delay(seconds: float) -> int:
+    return int(min(max(0.0, seconds * 1000), MAX_RETRY_AFTER_MS))
+
+
 def decode_outcome(frame: ttypes.Outcome) -> Outcome:
     """Return the outcome that a node sent, raising `BadFrameError`."""
-    return Outcome(_decode_verdict(frame), max(0, frame.attempts_left or 0))
+    try:
+        verdict = _decode_verdict(frame)
+    except (AttributeError, ValueError) as error:
+        raise BadFrameError(f"not a valid outcome: {error}") from error
+    return Outcome(verdict, max(0, frame.attempts_left or 0))
 
 
 def _decode_verdict(frame: ttypes.Outcome) -> Verdict:
-    retry_after_s = (frame.retry_after_ms or 0) / 1000
+    retry_after_s = max(0, frame.retry_after_ms or 0) / 1000
     match frame.kind:
-        case ttypes.VerdictKind.ANSWERED if frame.status:
+        case ttypes.VerdictKind.ANSWERED if frame.status in FINAL_STATUSES:
             headers = _decode_headers(frame.headers)
             return Answered(frame.status, headers, frame.body or b"")
         case ttypes.VerdictKind.NOT_RUN:
             return NotRun(_decode_reason(frame.reason), retry_after_s)
         case ttypes.VerdictKind.MAY_HAVE_RUN:
             return MayHaveRun(_decode_reason(frame.reason), retry_after_s)
-    raise BadFrameError(
-        f"not a valid verdict: kind {frame.kind}, status {frame.status}"
-    )
+    raise ValueError(f"kind {frame.kind}, status {frame.status}")
 
 
 def _decode_reason(text: str | None) -> Reason:
--- a/eelgrassmount/peer/frames.py
+++ b/eelgrassmount/peer/frames.py
@@ -7,7 +7,7 @@
 import anyio
 from attrs import define, field
 
-from eelgrassmount.errors import BadFrameError, OverlongFrameError
+from eelgrassmount.errors import OverlongFrameError, TruncatedFrameError
 from eelgrassmount.peer.codec import FRAME_HEADER_BYTES, decode_payload, encode_frame
 
 if TYPE_CHECKING:
@@ -32,28 +32,35 @@
         Raises `BadFrameError` for a frame that can't be read, and
         `anyio.EndOfStream` when the other side has closed the stream.
         """
-        header = await self._take(FRAME_HEADER_BYTES)
-        length = int.from_bytes(header, "big")
+        while True:
+            payload = self._cut()
+            if payload is not None:
+                return decode_payload(payload)
+            await self._receive()
+
+    def _cut(self) -> bytes | None:
+        buffer = self._buffer
+        if len(buffer) < FRAME_HEADER_BYTES:
+            return None
+        length = int.from_bytes(buffer[:FRAME_HEADER_BYTES], "big")
         if length > self.max_frame_bytes:
             raise OverlongFrameError(
                 f"{length} bytes, allowed are {self.max_frame_bytes}"
             )
-        return decode_payload(await self._take(length))
-
-    async def _take(self, length: int) -> bytes:
-        while len(self._buffer) < length:
-            try:
-                self._buffer += await self.stream.receive(_CHUNK_BYTES)
-            except anyio.EndOfStream:
-                self._check_end()
-                raise
-        taken = bytes(self._buffer[:length])
-        del self._buffer[:length]
-        return taken
-
-    def _check_end(self) -> None:
-        if self._buffer:
-            raise BadFrameError("the stream ended within a frame")
+        end = FRAME_HEADER_BYTES + length
+        if len(buffer) < end:
+            return None
+        payload = bytes(buffer[FRAME_HEADER_BYTES:end])
+        del buffer[:end]
+        return payload
+
+    async def _receive(self) -> None:
+        try:
+            self._buffer += await self.stream.receive(_CHUNK_BYTES)
+        except anyio.EndOfStream:
+            if self._buffer:
+                raise TruncatedFrameError("the stream ended within it") from None
+            raise
 
 
 @define(eq=False)
@@ -61,6 +68,7 @@
     """Sends messages in order from one task, joining those that wait."""
 
     stream: ByteSendStream
+    max_frame_bytes: int
     max_waiting_bytes: int
     _waiting: list[bytes] = field(factory=list)
     _waiting_bytes: int = 0
@@ -68,21 +76,32 @@
     closed: bool = False
 
     def write(self, message: Message) -> bool:
-        """Queue a message; ``False`` when the stream takes no more."""
+        """Queue a message; ``False`` when the stream doesn't take it.
+
+        That is so when it is closed, when the other side reads too slowly, and
+        for a message that is longer than the other side takes.
+        """
         if self.closed or self._waiting_bytes > self.max_waiting_bytes:
             return False
         frame = encode_frame(message)
+        if len(frame) > self.max_frame_bytes + FRAME_HEADER_BYTES:
+            return False
         self._waiting.append(frame)
         self._waiting_bytes += len(frame)
         self._wake.set()
         return True
 
     async def run(self) -> None:
-        """Send what is queued until the stream breaks."""
-        while True:
+        """Send what is queued until the stream breaks or the writer is closed."""
+        while not self.closed:
             await self._wake.wait()
             self._wake = anyio.Event()
             batch = b"".join(self._waiting)
             self._waiting.clear()
             self._waiting_bytes = 0
             await self.stream.send(batch)
+
+    def close(self) -> None:
+        """Take no more messages and end `run`."""
+        self.closed = True
+        self._wake.set()
--- a/eelgrassmount/peer/link.py
+++ b/eelgrassmount/peer/link.py
@@ -53,6 +53,7 @@
     _sequences: itertools.count = field(factory=lambda: itertools.count(1))
     _received_s: float = 0.0
     _pinged_s: float = 0.0
+    _unanswered_s: float | None = None
     lost: bool = False
 
     async def ask(self, message: Message, timeout_s: float) -> Message | None:
@@ -103,7 +104,7 @@
         try:
             await self.writer.run()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
-            self.writer.closed = True
+            self.writer.close()
 
     async def _receive(self) -> LinkReason:
         while True:
@@ -118,6 +119,7 @@
             ):
                 return LinkReason.SILENT if self.lost else LinkReason.CLOSED
             self._received_s = self.clock.read()
+            self._unanswered_s = None
             self._deliver(message)
 
     def _deliver(self, message: Message) -> None:
@@ -134,29 +136,36 @@
         waiter.done.set()
 
     def watch(self, silence_s: float) -> bool:
-        """Ping a quiet link that is waited on; tell whether it went silent."""
+        """Ping a quiet link that is waited on; tell whether it went silent.
+
+        Silence counts only from the first ping that was not answered, so that
+        a process that was frozen itself looks at its links before it blames them.
+        """
         if not self._waiters or self.lost:
             return False
         now_s = self.clock.read()
+        interval_s = silence_s / PINGS_PER_SILENCE
         oldest_s = next(iter(self._waiters.values())).asked_s
         quiet_s = now_s - max(oldest_s, self._received_s)
-        if quiet_s >= silence_s:
-            return True
-        if quiet_s >= silence_s / PINGS_PER_SILENCE:
-            self._ping(now_s, silence_s / PINGS_PER_SILENCE)
-        return False
+        if quiet_s >= interval_s:
+            self._ping(now_s, interval_s)
+        if self._unanswered_s is None or quiet_s < silence_s:
+            return False
+        return now_s - self._unanswered_s >= silence_s / 2
 
     def _ping(self, now_s: float, interval_s: float) -> None:
         if now_s - self._pinged_s < interval_s:
             return
         self._pinged_s = now_s
+        if self._unanswered_s is None:
+            self._unanswered_s = now_s
         sequence = next(self._sequences)
         self.writer.write(Message(sequence=sequence, reply=False, ping=Ping(sequence)))
 
     def close(self) -> None:
         """End the link: everything outstanding on it is lost."""
         self.lost = True
-        self.writer.closed = True
+        self.writer.close()
         for waiter in self._waiters.values():
             waiter.done.set()
 
--- a/eelgrassmount/peer/listener.py
+++ b/eelgrassmount/peer/listener.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import anyio
 from attrs import define, field
-
-from eelgrassmount.errors import BadFrameError, ListenError, OverlongFrameError
+from loguru import logger
+
+from eelgrassmount.errors import (
+    BadFrameError,
+    ListenError,
+    OverlongFrameError,
+    TruncatedFrameError,
+)
 from eelgrassmount.gen.ttypes import Message
 from eelgrassmount.metrics import FrameReason
 from eelgrassmount.peer.frames import FrameReader, FrameWriter
@@ -16,7 +21,7 @@
 from eelgrassmount.peer.pool import make_hello
 
 if TYPE_CHECKING:
-    from anyio.abc import SocketStream, TaskGroup
+    from anyio.abc import SocketStream
 
     from eelgrassmount.gen.ttypes import Hello
     from eelgrassmount.members.table import Identity
@@ -59,48 +64,48 @@
         group.start_soon(listener.serve, self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
-        async with stream:
-            reader = FrameReader(stream, self.max_frame_bytes)
-            greeting = await self._read(reader, GREETING_LIMIT_S)
-            if greeting is None:
-                return
-            if greeting.hello is None:
-                self._reject(FrameReason.UNEXPECTED)
-                return
-            await self._talk(stream, reader, greeting)
-
-    async def _read(
-        self, reader: FrameReader, limit_s: float = math.inf
-    ) -> Message | None:
         try:
-            with anyio.move_on_after(limit_s):
-                return await reader.read()
+            async with stream:
+                await self._greet(stream)
         except OverlongFrameError:
             self._reject(FrameReason.OVER_LONG)
+        except TruncatedFrameError:
+            self._reject(FrameReason.TRUNCATED)
         except BadFrameError:
             self._reject(FrameReason.MALFORMED)
         except _CLOSED:
-            return None
-        return None
+            pass
+        except Exception:
+            # the other links must not go with this one
+            self.metrics.internal_errors.inc()
+            logger.exception("a link of a peer failed")
 
     def _reject(self, reason: FrameReason) -> None:
         self.metrics.rejected_frames.labels(reason).inc()
 
-    async def _talk(
-        self, stream: SocketStream, reader: FrameReader, greeting: Message
-    ) -> None:
-        writer = FrameWriter(stream, MAX_WAITING_BYTES)
+    async def _greet(self, stream: SocketStream) -> None:
+        reader = FrameReader(stream, self.max_frame_bytes)
+        with anyio.move_on_after(GREETING_LIMIT_S) as limit:
+            greeting = await reader.read()
+        if limit.cancelled_caught:
+            return
+        if greeting.hello is None:
+            self._reject(FrameReason.UNEXPECTED)
+            return
+        writer = FrameWriter(stream, self.max_frame_bytes, MAX_WAITING_BYTES)
         hello = make_hello(self.identity)
         writer.write(Message(sequence=greeting.sequence, reply=True, hello=hello))
-        async with anyio.create_task_group() as group:
-            group.start_soon(_send, writer, group)
+        self._group.start_soon(_send, writer, stream)
+        try:
             await self._read_all(reader, writer, greeting.hello)
-            group.cancel_scope.cancel()
+        finally:
+            writer.close()
 
     async def _read_all(
         self, reader: FrameReader, writer: FrameWriter, sender: Hello
     ) -> None:
-        while (message := await self._read(reader)) is not None:
+        while True:
+            message = await reader.read()
             if message.ping is not None:
                 message.reply = True
                 writer.write(message)
@@ -111,7 +116,6 @@
                 continue
             # in the node's own group: a call outlives the link it came on
             self._group.start_soon(_handle, handler, sender, message, writer)
-        writer.closed = True
 
     def _find_handler(self, message: Message) -> Handler | None:
         for name, handler in self.handlers.items():
@@ -120,12 +124,15 @@
         return None
 
 
-async def _send(writer: FrameWriter, group: TaskGroup) -> None:
+async def _send(writer: FrameWriter, stream: SocketStream) -> None:
     try:
         await writer.run()
     except _CLOSED:
-        writer.closed = True
-        group.cancel_scope.cancel()
+        pass
+    finally:
+        writer.close()
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(stream)
 
 
 async def _handle(
@@ -136,4 +143,6 @@
         return
     reply.sequence = message.sequence
     reply.reply = True
-    writer.write(reply)
+    if not writer.write(reply):
+        # the asker waits: without its link it asks again over another one
+        await anyio.aclose_forcefully(writer.stream)
--- a/eelgrassmount/peer/pool.py
+++ b/eelgrassmount/peer/pool.py
@@ -7,7 +7,7 @@
 import anyio
 from attrs import define, field
 
-from eelgrassmount.errors import BadFrameError, LinkLostError
+from eelgrassmount.errors import AddressError, BadFrameError, LinkLostError
 from eelgrassmount.gen.ttypes import Hello, Message
 from eelgrassmount.peer.codec import encode_frame
 from eelgrassmount.peer.frames import FrameReader, FrameWriter
@@ -107,7 +107,10 @@
         return link
 
     async def _open(self, address: str) -> Link | None:
-        target = parse_address(address)
+        try:
+            target = parse_address(address)
+        except AddressError:
+            return None
         # a peer that is frozen accepts connections but does not greet
         with anyio.move_on_after(self.silence_s):
             try:
@@ -135,7 +138,7 @@
         reply = await reader.read()
         if reply.hello is None:
             raise BadFrameError("the first message is not a greeting")
-        writer = FrameWriter(stream, MAX_WAITING_BYTES)
+        writer = FrameWriter(stream, self.max_frame_bytes, MAX_WAITING_BYTES)
         return Link(
             address, reply.hello, writer, reader, stream, self.timers, self.metrics
         )
