--- /dev/null
+++ b/tests/peer/test_links.py
@@ -0,0 +1,420 @@
+"""Links between nodes over real sockets, and peers that misbehave."""
+
+from __future__ import annotations
+
+import random
+import socket
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import pytest
+from attrs import define, evolve, field
+
+from eelgrassmount.gen.ttypes import Cancel, FateAnswer, FateQuestion, Hello, Message
+from eelgrassmount.members.table import Identity
+from eelgrassmount.metrics import Metrics, make_metrics
+from eelgrassmount.peer.codec import encode_frame
+from eelgrassmount.peer.frames import FrameReader
+from eelgrassmount.peer.listener import PeerListener
+from eelgrassmount.peer.pool import CONNECT_PAUSE_S, PeerPool, make_hello
+from eelgrassmount.peer.port import PeerFailure
+from eelgrassmount.timers import ManualClock, TimerService
+from eelgrassmount.util.addresses import Address
+from eelgrassmount.util.background import Background
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from anyio.abc import SocketStream
+
+pytestmark = pytest.mark.anyio
+
+SILENCE_S = 0.4
+LONG_S = 30.0
+MAX_FRAME_BYTES = 4096
+HOST = "127.0.0.1"
+OWN = Identity("127.0.0.1:1", "a", "r", "first")
+OTHER = Identity("127.0.0.1:2", "a", "r", "second")
+
+
+def question(call_id: str = "x") -> Message:
+    return Message(fate_question=FateQuestion(call_id))
+
+
+def count(metrics: Metrics, name: str) -> dict[str, float]:
+    """Return the series of a counter that are not zero, by their one label."""
+    return {
+        next(iter(sample.labels.values())): sample.value
+        for family in getattr(metrics, name).collect()
+        for sample in family.samples
+        if sample.name.endswith("_total") and sample.value
+    }
+
+
+def find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+@define(eq=False)
+class Pair:
+    """A pool with its clock, and the address that it asks."""
+
+    pool: PeerPool
+    timers: TimerService
+    address: str
+    group: Any
+    failures: list[None] = field(factory=list)
+
+    async def ask(self, message: Message, **options: Any) -> Message | PeerFailure:
+        return await self.pool.ask(self.address, message, LONG_S, **options)
+
+    async def ask_soon(self, replies: list[Any], message: Message) -> None:
+        async def run() -> None:
+            replies.append(await self.ask(message))
+
+        self.group.start_soon(run)
+        await anyio.wait_all_tasks_blocked()
+
+    async def pass_time(self, seconds: float) -> None:
+        steps = 8
+        for _ in range(steps):
+            self.timers.advance(seconds / steps)
+            for _ in range(20):
+                await anyio.sleep(0)
+
+
+@asynccontextmanager
+async def run_pool(port: int) -> AsyncIterator[Pair]:
+    timers = TimerService(ManualClock(), random.Random(1))
+    async with anyio.create_task_group() as group:
+        metrics = make_metrics()
+        pool = PeerPool(OWN, HOST, SILENCE_S, MAX_FRAME_BYTES, timers, metrics)
+        pair = Pair(pool, timers, f"{HOST}:{port}", group)
+        await pool.start(Background(group, lambda: pair.failures.append(None)))
+        yield pair
+        group.cancel_scope.cancel()
+    assert not pair.failures
+
+
+@asynccontextmanager
+async def run_peer(
+    act: Callable[[SocketStream, FrameReader], Any], identity: Identity = OTHER
+) -> AsyncIterator[Pair]:
+    """Run a hand-made peer that greets and then acts, and a pool to ask it."""
+
+    async def serve(stream: SocketStream) -> None:
+        async with stream:
+            reader = FrameReader(stream, MAX_FRAME_BYTES)
+            greeting = await reader.read()
+            hello = Message(greeting.sequence, True, hello=make_hello(identity))
+            await stream.send(encode_frame(hello))
+            try:
+                await act(stream, reader)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                pass
+
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        async with run_pool(port) as pair:
+            yield pair
+        group.cancel_scope.cancel()
+
+
+def answer(message: Message) -> Message:
+    call_id = message.fate_question.call_id
+    return Message(message.sequence, True, fate_answer=FateAnswer(call_id))
+
+
+async def test_replies_find_their_questions_in_any_order() -> None:
+    async def act(stream: SocketStream, reader: FrameReader) -> None:
+        asked = [await reader.read() for _ in range(3)]
+        for message in reversed(asked):
+            await stream.send(encode_frame(answer(message)))
+        await reader.read()
+
+    async with run_peer(act) as pair:
+        replies: dict[str, str] = {}
+
+        async def ask(call_id: str) -> None:
+            reply = await pair.ask(question(call_id))
+            replies[call_id] = reply.fate_answer.call_id
+
+        async with anyio.create_task_group() as group:
+            for call_id in "abc":
+                group.start_soon(ask, call_id)
+        assert replies == {"a": "a", "b": "b", "c": "c"}
+
+
+async def test_doubled_and_unmatched_replies_are_dropped_and_counted() -> None:
+    async def act(stream: SocketStream, reader: FrameReader) -> None:
+        message = await reader.read()
+        stray = answer(message)
+        stray.sequence = 999
+        frames = [stray, answer(message), answer(message)]
+        await stream.send(b"".join(encode_frame(frame) for frame in frames))
+        last = await reader.read()
+        await stream.send(encode_frame(answer(message)) + encode_frame(answer(last)))
+        await reader.read()
+
+    async with run_peer(act) as pair:
+        assert (await pair.ask(question("a"))).fate_answer.call_id == "a"
+        assert (await pair.ask(question("b"))).fate_answer.call_id == "b"
+        dropped = count(pair.pool.metrics, "dropped_answers")
+        assert dropped == {"late": 2, "doubled": 1}
+
+
+@pytest.mark.parametrize(
+    ("last_words", "reason"),
+    [
+        (b"", "closed"),
+        (b"\xff\xff\xff\xff", "bad-frame"),
+        (b"\x00\x00\x00\x04oops", "bad-frame"),
+        (b"\x00\x00\x00\x04oo", "bad-frame"),
+    ],
+)
+async def test_lost_link_says_who_may_have_the_question(
+    last_words: bytes, reason: str
+) -> None:
+    async def act(stream: SocketStream, reader: FrameReader) -> None:
+        await reader.read()
+        await stream.send(last_words)
+
+    async with run_peer(act) as pair:
+        for _ in range(2):
+            failure = await pair.ask(question())
+            assert failure == PeerFailure(pair.address, True, "second")
+            await anyio.wait_all_tasks_blocked()
+        replaced = count(pair.pool.metrics, "peer_links_replaced")
+        assert replaced == {reason: 2}
+
+
+async def test_silence_is_found_by_pings_and_the_link_is_replaced() -> None:
+    links = []
+
+    async def act(stream: SocketStream, reader: FrameReader) -> None:
+        links.append(stream)
+        silent = len(links) == 1
+        while True:
+            message = await reader.read()
+            if not silent:
+                await stream.send(encode_frame(answer(message)))
+
+    async with run_peer(act) as pair:
+        replies: list[Any] = []
+        await pair.ask_soon(replies, question())
+        await pair.pass_time(SILENCE_S * 2)
+        await anyio.wait_all_tasks_blocked()
+        assert replies == [PeerFailure(pair.address, True, "second")]
+        assert count(pair.pool.metrics, "peer_links_replaced") == {"silent": 1}
+        reply = await pair.ask(question(), incarnation="second")
+        assert reply.fate_answer.call_id == "x"
+
+
+async def test_slow_call_on_a_live_link_is_waited_for() -> None:
+    go_on = anyio.Event()
+
+    async def act(stream: SocketStream, reader: FrameReader) -> None:
+        message = await reader.read()
+
+        async def pong() -> None:
+            while (ping := await reader.read()).ping is not None:
+                ping.reply = True
+                await stream.send(encode_frame(ping))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(pong)
+            await go_on.wait()
+            await stream.send(encode_frame(answer(message)))
+            await anyio.sleep_forever()
+
+    async with run_peer(act) as pair:
+        replies: list[Any] = []
+        await pair.ask_soon(replies, question())
+        for _ in range(5):
+            await pair.pass_time(SILENCE_S / 3)
+            await anyio.wait_all_tasks_blocked()
+        assert replies == []
+        go_on.set()
+        with anyio.fail_after(LONG_S):
+            while not replies:
+                await anyio.wait_all_tasks_blocked()
+        assert replies[0].fate_answer.call_id == "x"
+        assert count(pair.pool.metrics, "dropped_answers") == {}
+
+
+async def test_frozen_asker_looks_before_it_blames() -> None:
+    async def act(stream: SocketStream, reader: FrameReader) -> None:
+        await reader.read()
+        await reader.read()
+        await reader.read()
+
+    async with run_peer(act) as pair:
+        replies: list[Any] = []
+        await pair.ask_soon(replies, question())
+        pair.timers.clock.now_s += 60.0
+        pair.timers.run_due()
+        await anyio.wait_all_tasks_blocked()
+        assert replies == []
+
+
+async def test_another_incarnation_is_not_asked() -> None:
+    received = []
+
+    async def act(stream: SocketStream, reader: FrameReader) -> None:
+        received.append(await reader.read())
+
+    async with run_peer(act) as pair:
+        failure = await pair.ask(question(), incarnation="first")
+        assert failure == PeerFailure(pair.address, sent=False)
+        await anyio.wait_all_tasks_blocked()
+        assert received == []
+
+
+@pytest.mark.parametrize("last_words", [None, b"", b"\x00\x00\x00\x04oops", "ping"])
+async def test_peer_that_does_not_greet_was_not_asked(
+    last_words: bytes | str | None,
+) -> None:
+    async def serve(stream: SocketStream) -> None:
+        async with stream:
+            if last_words is None:
+                await anyio.sleep_forever()
+            frame = encode_frame(Message(0, True)) if last_words == "ping" else last_words
+            await stream.send(frame)
+
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        async with run_pool(port) as pair:
+            failure = await pair.ask(question())
+            assert failure == PeerFailure(pair.address, sent=False)
+        group.cancel_scope.cancel()
+
+
+async def test_refused_connection_and_unreadable_address() -> None:
+    async with run_pool(find_port()) as pair:
+        assert await pair.ask(question()) == PeerFailure(pair.address, sent=False)
+        assert not await pair.pool.tell(pair.address, question())
+        failure = await pair.pool.ask("no address", question(), LONG_S)
+        assert failure == PeerFailure("no address", sent=False)
+
+
+@asynccontextmanager
+async def run_listener(handlers: Any) -> AsyncIterator[tuple[PeerListener, Pair]]:
+    port = find_port()
+    identity = evolve(OTHER, address=f"{HOST}:{port}")
+    async with anyio.create_task_group() as group:
+        listener = PeerListener(
+            identity, Address(HOST, port), MAX_FRAME_BYTES, handlers, make_metrics()
+        )
+        async with run_pool(port) as pair:
+            await listener.start(Background(group, lambda: None))
+            yield listener, pair
+        group.cancel_scope.cancel()
+
+
+async def answer_fate(sender: Hello, message: Message) -> Message:
+    assert sender.incarnation == OWN.incarnation
+    return Message(fate_answer=FateAnswer(message.fate_question.call_id))
+
+
+BAD_LINKS = {
+    "malformed": [b"\x00\x00\x00\x04oops"],
+    "over-long": [b"\x7f\xff\xff\xff"],
+    "truncated": [b"\x00\x00\x00\x09oops"],
+    "unexpected": [encode_frame(Message(1, False, cancel=Cancel("x")))],
+}
+GREETING = encode_frame(Message(0, False, hello=make_hello(OWN)))
+
+
+@pytest.mark.parametrize("reason", BAD_LINKS)
+@pytest.mark.parametrize("greeting", [b"", GREETING])
+async def test_bad_frame_costs_its_connection_at_most(
+    reason: str, greeting: bytes
+) -> None:
+    async with run_listener({"fate_question": answer_fate}) as (listener, pair):
+        assert (await pair.ask(question())).fate_answer.call_id == "x"
+        async with await anyio.connect_tcp(HOST, listener.address.port) as stream:
+            await stream.send(greeting + b"".join(BAD_LINKS[reason]))
+            await stream.send_eof()
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                while True:
+                    await stream.receive()
+        assert count(listener.metrics, "rejected_frames") == {reason: 1}
+        assert (await pair.ask(question())).fate_answer.call_id == "x"
+        assert count(pair.pool.metrics, "peer_links_replaced") == {}
+
+
+async def test_any_first_bytes_leave_the_listener_up() -> None:
+    rng = random.Random(5)
+    async with run_listener({"fate_question": answer_fate}) as (listener, pair):
+        for length in (1, 3, 4, 5, 17, 300, 5000):
+            async with await anyio.connect_tcp(HOST, listener.address.port) as stream:
+                try:
+                    await stream.send(rng.randbytes(length))
+                    await stream.send_eof()
+                    await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+                    pass
+        assert (await pair.ask(question())).fate_answer.call_id == "x"
+        assert sum(count(listener.metrics, "rejected_frames").values()) == 7
+
+
+async def test_failing_handler_costs_only_its_question() -> None:
+    async def fail(sender: Hello, message: Message) -> Message:
+        raise RuntimeError("a fault")
+
+    handlers = {"cancel": fail, "fate_question": answer_fate}
+    async with run_listener(handlers) as (_, pair):
+        assert await pair.pool.tell(pair.address, Message(cancel=Cancel("x")))
+        assert (await pair.ask(question())).fate_answer.call_id == "x"
+
+
+async def test_call_outlives_the_link_that_it_came_on() -> None:
+    begun = anyio.Event()
+    go_on = anyio.Event()
+    finished = []
+
+    async def work(sender: Hello, message: Message) -> Message:
+        begun.set()
+        await go_on.wait()
+        finished.append(message.fate_question.call_id)
+        return Message(fate_answer=FateAnswer("x"))
+
+    async with run_listener({"fate_question": work}) as (_, pair):
+        replies: list[Any] = []
+        await pair.ask_soon(replies, question())
+        await begun.wait()
+        pair.pool.forget(pair.address)
+        await anyio.wait_all_tasks_blocked()
+        assert replies == [PeerFailure(pair.address, True, "second")]
+        go_on.set()
+        await anyio.wait_all_tasks_blocked()
+        assert finished == ["x"]
+
+
+async def test_restarted_peer_gets_a_new_link() -> None:
+    port = find_port()
+    async with run_pool(port) as pair:
+        for incarnation in ("second", "third"):
+            identity = evolve(OTHER, incarnation=incarnation)
+            listener = PeerListener(
+                identity,
+                Address(HOST, port),
+                MAX_FRAME_BYTES,
+                {"fate_question": answer_fate},
+                make_metrics(),
+            )
+            async with anyio.create_task_group() as group:
+                await listener.start(Background(group, lambda: None))
+                pair.timers.advance(CONNECT_PAUSE_S)
+                reply = await pair.ask(question(), incarnation=incarnation)
+                assert reply.fate_answer.call_id == "x"
+                group.cancel_scope.cancel()
+            await anyio.wait_all_tasks_blocked()
+            assert isinstance(await pair.ask(question()), PeerFailure)
