--- /dev/null
+++ b/eelgrassmount/edge/exchange.py
@@ -0,0 +1,211 @@
+"""One HTTP exchange with a backend server on a connection of its own."""
+
+from __future__ import annotations
+
+import select
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+import httptools
+from anyio.abc import SocketAttribute
+from attrs import define, field
+
+from eelgrassmount.edge import headers as names
+from eelgrassmount.edge.headers import (
+    FINAL_STATUSES,
+    MAX_HEADER_BYTES,
+    MAX_HEADERS,
+    find_header,
+)
+from eelgrassmount.metrics import DropReason
+from eelgrassmount.verdict import Header
+
+if TYPE_CHECKING:
+    from anyio.abc import SocketStream
+
+CHUNK_BYTES = 65536
+_NO_BODY_STATUSES = frozenset({204, 304})
+_BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
+@dataclass(frozen=True, slots=True)
+class RawAnswer:
+    """A whole answer as it came; header names are in lower case.
+
+    ``extra`` tells that more came behind it, which belongs to no call.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    keep_alive: bool
+    extra: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """The connection ended before the first byte of an answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class BadAnswer:
+    """What came is not one whole answer."""
+
+    reason: DropReason
+
+
+ExchangeResult = RawAnswer | NoAnswer | BadAnswer
+
+
+@define(eq=False)
+class _Collector:
+    """Collects one answer from the parser's callbacks."""
+
+    method: str
+    max_body_bytes: int
+    status: int = 0
+    done: bool = False
+    keep_alive: bool = False
+    extra: bool = False
+    fault: DropReason | None = None
+    headers: list[Header] = field(factory=list)
+    _header_bytes: int = 0
+    _body_bytes: int = 0
+    _parts: list[bytes] = field(factory=list)
+    parser: httptools.HttpResponseParser = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_message_begin(self) -> None:
+        """Note bytes that follow a whole answer."""
+        self.extra = self.done
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        if self.done:
+            return
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > MAX_HEADER_BYTES or len(self.headers) >= MAX_HEADERS:
+            self.fault = DropReason.OVER_LONG
+            return
+        name_text = name.decode("latin-1").lower()
+        value_text = value.decode("latin-1").rstrip(" \t")
+        self.headers.append(Header(name_text, value_text))
+
+    def on_headers_complete(self) -> None:
+        """Check that the end of the answer can be told."""
+        status = self.parser.get_status_code()
+        if self.done or status < FINAL_STATUSES.start:
+            return
+        self.status = status
+        self.keep_alive = self.parser.should_keep_alive()
+        if status not in FINAL_STATUSES:
+            self.fault = DropReason.MALFORMED
+        elif self.method == "HEAD":
+            # its length is that of the body which it does not have
+            self.done = True
+        elif status not in _NO_BODY_STATUSES and not self._has_length():
+            # an answer that ends with its connection may be a truncated one
+            self.fault = DropReason.TRUNCATED
+
+    def _has_length(self) -> bool:
+        return any(
+            header.name in (names.CONTENT_LENGTH, "transfer-encoding")
+            for header in self.headers
+        )
+
+    def on_body(self, part: bytes) -> None:
+        """Take a part of the body."""
+        if self.done:
+            return
+        self._body_bytes += len(part)
+        if self._body_bytes > self.max_body_bytes:
+            self.fault = DropReason.OVER_LONG
+            return
+        self._parts.append(part)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the answer, or of an informational one before it."""
+        if self.status:
+            self.done = True
+            return
+        self.headers.clear()
+
+    def feed(self, data: bytes) -> None:
+        """Parse what came; ``done`` or ``fault`` tell the rest."""
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if self.done:
+                self.extra = True
+                return
+            self.fault = self.fault or DropReason.MALFORMED
+
+    def make_answer(self) -> RawAnswer:
+        """Return the whole answer."""
+        body = b"".join(self._parts)
+        headers = tuple(self.headers)
+        return RawAnswer(self.status, headers, body, self.keep_alive, self.extra)
+
+
+@define(eq=False)
+class Connection:
+    """A connection to a backend server, used by one call at a time.
+
+    ``used_s`` is when it was last given back, in monotonic seconds.
+    ``process`` is how the process at the other end named itself in its answers.
+    """
+
+    stream: SocketStream
+    used_s: float = 0.0
+    process: str = ""
+    _poll: select.poll = field(factory=select.poll)
+
+    def __attrs_post_init__(self) -> None:
+        raw_socket = self.stream.extra(SocketAttribute.raw_socket)
+        self._poll.register(raw_socket.fileno(), select.POLLIN)
+
+    def is_quiet(self) -> bool:
+        """Tell whether nothing came since the last answer, not even its end."""
+        return not self._poll.poll(0)
+
+    async def exchange(
+        self, method: str, data: bytes, max_body_bytes: int
+    ) -> ExchangeResult:
+        """Send a whole request and return what came of it."""
+        collector = _Collector(method, max_body_bytes)
+        received = False
+        try:
+            await self.stream.send(data)
+        except _BROKEN:
+            # it may have answered before it closed
+            pass
+        while not collector.done:
+            try:
+                part = await self.stream.receive(CHUNK_BYTES)
+            except (anyio.EndOfStream, *_BROKEN):
+                return BadAnswer(DropReason.TRUNCATED) if received else NoAnswer()
+            received = True
+            collector.feed(part)
+            if collector.fault is not None:
+                return BadAnswer(collector.fault)
+        answer = collector.make_answer()
+        self.process = find_header(answer.headers, names.SERVER) or self.process
+        return answer
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
+
+
+async def connect(host: str, port: int, limit_s: float) -> Connection | None:
+    """Return a new connection, ``None`` when there is none within ``limit_s``."""
+    with anyio.move_on_after(limit_s):
+        try:
+            return Connection(await anyio.connect_tcp(host, port))
+        except OSError:
+            return None
+    return None
--- a/eelgrassmount/edge/headers.py
+++ b/eelgrassmount/edge/headers.py
@@ -25,6 +25,8 @@
 ROOT = "eelgrassmount-root"
 CLASS = "eelgrassmount-class"
 CALL = "eelgrassmount-call"
+CALL_STATE = "eelgrassmount-call-state"
+SERVER = "eelgrassmount-server"
 CALL_NAME = "eelgrassmount-call-name"
 PARENT = "eelgrassmount-parent"
 ATTEMPTS = "eelgrassmount-attempts"
@@ -36,7 +38,11 @@
 CONTENT_DIGEST = "content-digest"
 CONTENT_LENGTH = "content-length"
 
+FINAL_STATUSES = range(200, 600)
 OWN_PREFIX = "eelgrassmount-"
+# of one request or answer, its path included: it must fit into a frame
+MAX_HEADER_BYTES = 16 * 1024
+MAX_HEADERS = 256
 # headers of one connection, never passed on (RFC 9110, section 7.6.1)
 HOP_HEADERS = frozenset(
     {
@@ -83,10 +89,17 @@
 
 def keep_passing(headers: Iterable[Header]) -> tuple[Header, ...]:
     """Return the headers that are passed on through the layer."""
+    headers = tuple(headers)
+    dropped = HOP_HEADERS
+    connection = find_header(headers, "connection")
+    if connection is not None:
+        # it names further headers that are meant for one connection
+        named = {name.strip().lower() for name in connection.split(",")}
+        dropped = HOP_HEADERS | named
     return tuple(
         header
         for header in headers
-        if header.name not in HOP_HEADERS and not header.name.startswith(OWN_PREFIX)
+        if header.name not in dropped and not header.name.startswith(OWN_PREFIX)
     )
 
 
--- a/eelgrassmount/edge/server.py
+++ b/eelgrassmount/edge/server.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
-import anyio
-import httpcore
 from attrs import define, field
 
 from eelgrassmount.edge import headers as names
+from eelgrassmount.edge.exchange import (
+    BadAnswer,
+    Connection,
+    ExchangeResult,
+    NoAnswer,
+    RawAnswer,
+    connect,
+)
 from eelgrassmount.edge.headers import (
     check_digest,
     find_header,
@@ -37,10 +44,31 @@
 CONNECT_LIMIT_S = 0.5
 MAX_IDLE_CONNECTIONS = 256
 IDLE_LIMIT_S = 30.0
+# the share that the newest latency has in the typical one
+TYPICAL_SHARE = 0.1
 _SHED_STATUS = 503
 # what a backend server answers when a downstream call of its own has failed
 _GATEWAY_STATUSES = frozenset({502, 503, 504})
-_LOST = (httpcore.RemoteProtocolError, httpcore.ReadError, httpcore.WriteError)
+_MAX_RETRY_AFTER_MS = 3_600_000
+
+
+@define(eq=False)
+class Exchange:
+    """A call that is at the backend server now.
+
+    Whoever learns by another way what became of it calls `settle`.
+    """
+
+    call: Call
+    connection: Connection
+    begun_s: float
+    verdict: Verdict | None = None
+
+    async def settle(self, verdict: Verdict) -> None:
+        """Give the call its verdict and close the connection that lost it."""
+        if self.verdict is None:
+            self.verdict = verdict
+            await self.connection.close()
 
 
 @define(eq=False)
@@ -49,15 +77,16 @@
 
     A connection is used again only after its answer has been read completely
     and found good; any other one is closed, since a late answer may still
-    come on it.
+    come on it. ``typical_s`` is a moving average of how long calls take.
     """
 
     clock: Clock
     metrics: Metrics
     max_body_bytes: int
-    _idle: list[httpcore.AsyncHTTP11Connection] = field(factory=list)
+    typical_s: float = 0.0
+    exchanges: dict[str, Exchange] = field(factory=dict)
+    _idle: deque[Connection] = field(factory=deque)
     _address: str = ""
-    _backend: httpcore.AnyIOBackend = field(factory=httpcore.AnyIOBackend)
 
     async def send(
         self,
@@ -70,133 +99,121 @@
 
         ``note_begun`` is called just before the first byte is sent.
         """
+        data = self._encode(address, call, attempts_left)
+        if data is None:
+            return NotRun(Reason.MALFORMED)
         connection = await self._take(address)
         if connection is None:
             return NotRun(Reason.NO_SERVER)
         note_begun()
         reusable = False
+        exchange = Exchange(call, connection, self.clock.read())
+        self.exchanges[call.context.call_id] = exchange
         try:
-            answer = await self._exchange(connection, address, call, attempts_left)
-            reusable = not isinstance(answer, MayHaveRun)
+            result = await connection.exchange(
+                call.request.method, data, self.max_body_bytes
+            )
+            verdict = exchange.verdict or self.judge(call, result)
+            reusable = _is_reusable(result, verdict)
         finally:
+            del self.exchanges[call.context.call_id]
             await self._give_back(connection, address, reusable)
-        return answer
+        if isinstance(verdict, Answered):
+            self._note_latency(self.clock.read() - exchange.begun_s)
+        return verdict
+
+    def _note_latency(self, seconds: float) -> None:
+        if not self.typical_s:
+            self.typical_s = seconds
+        self.typical_s += TYPICAL_SHARE * (seconds - self.typical_s)
 
-    async def _take(self, address: str) -> httpcore.AsyncHTTP11Connection | None:
+    async def _take(self, address: str) -> Connection | None:
         if address != self._address:
-            await self.close()
             self._address = address
+            await self.close()
+        oldest_s = self.clock.read() - IDLE_LIMIT_S
+        while self._idle and self._idle[0].used_s < oldest_s:
+            await self._idle.popleft().close()
         while self._idle:
             connection = self._idle.pop()
-            if not connection.has_expired():
+            if connection.is_quiet():
                 return connection
-            await connection.aclose()
-        return await self._connect(address)
-
-    async def _connect(self, address: str) -> httpcore.AsyncHTTP11Connection | None:
+            await connection.close()
         target = parse_address(address)
-        try:
-            stream = await self._backend.connect_tcp(
-                target.host, target.port, timeout=CONNECT_LIMIT_S
-            )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            return None
-        origin = httpcore.Origin(b"http", target.host.encode(), target.port)
-        return httpcore.AsyncHTTP11Connection(origin, stream, IDLE_LIMIT_S)
+        return await connect(target.host, target.port, CONNECT_LIMIT_S)
 
     async def _give_back(
-        self, connection: httpcore.AsyncHTTP11Connection, address: str, reusable: bool
+        self, connection: Connection, address: str, reusable: bool
     ) -> None:
         room = len(self._idle) < MAX_IDLE_CONNECTIONS
-        if reusable and room and address == self._address and connection.is_idle():
+        if reusable and room and address == self._address:
+            connection.used_s = self.clock.read()
             self._idle.append(connection)
             return
-        with anyio.CancelScope(shield=True):
-            await connection.aclose()
+        await connection.close()
 
-    async def _exchange(
-        self,
-        connection: httpcore.AsyncHTTP11Connection,
-        address: str,
-        call: Call,
-        attempts_left: int,
-    ) -> Verdict:
-        request = self._make_request(address, call, attempts_left)
-        try:
-            response = await connection.handle_async_request(request)
-        except _LOST:
-            return MayHaveRun(Reason.SERVER_CRASHED)
-        body = await self._read_body(response)
-        if isinstance(body, DropReason):
-            self.metrics.dropped_answers.labels(body).inc()
-            return MayHaveRun(Reason.BAD_ANSWER)
-        return self._judge(call, response, body)
-
-    def _make_request(
-        self, address: str, call: Call, attempts_left: int
-    ) -> httpcore.Request:
+    def _encode(self, address: str, call: Call, attempts_left: int) -> bytes | None:
+        """Return a call as an HTTP request, ``None`` if HTTP can't carry it."""
         context = call.context
+        request = call.request
         remaining_ms = context.measure_remaining(self.clock.read()) * 1000
-        own = (
-            (names.CALL, context.call_id),
-            (names.ROOT, context.root_id),
-            (names.CLASS, context.class_name),
-            (names.ATTEMPTS, str(attempts_left)),
-            (names.TIMEOUT_MS, str(max(1, int(remaining_ms)))),
-            ("host", address),
-            (names.CONTENT_LENGTH, str(len(call.request.body))),
+        lines = [f"{request.method} {request.path} HTTP/1.1"]
+        for header in keep_passing(request.headers):
+            lines.append(f"{header.name}: {header.value}")
+        lines += (
+            f"host: {address}",
+            f"{names.CALL}: {context.call_id}",
+            f"{names.ROOT}: {context.root_id}",
+            f"{names.CLASS}: {context.class_name}",
+            f"{names.ATTEMPTS}: {attempts_left}",
+            f"{names.TIMEOUT_MS}: {max(1, int(remaining_ms))}",
+            f"{names.CONTENT_LENGTH}: {len(request.body)}",
         )
-        passed = keep_passing(call.request.headers)
-        return httpcore.Request(
-            call.request.method.encode(),
-            f"http://{address}{call.request.path}".encode(),
-            headers=[
-                *((header.name.encode(), header.value.encode()) for header in passed),
-                *((name.encode(), value.encode()) for name, value in own),
-            ],
-            content=call.request.body,
-        )
-
-    async def _read_body(self, response: httpcore.Response) -> bytes | DropReason:
-        if not _has_length(response):
-            return DropReason.TRUNCATED
-        parts = []
-        length = 0
+        text = "\r\n".join(lines)
+        # what another node passed on may hold anything
+        if text.count("\n") != len(lines) - 1 or "\0" in text:
+            return None
+        if lines[0].count(" ") != 2:
+            return None
         try:
-            async for part in response.aiter_stream():
-                parts.append(part)
-                length += len(part)
-                if length > self.max_body_bytes:
-                    return DropReason.OVER_LONG
-            await response.aclose()
-        except _LOST:
-            return DropReason.TRUNCATED
-        return b"".join(parts)
-
-    def _judge(self, call: Call, response: httpcore.Response, body: bytes) -> Verdict:
-        headers = tuple(
-            Header(name.decode("latin-1").lower(), value.decode("latin-1"))
-            for name, value in response.headers
-        )
-        if find_header(headers, names.CALL) != call.context.call_id:
-            self.metrics.dropped_answers.labels(DropReason.WRONG_CALL).inc()
-            return MayHaveRun(Reason.BAD_ANSWER)
-        if not check_digest(headers, body):
-            self.metrics.dropped_answers.labels(DropReason.BAD_DIGEST).inc()
-            return MayHaveRun(Reason.BAD_ANSWER)
-        failure = _find_failure(response.status, headers)
-        return failure or Answered(response.status, keep_passing(headers), body)
+            return b"%b\r\n\r\n%b" % (text.encode("latin-1"), request.body)
+        except UnicodeEncodeError:
+            return None
+
+    def judge(self, call: Call, result: ExchangeResult) -> Verdict:
+        """Return the verdict on a call from what came of its exchange."""
+        match result:
+            case NoAnswer():
+                return MayHaveRun(Reason.SERVER_CRASHED)
+            case BadAnswer(reason):
+                return self._drop(reason)
+        if result.extra:
+            self.metrics.dropped_answers.labels(DropReason.DOUBLED).inc()
+        if find_header(result.headers, names.CALL) != call.context.call_id:
+            return self._drop(DropReason.WRONG_CALL)
+        if not check_digest(result.headers, result.body):
+            return self._drop(DropReason.BAD_DIGEST)
+        failure = _find_failure(result.status, result.headers)
+        if failure is not None:
+            return failure
+        return Answered(result.status, keep_passing(result.headers), result.body)
+
+    def _drop(self, reason: DropReason) -> Verdict:
+        self.metrics.dropped_answers.labels(reason).inc()
+        return MayHaveRun(Reason.BAD_ANSWER)
 
     async def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
-            await self._idle.pop().aclose()
+            await self._idle.pop().close()
 
 
-def _has_length(response: httpcore.Response) -> bool:
-    # an answer that ends with its connection can't be told from a truncated one
-    names_present = {name.lower() for name, _ in response.headers}
-    return b"content-length" in names_present or b"transfer-encoding" in names_present
+def _is_reusable(result: ExchangeResult, verdict: Verdict) -> bool:
+    """Tell whether nothing more can come on the connection of an exchange."""
+    if not isinstance(result, RawAnswer) or result.extra or not result.keep_alive:
+        return False
+    # an answer to another call means that one for this call may still come
+    return verdict != MayHaveRun(Reason.BAD_ANSWER)
 
 
 def _find_failure(status: int, headers: tuple[Header, ...]) -> Verdict | None:
@@ -211,9 +228,10 @@
 
 def _read_retry_after(headers: tuple[Header, ...]) -> float:
     try:
-        return (read_whole_number(headers, names.RETRY_AFTER_MS) or 0) / 1000
+        milliseconds = read_whole_number(headers, names.RETRY_AFTER_MS) or 0
     except ValueError:
         return 0.0
+    return min(milliseconds, _MAX_RETRY_AFTER_MS) / 1000
 
 
 def _read_reason(headers: tuple[Header, ...]) -> Reason:
--- a/eelgrassmount/metrics.py
+++ b/eelgrassmount/metrics.py
@@ -42,6 +42,7 @@
     OVER_LONG = "over-long"
     WRONG_CALL = "wrong-call"
     BAD_DIGEST = "bad-digest"
+    MALFORMED = "malformed"
 
 
 class LinkReason(StrEnum):
--- a/eelgrassmount/peer/codec.py
+++ b/eelgrassmount/peer/codec.py
@@ -7,6 +7,7 @@
 
 from eelgrassmount.calls.request import Call, Outcome, Request
 from eelgrassmount.context import MAX_DEPTH, PRIORITY_LEVELS, Context, Tier
+from eelgrassmount.edge.headers import FINAL_STATUSES
 from eelgrassmount.errors import BadFrameError
 from eelgrassmount.gen import ttypes
 from eelgrassmount.verdict import (
@@ -21,7 +22,6 @@
 FRAME_HEADER_BYTES = 4
 MAX_REMAINING_MS = 3_600_000
 MAX_RETRY_AFTER_MS = 3_600_000
-FINAL_STATUSES = range(200, 600)
 
 
 def encode_frame(message: ttypes.Message) -> bytes:
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -31,6 +31,7 @@
 _DRAIN_MOST_S = 60.0
 _DRAIN_STEP_S = 0.05
 _CRASH_EXIT = 70
+_CALLS_PATH = "/_eelgrassmount/calls/"
 _PASSED_ON = (
     "eelgrassmount-verdict",
     "eelgrassmount-reason",
@@ -69,6 +70,8 @@
     slow_factor: float = 1.0
     load: float | None = None
     silent: bool = False
+    lost: int = 0
+    mute: int = 0
     drain: bool = False
     refuse: bool = False
     late_ms: float = 0.0
@@ -125,6 +128,9 @@
         self._changed = anyio.Event()
         self._node: dict[str, Any] | None = None
         self._previous: Response | None = None
+        self._known: dict[str, Response | None] = {}
+        self._sealed: set[str] = set()
+        self._process = f"{os.getpid()}-{time.monotonic_ns()}"
 
     @property
     def running(self) -> int:
@@ -183,6 +189,12 @@
             self._counts["silenced"] += 1
             await request.wait_disconnect()
             return None
+        if request.path.startswith(_CALLS_PATH):
+            return self._tell_fate(request.path.removeprefix(_CALLS_PATH))
+        if self._faults.take("lost"):
+            self._counts["lost"] += 1
+            await request.wait_disconnect()
+            return None
         if self._drained is not None:
             self._counts["after_drain"] += 1
             self._counts["after_drain_last_ms"] = self._since_ms(self._drained)
@@ -190,6 +202,10 @@
             self._counts["shed"] += 1
             return _refuse("shedding")
         run = self._make_run(request, body)
+        if run.call in self._sealed:
+            self._counts["sealed"] += 1
+            return _refuse("sealed")
+        self._known[run.call] = None
         timeout_ms = float(
             request.headers.get("eelgrassmount-timeout-ms", _TIMEOUT_DEFAULT_MS)
         )
@@ -200,8 +216,28 @@
                 response = await self._run(run, body, limit)
                 group.cancel_scope.cancel()
         if response is not None:
+            self._known[run.call] = response
+            if self._faults.take("mute"):
+                await request.wait_disconnect()
+                return None
             return self._spoil(response)
-        return self._give_up(run, limit.cancelled_caught)
+        refusal = self._give_up(run, limit.cancelled_caught)
+        self._known[run.call] = refusal
+        return refusal
+
+    def _tell_fate(self, call: str) -> Response:
+        """Say what became of a call; an unknown one never runs from now on."""
+        if call not in self._known:
+            self._sealed.add(call)
+            response = Response.from_json({"state": "unknown"})
+        elif self._known[call] is None:
+            response = Response.from_json({"state": "running"})
+        else:
+            known = self._known[call]
+            state = {"eelgrassmount-call-state": "done"}
+            response = Response(known.status, known.body, {**known.headers, **state})
+        response.headers["eelgrassmount-server"] = self._process
+        return response
 
     def _must_shed(self) -> bool:
         limit = self._settings.queue_limit
@@ -334,6 +370,7 @@
             "content-type": "application/json",
             "content-digest": f"sha-256=:{digest}:",
             "eelgrassmount-call": run.call,
+            "eelgrassmount-server": self._process,
         }
         return Response(200, body, headers)
 
--- /dev/null
+++ b/tests/edge/test_server.py
@@ -0,0 +1,256 @@
+"""Verdicts on calls to the backend server."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import pytest
+
+from eelgrassmount.edge.server import IDLE_LIMIT_S, ServerClient
+from eelgrassmount.metrics import make_metrics
+from eelgrassmount.timers import ManualClock
+from eelgrassmount.verdict import Answered, Header, MayHaveRun, NotRun, Reason
+from tests.edge.servers import HOST, make_answer, make_call, make_digest, run_server
+
+if TYPE_CHECKING:
+    from eelgrassmount.calls.request import Call
+    from eelgrassmount.verdict import Verdict
+    from tests.edge.servers import ScriptedServer
+
+pytestmark = pytest.mark.anyio
+
+MAX_BODY_BYTES = 1000
+BAD = MayHaveRun(Reason.BAD_ANSWER)
+CRASHED = MayHaveRun(Reason.SERVER_CRASHED)
+GOOD = Answered(200, (), b"good")
+
+
+def make_client() -> ServerClient:
+    return ServerClient(ManualClock(), make_metrics(), MAX_BODY_BYTES)
+
+
+async def send(
+    client: ServerClient, server: ScriptedServer, call: Call | None = None
+) -> Verdict:
+    call = call or make_call()
+    return await client.send(server.address, call, 3, lambda: None)
+
+
+def count_dropped(client: ServerClient) -> dict[str, float]:
+    return {
+        sample.labels["reason"]: sample.value
+        for family in client.metrics.dropped_answers.collect()
+        for sample in family.samples
+        if sample.name.endswith("_total") and sample.value
+    }
+
+
+async def test_request_carries_the_call_and_its_context() -> None:
+    async with run_server(lambda request, number: make_answer()) as server:
+        own = Header("eelgrassmount-call", "forged")
+        named = (Header("connection", "x-hop"), Header("x-hop", "1"))
+        call = make_call()
+        headers = (*call.request.headers, own, *named, Header("host", "elsewhere"))
+        call = make_call(headers=headers)
+        assert await send(make_client(), server, call) == GOOD
+    head, _, body = server.requests[0].decode("latin-1").partition("\r\n\r\n")
+    assert body == "payload"
+    assert head.split("\r\n") == [
+        "POST /desk/x?y=1 HTTP/1.1",
+        "accept: a",
+        "x-caf\xe9: d\xe9j\xe0",
+        f"host: {server.address}",
+        "eelgrassmount-call: c1",
+        "eelgrassmount-root: root",
+        "eelgrassmount-class: lookup",
+        "eelgrassmount-attempts: 3",
+        "eelgrassmount-timeout-ms: 1000000",
+        "content-length: 7",
+    ]
+
+
+SHED = "Eelgrassmount-Verdict: not-run\r\nEelgrassmount-Retry-After-Ms: 250\r\n"
+PARTIAL = "Eelgrassmount-Verdict: may-have-run\r\n"
+FOREVER = "Eelgrassmount-Verdict: not-run\r\nEelgrassmount-Retry-After-Ms: "
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nEelgrassmount-Call: c1\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n"
+)
+NO_LENGTH = b"HTTP/1.1 200 OK\r\nEelgrassmount-Call: c1\r\n\r\ngood"
+
+# name: answer, verdict, reason counted, whether the connection is used again
+ANSWERS = {
+    "plain": (make_answer(), GOOD, None, True),
+    "digest": (make_answer(extra=make_digest(b"good")), None, None, True),
+    "chunked": (CHUNKED, GOOD, None, True),
+    "informational": (CONTINUE + make_answer(), GOOD, None, True),
+    "error of the service": (
+        make_answer(status="500 Oops"),
+        Answered(500, (), b"good"),
+        None,
+        True,
+    ),
+    "no content": (
+        b"HTTP/1.1 204 No\r\nEelgrassmount-Call: c1\r\n\r\n",
+        Answered(204, (), b""),
+        None,
+        True,
+    ),
+    "wants to close": (make_answer(extra="Connection: close\r\n"), GOOD, None, False),
+    "shed": (
+        make_answer(status="503 Busy", extra=SHED),
+        NotRun(Reason.SERVER_SHED, 0.25),
+        None,
+        True,
+    ),
+    "shed for ever": (
+        make_answer(status="503 Busy", extra=FOREVER + "9" * 400 + "\r\n"),
+        NotRun(Reason.SERVER_SHED, 3600.0),
+        None,
+        True,
+    ),
+    "a part failed": (
+        make_answer(status="502 Bad", extra=PARTIAL),
+        MayHaveRun(Reason.PARTIAL),
+        None,
+        True,
+    ),
+    "not run by another status": (
+        make_answer(status="502 Bad", extra=SHED),
+        MayHaveRun(Reason.PARTIAL, 0.25),
+        None,
+        True,
+    ),
+    "closed": (b"", CRASHED, None, False),
+    "truncated head": (b"HTTP/1.1 200 OK\r\nEelg!", BAD, "truncated", False),
+    "truncated body": (make_answer(length=9) + b"!", BAD, "truncated", False),
+    "truncated chunks": (CHUNKED[:-5] + b"!", BAD, "truncated", False),
+    "no length": (NO_LENGTH + b"!", BAD, "truncated", False),
+    "over-long body": (make_answer(b"x" * 1001), BAD, "over-long", False),
+    "over-long claim": (make_answer(b"x" * 9000), BAD, "over-long", False),
+    "over-long head": (
+        make_answer(extra=f"X: {'x' * 20_000}\r\n"),
+        BAD,
+        "over-long",
+        False,
+    ),
+    "many headers": (make_answer(extra="X: y\r\n" * 300), BAD, "over-long", False),
+    "wrong call": (make_answer(call_id="c0"), BAD, "wrong-call", False),
+    "no call": (make_answer().replace(b"-Call", b"-Cull"), BAD, "wrong-call", False),
+    "bad digest": (
+        make_answer(extra=make_digest(b"GOOD")),
+        BAD,
+        "bad-digest",
+        False,
+    ),
+    "garbage": (b"\x16\x03\x01 what?\r\n\r\n", BAD, "malformed", False),
+    "impossible status": (make_answer(status="799 Odd"), BAD, "malformed", False),
+    "two lengths": (
+        make_answer(extra="Content-Length: 9\r\n"),
+        BAD,
+        "malformed",
+        False,
+    ),
+    "doubled": (make_answer() * 2, GOOD, "doubled", False),
+    "garbage behind": (make_answer() + b"\0\0", GOOD, "doubled", False),
+}
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+async def test_answers(name: str) -> None:
+    answer, verdict, counted, used_again = ANSWERS[name]
+
+    def reply(request: bytes, number: int) -> bytes:
+        return make_answer() if len(server.requests) > 1 else answer
+
+    async with run_server(reply) as server:
+        client = make_client()
+        found = await send(client, server)
+        if verdict is None:
+            verdict = Answered(200, found.headers, b"good")
+        assert found == verdict
+        assert count_dropped(client) == ({counted: 1} if counted else {})
+        assert await send(client, server) == GOOD
+        assert server.connections == (1 if used_again else 2)
+        assert client.exchanges == {}
+
+
+async def test_head_has_a_length_but_no_body() -> None:
+    async with run_server(lambda request, number: make_answer(b"", length=9)) as server:
+        client = make_client()
+        for _ in range(2):
+            verdict = await send(client, server, make_call(method="HEAD"))
+            assert verdict == Answered(200, (), b"")
+        assert server.connections == 1
+
+
+async def test_refused_connection_is_not_run() -> None:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        address = f"{HOST}:{probe.getsockname()[1]}"
+    begun: list[Any] = []
+    verdict = await make_client().send(
+        address, make_call(), 3, lambda: begun.append(None)
+    )
+    assert (verdict, begun) == (NotRun(Reason.NO_SERVER), [])
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"path": "/x HTTP/1.1\r\nevil: 1"},
+        {"path": "/a b"},
+        {"path": "/\u20ac"},
+        {"method": "GET /other"},
+        {"headers": (Header("x", "1\r\nevil: 1"),)},
+        {"headers": (Header("x", "a\nb"),)},
+        {"headers": (Header("x", "\0"),)},
+    ],
+)
+async def test_what_http_cannot_carry_is_not_run(change: dict[str, Any]) -> None:
+    async with run_server(lambda request, number: make_answer()) as server:
+        verdict = await send(make_client(), server, make_call(**change))
+        assert verdict == NotRun(Reason.MALFORMED)
+        assert server.connections == 0
+
+
+async def test_connection_of_a_cancelled_call_is_not_used_again() -> None:
+    def reply(request: bytes, number: int) -> bytes | None:
+        return None if number == 1 else make_answer()
+
+    async with run_server(reply) as server:
+        client = make_client()
+        async with anyio.create_task_group() as group:
+            group.start_soon(send, client, server)
+            while not server.requests:
+                await anyio.sleep(0)
+            assert list(client.exchanges) == ["c1"]
+            group.cancel_scope.cancel()
+        assert client.exchanges == {}
+        assert await send(client, server) == GOOD
+        assert server.connections == 2
+
+
+@pytest.mark.parametrize("last_words", [b"", make_answer()])
+async def test_idle_connection_that_got_more_is_not_used(last_words: bytes) -> None:
+    """The server closes it, or answers once more, while nothing is asked."""
+    streams = []
+
+    async with run_server(lambda request, number: make_answer()) as server:
+        serve = server.serve
+
+        async def keep(stream: Any) -> None:
+            streams.append(stream)
+            await serve(stream)
+
+        object.__setattr__(server, "serve", keep)
+        client = make_client()
+        assert await send(client, server) == GOOD
+        connection = client._idle[0]
+        assert connection.is_quiet()
+        async with run_server(lambda request, number: make_answer()):
+            pass
+        await server.speak(last_words) if hasattr(server, "speak") else None
