--- a/eelgrassmount/edge/exchange.py
+++ b/eelgrassmount/edge/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,8 @@
     from anyio.abc import SocketStream
 
 CHUNK_BYTES = 65536
+# with the names and values that the limits of headers allow, and more
+_MAX_HEAD_BYTES = 4 * MAX_HEADER_BYTES
 _NO_BODY_STATUSES = frozenset({204, 304})
 _BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError)
 
@@ -78,6 +81,10 @@
     def __attrs_post_init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
 
+    def fail(self, reason: DropReason) -> None:
+        """Note the first thing that is wrong with the answer."""
+        self.fault = self.fault or reason
+
     def on_message_begin(self) -> None:
         """Note bytes that follow a whole answer."""
         self.extra = self.done
@@ -88,7 +95,7 @@
             return
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEADER_BYTES or len(self.headers) >= MAX_HEADERS:
-            self.fault = DropReason.OVER_LONG
+            self.fail(DropReason.OVER_LONG)
             return
         name_text = name.decode("latin-1").lower()
         value_text = value.decode("latin-1").rstrip(" \t")
@@ -102,13 +109,13 @@
         self.status = status
         self.keep_alive = self.parser.should_keep_alive()
         if status not in FINAL_STATUSES:
-            self.fault = DropReason.MALFORMED
+            self.fail(DropReason.MALFORMED)
         elif self.method == "HEAD":
             # its length is that of the body which it does not have
             self.done = True
         elif status not in _NO_BODY_STATUSES and not self._has_length():
             # an answer that ends with its connection may be a truncated one
-            self.fault = DropReason.TRUNCATED
+            self.fail(DropReason.TRUNCATED)
 
     def _has_length(self) -> bool:
         return any(
@@ -122,7 +129,7 @@
             return
         self._body_bytes += len(part)
         if self._body_bytes > self.max_body_bytes:
-            self.fault = DropReason.OVER_LONG
+            self.fail(DropReason.OVER_LONG)
             return
         self._parts.append(part)
 
@@ -141,7 +148,7 @@
             if self.done:
                 self.extra = True
                 return
-            self.fault = self.fault or DropReason.MALFORMED
+            self.fail(DropReason.MALFORMED)
 
     def make_answer(self) -> RawAnswer:
         """Return the whole answer."""
@@ -176,19 +183,21 @@
     ) -> ExchangeResult:
         """Send a whole request and return what came of it."""
         collector = _Collector(method, max_body_bytes)
-        received = False
-        try:
+        received_bytes = 0
+        # where sending fails, it may have answered before it closed
+        with suppress(*_BROKEN):
             await self.stream.send(data)
-        except _BROKEN:
-            # it may have answered before it closed
-            pass
         while not collector.done:
             try:
                 part = await self.stream.receive(CHUNK_BYTES)
             except (anyio.EndOfStream, *_BROKEN):
-                return BadAnswer(DropReason.TRUNCATED) if received else NoAnswer()
-            received = True
+                if received_bytes:
+                    return BadAnswer(DropReason.TRUNCATED)
+                return NoAnswer()
+            received_bytes += len(part)
             collector.feed(part)
+            if not collector.status and received_bytes > _MAX_HEAD_BYTES:
+                collector.fail(DropReason.OVER_LONG)
             if collector.fault is not None:
                 return BadAnswer(collector.fault)
         answer = collector.make_answer()
--- a/eelgrassmount/edge/server.py
+++ b/eelgrassmount/edge/server.py
@@ -157,10 +157,10 @@
         context = call.context
         request = call.request
         remaining_ms = context.measure_remaining(self.clock.read()) * 1000
-        lines = [f"{request.method} {request.path} HTTP/1.1"]
-        for header in keep_passing(request.headers):
-            lines.append(f"{header.name}: {header.value}")
-        lines += (
+        passed = keep_passing(request.headers)
+        lines = [
+            f"{request.method} {request.path} HTTP/1.1",
+            *(f"{header.name}: {header.value}" for header in passed),
             f"host: {address}",
             f"{names.CALL}: {context.call_id}",
             f"{names.ROOT}: {context.root_id}",
@@ -168,7 +168,7 @@
             f"{names.ATTEMPTS}: {attempts_left}",
             f"{names.TIMEOUT_MS}: {max(1, int(remaining_ms))}",
             f"{names.CONTENT_LENGTH}: {len(request.body)}",
-        )
+        ]
         text = "\r\n".join(lines)
         # what another node passed on may hold anything
         if text.count("\n") != len(lines) - 1 or "\0" in text:
--- a/eelgrassmount/peer/listener.py
+++ b/eelgrassmount/peer/listener.py
@@ -21,6 +21,7 @@
 from eelgrassmount.peer.pool import make_hello
 
 if TYPE_CHECKING:
+    from anyio import MultiListener
     from anyio.abc import SocketStream
 
     from eelgrassmount.gen.ttypes import Hello
@@ -61,7 +62,11 @@
         except OSError as error:
             raise ListenError(str(self.address), str(error)) from error
         self._group = group
-        group.start_soon(listener.serve, self._serve)
+        group.start_soon(self._accept, listener)
+
+    async def _accept(self, listener: MultiListener[SocketStream]) -> None:
+        async with listener:
+            await listener.serve(self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
         try:
@@ -106,7 +111,7 @@
     ) -> None:
         while True:
             message = await reader.read()
-            if message.ping is not None:
+            if message.ping is not None and not message.ping.address:
                 message.reply = True
                 writer.write(message)
                 continue
--- a/tests/edge/servers.py
+++ b/tests/edge/servers.py
@@ -71,7 +71,7 @@
     address: str = ""
     connections: int = 0
     requests: list[bytes] = field(factory=list)
-    go_on: anyio.Event = field(factory=anyio.Event)
+    streams: list[SocketStream] = field(factory=list)
     answer: Callable[[bytes, int], bytes | None] = lambda request, number: b""
 
     async def serve(self, stream: SocketStream) -> None:
@@ -81,6 +81,7 @@
         """
         self.connections += 1
         number = self.connections
+        self.streams.append(stream)
         async with stream:
             try:
                 while request := await _read_request(stream):
@@ -91,9 +92,20 @@
                     await stream.send(answer.removesuffix(b"!"))
                     if not answer or answer.endswith(b"!"):
                         return
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
                 return
 
+    async def speak(self, data: bytes) -> None:
+        """Send on the first connection without being asked, or else end it."""
+        if data:
+            await self.streams[0].send(data)
+        else:
+            await self.streams[0].aclose()
+
 
 async def _read_request(stream: SocketStream) -> bytes:
     data = b""
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -15,6 +15,8 @@
 from tests.edge.servers import HOST, make_answer, make_call, make_digest, run_server
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from eelgrassmount.calls.request import Call
     from eelgrassmount.verdict import Verdict
     from tests.edge.servers import ScriptedServer
@@ -27,8 +29,11 @@
 GOOD = Answered(200, (), b"good")
 
 
-def make_client() -> ServerClient:
-    return ServerClient(ManualClock(), make_metrics(), MAX_BODY_BYTES)
+@pytest.fixture
+async def client() -> AsyncIterator[ServerClient]:
+    client = ServerClient(ManualClock(), make_metrics(), MAX_BODY_BYTES)
+    yield client
+    await client.close()
 
 
 async def send(
@@ -47,14 +52,14 @@
     }
 
 
-async def test_request_carries_the_call_and_its_context() -> None:
+async def test_request_carries_the_call_and_its_context(client: ServerClient) -> None:
     async with run_server(lambda request, number: make_answer()) as server:
         own = Header("eelgrassmount-call", "forged")
         named = (Header("connection", "x-hop"), Header("x-hop", "1"))
         call = make_call()
         headers = (*call.request.headers, own, *named, Header("host", "elsewhere"))
         call = make_call(headers=headers)
-        assert await send(make_client(), server, call) == GOOD
+        assert await send(client, server, call) == GOOD
     head, _, body = server.requests[0].decode("latin-1").partition("\r\n\r\n")
     assert body == "payload"
     assert head.split("\r\n") == [
@@ -137,6 +142,12 @@
         "over-long",
         False,
     ),
+    "endless header": (
+        b"HTTP/1.1 200 OK\r\nX: " + b"x" * 99_999,
+        BAD,
+        "over-long",
+        False,
+    ),
     "many headers": (make_answer(extra="X: y\r\n" * 300), BAD, "over-long", False),
     "wrong call": (make_answer(call_id="c0"), BAD, "wrong-call", False),
     "no call": (make_answer().replace(b"-Call", b"-Cull"), BAD, "wrong-call", False),
@@ -160,14 +171,13 @@
 
 
 @pytest.mark.parametrize("name", ANSWERS)
-async def test_answers(name: str) -> None:
+async def test_answers(client: ServerClient, name: str) -> None:
     answer, verdict, counted, used_again = ANSWERS[name]
 
     def reply(request: bytes, number: int) -> bytes:
         return make_answer() if len(server.requests) > 1 else answer
 
     async with run_server(reply) as server:
-        client = make_client()
         found = await send(client, server)
         if verdict is None:
             verdict = Answered(200, found.headers, b"good")
@@ -178,23 +188,20 @@
         assert client.exchanges == {}
 
 
-async def test_head_has_a_length_but_no_body() -> None:
+async def test_head_has_a_length_but_no_body(client: ServerClient) -> None:
     async with run_server(lambda request, number: make_answer(b"", length=9)) as server:
-        client = make_client()
         for _ in range(2):
             verdict = await send(client, server, make_call(method="HEAD"))
             assert verdict == Answered(200, (), b"")
         assert server.connections == 1
 
 
-async def test_refused_connection_is_not_run() -> None:
+async def test_refused_connection_is_not_run(client: ServerClient) -> None:
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         address = f"{HOST}:{probe.getsockname()[1]}"
     begun: list[Any] = []
-    verdict = await make_client().send(
-        address, make_call(), 3, lambda: begun.append(None)
-    )
+    verdict = await client.send(address, make_call(), 3, lambda: begun.append(None))
     assert (verdict, begun) == (NotRun(Reason.NO_SERVER), [])
 
 
@@ -210,19 +217,22 @@
         {"headers": (Header("x", "\0"),)},
     ],
 )
-async def test_what_http_cannot_carry_is_not_run(change: dict[str, Any]) -> None:
+async def test_what_http_cannot_carry_is_not_run(
+    client: ServerClient, change: dict[str, Any]
+) -> None:
     async with run_server(lambda request, number: make_answer()) as server:
-        verdict = await send(make_client(), server, make_call(**change))
+        verdict = await send(client, server, make_call(**change))
         assert verdict == NotRun(Reason.MALFORMED)
         assert server.connections == 0
 
 
-async def test_connection_of_a_cancelled_call_is_not_used_again() -> None:
+async def test_connection_of_a_cancelled_call_is_not_used_again(
+    client: ServerClient,
+) -> None:
     def reply(request: bytes, number: int) -> bytes | None:
         return None if number == 1 else make_answer()
 
     async with run_server(reply) as server:
-        client = make_client()
         async with anyio.create_task_group() as group:
             group.start_soon(send, client, server)
             while not server.requests:
@@ -235,22 +245,25 @@
 
 
 @pytest.mark.parametrize("last_words", [b"", make_answer()])
-async def test_idle_connection_that_got_more_is_not_used(last_words: bytes) -> None:
-    """The server closes it, or answers once more, while nothing is asked."""
-    streams = []
-
+async def test_idle_connection_that_got_more_is_not_used(
+    client: ServerClient, last_words: bytes
+) -> None:
     async with run_server(lambda request, number: make_answer()) as server:
-        serve = server.serve
+        assert await send(client, server) == GOOD
+        await server.speak(last_words)
+        assert await send(client, server) == GOOD
+        assert server.connections == 2
 
-        async def keep(stream: Any) -> None:
-            streams.append(stream)
-            await serve(stream)
 
-        object.__setattr__(server, "serve", keep)
-        client = make_client()
+async def test_idle_connections_end_with_age_and_address(client: ServerClient) -> None:
+    async with (
+        run_server(lambda request, number: make_answer()) as server,
+        run_server(lambda request, number: make_answer()) as other,
+    ):
+        for _ in range(2):
+            assert await send(client, server) == GOOD
+            client.clock.now_s += IDLE_LIMIT_S + 1.0
+        assert server.connections == 2
+        assert await send(client, other) == GOOD
         assert await send(client, server) == GOOD
-        connection = client._idle[0]
-        assert connection.is_quiet()
-        async with run_server(lambda request, number: make_answer()):
-            pass
-        await server.speak(last_words) if hasattr(server, "speak") else None
+        assert (server.connections, other.connections) == (3, 1)
--- a/tests/peer/test_codec.py
+++ b/tests/peer/test_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 import anyio
 import pytest
 from attrs import evolve
@@ -109,10 +111,8 @@
 
 @given(st.binary(max_size=300))
 def test_any_bytes_are_a_message_or_a_bad_frame(payload: bytes) -> None:
-    try:
+    with suppress(BadFrameError):
         take_all(payload)
-    except BadFrameError:
-        pass
 
 
 @given(st.lists(st.tuples(st.integers(0, 200), st.integers(0, 255)), max_size=6))
@@ -122,10 +122,8 @@
     payload = bytearray(encode_frame(make_message())[4:])
     for position, value in damage:
         payload[position % len(payload)] = value
-    try:
+    with suppress(BadFrameError):
         take_all(bytes(payload))
-    except BadFrameError:
-        pass
 
 
 def lengthen_list() -> bytes:
@@ -135,7 +133,13 @@
 
 @pytest.mark.parametrize(
     "payload",
-    [b"", b"\x00", lengthen_list(), b"\x0c\x00\x63" * 50_000, b"\x08\x00\x01\0\0\0\1\0"],
+    [
+        b"",
+        b"\x00",
+        lengthen_list(),
+        b"\x0c\x00\x63" * 50_000,
+        b"\x08\x00\x01\0\0\0\1\0",
+    ],
 )
 def test_bad_payloads(payload: bytes) -> None:
     with pytest.raises(BadFrameError):
@@ -222,7 +226,9 @@
 async def test_writer_keeps_the_order_and_its_bounds() -> None:
     stream = Pieces(b"", 1000)
     writer = FrameWriter(stream, 400, 500)
-    assert not writer.write(ttypes.Message(sequence=1, call=ttypes.Call(body=b"x" * 400)))
+    assert not writer.write(
+        ttypes.Message(sequence=1, call=ttypes.Call(body=b"x" * 400))
+    )
     message = ttypes.Message(sequence=0, call=ttypes.Call(body=b"x" * 200))
     written = 0
     while writer.write(message):
--- a/tests/peer/test_links.py
+++ b/tests/peer/test_links.py
@@ -4,7 +4,7 @@
 
 import random
 import socket
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -111,10 +111,8 @@
             greeting = await reader.read()
             hello = Message(greeting.sequence, True, hello=make_hello(identity))
             await stream.send(encode_frame(hello))
-            try:
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
                 await act(stream, reader)
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                pass
 
     listener = await anyio.create_tcp_listener(local_host=HOST)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
@@ -283,7 +281,9 @@
         async with stream:
             if last_words is None:
                 await anyio.sleep_forever()
-            frame = encode_frame(Message(0, True)) if last_words == "ping" else last_words
+            frame = (
+                encode_frame(Message(0, True)) if last_words == "ping" else last_words
+            )
             await stream.send(frame)
 
     listener = await anyio.create_tcp_listener(local_host=HOST)
@@ -355,12 +355,10 @@
     async with run_listener({"fate_question": answer_fate}) as (listener, pair):
         for length in (1, 3, 4, 5, 17, 300, 5000):
             async with await anyio.connect_tcp(HOST, listener.address.port) as stream:
-                try:
+                with suppress(anyio.EndOfStream, anyio.BrokenResourceError, OSError):
                     await stream.send(rng.randbytes(length))
                     await stream.send_eof()
                     await stream.receive()
-                except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
-                    pass
         assert (await pair.ask(question())).fate_answer.call_id == "x"
         assert sum(count(listener.metrics, "rejected_frames").values()) == 7
 
