Drain through all steps and probe silent connections in the running node

SIGTERM, POST /drain and the server's own announcement now go through the graceful shutdown: announced at once, calls finished, keys handed over, caller listener closed with 'Connection: close' on the last answers, then exit 0. A listener that can't bind ends the process with one line, since the task group no longer wraps the error. uvicorn's ten ticks a second per listener are replaced by waiting for the end.

--- a/eelgrassmount/calls/handlers.py
+++ b/eelgrassmount/calls/handlers.py
@@ -15,6 +15,7 @@
 from eelgrassmount.verdict import NotRun, Reason
 
 if TYPE_CHECKING:
+    from eelgrassmount.calls.inflight import InFlight
     from eelgrassmount.calls.local import LocalRunner
     from eelgrassmount.calls.table import CallTable
     from eelgrassmount.keys.port import Runner
@@ -37,6 +38,7 @@
     table: CallTable
     local: LocalRunner
     run_owned: Runner
+    in_flight: InFlight
     metrics: Metrics
 
     def make_handlers(self) -> Handlers:
@@ -55,10 +57,11 @@
         except BadFrameError:
             self.metrics.rejected_frames.labels(FrameReason.MALFORMED).inc()
             return self._reply(_find_call_id(frame), _refuse_malformed())
-        if frame.route == Route.OWN:
-            outcome = await self.run_owned(call)
-        else:
-            outcome = await self.local.run(call)
+        with self.in_flight.hold_call():
+            if frame.route == Route.OWN:
+                outcome = await self.run_owned(call)
+            else:
+                outcome = await self.local.run(call)
         return self._reply(call.context.call_id, outcome)
 
     def _reply(self, call_id: str, outcome: Outcome) -> Message:
--- a/eelgrassmount/compose.py
+++ b/eelgrassmount/compose.py
@@ -13,21 +13,26 @@
 
 from eelgrassmount.admin.listener import AdminListener
 from eelgrassmount.admin.routes import add_routes
-from eelgrassmount.blackboard import Blackboard
+from eelgrassmount.blackboard import Blackboard, DrainStage
 from eelgrassmount.calls.admission import AdmittingRunner, OwnedRunner
 from eelgrassmount.calls.dispatch import Dispatcher
 from eelgrassmount.calls.downstream import Downstream
 from eelgrassmount.calls.entry import Entry
 from eelgrassmount.calls.handlers import CallHandlers
+from eelgrassmount.calls.inflight import InFlight
 from eelgrassmount.calls.local import LocalRunner
 from eelgrassmount.calls.remote import RemoteRunner
 from eelgrassmount.calls.table import CallTable
 from eelgrassmount.config.follower import ConfigFollower
+from eelgrassmount.drain.shutdown import Shutdown
+from eelgrassmount.drain.stages import Cause, DrainLimits
 from eelgrassmount.edge.announcements import Announcements
 from eelgrassmount.edge.backend import BackendListener
 from eelgrassmount.edge.caller import CallerListener
-from eelgrassmount.edge.http import serve_http
+from eelgrassmount.edge.http import HttpServer, serve_http
+from eelgrassmount.edge.probes import ServerProbes
 from eelgrassmount.edge.server import ServerClient
+from eelgrassmount.errors import ListenError
 from eelgrassmount.keys.core import KeySettings
 from eelgrassmount.keys.service import KeyService
 from eelgrassmount.load.control import LoadControl
@@ -88,6 +93,8 @@
     dispatcher: Dispatcher
     downstream: Downstream
     local: LocalRunner
+    probes: ServerProbes
+    in_flight: InFlight
 
 
 @define(eq=False)
@@ -100,7 +107,8 @@
     follower: ConfigFollower
     keys: KeyService
     entry: Entry
-    stopped: anyio.Event
+    shutdown: Shutdown
+    callers: list[HttpServer]
 
 
 def run_node(settings: Settings) -> None:
@@ -113,19 +121,31 @@
 
     Raises `ListenError` when one of its addresses can't be bound.
     """
+    failure: ListenError | None = None
     async with anyio.create_task_group() as group:
         node = build_node(settings, group)
-        await start_node(node)
-        node.base.tasks.start_soon(_wait_for_signal, node)
-        await node.stopped.wait()
+        try:
+            await start_node(node)
+            await _run_until_drained(node)
+        except ListenError as error:
+            failure = error
         node.base.tasks.close()
         group.cancel_scope.cancel()
+    # the task group would wrap it
+    if failure is not None:
+        raise failure
+
+
+async def _run_until_drained(node: Node) -> None:
+    node.base.tasks.start_soon(_wait_for_signal, node)
+    drain = await node.shutdown.wait()
+    logger.info("node stopped", cause=drain.cause, cut=drain.cut)
 
 
 async def _wait_for_signal(node: Node) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            node.stopped.set()
+            node.shutdown.request(Cause.SIGNAL)
 
 
 def build_node(settings: Settings, group: anyio.abc.TaskGroup) -> Node:
@@ -148,7 +168,9 @@
         base.make_id,
     )
     _join_gossip(membership, base, path, follower, keys)
-    return Node(base, path, membership, follower, keys, entry, anyio.Event())
+    callers: list[HttpServer] = []
+    shutdown = _build_shutdown(base, path, membership, keys, callers)
+    return Node(base, path, membership, follower, keys, entry, shutdown, callers)
 
 
 def _build_base(settings: Settings, group: anyio.abc.TaskGroup) -> Base:
@@ -240,8 +262,20 @@
         base.make_id,
         control.exchange,
     )
+    probes = ServerProbes(
+        client, base.timers, base.tasks, lambda: base.board.server.address
+    )
     return Path(
-        table, gate, control, quarantine, announcements, dispatcher, downstream, local
+        table=table,
+        gate=gate,
+        control=control,
+        quarantine=quarantine,
+        announcements=announcements,
+        dispatcher=dispatcher,
+        downstream=downstream,
+        local=local,
+        probes=probes,
+        in_flight=InFlight(),
     )
 
 
@@ -264,6 +298,37 @@
     )
 
 
+def _build_shutdown(
+    base: Base,
+    path: Path,
+    membership: Membership,
+    keys: KeyService,
+    callers: list[HttpServer],
+) -> Shutdown:
+    def count_in_flight() -> int:
+        running = path.in_flight.calls + path.table.count_running()
+        # until the listener closes, callers may keep sending
+        if callers and not callers[0].should_exit:
+            return running
+        return running + path.in_flight.requests
+
+    async def hand_over() -> None:
+        for server in callers:
+            server.end()
+        await keys.hand_over()
+
+    return Shutdown(
+        base.board,
+        base.timers,
+        membership.announce_change,
+        count_in_flight,
+        hand_over,
+        membership.leave,
+        DrainLimits(limit_s=base.settings.drain_limit_s),
+        lambda cause: base.metrics.drains.inc(),
+    )
+
+
 def _join_gossip(
     membership: Membership,
     base: Base,
@@ -296,6 +361,8 @@
     await node.follower.start(base.tasks)
     await node.keys.start(base.tasks)
     node.path.announcements.start()
+    node.path.probes.start()
+    node.shutdown.start(base.tasks)
     base.timers.subscribe(EXPIRE_PERIOD_S, lambda: _expire(node))
     base.tasks.start_soon(base.timers.run)
     await _listen_to_http(node)
@@ -327,6 +394,7 @@
         node.path.table,
         node.path.local,
         node.keys.handle_own,
+        node.path.in_flight,
         base.metrics,
     )
     listener = PeerListener(
@@ -355,12 +423,19 @@
         node.path.table.count_running,
         node.follower,
         base.metrics,
-        node.stopped.set,
+        lambda: node.shutdown.request(Cause.ADMIN),
     )
     backend = BackendListener(
         node.path.announcements, node.path.downstream, max_body_bytes
     )
-    caller = CallerListener(node.entry, max_body_bytes, base.metrics)
+    caller = CallerListener(
+        node.entry,
+        max_body_bytes,
+        base.metrics,
+        node.path.in_flight,
+        lambda: base.board.drain is not DrainStage.RUNNING,
+    )
     await serve_http(admin, base.settings.admin_address, base.tasks)
     await serve_http(backend, base.settings.backend_address, base.tasks)
-    await serve_http(caller, base.settings.caller_address, base.tasks)
+    server = await serve_http(caller, base.settings.caller_address, base.tasks)
+    node.callers.append(server)
--- a/eelgrassmount/edge/caller.py
+++ b/eelgrassmount/edge/caller.py
@@ -22,7 +22,10 @@
 from eelgrassmount.verdict import Answered, Header, MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from eelgrassmount.calls.entry import Entry
+    from eelgrassmount.calls.inflight import InFlight
     from eelgrassmount.edge.http import Receive, Send
     from eelgrassmount.metrics import Metrics
     from eelgrassmount.verdict import Verdict
@@ -35,9 +38,15 @@
     entry: Entry
     max_body_bytes: int
     metrics: Metrics
+    in_flight: InFlight
+    is_leaving: Callable[[], bool]
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Answer one request of a caller."""
+        with self.in_flight.hold_request():
+            await self._serve(scope, receive, send)
+
+    async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
         try:
             request = await read_request(scope, receive, self.max_body_bytes)
         except BodyTooLong:
@@ -62,7 +71,11 @@
     async def _answer(self, send: Send, reply: Reply) -> None:
         if not isinstance(reply.verdict, Answered):
             self.metrics.refusals.labels(reply.verdict.reason).inc()
-        await send_reply(send, make_reply(reply.verdict, _make_extra(reply)))
+        extra = _make_extra(reply)
+        if self.is_leaving():
+            # so that the caller's next request goes to another node
+            extra.append(Header(names.CONNECTION, "close"))
+        await send_reply(send, make_reply(reply.verdict, extra))
 
 
 def _make_extra(reply: Reply) -> list[Header]:
--- a/eelgrassmount/edge/headers.py
+++ b/eelgrassmount/edge/headers.py
@@ -37,6 +37,7 @@
 IDEMPOTENCY_KEY = "idempotency-key"
 CONTENT_DIGEST = "content-digest"
 CONTENT_LENGTH = "content-length"
+CONNECTION = "connection"
 
 FINAL_STATUSES = range(200, 600)
 OWN_PREFIX = "eelgrassmount-"
--- a/eelgrassmount/edge/http.py
+++ b/eelgrassmount/edge/http.py
@@ -52,20 +52,33 @@
     body: bytes = b""
 
 
-class _Server(uvicorn.Server):
+class HttpServer(uvicorn.Server):
     """A server that leaves signals to the composition root."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.ending = anyio.Event()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Take no signal: one process has several of these servers."""
         yield
 
+    async def main_loop(self) -> None:
+        """Wait to be told to end, instead of looking ten times a second."""
+        await self.ending.wait()
+
+    def end(self) -> None:
+        """Take no more connections, and end each one after its answer."""
+        self.should_exit = True
+        self.ending.set()
+
 
-class BodyTooLong(Exception):  # noqa: N818
+class BodyTooLong(Exception):
     """The body of a request is longer than allowed."""
 
 
-async def serve_http(app: Any, address: Address, group: Background) -> uvicorn.Server:
+async def serve_http(app: Any, address: Address, group: Background) -> HttpServer:
     """Start a listener in the task group and return when it listens.
 
     Raises `ListenError` when the address can't be bound.
@@ -84,7 +97,7 @@
         date_header=False,
         proxy_headers=False,
     )
-    server = _Server(config)
+    server = HttpServer(config)
     group.start_soon(server.serve, [listening])
     while not server.started:
         await anyio.sleep(_START_POLL_S)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -15,7 +15,7 @@
 
 from standins.announcer import Announcer
 from standins.answers import Answerer, Faults, refuse
-from standins.client import Client, UnansweredError
+from standins.client import Client
 from standins.downstream import CallFailedError, Downstream
 from standins.fates import CALLS_PATH, FateBook
 from standins.plans import Plan, find_plan, read_plans
