--- a/standins/web.py
+++ b/standins/web.py
@@ -120,6 +120,7 @@
             interface="asgi3",
             timeout_keep_alive=_KEEP_ALIVE_S,
             backlog=_BACKLOG,
+            proxy_headers=False,
             server_header=False,
             date_header=False,
         )
@@ -151,10 +152,12 @@
             response = None
         except (ValueError, KeyError, TypeError) as error:
             response = Response.from_json({"error": repr(error)}, 400)
-        if response is None:
-            self._transport(scope).abort()
-            return
-        await self._send(scope, send, response)
+        # a client that has gone meanwhile needs no answer
+        with contextlib.suppress(ConnectionResetError):
+            if response is None:
+                self._transport(scope).abort()
+            else:
+                await self._send(scope, send, response)
 
     async def _send(self, scope: Any, send: Any, response: Response) -> None:
         headers = [(k.encode(), v.encode()) for k, v in response.headers.items()]
