--- a/eelgrassmount/cmd/main.py
+++ b/eelgrassmount/cmd/main.py
@@ -10,20 +10,35 @@
 import fire
 from fire.core import FireExit
 
+from eelgrassmount.cmd import config, status
 from eelgrassmount.cmd.action import Action, ExitCode
 from eelgrassmount.cmd.node import node
-from eelgrassmount.errors import EelgrassmountError, NodeUnreachableError
+from eelgrassmount.errors import (
+    AdminRefusedError,
+    EelgrassmountError,
+    NodeUnreachableError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 COMMANDS = {
     "node": node,
+    "config": {
+        "publish": config.publish,
+        "show": config.show,
+        "validate": config.validate,
+        "history": config.history,
+        "rollback": config.rollback,
+    },
+    "status": status.status,
+    "drain": status.drain,
+    "version": status.version,
 }
 PROGRAM = "eelgrassmount"
 
 _FLAG = re.compile(r"--|-[a-z]")
-_BOOLEAN_FLAGS = ("--json",)
+_BOOLEAN_FLAGS = ("--json", "-j")
 _HELP_FLAGS = ("--help", "-h")
 
 
@@ -90,6 +105,9 @@
     except NodeUnreachableError as error:
         print(error, file=sys.stderr)
         return ExitCode.UNREACHABLE
+    except AdminRefusedError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.REFUSED
     except EelgrassmountError as error:
         print(error, file=sys.stderr)
         return ExitCode.USAGE
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -15,8 +15,9 @@
 
 from standins.announcer import Announcer
 from standins.answers import Answerer, Faults, refuse
-from standins.client import Client
+from standins.client import Client, UnansweredError
 from standins.downstream import CallFailedError, Downstream
+from standins.fates import CALLS_PATH, FateBook
 from standins.plans import Plan, find_plan, read_plans
 from standins.runs import Run, RunBook
 from standins.web import Listener, Request, Response, wait_for_signal
@@ -75,6 +76,7 @@
             settings.retries,
             settings.call_timeout_ms,
         )
+        self._fates = FateBook()
         self._counts: Counter[str] = Counter()
         self._began = time.monotonic()
         self._drained: float | None = None
@@ -115,6 +117,12 @@
             self._counts["silenced"] += 1
             await request.wait_disconnect()
             return None
+        if request.path.startswith(CALLS_PATH):
+            return self._fates.tell(request.path.removeprefix(CALLS_PATH))
+        if self._faults.take("lost"):
+            self._counts["lost"] += 1
+            await request.wait_disconnect()
+            return None
         if self._drained is not None:
             self._counts["after_drain"] += 1
             since_s = time.monotonic() - self._drained
@@ -124,6 +132,9 @@
             return refuse("shedding")
         route = f"{request.method} {request.path}"
         call = request.headers.get("eelgrassmount-call", "")
+        if not self._fates.begin(call):
+            self._counts["sealed"] += 1
+            return refuse("sealed")
         run = self._book.make(route, call, json.loads(body)["request"])
         timeout_ms = float(
             request.headers.get("eelgrassmount-timeout-ms", _TIMEOUT_DEFAULT_MS)
@@ -134,9 +145,13 @@
                 group.start_soon(_cancel_on_disconnect, request, group.cancel_scope)
                 response = await self._run(run, body, limit)
                 group.cancel_scope.cancel()
-        if response is not None:
-            return response
-        return self._give_up(run, limit.cancelled_caught)
+        if response is None:
+            response = self._give_up(run, limit.cancelled_caught)
+        response = self._fates.end(call, response)
+        if self._faults.take("mute"):
+            await request.wait_disconnect()
+            return None
+        return response
 
     def _must_shed(self) -> bool:
         limit = self._settings.queue_limit
