--- a/eelgrassmount/cmd/action.py
+++ b/eelgrassmount/cmd/action.py
@@ -7,6 +7,8 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING, Any
 
+from eelgrassmount.errors import SettingError
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -35,3 +37,10 @@
 def print_result(text: str, content: Any, as_json: bool) -> None:
     """Print a result for people, or for programs as one JSON value."""
     print(json.dumps(content, indent=2) if as_json else text)
+
+
+def is_set(name: str, value: Any) -> bool:
+    """Tell whether a flag that takes no value was given."""
+    if not isinstance(value, bool):
+        raise SettingError(name, str(value), "no value")
+    return value
