Let stand-in servers name the call in refusals too

A refusal or failure of a stand-in backend server lacked Eelgrassmount-Call, so its node dropped it as the answer to another call: shedding was taken for "may have run", and the reason of a failed downstream call was lost. Found by the matrix as the reason bad-answer where only a peer link was cut.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -127,14 +127,14 @@
             self._counts["after_drain"] += 1
             since_s = time.monotonic() - self._drained
             self._counts["after_drain_last_ms"] = int(since_s * 1000)
-        if self._must_shed():
-            self._counts["shed"] += 1
-            return refuse("shedding")
         route = f"{request.method} {request.path}"
         call = request.headers.get("eelgrassmount-call", "")
+        if self._must_shed():
+            self._counts["shed"] += 1
+            return self._fates.mark(refuse("shedding"), call)
         if not self._fates.begin(call):
             self._counts["sealed"] += 1
-            return refuse("sealed")
+            return self._fates.mark(refuse("sealed"), call)
         run = self._book.make(route, call, json.loads(body)["request"])
         timeout_ms = float(
             request.headers.get("eelgrassmount-timeout-ms", _TIMEOUT_DEFAULT_MS)
--- a/standins/fates.py
+++ b/standins/fates.py
@@ -34,10 +34,15 @@
     def end(self, call: str, answer: Response | None) -> Response | None:
         """Keep the answer to a call and return it, marked with this process."""
         if answer is not None:
-            answer = self._mark(answer, {})
+            answer = self.mark(answer, call)
             self._answers[call] = answer
         return answer
 
+    def mark(self, answer: Response, call: str) -> Response:
+        """Return an answer with this process, and with its call if it names none."""
+        own = {"eelgrassmount-call": call} if call else {}
+        return self._mark(answer, {**own, **answer.headers})
+
     def tell(self, call: str) -> Response:
         """Say what became of a call; an unknown one never begins from now on."""
         if call not in self._answers:
--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from standins.client import Answer, Unanswered
+from standins.client import Answer, UnansweredError
 from standins.records import Sending, judge_answer
 
 if TYPE_CHECKING:
@@ -49,7 +49,7 @@
             answer = await client.request(
                 node, "POST", BOOKING, headers, content, TIMEOUT_S + PATIENCE_S
             )
-        except Unanswered as error:
+        except UnansweredError as error:
             answer = None
             outcome = "unreached" if error.reason == "connect" else "unknown"
             reason = error.reason
--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -165,6 +165,8 @@
     _spoil("wrong-call", wrong_call=1),
     _spoil("doubled", doubled=1),
     _spoil("silent", silent=True),
+    _spoil("lost", lost=1),
+    _spoil("mute", mute=1),
 )
 REPEATS = (Fault("repeats", _keep, _keep, 0.0),)
 FAULTS = {
--- a/tests/matrix/steps.py
+++ b/tests/matrix/steps.py
@@ -9,7 +9,7 @@
 
 from attrs import frozen
 
-from standins.client import Unanswered
+from standins.client import UnansweredError
 from tests.matrix.callers import fetch_key
 
 if TYPE_CHECKING:
@@ -170,7 +170,7 @@
             await world.client.request(
                 node, "GET", "/jobdesk/status", headers, content, 3.5
             )
-        except Unanswered:
+        except UnansweredError:
             return
 
     return [asyncio.create_task(fill(number)) for number in range(FILLERS)]
--- a/tests/matrix/table.py
+++ b/tests/matrix/table.py
@@ -30,7 +30,7 @@
 cut-in             A     A       A      A      A    A    t     A    A     A     A     t     A        A        A
 cut-both-long      A     A       A      A      A    A    t     A    A     A     A     t     A        A        A
 silent-peers       A     A       A      A      A    A    t     A    A     A     A     A     A        A        A
-silent-server      -     -       -      -      -    -    t     t    t     t     t     t     t        t        t
+silent-server      -     -       -      -      -    -    t     A    A     A     A     A     A        A        A
 cut-log            A     A       A      A      A    A    t     A    A     A     A     A     A        A        A
 log-down           A     A       A      A      A    A    t     A    A     A     A     A     A        A        A
 log-slow           A     A       A      A      A    A    t     A    A     A     A     A     A        A        A
@@ -42,6 +42,8 @@
 wrong-call         -     -       -      -      -    -    t     t    t     t     A     t     -        -        -
 doubled            -     -       -      -      -    -    t     A    A     A     A     A     -        -        -
 silent             -     -       -      -      -    -    t     t    t     t     t     t     -        -        -
+lost               -     -       -      -      -    -    t     A    -     -     -     -     -        -        -
+mute               -     -       -      -      -    -    t     A    A     A     A     A     -        -        -
 """  # noqa: E501
 ANSWERED = "A"
 NOT_APPLICABLE = "-"
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -125,13 +125,22 @@
     # a server that is slow enough for its slots to stay full
     set_fault(vm.server_admin_address, slow_factor=400.0)
     requests = [
-        _make_request(vm.server_address, LAST, "r", eelgrassmount_timeout_ms=limit)
-        for limit in ["500"] * 4 + ["300", "9000"]
+        _make_request(
+            vm.server_address,
+            LAST,
+            "r",
+            eelgrassmount_timeout_ms=limit,
+            eelgrassmount_call=f"shed-{number}",
+        )
+        for number, limit in enumerate(["500"] * 4 + ["300", "9000"])
     ]
     answers = _ask(*requests, gap_s=0.02)
     assert [answer.status for answer in answers] == [504] * 4 + [503, 503]
     verdicts = [answer.headers["eelgrassmount-verdict"] for answer in answers]
     assert verdicts == ["may-have-run"] * 4 + ["not-run"] * 2
+    # a node takes no answer that does not name its call, nor a refusal
+    calls = [answer.headers["eelgrassmount-call"] for answer in answers]
+    assert calls == [f"shed-{number}" for number in range(6)]
     [gone] = _ask(_make_request(vm.server_address, LAST, "r"), timeout_s=0.3)
     assert gone == "timeout"
     _wait_for(lambda: get_stats(vm.server_admin_address)["running"] == 0)
