--- a/tests/matrix/steps.py
+++ b/tests/matrix/steps.py
@@ -27,7 +27,7 @@
 FILLERS = 120
 _REACH_S = 2.0
 _SETTLE_S = 0.06
-_DRAIN_S = 0.8
+_DRAIN_LIMIT_S = 20.0
 
 
 class Hold(Enum):
@@ -118,9 +118,7 @@
 async def hold_step(world: World, step: Step) -> list[asyncio.Task[None]]:
     """Let requests stop at the step; return what must be cancelled afterwards."""
     if step.far:
-        vm = world.deployment.find_vms(step.service, HOME)[0]
-        await world.set_server(vm, drain=True)
-        await asyncio.sleep(_DRAIN_S)
+        await _retire(world, world.deployment.find_vms(step.service, HOME)[0])
     match step.hold:
         case Hold.RUN:
             await world.set_servers(step.service, slow_factor=SLOW_FACTOR)
@@ -132,6 +130,13 @@
     return []
 
 
+async def _retire(world: World, vm: VM) -> None:
+    """Let a VM leave: its node ends once its server drains."""
+    await world.set_server(vm, drain=True)
+    await asyncio.to_thread(vm.node.wait, _DRAIN_LIMIT_S)
+    await asyncio.to_thread(vm.server.kill)
+
+
 async def release_step(world: World, step: Step) -> None:
     """End what `hold_step` began."""
     if step.hold in (Hold.RUN, Hold.QUEUE):
@@ -140,7 +145,7 @@
         await _delay(world, step, step.hold, False)
     if step.far:
         vm = world.deployment.find_vms(step.service, HOME)[0]
-        await world.set_server(vm, drain=False)
+        await asyncio.to_thread(vm.restart)
 
 
 async def _delay(world: World, step: Step, hold: Hold, on: bool) -> None:
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -29,6 +29,9 @@
 # so short that a lost slot comes back soon, far longer than a cell
 KEY_WINDOW_S = 30
 WELL_LIMIT_S = 45.0
+END_CHARACTERS = 1500
+TRIES_AT_ONCE = 4
+QUIET_S = 1.2
 SERVICE_TIME_MS = 10.0
 
 CONFIGURATION = """failure_domains = ["a", "b"]
@@ -125,17 +128,41 @@
         deadline = time.monotonic() + WELL_LIMIT_S
         left = [(vm, home) for vm in self.deployment.vms for home in DOMAINS]
         while left:
-            tries = (self._try(vm, home) for vm, home in left)
-            good = await asyncio.gather(*tries)
-            left = [pair for pair, fine in zip(left, good, strict=True) if not fine]
+            told = await self._try_all(left)
+            bad = [
+                (pair, word)
+                for pair, word in zip(left, told, strict=True)
+                if word != "complete"
+            ]
+            left = [pair for pair, _ in bad]
             if left:
-                _check_time(deadline, f"{left[0][0].name} with home {left[0][1]}")
+                listed = [f"{vm.name} to {home}: {word}" for (vm, home), word in bad]
+                _check_time(deadline, ", ".join(listed) + self._read_ends())
                 await asyncio.sleep(0.3)
+        # what nodes know of each other's load is up to a second old
+        await asyncio.sleep(QUIET_S)
+
+    async def _try_all(self, pairs: list[tuple[VM, str]]) -> list[str]:
+        told: list[str] = []
+        for first in range(0, len(pairs), TRIES_AT_ONCE):
+            batch = pairs[first : first + TRIES_AT_ONCE]
+            told += await asyncio.gather(*(self._try(vm, home) for vm, home in batch))
+        return told
+
+    def _read_ends(self) -> str:
+        """Return the last lines of processes that ended by themselves."""
+        ended = [item for item in self.deployment.processes if not item.running]
+        return "".join(
+            f"; {item.name} ended: {item.read_log()[-END_CHARACTERS:]}"
+            for item in ended
+        )
 
-    async def _try(self, vm: VM, home: str) -> bool:
+    async def _try(self, vm: VM, home: str) -> str:
         booking = self.make_booking(f"{home}:{uuid.uuid4().hex}")
         sending = await booking.send(self.client, vm.caller_address)
-        return sending.outcome == "complete"
+        if sending.outcome == "complete":
+            return sending.outcome
+        return f"{sending.verdict} {sending.reason}"
 
     async def read_views(self, domain: str) -> list[View]:
         """Return the views of a failure domain's slots, as the log tells them."""
