Ask a slow server for a lost call while the answer is still of use

Cause: a call whose connection went silent was asked for after four typical durations. Now at the latest a third of the call's time passes before the question.

--- a/eelgrassmount/edge/probes.py
+++ b/eelgrassmount/edge/probes.py
@@ -33,6 +33,8 @@
 # a call is asked for once it has taken this long, and this many typical times
 ASK_AFTER_S = 0.25
 ASK_AFTER_TYPICAL = 4
+# but not later than after this part of its time, while the answer is of use
+ASK_AFTER_PART = 1 / 3
 # an idempotent one is given up when the server can't tell
 GIVE_UP_AFTER_S = 1.0
 GIVE_UP_AFTER_TYPICAL = 10
@@ -78,8 +80,11 @@
             self.group.start_soon(self._ask_all, self.find_address(), due)
 
     def _is_due(self, exchange: Exchange) -> bool:
-        wait_s = max(ASK_AFTER_S, ASK_AFTER_TYPICAL * self.client.typical_s)
-        since_s = self._asked_s.get(exchange.call.context.call_id, exchange.begun_s)
+        context = exchange.call.context
+        part_s = ASK_AFTER_PART * context.measure_remaining(exchange.begun_s)
+        typical_s = ASK_AFTER_TYPICAL * self.client.typical_s
+        wait_s = max(ASK_AFTER_S, min(typical_s, part_s))
+        since_s = self._asked_s.get(context.call_id, exchange.begun_s)
         return self.timers.read() - since_s >= wait_s
 
     async def _ask_all(self, address: str, due: list[Exchange]) -> None:
--- a/tests/edge/test_probes.py
+++ b/tests/edge/test_probes.py
@@ -8,7 +8,7 @@
 
 import anyio
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from eelgrassmount.edge.probes import GIVE_UP_AFTER_S, ServerProbes
 from eelgrassmount.edge.server import ServerClient
@@ -48,11 +48,13 @@
     group: Any
     verdicts: list[Verdict] = field(factory=list)
 
-    async def lose(self, idempotent: bool = True) -> None:
+    async def lose(self, idempotent: bool = True, limit_s: float = 1000.0) -> None:
         """Send the call that gets no answer and wait until it is there."""
 
         async def run() -> None:
             call = make_call("lost", idempotent)
+            deadline_s = self.timers.read() + limit_s
+            call = evolve(call, context=evolve(call.context, deadline_s=deadline_s))
             verdict = await self.client.send(self.server.address, call, 0, lambda: None)
             self.verdicts.append(verdict)
 
@@ -158,6 +160,14 @@
         assert bench.verdicts == [NOT_RUN]
 
 
+async def test_slow_server_is_asked_while_its_answer_is_still_of_use() -> None:
+    async with run_bench(repeat()) as bench:
+        bench.client.typical_s = 1.0
+        await bench.lose(limit_s=3.0)
+        await bench.pass_time(1.1)
+        assert bench.verdicts == [Answered(200, (), b"good")]
+
+
 async def test_silent_server_holds_up_nothing() -> None:
     """No answer to the question itself: the next one waits for a later time."""
     async with run_bench(None) as bench:
