Keep the fate of a call until nobody waits for it any more

Cause (found by reading, then by the new test): the fate of a finished call was forgotten 15 s after its end and then told as "unknown", which the asker takes for "not run". A node frozen for longer, with a time limit that was longer still, would have run a non-idempotent call again. The fate now outlives the call's deadline by 15 s, as "may have run" once the answer is dropped. Sealed ids are kept for 1200 s: TCP may send a frame again for about 15 minutes.

The table test's calls had a deadline of 1e9 s, so it would never have seen them expire; it now checks both sides of the deadline.

--- a/eelgrassmount/calls/table.py
+++ b/eelgrassmount/calls/table.py
@@ -8,15 +8,16 @@
 import anyio
 from attrs import define, field
 
-from eelgrassmount.verdict import Answered, NotRun
+from eelgrassmount.calls.request import Outcome
+from eelgrassmount.verdict import Answered, MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
-    from eelgrassmount.calls.request import Call, Outcome
+    from eelgrassmount.calls.request import Call
 
-# how long the fate of a finished call can be asked for
+# how long the answer of a finished call is kept, and its fate after its deadline
 KEEP_S = 15.0
-# sealed ids are kept for the longest time that a late message may need
-SEAL_S = 60.0
+# sealed ids are kept for longer than TCP goes on sending a late message
+SEAL_S = 1200.0
 
 
 class Fate(Enum):
@@ -147,12 +148,17 @@
     def expire(self, now_s: float) -> None:
         """Forget finished calls and seals that nobody will ask for any more."""
         finished = [
-            call_id
-            for call_id, record in self.records.items()
+            record
+            for record in self.records.values()
             if record.outcome is not None and now_s - record.finished_s > KEEP_S
         ]
-        for call_id in finished:
-            del self.records[call_id]
+        for record in finished:
+            context = record.call.context
+            # "unknown" would be taken for "not run" by whoever still waits
+            if now_s - context.deadline_s > KEEP_S:
+                del self.records[context.call_id]
+            elif isinstance(record.outcome.verdict, Answered):
+                record.outcome = Outcome(MayHaveRun(Reason.PEER_LOST))
         stale = [
             call_id
             for call_id, sealed_s in self.sealed.items()
--- a/tests/calls/test_table.py
+++ b/tests/calls/test_table.py
@@ -8,18 +8,21 @@
 from eelgrassmount.calls.request import Call, Outcome, Request
 from eelgrassmount.calls.table import KEEP_S, SEAL_S, CallTable, Fate
 from eelgrassmount.context import Context, Tier
-from eelgrassmount.verdict import NotRun, Reason
+from eelgrassmount.verdict import Answered, MayHaveRun, NotRun, Reason
 
 pytestmark = pytest.mark.anyio
 
 
+DEADLINE_S = 100.0
+
+
 def make_call(call_id: str, idempotent: bool = True) -> Call:
     context = Context(
         root_id="root",
         call_id=call_id,
         parent_id="",
         class_name="lookup",
-        deadline_s=1e9,
+        deadline_s=DEADLINE_S,
         attempts_left=3,
         tier=Tier.REFUSED_FIRST,
         priority=0,
@@ -43,10 +46,25 @@
     assert table.ask_fate("one", 0.0) is Fate.PENDING
     table.finish(record, Outcome(NotRun(Reason.DEADLINE)), 1.0)
     assert table.ask_fate("one", 2.0) is Fate.DONE
-    table.expire(1.0 + KEEP_S + 0.1)
+    table.expire(DEADLINE_S + KEEP_S)
+    assert table.find("one") is not None
+    table.expire(DEADLINE_S + KEEP_S + 0.1)
     assert table.find("one") is None
 
 
+async def test_finished_call_is_not_called_unknown_while_its_caller_may_ask() -> None:
+    """A node that was frozen asks late, and takes "unknown" for "not run"."""
+    table = CallTable()
+    answered = table.open(make_call("answered"))
+    refused = table.open(make_call("refused"))
+    table.finish(answered, Outcome(Answered(200, (), b"long")), 1.0)
+    table.finish(refused, Outcome(NotRun(Reason.OVERLOAD)), 1.0)
+    table.expire(DEADLINE_S)
+    assert table.ask_fate("answered", DEADLINE_S) is Fate.DONE
+    assert answered.outcome.verdict == MayHaveRun(Reason.PEER_LOST)
+    assert refused.outcome.verdict == NotRun(Reason.OVERLOAD)
+
+
 async def test_call_that_is_not_idempotent_is_cancelled_only_before_it_begins() -> None:
     table = CallTable()
     waiting = table.open(make_call("waiting", idempotent=False))
