--- a/eelgrassmount/calls/remote.py
+++ b/eelgrassmount/calls/remote.py
@@ -15,6 +15,7 @@
 from eelgrassmount.verdict import MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
+    from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.calls.request import Call
     from eelgrassmount.peer.pool import PeerPool
     from eelgrassmount.timers import TimerService
@@ -22,12 +23,14 @@
 # the other node gives its answer by the deadline; this is for the way back
 GRACE_S = 0.02
 CANCEL_LIMIT_S = 0.5
+ASK_AGAIN_S = 0.1
 
 
 @define(eq=False)
 class RemoteRunner:
     """Lets other nodes run calls on their backend servers."""
 
+    board: Blackboard
     peers: PeerPool
     timers: TimerService
 
@@ -58,12 +61,25 @@
         )
 
     async def _settle(self, call: Call, failure: PeerFailure) -> Message | PeerFailure:
-        """Ask the same process over a new link what became of a call."""
-        now_s = self.timers.read()
-        remaining_s = call.context.measure_remaining(now_s)
-        if remaining_s <= 0:
-            await self._cancel(failure.address, call)
-            return failure
+        """Ask the same process over a new link what became of a call.
+
+        A call that is not idempotent can't be sent elsewhere, so it is worth
+        waiting for the word of a node that is cut off or frozen.
+        """
+        while call.context.measure_remaining(self.timers.read()) > 0:
+            reply = await self._ask_fate(call, failure)
+            if not isinstance(reply, PeerFailure) or not reply.sent:
+                return reply
+            if call.context.idempotent or self._is_gone(failure):
+                return failure
+            await anyio.sleep(ASK_AGAIN_S)
+        await self._cancel(failure.address, call)
+        return failure
+
+    async def _ask_fate(
+        self, call: Call, failure: PeerFailure
+    ) -> Message | PeerFailure:
+        remaining_s = call.context.measure_remaining(self.timers.read())
         question = Message(fate_question=FateQuestion(call.context.call_id))
         reply = await self.peers.ask(
             failure.address, question, remaining_s, failure.incarnation
@@ -78,6 +94,16 @@
         # it is known there, so this joins it instead of running it again
         return await self._rejoin(call, failure)
 
+    def _is_gone(self, failure: PeerFailure) -> bool:
+        """Tell whether a process has been replaced or given up for lost."""
+        hello = self.peers.find_hello(failure.address)
+        if hello is not None and hello.incarnation != failure.incarnation:
+            return True
+        member = self.board.members.members.get(failure.address)
+        if member is None:
+            return False
+        return not member.present or member.identity.incarnation != failure.incarnation
+
     async def _rejoin(self, call: Call, failure: PeerFailure) -> Message | PeerFailure:
         reply = await self._send(failure.address, call, failure.incarnation)
         if isinstance(reply, PeerFailure):
--- a/eelgrassmount/compose.py
+++ b/eelgrassmount/compose.py
@@ -247,7 +247,7 @@
         base.timers,
         control,
         local,
-        RemoteRunner(base.peers, base.timers),
+        RemoteRunner(base.board, base.peers, base.timers),
         RetryRatio(),
         quarantine,
         base.metrics,
--- /dev/null
+++ b/tests/calls/test_remote.py
@@ -0,0 +1,107 @@
+"""What became of a call whose link was lost."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import pytest
+from attrs import define, evolve, field
+
+from eelgrassmount.blackboard import Blackboard
+from eelgrassmount.calls.remote import RemoteRunner
+from eelgrassmount.calls.request import Outcome
+from eelgrassmount.gen.ttypes import CallState, FateAnswer, Hello, Message
+from eelgrassmount.members.table import Identity, Member, MemberState
+from eelgrassmount.peer.codec import encode_outcome
+from eelgrassmount.peer.port import PeerFailure
+from eelgrassmount.timers import MonotonicClock, TimerService
+from eelgrassmount.verdict import Answered, MayHaveRun, NotRun, Reason
+from tests.calls.test_table import make_call
+
+pytestmark = pytest.mark.anyio
+
+ADDRESS = "127.0.0.1:7"
+OLD = "old"
+GOOD = Answered(200, (), b"good")
+UNREACHABLE = PeerFailure(ADDRESS, sent=False)
+LOST = PeerFailure(ADDRESS, sent=True, incarnation=OLD)
+MAY_HAVE_RUN = MayHaveRun(Reason.PEER_LOST)
+NOT_RUN = NotRun(Reason.PEER_LOST)
+ANSWER = Message(outcome=encode_outcome("one", Outcome(GOOD)))
+
+
+def say(state: CallState) -> Message:
+    outcome = ANSWER.outcome if state is CallState.DONE else None
+    return Message(fate_answer=FateAnswer("one", state, outcome))
+
+
+@define
+class ScriptedPeers:
+    """Gives replies in turn, the last one again and again."""
+
+    replies: list[Message | PeerFailure]
+    incarnation: str = OLD
+    told: list[Message] = field(factory=list)
+
+    async def ask(self, address, message, timeout_s, incarnation=""):
+        await anyio.sleep(0)
+        return self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
+
+    async def tell(self, address, message):
+        self.told.append(message)
+        return True
+
+    def find_hello(self, address):
+        return Hello(address, "a", "r", self.incarnation, 1)
+
+
+async def run_call(peers, idempotent=False, state=MemberState.ALIVE, limit_s=30.0):
+    timers = TimerService(MonotonicClock(), random.Random(1))
+    identity = Identity(ADDRESS, "a", "r", OLD)
+    board = Blackboard(evolve(identity, address="127.0.0.1:8"))
+    board.members.members[ADDRESS] = Member(identity, state=state)
+    call = make_call("one", idempotent)
+    deadline_s = timers.read() + limit_s
+    call = evolve(call, context=evolve(call.context, deadline_s=deadline_s))
+    outcome = await RemoteRunner(board, peers, timers).run(ADDRESS, call)
+    return outcome.verdict
+
+
+# the replies, what is told of one that is not idempotent, and of one that is
+REPLIES = {
+    "answered": ([ANSWER], GOOD, GOOD),
+    "never sent": ([UNREACHABLE], NOT_RUN, NOT_RUN),
+    "done": ([LOST, say(CallState.DONE)], GOOD, GOOD),
+    "unknown": ([LOST, say(CallState.UNKNOWN)], NOT_RUN, NOT_RUN),
+    "pending": ([LOST, say(CallState.PENDING), ANSWER], GOOD, GOOD),
+    "cut for a while": (
+        [LOST, UNREACHABLE, LOST, say(CallState.PENDING), LOST, say(CallState.DONE)],
+        GOOD,
+        MAY_HAVE_RUN,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", REPLIES)
+@pytest.mark.parametrize("idempotent", [False, True])
+async def test_fate_is_found_out(name: str, idempotent: bool) -> None:
+    replies, other, repeatable = REPLIES[name]
+    verdict = await run_call(ScriptedPeers(list(replies)), idempotent)
+    assert verdict == (repeatable if idempotent else other)
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "state"),
+    [("new", MemberState.ALIVE), (OLD, MemberState.DEAD), (OLD, MemberState.LEFT)],
+)
+async def test_node_that_is_gone_is_not_waited_for(incarnation, state) -> None:
+    peers = ScriptedPeers([LOST, UNREACHABLE], incarnation)
+    with anyio.fail_after(20.0):
+        assert await run_call(peers, state=state) == MAY_HAVE_RUN
+
+
+async def test_node_that_stays_away_is_waited_for_until_the_deadline() -> None:
+    peers = ScriptedPeers([LOST, UNREACHABLE])
+    assert await run_call(peers, limit_s=0.3) == MAY_HAVE_RUN
+    assert [message.cancel.call_id for message in peers.told] == ["one"]
