Test dispatch, local runs and downstream calls without sockets

Verdict, attempts, call ids, quarantine and the retry ratio of the dispatcher; doubled messages, cancellation before and after the beginning, sealed ids, and the verdict on a whole subtree at the local runner.

--- /dev/null
+++ b/tests/calls/test_dispatch.py
@@ -0,0 +1,109 @@
+"""The choice of nodes, retries, and the final verdict of a call."""
+
+from __future__ import annotations
+
+import pytest
+from tests.calls.fakes import (
+    ANSWER,
+    OWN,
+    FakeControl,
+    ScriptedRunner,
+    make_call,
+    make_ids,
+    make_timers,
+)
+
+from eelgrassmount.calls.dispatch import Dispatcher
+from eelgrassmount.metrics import make_metrics
+from eelgrassmount.retry.budget import RetryRatio
+from eelgrassmount.retry.quarantine import MAX_CRASHES, Quarantine
+from eelgrassmount.verdict import MayHaveRun, NotRun, Reason, Verdict
+
+pytestmark = pytest.mark.anyio
+
+A, B, C, D, E = ("127.0.0.2:1", "127.0.0.3:1", "127.0.0.4:1", "127.0.0.5:1", "x:1")
+LOST = MayHaveRun(Reason.PEER_LOST)
+DRAINING = NotRun(Reason.DRAINING)
+FULL = NotRun(Reason.OVERLOAD)
+
+
+def make_dispatcher(
+    verdicts: list[Verdict], addresses: list[str], room: bool = True
+) -> Dispatcher:
+    runner = ScriptedRunner(list(verdicts))
+    return Dispatcher(
+        own_address=OWN,
+        timers=make_timers(),
+        control=FakeControl(addresses, room),
+        local=runner,
+        remote=runner,
+        ratio=RetryRatio(),
+        quarantine=Quarantine(),
+        metrics=make_metrics(),
+        make_id=make_ids(),
+    )
+
+
+@pytest.mark.parametrize(
+    ("changes", "verdicts", "room", "expected", "attempts_left"),
+    [
+        ({}, [ANSWER], True, ANSWER, 3),
+        ({}, [DRAINING, LOST, ANSWER], True, ANSWER, 1),
+        # one sending may have run, so a later "not run" is not believed
+        ({}, [LOST, DRAINING, DRAINING, DRAINING], True, "may-have-run", 0),
+        ({"idempotent": False}, [DRAINING, ANSWER], True, ANSWER, 2),
+        ({"idempotent": False}, [LOST], True, LOST, 3),
+        ({}, [FULL, ANSWER], True, ANSWER, 2),
+        ({}, [FULL], False, FULL, 3),
+        ({"depth": 1}, [FULL], True, FULL, 3),
+        ({"attempts_left": 0}, [LOST], True, LOST, 0),
+    ],
+)
+async def test_verdict_and_attempts(
+    changes: dict[str, object],
+    verdicts: list[Verdict],
+    room: bool,
+    expected: Verdict | str,
+    attempts_left: int,
+) -> None:
+    dispatcher = make_dispatcher(verdicts, [A, OWN, B, C, D, E], room)
+    outcome = await dispatcher.run(make_call(**changes))
+    if expected == "may-have-run":
+        expected = MayHaveRun(verdicts[-1].reason)
+    assert outcome.verdict == expected
+    assert outcome.attempts_left == attempts_left
+    assert dispatcher.local.verdicts == []
+    assert len(dispatcher.control.ended) == len(verdicts)
+
+
+async def test_every_sending_has_an_id_of_its_own_and_the_attempts_left() -> None:
+    dispatcher = make_dispatcher([DRAINING, DRAINING, ANSWER], [A, B, C])
+    await dispatcher.run(make_call())
+    contexts = [call.context for call in dispatcher.local.calls]
+    assert len({context.call_id for context in contexts}) == 3
+    assert [context.attempts_left for context in contexts] == [3, 2, 1]
+
+
+async def test_no_node_of_the_service_means_not_run() -> None:
+    outcome = await make_dispatcher([], []).run(make_call())
+    assert outcome.verdict == NotRun(Reason.NO_SERVER)
+
+
+async def test_request_that_crashes_servers_stops_after_a_few() -> None:
+    crash = MayHaveRun(Reason.SERVER_CRASHED)
+    dispatcher = make_dispatcher([crash] * 4, [A, B, C, D])
+    first = await dispatcher.run(make_call())
+    assert isinstance(first.verdict, MayHaveRun)
+    assert len(dispatcher.remote.calls) == MAX_CRASHES
+    again = await dispatcher.run(make_call(root_id="other"))
+    assert again.verdict.reason is Reason.QUARANTINED
+    assert len(dispatcher.remote.calls) == MAX_CRASHES
+
+
+async def test_retries_of_all_calls_are_a_fraction_of_first_sendings() -> None:
+    calls = 100
+    dispatcher = make_dispatcher([LOST] * 1000, [A, B, C, D, E])
+    for _ in range(calls):
+        await dispatcher.run(make_call())
+    retries = len(dispatcher.remote.calls) - calls
+    assert 0 < retries <= 0.1 * calls + 10
--- /dev/null
+++ b/tests/calls/test_local.py
@@ -0,0 +1,227 @@
+"""Running calls on the own backend server, with their downstream calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+from attrs import define, field
+from tests.calls.fakes import (
+    ANSWER,
+    OpenGate,
+    make_board,
+    make_call,
+    make_ids,
+    make_timers,
+)
+
+from eelgrassmount.blackboard import LocalServer
+from eelgrassmount.calls.downstream import Downstream
+from eelgrassmount.calls.local import LocalRunner
+from eelgrassmount.calls.request import Outcome, Request
+from eelgrassmount.calls.table import CallTable
+from eelgrassmount.load.exchange import LoadExchange
+from eelgrassmount.members.table import ServerState
+from eelgrassmount.metrics import make_metrics
+from eelgrassmount.retry.quarantine import Quarantine
+from eelgrassmount.verdict import MayHaveRun, NotRun, Reason, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from eelgrassmount.calls.request import Call
+
+pytestmark = pytest.mark.anyio
+
+SHED = NotRun(Reason.SERVER_SHED)
+
+
+@define
+class FakeServer:
+    """A backend server whose work is a function of the test."""
+
+    work: Callable[[Call], Awaitable[Verdict]]
+    runs: list[str] = field(factory=list)
+
+    async def send(
+        self, address: str, call: Call, attempts_left: int, note_begun: Callable
+    ) -> Verdict:
+        note_begun()
+        self.runs.append(call.context.call_id)
+        return await self.work(call)
+
+
+async def answer(call: Call) -> Verdict:
+    return ANSWER
+
+
+def make_runner(
+    work: Callable[[Call], Awaitable[Verdict]] = answer,
+    gate: OpenGate | None = None,
+) -> LocalRunner:
+    board = make_board()
+    board.server = LocalServer("jobdesk", "127.0.0.1:9", ServerState.SERVING)
+    return LocalRunner(
+        board=board,
+        timers=make_timers(),
+        table=CallTable(),
+        gate=gate or OpenGate(),
+        client=FakeServer(work),
+        quarantine=Quarantine(),
+        exchange=LoadExchange(board.loads),
+        metrics=make_metrics(),
+        lose_server=lambda: None,
+    )
+
+
+async def test_doubled_message_runs_once_and_both_get_the_answer() -> None:
+    release = anyio.Event()
+
+    async def work(call: Call) -> Verdict:
+        await release.wait()
+        return ANSWER
+
+    runner = make_runner(work)
+    outcomes: list[Outcome] = []
+
+    async def run() -> None:
+        outcomes.append(await runner.run(make_call()))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run)
+        group.start_soon(run)
+        await anyio.wait_all_tasks_blocked()
+        release.set()
+    assert [outcome.verdict for outcome in outcomes] == [ANSWER, ANSWER]
+    assert runner.client.runs == ["call"]
+
+
+@pytest.mark.parametrize("begun", [False, True])
+async def test_cancelled_call_says_whether_it_began(begun: bool) -> None:
+    async def work(call: Call) -> Verdict:
+        await anyio.sleep_forever()
+
+    runner = make_runner(work, OpenGate(shut=not begun))
+    outcomes: list[Outcome] = []
+
+    async def run() -> None:
+        outcomes.append(await runner.run(make_call()))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run)
+        await anyio.wait_all_tasks_blocked()
+        assert runner.table.cancel("call", 0.0)
+    kind = MayHaveRun if begun else NotRun
+    assert outcomes[0].verdict == kind(Reason.CANCELLED)
+
+
+@pytest.mark.parametrize(
+    ("state", "service", "reason"),
+    [
+        (ServerState.DRAINING, "jobdesk", Reason.DRAINING),
+        (ServerState.STARTING, "jobdesk", Reason.SERVER_STARTING),
+        (ServerState.ABSENT, "jobdesk", Reason.NO_SERVER),
+        (ServerState.SERVING, "ratebook", Reason.NO_SERVER),
+    ],
+)
+async def test_call_that_can_not_begin_is_not_run(
+    state: ServerState, service: str, reason: Reason
+) -> None:
+    runner = make_runner()
+    runner.board.server.state = state
+    outcome = await runner.run(make_call(service))
+    assert outcome.verdict == NotRun(reason)
+    assert outcome.attempts_left == 3
+    assert runner.client.runs == []
+
+
+async def test_sealed_call_never_begins() -> None:
+    runner = make_runner()
+    runner.table.ask_fate("call", 0.0)
+    outcome = await runner.run(make_call())
+    assert isinstance(outcome.verdict, NotRun)
+    assert runner.client.runs == []
+
+
+def make_downstream(
+    runner: LocalRunner, verdicts: list[Verdict], group: object
+) -> tuple[Downstream, list[Call]]:
+    calls: list[Call] = []
+
+    async def run(call: Call) -> Outcome:
+        calls.append(call)
+        return Outcome(verdicts[len(calls) - 1], call.context.attempts_left)
+
+    downstream = Downstream(
+        board=runner.board,
+        timers=runner.timers,
+        table=runner.table,
+        run=run,
+        group=group,
+        make_id=make_ids(),
+        exchange=runner.exchange,
+    )
+    return downstream, calls
+
+
+def make_request(path: str = "/ratebook/price", method: str = "GET") -> Request:
+    return Request("ratebook", method, path, (), b"")
+
+
+@pytest.mark.parametrize(
+    ("own", "children", "expected"),
+    [
+        (ANSWER, [ANSWER, ANSWER], ANSWER),
+        (ANSWER, [ANSWER, MayHaveRun(Reason.PEER_LOST)], MayHaveRun(Reason.PARTIAL)),
+        (ANSWER, [ANSWER, NotRun(Reason.OVERLOAD)], MayHaveRun(Reason.PARTIAL)),
+        (SHED, [], SHED),
+        (SHED, [NotRun(Reason.OVERLOAD), NotRun(Reason.OVERLOAD)], SHED),
+        (SHED, [ANSWER, NotRun(Reason.OVERLOAD)], MayHaveRun(Reason.SERVER_SHED)),
+    ],
+)
+async def test_verdict_on_a_call_covers_its_subtree(
+    own: Verdict, children: list[Verdict], expected: Verdict
+) -> None:
+    async with anyio.create_task_group() as group:
+
+        async def work(call: Call) -> Verdict:
+            for number in range(len(children)):
+                await downstream.handle("call", "", make_request(f"/ratebook/{number}"))
+            return own
+
+        runner = make_runner(work)
+        downstream, _ = make_downstream(runner, children, group)
+        outcome = await runner.run(make_call())
+    assert outcome.verdict == expected
+    assert outcome.attempts_left == 3
+
+
+async def test_repeat_under_the_same_parent_is_the_same_call() -> None:
+    async with anyio.create_task_group() as group:
+
+        async def work(call: Call) -> Verdict:
+            order = make_request("/platehouse/orders", "POST")
+            first = await downstream.handle("call", "", order)
+            assert await downstream.handle("call", "", order) == first
+            await downstream.handle("call", "second", order)
+            return ANSWER
+
+        runner = make_runner(work)
+        downstream, calls = make_downstream(runner, [ANSWER, ANSWER], group)
+        await runner.run(make_call())
+    assert len(calls) == 2
+    assert [call.context.depth for call in calls] == [1, 1]
+    assert not any(call.context.idempotent for call in calls)
+    # two at a time share what is left; unused attempts came back in between
+    assert [call.context.attempts_left for call in calls] == [2, 2]
+
+
+async def test_call_for_a_parent_that_is_over_is_refused() -> None:
+    runner = make_runner()
+    async with anyio.create_task_group() as group:
+        downstream, calls = make_downstream(runner, [], group)
+        await runner.run(make_call())
+        verdict = await downstream.handle("call", "", make_request())
+    assert verdict == NotRun(Reason.CANCELLED)
+    assert calls == []
