--- a/tests/calls/test_dispatch.py
+++ b/tests/calls/test_dispatch.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 import pytest
+
+from eelgrassmount.calls.dispatch import Dispatcher
+from eelgrassmount.metrics import make_metrics
+from eelgrassmount.retry.budget import RetryRatio
+from eelgrassmount.retry.quarantine import MAX_CRASHES, Quarantine
+from eelgrassmount.verdict import MayHaveRun, NotRun, Reason, Verdict
 from tests.calls.fakes import (
     ANSWER,
     OWN,
@@ -13,12 +19,6 @@
     make_timers,
 )
 
-from eelgrassmount.calls.dispatch import Dispatcher
-from eelgrassmount.metrics import make_metrics
-from eelgrassmount.retry.budget import RetryRatio
-from eelgrassmount.retry.quarantine import MAX_CRASHES, Quarantine
-from eelgrassmount.verdict import MayHaveRun, NotRun, Reason, Verdict
-
 pytestmark = pytest.mark.anyio
 
 A, B, C, D, E = ("127.0.0.2:1", "127.0.0.3:1", "127.0.0.4:1", "127.0.0.5:1", "x:1")
--- a/tests/calls/test_local.py
+++ b/tests/calls/test_local.py
@@ -7,14 +7,6 @@
 import anyio
 import pytest
 from attrs import define, field
-from tests.calls.fakes import (
-    ANSWER,
-    OpenGate,
-    make_board,
-    make_call,
-    make_ids,
-    make_timers,
-)
 
 from eelgrassmount.blackboard import LocalServer
 from eelgrassmount.calls.downstream import Downstream
@@ -26,6 +18,14 @@
 from eelgrassmount.metrics import make_metrics
 from eelgrassmount.retry.quarantine import Quarantine
 from eelgrassmount.verdict import MayHaveRun, NotRun, Reason, Verdict
+from tests.calls.fakes import (
+    ANSWER,
+    OpenGate,
+    make_board,
+    make_call,
+    make_ids,
+    make_timers,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
