--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 
 import anyio
@@ -47,7 +48,7 @@
     seen: list[float] = []
     timers.subscribe(1.0, lambda: seen.append(timers.read()), jitter=0.2)
     timers.advance(100.0)
-    gaps = [later - before for before, later in zip(seen, seen[1:], strict=False)]
+    gaps = [later - before for before, later in itertools.pairwise(seen)]
     assert all(0.8 <= gap <= 1.2 for gap in gaps)
     assert max(gaps) - min(gaps) > 0.1
 
