--- a/benchmarks/limiter.py
+++ b/benchmarks/limiter.py
@@ -35,7 +35,7 @@
     def note_start(self, in_flight: int, now_s: float) -> None:
         """Note nothing."""
 
-    def adjust(self, in_flight: int, now_s: float) -> None:
+    def adjust(self, now_s: float) -> None:
         """Do nothing."""
 
     def record(self, sample: Sample, in_flight: int, now_s: float) -> None:
@@ -73,7 +73,7 @@
     def note_start(self, in_flight: int, now_s: float) -> None:
         """Note nothing."""
 
-    def adjust(self, in_flight: int, now_s: float) -> None:
+    def adjust(self, now_s: float) -> None:
         """Let the baseline age."""
         self.least_s *= 1.005
 
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -30,7 +30,7 @@
     def note_start(self, in_flight: int, now_s: float) -> None:
         """Note that a run starts."""
 
-    def adjust(self, in_flight: int, now_s: float) -> None:
+    def adjust(self, now_s: float) -> None:
         """Do what is periodic."""
 
 
@@ -137,7 +137,7 @@
         gap_s = run.rng.expovariate(run.offered_per_s(run.now_s))
         run.push(run.now_s + gap_s, "arrive")
     elif kind == "adjust":
-        run.limiter.adjust(run.in_flight, run.now_s)
+        run.limiter.adjust(run.now_s)
         run.points[-1].limit += run.limiter.limit * _ADJUST_PERIOD_S
         run.points[-1].in_server += run.in_flight * _ADJUST_PERIOD_S
         run.push(run.now_s + _ADJUST_PERIOD_S, "adjust")
--- a/eelgrassmount/calls/local.py
+++ b/eelgrassmount/calls/local.py
@@ -141,7 +141,12 @@
             kind = _KIND_BY_REASON.get(verdict.reason, SampleKind.FAILED)
         if kind is SampleKind.CANCELLED and now_s >= record.call.context.deadline_s:
             kind = SampleKind.TIMEOUT
-        return Sample(kind, now_s - started_s, record.measure_downstream(now_s))
+        return Sample(
+            kind,
+            now_s - started_s,
+            record.measure_downstream(now_s),
+            record.call.context.class_name,
+        )
 
     def _cancel_children(self, record: CallRecord) -> None:
         for child in record.children.values():
--- a/eelgrassmount/load/gate.py
+++ b/eelgrassmount/load/gate.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import anyio.lowlevel
 from attrs import define, field
 
 from eelgrassmount.blackboard import DrainStage
@@ -98,6 +99,7 @@
             return waiting.refusal
         try:
             await waiting.done.wait()
+            await anyio.lowlevel.checkpoint_if_cancelled()
         except anyio.get_cancelled_exc_class():
             self.abandon(waiting)
             raise
@@ -277,7 +279,7 @@
     def adjust(self) -> None:
         """Adjust the limit and the threshold; runs several times a second."""
         now_s = self.timers.read()
-        self.limiter.adjust(self.in_flight, now_s)
+        self.limiter.adjust(now_s)
         period, self._period = self._period, Period()
         sweeps = max(period.sweeps, 1)
         seen = Observation(
--- a/eelgrassmount/load/limiter.py
+++ b/eelgrassmount/load/limiter.py
@@ -13,7 +13,8 @@
 LEAST_LIMIT = 2
 MOST_LIMIT = 4096
 
-# a measurement is over when most of a cohort of runs has ended
+# a measurement is over when most of a cohort of runs has ended; a cohort is some
+# rounds of the whole level, but never very small or large
 _COHORT_RUNS = 50
 _SMALL_COHORT_RUNS = 10
 _COHORT_ROUNDS = 4
@@ -23,7 +24,7 @@
 # the probe below the limit: how deep it goes, and how far above the knee the
 # limit is kept so that the server's slots stay full
 _PROBE_DEPTH = 0.75
-_MARGIN = 1.2
+_MARGIN = 1.3
 _SMOOTHING = 0.4
 _HOLD_RATIO = 3.0
 _START_GROWTH = 2.0
@@ -201,18 +202,19 @@
             current.runs += 1
             current.log_sum += math.log(service_s)
 
-    def adjust(self, in_flight: int, now_s: float) -> None:
+    def adjust(self, now_s: float) -> None:
         """End what makes no progress; call it several times a second."""
         self._finish(now_s)
         current = self._current
         if self.phase is Phase.HOLD:
             return
-        if now_s - current.began_s < _LONGEST_MEASUREMENT_S + 3.0 * self.typical_s:
+        rounds_s = (_COHORT_ROUNDS + 2) * self.typical_s
+        if now_s - current.began_s < _LONGEST_MEASUREMENT_S + rounds_s:
             return
         if current.runs >= current.least_runs:
             self._compare(now_s)
-        elif in_flight < current.level * _SATURATED:
-            # nothing to learn while fewer calls are wanted
+        else:
+            # too few calls are wanted to learn anything
             self._give_up(now_s)
 
     def _give_up(self, now_s: float) -> None:
--- /dev/null
+++ b/tests/load/test_entry.py
@@ -0,0 +1,144 @@
+"""Admission at the entry, shares and times to come back."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from eelgrassmount.blackboard import Blackboard
+from eelgrassmount.config.classes import Document, WorkClass
+from eelgrassmount.context import PRIORITY_LEVELS
+from eelgrassmount.load.admission import EntryState, admit_at_entry
+from eelgrassmount.load.exchange import LoadExchange, combine_loads
+from eelgrassmount.load.refusals import (
+    ExcessMeter,
+    compute_retry_after,
+    spread_retry_after,
+)
+from eelgrassmount.load.shares import ShareTable, adjust_shares, scale_priority
+from eelgrassmount.load.state import FULL_THRESHOLD, ServiceLoad
+from eelgrassmount.members.table import Identity
+from eelgrassmount.verdict import Reason
+
+NOW_S = 100.0
+BOOKING = WorkClass("booking", (), False, True, 0.99, 1000)
+LOOKUP = WorkClass("lookup", (), True, False, 0.8, 1000)
+STATUS = WorkClass("status", (), True, False, 0.4, 1000)
+
+
+@pytest.fixture
+def board() -> Blackboard:
+    return Blackboard(Identity("127.0.0.1:1", "here", "region", "1"))
+
+
+def admits(
+    board: Blackboard, work_class: WorkClass, priority: int, now_s: float
+) -> bool:
+    refusal = admit_at_entry(
+        board, EntryState(), work_class, "a", priority, random.Random(1), now_s
+    )
+    assert refusal is None or refusal.reason is Reason.OVERLOAD
+    assert refusal is None or refusal.retry_after_s > 0
+    return refusal is None
+
+
+def test_deep_service_decides_at_the_entry(board: Blackboard) -> None:
+    exchange = LoadExchange(board.loads)
+    deep = ServiceLoad("c", PRIORITY_LEVELS + 300)
+    exchange.merge("127.0.0.1:7", "a", [ServiceLoad("a"), deep], NOW_S)
+    assert admits(board, LOOKUP, 300, NOW_S)
+    exchange.learn("lookup", ["a", "c"])
+    assert not admits(board, LOOKUP, 300, NOW_S)
+    assert admits(board, LOOKUP, 299, NOW_S)
+    assert admits(board, BOOKING, 1023, NOW_S)
+    assert admits(board, STATUS, 1023, NOW_S)
+    # it opens by degrees when no more is heard
+    assert not admits(board, LOOKUP, 1000, NOW_S + 1.5)
+    assert admits(board, LOOKUP, 600, NOW_S + 1.9)
+    assert admits(board, LOOKUP, 1023, NOW_S + 3.0)
+
+
+def test_class_that_no_longer_touches_a_service(board: Blackboard) -> None:
+    exchange = LoadExchange(board.loads)
+    exchange.merge("127.0.0.1:7", "a", [ServiceLoad("c", 0)], NOW_S)
+    exchange.learn("lookup", ["a", "c"])
+    for _ in range(40):
+        exchange.learn("lookup", ["a"])
+    assert admits(board, LOOKUP, 300, NOW_S)
+
+
+@pytest.mark.parametrize(
+    ("thresholds", "combined"),
+    [
+        ((2048, 2048), 2048),
+        ((2048, 1048), 1548),
+        ((0, 1500), 1024),
+        ((0, 500), 500),
+    ],
+)
+def test_load_of_a_service(thresholds: tuple[int, ...], combined: int) -> None:
+    loads = [ServiceLoad("a", threshold, heard_s=NOW_S) for threshold in thresholds]
+    assert combine_loads("a", loads, NOW_S).threshold == combined
+
+
+def test_answer_carries_what_its_calls_touched(board: Blackboard) -> None:
+    exchange = LoadExchange(board.loads)
+    exchange.merge("127.0.0.1:7", "b", [ServiceLoad("b", 700)], NOW_S)
+    exchange.note_downstream("call", "b", [ServiceLoad("b"), ServiceLoad("c")])
+    own = ServiceLoad("a", 900)
+    loads = {load.service: load for load in exchange.collect("call", own, NOW_S)}
+    assert loads["a"] == own
+    assert loads["b"].threshold == 700
+    assert loads["c"].threshold == FULL_THRESHOLD
+    assert exchange.collect("call", own, NOW_S) == (own,)
+
+
+def test_shares_follow_the_shortfall_and_its_target() -> None:
+    table = ShareTable()
+
+    def run(seconds: int, document: Document, start_s: float) -> float:
+        """Let 60 % of the tier be admitted, divided by the shares."""
+        now_s = start_s
+        rng = random.Random(1)
+        threshold = 0.6 * PRIORITY_LEVELS
+        for step in range(seconds * 100):
+            now_s = start_s + step / 100
+            for name in ("lookup", "status"):
+                priority = rng.randrange(PRIORITY_LEVELS)
+                scaled = scale_priority(priority, table.find_share(name))
+                table.note_request(name, scaled < threshold, now_s)
+            if step % 50 == 0:
+                adjust_shares(table, document, now_s)
+        record = table.records["lookup"]
+        return record.complete.read(now_s) / record.offered.read(now_s)
+
+    before = run(20, Document((LOOKUP, STATUS)), NOW_S)
+    assert before == pytest.approx(0.8, abs=0.1)
+    swapped = Document(
+        (
+            WorkClass("lookup", (), True, False, 0.4, 1000),
+            WorkClass("status", (), True, False, 0.8, 1000),
+        )
+    )
+    share = table.find_share("lookup")
+    adjust_shares(table, swapped, NOW_S + 20)
+    assert table.find_share("lookup") == pytest.approx(share, rel=0.5)
+    after = run(30, swapped, NOW_S + 20)
+    assert after < before - 0.15
+
+
+def test_delay_of_refused_callers_follows_the_excess() -> None:
+    means = []
+    for refused in (0, 1, 4):
+        meter = ExcessMeter()
+        for step in range(2000):
+            now_s = step / 100
+            meter.note_admitted(now_s)
+            for _ in range(refused):
+                meter.note_refused(now_s)
+        means.append(compute_retry_after(meter, now_s))
+    assert means == [0.5, pytest.approx(5, rel=0.05), pytest.approx(20, rel=0.05)]
+    rng = random.Random(1)
+    delays = [spread_retry_after(means[1], rng) for _ in range(1000)]
+    assert min(delays) < 3.0 and max(delays) > 7.0
--- a/tests/load/test_limiter.py
+++ b/tests/load/test_limiter.py
@@ -38,7 +38,7 @@
         now_s = step * 0.1
         limiter.note_start(1, now_s)
         limiter.record(Sample(SampleKind.COMPLETE, 0.05), 1, now_s + 0.05)
-        limiter.adjust(0, now_s + 0.05)
+        limiter.adjust(now_s + 0.05)
     assert limiter.limit == 8
 
 
@@ -46,8 +46,10 @@
     limiter = Limiter()
     for step in range(400):
         now_s = step * 0.1
-        for running in range(limiter.limit):
-            limiter.note_start(running + 1, now_s)
-        limiter.record(Sample(SampleKind.TIMEOUT, 0.1), limiter.limit, now_s + 0.1)
-        limiter.adjust(limiter.limit, now_s + 0.1)
+        running = limiter.limit
+        for started in range(running):
+            limiter.note_start(started + 1, now_s)
+        for left in range(running, 0, -1):
+            limiter.record(Sample(SampleKind.TIMEOUT, 0.09), left, now_s + 0.095)
+        limiter.adjust(now_s + 0.099)
     assert limiter.limit == 2
