--- a/standins/answers.py
+++ b/standins/answers.py
@@ -23,7 +23,9 @@
     ``load`` is announced in place of the true one, ``drain`` announces draining
     and ``refuse`` refuses new work meanwhile, ``truncated`` closes the connection
     in mid-answer, ``garbled`` changes the body under its digest, ``wrong_call``
-    gives the answer before, ``doubled`` gives the answer twice.
+    gives the answer before, ``doubled`` gives the answer twice. ``lost`` swallows
+    requests without running them and ``mute`` runs them without an answer, while
+    questions about their fate are answered.
     """
 
     slow_factor: float = 1.0
@@ -36,6 +38,8 @@
     garbled: int = 0
     wrong_call: int = 0
     doubled: int = 0
+    lost: int = 0
+    mute: int = 0
 
     def change(self, changes: dict[str, Any]) -> None:
         """Set faults by name; raise ``ValueError`` for an unknown one."""
