--- a/tests/matrix/node.py
+++ b/tests/matrix/node.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 import sys
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from attrs import evolve
 
-from eelgrassmount.calls import dispatch, local, remote
+from eelgrassmount.calls import dispatch, downstream, local, remote
 from eelgrassmount.calls.request import Outcome
 from eelgrassmount.calls.table import CallTable, Fate
 from eelgrassmount.cmd.main import main
@@ -130,15 +131,22 @@
 
 
 def drop_budget() -> None:
-    """Let every hop retry as long as there is another server."""
+    """Let every hop retry as it likes, and take repeats of servers for new calls."""
     RetryRatio.take = lambda self: True
-    run = dispatch.Dispatcher._attempt
+    server.LOST_REASONS = frozenset()
+    attempt = dispatch.Dispatcher._attempt
+    handle = downstream.Downstream.handle
+    numbers = itertools.count()
 
-    async def attempt(self: Any, address: str, call: Call, left: int) -> Outcome:
-        outcome = await run(self, address, call, MANY_ATTEMPTS)
+    async def attempt_freely(self: Any, address: str, call: Call, _: int) -> Outcome:
+        outcome = await attempt(self, address, call, MANY_ATTEMPTS)
         return evolve(outcome, attempts_left=MANY_ATTEMPTS)
 
-    dispatch.Dispatcher._attempt = attempt
+    async def handle_anew(self: Any, parent_id: str, _: str, request: Any) -> Verdict:
+        return await handle(self, parent_id, str(next(numbers)), request)
+
+    dispatch.Dispatcher._attempt = attempt_freely
+    downstream.Downstream.handle = handle_anew
 
 
 def drop_quarantine() -> None:
--- /dev/null
+++ b/tests/matrix/storm.py
@@ -0,0 +1,165 @@
+"""A retry storm: runs at each depth of a chain whose deepest service fails."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections import Counter, defaultdict
+
+import fire
+from attrs import frozen
+
+from eelgrassmount.retry.budget import EXTRA_ATTEMPTS
+from standins.caller import CallClass, Load, Phase, run_load
+from standins.deploy import Deployment, DeploymentSpec, ServiceSpec
+from standins.faults import set_fault
+from standins.plans import Plan
+from tests.matrix.world import World, make_node_command
+
+LEVELS = 12
+# levels from the deepest up that have two servers, so that there is one to retry at
+DOUBLED_LEVELS = 4
+SERVER_RETRIES = 2
+SENDINGS = 5
+SECONDS = 2.0
+RATE = 10.0
+TIMEOUT_MS = 4000.0
+SETTLE_S = 1.0
+
+CONFIGURATION = """failure_domains = ["a"]
+[[class]]
+name = "lookup"
+routes = ["GET /s0/x"]
+idempotent = true
+refuse_last = false
+complete_fraction = 0.9
+within_ms = 4000
+[[class]]
+name = "booking"
+routes = [{routes}]
+idempotent = false
+refuse_last = true
+complete_fraction = 0.99
+within_ms = 4000
+"""
+
+
+@frozen
+class Depth:
+    """Runs of one route at one depth, for each sending of a caller."""
+
+    method: str
+    depth: int
+    sendings: int
+    mean: float
+    most: int
+
+
+def make_spec(levels: int, without: str) -> DeploymentSpec:
+    """Return a chain of services whose servers repeat their downstream calls."""
+
+    def make_service(depth: int) -> ServiceSpec:
+        plans = {
+            f"{method} /s{depth}/x": Plan(((method, f"/s{depth + 1}/x"),))
+            for method in ("GET", "POST")
+            if depth + 1 < levels
+        }
+        servers = 2 if depth >= levels - DOUBLED_LEVELS else 1
+        flags = {"retries": SERVER_RETRIES}
+        return ServiceSpec(
+            f"s{depth}", servers, service_time_ms=2.0, plans=plans, flags=flags
+        )
+
+    services = tuple(make_service(depth) for depth in range(levels))
+    return DeploymentSpec(
+        ("a",), services, seeds=2, node_command=make_node_command(without)
+    )
+
+
+def measure(levels: int, without: str, failure: dict[str, object]) -> list[Depth]:
+    """Run a storm on a deployment of its own and return what ran at each depth."""
+    with Deployment(make_spec(levels, without)) as deployment:
+        asyncio.run(_configure(deployment, levels))
+        for vm in deployment.find_vms(f"s{levels - 1}"):
+            set_fault(vm.server_admin_address, **failure)
+        sent = _storm(deployment)
+        asyncio.run(asyncio.sleep(SETTLE_S))
+        return _count(deployment.get_runs(), sent, levels)
+
+
+async def _configure(deployment: Deployment, levels: int) -> None:
+    routes = ", ".join(f'"POST /s{depth}/x"' for depth in range(levels))
+    world = World(deployment)
+    await world.publish(CONFIGURATION.format(routes=routes))
+    # members have to know each other, and slots need their primaries
+    await asyncio.sleep(8.0)
+
+
+def _storm(deployment: Deployment) -> dict[str, set[str]]:
+    entries = tuple(vm.caller_address for vm in deployment.find_vms("s0"))
+    expect = deployment.spec.expect("GET", "/s0/x")
+    classes = (
+        CallClass("lookup", "GET", "/s0/x", expect, timeout_ms=TIMEOUT_MS),
+        CallClass(
+            "booking", "POST", "/s0/x", expect, keyed=True, timeout_ms=TIMEOUT_MS
+        ),
+    )
+    load = Load(entries, classes, (Phase(SECONDS, RATE),), retries=SENDINGS - 1)
+    sent: dict[str, set[str]] = defaultdict(set)
+    for record in run_load(load):
+        method = "GET" if record.class_name == "lookup" else "POST"
+        sent[method] |= {sending.request for sending in record.sendings}
+    return sent
+
+
+def _count(
+    runs: list[dict[str, object]], sent: dict[str, set[str]], levels: int
+) -> list[Depth]:
+    counts = Counter((run["request"], run["route"]) for run in runs)
+    depths = []
+    for method, requests in sorted(sent.items()):
+        for depth in range(levels):
+            route = f"{method} /s{depth}/x"
+            found = [counts[request, route] for request in requests]
+            mean = sum(found) / len(found)
+            depths.append(Depth(method, depth, len(found), mean, max(found)))
+    return depths
+
+
+def check(depths: list[Depth]) -> list[str]:
+    """Return where more ran than the bounds allow."""
+    bounds = {"GET": 1 + EXTRA_ATTEMPTS, "POST": 1}
+    return [
+        f"{item.method} at depth {item.depth}: {item.most} runs, "
+        f"at most {bounds[item.method]} allowed"
+        for item in depths
+        if item.most > bounds[item.method]
+    ]
+
+
+FAILURES: dict[str, dict[str, object]] = {
+    "truncated": {"truncated": True},
+    "wrong-call": {"wrong_call": True},
+}
+
+
+def run_storm(levels: int = LEVELS, without: str = "") -> None:
+    """Run the storm with each failure of the deepest service and print the runs."""
+    broken: list[str] = []
+    for name, failure in FAILURES.items():
+        depths = measure(levels, without, failure)
+        print(f"deepest service fails by: {name}")
+        for item in depths:
+            print(
+                f"  {item.method:4} depth {item.depth:2}: {item.mean:8.2f} runs a "
+                f"sending, {item.most} at most, of {item.sendings} sendings",
+                flush=True,
+            )
+        broken += check(depths)
+    for line in broken:
+        print(f"! {line}")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(run_storm)
