--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from eelgrassmount.keys.views import View
     from standins.layout import VM
+    from standins.processes import Process
 
 DOMAINS = ("a", "b")
 # so short that a lost slot comes back soon, far longer than a cell
@@ -154,16 +155,22 @@
 
     def _start_again(self) -> None:
         """Start processes anew whose port was taken while they were down."""
-        for process in self.deployment.processes:
-            if not process.running and IN_USE in process.read_log()[-END_CHARACTERS:]:
+        for process in self._find_ended():
+            if IN_USE in process.read_log()[-END_CHARACTERS:]:
                 process.start()
 
+    def _find_ended(self) -> list[Process]:
+        return [
+            process
+            for process in self.deployment.processes
+            if process.log_path.exists() and not process.running
+        ]
+
     def _read_ends(self) -> str:
         """Return the last lines of processes that ended by themselves."""
-        ended = [item for item in self.deployment.processes if not item.running]
         return "".join(
-            f"; {item.name} ended: {item.read_log()[-END_CHARACTERS:]}"
-            for item in ended
+            f"; {process.name} ended: {process.read_log()[-END_CHARACTERS:]}"
+            for process in self._find_ended()
         )
 
     async def _try(self, vm: VM, home: str) -> str:
