--- a/eelgrassmount/edge/announcements.py
+++ b/eelgrassmount/edge/announcements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import TYPE_CHECKING, Any
 
 from attrs import define
@@ -22,6 +23,7 @@
 # a server that has not announced itself for this long is gone
 ANNOUNCEMENT_LIMIT_S = 3.5
 CHECK_PERIOD_S = 0.5
+_SERVICE_PATTERN = re.compile(r"[A-Za-z0-9._~-]{1,128}")
 
 _STATES = {
     "starting": ServerState.STARTING,
@@ -91,7 +93,7 @@
     """Return what an announcement says, raising `AnnouncementError`."""
     try:
         fields = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise AnnouncementError(f"the body is not JSON ({error})") from error
     if not isinstance(fields, dict):
         raise AnnouncementError("the body must be a JSON object")
@@ -105,9 +107,10 @@
 
 
 def _parse_service(value: Any) -> str:
-    if not isinstance(value, str) or not value or "/" in value:
+    if not isinstance(value, str) or not _SERVICE_PATTERN.fullmatch(value):
         raise AnnouncementError(
-            f"service is {value!r}; give the first path segment of its routes"
+            f"service is {value!r}; give the first path segment of its routes, "
+            "letters and digits and . _ ~ - only"
         )
     return value
 
@@ -120,7 +123,7 @@
 
 
 def _parse_state(value: Any) -> ServerState:
-    if value not in _STATES:
+    if not isinstance(value, str) or value not in _STATES:
         allowed = ", ".join(_STATES)
         raise AnnouncementError(f"state is {value!r}; allowed are {allowed}")
     return _STATES[value]
@@ -129,4 +132,5 @@
 def _parse_load(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise AnnouncementError(f"load is {value!r}; give a number from 0 to 1")
-    return min(1.0, max(0.0, float(value)))
+    # compared first: an integer may be too large for a float
+    return float(min(1, max(0, value)))
--- a/eelgrassmount/edge/backend.py
+++ b/eelgrassmount/edge/backend.py
@@ -6,20 +6,22 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define
+from loguru import logger
 
 from eelgrassmount.edge import headers as names
-from eelgrassmount.edge.caller import convert_request, make_reply
+from eelgrassmount.edge.caller import convert_request, judge_body, make_reply
 from eelgrassmount.edge.headers import find_header
 from eelgrassmount.edge.http import (
     BodyTooLong,
     HttpReply,
     HttpRequest,
     read_request,
+    refuse_body,
     run_until_gone,
     send_reply,
 )
 from eelgrassmount.errors import AnnouncementError
-from eelgrassmount.verdict import NotRun, Reason
+from eelgrassmount.verdict import MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
     from eelgrassmount.calls.downstream import Downstream
@@ -42,8 +44,8 @@
         """Answer one request of the backend server."""
         try:
             request = await read_request(scope, receive, self.max_body_bytes)
-        except BodyTooLong:
-            await send_reply(send, make_reply(NotRun(Reason.TOO_LARGE), []))
+        except BodyTooLong as error:
+            await refuse_body(receive, send, make_reply(judge_body(error), []))
             return
         if request is None:
             return
@@ -52,9 +54,13 @@
             return
 
         async def work() -> Verdict:
-            return await self._call(request)
+            try:
+                return await self._call(request)
+            except Exception:
+                logger.exception("a downstream call failed on a programming error")
+                return MayHaveRun(Reason.INTERNAL)
 
-        verdict = await run_until_gone(receive, work)
+        verdict = await run_until_gone(scope, work)
         if verdict is not None:
             await send_reply(send, make_reply(verdict, []))
 
--- a/eelgrassmount/edge/caller.py
+++ b/eelgrassmount/edge/caller.py
@@ -13,9 +13,11 @@
 from eelgrassmount.edge.headers import choose_status, make_verdict_headers
 from eelgrassmount.edge.http import (
     BodyTooLong,
+    BodyTooSlow,
     HttpReply,
     HttpRequest,
     read_request,
+    refuse_body,
     run_until_gone,
     send_reply,
 )
@@ -40,9 +42,10 @@
         """Answer one request of a caller."""
         try:
             request = await read_request(scope, receive, self.max_body_bytes)
-        except BodyTooLong:
-            reply = Reply(NotRun(Reason.TOO_LARGE), "", "")
-            await self._answer(send, reply)
+        except BodyTooLong as error:
+            verdict = judge_body(error)
+            self.metrics.refusals.labels(verdict.reason).inc()
+            await refuse_body(receive, send, make_reply(verdict, []))
             return
         if request is None:
             return
@@ -55,16 +58,27 @@
                 self.metrics.internal_errors.inc()
                 return Reply(MayHaveRun(Reason.INTERNAL), "", "")
 
-        reply = await run_until_gone(receive, work)
+        reply = await run_until_gone(scope, work)
         if reply is not None:
             await self._answer(send, reply)
 
+    def note_malformed(self) -> None:
+        """Count what can't be read as a request."""
+        self.metrics.refusals.labels(Reason.MALFORMED).inc()
+
     async def _answer(self, send: Send, reply: Reply) -> None:
         if not isinstance(reply.verdict, Answered):
             self.metrics.refusals.labels(reply.verdict.reason).inc()
         await send_reply(send, make_reply(reply.verdict, _make_extra(reply)))
 
 
+def judge_body(error: BodyTooLong) -> NotRun:
+    """Return the verdict on a request whose body can't be taken."""
+    if isinstance(error, BodyTooSlow):
+        return NotRun(Reason.DEADLINE)
+    return NotRun(Reason.TOO_LARGE)
+
+
 def _make_extra(reply: Reply) -> list[Header]:
     extra = []
     if reply.root_id:
--- a/eelgrassmount/edge/http.py
+++ b/eelgrassmount/edge/http.py
@@ -11,6 +11,8 @@
 from attrs import frozen
 
 from eelgrassmount.edge import headers as names
+from eelgrassmount.edge.headers import find_header
+from eelgrassmount.edge.protocol import GONE, make_protocol
 from eelgrassmount.errors import ListenError
 from eelgrassmount.verdict import Header
 
@@ -24,6 +26,8 @@
 Send = "Callable[[Any], Awaitable[None]]"
 KEEP_ALIVE_S = 60
 BACKLOG = 2048
+BODY_LIMIT_S = 30.0
+LINGER_S = 1.0
 _START_POLL_S = 0.005
 
 
@@ -65,14 +69,25 @@
     """The body of a request is longer than allowed."""
 
 
-async def serve_http(app: Any, address: Address, group: Background) -> uvicorn.Server:
+class BodyTooSlow(BodyTooLong):
+    """The body of a request took longer than allowed."""
+
+
+async def serve_http(
+    app: Any,
+    address: Address,
+    group: Background,
+    note_malformed: Callable[[], None] = lambda: None,
+) -> uvicorn.Server:
     """Start a listener in the task group and return when it listens.
 
-    Raises `ListenError` when the address can't be bound.
+    ``note_malformed`` is called for what can't be read as a request. Raises
+    `ListenError` when the address can't be bound.
     """
     listening = _bind_socket(address)
     config = uvicorn.Config(
         app,
+        http=make_protocol(note_malformed),
         log_config=None,
         access_log=False,
         lifespan="off",
@@ -107,31 +122,55 @@
 ) -> HttpRequest | None:
     """Return a whole request, ``None`` when its sender has gone.
 
-    Raises `BodyTooLong` as soon as the body passes ``max_body_bytes``.
+    Raises `BodyTooLong` as soon as the body is known to pass
+    ``max_body_bytes``, and `BodyTooSlow` after ``BODY_LIMIT_S``.
     """
-    parts = []
-    length = 0
+    headers = tuple(
+        Header(name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in scope["headers"]
+    )
+    # the parser has checked that it is a number
+    if int(find_header(headers, names.CONTENT_LENGTH) or 0) > max_body_bytes:
+        raise BodyTooLong
+    event = await receive()
+    if event["type"] == "http.disconnect":
+        return None
+    body = event.get("body", b"")
+    if event.get("more_body", False):
+        with anyio.move_on_after(BODY_LIMIT_S) as limit:
+            body = await _read_rest(body, receive, max_body_bytes)
+        if limit.cancelled_caught:
+            raise BodyTooSlow
+    if body is None:
+        return None
+    return HttpRequest(
+        method=scope["method"],
+        path=scope["raw_path"].decode("latin-1"),
+        query=scope["query_string"].decode("latin-1"),
+        headers=headers,
+        body=body,
+    )
+
+
+async def _read_rest(
+    first: bytes, receive: Receive, max_body_bytes: int
+) -> bytes | None:
+    parts = [first]
+    length = len(first)
     more = True
     while more:
+        if length > max_body_bytes:
+            raise BodyTooLong
         event = await receive()
         if event["type"] == "http.disconnect":
             return None
         part = event.get("body", b"")
         parts.append(part)
         length += len(part)
-        if length > max_body_bytes:
-            raise BodyTooLong
         more = event.get("more_body", False)
-    return HttpRequest(
-        method=scope["method"],
-        path=scope["raw_path"].decode("latin-1"),
-        query=scope["query_string"].decode("latin-1"),
-        headers=tuple(
-            Header(name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in scope["headers"]
-        ),
-        body=b"".join(parts),
-    )
+    if length > max_body_bytes:
+        raise BodyTooLong
+    return b"".join(parts)
 
 
 async def send_reply(send: Send, reply: HttpReply) -> None:
@@ -154,22 +193,33 @@
     return names.CONTENT_LENGTH.encode(), str(len(body)).encode()
 
 
-async def run_until_gone(
-    receive: Receive, work: Callable[[], Awaitable[Any]]
-) -> Any | None:
+async def refuse_body(receive: Receive, send: Send, reply: HttpReply) -> None:
+    """Send a whole answer to a request whose body is not read, then close.
+
+    Closing at once could take the answer from a caller that is still
+    sending, so what still comes for a short time is thrown away.
+    """
+    headers = [
+        *_encode_headers(reply.headers),
+        _encode_length(reply.body),
+        (b"connection", b"close"),
+    ]
+    await send(
+        {"type": "http.response.start", "status": reply.status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": reply.body, "more_body": True})
+    with anyio.move_on_after(LINGER_S):
+        while (await receive()).get("more_body", False):
+            continue
+    await send({"type": "http.response.body", "body": b""})
+
+
+async def run_until_gone(scope: Any, work: Callable[[], Awaitable[Any]]) -> Any | None:
     """Run ``work`` and return its result; cancel it when the sender goes.
 
     Returns ``None`` when the sender has gone first.
     """
-    result = None
-    async with anyio.create_task_group() as group:
-
-        async def watch() -> None:
-            while (await receive())["type"] != "http.disconnect":
-                continue
-            group.cancel_scope.cancel()
-
-        group.start_soon(watch)
-        result = await work()
-        group.cancel_scope.cancel()
-    return result
+    with anyio.CancelScope() as limit:
+        scope[GONE](limit.cancel)
+        return await work()
+    return None
--- a/eelgrassmount/edge/probes.py
+++ b/eelgrassmount/edge/probes.py
@@ -163,7 +163,7 @@
         return ServerFate.UNSUPPORTED
     try:
         fields = json.loads(answer.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return ServerFate.UNSUPPORTED
     state = fields.get("state") if isinstance(fields, dict) else None
     if state == ServerFate.UNKNOWN.value:
--- /dev/null
+++ b/eelgrassmount/edge/protocol.py
@@ -0,0 +1,142 @@
+"""The HTTP protocol of the listeners, with bounds on what a caller may send."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from eelgrassmount.edge import headers as names
+from eelgrassmount.edge.headers import (
+    MAX_HEADER_BYTES,
+    MAX_HEADERS,
+    make_verdict_headers,
+)
+from eelgrassmount.verdict import NotRun, Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# the time that a connection has for the head of its first request, and for the
+# rest of a head that came in part
+HEAD_LIMIT_S = 10.0
+# the entry of the scope by which an application learns that the caller has gone
+GONE = "eelgrassmount.gone"
+_TOO_LONG = "the head of the request is too long"
+
+
+class BoundedProtocol(HttpToolsProtocol):
+    """Refuses heads that are too long or too slow, and tells of lost callers.
+
+    The scope of each request has a function under ``GONE`` that takes another
+    one, which is called when the connection is lost.
+    """
+
+    note_malformed: Callable[[], None] = staticmethod(lambda: None)
+    _in_head = True
+    _head_bytes = 0
+    _timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Give the first request its time."""
+        super().connection_made(transport)
+        self._watchers: list[Callable[[], Any]] = []
+        self._start_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the requests that their caller has gone."""
+        super().connection_lost(exc)
+        self._stop_timer()
+        for watcher in self._watchers:
+            watcher()
+        self._watchers.clear()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of a request, as long as its head has an end."""
+        if self._in_head:
+            # the parser keeps an unfinished header to itself
+            self._head_bytes += len(data)
+            if self._head_bytes > 2 * MAX_HEADER_BYTES + len(data):
+                self.send_400_response(_TOO_LONG)
+                return
+        super().data_received(data)
+        if self._in_head and self._head_bytes and self._timer is None:
+            self._start_timer()
+
+    def on_message_begin(self) -> None:
+        """Begin the head of a request."""
+        super().on_message_begin()
+        self._in_head = True
+        self._header_bytes = 0
+        self.scope[GONE] = self._watchers.append
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request's target."""
+        super().on_url(url)
+        self._check_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        super().on_header(name, value)
+        self._check_head(len(name) + len(value))
+
+    def _check_head(self, length: int) -> None:
+        self._header_bytes += length
+        if self._header_bytes > MAX_HEADER_BYTES or len(self.headers) > MAX_HEADERS:
+            raise ValueError(_TOO_LONG)
+
+    def on_headers_complete(self) -> None:
+        """Begin to answer the request."""
+        self._in_head = False
+        self._head_bytes = 0
+        self._stop_timer()
+        super().on_headers_complete()
+
+    def on_response_complete(self) -> None:
+        """Forget who watched the request that has been answered."""
+        self._watchers.clear()
+        super().on_response_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what is not a request, count it and close the connection."""
+        self.note_malformed()
+        if self.transport.is_closing():
+            return
+        headers = make_verdict_headers(NotRun(Reason.MALFORMED))
+        lines = [
+            "HTTP/1.1 400 Bad Request",
+            *(f"{header.name}: {header.value}" for header in headers),
+            f"{names.CONTENT_LENGTH}: {len(msg) + 1}",
+            "connection: close",
+        ]
+        head = "\r\n".join(lines)
+        self.transport.write(f"{head}\r\n\r\n{msg}\n".encode())
+        self.transport.close()
+
+    def _start_timer(self) -> None:
+        self._timer = self.loop.call_later(HEAD_LIMIT_S, self._refuse_slow)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _refuse_slow(self) -> None:
+        self._timer = None
+        if self.transport.is_closing():
+            return
+        if self._head_bytes:
+            self.send_400_response("the head of the request came too slowly")
+        else:
+            self.transport.close()
+
+
+def make_protocol(note_malformed: Callable[[], None]) -> type[BoundedProtocol]:
+    """Return the protocol of one listener, which counts by ``note_malformed``."""
+
+    class Protocol(BoundedProtocol):
+        pass
+
+    Protocol.note_malformed = staticmethod(note_malformed)
+    return Protocol
