--- a/eelgrassmount/errors.py
+++ b/eelgrassmount/errors.py
@@ -36,12 +36,27 @@
         return f"{self.name}: {self.value!r} is not allowed, give {self.allowed}"
 
 
+@dataclass(eq=False)
+class FileError(EelgrassmountError):
+    """A file named on the command line that can't be read."""
+
+    path: str
+    cause: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: can't be read ({self.cause}); name a UTF-8 text file"
+
+
 @dataclass(eq=False)
 class NodeUnreachableError(EelgrassmountError):
-    """The admin listener of a node gave no usable answer."""
+    """The admin listener of a node gave no usable answer.
+
+    ``sent`` tells whether the node may have received the request.
+    """
 
     address: str
     cause: str
+    sent: bool
 
     def __str__(self) -> str:
         return (
@@ -50,6 +65,18 @@
         )
 
 
+@dataclass(eq=False)
+class AdminRefusedError(EelgrassmountError):
+    """A node refused an operator's request."""
+
+    address: str
+    status: int
+    detail: str
+
+    def __str__(self) -> str:
+        return f"the node at {self.address} refused ({self.status}): {self.detail}"
+
+
 @dataclass(eq=False)
 class BadFrameError(EelgrassmountError):
     """A frame from another node that can't be taken.
--- a/eelgrassmount/load/routing.py
+++ b/eelgrassmount/load/routing.py
@@ -189,6 +189,20 @@
     return None
 
 
+def find_room(
+    board: Blackboard,
+    state: RoutingState,
+    service: str,
+    excluded: Collection[str],
+    rank: int,
+    now_s: float,
+) -> bool:
+    """Tell whether some server is known to have room for a call of this rank."""
+    near = _find_near(board, state, service, excluded, now_s)
+    far = _find_far(board, state, service, excluded, now_s)
+    return bool(_keep_open([*near, *far], rank, least_room=1))
+
+
 def _keep_open(
     candidates: list[Candidate], rank: int, least_room: int = 0
 ) -> list[Candidate]:
@@ -316,7 +330,7 @@
         return addresses
 
     def sort_key(address: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{own_address}>{address}")
+        return xxhash.xxh3_64_intdigest(f"{own_address}>{address}".encode())
 
     return sorted(addresses, key=sort_key)[:SUBSET_SIZE]
 
--- a/eelgrassmount/members/membership.py
+++ b/eelgrassmount/members/membership.py
@@ -10,6 +10,7 @@
 
 from eelgrassmount.blackboard import DrainStage
 from eelgrassmount.members import exchange
+from eelgrassmount.members.conflicts import Conflicts
 from eelgrassmount.members.counts import Counts
 from eelgrassmount.members.delegates import differ_in_load
 from eelgrassmount.members.domains import Domains
@@ -64,7 +65,7 @@
         self.observers: list[Callable[[str, Gossip], None]] = []
         self._board = board
         self._timers = timers
-        self._describe_load = describe_load
+        self.describe_load = describe_load
         self._tasks: Background | None = None
         self._load_told_s = -math.inf
         self.roster = Roster(
@@ -78,7 +79,9 @@
             self.roster, timers, peers, self._spawn, self._fill, self._observe
         )
         self._domains = Domains(self.roster, timers, self._rounds)
+        conflicts = Conflicts(self.roster, self._rounds)
         self._rounds.react = self._domains.react
+        self._rounds.settle_conflict = conflicts.start_settling
         self._joiner = Joiner(
             self.roster, timers, self._rounds, log, tuple(seeds), self._is_delegate
         )
@@ -139,14 +142,14 @@
         return ServerState.DRAINING
 
     def _announce_load(self, now_s: float) -> None:
-        if self._describe_load is None:
+        if self.describe_load is None:
             return
         interval_s = compute_load_interval_s(
             self.roster.pace, len(self.roster.table.members)
         )
         if now_s - self._load_told_s < interval_s:
             return
-        load = self._describe_load()
+        load = self.describe_load()
         own = self.roster.own
         if differ_in_load(own.headroom, load.headroom) or differ_in_load(
             own.threshold, load.threshold
--- a/eelgrassmount/peer/codec.py
+++ b/eelgrassmount/peer/codec.py
@@ -10,6 +10,7 @@
 from eelgrassmount.edge.headers import FINAL_STATUSES
 from eelgrassmount.errors import BadFrameError
 from eelgrassmount.gen import ttypes
+from eelgrassmount.load.state import FULL_THRESHOLD, ServiceLoad
 from eelgrassmount.verdict import (
     Answered,
     Header,
@@ -139,7 +140,11 @@
 
 def encode_outcome(call_id: str, outcome: Outcome) -> ttypes.Outcome:
     """Return the outcome of a call as it goes back to another node."""
-    frame = ttypes.Outcome(call_id=call_id, attempts_left=outcome.attempts_left)
+    frame = ttypes.Outcome(
+        call_id=call_id,
+        attempts_left=outcome.attempts_left,
+        loads=[_encode_load(load) for load in outcome.loads],
+    )
     match outcome.verdict:
         case Answered(status, headers, body):
             frame.kind = ttypes.VerdictKind.ANSWERED
@@ -165,9 +170,31 @@
     """Return the outcome that a node sent, raising `BadFrameError`."""
     try:
         verdict = _decode_verdict(frame)
-    except (AttributeError, ValueError) as error:
+        loads = tuple(_decode_load(load) for load in frame.loads or ())
+    except (AttributeError, TypeError, ValueError) as error:
         raise BadFrameError(f"not a valid outcome: {error}") from error
-    return Outcome(verdict, max(0, frame.attempts_left or 0))
+    return Outcome(verdict, max(0, frame.attempts_left or 0), loads)
+
+
+def _encode_load(load: ServiceLoad) -> ttypes.ServiceLoad:
+    return ttypes.ServiceLoad(
+        service_name=load.service,
+        threshold=load.threshold,
+        headroom=load.headroom,
+        retry_after_ms=_encode_delay(load.retry_after_s),
+    )
+
+
+def _decode_load(frame: ttypes.ServiceLoad) -> ServiceLoad:
+    if not frame.service_name:
+        raise BadFrameError("a load names no service")
+    threshold = FULL_THRESHOLD if frame.threshold is None else frame.threshold
+    return ServiceLoad(
+        service=frame.service_name,
+        threshold=min(FULL_THRESHOLD, max(0, threshold)),
+        headroom=max(0, frame.headroom or 0),
+        retry_after_s=max(0, frame.retry_after_ms or 0) / 1000,
+    )
 
 
 def _decode_verdict(frame: ttypes.Outcome) -> Verdict:
