--- a/benchmarks/member_network.py
+++ b/benchmarks/member_network.py
@@ -24,6 +24,8 @@
     import random
     from collections.abc import AsyncIterator, Callable
 
+    from eelgrassmount.load.state import ServiceLoad
+
 STEP_S = 0.02
 _PROTOCOL = TBinaryProtocolAcceleratedFactory()
 _FRAME_BYTES = 4
@@ -67,6 +69,7 @@
     frozen: bool = False
     running: bool = True
     bytes_out: int = 0
+    bytes_in: int = 0
     messages_out: int = 0
     scope: anyio.CancelScope = field(factory=anyio.CancelScope)
     thawed: anyio.Event = field(factory=anyio.Event)
@@ -156,14 +159,27 @@
             yield self
             self.tasks.cancel_scope.cancel()
 
-    async def add(self, address: str, domain: str, seeds: tuple[str, ...] = ()) -> Node:
+    async def add(
+        self,
+        address: str,
+        domain: str,
+        seeds: tuple[str, ...] = (),
+        describe_load: Callable[[], ServiceLoad] | None = None,
+    ) -> Node:
         incarnation = f"{self.rng.getrandbits(48):012x}"
         identity = Identity(address, domain, "region-1", incarnation)
         board = Blackboard(identity)
         timers = TimerService(self.clock, self.rng)
         node = Node(identity, self, board, timers)
         node.membership = Membership(
-            board, timers, node, self.log, self.rng, seeds, pace=self.pace
+            board,
+            timers,
+            node,
+            self.log,
+            self.rng,
+            seeds,
+            describe_load=describe_load,
+            pace=self.pace,
         )
         self.nodes[address] = node
         await node.membership.start(node)
@@ -184,6 +200,7 @@
         if target.frozen:
             target.backlog.append((source, body))
             return await self._time_out(address, timeout_s)
+        target.bytes_in += len(body) + _FRAME_BYTES
         reply = await target.receive(source, body)
         if reply is None:
             return ttypes.Message()
@@ -191,6 +208,7 @@
         target.messages_out += 1
         if self._loses(target, source):
             return await self._time_out(address, timeout_s)
+        source.bytes_in += len(reply) + _FRAME_BYTES
         return deserialize(ttypes.Message(), reply, _PROTOCOL)
 
     def _loses(self, source: Node, target: Node) -> bool:
--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,303 @@
+"""What membership costs each node, and how soon a failure is found.
+
+``python -m benchmarks.membership`` runs everything in one process, on a clock
+that is moved by hand and a network in memory that encodes each message. So
+bytes and messages are exact; processor time has the codec in it but no sockets.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import resource
+import statistics
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+import numpy as np
+from attrs import asdict, field, frozen
+from loguru import logger
+
+from benchmarks.member_network import Network, Node
+from eelgrassmount.load.state import ServiceLoad
+from eelgrassmount.members.counts import Count
+from eelgrassmount.members.table import MemberState, ServerState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SEED = 20261202
+SETTLE_S = 20.0
+MEASURE_S = 20.0
+FREEZES_S = (0.1, 0.3, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0)
+JOIN_LIMIT_S = 120.0
+GONE = (MemberState.SUSPECT, MemberState.DEAD)
+
+
+@frozen
+class Cost:
+    """The cost of one node in one second, and of joining."""
+
+    scenario: str
+    nodes: int
+    domains: int
+    join_s: float
+    join_kb: float
+    bytes_out: float
+    bytes_worst: float
+    messages_out: float
+    cpu_ms: float
+    memory_kb: float
+    pulls: int
+
+
+@frozen
+class Detection:
+    """How freezes of one length were seen, over some runs."""
+
+    freeze_s: float
+    runs: int
+    suspected: int
+    declared_dead: int
+    suspect_s: list[float] = field(factory=list)
+    dead_s: list[float] = field(factory=list)
+    back_s: list[float] = field(factory=list)
+
+
+def read_memory_kb() -> int:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+
+def make_load(rng: random.Random, changing: bool) -> Callable[[], ServiceLoad]:
+    def describe() -> ServiceLoad:
+        headroom = rng.choice([5, 20, 80]) if changing else 20
+        return ServiceLoad("service", headroom=headroom)
+
+    return describe
+
+
+async def grow(
+    network: Network, domains: int, nodes: int, services: int, changing: bool
+) -> float:
+    """Start all nodes at once through a few seeds; return the time it took."""
+    seeds = tuple(f"127.{domain + 1}.0.1:9000" for domain in range(domains))
+    for index in range(nodes):
+        for domain in range(domains):
+            address = f"127.{domain + 1}.{index // 250}.{index % 250 + 1}:9000"
+            load = make_load(network.rng, changing)
+            node = await network.add(address, f"domain-{domain}", seeds, load)
+            node.serve(f"service-{index % services}")
+
+    def complete() -> bool:
+        wanted = (domains - 1) * services
+        return all(
+            len(node.board.members.members) == nodes
+            and len(node.board.members.summaries) == wanted
+            for node in network.nodes.values()
+        )
+
+    return await network.run_until(complete, JOIN_LIMIT_S)
+
+
+async def measure_cost(
+    scenario: str, domains: int, nodes: int, services: int, churn_s: float = 0.0
+) -> Cost:
+    memory_kb = read_memory_kb()
+    rng = random.Random(SEED)
+    async with Network(rng).open() as network:
+        changing = scenario == "load changes"
+        join_s = await grow(network, domains, nodes, services, changing)
+        everyone = list(network.nodes.values())
+        total = len(everyone)
+        join_kb = sum(node.bytes_out for node in everyone) / total / 1024
+        await network.run(SETTLE_S)
+        before = [(node.bytes_out, node.messages_out) for node in everyone]
+        pulls = count(network, Count.PULLS)
+        cpu_s = network.cpu_s
+        await (churn(network, churn_s) if churn_s else network.run(MEASURE_S))
+        cpu_s = network.cpu_s - cpu_s
+        sent = [
+            node.bytes_out - was
+            for node, (was, _) in zip(everyone, before, strict=True)
+        ]
+        messages = [
+            node.messages_out - was
+            for node, (_, was) in zip(everyone, before, strict=True)
+        ]
+        return Cost(
+            scenario,
+            total,
+            domains,
+            round(join_s, 1),
+            round(join_kb, 1),
+            round(statistics.mean(sent) / MEASURE_S),
+            round(max(sent) / MEASURE_S),
+            round(statistics.mean(messages) / MEASURE_S, 2),
+            round(1000 * cpu_s / total / MEASURE_S, 2),
+            round(max(0, read_memory_kb() - memory_kb) / total),
+            count(network, Count.PULLS) - pulls,
+        )
+
+
+async def churn(network: Network, every_s: float) -> None:
+    """Let servers drain and serve again, one change in each ``every_s`` seconds."""
+    steps = int(MEASURE_S / every_s)
+    for step in range(steps):
+        node = network.rng.choice(list(network.nodes.values()))
+        state = ServerState.DRAINING if step % 2 else ServerState.SERVING
+        node.serve(node.board.server.service, state)
+        await network.run(every_s)
+
+
+def count(network: Network, what: Count) -> int:
+    return sum(
+        node.membership.roster.counts.values[what] for node in network.nodes.values()
+    )
+
+
+async def measure_detection(freeze_s: float, nodes: int, runs: int) -> Detection:
+    rng = random.Random(SEED)
+    result = Detection(freeze_s, runs, 0, 0)
+    suspected = dead = 0
+    async with Network(rng).open() as network:
+        await grow(network, 1, nodes, 1, changing=False)
+        for _ in range(runs):
+            await network.run(120.0)
+            victim = rng.choice(list(network.nodes.values()))
+            seen = await freeze(network, victim, freeze_s, result)
+            suspected += MemberState.SUSPECT in seen or MemberState.DEAD in seen
+            dead += MemberState.DEAD in seen
+    return Detection(
+        freeze_s,
+        runs,
+        suspected,
+        dead,
+        result.suspect_s,
+        result.dead_s,
+        result.back_s,
+    )
+
+
+async def freeze(
+    network: Network, victim: Node, freeze_s: float, result: Detection
+) -> set[MemberState]:
+    """Freeze a node for a while and note what the others think of it."""
+    others = [node for node in network.nodes.values() if node is not victim]
+    seen: set[MemberState] = set()
+    start_s = network.clock.now_s
+
+    def watch() -> bool:
+        states = {node.sees(victim.address) for node in others}
+        elapsed_s = network.clock.now_s - start_s
+        if not seen & set(GONE) and states & set(GONE):
+            result.suspect_s.append(elapsed_s)
+        if MemberState.DEAD not in seen and MemberState.DEAD in states:
+            result.dead_s.append(elapsed_s)
+        seen.update(states)
+        return False
+
+    victim.freeze()
+    await network.run_until(watch, freeze_s)
+    victim.thaw()
+
+    def back() -> bool:
+        watch()
+        return all(node.sees(victim.address) is MemberState.ALIVE for node in others)
+
+    result.back_s.append(await network.run_until(back, 60.0))
+    return seen
+
+
+def show_costs(costs: list[Cost]) -> None:
+    print(
+        "scenario          nodes  dom  join s  join KB   B/s out  worst"
+        "  msg/s  cpu ms/s  KB mem  pulls"
+    )
+    for cost in costs:
+        print(
+            f"{cost.scenario:16} {cost.nodes:6} {cost.domains:4} {cost.join_s:7.1f}"
+            f" {cost.join_kb:8.1f} {cost.bytes_out:9.0f} {cost.bytes_worst:6.0f}"
+            f" {cost.messages_out:6.2f} {cost.cpu_ms:9.2f} {cost.memory_kb:7.0f}"
+            f" {cost.pulls:6}"
+        )
+
+
+def show_slopes(costs: list[Cost]) -> None:
+    """Fit the cost against the number of members, in one failure domain at rest."""
+    rest = [cost for cost in costs if cost.scenario == "rest" and cost.domains == 1]
+    if len(rest) < 3:
+        return
+    nodes = np.array([cost.nodes for cost in rest])
+    for name in ("bytes_out", "cpu_ms"):
+        values = np.array([getattr(cost, name) for cost in rest])
+        slope, base = np.polyfit(nodes, values, 1)
+        fitted = slope * nodes + base
+        spread = ((values - values.mean()) ** 2).sum()
+        fit = 1 - ((values - fitted) ** 2).sum() / spread if spread else 1.0
+        print(f"{name}: {base:.3f} + {slope:.6f} a member, r2 {fit:.3f}")
+
+
+def show_detections(detections: list[Detection]) -> None:
+    print(
+        "freeze s  runs  suspected  dead   s to suspicion   s to verdict   s until back"
+    )
+
+    def show(values: list[float]) -> str:
+        if not values:
+            return f"{'-':>15}"
+        return f"{statistics.median(values):7.2f}/{max(values):6.2f} "
+
+    for one in detections:
+        print(
+            f"{one.freeze_s:8.1f} {one.runs:5} {one.suspected:10} {one.declared_dead:5}"
+            f" {show(one.suspect_s)} {show(one.dead_s)} {show(one.back_s)}"
+        )
+
+
+async def run(sizes: list[int], runs: int) -> None:
+    costs = []
+    for size in sizes:
+        costs.append(await measure_cost("rest", 1, size, min(size, 10)))
+        show_costs(costs[-1:])
+    middle = sizes[len(sizes) // 2]
+    for scenario, domains, nodes, services, churn_s in [
+        ("rest", 3, 20, 5, 0.0),
+        ("rest", 14, 10, 5, 0.0),
+        ("rest", 14, 20, 20, 0.0),
+        ("load changes", 1, middle, 10, 0.0),
+        ("load changes", 14, 20, 20, 0.0),
+        ("drain each s", 1, middle, 10, 1.0),
+        ("drain each s", 14, 20, 20, 1.0),
+    ]:
+        cost = await measure_cost(scenario, domains, nodes, services, churn_s)
+        costs.append(cost)
+        show_costs([cost])
+    show_costs(costs)
+    show_slopes(costs)
+    detections = [await measure_detection(freeze_s, 30, runs) for freeze_s in FREEZES_S]
+    show_detections(detections)
+    print(
+        json.dumps(
+            {
+                "costs": [asdict(cost) for cost in costs],
+                "detections": [asdict(one) for one in detections],
+            }
+        )
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", default="10,50,100,200,400,700")
+    parser.add_argument("--runs", type=int, default=20, help="freezes of each length")
+    options = parser.parse_args()
+    logger.remove()
+    started_s = time.monotonic()
+    anyio.run(run, [int(size) for size in options.sizes.split(",")], options.runs)
+    print(f"took {time.monotonic() - started_s:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- a/eelgrassmount/members/delegates.py
+++ b/eelgrassmount/members/delegates.py
@@ -17,7 +17,7 @@
     from eelgrassmount.members.table import Member
 
 _LOAD_FACTOR = 2.0
-DOMAIN_ADDRESSES = 4
+DOMAIN_ADDRESSES = 2
 
 
 def _score(key: str, address: str) -> int:
--- a/eelgrassmount/members/domains.py
+++ b/eelgrassmount/members/domains.py
@@ -39,8 +39,8 @@
     """Publishes what the own failure domain's services can take, and tells the others.
 
     A few delegates do so. The first one publishes at once; the others only
-    what the first has not published after a while, staggered by rank, so that they
-    do not publish the same change twice.
+    what is urgent and what the first has not published after a while, staggered by
+    rank, so that they do not publish the same change twice.
     """
 
     roster: Roster
@@ -49,6 +49,8 @@
     _differs_since_s: float | None = None
     _outgoing: dict[str, UpdateQueue] = field(factory=dict)
     _mismatches: dict[str, int] = field(factory=dict)
+    _rank: int | None = None
+    _rank_version: int = -1
 
     def start(self) -> None:
         """Subscribe to the timers."""
@@ -57,6 +59,12 @@
     @property
     def rank(self) -> int | None:
         """Return this node's rank among the delegates, if it is one."""
+        if self._rank_version != self.roster.version:
+            self._rank_version = self.roster.version
+            self._rank = self._compute_rank()
+        return self._rank
+
+    def _compute_rank(self) -> int | None:
         delegates = choose_delegates(
             self.roster.table.members.values(), self.roster.identity.failure_domain
         )
@@ -83,12 +91,10 @@
 
     def react(self) -> None:
         """Publish and tell at once what would send calls to a server that left."""
-        if not self._published_in_vain():
-            return
         rank = self.rank
-        if rank is None or not self._publish_services(
-            rank, self.timers.read(), urgent_only=True
-        ):
+        if rank is None or not self._published_in_vain():
+            return
+        if not self._publish_services(rank, self.timers.read(), urgent_only=True):
             return
         self._queue_fresh()
         for domain in self.roster.contacts.domains:
@@ -126,6 +132,8 @@
             self.roster.table.members.values(), published, domain, now_s
         )
         changes = find_changes(published, present, self._list_serving())
+        if urgent_only or rank:
+            changes = [change for change in changes if change.urgent]
         if not changes:
             self._differs_since_s = None
             return False
@@ -133,15 +141,12 @@
             self._differs_since_s = now_s
         if now_s - self._differs_since_s < rank * self.roster.pace.stagger_s:
             return False
-        chosen = self._choose_changes(changes, urgent_only)
-        for change in chosen:
+        for change in self._choose_changes(changes):
             self._publish(change.summary, now_s)
-        return bool(chosen)
+        return True
 
-    def _choose_changes(self, changes: list[Change], urgent_only: bool) -> list[Change]:
+    def _choose_changes(self, changes: list[Change]) -> list[Change]:
         urgent = [change for change in changes if change.urgent]
-        if urgent_only:
-            return urgent
         domains = len(self.roster.contacts.domains) + 1
         share = max(1, _PUBLISHED_BY_ALL // domains)
         return urgent + changes[len(urgent) : len(urgent) + share]
--- a/eelgrassmount/members/joining.py
+++ b/eelgrassmount/members/joining.py
@@ -36,6 +36,8 @@
 _DELEGATE_LOOK_S = 15.0
 _ANNOUNCED_LOOK_S = 2.0
 _EAGER_LOOKS = 3
+# a log that hangs must not keep a node from its seeds
+_LOOK_LIMIT_S = 8.0
 _PROTOCOL = TBinaryProtocolAcceleratedFactory()
 
 
@@ -77,8 +79,8 @@
         if domain != own.failure_domain
         for address in roster.contacts.list_known(domain)
     ]
-    half = _MAX_ASKED // 2
-    chosen_far = roster.rng.sample(far, min(len(far), half))
+    count = _MAX_ASKED // 2 if not roster.others else 1
+    chosen_far = roster.rng.sample(far, min(len(far), count))
     return near[: _MAX_ASKED - len(chosen_far)] + chosen_far
 
 
@@ -144,12 +146,16 @@
         """Ask seeds and announced nodes; announce this node if there is nobody."""
         self._looking = True
         self._looks += 1
+        with anyio.move_on_after(_LOOK_LIMIT_S):
+            await self._ask_around()
+        self._plan_next_look()
+        self._looking = False
+
+    async def _ask_around(self) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self._look_at_log, group)
             for address in self._choose_seeds():
                 group.start_soon(self._join_through, address)
-        self._plan_next_look()
-        self._looking = False
 
     async def _look_at_log(self, group: TaskGroup) -> None:
         records = await self._read_tail()
@@ -186,7 +192,8 @@
     def _choose_seeds(self) -> list[str]:
         own = self.roster.identity.address
         seeds = [seed for seed in self.seeds if seed != own]
-        return self.roster.rng.sample(seeds, min(len(seeds), _MAX_ASKED))
+        count = _MAX_ASKED if self.alone else 1
+        return self.roster.rng.sample(seeds, min(len(seeds), count))
 
     async def _join_through(self, address: str) -> None:
         gossip = exchange.build_join(self.roster)
--- a/eelgrassmount/members/merge.py
+++ b/eelgrassmount/members/merge.py
@@ -82,3 +82,13 @@
     if known is None or not known.serves:
         return False
     return not report.serves and report.state in (MemberState.ALIVE, MemberState.LEFT)
+
+
+def refutes(known: Member | None, report: Member) -> bool:
+    """Tell whether a report takes back that this incarnation is not alive."""
+    return (
+        known is not None
+        and known.state in (MemberState.SUSPECT, MemberState.DEAD)
+        and report.state is MemberState.ALIVE
+        and report.identity.incarnation == known.identity.incarnation
+    )
--- a/eelgrassmount/members/pace.py
+++ b/eelgrassmount/members/pace.py
@@ -20,6 +20,7 @@
 
 # how often one update is passed on by each node that learns of it
 SENDS_OF_STATE = 4
+SENDS_OF_DOMAIN = 3
 SENDS_OF_LOAD = 2
 
 DELEGATES = 3
--- a/eelgrassmount/members/roster.py
+++ b/eelgrassmount/members/roster.py
@@ -21,9 +21,15 @@
     merge_summary,
     needs_raise,
     needs_refutation,
+    refutes,
     stops_work,
 )
-from eelgrassmount.members.pace import SENDS_OF_LOAD, SENDS_OF_STATE, Pace
+from eelgrassmount.members.pace import (
+    SENDS_OF_DOMAIN,
+    SENDS_OF_LOAD,
+    SENDS_OF_STATE,
+    Pace,
+)
 from eelgrassmount.members.table import Member, MemberState
 from eelgrassmount.members.updates import MemberKey, SummaryKey, UpdateQueue
 
@@ -122,7 +128,7 @@
         kept = merge_member(known, report)
         if kept is known:
             return
-        if stops_work(known, kept):
+        if stops_work(known, kept) or refutes(known, kept):
             self.urgent[MemberKey(address)] = None
         self._track_suspicion(known, kept, now_s)
         kept = evolve(kept, heard_s=now_s, held=self.flapping.holds(address))
@@ -226,8 +232,7 @@
             self.urgent[key] = None
         before = hash_summary(known) if known is not None else 0
         after = hash_summary(kept)
-        sends = SENDS_OF_LOAD if before == after else SENDS_OF_STATE
-        self.updates.add(key, sends)
+        self.updates.add(key, _count_sends(key, before == after))
         self._digest_summary(key, before ^ after)
         if key.failure_domain != self.identity.failure_domain:
             self._hear_domain(key.failure_domain, now_s)
@@ -277,3 +282,9 @@
     if known.servers and not kept.servers:
         return True
     return not set(known.addresses).issubset(kept.addresses)
+
+
+def _count_sends(key: SummaryKey, only_load: bool) -> int:
+    if not key.service:
+        return SENDS_OF_DOMAIN
+    return SENDS_OF_LOAD if only_load else SENDS_OF_STATE
--- a/eelgrassmount/members/rounds.py
+++ b/eelgrassmount/members/rounds.py
@@ -96,7 +96,6 @@
             logger.info("member {} is declared dead", address)
             self._tell_suspect(address)
         self.roster.release_held(now_s)
-        self.roster.forget_gone(now_s)
         self.flush_soon()
 
     def start_round(self) -> None:
@@ -109,6 +108,7 @@
 
     def start_dead_probe(self) -> None:
         """Ask one of the dead: after a cut both sides hold the other for dead."""
+        self.roster.forget_gone(self.timers.read())
         gone = [
             address
             for address, member in self.roster.table.members.items()
@@ -124,6 +124,7 @@
         self._awake_s = now_s
         self.roster.detector.extend_suspicions(gap_s)
         self.roster.change_own(now_s)
+        self.roster.urgent[MemberKey(self.roster.identity.address)] = None
         for address in self._sample(self.partners, _MAX_WAKE_PROBES):
             self.spawn(self.greet, address)
 
