--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -31,6 +31,7 @@
 SEED = 20261202
 SETTLE_S = 20.0
 MEASURE_S = 20.0
+BETWEEN_FREEZES_S = 10.0
 FREEZES_S = (0.1, 0.3, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0)
 JOIN_LIMIT_S = 120.0
 GONE = (MemberState.SUSPECT, MemberState.DEAD)
@@ -57,6 +58,7 @@
 class Detection:
     """How freezes of one length were seen, over some runs."""
 
+    nodes: int
     freeze_s: float
     runs: int
     suspected: int
@@ -159,17 +161,18 @@
 
 async def measure_detection(freeze_s: float, nodes: int, runs: int) -> Detection:
     rng = random.Random(SEED)
-    result = Detection(freeze_s, runs, 0, 0)
+    result = Detection(nodes, freeze_s, runs, 0, 0)
     suspected = dead = 0
     async with Network(rng).open() as network:
         await grow(network, 1, nodes, 1, changing=False)
         for _ in range(runs):
-            await network.run(120.0)
+            await network.run(BETWEEN_FREEZES_S)
             victim = rng.choice(list(network.nodes.values()))
             seen = await freeze(network, victim, freeze_s, result)
             suspected += MemberState.SUSPECT in seen or MemberState.DEAD in seen
             dead += MemberState.DEAD in seen
     return Detection(
+        nodes,
         freeze_s,
         runs,
         suspected,
@@ -251,18 +254,16 @@
 
     for one in detections:
         print(
-            f"{one.freeze_s:8.1f} {one.runs:5} {one.suspected:10} {one.declared_dead:5}"
+            f"{one.nodes:5} {one.freeze_s:9.1f} {one.runs:5} {one.suspected:10} {one.declared_dead:5}"
             f" {show(one.suspect_s)} {show(one.dead_s)} {show(one.back_s)}"
         )
 
 
-async def run(sizes: list[int], runs: int) -> None:
+async def run_costs(sizes: list[int]) -> None:
     costs = []
-    for size in sizes:
-        costs.append(await measure_cost("rest", 1, size, min(size, 10)))
-        show_costs(costs[-1:])
     middle = sizes[len(sizes) // 2]
-    for scenario, domains, nodes, services, churn_s in [
+    plan = [("rest", 1, size, min(size, 10), 0.0) for size in sizes]
+    plan += [
         ("rest", 3, 20, 5, 0.0),
         ("rest", 14, 10, 5, 0.0),
         ("rest", 14, 20, 20, 0.0),
@@ -270,32 +271,35 @@
         ("load changes", 14, 20, 20, 0.0),
         ("drain each s", 1, middle, 10, 1.0),
         ("drain each s", 14, 20, 20, 1.0),
-    ]:
+    ]
+    for scenario, domains, nodes, services, churn_s in plan:
         cost = await measure_cost(scenario, domains, nodes, services, churn_s)
         costs.append(cost)
         show_costs([cost])
     show_costs(costs)
     show_slopes(costs)
+    print(json.dumps({"costs": [asdict(cost) for cost in costs]}))
+
+
+async def run_detections(runs: int) -> None:
     detections = [await measure_detection(freeze_s, 30, runs) for freeze_s in FREEZES_S]
+    detections.append(await measure_detection(10.0, 200, runs // 4))
     show_detections(detections)
-    print(
-        json.dumps(
-            {
-                "costs": [asdict(cost) for cost in costs],
-                "detections": [asdict(one) for one in detections],
-            }
-        )
-    )
+    print(json.dumps({"detections": [asdict(one) for one in detections]}))
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", default="10,50,100,200,400,700")
     parser.add_argument("--runs", type=int, default=20, help="freezes of each length")
+    parser.add_argument("--part", choices=["costs", "detection", "all"], default="all")
     options = parser.parse_args()
     logger.remove()
     started_s = time.monotonic()
-    anyio.run(run, [int(size) for size in options.sizes.split(",")], options.runs)
+    if options.part != "detection":
+        anyio.run(run_costs, [int(size) for size in options.sizes.split(",")])
+    if options.part != "costs":
+        anyio.run(run_detections, options.runs)
     print(f"took {time.monotonic() - started_s:.0f} s")
 
 
--- a/eelgrassmount/members/domains.py
+++ b/eelgrassmount/members/domains.py
@@ -27,7 +27,8 @@
     from eelgrassmount.timers import TimerService
 
 # changes that are not urgent, published in a tick by all failure domains together
-_PUBLISHED_BY_ALL = 14
+_PUBLISHED_BY_ALL = 5.0
+_MAX_CREDIT = 3.0
 _URGENT_CONTACTS = 2
 _REPAIR_SUMMARIES = 8
 # a digest differs for a moment whenever something changes
@@ -49,6 +50,7 @@
     _differs_since_s: float | None = None
     _outgoing: dict[str, UpdateQueue] = field(factory=dict)
     _mismatches: dict[str, int] = field(factory=dict)
+    _credit: float = 0.0
     _rank: int | None = None
     _rank_version: int = -1
 
@@ -82,6 +84,7 @@
             self.roster.fresh.clear()
             self._differs_since_s = None
             return
+        self._earn_credit()
         self._publish_services(rank, now_s, urgent_only=False)
         self._publish_heartbeat(rank, now_s)
         self._queue_fresh()
@@ -146,10 +149,17 @@
         return True
 
     def _choose_changes(self, changes: list[Change]) -> list[Change]:
+        """Return the urgent changes, and others as far as the share allows."""
         urgent = [change for change in changes if change.urgent]
+        allowed = int(self._credit)
+        chosen = changes[len(urgent) : len(urgent) + allowed]
+        self._credit -= len(chosen)
+        return urgent + chosen
+
+    def _earn_credit(self) -> None:
         domains = len(self.roster.contacts.domains) + 1
-        share = max(1, _PUBLISHED_BY_ALL // domains)
-        return urgent + changes[len(urgent) : len(urgent) + share]
+        limit = max(_MAX_CREDIT, _PUBLISHED_BY_ALL / domains)
+        self._credit = min(limit, self._credit + _PUBLISHED_BY_ALL / domains)
 
     def _publish(self, summary: ServiceSummary, now_s: float) -> None:
         self.roster.counts.add(Count.SUMMARIES_PUBLISHED)
--- a/eelgrassmount/members/exchange.py
+++ b/eelgrassmount/members/exchange.py
@@ -33,7 +33,7 @@
     from eelgrassmount.members.table import Member
 
 _FEW_BUCKETS = 4
-_MANY_BUCKETS = 64
+_MANY_BUCKETS = 128
 
 
 def build_round(roster: Roster) -> Gossip:
--- a/eelgrassmount/members/joining.py
+++ b/eelgrassmount/members/joining.py
@@ -190,8 +190,8 @@
         self.rounds.spawn(self.announce, [alive[address] for address in chosen])
 
     def _choose_seeds(self) -> list[str]:
-        own = self.roster.identity.address
-        seeds = [seed for seed in self.seeds if seed != own]
+        known = {self.roster.identity.address, *self.roster.others}
+        seeds = [seed for seed in self.seeds if seed not in known]
         count = _MAX_ASKED if self.alone else 1
         return self.roster.rng.sample(seeds, min(len(seeds), count))
 
--- a/eelgrassmount/members/pace.py
+++ b/eelgrassmount/members/pace.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 # bounds per message
-MAX_UPDATES = 8
+MAX_UPDATES = 32
 MAX_URGENT = 32
 MAX_JOIN_MEMBERS = 128
 MAX_JOIN_SUMMARIES = 128
@@ -47,13 +47,13 @@
     fan_out: int = 3
     flush_s: float = 0.02
     load_least_s: float = 1.0
-    load_share_s: float = 0.1
+    load_share_s: float = 0.2
     cross_s: float = 1.0
     domain_heartbeat_s: float = 4.0
     domain_stale_s: float = 20.0
     stagger_s: float = 0.7
     tombstone_s: float = 120.0
-    pull_s: float = 1.0
+    pull_s: float = 0.5
     look_least_s: float = 0.5
     look_most_s: float = 10.0
     announce_s: float = 120.0
