Keep the age of a report apart from the last word heard directly

Routing takes Member.heard_s as the age of the load it names; each probe renewed it. A server that comes or goes now tells its load at once, and the farewell is asked instead of told, as a process that ends may take a told message with it.

--- a/eelgrassmount/members/membership.py
+++ b/eelgrassmount/members/membership.py
@@ -99,7 +99,7 @@
         self._rounds.start()
         self._domains.start()
         self._joiner.start()
-        self._timers.subscribe(self.roster.pace.sweep_s, self.announce_change)
+        self._timers.subscribe(self.roster.pace.round_s, self.announce_change)
 
     def announce_change(self) -> None:
         """Tell the other nodes what changed at this one.
@@ -118,6 +118,8 @@
             self.roster.change_own(now_s, service=service, server_state=server_state)
             self.roster.urgent[MemberKey(own.identity.address)] = None
             self._rounds.flush_soon()
+            # the load of a server that just came or went is news as well
+            self._load_told_s = -math.inf
         self._announce_load(now_s)
 
     async def leave(self) -> None:
@@ -128,11 +130,12 @@
         )
         partners = self._rounds.partners
         count = min(len(partners), _LEAVE_TELLS)
-        gossip = exchange.build_updates(self.roster, ())
+        # asked, because what is only told may be lost when the process ends
+        gossip = exchange.build_round(self.roster)
         with anyio.move_on_after(_LEAVE_S):
             async with anyio.create_task_group() as group:
                 for address in self.roster.rng.sample(partners, count):
-                    group.start_soon(self._rounds.tell, address, gossip)
+                    group.start_soon(self._rounds.ask, address, gossip, _LEAVE_S)
         logger.info("left the membership")
 
     def _compute_server_state(self) -> ServerState:
--- a/eelgrassmount/members/pace.py
+++ b/eelgrassmount/members/pace.py
@@ -37,7 +37,7 @@
 
     round_s: float = 0.5
     round_jitter: float = 0.3
-    sweep_s: float = 0.1
+    sweep_s: float = 0.2
     probe_least_s: float = 0.2
     probe_most_s: float = 1.0
     indirect_probes: int = 3
--- a/eelgrassmount/members/roster.py
+++ b/eelgrassmount/members/roster.py
@@ -69,6 +69,7 @@
     fresh: dict[SummaryKey, None] = field(factory=dict)
     conflict: Member | None = None
     version: int = 0
+    heard_s: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.detector = Detector(self.pace, self.rng)
@@ -153,10 +154,12 @@
         return overdue
 
     def note_heard(self, address: str, now_s: float) -> None:
-        """Note that a member was heard from directly."""
-        known = self.table.members.get(address)
-        if known is not None:
-            self.table.members[address] = evolve(known, heard_s=now_s)
+        """Note that a member was heard from directly.
+
+        `Member.heard_s` stays: it tells how old the report is.
+        """
+        if address in self.table.members:
+            self.heard_s[address] = now_s
 
     def release_held(self, now_s: float) -> None:
         """Give members whose hold has ended new work again."""
@@ -175,6 +178,7 @@
         for address in gone:
             if address != self.identity.address:
                 del self.table.members[address]
+                self.heard_s.pop(address, None)
 
     def _learn_own(self, report: Member, now_s: float) -> None:
         if self.own.state is MemberState.LEFT:
--- a/eelgrassmount/members/rounds.py
+++ b/eelgrassmount/members/rounds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -221,8 +222,7 @@
         return self._awake_s >= started_s or gap_s > self.roster.pace.frozen_s
 
     def _heard_since(self, address: str, started_s: float) -> bool:
-        member = self.roster.table.members.get(address)
-        return member is None or member.heard_s > started_s
+        return self.roster.heard_s.get(address, -math.inf) > started_s
 
     def _tell_suspect(self, address: str) -> None:
         """Let a suspect know at once, so that it can refute."""
