--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -13,6 +13,7 @@
 import resource
 import statistics
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -22,7 +23,9 @@
 
 from benchmarks.member_network import Network, Node
 from eelgrassmount.load.state import ServiceLoad
+from eelgrassmount.members import flapping
 from eelgrassmount.members.counts import Count
+from eelgrassmount.members.pace import Pace
 from eelgrassmount.members.table import MemberState, ServerState
 
 if TYPE_CHECKING:
@@ -34,6 +37,7 @@
 BETWEEN_FREEZES_S = 10.0
 FREEZES_S = (0.1, 0.3, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0)
 JOIN_LIMIT_S = 120.0
+PARTS = ("costs", "detection", "drain", "ideas", "all")
 GONE = (MemberState.SUSPECT, MemberState.DEAD)
 
 
@@ -153,6 +157,135 @@
         await network.run(every_s)
 
 
+@frozen
+class Spread:
+    """How long it took until no node would send work to a draining server."""
+
+    nodes: int
+    domains: int
+    loss: float
+    runs: int
+    seconds: list[float]
+
+
+async def measure_spread(domains: int, nodes: int, loss: float, runs: int) -> Spread:
+    async with Network(random.Random(SEED)).open() as network:
+        await grow(network, domains, nodes, min(nodes, 10), changing=False)
+        network.loss = loss
+        took = []
+        for _ in range(runs):
+            await network.run(5.0)
+            leaving = network.rng.choice(list(network.nodes.values()))
+            service = leaving.board.server.service
+            leaving.serve(service, ServerState.DRAINING)
+            unknown = partial(is_unknown, network, leaving.address, service)
+            took.append(await network.run_until(unknown, 30.0))
+            leaving.serve(service)
+        return Spread(domains * nodes, domains, loss, runs, took)
+
+
+def is_unknown(network: Network, address: str, service: str) -> bool:
+    return not any(
+        knows_as_serving(node, address, service) for node in network.nodes.values()
+    )
+
+
+def knows_as_serving(node: Node, address: str, service: str) -> bool:
+    near = node.board.members.members.get(address)
+    if near is not None and near.serves:
+        return True
+    far = node.board.members.find_summaries(service)
+    return any(address in summary.addresses for summary in far)
+
+
+def show_spreads(spreads: list[Spread]) -> None:
+    print("nodes  dom  loss  runs  s until no new work: median   p90  worst")
+    for one in spreads:
+        ordered = sorted(one.seconds)
+        print(
+            f"{one.nodes:5} {one.domains:4} {one.loss:5.2f} {one.runs:5}"
+            f" {statistics.median(ordered):28.2f}"
+            f" {ordered[int(0.9 * len(ordered))]:5.2f} {ordered[-1]:6.2f}"
+        )
+
+
+async def run_spreads(runs: int) -> None:
+    spreads = [
+        await measure_spread(domains, nodes, loss, runs)
+        for domains, nodes in ((1, 30), (1, 200), (14, 20))
+        for loss in (0.0, 0.01)
+    ]
+    show_spreads(spreads)
+    print(json.dumps({"spreads": [asdict(one) for one in spreads]}))
+
+
+async def run_ideas(runs: int) -> None:
+    """Compare staggered publishing and damped flapping with the lack of them."""
+    for stagger_s in (Pace().stagger_s, 0.0):
+        published, took = await measure_stagger(stagger_s, runs)
+        print(
+            f"stagger {stagger_s:.1f} s: {published:.2f} summaries a change,"
+            f" no new work after {statistics.median(took):.2f} s"
+            f" (worst {max(took):.2f})"
+        )
+    for max_hold_s in (flapping.MAX_HOLD_S, 0.0):
+        returns, share = await measure_flapping(max_hold_s)
+        print(
+            f"hold up to {max_hold_s:.0f} s: {returns:.1f} returns to service seen by"
+            f" each node, in service {share:.0%} of the time"
+        )
+
+
+async def measure_stagger(stagger_s: float, runs: int) -> tuple[float, list[float]]:
+    """Return summaries published for each change, and the times until known."""
+    pace = Pace(stagger_s=stagger_s)
+    async with Network(random.Random(SEED), pace=pace).open() as network:
+        await grow(network, 3, 12, 4, changing=False)
+        await network.run(SETTLE_S)
+        before = count(network, Count.SUMMARIES_PUBLISHED)
+        took = []
+        for run in range(2 * runs):
+            node = list(network.nodes.values())[7 * (run // 2) % 36]
+            service = node.board.server.service
+            if run % 2:
+                node.serve(service)
+            else:
+                node.serve(service, ServerState.DRAINING)
+                unknown = partial(is_unknown, network, node.address, service)
+                took.append(await network.run_until(unknown, 30.0))
+            await network.run(5.0)
+        published = count(network, Count.SUMMARIES_PUBLISHED) - before
+        return published / (2 * runs), took
+
+
+async def measure_flapping(max_hold_s: float) -> tuple[float, float]:
+    """Freeze one of 20 nodes for 2 s in each 5 s, for two minutes."""
+    usual_s, flapping.MAX_HOLD_S = flapping.MAX_HOLD_S, max_hold_s
+    async with Network(random.Random(SEED)).open() as network:
+        await grow(network, 1, 20, 1, changing=False)
+        victim, *others = network.nodes.values()
+        seen = dict.fromkeys((node.address for node in others), True)
+        returns = steps = serving = 0
+
+        def watch() -> bool:
+            nonlocal returns, steps, serving
+            for node in others:
+                serves = node.board.members.members[victim.address].serves
+                returns += serves and not seen[node.address]
+                seen[node.address] = serves
+                steps += 1
+                serving += serves
+            return False
+
+        for _ in range(24):
+            victim.freeze()
+            await network.run_until(watch, 2.0)
+            victim.thaw()
+            await network.run_until(watch, 3.0)
+    flapping.MAX_HOLD_S = usual_s
+    return returns / len(others), serving / steps
+
+
 def count(network: Network, what: Count) -> int:
     return sum(
         node.membership.roster.counts.values[what] for node in network.nodes.values()
@@ -254,7 +387,8 @@
 
     for one in detections:
         print(
-            f"{one.nodes:5} {one.freeze_s:9.1f} {one.runs:5} {one.suspected:10} {one.declared_dead:5}"
+            f"{one.nodes:5} {one.freeze_s:9.1f} {one.runs:5} {one.suspected:10}"
+            f" {one.declared_dead:5}"
             f" {show(one.suspect_s)} {show(one.dead_s)} {show(one.back_s)}"
         )
 
@@ -292,14 +426,18 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", default="10,50,100,200,400,700")
     parser.add_argument("--runs", type=int, default=20, help="freezes of each length")
-    parser.add_argument("--part", choices=["costs", "detection", "all"], default="all")
+    parser.add_argument("--part", choices=PARTS, default="all")
     options = parser.parse_args()
     logger.remove()
     started_s = time.monotonic()
-    if options.part != "detection":
+    if options.part in ("costs", "all"):
         anyio.run(run_costs, [int(size) for size in options.sizes.split(",")])
-    if options.part != "costs":
+    if options.part in ("detection", "all"):
         anyio.run(run_detections, options.runs)
+    if options.part in ("drain", "all"):
+        anyio.run(run_spreads, options.runs)
+    if options.part in ("ideas", "all"):
+        anyio.run(run_ideas, options.runs)
     print(f"took {time.monotonic() - started_s:.0f} s")
 
 
--- a/tests/members/test_membership.py
+++ b/tests/members/test_membership.py
@@ -271,3 +271,25 @@
         assert await network.run_until(gone, 2.0) < 2.0
         await network.run(10.0)
         assert count(network, Count.SUSPECTED) == 0
+
+
+@manual
+async def test_a_domain_that_restarts_as_a_whole_is_believed_again():
+    async with Network(random.Random(16)).open() as network:
+        nodes = await grow(network, domains=2, each=4)
+        await network.run(30.0)
+        for node in nodes[4:]:
+            node.kill()
+        seeds = (nodes[0].address,)
+        for node in nodes[4:]:
+            new = await network.add(node.address, "domain-1", seeds)
+            new.serve("platehouse")
+
+        def believed():
+            members = nodes[0].board.members
+            return bool(
+                members.find_summaries("platehouse")
+                and not members.find_summaries("jobdesk")
+            )
+
+        assert await network.run_until(believed, NEVER) < NEVER
