--- /dev/null
+++ b/tests/model/__main__.py
@@ -0,0 +1,31 @@
+"""Checks the models: ``python -m tests.model [--small]``."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from tests.model.cases import CASES
+from tests.model.checker import check_case
+
+
+def main(arguments: list[str]) -> int:
+    """Check every case, print what was explored, and return the exit status."""
+    small = "--small" in arguments
+    failures = 0
+    total = 0
+    for case in CASES:
+        start_s = time.monotonic()
+        result = check_case(case, small)
+        seconds = time.monotonic() - start_s
+        failures += not result.passed
+        total += result.states
+        word = "ok  " if result.passed else "FAIL"
+        print(f"{word} {case.name}: {result.detail}, ", end="")
+        print(f"{result.states} states, {seconds:.1f} s", flush=True)
+    print(f"{len(CASES) - failures} of {len(CASES)} as expected, {total} states")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/model/checker.py
@@ -0,0 +1,87 @@
+"""Runs Spin on one case."""
+
+from __future__ import annotations
+
+import re
+import shutil
+import subprocess
+import tempfile
+from pathlib import Path
+
+from attrs import frozen
+
+from tests.model.cases import Case
+
+MISSING = (
+    "the model checker is missing: install {} (Debian: apt-get install spin gcc); "
+    "the model is not checked without it"
+)
+
+_DIRECTORY = Path(__file__).parent
+_COMPILER_FLAGS = ("-O2", "-w", "-DSAFETY", "-DCOLLAPSE", "-DVECTORSZ=4096")
+_MEMORY_MB = 6000
+_DEPTH = 1_000_000
+_STATES = re.compile(r"(\d+) states, stored")
+_ERRORS = re.compile(r"errors: (\d+)")
+_VIOLATED = re.compile(r"assertion violated (.*) \(at depth")
+_INCOMPLETE = ("Search not completed", "max search depth too small")
+
+
+@frozen
+class CheckResult:
+    """What the checker said of a case, and whether that is what was expected."""
+
+    case: Case
+    passed: bool
+    states: int
+    detail: str
+
+
+def check_case(case: Case, small: bool) -> CheckResult:
+    """Check a case exhaustively within its bounds, or within its small ones."""
+    for program in ("spin", "gcc"):
+        if shutil.which(program) is None:
+            return CheckResult(case, False, 0, MISSING.format(program))
+    defines = case.small if small and case.small else case.defines
+    with tempfile.TemporaryDirectory() as directory:
+        return judge_output(case, _run_checker(case.file, defines, Path(directory)))
+
+
+def judge_output(case: Case, output: str) -> CheckResult:
+    """Compare what the checker printed with what the case expects."""
+    states, errors = _STATES.search(output), _ERRORS.search(output)
+    if not states or not errors:
+        return CheckResult(case, False, 0, f"the checker failed: {output[-2000:]}")
+    count = int(states[1])
+    violated = _VIOLATED.search(output)
+    if case.mistake:
+        if violated and case.mistake in violated[1]:
+            return CheckResult(case, True, count, "counterexample found")
+        what = violated[1] if violated else "none"
+        return CheckResult(case, False, count, f"no such counterexample: {what}")
+    if int(errors[1]):
+        what = violated[1] if violated else output[-2000:]
+        return CheckResult(case, False, count, f"a property is broken: {what}")
+    if any(sign in output for sign in _INCOMPLETE):
+        return CheckResult(case, False, count, "the search was not complete")
+    return CheckResult(case, True, count, "holds")
+
+
+def _run_checker(file: str, defines: tuple[str, ...], directory: Path) -> str:
+    shutil.copy(_DIRECTORY / file, directory)
+    flags = [f"-D{define}" for define in defines]
+    limit = f"-DMEMLIM={_MEMORY_MB}"
+    steps = (
+        ("spin", *flags, "-a", file),
+        ("gcc", *_COMPILER_FLAGS, limit, "-o", "pan", "pan.c"),
+        ("./pan", f"-m{_DEPTH}"),
+    )
+    output = ""
+    for step in steps:
+        done = subprocess.run(
+            step, cwd=directory, capture_output=True, text=True, check=False
+        )
+        output += done.stdout + done.stderr
+        if done.returncode:
+            break
+    return output
--- /dev/null
+++ b/tests/model/test_model.py
@@ -0,0 +1,36 @@
+"""The models within small bounds, and the judgement of the checker's output."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.model.cases import CASES, Case
+from tests.model.checker import check_case, judge_output
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_case(case: Case) -> None:
+    result = check_case(case, small=True)
+    assert result.passed, result.detail
+    assert result.states > 0
+
+
+_CLEAN = "errors: 0\n 17 states, stored"
+_BROKEN = "pan:1: assertion violated (a==b) (at depth 3)\nerrors: 1\n 17 states, stored"
+
+
+@pytest.mark.parametrize(
+    ("mistake", "output", "passed"),
+    [
+        ("", _CLEAN, True),
+        ("", _BROKEN, False),
+        ("", "Warning: Search not completed\n" + _CLEAN, False),
+        ("", "spin: syntax error", False),
+        ("a==b", _BROKEN, True),
+        ("a==b", _CLEAN, False),
+        ("c==d", _BROKEN, False),
+    ],
+)
+def test_judgement(mistake: str, output: str, passed: bool) -> None:
+    case = Case("x", "x.pml", (), mistake=mistake)
+    assert judge_output(case, output).passed is passed
