--- a/eelgrassmount/config/document.py
+++ b/eelgrassmount/config/document.py
@@ -153,8 +153,8 @@
             self.report(line, 'failure_domains must be a list, as ["bowbazar"]')
             return ()
         domains: list[str] = []
-        for item in value:
-            at_line = self.positions.find_item(TOP, "failure_domains", item)
+        for index, item in enumerate(value):
+            at_line = self.positions.find_item(TOP, "failure_domains", value, index)
             problem = check_name(item, "a failure domain")
             if problem:
                 self.report(at_line, problem)
@@ -225,11 +225,15 @@
             line = self.positions.find_key(at, "routes")
             self.report(line, 'routes must be a list, as ["POST /jobdesk/bookings"]')
             return ()
-        routes = [self._read_route(at, item, name) for item in items]
+        routes = [
+            self._read_route(
+                self.positions.find_item(at, "routes", items, index), item, name
+            )
+            for index, item in enumerate(items)
+        ]
         return tuple(route for route in routes if route)
 
-    def _read_route(self, at: int, item: object, name: str) -> RoutePattern | None:
-        line = self.positions.find_item(at, "routes", item)
+    def _read_route(self, line: int, item: object, name: str) -> RoutePattern | None:
         problem = check_route(item)
         if problem:
             self.report(line, problem)
--- a/eelgrassmount/config/follower.py
+++ b/eelgrassmount/config/follower.py
@@ -39,6 +39,7 @@
 _EMPTY_PAUSE_S = 0.1
 _IDLE_PAUSE_S = 1.0
 _PROBE_S = 120.0
+_RESTORE_PERIODS = 2.0
 _FIRST_PAUSE_S = (0.5, 2.0)
 _FIRST_PROBE_S = (3.0, 10.0)
 _ASK_PERIOD_S = 2.0
@@ -79,7 +80,12 @@
             self.board, self.stream, self.peers, self.rng, self.seeds, self._take_peers
         )
         self._publisher = Publisher(
-            self.stream, self.board, self.timers, self.rng, self._exchange.ask_some
+            self.stream,
+            self.board,
+            self.timers,
+            self.rng,
+            self._exchange.ask_some,
+            _RESTORE_PERIODS * self.rewrite_s,
         )
         self._rewriter = Rewriter(self.stream, self.timers, self.rng, self.rewrite_s)
 
--- a/eelgrassmount/config/positions.py
+++ b/eelgrassmount/config/positions.py
@@ -35,14 +35,17 @@
         """Return the line of a key, or that of its table if it has none."""
         return self.keys.get((table, key), self.find_table(table))
 
-    def find_item(self, table: int, key: str, item: object) -> int:
+    def find_item(self, table: int, key: str, items: list, index: int) -> int:
         """Return the line of an item of an array that may span several lines."""
         first = self.find_key(table, key)
+        written = _write_item(items[index])
+        before = items[:index].count(items[index])
         for number in range(first, len(self.lines) + 1):
             line = self.lines[number - 1]
             if number > first and (_TABLE.match(line) or _KEY.match(line)):
                 break
-            if str(item) in line:
+            before -= line.count(written)
+            if before < 0:
                 return number
         return first
 
@@ -53,6 +56,10 @@
         return len(self.lines)
 
 
+def _write_item(item: object) -> str:
+    return f'"{item}"' if isinstance(item, str) else str(item)
+
+
 def find_positions(text: str, table_name: str) -> Positions:
     """Find the ``[[table_name]]`` tables of a text and the keys in them."""
     positions = Positions(tuple(text.split("\n")))
--- a/eelgrassmount/config/publish.py
+++ b/eelgrassmount/config/publish.py
@@ -85,7 +85,9 @@
     """Appends publishes to the log and finds out what became of them.
 
     ``find_anchor`` asks other nodes for the version in force when the log no
-    longer tells it. A publish is given up after about ``limit_s`` seconds.
+    longer tells it. Only after ``restore_s`` seconds without an answer to that
+    question is a publish allowed to begin a new history. A publish is given up
+    after about ``limit_s`` seconds.
     """
 
     stream: ConfigStream
@@ -93,6 +95,7 @@
     timers: TimerService
     rng: random.Random
     find_anchor: Callable[[], Awaitable[None]]
+    restore_s: float
     limit_s: float = DEFAULT_LIMIT_S
 
     async def publish(
@@ -125,7 +128,7 @@
             if outcome:
                 return outcome
             await wait_for(self.timers, backoff.fail())
-        return Unknown(_explain(publish), backoff.limit_s)
+        return Unknown(self._explain(publish), backoff.limit_s)
 
     async def _prepare(
         self, text: str, base: int, request_id: str
@@ -143,7 +146,14 @@
         if fold.exact and base != fold.version:
             # other nodes have a version that this node's log does not show yet
             return None
-        return _Publish(_make_record(fold, record_id, base, text), fold)
+        if not fold.exact and not self._may_restore():
+            return None
+        return _Publish(make_publish(fold, record_id, base, text), fold)
+
+    def _may_restore(self) -> bool:
+        # in that time every node that knows more would have rewritten it
+        lost_s = self.stream.lost_s
+        return lost_s is not None and self.timers.read() - lost_s >= self.restore_s
 
     def _make_id(self, text: str, base: int, request_id: str) -> str:
         if not request_id:
@@ -154,7 +164,7 @@
         result = await read_decisions(self.stream.log, Fold())
         if isinstance(result, LogFailure):
             return Unknown(result.detail, 1.0)
-        decision = _find_decision(result, record_id)
+        decision = find_decision(result, record_id)
         if decision and decision.accepted:
             return Accepted(decision.in_force)
         return None
@@ -167,7 +177,7 @@
         result = await read_decisions(self.stream.log, publish.fold)
         if isinstance(result, LogFailure):
             return None
-        decision = _find_decision(result, publish.record.record_id)
+        decision = find_decision(result, publish.record.record_id)
         if decision:
             return await self._conclude(decision, result.fold)
         if publish.fold.start != result.fold.start:
@@ -191,28 +201,37 @@
             return Accepted(decision.in_force)
         return Lost(max(decision.in_force, self.board.configuration.version))
 
+    def _explain(self, publish: _Publish | None) -> str:
+        if publish is not None and publish.touched:
+            return "the log may have it, but cannot be read to make sure"
+        if self.stream.lost_s is not None and self.board.log_reachable:
+            return "the log no longer tells which version is in force; nothing was sent"
+        return "the log cannot be reached from this node; nothing was sent"
+
 
-def _find_decision(result: FoldResult, record_id: str) -> Decision | None:
+def find_decision(result: FoldResult, record_id: str) -> Decision | None:
+    """Return the first decision about a record; later copies decide nothing."""
     for decision in result.decisions:
         if decision.record.record_id == record_id:
             return decision
     return None
 
 
-def _explain(publish: _Publish | None) -> str:
-    if publish is None or not publish.touched:
-        return "the log cannot be reached from this node; nothing was sent"
-    return "the log may have it, but cannot be read to make sure"
-
+def make_publish(fold: Fold, record_id: str, base: int, text: str) -> ConfigRecord:
+    """Return the record that asks for a text to replace version ``base``.
 
-def _make_record(fold: Fold, record_id: str, base: int, text: str) -> ConfigRecord:
+    If the fold is not exact, that is a restore.
+    """
     kind = RecordKind.PUBLISH if fold.exact else RecordKind.RESTORE
-    skipped = 1 if fold.exact else RESTORE_SKIP
+    version = base + 1
+    if not fold.exact:
+        named = [placed.record.version for placed in fold.pending]
+        version = max(base, *named, 0) + RESTORE_SKIP
     return ConfigRecord(
         kind=kind,
         record_id=record_id,
         base=base,
-        version=base + skipped,
+        version=version,
         through=fold.next,
         text=text,
     )
--- a/eelgrassmount/config/record.py
+++ b/eelgrassmount/config/record.py
@@ -7,10 +7,16 @@
 
 from attrs import field, frozen, validators
 
-_is_count = [validators.instance_of(int), validators.ge(0)]
+MAX_COUNT = 2**53
+
 _is_text = validators.instance_of(str)
 
 
+def _is_count(instance: object, attribute: object, value: object) -> None:
+    if type(value) is not int or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"a count must be from 0 to {MAX_COUNT}, not {value!r}")
+
+
 class RecordKind(StrEnum):
     """What a record of the configuration stream asks for."""
 
--- a/eelgrassmount/config/stream.py
+++ b/eelgrassmount/config/stream.py
@@ -56,7 +56,8 @@
     """Reads the stream, folds it, and keeps what was decided.
 
     ``changed`` is called after every step of the fold. Several tasks may read at
-    a time: what one has folded, the others pass over.
+    a time: what one has folded, the others pass over. ``lost_s`` is the time since
+    which the fold is not exact, if it is not.
     """
 
     log: LogPort
@@ -66,6 +67,7 @@
     fold: Fold = field(factory=Fold)
     anchor: Anchor = field(factory=Anchor)
     counts: ConfigCounts = field(factory=ConfigCounts)
+    lost_s: float | None = None
     accepted: OrderedDict[int, Decision] = field(factory=OrderedDict)
 
     async def read_page(self, wait_s: float) -> Page | LogFailure:
@@ -112,6 +114,8 @@
         if self.fold.exact and not result.fold.exact:
             self._note_gap()
         self.fold = result.fold
+        if result.fold.exact:
+            self.lost_s = None
         for decision in result.decisions:
             self._keep(decision)
         self.changed()
@@ -143,6 +147,8 @@
 
     def _note_gap(self) -> None:
         self.counts.gaps += 1
+        if self.lost_s is None:
+            self.lost_s = self.read_clock()
         logger.warning("configuration records were dropped before being read")
 
     def _note_reachable(self, result: object) -> None:
--- a/tests/config/test_follower.py
+++ b/tests/config/test_follower.py
@@ -166,6 +166,10 @@
         await cluster.advance(10.0)
         assert versions(cluster) == {1}
         assert await cluster.publish("a-1", "two", 0) == Lost(1)
+        early = await cluster.publish("a-1", "two", 1)
+        assert isinstance(early, Unknown)
+        assert "no longer tells" in early.detail
+        await cluster.advance(125.0)
         restored = 1 + RESTORE_SKIP
         assert await cluster.publish("a-1", "two", 1) == Accepted(restored)
         await cluster.advance(3.0)
--- a/tests/model/checker.py
+++ b/tests/model/checker.py
@@ -18,7 +18,7 @@
 )
 
 _DIRECTORY = Path(__file__).parent
-_COMPILER_FLAGS = ("-O2", "-w", "-DSAFETY", "-DCOLLAPSE", "-DVECTORSZ=4096")
+_COMPILER_FLAGS = ("-w", "-DSAFETY", "-DCOLLAPSE", "-DVECTORSZ=4096")
 _MEMORY_MB = 6000
 _DEPTH = 1_000_000
 _STATES = re.compile(r"(\d+) states, stored")
@@ -44,7 +44,9 @@
             return CheckResult(case, False, 0, MISSING.format(program))
     defines = case.small if small and case.small else case.defines
     with tempfile.TemporaryDirectory() as directory:
-        return judge_output(case, _run_checker(case.file, defines, Path(directory)))
+        optimise = "-O0" if small or case.mistake else "-O2"
+        output = _run_checker(case.file, defines, optimise, Path(directory))
+    return judge_output(case, output)
 
 
 def judge_output(case: Case, output: str) -> CheckResult:
@@ -67,13 +69,15 @@
     return CheckResult(case, True, count, "holds")
 
 
-def _run_checker(file: str, defines: tuple[str, ...], directory: Path) -> str:
+def _run_checker(
+    file: str, defines: tuple[str, ...], optimise: str, directory: Path
+) -> str:
     shutil.copy(_DIRECTORY / file, directory)
     flags = [f"-D{define}" for define in defines]
     limit = f"-DMEMLIM={_MEMORY_MB}"
     steps = (
         ("spin", *flags, "-a", file),
-        ("gcc", *_COMPILER_FLAGS, limit, "-o", "pan", "pan.c"),
+        ("gcc", optimise, *_COMPILER_FLAGS, limit, "-o", "pan", "pan.c"),
         ("./pan", f"-m{_DEPTH}"),
     )
     output = ""
