--- a/tests/keys/test_machine.py
+++ b/tests/keys/test_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from tests.keys.world import WINDOW_S, Node, World
+from tests.keys.world import HOP_S, WINDOW_S, Node, World
 
 MAX_NODES = 7
 ENTRY = st.integers(0, MAX_NODES - 1)
@@ -104,6 +104,33 @@
         if node is not None and not node.frozen:
             self.world.freeze(node)
 
+    @rule(
+        role=ROLE,
+        what=st.sampled_from(("kill", "freeze", "suspect", "leave", "cut", "replace")),
+        hops=st.integers(1, 12),
+        entry=ENTRY,
+        slow=st.booleans(),
+    )
+    def fail_during(
+        self, role: str, what: str, hops: int, entry: int, slow: bool
+    ) -> None:
+        """A holder fails while a key is under way, and the caller repeats it."""
+        self.send_new(0, entry, minted=False, slow=slow)
+        self.world.advance(hops * HOP_S)
+        fail = {
+            "kill": lambda: self.end(role, "kill"),
+            "replace": lambda: self.end(role, "replace"),
+            "leave": lambda: self.end(role, "leave"),
+            "freeze": lambda: self.freeze(role),
+            "suspect": lambda: self.suspect_falsely(role),
+            "cut": lambda: self.cut_from_log(role),
+        }
+        fail[what]()
+        self.world.advance(4.0)
+        self.repeat(entry + 1)
+        self.world.advance(0.1)
+        self.repeat(entry + 2)
+
     @rule()
     def thaw_all(self) -> None:
         for node in self.world.nodes.values():
