--- /dev/null
+++ b/benchmarks/overload_figures.py
@@ -0,0 +1,220 @@
+"""Figures of one run under overload, from records of callers and servers."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field, frozen
+
+from standins.records import find_doubled, find_false_refusals, find_quantile
+
+if TYPE_CHECKING:
+    from benchmarks.overload_shapes import ClassSpec, Shape
+    from standins.records import Record
+
+_SETTLE_S = 4.0
+_WITHIN = 0.95
+_SAME_TIME_S = 0.02
+
+
+@define
+class Trial:
+    """What was recorded of one scenario with one system.
+
+    Times are monotonic seconds; the cause (the surge or the fault) lasts from
+    ``cause_s`` to ``cause_end_s``.
+    """
+
+    shape: Shape
+    records: list[Record]
+    runs: list[dict[str, Any]]
+    start_s: float
+    cause_s: float
+    cause_end_s: float
+    end_s: float
+    cpu_s: dict[str, float] = field(factory=dict)
+
+
+@frozen
+class ClassFigures:
+    """Figures of one class during the cause, in requests per second."""
+
+    name: str
+    offered_per_s: float
+    good_per_s: float
+    refused_per_s: float
+    p50_ms: float
+    p99_ms: float
+
+
+@frozen
+class Figures:
+    """Figures of one trial.
+
+    ``recovery_s`` is ``None`` when the goodput was not back before the end.
+    """
+
+    classes: tuple[ClassFigures, ...]
+    good_per_s: float
+    scarce_good_per_s: float
+    wasted: float
+    calls_per_good: float
+    sendings_per_request: float
+    recovery_s: float | None
+    inversions: int
+    refused_last: int
+    doubled: int
+    false_refusals: int
+
+
+def is_good(record: Record, spec: ClassSpec) -> bool:
+    """Tell whether a request was answered completely and within its target."""
+    within_s = spec.within_ms / 1000
+    return record.outcome == "complete" and record.t_end - record.t_start <= within_s
+
+
+def compute_figures(trial: Trial) -> Figures:
+    """Return the figures of a trial."""
+    shape = trial.shape
+    seconds = trial.cause_end_s - trial.cause_s
+    classes = tuple(_measure_class(trial, one) for one in shape.classes)
+    scarce = sum(
+        figures.good_per_s * shape.count_scarce_calls(one)
+        for figures, one in zip(classes, shape.classes, strict=True)
+    )
+    good = sum(figures.good_per_s for figures in classes)
+    started = [
+        run
+        for run in trial.runs
+        if trial.cause_s <= (run["started"] or 0.0) < trial.cause_end_s
+    ]
+    sendings = sum(
+        trial.cause_s <= sending.t_start < trial.cause_end_s
+        for record in trial.records
+        for sending in record.sendings
+    )
+    offered = sum(figures.offered_per_s for figures in classes) * seconds
+    inversions, refused_last = _count_inversions(trial)
+    return Figures(
+        classes=classes,
+        good_per_s=good,
+        scarce_good_per_s=scarce,
+        wasted=_measure_waste(trial, started),
+        calls_per_good=len(started) / max(good * seconds, 1.0),
+        sendings_per_request=sendings / max(offered, 1.0),
+        recovery_s=measure_recovery(trial),
+        inversions=inversions,
+        refused_last=refused_last,
+        doubled=len(find_doubled(trial.runs)),
+        false_refusals=len(find_false_refusals(trial.records, trial.runs)),
+    )
+
+
+def _measure_class(trial: Trial, one: ClassSpec) -> ClassFigures:
+    seconds = trial.cause_end_s - trial.cause_s
+    records = [
+        record
+        for record in trial.records
+        if record.class_name == one.name
+        and trial.cause_s <= record.t_start < trial.cause_end_s
+    ]
+    good = [record for record in records if is_good(record, one)]
+    refused = sum(record.outcome == "refused" for record in records)
+    times_ms = sorted((record.t_end - record.t_start) * 1000 for record in good)
+    return ClassFigures(
+        one.name,
+        len(records) / seconds,
+        len(good) / seconds,
+        refused / seconds,
+        find_quantile(times_ms, 0.5),
+        find_quantile(times_ms, 0.99),
+    )
+
+
+def _measure_waste(trial: Trial, started: list[dict[str, Any]]) -> float:
+    """Return the part of the servers' time spent on requests that failed."""
+    complete = {
+        record.sendings[-1].request
+        for record in trial.records
+        if record.outcome == "complete"
+    }
+    busy_s = 0.0
+    wasted_s = 0.0
+    for run in started:
+        run_s = (run["finished"] or trial.end_s) - run["started"]
+        busy_s += run_s
+        if run["request"] not in complete or run["outcome"] != "finished":
+            wasted_s += run_s
+    return wasted_s / busy_s if busy_s else 0.0
+
+
+def _count_inversions(trial: Trial) -> tuple[int, int]:
+    """Count refusals of refused-last requests, and the wrong ones among them.
+
+    Wrong is one near to which in time a refused-first request was started on
+    the scarce service.
+    """
+    shape = trial.shape
+    first = {f"{one.method} {one.path}" for one in shape.classes if not one.refuse_last}
+    starts = sorted(
+        run["started"]
+        for run in trial.runs
+        if run["service"] == shape.scarce and run["route"] in first and run["started"]
+    )
+    last = {one.name for one in shape.classes if one.refuse_last}
+    refusals = [
+        sending.t_end
+        for record in trial.records
+        if record.class_name in last
+        for sending in record.sendings
+        if sending.reason in ("overload", "queue-full")
+    ]
+    wrong = 0
+    for at_s in refusals:
+        index = bisect_left(starts, at_s - _SAME_TIME_S)
+        wrong += index < len(starts) and starts[index] <= at_s + _SAME_TIME_S
+    return wrong, len(refusals)
+
+
+def list_goodput(trial: Trial) -> dict[str, Counter[int]]:
+    """Return good requests by class and by the second in which they began."""
+    specs = {one.name: one for one in trial.shape.classes}
+    counts: dict[str, Counter[int]] = {name: Counter() for name in specs}
+    counts["offered"] = Counter()
+    for record in trial.records:
+        second = int(record.t_start - trial.start_s)
+        counts["offered"][second] += 1
+        if is_good(record, specs[record.class_name]):
+            counts[record.class_name][second] += 1
+    return counts
+
+
+def measure_recovery(trial: Trial) -> float | None:
+    """Return the seconds after the cause until goodput is back, and stays.
+
+    Goodput is the fraction of the requests begun in a second that were good;
+    back is within 5 % of the mean before the cause.
+    """
+    counts = list_goodput(trial)
+    offered = counts.pop("offered")
+    good: Counter[int] = Counter()
+    for one in counts.values():
+        good.update(one)
+    cause = int(trial.cause_s - trial.start_s)
+    before = range(int(_SETTLE_S), cause)
+    usual = sum(good[at] for at in before) / max(sum(offered[at] for at in before), 1)
+    first = int(trial.cause_end_s - trial.start_s)
+    last = int(trial.end_s - trial.start_s)
+    back = None
+    for second in range(first, last):
+        if not offered[second]:
+            continue
+        if good[second] / offered[second] < _WITHIN * usual:
+            back = None
+        elif back is None:
+            back = second
+    if back is None:
+        return None
+    return max(0.0, back - (trial.cause_end_s - trial.start_s))
--- /dev/null
+++ b/benchmarks/overload_shapes.py
@@ -0,0 +1,252 @@
+"""The deployments under overload, scaled down from those of the users."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from standins.caller import CallClass
+from standins.layout import ServiceSpec
+from standins.plans import Plan, expect_shape
+
+# slots, connections and so the rates are divided by this
+SCALE = 5
+CALLER_TIMEOUT_MS = 3000.0
+
+
+@frozen
+class ClassSpec:
+    """One class of work: its route, its target, and its part of the mix."""
+
+    name: str
+    method: str
+    path: str
+    weight: float
+    refuse_last: bool
+    complete_fraction: float
+    within_ms: int
+
+    @property
+    def keyed(self) -> bool:
+        """Tell whether requests of the class carry idempotency keys."""
+        return self.method == "POST"
+
+
+@frozen
+class ServiceShape:
+    """One service, which has one server in each failure domain here."""
+
+    name: str
+    slots: int
+    connections: int
+    service_time_ms: float
+    plans: dict[str, Plan]
+
+    @property
+    def scaled_slots(self) -> int:
+        """Return the slots of one server here."""
+        return self.slots // SCALE
+
+
+@frozen
+class Shape:
+    """One user's services, classes and failure domains."""
+
+    name: str
+    failure_domains: tuple[str, ...]
+    delay_ms: float
+    services: tuple[ServiceShape, ...]
+    classes: tuple[ClassSpec, ...]
+    scarce: str
+
+    @property
+    def plans(self) -> dict[str, Plan]:
+        """Return the downstream calls of every route."""
+        plans: dict[str, Plan] = {}
+        for service in self.services:
+            plans.update(service.plans)
+        return plans
+
+    def find_service(self, name: str) -> ServiceShape:
+        """Return a service by name."""
+        return next(one for one in self.services if one.name == name)
+
+    def expect(self, one: ClassSpec) -> str:
+        """Return the shape of a complete answer."""
+        return expect_shape(self.plans, one.method, one.path)
+
+    def count_scarce_calls(self, one: ClassSpec) -> int:
+        """Return how many calls of the scarce service a request makes."""
+        return self.expect(one).count(self.scarce)
+
+    @property
+    def scarce_limit_per_s(self) -> float:
+        """Return what the scarce service can do: slots by service time."""
+        service = self.find_service(self.scarce)
+        slots = service.scaled_slots * len(self.failure_domains)
+        return slots / (service.service_time_ms / 1000)
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Return the rate of requests of the mix that fills the scarce service."""
+        total = sum(one.weight for one in self.classes)
+        calls = sum(one.weight * self.count_scarce_calls(one) for one in self.classes)
+        return self.scarce_limit_per_s * total / calls
+
+    def make_call_classes(self) -> tuple[CallClass, ...]:
+        """Return the classes as the callers know them."""
+        return tuple(
+            CallClass(
+                one.name,
+                one.method,
+                one.path,
+                self.expect(one),
+                one.weight,
+                one.keyed,
+                CALLER_TIMEOUT_MS,
+            )
+            for one in self.classes
+        )
+
+    def make_services(self, queue_slots: float | None) -> tuple[ServiceSpec, ...]:
+        """Return the services for a deployment.
+
+        A server sheds beyond its connections, or beyond ``queue_slots`` times
+        its slots waiting.
+        """
+        specs = []
+        for service in self.services:
+            slots = service.scaled_slots
+            queue = service.connections // SCALE - slots
+            if queue_slots is not None:
+                queue = max(1, int(queue_slots * slots))
+            specs.append(
+                ServiceSpec(
+                    service.name,
+                    slots=slots,
+                    service_time_ms=service.service_time_ms,
+                    plans=service.plans,
+                    flags={"queue_limit": queue},
+                )
+            )
+        return tuple(specs)
+
+    def write_configuration(self) -> str:
+        """Return the configuration that operators would publish."""
+        domains = ", ".join(f'"{name}"' for name in self.failure_domains)
+        lines = [f"failure_domains = [{domains}]"]
+        for one in self.classes:
+            lines += [
+                "",
+                "[[class]]",
+                f'name = "{one.name}"',
+                f'routes = ["{one.method} {one.path}"]',
+                f"idempotent = {str(not one.keyed).lower()}",
+                f"refuse_last = {str(one.refuse_last).lower()}",
+                f"complete_fraction = {one.complete_fraction}",
+                f"within_ms = {one.within_ms}",
+            ]
+        return "\n".join(lines) + "\n"
+
+
+_PROOFS = Plan((("GET", "/proofline/checks"),))
+
+SAMITI = Shape(
+    name="samiti",
+    failure_domains=("bowbazar", "sealdah", "howrah", "saltlake"),
+    delay_ms=0.5,
+    services=(
+        ServiceShape("ratebook", 150, 1000, 50.0, {}),
+        ServiceShape(
+            "jobdesk",
+            180,
+            1200,
+            50.0,
+            {
+                "POST /jobdesk/bookings": Plan(
+                    (("GET", "/ratebook/prices"), ("POST", "/platehouse/reservations"))
+                )
+            },
+        ),
+        ServiceShape(
+            "platehouse",
+            180,
+            1200,
+            50.0,
+            {
+                "POST /platehouse/reservations": _PROOFS,
+                "POST /platehouse/orders": _PROOFS,
+            },
+        ),
+        ServiceShape("proofline", 25, 250, 150.0, {}),
+    ),
+    classes=(
+        ClassSpec("booking", "POST", "/jobdesk/bookings", 0.15, True, 0.99, 2000),
+        ClassSpec("order", "POST", "/platehouse/orders", 0.15, True, 0.99, 2000),
+        ClassSpec("status", "GET", "/proofline/status", 0.5, False, 0.9, 1500),
+        ClassSpec("price", "GET", "/ratebook/prices", 0.2, False, 0.9, 1000),
+    ),
+    scarce="proofline",
+)
+
+_HISTORY = Plan((("GET", "/history-svc/events"),))
+
+SFRAGIDA = Shape(
+    name="sfragida",
+    failure_domains=("patras-a", "patras-b", "rio-c"),
+    delay_ms=1.0,
+    services=(
+        ServiceShape("history-svc", 120, 800, 50.0, {}),
+        ServiceShape(
+            "acceptance-svc",
+            160,
+            1100,
+            50.0,
+            {
+                "POST /acceptance-svc/acceptances": Plan(
+                    (
+                        ("GET", "/history-svc/events"),
+                        ("POST", "/delivery-svc/notices"),
+                    )
+                )
+            },
+        ),
+        ServiceShape(
+            "delivery-svc",
+            160,
+            1100,
+            50.0,
+            {
+                "POST /delivery-svc/notices": Plan((("GET", "/status-svc/letters"),)),
+                "POST /delivery-svc/signatures": Plan(
+                    (("GET", "/status-svc/letters"),)
+                ),
+            },
+        ),
+        ServiceShape(
+            "status-svc",
+            25,
+            250,
+            150.0,
+            {"GET /status-svc/tracking": _HISTORY},
+        ),
+    ),
+    classes=(
+        ClassSpec(
+            "acceptance",
+            "POST",
+            "/acceptance-svc/acceptances",
+            0.15,
+            True,
+            0.99,
+            2000,
+        ),
+        ClassSpec(
+            "signature", "POST", "/delivery-svc/signatures", 0.15, True, 0.99, 2000
+        ),
+        ClassSpec("tracking", "GET", "/status-svc/tracking", 0.5, False, 0.9, 1500),
+        ClassSpec("history", "GET", "/history-svc/events", 0.2, False, 0.9, 1000),
+    ),
+    scarce="status-svc",
+)
+
+SHAPES = {shape.name: shape for shape in (SAMITI, SFRAGIDA)}
