Grow a cold limit by rounds and open the threshold by density

Shares above 1 squeezed a class into few ranks, where the threshold could no longer tell its requests apart; now the largest share is 1.

--- a/eelgrassmount/load/limiter.py
+++ b/eelgrassmount/load/limiter.py
@@ -17,9 +17,11 @@
 # rounds of the whole level, but never very small or large
 _COHORT_RUNS = 50
 _SMALL_COHORT_RUNS = 10
-_COHORT_ROUNDS = 4
+_COHORT_ROUNDS = 4.0
+_FIRST_COHORT_ROUNDS = 1.5
 _COHORT_ENDED = 0.95
 _LONGEST_MEASUREMENT_S = 2.0
+_LONGEST_ROUNDS = 6
 
 # the probe below the limit: how deep it goes, and how far above the knee the
 # limit is kept so that the server's slots stay full
@@ -72,11 +74,12 @@
 
     Whole cohorts are measured because the runs that end first are the short
     ones. ``settled_s`` is when the level was reached and ``closed_s`` when the
-    cohort was complete.
+    cohort of at least ``least_runs`` was complete.
     """
 
     level: int
     began_s: float
+    least_runs: int
     settled_s: float = math.inf
     closed_s: float = math.inf
     started: int = 0
@@ -84,6 +87,7 @@
     runs: int = 0
     bad: int = 0
     log_sum: float = 0.0
+    log_square_sum: float = 0.0
     in_flight_sum: int = 0
 
     @property
@@ -91,17 +95,17 @@
         """Return the mean logarithm of the service times."""
         return self.log_sum / self.runs
 
+    @property
+    def mean_log_error(self) -> float:
+        """Return the variance of `mean_log` as an estimate."""
+        variance = self.log_square_sum / self.runs - self.mean_log**2
+        return max(variance, 0.0) / self.runs
+
     @property
     def mean_in_flight(self) -> float:
         """Return the concurrency that the cohort really met."""
         return self.in_flight_sum / self.started
 
-    @property
-    def least_runs(self) -> int:
-        """Return how many runs a cohort of this level needs."""
-        rounds = _COHORT_ROUNDS * self.level
-        return min(max(rounds, _SMALL_COHORT_RUNS), _COHORT_RUNS)
-
     @property
     def failing(self) -> bool:
         """Tell whether most runs timed out."""
@@ -135,7 +139,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Begin with a measurement at the initial limit."""
-        self._current = Measurement(START_LIMIT, self.now_s)
+        self._current = make_measurement(self.phase, START_LIMIT, self.now_s)
 
     @property
     def limit(self) -> int:
@@ -201,6 +205,7 @@
             service_s = max(sample.latency_s - sample.downstream_s, _LEAST_SERVICE_S)
             current.runs += 1
             current.log_sum += math.log(service_s)
+            current.log_square_sum += math.log(service_s) ** 2
 
     def adjust(self, now_s: float) -> None:
         """End what makes no progress; call it several times a second."""
@@ -208,7 +213,7 @@
         current = self._current
         if self.phase is Phase.HOLD:
             return
-        rounds_s = (_COHORT_ROUNDS + 2) * self.typical_s
+        rounds_s = _LONGEST_ROUNDS * self.typical_s
         if now_s - current.began_s < _LONGEST_MEASUREMENT_S + rounds_s:
             return
         if current.runs >= current.least_runs:
@@ -259,7 +264,7 @@
         if current.mean_in_flight < current.level * _SATURATED:
             self._give_up(now_s)
             return
-        if previous is None or compute_elasticity(previous, current) < _FLAT_ELASTICITY:
+        if previous is None or is_flat(previous, current):
             size = self.size * _START_GROWTH
             phase = Phase.STARTING if size < self._ceiling else Phase.HOLD
             self._begin(phase, min(size, self._ceiling), now_s)
@@ -293,7 +298,16 @@
             level = min(max(level, LEAST_LIMIT), MOST_LIMIT)
             self.size = level
         self.phase = phase
-        self._current = Measurement(max(1, round(level)), now_s)
+        self._current = make_measurement(phase, level, now_s)
+
+
+def make_measurement(phase: Phase, level: float, now_s: float) -> Measurement:
+    """Return a measurement that begins now."""
+    whole = max(1, round(level))
+    # the first growth is quick, and a mistake is soon found
+    rounds = _FIRST_COHORT_ROUNDS if phase is Phase.STARTING else _COHORT_ROUNDS
+    runs = min(max(round(rounds * whole), _SMALL_COHORT_RUNS), _COHORT_RUNS)
+    return Measurement(whole, now_s, runs)
 
 
 def differ_enough(low: Measurement, high: Measurement) -> bool:
@@ -313,6 +327,15 @@
     return min(max(elasticity, 0.0), 1.0)
 
 
+def is_flat(low: Measurement, high: Measurement) -> bool:
+    """Tell whether service time does not surely grow with concurrency."""
+    if not differ_enough(low, high):
+        return True
+    error = math.sqrt(low.mean_log_error + high.mean_log_error)
+    error /= math.log(high.mean_in_flight / low.mean_in_flight)
+    return compute_elasticity(low, high) - error < _FLAT_ELASTICITY
+
+
 def estimate_limit(low: Measurement, high: Measurement) -> float:
     """Return the limit at which the slots are just full, with a margin."""
     ratio = high.mean_in_flight / low.mean_in_flight
--- a/eelgrassmount/load/shares.py
+++ b/eelgrassmount/load/shares.py
@@ -47,7 +47,7 @@
             record.complete.add(1.0, now_s)
 
     def find_share(self, class_name: str) -> float:
-        """Return the share of a class; 1 is neutral."""
+        """Return the share of a class; 1 is neutral and the largest one."""
         record = self.records.get(class_name)
         return math.exp(record.log_share) if record else 1.0
 
@@ -91,15 +91,22 @@
             shortfalls[work_class.name] = shortfall
     short = any(shortfall > 0 for shortfall in shortfalls.values())
     mean = sum(shortfalls.values()) / len(shortfalls) if shortfalls else 0.0
-    for work_class in classes:
-        record = table.records.get(work_class.name)
-        if record is None:
-            continue
-        if short and work_class.name in shortfalls:
-            record.log_share += _GAIN * (shortfalls[work_class.name] - mean)
+    names = [one.name for one in classes if one.name in table.records]
+    for name in names:
+        record = table.records[name]
+        if short and name in shortfalls:
+            record.log_share += _GAIN * (shortfalls[name] - mean)
         else:
             record.log_share *= _RELAX
-        record.log_share = min(max(record.log_share, -_MOST_LOG_SHARE), _MOST_LOG_SHARE)
+    _normalise([table.records[name] for name in names])
+
+
+def _normalise(records: list[ClassRecord]) -> None:
+    # the largest share is 1, so that its requests keep the whole range of
+    # priorities: squeezed together they could not be told apart by a threshold
+    most = max((record.log_share for record in records), default=0.0)
+    for record in records:
+        record.log_share = max(record.log_share - most, -_MOST_LOG_SHARE)
 
 
 def scale_priority(priority: int, share: float) -> int:
--- a/eelgrassmount/load/threshold.py
+++ b/eelgrassmount/load/threshold.py
@@ -21,7 +21,10 @@
 _QUEUE_TARGET = 0.5
 _QUEUE_GAIN = 0.06
 _LEAST_FACTOR = 0.5
-_LEAST_STEP = FULL_THRESHOLD / 200.0
+_LEAST_STEP = FULL_THRESHOLD / 500.0
+_MOST_STEP = FULL_THRESHOLD / 8.0
+# the density of calls is taken from so many ranks below the threshold
+_DENSITY_RANKS = 128
 # with slots to spare the threshold opens the faster the longer that lasts
 _OPENING_GAIN = 0.05
 _OPENING_GAIN_STEP = 0.03
@@ -120,9 +123,7 @@
     """Return the threshold below which ``factor`` times as many calls lie."""
     below = count_below(state, state.threshold)
     if factor >= 1.0:
-        # what lies above is not seen, since it is refused where it enters
-        step = (factor - 1.0) * state.threshold
-        return min(state.threshold + max(step, _LEAST_STEP), FULL_THRESHOLD)
+        return min(state.threshold + _find_step(state, below, factor), FULL_THRESHOLD)
     wanted = below * factor
     if not below:
         return state.threshold * factor
@@ -132,6 +133,22 @@
     return max(threshold, 0.0)
 
 
+def _find_step(state: ThresholdState, below: float, factor: float) -> float:
+    """Return how far to open; what lies above is refused elsewhere and not seen.
+
+    The calls above are taken to lie as densely as those just below, but at a
+    tier's border nothing is known of the next tier.
+    """
+    base = PRIORITY_LEVELS if state.threshold > PRIORITY_LEVELS else 0
+    ranks = min(state.threshold - base, _DENSITY_RANKS)
+    near = below - count_below(state, state.threshold - ranks) if ranks else 0.0
+    least = _LEAST_STEP * (1 + state.calm_periods)
+    if state.threshold == PRIORITY_LEVELS or not near:
+        return min(least, _MOST_STEP)
+    step = (factor - 1.0) * below / near * ranks
+    return min(max(step, least), _MOST_STEP)
+
+
 def count_below(state: ThresholdState, threshold: float) -> float:
     """Return how many of the recent calls lie below a threshold."""
     full = int(threshold // _BUCKET)
--- a/tests/load/test_entry.py
+++ b/tests/load/test_entry.py
@@ -102,12 +102,14 @@
         now_s = start_s
         rng = random.Random(1)
         threshold = 0.6 * PRIORITY_LEVELS
+        capacity = 0.6
         for step in range(seconds * 100):
             now_s = start_s + step / 100
             for name in ("lookup", "status"):
                 priority = rng.randrange(PRIORITY_LEVELS)
                 scaled = scale_priority(priority, table.find_share(name))
                 table.note_request(name, scaled < threshold, now_s)
+                threshold += 10 * (capacity - (scaled < threshold))
             if step % 50 == 0:
                 adjust_shares(table, document, now_s)
         record = table.records["lookup"]
