--- a/eelgrassmount/edge/http.py
+++ b/eelgrassmount/edge/http.py
@@ -107,7 +107,8 @@
 
 
 def _bind_socket(address: Address) -> socket.socket:
-    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # asyncio sends small writes at once only on sockets that name their protocol
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listening.bind((address.host, address.port))
