--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import statistics
 import sys
 import time
@@ -42,6 +43,8 @@
 IN_FORCE_WITHIN_S = 20.0
 WARM_REQUESTS = 600
 SEQUENTIAL_REQUESTS = 1500
+# calls in a row on one route, long enough for the ticks of processor time
+SEQUENTIAL_BLOCK = 100
 CONCURRENCY = 64
 CONCURRENT_ROUNDS = 6
 CONCURRENT_REQUESTS = 2500
@@ -58,6 +61,7 @@
     address: str
     path: str
     status: int = 200
+    pids: tuple[int, ...] = ()
 
 
 @define
@@ -66,6 +70,12 @@
 
     latencies_ms: list[float] = field(factory=list)
     refused: int = 0
+    cpu_s: float = 0.0
+
+    @property
+    def cpu_ms(self) -> float:
+        """Return the processor time that the nodes spent on one call."""
+        return self.cpu_s * 1000 / max(1, len(self.latencies_ms) + self.refused)
 
     def find(self, fraction: float) -> float:
         """Return a quantile."""
@@ -123,12 +133,16 @@
 async def measure_sequential(
     routes: Iterable[Route], requests: int
 ) -> dict[str, Series]:
-    """Send one request at a time, to each route in turn."""
+    """Send one request at a time, some to each route in turn."""
     found = {route.name: Series() for route in routes}
     callers = {route.name: await _connect(route) for route in routes}
-    for _ in range(requests):
+    for _ in range(requests // SEQUENTIAL_BLOCK):
         for route in routes:
-            await _measure(route, callers[route.name], found[route.name])
+            series = found[route.name]
+            before_s = _find_cpu_s(route.pids)
+            for _ in range(SEQUENTIAL_BLOCK):
+                await _measure(route, callers[route.name], series)
+            series.cpu_s += _find_cpu_s(route.pids) - before_s
     return found
 
 
@@ -146,6 +160,12 @@
 
 
 async def _measure_block(route: Route, requests: int, series: Series) -> None:
+    before_s = _find_cpu_s(route.pids)
+    await _send_block(route, requests, series)
+    series.cpu_s += _find_cpu_s(route.pids) - before_s
+
+
+async def _send_block(route: Route, requests: int, series: Series) -> None:
     async def work(caller: _Caller) -> None:
         for _ in range(requests // CONCURRENCY):
             await _measure(route, caller, series)
@@ -179,10 +199,11 @@
     def list_routes(self, label: str) -> list[Route]:
         """Return the routes through the nodes, each with one hop more."""
         near = self.vms[0].caller_address
+        pids = tuple(vm.node.pid for vm in self.vms)
         return [
-            Route(f"{label}caller edge (refused)", near, "/none/x", 404),
-            Route(f"{label}+ backend edge", near, "/near/x"),
-            Route(f"{label}+ peer hop", near, "/far/x"),
+            Route(f"{label}caller edge (refused)", near, "/none/x", 404, pids),
+            Route(f"{label}+ backend edge", near, "/near/x", 200, pids),
+            Route(f"{label}+ peer hop", near, "/far/x", 200, pids),
         ]
 
     def find_direct(self) -> Route:
@@ -203,6 +224,15 @@
         return [_find_rss_mib(vm.node.pid) for vm in self.vms]
 
 
+def _find_cpu_s(pids: Iterable[int]) -> float:
+    ticks = 0
+    for pid in pids:
+        # user and system time, counted behind the name in parentheses
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        ticks += int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
 def _find_rss_mib(pid: int) -> float:
     status = Path(f"/proc/{pid}/status").read_text()
     line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
@@ -239,7 +269,7 @@
         d50, d99 = direct.find(0.5), direct.find(0.99)
         print(
             f"{name:32}{p50:8.3f}{p99:8.3f}{p50 - d50:11.3f}{p99 - d99:11.3f}"
-            f"{p50 / d50:8.2f}{p99 / d99:8.2f}{series.refused:9}"
+            f"{p50 / d50:8.2f}{p99 / d99:8.2f}{series.refused:9}{series.cpu_ms:9.3f}"
         )
 
 
@@ -256,7 +286,11 @@
             for series in pair
         ]
         ratios = [mine / theirs for mine, theirs in zip(*added, strict=True)]
-        print(f"{name}: added p50 x {ratios[0]:.2f}, p99 x {ratios[1]:.2f} of {other}")
+        cpu = pair[0].cpu_ms / pair[1].cpu_ms if pair[1].cpu_ms else float("nan")
+        print(
+            f"{name}: added p50 x {ratios[0]:.2f}, p99 x {ratios[1]:.2f}, "
+            f"processor time x {cpu:.2f} of {other}"
+        )
 
 
 def run(
--- a/eelgrassmount/edge/http.py
+++ b/eelgrassmount/edge/http.py
@@ -65,7 +65,7 @@
         yield
 
 
-class BodyTooLong(Exception):  # noqa: N818
+class BodyTooLong(Exception):
     """The body of a request is longer than allowed."""
 
 
