--- a/eelgrassmount/compose.py
+++ b/eelgrassmount/compose.py
@@ -437,5 +437,7 @@
     )
     await serve_http(admin, base.settings.admin_address, base.tasks)
     await serve_http(backend, base.settings.backend_address, base.tasks)
-    server = await serve_http(caller, base.settings.caller_address, base.tasks)
+    server = await serve_http(
+        caller, base.settings.caller_address, base.tasks, caller.note_malformed
+    )
     node.callers.append(server)
--- a/tests/edge/test_listeners.py
+++ b/tests/edge/test_listeners.py
@@ -14,6 +14,7 @@
 
 from eelgrassmount.blackboard import Blackboard
 from eelgrassmount.calls.entry import Reply
+from eelgrassmount.calls.inflight import InFlight
 from eelgrassmount.edge import http, protocol
 from eelgrassmount.edge.announcements import parse_announcement
 from eelgrassmount.edge.backend import BackendListener
@@ -117,7 +118,9 @@
 @asynccontextmanager
 async def run_listener() -> AsyncIterator[Bench]:
     entry = FakeEntry()
-    listener = CallerListener(entry, MAX_BODY_BYTES, make_metrics())
+    listener = CallerListener(
+        entry, MAX_BODY_BYTES, make_metrics(), InFlight(), lambda: False
+    )
     address = find_address()
     async with anyio.create_task_group() as group:
         background = Background(group, lambda: None)
--- a/tests/keys/test_machine.py
+++ b/tests/keys/test_machine.py
@@ -114,7 +114,7 @@
     def fail_during(
         self, role: str, what: str, hops: int, entry: int, slow: bool
     ) -> None:
-        """A holder fails while a key is under way, and the caller repeats it."""
+        """Let a holder fail while a key is under way, and repeat the key."""
         self.send_new(0, entry, minted=False, slow=slow)
         self.world.advance(hops * HOP_S)
         fail = {
