--- a/eelgrassmount/members/rounds.py
+++ b/eelgrassmount/members/rounds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -96,7 +97,6 @@
             logger.info("member {} is declared dead", address)
             self._tell_suspect(address)
         self.roster.release_held(now_s)
-        self.roster.forget_gone(now_s)
         self.flush_soon()
 
     def start_round(self) -> None:
@@ -109,6 +109,7 @@
 
     def start_dead_probe(self) -> None:
         """Ask one of the dead: after a cut both sides hold the other for dead."""
+        self.roster.forget_gone(self.timers.read())
         gone = [
             address
             for address, member in self.roster.table.members.items()
@@ -124,6 +125,7 @@
         self._awake_s = now_s
         self.roster.detector.extend_suspicions(gap_s)
         self.roster.change_own(now_s)
+        self.roster.urgent[MemberKey(self.roster.identity.address)] = None
         for address in self._sample(self.partners, _MAX_WAKE_PROBES):
             self.spawn(self.greet, address)
 
@@ -220,8 +222,7 @@
         return self._awake_s >= started_s or gap_s > self.roster.pace.frozen_s
 
     def _heard_since(self, address: str, started_s: float) -> bool:
-        member = self.roster.table.members.get(address)
-        return member is None or member.heard_s > started_s
+        return self.roster.heard_s.get(address, -math.inf) > started_s
 
     def _tell_suspect(self, address: str) -> None:
         """Let a suspect know at once, so that it can refute."""
