Ask a suspect instead of telling it, and remind who doubts what is refuted

Of 20 freezes of 1 s one ended with the verdict dead 3 s after the node woke: it had raised its heartbeat on waking, so that a suspicion of the lower one needed no refutation, and nobody told the suspecting node. Now the suspect's answer refutes.

--- a/eelgrassmount/members/merge.py
+++ b/eelgrassmount/members/merge.py
@@ -70,6 +70,15 @@
     )
 
 
+def needs_reminder(own: Member, report: Member) -> bool:
+    """Tell whether a report doubts this incarnation and is refuted already."""
+    return (
+        report.identity.incarnation == own.identity.incarnation
+        and report.state is not MemberState.ALIVE
+        and rank_member(report) < rank_member(own)
+    )
+
+
 def needs_raise(own: Member, report: Member) -> bool:
     """Tell whether another incarnation at the own address stands above this one."""
     return report.identity.incarnation != own.identity.incarnation and rank_member(
--- a/eelgrassmount/members/roster.py
+++ b/eelgrassmount/members/roster.py
@@ -21,6 +21,7 @@
     merge_summary,
     needs_raise,
     needs_refutation,
+    needs_reminder,
     refutes,
     stops_work,
 )
@@ -190,6 +191,8 @@
             self.urgent[MemberKey(self.identity.address)] = None
         elif needs_raise(self.own, report):
             self.conflict = report
+        elif needs_reminder(self.own, report):
+            self.urgent[MemberKey(self.identity.address)] = None
 
     def _track_suspicion(
         self, known: Member | None, kept: Member, now_s: float
--- a/eelgrassmount/members/rounds.py
+++ b/eelgrassmount/members/rounds.py
@@ -95,7 +95,7 @@
             self._wake_up(gap_s, now_s)
         for address in self.roster.bury_overdue(now_s):
             logger.info("member {} is declared dead", address)
-            self._tell_suspect(address)
+            self.spawn(self._confront, address)
         self.roster.release_held(now_s)
         self.flush_soon()
 
@@ -151,7 +151,7 @@
         detector.note_silence()
         if self.roster.suspect(address, self.timers.read()):
             logger.info("member {} is suspected", address)
-            self._tell_suspect(address)
+            self.spawn(self._confront, address)
 
     async def greet(self, address: str, timeout_s: float = 0.0) -> bool:
         """Exchange news with a node; tell whether it answered."""
@@ -224,12 +224,11 @@
     def _heard_since(self, address: str, started_s: float) -> bool:
         return self.roster.heard_s.get(address, -math.inf) > started_s
 
-    def _tell_suspect(self, address: str) -> None:
+    async def _confront(self, address: str) -> None:
         """Let a suspect know at once, so that it can refute."""
-        member = self.roster.table.members.get(address)
-        if member is not None:
-            keys = [MemberKey(address)]
-            self.spawn(self.tell, address, exchange.build_updates(self.roster, keys))
+        gossip = exchange.build_updates(self.roster, [MemberKey(address)])
+        gossip.digest = self.roster.digest.total
+        await self.ask(address, gossip, self.roster.pace.ask_s)
 
     # urgent news
 
