--- a/eelgrassmount/members/joining.py
+++ b/eelgrassmount/members/joining.py
@@ -146,10 +146,12 @@
         """Ask seeds and announced nodes; announce this node if there is nobody."""
         self._looking = True
         self._looks += 1
-        with anyio.move_on_after(_LOOK_LIMIT_S):
-            await self._ask_around()
-        self._plan_next_look()
-        self._looking = False
+        try:
+            with anyio.move_on_after(_LOOK_LIMIT_S):
+                await self._ask_around()
+        finally:
+            self._plan_next_look()
+            self._looking = False
 
     async def _ask_around(self) -> None:
         async with anyio.create_task_group() as group:
