--- /dev/null
+++ b/eelgrassmount/edge/server.py
@@ -0,0 +1,244 @@
+"""Calls to the backend server on this VM."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.edge import headers as names
+from eelgrassmount.edge.exchange import (
+    BadAnswer,
+    Connection,
+    ExchangeResult,
+    NoAnswer,
+    RawAnswer,
+    connect,
+)
+from eelgrassmount.edge.headers import (
+    check_digest,
+    find_header,
+    keep_passing,
+    read_whole_number,
+)
+from eelgrassmount.metrics import DropReason
+from eelgrassmount.retry.decisions import LOST_REASONS
+from eelgrassmount.util.addresses import parse_address
+from eelgrassmount.verdict import (
+    NOT_RUN,
+    Answered,
+    Header,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.calls.request import Call
+    from eelgrassmount.metrics import Metrics
+    from eelgrassmount.timers import Clock
+
+CONNECT_LIMIT_S = 0.5
+MAX_IDLE_CONNECTIONS = 256
+IDLE_LIMIT_S = 30.0
+# the share that the newest latency has in the typical one
+TYPICAL_SHARE = 0.1
+_SHED_STATUS = 503
+# what a backend server answers when a downstream call of its own has failed
+_GATEWAY_STATUSES = frozenset({502, 503, 504})
+_MAX_RETRY_AFTER_MS = 3_600_000
+
+
+@define(eq=False)
+class Exchange:
+    """A call that is at the backend server now.
+
+    Whoever learns by another way what became of it calls `settle`.
+    """
+
+    call: Call
+    connection: Connection
+    begun_s: float
+    verdict: Verdict | None = None
+
+    async def settle(self, verdict: Verdict) -> None:
+        """Give the call its verdict and close the connection that lost it."""
+        if self.verdict is None:
+            self.verdict = verdict
+            await self.connection.close()
+
+
+@define(eq=False)
+class ServerClient:
+    """A bounded set of connections to the backend server on this VM.
+
+    A connection is used again only after its answer has been read completely
+    and found good; any other one is closed, since a late answer may still
+    come on it. ``typical_s`` is a moving average of how long calls take.
+    """
+
+    clock: Clock
+    metrics: Metrics
+    max_body_bytes: int
+    typical_s: float = 0.0
+    exchanges: dict[str, Exchange] = field(factory=dict)
+    _idle: deque[Connection] = field(factory=deque)
+    _address: str = ""
+
+    async def send(
+        self,
+        address: str,
+        call: Call,
+        attempts_left: int,
+        note_begun: Callable[[], None],
+    ) -> Verdict:
+        """Run a call on the server at ``address`` and return its verdict.
+
+        ``note_begun`` is called just before the first byte is sent.
+        """
+        data = self._encode(address, call, attempts_left)
+        if data is None:
+            return NotRun(Reason.MALFORMED)
+        connection = await self._take(address)
+        if connection is None:
+            return NotRun(Reason.NO_SERVER)
+        note_begun()
+        reusable = False
+        exchange = Exchange(call, connection, self.clock.read())
+        self.exchanges[call.context.call_id] = exchange
+        try:
+            result = await connection.exchange(
+                call.request.method, data, self.max_body_bytes
+            )
+            verdict = exchange.verdict or self.judge(call, result)
+            reusable = _is_reusable(result, verdict)
+        finally:
+            del self.exchanges[call.context.call_id]
+            await self._give_back(connection, address, reusable)
+        if isinstance(verdict, Answered):
+            self._note_latency(self.clock.read() - exchange.begun_s)
+        return verdict
+
+    def _note_latency(self, seconds: float) -> None:
+        if not self.typical_s:
+            self.typical_s = seconds
+        self.typical_s += TYPICAL_SHARE * (seconds - self.typical_s)
+
+    async def _take(self, address: str) -> Connection | None:
+        if address != self._address:
+            self._address = address
+            await self.close()
+        oldest_s = self.clock.read() - IDLE_LIMIT_S
+        while self._idle and self._idle[0].used_s < oldest_s:
+            await self._idle.popleft().close()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_quiet():
+                return connection
+            await connection.close()
+        target = parse_address(address)
+        return await connect(target.host, target.port, CONNECT_LIMIT_S)
+
+    async def _give_back(
+        self, connection: Connection, address: str, reusable: bool
+    ) -> None:
+        room = len(self._idle) < MAX_IDLE_CONNECTIONS
+        if reusable and room and address == self._address:
+            connection.used_s = self.clock.read()
+            self._idle.append(connection)
+            return
+        await connection.close()
+
+    def _encode(self, address: str, call: Call, attempts_left: int) -> bytes | None:
+        """Return a call as an HTTP request, ``None`` if HTTP can't carry it."""
+        context = call.context
+        request = call.request
+        remaining_ms = context.measure_remaining(self.clock.read()) * 1000
+        passed = keep_passing(request.headers)
+        lines = [
+            f"{request.method} {request.path} HTTP/1.1",
+            *(f"{header.name}: {header.value}" for header in passed),
+            f"host: {address}",
+            f"{names.CALL}: {context.call_id}",
+            f"{names.ROOT}: {context.root_id}",
+            f"{names.CLASS}: {context.class_name}",
+            f"{names.ATTEMPTS}: {attempts_left}",
+            f"{names.TIMEOUT_MS}: {max(1, int(remaining_ms))}",
+            f"{names.CONTENT_LENGTH}: {len(request.body)}",
+        ]
+        text = "\r\n".join(lines)
+        # what another node passed on may hold anything
+        if text.count("\n") != len(lines) - 1 or "\0" in text:
+            return None
+        if lines[0].count(" ") != 2:
+            return None
+        try:
+            return b"%b\r\n\r\n%b" % (text.encode("latin-1"), request.body)
+        except UnicodeEncodeError:
+            return None
+
+    def judge(self, call: Call, result: ExchangeResult) -> Verdict:
+        """Return the verdict on a call from what came of its exchange."""
+        match result:
+            case NoAnswer():
+                return MayHaveRun(Reason.SERVER_CRASHED)
+            case BadAnswer(reason):
+                return self._drop(reason)
+        if result.extra:
+            self.metrics.dropped_answers.labels(DropReason.DOUBLED).inc()
+        if find_header(result.headers, names.CALL) != call.context.call_id:
+            return self._drop(DropReason.WRONG_CALL)
+        if not check_digest(result.headers, result.body):
+            return self._drop(DropReason.BAD_DIGEST)
+        failure = _find_failure(result.status, result.headers)
+        if failure is not None:
+            return failure
+        return Answered(result.status, keep_passing(result.headers), result.body)
+
+    def _drop(self, reason: DropReason) -> Verdict:
+        self.metrics.dropped_answers.labels(reason).inc()
+        return MayHaveRun(Reason.BAD_ANSWER)
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+
+def _is_reusable(result: ExchangeResult, verdict: Verdict) -> bool:
+    """Tell whether nothing more can come on the connection of an exchange."""
+    if not isinstance(result, RawAnswer) or result.extra or not result.keep_alive:
+        return False
+    # an answer to another call means that one for this call may still come
+    return verdict != MayHaveRun(Reason.BAD_ANSWER)
+
+
+def _find_failure(status: int, headers: tuple[Header, ...]) -> Verdict | None:
+    verdict_name = find_header(headers, names.VERDICT)
+    if status not in _GATEWAY_STATUSES or verdict_name is None:
+        return None
+    retry_after_s = _read_retry_after(headers)
+    if verdict_name == NOT_RUN and status == _SHED_STATUS:
+        return NotRun(Reason.SERVER_SHED, retry_after_s)
+    return MayHaveRun(_read_reason(headers), retry_after_s)
+
+
+def _read_retry_after(headers: tuple[Header, ...]) -> float:
+    try:
+        milliseconds = read_whole_number(headers, names.RETRY_AFTER_MS) or 0
+    except ValueError:
+        return 0.0
+    return min(milliseconds, _MAX_RETRY_AFTER_MS) / 1000
+
+
+def _read_reason(headers: tuple[Header, ...]) -> Reason:
+    try:
+        reason = Reason(find_header(headers, names.REASON))
+    except ValueError:
+        return Reason.PARTIAL
+    # its own hop has spent retries on these; this hop must not do so again
+    return Reason.PARTIAL if reason in LOST_REASONS else reason
--- /dev/null
+++ b/eelgrassmount/peer/frames.py
@@ -0,0 +1,107 @@
+"""Reading and writing frames on a byte stream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define, field
+
+from eelgrassmount.errors import OverlongFrameError, TruncatedFrameError
+from eelgrassmount.peer.codec import FRAME_HEADER_BYTES, decode_payload, encode_frame
+
+if TYPE_CHECKING:
+    from anyio.abc import ByteReceiveStream, ByteSendStream
+
+    from eelgrassmount.gen.ttypes import Message
+
+_CHUNK_BYTES = 65536
+
+
+@define
+class FrameReader:
+    """Cuts a byte stream into messages."""
+
+    stream: ByteReceiveStream
+    max_frame_bytes: int
+    _buffer: bytearray = field(factory=bytearray)
+
+    async def read(self) -> Message:
+        """Return the next message.
+
+        Raises `BadFrameError` for a frame that can't be read, and
+        `anyio.EndOfStream` when the other side has closed the stream.
+        """
+        while True:
+            payload = self._cut()
+            if payload is not None:
+                return decode_payload(payload)
+            await self._receive()
+
+    def _cut(self) -> bytes | None:
+        buffer = self._buffer
+        if len(buffer) < FRAME_HEADER_BYTES:
+            return None
+        length = int.from_bytes(buffer[:FRAME_HEADER_BYTES], "big")
+        if length > self.max_frame_bytes:
+            raise OverlongFrameError(
+                f"{length} bytes, allowed are {self.max_frame_bytes}"
+            )
+        end = FRAME_HEADER_BYTES + length
+        if len(buffer) < end:
+            return None
+        payload = bytes(buffer[FRAME_HEADER_BYTES:end])
+        del buffer[:end]
+        return payload
+
+    async def _receive(self) -> None:
+        try:
+            self._buffer += await self.stream.receive(_CHUNK_BYTES)
+        except anyio.EndOfStream:
+            if self._buffer:
+                raise TruncatedFrameError("the stream ended within it") from None
+            raise
+
+
+@define(eq=False)
+class FrameWriter:
+    """Sends messages in order from one task, joining those that wait."""
+
+    stream: ByteSendStream
+    max_frame_bytes: int
+    max_waiting_bytes: int
+    _waiting: list[bytes] = field(factory=list)
+    _waiting_bytes: int = 0
+    _wake: anyio.Event = field(factory=anyio.Event)
+    closed: bool = False
+
+    def write(self, message: Message) -> bool:
+        """Queue a message; ``False`` when the stream doesn't take it.
+
+        That is so when it is closed, when the other side reads too slowly, and
+        for a message that is longer than the other side takes.
+        """
+        if self.closed or self._waiting_bytes > self.max_waiting_bytes:
+            return False
+        frame = encode_frame(message)
+        if len(frame) > self.max_frame_bytes + FRAME_HEADER_BYTES:
+            return False
+        self._waiting.append(frame)
+        self._waiting_bytes += len(frame)
+        self._wake.set()
+        return True
+
+    async def run(self) -> None:
+        """Send what is queued until the stream breaks or the writer is closed."""
+        while not self.closed:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            batch = b"".join(self._waiting)
+            self._waiting.clear()
+            self._waiting_bytes = 0
+            await self.stream.send(batch)
+
+    def close(self) -> None:
+        """Take no more messages and end `run`."""
+        self.closed = True
+        self._wake.set()
