--- a/eelgrassmount/keys/owner.py
+++ b/eelgrassmount/keys/owner.py
@@ -34,8 +34,8 @@
     async def run(self, holder: SlotHolder, call: Call) -> Outcome:
         """Return the outcome of a call, running it if its key is new.
 
-        The answer is `Reason.OWNER_CHANGING` if this node is not, or no longer,
-        the primary; then the call has not been run by this node.
+        The answer is `Reason.OWNER_CHANGING`, without a time to come back, if
+        this node is not, or no longer, the primary and has not run the call.
         """
         while True:
             entry = holder.table.find(call.context.key)
@@ -58,7 +58,7 @@
             if entry.digest != call.context.digest:
                 return refuse_reused(self.core)
             self.core.count("key-unknown-result")
-            return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+            return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
         return await repeat_entry(self.core, holder.ledger, entry, call)
 
     def _is_runner_gone(self, entry: Entry) -> bool:
@@ -71,15 +71,17 @@
         now_s = core.timers.read()
         limit_s = min(call.context.deadline_s, now_s + core.settings.change_wait_s)
         while holder.view.primary == core.me:
-            if holder.is_waiting(core.me, core.timers.read()):
+            now_s = core.timers.read()
+            if holder.is_waiting(core.me, now_s):
                 core.count("key-owner-waiting")
-                return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+                wait_s = holder.open_s - now_s
+                return Outcome(MayHaveRun(Reason.OWNER_CHANGING, wait_s))
             if holder.synced and not core.is_stalled():
                 return None
-            if not self._can_change(holder) or core.timers.read() >= limit_s:
-                core.count("key-owner-changing")
-                return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
-            await wait_change(holder, limit_s - core.timers.read())
+            if now_s >= limit_s or not self._can_change(holder):
+                core.count("key-backup-unreachable")
+                return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
+            await wait_change(holder, limit_s - now_s)
         return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
 
     def _can_change(self, holder: SlotHolder) -> bool:
--- a/eelgrassmount/keys/service.py
+++ b/eelgrassmount/keys/service.py
@@ -160,16 +160,24 @@
         return await self._run_in_slot(self.core.holders[find_slot(key.text)], call)
 
     async def _run_in_slot(self, holder: SlotHolder, call: Call) -> Outcome:
-        outcome = Outcome(MayHaveRun(Reason.OWNER_CHANGING))
         for _ in range(ROUTE_ATTEMPTS):
-            view = holder.view
-            if view.primary == self.core.me:
-                outcome = await self.owner.run(holder, call)
-            elif view.version:
-                outcome = await self._forward(view.primary.address, call)
+            outcome = await self._try_slot(holder, call)
             if not _is_changing(outcome) or not await self._await_view(holder, call):
                 break
-        return outcome
+        return outcome or self._refuse_unreachable()
+
+    async def _try_slot(self, holder: SlotHolder, call: Call) -> Outcome | None:
+        view = holder.view
+        if view.primary == self.core.me:
+            return await self.owner.run(holder, call)
+        if view.version:
+            return await self._forward(view.primary.address, call)
+        return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+
+    def _refuse_unreachable(self) -> Outcome:
+        # also when nothing was sent: an earlier sending of the key may have run
+        self.core.count("owner-unreachable")
+        return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
 
     async def _await_view(self, holder: SlotHolder, call: Call) -> bool:
         """Hear of a later view of a slot; tell whether to try again."""
@@ -217,20 +225,18 @@
                 outcome = await self._forward(heir.address, call)
                 if not _is_changing(outcome):
                     return outcome
-        self.core.count("minted-owner-unreachable")
-        return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
+        return self._refuse_unreachable()
 
     async def _relay(self, domain: str, preferred: str, call: Call) -> Outcome:
         """Send a call to a node of another failure domain, which finds the owner."""
         addresses = self._find_relays(domain)
         if preferred in addresses:
             addresses = [preferred, *addresses]
-        outcome = Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
         for address in addresses[:RELAYS]:
             outcome = await self._forward(address, call)
-            if not _is_changing(outcome):
-                break
-        return outcome
+            if outcome is not None:
+                return outcome
+        return self._refuse_unreachable()
 
     def _find_relays(self, domain: str) -> list[str]:
         summaries = self.core.board.members.summaries.values()
@@ -244,8 +250,11 @@
         self.core.rng.shuffle(ordered)
         return ordered
 
-    async def _forward(self, address: str, call: Call) -> Outcome:
-        """Send a call towards its owner; sending it twice can't run it twice."""
+    async def _forward(self, address: str, call: Call) -> Outcome | None:
+        """Send a call towards its owner; sending it twice can't run it twice.
+
+        ``None`` means that no answer came, whether or not the call was sent.
+        """
         now_s = self.core.timers.read()
         left_s = call.context.deadline_s - now_s
         call_id = call.context.call_id
@@ -261,11 +270,9 @@
             self._forwarding.discard(call_id)
         return self._read_reply(reply)
 
-    def _read_reply(self, reply: Message | PeerFailure) -> Outcome:
-        # also when nothing was sent: an earlier sending of the key may have run
+    def _read_reply(self, reply: Message | PeerFailure) -> Outcome | None:
         if isinstance(reply, PeerFailure) or reply.outcome is None:
-            self.core.count("owner-unreachable")
-            return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
+            return None
         try:
             return decode_outcome(reply.outcome)
         except BadFrameError:
@@ -308,10 +315,6 @@
         return self.core.me in (view.primary, view.backup)
 
 
-def _is_changing(outcome: Outcome) -> bool:
-    """Tell whether another way to the owner may give a better answer."""
-    verdict = outcome.verdict
-    return isinstance(verdict, MayHaveRun) and verdict.reason in (
-        Reason.OWNER_CHANGING,
-        Reason.OWNER_UNREACHABLE,
-    )
+def _is_changing(outcome: Outcome | None) -> bool:
+    """Tell whether the owner was not found: no answer, or not from the owner."""
+    return outcome is None or outcome.verdict == MayHaveRun(Reason.OWNER_CHANGING)
--- /dev/null
+++ b/tests/keys/test_scenarios.py
@@ -0,0 +1,217 @@
+"""What callers are told in each fault, with and without a key of their own."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+
+import pytest
+
+from eelgrassmount.keys.syntax import BadKey, MintedKey, OwnKey, parse_key
+from eelgrassmount.verdict import Answered, MayHaveRun, NotRun, Reason
+from tests.keys.world import HOP_S, WINDOW_S, World
+
+KEY = "howrah:booking-1"
+REACHED = HOP_S * 8
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    world = World(random.Random(3))
+    for failure_domain in ("howrah", "howrah", "howrah", "sealdah"):
+        world.start_node(failure_domain)
+    world.advance(6.0)
+    yield world
+    world.check_all()
+    assert not world.faults
+    world.close()
+
+
+def find_entry(world: World, key: str = KEY) -> object:
+    """Return a node of the home failure domain that does not hold the key."""
+    holders = world.find_holders(key)
+    return next(
+        node
+        for node in world.nodes.values()
+        if node.alive
+        and node not in holders
+        and node.identity.failure_domain == "howrah"
+    )
+
+
+def explain(verdict: object) -> object:
+    return verdict.reason if isinstance(verdict, NotRun | MayHaveRun) else "answered"
+
+
+def test_same_answer_from_every_node_and_after_the_primary_is_killed(world) -> None:
+    entry = find_entry(world)
+    told = [world.tell(node, KEY) for node in list(world.nodes.values())]
+    primary, _ = world.find_holders(KEY)
+    world.kill(primary)
+    world.advance(4.0)
+    told += [world.tell(node, KEY) for node in world.nodes.values() if node.alive]
+    assert isinstance(told[0], Answered)
+    assert set(told) == {told[0]}
+    assert world.tell(entry, KEY, b"other") == MayHaveRun(Reason.KEY_REUSED)
+
+
+@pytest.mark.parametrize("fail", ["freeze", "kill"])
+def test_successor_never_runs_a_key_that_its_predecessor_marked(world, fail) -> None:
+    primary, _ = world.find_holders(KEY)
+    entry = find_entry(world)
+    world.run_s = 1.0
+    world.send(entry, KEY)
+    world.advance(REACHED)
+    getattr(world, fail)(primary)
+    world.advance(4.0)
+    assert world.find_holders(KEY)[0] is not primary
+    assert world.tell(entry, KEY) == MayHaveRun(Reason.OWNER_UNREACHABLE)
+    if fail == "freeze":
+        world.thaw(primary)
+        world.advance(2.0)
+        assert isinstance(world.tell(entry, KEY), Answered)
+
+
+def test_call_not_run_frees_its_key(world) -> None:
+    world.shed_next = True
+    assert world.tell(find_entry(world), KEY) == NotRun(Reason.OVERLOAD)
+    assert isinstance(world.tell(find_entry(world), KEY), Answered)
+
+
+def test_repeat_of_a_running_call_waits_for_it(world) -> None:
+    world.run_s = 2.0
+    first = world.send(find_entry(world), KEY)
+    world.advance(0.1)
+    again = world.tell(world.find_holders(KEY)[1], KEY)
+    assert isinstance(again, Answered)
+    assert first.verdict == again
+
+
+def test_long_outage_of_the_log(world) -> None:
+    world.log.up = False
+    world.advance(3 * WINDOW_S)
+    assert all(
+        isinstance(world.tell(node, f"howrah:{number}"), Answered)
+        for number, node in enumerate(world.nodes.values())
+    )
+    entry = find_entry(world)
+    world.kill(world.find_holders(KEY)[1])
+    world.advance(3.0)
+    started_s = world.loop.time()
+    sending = world.send(entry, KEY)
+    world.advance(1.0)
+    assert sending.verdict == MayHaveRun(Reason.OWNER_UNREACHABLE)
+    assert world.loop.time() - started_s <= 1.0 + HOP_S
+    world.log.up = True
+    world.advance(15.0)
+    assert isinstance(world.tell(entry, KEY), Answered)
+
+
+def test_slot_whose_holders_both_died_opens_after_a_window(world) -> None:
+    entry = find_entry(world)
+    for node in world.find_holders(KEY):
+        world.kill(node)
+    world.advance(5.0)
+    told = world.tell(entry, KEY)
+    assert explain(told) is Reason.OWNER_CHANGING
+    assert 0 < told.retry_after_s < WINDOW_S
+    world.advance(WINDOW_S)
+    assert isinstance(world.tell(entry, KEY), Answered)
+
+
+def test_frozen_pair_asks_for_the_views_when_it_wakes(world) -> None:
+    pair = world.find_holders(KEY)
+    entry = find_entry(world)
+    for node in pair:
+        world.freeze(node)
+    world.advance(WINDOW_S + 10.0)
+    assert isinstance(world.tell(entry, KEY), Answered)
+    for node in pair:
+        world.thaw(node)
+    told = [world.send(node, KEY) for node in pair]
+    world.advance(8.0)
+    assert [explain(sending.verdict) for sending in told] == ["answered"] * 2
+
+
+def test_primary_alone_stops_without_the_log(world) -> None:
+    lone = next(n for n in world.nodes.values() if n.identity.failure_domain != "howrah")
+    assert isinstance(world.tell(lone, "sealdah:1"), Answered)
+    lone.log_cut = True
+    world.advance(WINDOW_S / 2 + 1.0)
+    assert world.tell(lone, "sealdah:2") == MayHaveRun(Reason.OWNER_UNREACHABLE)
+    assert isinstance(world.tell(lone, "sealdah:1"), Answered)
+
+
+def test_cut_between_failure_domains(world) -> None:
+    world.cuts = {("howrah", "sealdah"), ("sealdah", "howrah")}
+    far = next(n for n in world.nodes.values() if n.identity.failure_domain != "howrah")
+    assert world.tell(far, KEY) == MayHaveRun(Reason.OWNER_UNREACHABLE)
+    assert isinstance(world.tell(find_entry(world), KEY), Answered)
+
+
+def test_planned_stop_loses_nothing(world) -> None:
+    entry = find_entry(world)
+    primary, _ = world.find_holders(KEY)
+    used, unused = primary.service.mint(), primary.service.mint()
+    answers = [world.tell(entry, key) for key in (KEY, used)]
+    primary.spawn(primary.service.hand_over())
+    world.advance(8.0)
+    assert primary not in world.find_holders(KEY)
+    world.kill(primary)
+    world.advance(3.0)
+    assert [world.tell(entry, key) for key in (KEY, used)] == answers
+    assert world.tell(entry, unused) == NotRun(Reason.KEY_EXPIRED)
+    assert isinstance(world.tell(entry, "howrah:booking-2"), Answered)
+
+
+@pytest.mark.parametrize(
+    ("spoil", "told"),
+    [
+        (lambda world, node, key: world.kill(node), Reason.OWNER_UNREACHABLE),
+        (lambda world, node, key: world.advance(WINDOW_S + 5.0), Reason.KEY_EXPIRED),
+    ],
+)
+def test_minted_key_whose_owner_is_gone_or_which_is_old(world, spoil, told) -> None:
+    node, entry = list(world.nodes.values())[:2]
+    key = node.service.mint()
+    spoil(world, node, key)
+    world.advance(3.0)
+    assert world.tell(entry, key) == MayHaveRun(told)
+    forged = entry.service.mint()[:-1] + "x"
+    assert world.tell(entry, forged) == NotRun(Reason.KEY_MALFORMED)
+
+
+def test_full_table_refuses_new_keys_only(world) -> None:
+    for node in world.nodes.values():
+        node.service.core.budget.max_keys = 1
+    entry = find_entry(world)
+    first = world.tell(entry, KEY)
+    told = [world.tell(entry, f"howrah:{number}") for number in range(12)]
+    assert NotRun(Reason.KEY_TABLE_FULL) in told
+    assert world.tell(entry, KEY) == first
+
+
+def test_views_lost_from_the_log_count_as_lost() -> None:
+    world = World(random.Random(3))
+    world.log.drop_before("slots.howrah", 9)
+    node = world.start_node("howrah")
+    world.advance(6.0)
+    assert explain(world.tell(node, KEY)) is Reason.OWNER_CHANGING
+    world.close()
+
+
+@pytest.mark.parametrize(
+    ("text", "kind"),
+    [
+        ("7", OwnKey),
+        ("howrah:7", OwnKey),
+        ("em1~127.0.0.1_7~howrah~ab12~0-0123456789abcdef", MintedKey),
+        ("em1~127.0.0.1_7~howrah~ab12~0", BadKey),
+        ("em1~x", BadKey),
+        ("", BadKey),
+        ("a b", BadKey),
+        ("x" * 129, BadKey),
+    ],
+)
+def test_syntax_of_keys(text, kind) -> None:
+    assert isinstance(parse_key(text), kind)
