--- a/eelgrassmount/calls/remote.py
+++ b/eelgrassmount/calls/remote.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from attrs import define
+from attrs import define, evolve
 
 from eelgrassmount.calls.request import Outcome
 from eelgrassmount.errors import BadFrameError
@@ -15,25 +15,24 @@
 from eelgrassmount.verdict import MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
+    from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.calls.request import Call
-    from eelgrassmount.gen.ttypes import Outcome as OutcomeFrame
     from eelgrassmount.peer.pool import PeerPool
     from eelgrassmount.timers import TimerService
 
 # the other node gives its answer by the deadline; this is for the way back
 GRACE_S = 0.02
 CANCEL_LIMIT_S = 0.5
+ASK_AGAIN_S = 0.1
 
 
 @define(eq=False)
 class RemoteRunner:
     """Lets other nodes run calls on their backend servers."""
 
+    board: Blackboard
     peers: PeerPool
     timers: TimerService
-    note_loads: Callable[[str, OutcomeFrame], None]
 
     async def run(self, address: str, call: Call) -> Outcome:
         """Let the node at ``address`` run a call and return its outcome."""
@@ -49,7 +48,7 @@
             reply = await self._settle(call, reply)
         if isinstance(reply, PeerFailure):
             return Outcome(_judge_failure(reply), call.context.attempts_left)
-        return self._read(address, call, reply)
+        return self._read(call, reply)
 
     async def _send(
         self, address: str, call: Call, incarnation: str
@@ -62,12 +61,25 @@
         )
 
     async def _settle(self, call: Call, failure: PeerFailure) -> Message | PeerFailure:
-        """Ask the same process over a new link what became of a call."""
-        now_s = self.timers.read()
-        remaining_s = call.context.measure_remaining(now_s)
-        if remaining_s <= 0:
-            await self._cancel(failure.address, call)
-            return failure
+        """Ask the same process over a new link what became of a call.
+
+        A call that is not idempotent can't be sent elsewhere, so it is worth
+        waiting for the word of a node that is cut off or frozen.
+        """
+        while call.context.measure_remaining(self.timers.read()) > 0:
+            reply = await self._ask_fate(call, failure)
+            if not isinstance(reply, PeerFailure) or not reply.sent:
+                return reply
+            if call.context.idempotent or self._is_gone(failure):
+                return failure
+            await anyio.sleep(ASK_AGAIN_S)
+        await self._cancel(failure.address, call)
+        return failure
+
+    async def _ask_fate(
+        self, call: Call, failure: PeerFailure
+    ) -> Message | PeerFailure:
+        remaining_s = call.context.measure_remaining(self.timers.read())
         question = Message(fate_question=FateQuestion(call.context.call_id))
         reply = await self.peers.ask(
             failure.address, question, remaining_s, failure.incarnation
@@ -82,23 +94,32 @@
         # it is known there, so this joins it instead of running it again
         return await self._rejoin(call, failure)
 
+    def _is_gone(self, failure: PeerFailure) -> bool:
+        """Tell whether a process has been replaced or given up for lost."""
+        hello = self.peers.find_hello(failure.address)
+        if hello is not None and hello.incarnation != failure.incarnation:
+            return True
+        member = self.board.members.members.get(failure.address)
+        if member is None:
+            return False
+        return not member.present or member.identity.incarnation != failure.incarnation
+
     async def _rejoin(self, call: Call, failure: PeerFailure) -> Message | PeerFailure:
         reply = await self._send(failure.address, call, failure.incarnation)
         if isinstance(reply, PeerFailure):
             return failure
         return reply
 
-    def _read(self, address: str, call: Call, reply: Message) -> Outcome:
+    def _read(self, call: Call, reply: Message) -> Outcome:
         frame = reply.outcome
         if frame is None or frame.call_id != call.context.call_id:
             return Outcome(MayHaveRun(Reason.BAD_ANSWER), 0)
-        self.note_loads(address, frame)
         try:
             outcome = decode_outcome(frame)
         except BadFrameError:
             return Outcome(MayHaveRun(Reason.BAD_ANSWER), 0)
         attempts_left = min(outcome.attempts_left, call.context.attempts_left)
-        return Outcome(outcome.verdict, attempts_left)
+        return evolve(outcome, attempts_left=attempts_left)
 
     async def _cancel(self, address: str, call: Call) -> None:
         with anyio.CancelScope(shield=True), anyio.move_on_after(CANCEL_LIMIT_S):
--- a/eelgrassmount/edge/caller.py
+++ b/eelgrassmount/edge/caller.py
@@ -13,16 +13,21 @@
 from eelgrassmount.edge.headers import choose_status, make_verdict_headers
 from eelgrassmount.edge.http import (
     BodyTooLong,
+    BodyTooSlow,
     HttpReply,
     HttpRequest,
     read_request,
+    refuse_body,
     run_until_gone,
     send_reply,
 )
 from eelgrassmount.verdict import Answered, Header, MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from eelgrassmount.calls.entry import Entry
+    from eelgrassmount.calls.inflight import InFlight
     from eelgrassmount.edge.http import Receive, Send
     from eelgrassmount.metrics import Metrics
     from eelgrassmount.verdict import Verdict
@@ -35,14 +40,21 @@
     entry: Entry
     max_body_bytes: int
     metrics: Metrics
+    in_flight: InFlight
+    is_leaving: Callable[[], bool]
 
     async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
         """Answer one request of a caller."""
+        with self.in_flight.hold_request():
+            await self._serve(scope, receive, send)
+
+    async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
         try:
             request = await read_request(scope, receive, self.max_body_bytes)
-        except BodyTooLong:
-            reply = Reply(NotRun(Reason.TOO_LARGE), "", "")
-            await self._answer(send, reply)
+        except BodyTooLong as error:
+            verdict = judge_body(error)
+            self.metrics.refusals.labels(verdict.reason).inc()
+            await refuse_body(receive, send, make_reply(verdict, []))
             return
         if request is None:
             return
@@ -55,14 +67,29 @@
                 self.metrics.internal_errors.inc()
                 return Reply(MayHaveRun(Reason.INTERNAL), "", "")
 
-        reply = await run_until_gone(receive, work)
+        reply = await run_until_gone(scope, work)
         if reply is not None:
             await self._answer(send, reply)
 
+    def note_malformed(self) -> None:
+        """Count what can't be read as a request."""
+        self.metrics.refusals.labels(Reason.MALFORMED).inc()
+
     async def _answer(self, send: Send, reply: Reply) -> None:
         if not isinstance(reply.verdict, Answered):
             self.metrics.refusals.labels(reply.verdict.reason).inc()
-        await send_reply(send, make_reply(reply.verdict, _make_extra(reply)))
+        extra = _make_extra(reply)
+        if self.is_leaving():
+            # so that the caller's next request goes to another node
+            extra.append(Header(names.CONNECTION, "close"))
+        await send_reply(send, make_reply(reply.verdict, extra))
+
+
+def judge_body(error: BodyTooLong) -> NotRun:
+    """Return the verdict on a request whose body can't be taken."""
+    if isinstance(error, BodyTooSlow):
+        return NotRun(Reason.DEADLINE)
+    return NotRun(Reason.TOO_LARGE)
 
 
 def _make_extra(reply: Reply) -> list[Header]:
--- a/eelgrassmount/metrics.py
+++ b/eelgrassmount/metrics.py
@@ -6,7 +6,13 @@
 from typing import TYPE_CHECKING
 
 from attrs import frozen
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    disable_created_metrics,
+)
 
 from eelgrassmount.verdict import ANSWERED, MAY_HAVE_RUN, NOT_RUN, Reason
 
@@ -42,6 +48,7 @@
     OVER_LONG = "over-long"
     WRONG_CALL = "wrong-call"
     BAD_DIGEST = "bad-digest"
+    MALFORMED = "malformed"
 
 
 class LinkReason(StrEnum):
@@ -62,19 +69,6 @@
     UNEXPECTED = "unexpected"
 
 
-class KeyOutcome(StrEnum):
-    """What became of a call with an idempotency key."""
-
-    NEW = "new"
-    REPEATED = "repeated"
-    JOINED = "joined"
-    REUSED = "reused"
-    EXPIRED = "expired"
-    TABLE_FULL = "table-full"
-    OWNER_LOST = "owner-lost"
-    MINTED = "minted"
-
-
 class LogError(StrEnum):
     """How a call of the platform's log failed."""
 
@@ -109,8 +103,8 @@
     dropped_answers: Counter
     peer_links_replaced: Counter
     rejected_frames: Counter
-    keys: Counter
-    keys_held: Gauge
+    key_events: Counter
+    member_events: Counter
     quarantines: Counter
     log_appends: Counter
     log_errors: Counter
@@ -125,6 +119,8 @@
 
 def make_metrics() -> Metrics:
     """Return fresh metrics, with every label value known beforehand at zero."""
+    # the times at which counters were made would double the page
+    disable_created_metrics()
     registry = CollectorRegistry()
 
     def count(name: str, text: str, *labels: str) -> Counter:
@@ -151,8 +147,8 @@
             "peer_links_replaced", "Links to peers replaced.", "reason"
         ),
         rejected_frames=count("rejected_frames", "Frames rejected.", "reason"),
-        keys=count("keys", "Calls with an idempotency key.", "outcome"),
-        keys_held=gauge("keys_held", "Idempotency keys held by this node."),
+        key_events=count("key_events", "Events of the key service.", "event"),
+        member_events=count("member_events", "Events of the membership.", "event"),
         quarantines=count("quarantines", "Request contents put in quarantine."),
         log_appends=count("log_appends", "Records appended to the log.", "stream"),
         log_errors=count("log_errors", "Failed calls of the log.", "kind"),
@@ -191,7 +187,6 @@
         (metrics.dropped_answers, DropReason),
         (metrics.peer_links_replaced, LinkReason),
         (metrics.rejected_frames, FrameReason),
-        (metrics.keys, KeyOutcome),
         (metrics.log_errors, LogError),
         (metrics.members, MemberState),
     ):
--- a/standins/deploy.py
+++ b/standins/deploy.py
@@ -3,120 +3,47 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import os
 import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING, Self
-
-from attrs import field, frozen
+from typing import Self
 
 from standins.faults import call_admin, get_runs, get_stats, set_fault
-from standins.plans import Plan, dump_plans, expect_shape
-from standins.processes import ROOT, Process, find_free_address
-
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-    from types import TracebackType
-
-PYTHON = sys.executable
-NODE_COMMAND = (PYTHON, "-m", "eelgrassmount")
+from standins.layout import (
+    NODE_COMMAND,
+    VM,
+    DeploymentSpec,
+    ServiceSpec,
+    make_links,
+)
+from standins.plans import dump_plans
+from standins.processes import (
+    PYTHON,
+    ROOT,
+    Process,
+    find_free_address,
+    make_command,
+    make_flags,
+    poll_until,
+)
+
+__all__ = [
+    "NODE_COMMAND",
+    "PYTHON",
+    "VM",
+    "Deployment",
+    "DeploymentSpec",
+    "ServiceSpec",
+]
 
 _FIRST_OCTET = 20
 _OCTETS = 200
-_POLL_S = 0.05
 _PUBLISH_TIMEOUT_S = 30.0
 
 
-@frozen
-class ServiceSpec:
-    """One service: how many servers in each failure domain, and how they work.
-
-    ``flags`` are further flags of ``standins.backend``, for example
-    ``{"cold_s": 3}``.
-    """
-
-    name: str
-    servers: int = 1
-    slots: int = 25
-    service_time_ms: float = 10.0
-    plans: dict[str, Plan] = field(factory=dict)
-    flags: dict[str, object] = field(factory=dict)
-
-
-@frozen
-class DeploymentSpec:
-    """What to deploy.
-
-    With ``relays``, a link relay stands before every peer listener, before the log
-    in each failure domain, and before every backend server, so that links can be
-    delayed (``peer_delay_ms`` one way between failure domains), cut and silenced.
-    ``seeds`` is the number of nodes of each failure domain named in ``--peers``.
-    """
-
-    failure_domains: tuple[str, ...]
-    services: tuple[ServiceSpec, ...]
-    relays: bool = False
-    peer_delay_ms: float = 0.0
-    seeds: int = 1
-    node_flags: dict[str, object] = field(factory=dict)
-    node_command: tuple[str, ...] = NODE_COMMAND
-    ready_timeout_s: float = 30.0
-
-    @property
-    def plans(self) -> dict[str, Plan]:
-        """Downstream calls of every route."""
-        plans: dict[str, Plan] = {}
-        for service in self.services:
-            plans.update(service.plans)
-        return plans
-
-    def expect(self, method: str, path: str) -> str:
-        """Return the shape of the complete answer to a request."""
-        return expect_shape(self.plans, method, path)
-
-
-@frozen
-class VM:
-    """One VM: a node and its backend server at one IP address."""
-
-    name: str
-    service: str
-    failure_domain: str
-    caller_address: str
-    backend_address: str
-    peer_address: str
-    advertise_address: str
-    admin_address: str
-    server_address: str
-    server_announced: str
-    server_admin_address: str
-    node: Process
-    server: Process
-
-    def kill(self) -> None:
-        """End both processes at once."""
-        self.node.kill()
-        self.server.kill()
-
-    def restart(self) -> None:
-        """Start both anew, as a replaced VM at the same address."""
-        self.node.restart()
-        self.server.restart()
-
-    def freeze(self) -> None:
-        """Stop both where they stand."""
-        self.node.freeze()
-        self.server.freeze()
-
-    def wake(self) -> None:
-        """Let both go on."""
-        self.node.wake()
-        self.server.wake()
-
-
 class Deployment:
     """A running deployment; as a context manager it always ends its processes.
 
@@ -144,10 +71,16 @@
         self.journal_address = find_free_address(platform_ip)
         self.journal_admin_address = find_free_address(platform_ip)
         self.relay_admin_address = find_free_address(platform_ip)
-        self.log = self._add("log", self._command_log())
-        self.journal = self._add("journal", self._command_journal())
-        self.relay = self._add("relay", self._command_relay())
-        self._log_addresses = {
+        self.log = self._add_standin(
+            "log", address=self.log_address, admin_address=self.log_admin_address
+        )
+        self.journal = self._add_standin(
+            "journal",
+            address=self.journal_address,
+            admin_address=self.journal_admin_address,
+        )
+        self.relay = self._add_standin("relay", admin_address=self.relay_admin_address)
+        self.log_addresses = {
             domain: self._front(f"127.{octet}.0.1", self.log_address)
             for domain, octet in self._octets.items()
         }
@@ -161,12 +94,7 @@
             raise
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.stop()
 
     def stop(self) -> None:
@@ -238,29 +166,34 @@
         for vm in self.vms:
             self._wait(vm, deadline)
 
+    def wait_until_in_force(self, version: int, timeout_s: float) -> None:
+        """Wait until every running node has a configuration of this version."""
+        deadline = time.monotonic() + timeout_s
+        for vm in self.vms:
+            for _ in poll_until(deadline, f"version {version} at {vm.name}"):
+                if not vm.node.running:
+                    break
+                state = call_admin(vm.admin_address, "GET", "/state")
+                if state.get("config_version", version) >= version:
+                    break
+
+    def start(self, name: str, *command: str) -> Process:
+        """Start one more process, which ends with the deployment."""
+        process = self._add(name, command)
+        process.start()
+        return process
+
     def _add(self, name: str, command: tuple[str, ...]) -> Process:
         process = Process(name, command, self.folder)
         self.processes.append(process)
         return process
 
+    def _add_standin(self, module: str, **flags: object) -> Process:
+        return self._add(module, make_command(module, **flags))
+
     def _front(self, ip: str, target: str) -> str:
         return find_free_address(ip) if self.spec.relays else target
 
-    def _command_log(self) -> tuple[str, ...]:
-        return _make_command(
-            "log", address=self.log_address, admin_address=self.log_admin_address
-        )
-
-    def _command_journal(self) -> tuple[str, ...]:
-        return _make_command(
-            "journal",
-            address=self.journal_address,
-            admin_address=self.journal_admin_address,
-        )
-
-    def _command_relay(self) -> tuple[str, ...]:
-        return _make_command("relay", admin_address=self.relay_admin_address)
-
     def _place_vms(self) -> None:
         slots = [
             (domain, service, number)
@@ -305,7 +238,7 @@
             "advertise_address": advertise,
             "failure_domain": domain,
             "region": "region",
-            "log_address": self._log_addresses[domain],
+            "log_address": self.log_addresses[domain],
             "log_level": "INFO",
             **self.spec.node_flags,
         }
@@ -323,7 +256,7 @@
             "routes": dump_plans(service.plans),
             **service.flags,
         }
-        node_command = (*self.spec.node_command, "node", *_make_flags(node_flags))
+        node_command = (*self.spec.node_command, "node", *make_flags(node_flags))
         return VM(
             name,
             service.name,
@@ -337,7 +270,7 @@
             announced,
             server_admin,
             self._add(f"node-{name}", node_command),
-            self._add(f"server-{name}", _make_command("backend", **server_flags)),
+            self._add(f"server-{name}", make_command("backend", **server_flags)),
         )
 
     def _start(self) -> None:
@@ -349,34 +282,20 @@
         self.wait_until_ready()
 
     def _add_links(self) -> None:
-        links = [
-            {"listen": address, "target": self.log_address}
-            | {"source": domain, "destination": "log"}
-            for domain, address in self._log_addresses.items()
-        ]
-        for vm in self.vms:
-            links.append(
-                {"listen": vm.advertise_address, "target": vm.peer_address}
-                | {"destination": vm.failure_domain}
-            )
-            links.append(
-                {"listen": vm.server_announced, "target": vm.server_address}
-                | {"source": "node", "destination": vm.name}
-            )
+        links = make_links(self.vms, self.log_address, self.log_addresses)
         prefixes = {f"127.{octet}.": name for name, octet in self._octets.items()}
         deadline = time.monotonic() + self.spec.ready_timeout_s
-        for _ in _poll_until(deadline, "the relay"):
+        for _ in poll_until(deadline, "the relay"):
             with contextlib.suppress(OSError):
                 body = {"links": links, "domains": prefixes}
                 call_admin(self.relay_admin_address, "POST", "/links", body)
                 break
-        for one in self.spec.failure_domains:
-            for other in self.spec.failure_domains:
-                if one != other and self.spec.peer_delay_ms:
-                    self.set_link_fault(one, other, delay_ms=self.spec.peer_delay_ms)
+        if self.spec.peer_delay_ms:
+            for way in itertools.permutations(self.spec.failure_domains, 2):
+                self.set_link_fault(*way, delay_ms=self.spec.peer_delay_ms)
 
     def _wait(self, vm: VM, deadline: float) -> None:
-        for _ in _poll_until(deadline, vm.name):
+        for _ in poll_until(deadline, vm.name):
             for process in (vm.node, vm.server):
                 if not process.running:
                     raise RuntimeError(f"{process.name} ended: {process.read_log()}")
@@ -384,18 +303,3 @@
                 call_admin(vm.admin_address, "GET", "/state")
                 if get_stats(vm.server_admin_address)["node"] is not None:
                     return
-
-
-def _make_flags(flags: dict[str, object]) -> tuple[str, ...]:
-    return tuple(f"--{name.replace('_', '-')}={value}" for name, value in flags.items())
-
-
-def _make_command(module: str, **flags: object) -> tuple[str, ...]:
-    return (PYTHON, "-m", f"standins.{module}", *_make_flags(flags))
-
-
-def _poll_until(deadline: float, what: str) -> Iterator[None]:
-    while time.monotonic() < deadline:
-        yield
-        time.sleep(_POLL_S)
-    raise TimeoutError(f"{what} was not ready in time")
