--- a/eelgrassmount/keys/service.py
+++ b/eelgrassmount/keys/service.py
@@ -5,22 +5,15 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from attrs import define, field
+from attrs import define
 
-from eelgrassmount.calls.request import Outcome
-from eelgrassmount.errors import BadFrameError
-from eelgrassmount.gen.ttypes import Message, Route
 from eelgrassmount.keys.core import Core, KeySettings
 from eelgrassmount.keys.follower import TICK_S, Follower
 from eelgrassmount.keys.holder import has_runs
 from eelgrassmount.keys.minted import MINTED_SLOT, Minter
-from eelgrassmount.keys.owner import Owner, wait_change
-from eelgrassmount.keys.placement import choose_heirs, find_home, find_slot
+from eelgrassmount.keys.owner import Owner
 from eelgrassmount.keys.replica import Replica
-from eelgrassmount.keys.syntax import BadKey, MintedKey, OwnKey, parse_key
-from eelgrassmount.peer.codec import decode_outcome, encode_call
-from eelgrassmount.peer.port import PeerFailure
-from eelgrassmount.verdict import MayHaveRun, NotRun, Reason
+from eelgrassmount.keys.routes import OwnerRoutes
 
 if TYPE_CHECKING:
     import random
@@ -29,16 +22,14 @@
     from anyio.abc import TaskGroup
 
     from eelgrassmount.blackboard import Blackboard
-    from eelgrassmount.calls.request import Call
-    from eelgrassmount.gen.ttypes import Hello
+    from eelgrassmount.calls.request import Call, Outcome
+    from eelgrassmount.gen.ttypes import Hello, Message
     from eelgrassmount.keys.holder import SlotHolder
     from eelgrassmount.keys.port import Runner
     from eelgrassmount.peer.port import Handlers, PeerPort
     from eelgrassmount.platform.port import LogPort
     from eelgrassmount.timers import TimerService
 
-RELAYS = 2
-ROUTE_ATTEMPTS = 4
 HAND_OVER_S = 20.0
 _POLL_S = 0.1
 
@@ -57,10 +48,9 @@
 
     core: Core
     follower: Follower
-    owner: Owner
     replica: Replica
     minter: Minter
-    _forwarding: set[str] = field(factory=set)
+    routes: OwnerRoutes
 
     @classmethod
     def create(
@@ -78,12 +68,14 @@
         settings = settings or KeySettings()
         core = Core(board, timers, peers, log, run, rng, settings, count)
         follower = Follower(core)
+        owner = Owner(core, follower)
+        minter = Minter(core)
         return cls(
             core=core,
             follower=follower,
-            owner=Owner(core, follower),
             replica=Replica(core, follower),
-            minter=Minter(core),
+            minter=minter,
+            routes=OwnerRoutes(core, follower, owner, minter),
         )
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -129,155 +121,11 @@
         Refusals are *may have run* wherever an earlier sending of the key may
         have been run, also when this very sending certainly was not.
         """
-        match parse_key(call.context.key):
-            case BadKey():
-                self.core.count("key-malformed")
-                return Outcome(NotRun(Reason.KEY_MALFORMED))
-            case MintedKey() as key:
-                return await self._run_minted(key, call)
-            case OwnKey() as key:
-                return await self._run_own(key, call)
+        return await self.routes.run(call)
 
     async def handle_own(self, call: Call) -> Outcome:
         """Act on a call that another node sent to the owner of its key."""
-        if call.context.call_id in self._forwarding:
-            # two nodes that take each other for the owner
-            self.core.count("route-loop")
-            return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
-        return await self.run(call)
-
-    async def _run_own(self, key: OwnKey, call: Call) -> Outcome:
-        domains = self.core.board.configuration.document.failure_domains
-        home = find_home(key.text, key.failure_domain, domains)
-        if not domains:
-            self.core.count("key-no-configuration")
-            return Outcome(MayHaveRun(Reason.NO_CONFIGURATION))
-        if not home:
-            self.core.count("key-malformed")
-            return Outcome(NotRun(Reason.KEY_MALFORMED))
-        if home != self.core.board.identity.failure_domain:
-            return await self._relay(home, "", call)
-        return await self._run_in_slot(self.core.holders[find_slot(key.text)], call)
-
-    async def _run_in_slot(self, holder: SlotHolder, call: Call) -> Outcome:
-        for _ in range(ROUTE_ATTEMPTS):
-            outcome = await self._try_slot(holder, call)
-            if not _is_changing(outcome) or not await self._await_view(holder, call):
-                break
-        return outcome or self._refuse_unreachable()
-
-    async def _try_slot(self, holder: SlotHolder, call: Call) -> Outcome | None:
-        view = holder.view
-        if view.primary == self.core.me:
-            return await self.owner.run(holder, call)
-        if view.version:
-            return await self._forward(view.primary.address, call)
-        return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
-
-    def _refuse_unreachable(self) -> Outcome:
-        # also when nothing was sent: an earlier sending of the key may have run
-        self.core.count("owner-unreachable")
-        return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
-
-    async def _await_view(self, holder: SlotHolder, call: Call) -> bool:
-        """Hear of a later view of a slot; tell whether to try again."""
-        view = holder.view
-        left_s = call.context.deadline_s - self.core.timers.read()
-        if left_s <= 0:
-            return False
-        await self.follower.refresh()
-        if holder.view != view:
-            return True
-        gone = self.core.read_roster().is_gone(view.primary)
-        if holder.is_waiting(self.core.me, self.core.timers.read()):
-            return False
-        if gone and not self.core.board.log_reachable:
-            return False
-        await wait_change(holder, min(left_s, self.core.settings.change_wait_s))
-        return holder.view != view
-
-    async def _run_minted(self, key: MintedKey, call: Call) -> Outcome:
-        identity = self.core.board.identity
-        if key.incarnation == identity.incarnation:
-            return await self.minter.run(key, call)
-        if key.failure_domain != identity.failure_domain:
-            return await self._relay(key.failure_domain, key.address, call)
-        if self._is_live(key):
-            outcome = await self._forward(key.address, call)
-            if not _is_changing(outcome):
-                return outcome
-        return await self._ask_heirs(key, call)
-
-    def _is_live(self, key: MintedKey) -> bool:
-        roster = self.core.read_roster()
-        live = roster.known - roster.gone
-        return any(
-            node.incarnation == key.incarnation and node.address == key.address
-            for node in live
-        )
-
-    async def _ask_heirs(self, key: MintedKey, call: Call) -> Outcome:
-        outcome = await self.minter.answer_for(key, call)
-        if outcome is not None:
-            return outcome
-        for heir in choose_heirs(key.incarnation, self.core.read_roster().fit):
-            if heir != self.core.me:
-                outcome = await self._forward(heir.address, call)
-                if not _is_changing(outcome):
-                    return outcome
-        return self._refuse_unreachable()
-
-    async def _relay(self, domain: str, preferred: str, call: Call) -> Outcome:
-        """Send a call to a node of another failure domain, which finds the owner."""
-        addresses = self._find_relays(domain)
-        if preferred in addresses:
-            addresses = [preferred, *addresses]
-        for address in addresses[:RELAYS]:
-            outcome = await self._forward(address, call)
-            if outcome is not None:
-                return outcome
-        return self._refuse_unreachable()
-
-    def _find_relays(self, domain: str) -> list[str]:
-        summaries = self.core.board.members.summaries.values()
-        addresses = {
-            address
-            for summary in summaries
-            if summary.failure_domain == domain
-            for address in summary.addresses
-        }
-        ordered = sorted(addresses)
-        self.core.rng.shuffle(ordered)
-        return ordered
-
-    async def _forward(self, address: str, call: Call) -> Outcome | None:
-        """Send a call towards its owner; sending it twice can't run it twice.
-
-        ``None`` means that no answer came, whether or not the call was sent.
-        """
-        now_s = self.core.timers.read()
-        left_s = call.context.deadline_s - now_s
-        call_id = call.context.call_id
-        if left_s <= 0:
-            return Outcome(MayHaveRun(Reason.DEADLINE))
-        if call_id in self._forwarding:
-            return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
-        message = Message(call=encode_call(call, Route.OWN, now_s))
-        self._forwarding.add(call_id)
-        try:
-            reply = await self.core.peers.ask(address, message, left_s)
-        finally:
-            self._forwarding.discard(call_id)
-        return self._read_reply(reply)
-
-    def _read_reply(self, reply: Message | PeerFailure) -> Outcome | None:
-        if isinstance(reply, PeerFailure) or reply.outcome is None:
-            return None
-        try:
-            return decode_outcome(reply.outcome)
-        except BadFrameError:
-            self.core.count("owner-bad-answer")
-            return Outcome(MayHaveRun(Reason.BAD_ANSWER))
+        return await self.routes.receive(call)
 
     def hear_version(self, version: int, address: str) -> None:
         """Note that a node of this failure domain knows a view of ``version``."""
@@ -313,8 +161,3 @@
         if len(self.core.read_roster().fit) == 0:
             return False
         return self.core.me in (view.primary, view.backup)
-
-
-def _is_changing(outcome: Outcome | None) -> bool:
-    """Tell whether the owner was not found: no answer, or not from the owner."""
-    return outcome is None or outcome.verdict == MayHaveRun(Reason.OWNER_CHANGING)
--- a/tests/keys/test_scenarios.py
+++ b/tests/keys/test_scenarios.py
@@ -134,7 +134,9 @@
 
 
 def test_primary_alone_stops_without_the_log(world) -> None:
-    lone = next(n for n in world.nodes.values() if n.identity.failure_domain != "howrah")
+    lone = next(
+        n for n in world.nodes.values() if n.identity.failure_domain != "howrah"
+    )
     assert isinstance(world.tell(lone, "sealdah:1"), Answered)
     lone.log_cut = True
     world.advance(WINDOW_S / 2 + 1.0)
