--- a/eelgrassmount/edge/http.py
+++ b/eelgrassmount/edge/http.py
@@ -56,14 +56,27 @@
     body: bytes = b""
 
 
-class _Server(uvicorn.Server):
+class HttpServer(uvicorn.Server):
     """A server that leaves signals to the composition root."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.ending = anyio.Event()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Take no signal: one process has several of these servers."""
         yield
 
+    async def main_loop(self) -> None:
+        """Wait to be told to end, instead of looking ten times a second."""
+        await self.ending.wait()
+
+    def end(self) -> None:
+        """Take no more connections, and end each one after its answer."""
+        self.should_exit = True
+        self.ending.set()
+
 
 class BodyTooLong(Exception):
     """The body of a request is longer than allowed."""
@@ -78,7 +91,7 @@
     address: Address,
     group: Background,
     note_malformed: Callable[[], None] = lambda: None,
-) -> uvicorn.Server:
+) -> HttpServer:
     """Start a listener in the task group and return when it listens.
 
     ``note_malformed`` is called for what can't be read as a request. Raises
@@ -99,7 +112,7 @@
         date_header=False,
         proxy_headers=False,
     )
-    server = _Server(config)
+    server = HttpServer(config)
     group.start_soon(server.serve, [listening])
     while not server.started:
         await anyio.sleep(_START_POLL_S)
--- a/tests/edge/test_listeners.py
+++ b/tests/edge/test_listeners.py
@@ -14,6 +14,7 @@
 
 from eelgrassmount.blackboard import Blackboard
 from eelgrassmount.calls.entry import Reply
+from eelgrassmount.calls.inflight import InFlight
 from eelgrassmount.edge import http, protocol
 from eelgrassmount.edge.announcements import parse_announcement
 from eelgrassmount.edge.backend import BackendListener
@@ -115,9 +116,11 @@
 
 
 @asynccontextmanager
-async def run_listener() -> AsyncIterator[Bench]:
+async def run_listener(leaving: bool = False) -> AsyncIterator[Bench]:
     entry = FakeEntry()
-    listener = CallerListener(entry, MAX_BODY_BYTES, make_metrics())
+    listener = CallerListener(
+        entry, MAX_BODY_BYTES, make_metrics(), InFlight(), lambda: leaving
+    )
     address = find_address()
     async with anyio.create_task_group() as group:
         background = Background(group, lambda: None)
@@ -125,8 +128,7 @@
             listener, address, background, listener.note_malformed
         )
         yield Bench(entry, address, listener)
-        server.should_exit = True
-        server.force_exit = True
+        server.end()
 
 
 def post(path: str = "/desk/x", body: bytes = b"hello", extra: str = "") -> bytes:
@@ -264,6 +266,16 @@
         assert data.index("1st") < data.index("2nd")
 
 
+async def test_leaving_node_sends_its_callers_elsewhere() -> None:
+    async with run_listener(leaving=True) as bench, await bench.connect() as stream:
+        await stream.send(post())
+        answer = await read_answer(stream)
+        assert answer.startswith("HTTP/1.1 200 ")
+        assert "connection: close\r\n" in answer
+        with pytest.raises(anyio.EndOfStream), anyio.fail_after(LIMIT_S):
+            await stream.receive()
+
+
 async def test_address_in_use_is_told() -> None:
     async with run_listener() as bench, anyio.create_task_group() as group:
         with pytest.raises(ListenError, match="can't listen on"):
@@ -316,8 +328,7 @@
         async with await anyio.connect_tcp(address.host, address.port) as stream:
             await stream.send(post(path, body, extra).replace(b"POST", method.encode()))
             answer = await read_answer(stream)
-        server.should_exit = True
-        server.force_exit = True
+        server.end()
     assert answer.startswith(f"HTTP/1.1 {status} ")
     assert text in answer
 
