Let idle nodes sleep: common grid for timers, gate swept only while busy

An idle node woke up some 130 times a second for timers that had nothing to do. Periodic timers now fall due together on a grid of 0.1 s; the gate is swept only while calls run or wait; a drain is checked for ten times a second and silent exchanges eight times. Ruled out: gossip, which is 11 messages a second.

Bytes and messages on the links to peers are counted now.

--- a/eelgrassmount/compose.py
+++ b/eelgrassmount/compose.py
@@ -60,6 +60,7 @@
 ID_BITS = 64
 INCARNATION_BYTES = 8
 EXPIRE_PERIOD_S = 1.0
+TIMER_GRID_S = 0.1
 ALL_SLOTS = 0
 
 
@@ -176,7 +177,9 @@
 def _build_base(settings: Settings, group: anyio.abc.TaskGroup) -> Base:
     rng = random.Random(secrets.randbits(ID_BITS))
     metrics = make_metrics()
-    timers = TimerService(MonotonicClock(), rng, metrics.internal_errors.inc)
+    timers = TimerService(
+        MonotonicClock(), rng, metrics.internal_errors.inc, TIMER_GRID_S
+    )
     identity = Identity(
         address=str(settings.advertise_address),
         failure_domain=settings.failure_domain,
--- a/eelgrassmount/drain/shutdown.py
+++ b/eelgrassmount/drain/shutdown.py
@@ -26,7 +26,7 @@
     from eelgrassmount.timers import Timer, TimerService
     from eelgrassmount.util.background import Background
 
-_CHECK_S = 0.05
+_CHECK_S = 0.1
 
 
 def _ignore(cause: Cause) -> None:
--- a/eelgrassmount/edge/probes.py
+++ b/eelgrassmount/edge/probes.py
@@ -28,7 +28,7 @@
     from eelgrassmount.timers import TimerService
     from eelgrassmount.util.background import Background
 
-CHECK_PERIOD_S = 0.05
+CHECK_PERIOD_S = 0.125
 CALLS_PATH = "/_eelgrassmount/calls/"
 # a call is asked for once it has taken this long, and this many typical times
 ASK_AFTER_S = 0.25
--- a/eelgrassmount/load/gate.py
+++ b/eelgrassmount/load/gate.py
@@ -39,7 +39,7 @@
 
     from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.context import Context
-    from eelgrassmount.timers import TimerService
+    from eelgrassmount.timers import Timer, TimerService
 
 _SWEEP_PERIOD_S = 0.02
 _CLASS_WEIGHT = 0.1
@@ -81,11 +81,11 @@
     _run_s_by_class: dict[str, float] = field(factory=dict)
     _shut_until_s: float = 0.0
     _served_address: str = ""
+    _sweeping: Timer | None = None
 
     def __attrs_post_init__(self) -> None:
         """Subscribe to the timer service."""
         self.limiter = self.make_limiter(self.timers.read())
-        self.timers.subscribe(_SWEEP_PERIOD_S, self.sweep)
         self.timers.subscribe(THRESHOLD_PERIOD_S, self.adjust)
 
     async def enter(self, context: Context) -> NotRun | None:
@@ -106,6 +106,7 @@
     def offer(self, context: Context) -> Waiting:
         """Decide on a call at once: it is admitted, refused or queued."""
         now_s = self.timers.read()
+        self._begin_sweeps(now_s)
         waiting = make_waiting(context, now_s)
         refusal = self._check_server() or self._check_call(waiting, now_s)
         if refusal is not None:
@@ -118,6 +119,18 @@
             self._enqueue(waiting, now_s)
         return waiting
 
+    def _begin_sweeps(self, now_s: float) -> None:
+        if self._sweeping is None:
+            self._follow_server(now_s)
+            self._sweeping = self.timers.subscribe(_SWEEP_PERIOD_S, self.sweep)
+
+    def _end_idle_sweeps(self, period: Period) -> None:
+        # an idle process must not wake up fifty times a second
+        busy = period.ranks or period.in_flight or self.in_flight or self.queue
+        if self._sweeping is not None and not busy:
+            self._sweeping.cancel()
+            self._sweeping = None
+
     def _note_arrival(self, waiting: Waiting) -> None:
         self._period.ranks.append(waiting.rank)
 
@@ -277,8 +290,10 @@
     def adjust(self) -> None:
         """Adjust the limit and the threshold; runs several times a second."""
         now_s = self.timers.read()
+        self._follow_server(now_s)
         self.limiter.adjust(self.in_flight, now_s)
         period, self._period = self._period, Period()
+        self._end_idle_sweeps(period)
         sweeps = max(period.sweeps, 1)
         seen = Observation(
             ranks=tuple(period.ranks),
--- a/eelgrassmount/metrics.py
+++ b/eelgrassmount/metrics.py
@@ -54,6 +54,13 @@
     NEW_INCARNATION = "new-incarnation"
 
 
+class Direction(StrEnum):
+    """Which way bytes go on the links to peers, as seen from this node."""
+
+    SENT = "sent"
+    RECEIVED = "received"
+
+
 class FrameReason(StrEnum):
     """Why a frame from a peer was rejected."""
 
@@ -96,6 +103,8 @@
     retries: Counter
     dropped_answers: Counter
     peer_links_replaced: Counter
+    peer_bytes: Counter
+    peer_messages: Counter
     rejected_frames: Counter
     key_events: Counter
     member_events: Counter
@@ -138,6 +147,10 @@
         peer_links_replaced=count(
             "peer_links_replaced", "Links to peers replaced.", "reason"
         ),
+        peer_bytes=count("peer_bytes", "Bytes on links to peers.", "direction"),
+        peer_messages=count(
+            "peer_messages", "Messages on links to peers.", "direction"
+        ),
         rejected_frames=count("rejected_frames", "Frames rejected.", "reason"),
         key_events=count("key_events", "Events of the key service.", "event"),
         member_events=count("member_events", "Events of the membership.", "event"),
@@ -178,6 +191,8 @@
         (metrics.retries, RetryReason),
         (metrics.dropped_answers, DropReason),
         (metrics.peer_links_replaced, LinkReason),
+        (metrics.peer_bytes, Direction),
+        (metrics.peer_messages, Direction),
         (metrics.rejected_frames, FrameReason),
         (metrics.log_errors, LogError),
         (metrics.members, MemberState),
--- a/eelgrassmount/peer/frames.py
+++ b/eelgrassmount/peer/frames.py
@@ -14,6 +14,7 @@
     from anyio.abc import ByteReceiveStream, ByteSendStream
 
     from eelgrassmount.gen.ttypes import Message
+    from eelgrassmount.peer.traffic import Traffic
 
 _CHUNK_BYTES = 65536
 
@@ -24,6 +25,7 @@
 
     stream: ByteReceiveStream
     max_frame_bytes: int
+    received: Traffic | None = None
     _buffer: bytearray = field(factory=bytearray)
 
     async def read(self) -> Message:
@@ -52,6 +54,8 @@
             return None
         payload = bytes(buffer[FRAME_HEADER_BYTES:end])
         del buffer[:end]
+        if self.received is not None:
+            self.received.add(1, end)
         return payload
 
     async def _receive(self) -> None:
@@ -70,6 +74,7 @@
     stream: ByteSendStream
     max_frame_bytes: int
     max_waiting_bytes: int
+    sent: Traffic | None = None
     _waiting: list[bytes] = field(factory=list)
     _waiting_bytes: int = 0
     _wake: anyio.Event = field(factory=anyio.Event)
@@ -97,6 +102,8 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             batch = b"".join(self._waiting)
+            if self.sent is not None:
+                self.sent.add(len(self._waiting), len(batch))
             self._waiting.clear()
             self._waiting_bytes = 0
             await self.stream.send(batch)
--- a/eelgrassmount/peer/listener.py
+++ b/eelgrassmount/peer/listener.py
@@ -15,10 +15,11 @@
     TruncatedFrameError,
 )
 from eelgrassmount.gen.ttypes import Message
-from eelgrassmount.metrics import FrameReason
+from eelgrassmount.metrics import Direction, FrameReason
 from eelgrassmount.peer.frames import FrameReader, FrameWriter
 from eelgrassmount.peer.link import MAX_WAITING_BYTES
 from eelgrassmount.peer.pool import make_hello
+from eelgrassmount.peer.traffic import make_traffic
 
 if TYPE_CHECKING:
     from anyio import MultiListener
@@ -89,7 +90,8 @@
         self.metrics.rejected_frames.labels(reason).inc()
 
     async def _greet(self, stream: SocketStream) -> None:
-        reader = FrameReader(stream, self.max_frame_bytes)
+        received = make_traffic(self.metrics, Direction.RECEIVED)
+        reader = FrameReader(stream, self.max_frame_bytes, received)
         with anyio.move_on_after(GREETING_LIMIT_S) as limit:
             greeting = await reader.read()
         if limit.cancelled_caught:
@@ -97,7 +99,8 @@
         if greeting.hello is None:
             self._reject(FrameReason.UNEXPECTED)
             return
-        writer = FrameWriter(stream, self.max_frame_bytes, MAX_WAITING_BYTES)
+        sent = make_traffic(self.metrics, Direction.SENT)
+        writer = FrameWriter(stream, self.max_frame_bytes, MAX_WAITING_BYTES, sent)
         hello = make_hello(self.identity)
         writer.write(Message(sequence=greeting.sequence, reply=True, hello=hello))
         self._group.start_soon(_send, writer, stream)
--- a/eelgrassmount/peer/pool.py
+++ b/eelgrassmount/peer/pool.py
@@ -9,10 +9,12 @@
 
 from eelgrassmount.errors import AddressError, BadFrameError, LinkLostError
 from eelgrassmount.gen.ttypes import Hello, Message
+from eelgrassmount.metrics import Direction
 from eelgrassmount.peer.codec import encode_frame
 from eelgrassmount.peer.frames import FrameReader, FrameWriter
 from eelgrassmount.peer.link import MAX_WAITING_BYTES, PINGS_PER_SILENCE, Link
 from eelgrassmount.peer.port import PeerFailure
+from eelgrassmount.peer.traffic import make_traffic
 from eelgrassmount.util.addresses import parse_address
 
 if TYPE_CHECKING:
@@ -131,14 +133,16 @@
         return None
 
     async def _greet(self, address: str, stream: SocketStream) -> Link | None:
-        reader = FrameReader(stream, self.max_frame_bytes)
+        received = make_traffic(self.metrics, Direction.RECEIVED)
+        reader = FrameReader(stream, self.max_frame_bytes, received)
         hello = make_hello(self.identity)
         greeting = Message(sequence=0, reply=False, hello=hello)
         await stream.send(encode_frame(greeting))
         reply = await reader.read()
         if reply.hello is None:
             raise BadFrameError("the first message is not a greeting")
-        writer = FrameWriter(stream, self.max_frame_bytes, MAX_WAITING_BYTES)
+        sent = make_traffic(self.metrics, Direction.SENT)
+        writer = FrameWriter(stream, self.max_frame_bytes, MAX_WAITING_BYTES, sent)
         return Link(
             address, reply.hello, writer, reader, stream, self.timers, self.metrics
         )
--- a/eelgrassmount/timers.py
+++ b/eelgrassmount/timers.py
@@ -68,15 +68,25 @@
         timers = TimerService(ManualClock(), random.Random(1))
         timers.subscribe(1.0, refresh)
         timers.advance(3.0)
+
+    With ``grid_s``, periodic timers whose period is not shorter fall due on a
+    common grid of so many seconds: most of what an idle process costs is waking
+    up, so what is due at nearly the same time is done in one go.
     """
 
     clock: Clock
     rng: random.Random
     note_error: Callable[[], None] = lambda: None
+    grid_s: float = 0.0
     # tuples, since comparing them is most of the work of an idle node
     _heap: list[tuple[float, int, Timer]] = field(factory=list)
     _order: itertools.count = field(factory=itertools.count)
     _wake: anyio.Event | None = None
+    _phase_s: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Give each process a grid of its own, so that many do not act in step."""
+        self._phase_s = self.rng.uniform(0.0, self.grid_s) if self.grid_s else 0.0
 
     def read(self) -> float:
         """Return the present time in seconds."""
@@ -99,7 +109,7 @@
     def _add(
         self, delay_s: float, action: Callable[[], None], period_s: float, jitter: float
     ) -> Timer:
-        due_s = self.read() + self._vary(delay_s, jitter)
+        due_s = self._find_due(delay_s, period_s, jitter)
         timer = Timer(due_s, action, period_s, jitter)
         self._push(timer)
         return timer
@@ -109,6 +119,15 @@
         if self._wake is not None and self._heap[0][-1] is timer:
             self._wake.set()
 
+    def _find_due(self, delay_s: float, period_s: float, jitter: float) -> float:
+        now_s = self.read()
+        due_s = now_s + self._vary(delay_s, jitter)
+        if not self.grid_s or period_s < self.grid_s:
+            return due_s
+        steps = round((due_s - self._phase_s) / self.grid_s)
+        passed = math.floor((now_s - self._phase_s) / self.grid_s)
+        return self._phase_s + max(steps, passed + 1) * self.grid_s
+
     def _vary(self, delay_s: float, jitter: float) -> float:
         if not jitter:
             return delay_s
@@ -128,7 +147,7 @@
         if timer.period_s:
             # from now, not from when it was due: a frozen process that wakes
             # runs each timer once instead of catching up
-            timer.due_s = self.read() + self._vary(timer.period_s, timer.jitter)
+            timer.due_s = self._find_due(timer.period_s, timer.period_s, timer.jitter)
             self._push(timer)
         try:
             timer.action()
