--- a/eelgrassmount/compose.py
+++ b/eelgrassmount/compose.py
@@ -250,7 +250,7 @@
         base.timers,
         control,
         local,
-        RemoteRunner(base.peers, base.timers),
+        RemoteRunner(base.board, base.peers, base.timers),
         RetryRatio(),
         quarantine,
         base.metrics,
@@ -440,5 +440,7 @@
     )
     await serve_http(admin, base.settings.admin_address, base.tasks)
     await serve_http(backend, base.settings.backend_address, base.tasks)
-    server = await serve_http(caller, base.settings.caller_address, base.tasks)
+    server = await serve_http(
+        caller, base.settings.caller_address, base.tasks, caller.note_malformed
+    )
     node.callers.append(server)
