--- a/eelgrassmount/calls/dispatch.py
+++ b/eelgrassmount/calls/dispatch.py
@@ -113,6 +113,6 @@
             return None
         room_elsewhere = self.control.has_room(context, call.request.service, excluded)
         reason = choose_retry(outcome.verdict, context, room_elsewhere)
-        if reason is None or not self.ratio.take():
+        if reason is None or not self.ratio.take(self.timers.read()):
             return None
         return reason
--- a/eelgrassmount/calls/entry.py
+++ b/eelgrassmount/calls/entry.py
@@ -5,6 +5,7 @@
 import re
 from typing import TYPE_CHECKING
 
+import anyio
 from attrs import define, frozen
 
 from eelgrassmount.calls.request import Call, Outcome, Request
@@ -14,7 +15,14 @@
 from eelgrassmount.edge.headers import find_header, read_whole_number
 from eelgrassmount.metrics import record_call
 from eelgrassmount.retry.budget import EXTRA_ATTEMPTS
-from eelgrassmount.verdict import Answered, NotRun, Reason, Verdict, name_verdict
+from eelgrassmount.verdict import (
+    Answered,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+    name_verdict,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +36,8 @@
 # unreserved characters of RFC 3986, with an optional failure domain in front
 _KEY_PATTERN = re.compile(r"([A-Za-z0-9._-]{1,63}:)?[A-Za-z0-9._~-]{1,128}")
 MAX_TIMEOUT_MS = 600_000
+# how long after its deadline a caller is answered at the latest
+GRACE_S = 0.1
 
 
 @frozen
@@ -92,12 +102,22 @@
             context = self._make_context(request, work_class, root_id, key)
         except ValueError:
             return Outcome(NotRun(Reason.MALFORMED))
-        call = Call(context, request)
-        if not context.idempotent:
+        return await self._run_until_deadline(Call(context, request))
+
+    async def _run_until_deadline(self, call: Call) -> Outcome:
+        """Run a call; a caller is answered in time whatever is waited for.
+
+        The parts on the way keep the deadline themselves, and know more of
+        the fate of the call than is known here.
+        """
+        limit_s = call.context.measure_remaining(self.timers.read()) + GRACE_S
+        outcome = Outcome(MayHaveRun(Reason.DEADLINE))
+        with anyio.move_on_after(limit_s):
             # admission of a keyed call is up to the owner of its key, which
             # knows whether the answer is there already
-            return await self.keys.run(call)
-        return await self.run(call)
+            run = self.run if call.context.idempotent else self.keys.run
+            outcome = await run(call)
+        return outcome
 
     def _make_context(
         self, request: Request, work_class: WorkClass, root_id: str, key: str
--- a/eelgrassmount/calls/remote.py
+++ b/eelgrassmount/calls/remote.py
@@ -24,6 +24,8 @@
 GRACE_S = 0.02
 CANCEL_LIMIT_S = 0.5
 ASK_AGAIN_S = 0.1
+# how often a call that never arrived is sent to the same node again
+RESENDINGS = 2
 
 
 @define(eq=False)
@@ -35,17 +37,32 @@
     timers: TimerService
 
     async def run(self, address: str, call: Call) -> Outcome:
-        """Let the node at ``address`` run a call and return its outcome."""
+        """Let the node at ``address`` run a call and return its outcome.
+
+        A call that was lost together with its link, and that the node promises
+        never to run, is sent to the same node again: that is no retry.
+        """
+        for number in range(1 + RESENDINGS):
+            again = _rename(call, number)
+            reply = await self._ask_or_cancel(address, again)
+            if reply is not None:
+                return self._judge(again, reply)
+        return Outcome(NotRun(Reason.PEER_LOST), call.context.attempts_left)
+
+    async def _ask_or_cancel(
+        self, address: str, call: Call
+    ) -> Message | PeerFailure | None:
+        """Return the reply of a node, ``None`` if the call will never run there."""
         try:
-            return await self._ask(address, call)
+            reply = await self._send(address, call, incarnation="")
+            if isinstance(reply, PeerFailure) and reply.sent:
+                reply = await self._settle(call, reply)
         except anyio.get_cancelled_exc_class():
             await self._cancel(address, call)
             raise
+        return reply
 
-    async def _ask(self, address: str, call: Call) -> Outcome:
-        reply = await self._send(address, call, incarnation="")
-        if isinstance(reply, PeerFailure) and reply.sent:
-            reply = await self._settle(call, reply)
+    def _judge(self, call: Call, reply: Message | PeerFailure) -> Outcome:
         if isinstance(reply, PeerFailure):
             return Outcome(_judge_failure(reply), call.context.attempts_left)
         return self._read(call, reply)
@@ -60,7 +77,9 @@
             address, Message(call=frame), remaining_s, incarnation
         )
 
-    async def _settle(self, call: Call, failure: PeerFailure) -> Message | PeerFailure:
+    async def _settle(
+        self, call: Call, failure: PeerFailure
+    ) -> Message | PeerFailure | None:
         """Ask the same process over a new link what became of a call.
 
         A call that is not idempotent can't be sent elsewhere, so it is worth
@@ -68,7 +87,7 @@
         """
         while call.context.measure_remaining(self.timers.read()) > 0:
             reply = await self._ask_fate(call, failure)
-            if not isinstance(reply, PeerFailure) or not reply.sent:
+            if not isinstance(reply, PeerFailure):
                 return reply
             if call.context.idempotent or self._is_gone(failure):
                 return failure
@@ -78,7 +97,7 @@
 
     async def _ask_fate(
         self, call: Call, failure: PeerFailure
-    ) -> Message | PeerFailure:
+    ) -> Message | PeerFailure | None:
         remaining_s = call.context.measure_remaining(self.timers.read())
         question = Message(fate_question=FateQuestion(call.context.call_id))
         reply = await self.peers.ask(
@@ -88,7 +107,7 @@
             return failure
         match reply.fate_answer.state:
             case CallState.UNKNOWN:
-                return PeerFailure(failure.address, sent=False)
+                return None
             case CallState.DONE:
                 return Message(outcome=reply.fate_answer.outcome)
         # it is known there, so this joins it instead of running it again
@@ -127,6 +146,14 @@
             await self.peers.tell(address, message)
 
 
+def _rename(call: Call, number: int) -> Call:
+    """Return a call under a new id, as the old one must never run any more."""
+    if not number:
+        return call
+    call_id = f"{call.context.call_id}.{number}"
+    return evolve(call, context=evolve(call.context, call_id=call_id))
+
+
 def _judge_failure(failure: PeerFailure) -> NotRun | MayHaveRun:
     if failure.sent:
         return MayHaveRun(Reason.PEER_LOST)
--- a/eelgrassmount/retry/budget.py
+++ b/eelgrassmount/retry/budget.py
@@ -8,8 +8,9 @@
 EXTRA_ATTEMPTS = 3
 # extra sendings that a node may make, as a part of the first sendings
 RETRY_FRACTION = 0.1
-# what a quiet node may still spend
+# what a quiet node may still spend at once, and how fast it gets that back
 MIN_RETRIES = 10.0
+MIN_RETRIES_PER_S = 1.0
 # credit is not saved up beyond this
 MAX_RETRIES = 100.0
 
@@ -26,17 +27,29 @@
 
 @define
 class RetryRatio:
-    """Limits the retries of a node to a fraction of its first sendings."""
+    """Limits the retries of a node to a fraction of its first sendings.
+
+    A node with little to send would save up next to nothing, so its credit
+    also grows slowly with time, up to a small number.
+    """
 
     credit: float = MIN_RETRIES
+    _read_s: float = 0.0
 
     def note_first(self) -> None:
         """Note a first sending, which earns credit for retries."""
         self.credit = min(MAX_RETRIES, self.credit + RETRY_FRACTION)
 
-    def take(self) -> bool:
+    def take(self, now_s: float) -> bool:
         """Take the credit for one retry; ``False`` when there is none."""
+        self._earn(now_s - self._read_s)
+        self._read_s = now_s
         if self.credit < 1.0:
             return False
         self.credit -= 1.0
         return True
+
+    def _earn(self, seconds: float) -> None:
+        if self.credit < MIN_RETRIES:
+            earned = MIN_RETRIES_PER_S * seconds
+            self.credit = min(MIN_RETRIES, self.credit + earned)
