Split the composition root by what it wires

compose.py had grown to 450 lines: a base that every part is built on, the path of a call, the node, its listeners, and starting and ending it are now modules of one package, still the only place that wires. No behaviour changed.

--- a/eelgrassmount/cmd/node.py
+++ b/eelgrassmount/cmd/node.py
@@ -31,7 +31,7 @@
     def start() -> ExitCode:
         settings = load_settings(flags, os.environ)
         # the parts of a node take long to import, other commands need none
-        from eelgrassmount.compose import run_node
+        from eelgrassmount.compose.main import run_node
         from eelgrassmount.logs import setup_logs
 
         setup_logs(settings.log_level)
--- /dev/null
+++ b/eelgrassmount/compose/listeners.py
@@ -0,0 +1,77 @@
+"""The listeners of a node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from eelgrassmount.admin.listener import AdminListener
+from eelgrassmount.admin.routes import add_routes
+from eelgrassmount.blackboard import DrainStage
+from eelgrassmount.calls.handlers import CallHandlers
+from eelgrassmount.compose.node import Node
+from eelgrassmount.drain.stages import Cause
+from eelgrassmount.edge.backend import BackendListener
+from eelgrassmount.edge.caller import CallerListener
+from eelgrassmount.edge.http import serve_http
+from eelgrassmount.peer.listener import PeerListener
+
+if TYPE_CHECKING:
+    pass
+
+
+async def listen_to_peers(node: Node) -> None:
+    """Take messages of other nodes."""
+    base = node.base
+    calls = CallHandlers(
+        base.timers,
+        node.path.table,
+        node.path.local,
+        node.keys.handle_own,
+        node.path.in_flight,
+        base.metrics,
+    )
+    listener = PeerListener(
+        base.board.identity,
+        base.settings.peer_address,
+        base.settings.max_frame_bytes,
+        {
+            **calls.make_handlers(),
+            **node.membership.handlers(),
+            **node.follower.handlers(),
+            **node.keys.handlers(),
+        },
+        base.metrics,
+    )
+    await listener.start(base.tasks)
+
+
+async def listen_to_http(node: Node) -> None:
+    """Take requests of operators, of the backend server and of callers."""
+    base = node.base
+    max_body_bytes = base.settings.max_body_bytes
+    admin = AdminListener(max_body_bytes)
+    add_routes(
+        admin,
+        base.board,
+        node.path.gate,
+        node.path.table.count_running,
+        node.follower,
+        base.metrics,
+        lambda: node.shutdown.request(Cause.ADMIN),
+    )
+    backend = BackendListener(
+        node.path.announcements, node.path.downstream, max_body_bytes
+    )
+    caller = CallerListener(
+        node.entry,
+        max_body_bytes,
+        base.metrics,
+        node.path.in_flight,
+        lambda: base.board.drain is not DrainStage.RUNNING,
+    )
+    await serve_http(admin, base.settings.admin_address, base.tasks)
+    await serve_http(backend, base.settings.backend_address, base.tasks)
+    server = await serve_http(
+        caller, base.settings.caller_address, base.tasks, caller.note_malformed
+    )
+    node.callers.append(server)
--- /dev/null
+++ b/eelgrassmount/compose/main.py
@@ -0,0 +1,91 @@
+"""Starting and ending a node."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from eelgrassmount.compose.listeners import listen_to_http, listen_to_peers
+from eelgrassmount.compose.node import Node, build_node
+from eelgrassmount.drain.stages import Cause
+from eelgrassmount.errors import ListenError
+
+if TYPE_CHECKING:
+    from eelgrassmount.settings import Settings
+
+EXPIRE_PERIOD_S = 1.0
+
+
+def run_node(settings: Settings) -> None:
+    """Run a node as the main job of a process, until it is told to stop."""
+    anyio.run(serve_node, settings)
+
+
+async def serve_node(settings: Settings) -> None:
+    """Run a node until it is told to stop.
+
+    Raises `ListenError` when one of its addresses can't be bound.
+    """
+    failure: ListenError | None = None
+    async with anyio.create_task_group() as group:
+        node = build_node(settings, group)
+        try:
+            await start_node(node)
+            await _run_until_drained(node)
+        except ListenError as error:
+            failure = error
+        node.base.tasks.close()
+        group.cancel_scope.cancel()
+    # the task group would wrap it
+    if failure is not None:
+        raise failure
+
+
+async def _run_until_drained(node: Node) -> None:
+    node.base.tasks.start_soon(_wait_for_signal, node)
+    drain = await node.shutdown.wait()
+    logger.info("node stopped", cause=drain.cause, cut=drain.cut)
+
+
+async def _wait_for_signal(node: Node) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            node.shutdown.request(Cause.SIGNAL)
+
+
+async def start_node(node: Node) -> None:
+    """Start all parts of a node, the listeners for calls last."""
+    base = node.base
+    await base.peers.start(base.tasks)
+    await listen_to_peers(node)
+    await node.membership.start(base.tasks)
+    await node.follower.start(base.tasks)
+    await node.keys.start(base.tasks)
+    node.path.announcements.start()
+    node.path.probes.start()
+    node.shutdown.start(base.tasks)
+    base.timers.subscribe(EXPIRE_PERIOD_S, lambda: _expire(node))
+    base.tasks.start_soon(base.timers.run)
+    await listen_to_http(node)
+    logger.info(
+        "node started",
+        address=base.board.identity.address,
+        failure_domain=base.board.identity.failure_domain,
+        incarnation=base.board.identity.incarnation,
+    )
+
+
+def _expire(node: Node) -> None:
+    node.path.table.expire(node.base.timers.read())
+    _update_gauges(node)
+
+
+def _update_gauges(node: Node) -> None:
+    metrics = node.base.metrics
+    metrics.config_version.set(node.base.board.configuration.version)
+    metrics.in_flight.set(node.path.gate.in_flight)
+    metrics.queued.set(len(node.path.gate.queue))
+    metrics.limit.set(node.path.gate.limiter.limit)
--- /dev/null
+++ b/eelgrassmount/compose/path.py
@@ -0,0 +1,99 @@
+"""Wiring of the parts that a call passes through."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from eelgrassmount.calls.dispatch import Dispatcher
+from eelgrassmount.calls.downstream import Downstream
+from eelgrassmount.calls.inflight import InFlight
+from eelgrassmount.calls.local import LocalRunner
+from eelgrassmount.calls.remote import RemoteRunner
+from eelgrassmount.calls.table import CallTable
+from eelgrassmount.compose.base import Base
+from eelgrassmount.edge.announcements import Announcements
+from eelgrassmount.edge.probes import ServerProbes
+from eelgrassmount.edge.server import ServerClient
+from eelgrassmount.load.control import LoadControl
+from eelgrassmount.load.gate import LimitedGate
+from eelgrassmount.retry.budget import RetryRatio
+from eelgrassmount.retry.quarantine import Quarantine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@define(eq=False)
+class Path:
+    """The parts that a call passes through."""
+
+    table: CallTable
+    gate: LimitedGate
+    control: LoadControl
+    quarantine: Quarantine
+    announcements: Announcements
+    dispatcher: Dispatcher
+    downstream: Downstream
+    local: LocalRunner
+    probes: ServerProbes
+    in_flight: InFlight
+
+
+def build_path(base: Base, note_change: Callable[[], None]) -> Path:
+    """Return the parts of the path, wired but not started."""
+    table = CallTable()
+    gate = LimitedGate(base.board, base.timers)
+    control = LoadControl(base.board, base.timers)
+    quarantine = Quarantine()
+    client = ServerClient(base.timers.clock, base.metrics, base.settings.max_body_bytes)
+    announcements = Announcements(
+        base.board, base.timers, note_change, table.count_running
+    )
+    local = LocalRunner(
+        base.board,
+        base.timers,
+        table,
+        gate,
+        client,
+        quarantine,
+        control.exchange,
+        base.metrics,
+        announcements.remove,
+    )
+    dispatcher = Dispatcher(
+        base.board.identity.address,
+        base.timers,
+        control,
+        local,
+        RemoteRunner(base.board, base.peers, base.timers),
+        RetryRatio(),
+        quarantine,
+        base.metrics,
+        base.make_id,
+    )
+    downstream = Downstream(
+        base.board,
+        base.timers,
+        table,
+        dispatcher.run,
+        base.tasks,
+        base.make_id,
+        control.exchange,
+    )
+    probes = ServerProbes(
+        client, base.timers, base.tasks, lambda: base.board.server.address
+    )
+    return Path(
+        table=table,
+        gate=gate,
+        control=control,
+        quarantine=quarantine,
+        announcements=announcements,
+        dispatcher=dispatcher,
+        downstream=downstream,
+        local=local,
+        probes=probes,
+        in_flight=InFlight(),
+    )
