--- a/eelgrassmount/compose.py
+++ b/eelgrassmount/compose.py
@@ -60,6 +60,7 @@
 ID_BITS = 64
 INCARNATION_BYTES = 8
 EXPIRE_PERIOD_S = 1.0
+TIMER_GRID_S = 0.1
 ALL_SLOTS = 0
 
 
@@ -176,7 +177,9 @@
 def _build_base(settings: Settings, group: anyio.abc.TaskGroup) -> Base:
     rng = random.Random(secrets.randbits(ID_BITS))
     metrics = make_metrics()
-    timers = TimerService(MonotonicClock(), rng, metrics.internal_errors.inc)
+    timers = TimerService(
+        MonotonicClock(), rng, metrics.internal_errors.inc, TIMER_GRID_S
+    )
     identity = Identity(
         address=str(settings.advertise_address),
         failure_domain=settings.failure_domain,
@@ -247,7 +250,7 @@
         base.timers,
         control,
         local,
-        RemoteRunner(base.peers, base.timers),
+        RemoteRunner(base.board, base.peers, base.timers),
         RetryRatio(),
         quarantine,
         base.metrics,
@@ -437,5 +440,7 @@
     )
     await serve_http(admin, base.settings.admin_address, base.tasks)
     await serve_http(backend, base.settings.backend_address, base.tasks)
-    server = await serve_http(caller, base.settings.caller_address, base.tasks)
+    server = await serve_http(
+        caller, base.settings.caller_address, base.tasks, caller.note_malformed
+    )
     node.callers.append(server)
