Name tests in summaries by pytest's own ids

Cause: state machines of Hypothesis were listed under the library's file, so that two of them could not be told apart in the list of known failures.

--- /dev/null
+++ b/tests/tools/test_reports.py
@@ -0,0 +1,48 @@
+"""Reports of pytest and behave as results."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from tools.reports import read_behave, read_pytest
+from tools.results import Result, Status
+
+OWN_FILE = "tests/tools/test_reports.py"
+PYTEST = """<testsuites><testsuite>
+<testcase classname="tests.tools.test_reports" name="test_a[x]" />
+<testcase classname="tests.tools.test_reports.TestB" name="run"><failure/></testcase>
+<testcase classname="tests.tools.test_reports" name="test_c"><skipped/></testcase>
+<testcase classname="" name="tests.broken"><error/></testcase>
+</testsuite></testsuites>"""
+BEHAVE = [
+    {
+        "location": "tests/features/a.feature:1",
+        "elements": [
+            {"type": "background", "name": "", "status": "passed"},
+            {"type": "scenario", "name": "one", "status": "passed"},
+            {"type": "scenario", "name": "two", "status": "hook_error"},
+        ],
+    }
+]
+
+
+def test_read_pytest(tmp_path, monkeypatch):
+    monkeypatch.chdir(Path(__file__).parents[2])
+    report = tmp_path / "report.xml"
+    report.write_text(PYTEST)
+    assert list(read_pytest(report)) == [
+        Result(f"{OWN_FILE}::test_a[x]", Status.PASSED),
+        Result(f"{OWN_FILE}::TestB::run", Status.FAILED),
+        Result(f"{OWN_FILE}::test_c", Status.SKIPPED),
+        Result("collection::tests.broken", Status.FAILED),
+    ]
+
+
+def test_read_behave(tmp_path):
+    report = tmp_path / "report.json"
+    report.write_text(json.dumps(BEHAVE))
+    assert list(read_behave(report)) == [
+        Result("tests/features/a.feature::one", Status.PASSED),
+        Result("tests/features/a.feature::two", Status.FAILED),
+    ]
--- a/tools/reports.py
+++ b/tools/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 from typing import TYPE_CHECKING
 from xml.etree import ElementTree
 
@@ -10,17 +11,25 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
-    from pathlib import Path
 
 
 def read_pytest(path: Path) -> Iterator[Result]:
-    """Return the result of each test of a JUnit report in xunit1 form."""
+    """Return the result of each test of a JUnit report, by pytest's node id."""
     for case in ElementTree.parse(path).iter("testcase"):
-        # a file that can't be imported is reported without a file of its own
-        place = case.get("file") or case.get("classname") or "collection"
+        place = _find_place(case.get("classname") or "")
         yield Result(f"{place}::{case.get('name')}", _judge_case(case))
 
 
+def _find_place(class_name: str) -> str:
+    """Return ``tests/a/test_b.py::TestC`` for ``tests.a.test_b.TestC``."""
+    parts = class_name.split(".")
+    for count in range(len(parts), 0, -1):
+        file = Path(*parts[:count]).with_suffix(".py")
+        if file.exists():
+            return "::".join([str(file), *parts[count:]])
+    return class_name or "collection"
+
+
 def _judge_case(case: ElementTree.Element) -> Status:
     if case.find("failure") is not None or case.find("error") is not None:
         return Status.FAILED
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -36,7 +36,7 @@
     Check("ruff check", ("ruff", "check", ".")),
     Check(
         "pytest",
-        ("pytest", "-o", "junit_family=xunit1", f"--junitxml={PYTEST_REPORT}", "tests"),
+        ("pytest", f"--junitxml={PYTEST_REPORT}", "tests"),
         PYTEST_REPORT,
         read_pytest,
     ),
