--- a/tools/reports.py
+++ b/tools/reports.py
@@ -24,7 +24,7 @@
     """Return ``tests/a/test_b.py::TestC`` for ``tests.a.test_b.TestC``."""
     parts = class_name.split(".")
     for count in range(len(parts), 0, -1):
-        file = Path(*parts[:count]).with_suffix(".py")
+        file = Path("/".join(parts[:count]) + ".py")
         if file.exists():
             return "::".join([str(file), *parts[count:]])
     return class_name or "collection"
