--- a/tests/features/faults.feature
+++ b/tests/features/faults.feature
@@ -29,4 +29,5 @@
       | primary  | log-down   |
       | run-0    | wrong-call |
       | run-1    | truncated  |
+      | run-1    | garbled    |
       | answer-0 | repeats    |
--- a/tests/matrix/table.py
+++ b/tests/matrix/table.py
@@ -61,6 +61,7 @@
     ("run-0", "kill-server"),
     ("run-0", "wrong-call"),
     ("run-1", "truncated"),
+    ("run-1", "garbled"),
     ("run-2", "kill-node"),
     ("far-1", "silent-peers"),
     ("answer-0", "repeats"),
