--- a/eelgrassmount/members/counts.py
+++ b/eelgrassmount/members/counts.py
@@ -16,7 +16,7 @@
 
     ROUNDS = "rounds"
     PROBES_FAILED = "probes-failed"
-    PROBES_INDIRECT_OK = "probes-indirect-ok"
+    PROBES_AGAIN_OK = "probes-again-ok"
     SUSPECTED = "suspected"
     DECLARED_DEAD = "declared-dead"
     REFUTED = "refuted"
--- a/eelgrassmount/members/rounds.py
+++ b/eelgrassmount/members/rounds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -18,7 +19,7 @@
 from eelgrassmount.peer.port import PeerFailure
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from eelgrassmount.gen.ttypes import Gossip, Hello, Message
     from eelgrassmount.members.roster import Roster
@@ -143,8 +144,8 @@
         self.roster.counts.add(Count.PROBES_FAILED)
         if self._was_disturbed(started_s):
             return
-        if await self._probe_through_others(address):
-            self.roster.counts.add(Count.PROBES_INDIRECT_OK)
+        if await self._probe_again(address):
+            self.roster.counts.add(Count.PROBES_AGAIN_OK)
             return
         if self._was_disturbed(started_s) or self._heard_since(address, started_s):
             return
@@ -193,24 +194,27 @@
         question = exchange.build_pull(self.roster, differing)
         await self.ask(address, question, self.roster.pace.ask_s)
 
-    async def _probe_through_others(self, address: str) -> bool:
+    async def _probe_again(self, address: str) -> bool:
+        """Probe once more, directly and through others, all at once."""
         others = [other for other in self.partners if other != address]
         helpers = self._sample(others, self.roster.pace.indirect_probes)
+        timeout_s = 2 * self.roster.detector.compute_timeout_s()
         reached: list[str] = []
         async with anyio.create_task_group() as group:
 
-            async def ping(helper: str) -> None:
-                if await self._ping(helper, address):
-                    reached.append(helper)
+            async def reach(action: Callable[[], Awaitable[bool]], by: str) -> None:
+                if await action():
+                    reached.append(by)
                     group.cancel_scope.cancel()
 
+            group.start_soon(reach, partial(self.greet, address, timeout_s), address)
             for helper in helpers:
-                group.start_soon(ping, helper)
+                ping = partial(self._ping, helper, address, timeout_s)
+                group.start_soon(reach, ping, helper)
         return bool(reached)
 
-    async def _ping(self, helper: str, address: str) -> bool:
+    async def _ping(self, helper: str, address: str, timeout_s: float) -> bool:
         question = ttypes.Message(ping=ttypes.Ping(sequence=_ASKED, address=address))
-        timeout_s = 2 * self.roster.detector.compute_timeout_s()
         reply = await self.peers.ask(helper, question, timeout_s)
         if isinstance(reply, PeerFailure) or reply.ping is None:
             return False
