Publish changes of servers before changes of load

With load changing in all of 14 failure domains of 20 nodes each, a few summaries still said 35 s after the start that a service has no server: its return waited for a share that changes of load, listed first, used up. Returns are urgent now, other changes of servers are not rationed, and which changes of load go first is chosen at random.

--- a/eelgrassmount/members/delegates.py
+++ b/eelgrassmount/members/delegates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from enum import IntEnum
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -44,16 +45,25 @@
     return choose_addresses(failure_domain, candidates, DELEGATES)
 
 
-@frozen
-class Change:
-    """A summary that should replace the one last published.
+class Weight(IntEnum):
+    """How soon a change has to be known.
 
-    It is urgent when the published one would still send calls to a backend
-    server that no longer takes any.
+    Urgent is what would still send calls to a backend server that takes none,
+    and a service that had no server. Other changes of the servers come next, and load
+    alone comes last.
     """
 
+    URGENT = 0
+    SERVERS = 1
+    LOAD = 2
+
+
+@frozen
+class Change:
+    """A summary that should replace the one last published."""
+
     summary: ServiceSummary
-    urgent: bool
+    weight: Weight
 
 
 def summarize_services(
@@ -111,33 +121,41 @@
     present: Mapping[str, ServiceSummary],
     serving: frozenset[str],
 ) -> list[Change]:
-    """Return what has to be published anew, the urgent ones first."""
+    """Return what has to be published anew, the most urgent first."""
     changes = []
     for service, summary in present.items():
         before = published.get(service)
-        if before is None or _differ(before, summary):
-            urgent = before is None or not serving.issuperset(before.addresses)
-            changes.append(_raise_sequence(before, summary, urgent))
+        weight = _weigh(before, summary, serving)
+        if weight is not None:
+            changes.append(_raise_sequence(before, summary, weight))
     for service, before in published.items():
         if before.servers and service and service not in present:
             gone = evolve(before, servers=0, headroom=0, threshold=0, addresses=())
-            changes.append(_raise_sequence(before, gone, urgent=True))
-    return sorted(changes, key=lambda change: not change.urgent)
+            changes.append(_raise_sequence(before, gone, Weight.URGENT))
+    return sorted(changes, key=lambda change: change.weight)
 
 
 def _raise_sequence(
-    before: ServiceSummary | None, summary: ServiceSummary, urgent: bool
+    before: ServiceSummary | None, summary: ServiceSummary, weight: Weight
 ) -> Change:
     sequence = before.sequence + 1 if before else 1
-    return Change(evolve(summary, sequence=sequence), urgent)
+    return Change(evolve(summary, sequence=sequence), weight)
 
 
-def _differ(before: ServiceSummary, summary: ServiceSummary) -> bool:
+def _weigh(
+    before: ServiceSummary | None, summary: ServiceSummary, serving: frozenset[str]
+) -> Weight | None:
+    if before is None or not before.servers:
+        return Weight.URGENT
+    if not serving.issuperset(before.addresses):
+        return Weight.URGENT
     if before.addresses != summary.addresses or before.servers != summary.servers:
-        return True
-    return differ_in_load(before.headroom, summary.headroom) or differ_in_load(
+        return Weight.SERVERS
+    if differ_in_load(before.headroom, summary.headroom) or differ_in_load(
         before.threshold, summary.threshold
-    )
+    ):
+        return Weight.LOAD
+    return None
 
 
 def differ_in_load(before: int, after: int) -> bool:
--- a/eelgrassmount/members/domains.py
+++ b/eelgrassmount/members/domains.py
@@ -11,6 +11,7 @@
 from eelgrassmount.members.delegates import (
     DOMAIN_ADDRESSES,
     Change,
+    Weight,
     choose_addresses,
     choose_delegates,
     find_changes,
@@ -26,7 +27,7 @@
     from eelgrassmount.members.rounds import Rounds
     from eelgrassmount.timers import TimerService
 
-# changes that are not urgent, published in a tick by all failure domains together
+# changes of load, published in a tick by all failure domains together
 _PUBLISHED_BY_ALL = 5.0
 _MAX_CREDIT = 3.0
 _URGENT_CONTACTS = 2
@@ -136,7 +137,7 @@
         )
         changes = find_changes(published, present, self._list_serving())
         if urgent_only or rank:
-            changes = [change for change in changes if change.urgent]
+            changes = [one for one in changes if one.weight is Weight.URGENT]
         if not changes:
             self._differs_since_s = None
             return False
@@ -149,12 +150,12 @@
         return True
 
     def _choose_changes(self, changes: list[Change]) -> list[Change]:
-        """Return the urgent changes, and others as far as the share allows."""
-        urgent = [change for change in changes if change.urgent]
-        allowed = int(self._credit)
-        chosen = changes[len(urgent) : len(urgent) + allowed]
-        self._credit -= len(chosen)
-        return urgent + chosen
+        """Return all changes of servers, and of load as far as the share allows."""
+        servers = [change for change in changes if change.weight < Weight.LOAD]
+        loads = changes[len(servers) :]
+        count = min(int(self._credit), len(loads))
+        self._credit -= count
+        return servers + self.roster.rng.sample(loads, count)
 
     def _earn_credit(self) -> None:
         domains = len(self.roster.contacts.domains) + 1
--- a/tests/members/test_merge.py
+++ b/tests/members/test_merge.py
@@ -13,6 +13,7 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.members import exchange
 from eelgrassmount.members.delegates import (
+    Weight,
     choose_addresses,
     find_changes,
     summarize_services,
@@ -172,13 +173,39 @@
     assert set(first.addresses[1:]) <= set(then["jobdesk"].addresses)
     addresses = frozenset(one.identity.address for one in left)
     (change,) = find_changes(published, then, addresses)
-    assert change.urgent
+    assert change.weight is Weight.URGENT
     (gone,) = find_changes(published, {}, frozenset())
-    assert gone.urgent
+    assert gone.weight is Weight.URGENT
     assert gone.summary.servers == 0
     assert gone.summary.sequence == first.sequence + 1
 
 
+def test_servers_that_return_go_before_load():
+    """A service without servers must not wait behind changes of load."""
+    servers = [
+        member(index, service=service, headroom=9)
+        for index, service in enumerate(("busy", "grown", "lost"))
+    ]
+    present = summarize_services(servers, {}, "bowbazar", 1.0)
+    published = {
+        "busy": evolve(present["busy"], headroom=1),
+        "grown": evolve(present["grown"], servers=2),
+        "lost": evolve(present["lost"], servers=0, addresses=()),
+    }
+    serving = frozenset(
+        address for one in present.values() for address in one.addresses
+    )
+    weights = {
+        change.summary.service: change.weight
+        for change in find_changes(published, present, serving)
+    }
+    assert list(weights.items()) == [
+        ("lost", Weight.URGENT),
+        ("grown", Weight.SERVERS),
+        ("busy", Weight.LOAD),
+    ]
+
+
 @given(st.sets(st.integers(0, 99), min_size=4), st.data())
 def test_one_address_less_changes_one_choice(indices, data):
     addresses = [f"127.1.0.{index}:1" for index in indices]
