--- a/eelgrassmount/keys/follower.py
+++ b/eelgrassmount/keys/follower.py
@@ -101,14 +101,15 @@
         return True
 
     async def refresh(self) -> bool:
-        """Hear of the present views, from a reader or else from the log."""
-        roster = self.core.read_roster()
-        readers = choose_readers(roster.fit)
-        if self.core.me not in readers:
-            for reader in readers:
-                if await self.ask_peer(reader.address):
-                    return True
-        return await self.catch_up()
+        """Hear of the present views, from the log or else from a reader of it."""
+        readers = choose_readers(self.core.read_roster().fit)
+        reads = self.core.me in readers
+        if reads and await self.catch_up():
+            return True
+        for reader in readers:
+            if reader != self.core.me and await self.ask_peer(reader.address):
+                return True
+        return not reads and await self.catch_up()
 
     async def answer(self, sender: Hello, message: Message) -> Message | None:
         """Answer a question for the views; a stalled node knows none."""
--- a/eelgrassmount/keys/routes.py
+++ b/eelgrassmount/keys/routes.py
@@ -23,9 +23,11 @@
     from eelgrassmount.keys.holder import SlotHolder
     from eelgrassmount.keys.minted import Minter
     from eelgrassmount.keys.owner import Owner
+    from eelgrassmount.keys.views import View
 
 RELAYS = 2
-ROUTE_ATTEMPTS = 4
+ROUTE_ATTEMPTS = 8
+RETRY_S = 0.5
 
 
 @define
@@ -76,8 +78,11 @@
 
     async def _run_in_slot(self, holder: SlotHolder, call: Call) -> Outcome:
         for _ in range(ROUTE_ATTEMPTS):
+            view = holder.view
             outcome = await self._try_slot(holder, call)
-            if not _is_changing(outcome) or not await self._await_view(holder, call):
+            if not _is_changing(outcome):
+                break
+            if not await self._await_later(holder, view, call):
                 break
         return outcome or self._refuse_unreachable()
 
@@ -94,22 +99,20 @@
         self.core.count("owner-unreachable")
         return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
 
-    async def _await_view(self, holder: SlotHolder, call: Call) -> bool:
-        """Hear of a later view of a slot; tell whether to try again."""
-        view = holder.view
+    async def _await_later(self, holder: SlotHolder, tried: View, call: Call) -> bool:
+        """Wait for a later view than the one tried; tell whether to try again."""
         left_s = call.context.deadline_s - self.core.timers.read()
         if left_s <= 0:
             return False
-        await self.follower.refresh()
-        if holder.view != view:
+        if holder.view == tried:
+            await self.follower.refresh()
+        if holder.view != tried:
             return True
-        gone = self.core.read_roster().is_gone(view.primary)
-        if holder.is_waiting(self.core.me, self.core.timers.read()):
-            return False
+        gone = self.core.read_roster().is_gone(tried.primary)
         if gone and not self.core.board.log_reachable:
             return False
-        await wait_change(holder, min(left_s, self.core.settings.change_wait_s))
-        return holder.view != view
+        await wait_change(holder, min(left_s, RETRY_S))
+        return True
 
     async def _run_minted(self, key: MintedKey, call: Call) -> Outcome:
         identity = self.core.board.identity
--- /dev/null
+++ b/tests/keys/test_decisions.py
@@ -0,0 +1,108 @@
+"""What a node proposes and acknowledges."""
+
+from __future__ import annotations
+
+import pytest
+
+from eelgrassmount.calls.request import Outcome
+from eelgrassmount.keys.placement import NO_NODE, NodeId
+from eelgrassmount.keys.planning import Roster, SlotStanding, plan_proposals
+from eelgrassmount.keys.table import (
+    Budget,
+    Entry,
+    KeyTable,
+    Stage,
+    take_copy,
+    take_fact,
+    take_mark,
+)
+from eelgrassmount.keys.views import View
+from eelgrassmount.verdict import Answered
+
+ME, P, Q = (NodeId(f"127.0.0.{n}:1", f"i{n}") for n in (1, 2, 3))
+DONE = Outcome(Answered(200, (), b"done"))
+
+
+@pytest.mark.parametrize(
+    ("primary", "backup", "gone", "synced", "waiting", "proposed"),
+    [
+        # a backup that has everything takes over, another one must wait
+        (P, ME, {P}, True, False, (ME, False)),
+        (P, ME, {P}, False, False, (ME, True)),
+        (P, ME, {P}, True, True, (ME, True)),
+        (P, ME, set(), True, False, None),
+        # a primary replaces its backup
+        (ME, P, {P}, True, False, (ME, False)),
+        (ME, P, {P}, True, True, (ME, True)),
+        (ME, NO_NODE, set(), True, False, (ME, False)),
+        # a slot without holders is taken as lost
+        (P, Q, {P, Q}, False, False, ("anyone", True)),
+        (P, Q, {P}, False, False, None),
+        (P, NO_NODE, {P}, False, False, ("anyone", True)),
+    ],
+)
+def test_repairs(primary, backup, gone, synced, waiting, proposed) -> None:
+    nodes = {ME, P, Q}
+    roster = Roster(ME, tuple(sorted(nodes - gone)), frozenset(nodes), frozenset(gone))
+    standing = SlotStanding(View(0, 5, primary, backup), synced, waiting)
+    proposals = plan_proposals([standing], roster, from_start=True)
+    if proposed is None or (proposed[0] == "anyone" and not roster.is_delegate):
+        assert proposals == []
+        return
+    assert proposals[0].base == 5
+    assert proposals[0].lost is proposed[1]
+    assert proposed[0] in ("anyone", proposals[0].primary)
+    assert proposals[0].backup not in gone | {proposals[0].primary}
+
+
+@pytest.mark.parametrize("from_start", [True, False])
+def test_first_views_count_as_lost_unless_read_from_the_start(from_start) -> None:
+    roster = Roster(ME, (ME,), frozenset({ME}), frozenset(), settled=True)
+    standing = SlotStanding(View(0), False, False)
+    (proposal,) = plan_proposals([standing], roster, from_start)
+    assert proposal.lost is not from_start
+
+
+def make_entry(mark: int, runner: str = "i2", outcome: Outcome | None = None) -> Entry:
+    stage = Stage.DONE if outcome else Stage.ELSEWHERE
+    return Entry("k", "d", runner, mark, stage, 0.0, outcome)
+
+
+@pytest.mark.parametrize(
+    ("events", "stage", "mark"),
+    [
+        (["mark 1", "done 1"], Stage.DONE, 1),
+        (["mark 1", "free 1"], None, 0),
+        # endings of an earlier mark say nothing about the present one
+        (["mark 1", "mark 2", "free 1"], Stage.ELSEWHERE, 2),
+        (["mark 1", "mark 2", "done 1"], Stage.ELSEWHERE, 2),
+        # late marks and copies change nothing
+        (["mark 2", "mark 1"], Stage.ELSEWHERE, 2),
+        (["mark 1", "done 1", "mark 1"], Stage.DONE, 1),
+        (["mark 1", "done 1", "copy 1"], Stage.DONE, 1),
+        (["done 1"], None, 0),
+        # a key that expired at the primary first is marked anew
+        (["mark 1", "done 1", "mark 2"], Stage.ELSEWHERE, 2),
+    ],
+)
+def test_marks_and_endings_in_any_order(events, stage, mark) -> None:
+    budget = Budget(10, 10_000)
+    table = KeyTable(budget)
+    for event in events:
+        kind, number = event.split()
+        match kind:
+            case "mark":
+                assert take_mark(table, make_entry(int(number)))
+            case "copy":
+                take_copy(table, make_entry(int(number)))
+            case "free":
+                take_fact(table, make_entry(int(number)), 0.0)
+            case "done":
+                take_fact(table, make_entry(int(number), outcome=DONE), 0.0)
+    entry = table.find("k")
+    assert (entry and entry.stage, entry.mark if entry else 0) == (stage, mark)
+    table.expire(9.0, 10.0)
+    assert (table.find("k") is not None) is (stage is not None)
+    table.expire(10.0, 10.0)
+    assert (table.find("k") is None) is (stage in (None, Stage.DONE))
+    assert budget.keys == len(table.entries)
--- a/tests/keys/test_scenarios.py
+++ b/tests/keys/test_scenarios.py
@@ -127,12 +127,24 @@
     world.advance(WINDOW_S + 10.0)
     assert isinstance(world.tell(entry, KEY), Answered)
     for node in pair:
+        node.log_cut = True
         world.thaw(node)
     told = [world.send(node, KEY) for node in pair]
     world.advance(8.0)
     assert [explain(sending.verdict) for sending in told] == ["answered"] * 2
 
 
+def test_replaced_primary_with_a_full_table_does_not_say_not_run(world) -> None:
+    primary, backup = world.find_holders(KEY)
+    primary.log_cut = True
+    primary.service.core.budget.max_keys = 0
+    primary.suspected_s = world.loop.time() + 5.0
+    world.advance(5.0)
+    assert world.find_holders(KEY)[0] is backup
+    assert isinstance(world.tell(backup, KEY), Answered)
+    assert not isinstance(world.tell(primary, KEY), NotRun)
+
+
 def test_primary_alone_stops_without_the_log(world) -> None:
     lone = next(
         n for n in world.nodes.values() if n.identity.failure_domain != "howrah"
--- a/tests/model/keys.pml
+++ b/tests/model/keys.pml
@@ -48,7 +48,7 @@
 	byte stage; byte mark; byte runner;
 	bool ran;		/* the run has reached the backend server */
 	bool seen;		/* it had run when the present sending arrived */
-	bool full_asked;
+	byte full_asked;	/* the number of the question, while it is open */
 };
 typedef Message { byte kind; byte from; byte to; byte version; byte stage; byte mark; byte runner };
 typedef Proposal { bool used; byte base; byte primary; byte backup; bool lost };
@@ -201,8 +201,8 @@
 	if
 	:: message[x].kind == MARK && fits(n, x) && (node[n].synced || ANY_VERSION) && node[n].stage != RUNNING ->
 		if
-		:: message[x].mark == 0		/* only asks whether the view holds */
-		:: message[x].mark && (node[n].stage == NONE || node[n].runner != message[x].from || node[n].mark < message[x].mark) ->
+		:: message[x].stage == NONE	/* only asks whether the view holds */
+		:: message[x].stage != NONE && (node[n].stage == NONE || node[n].runner != message[x].from || node[n].mark < message[x].mark) ->
 			node[n].stage = ELSEWHERE; node[n].mark = message[x].mark;
 			node[n].runner = message[x].from
 		:: else
@@ -210,16 +210,16 @@
 		node[n].opened = view[node[n].version].lost;
 		message[x].kind = ACK;
 		message[x].to = message[x].from; message[x].from = n
-	:: message[x].kind == ACK && message[x].mark && node[n].stage == MARKED &&
+	:: message[x].kind == ACK && message[x].stage != NONE && node[n].stage == MARKED &&
 		node[n].mark == message[x].mark ->
 		if
 		:: (node[n].version == message[x].version && !node[n].stalled || ANY_VERSION) -> node[n].stage = RUNNING
 		:: else -> give_up(n)	/* the code marks anew; so does a repeat */
 		fi;
 		clear(x)
-	:: message[x].kind == ACK && !message[x].mark ->
+	:: message[x].kind == ACK && message[x].stage == NONE ->
 		if
-		:: node[n].full_asked && node[n].version == message[x].version &&
+		:: node[n].full_asked == message[x].mark && node[n].version == message[x].version &&
 			!node[n].stalled && node[n].stage == NONE ->
 			assert(!node[n].seen);
 			node[n].full_asked = 0; node[n].seen = 0
@@ -285,8 +285,9 @@
 #ifdef MISTAKE_FULL_UNCONFIRMED
 			assert(!node[n].seen)
 #else
-			node[n].full_asked = 1;
-			send(MARK, n, partner(n), NONE, 0, n)
+			marks++;
+			node[n].full_asked = marks;
+			send(MARK, n, partner(n), NONE, marks, n)
 #endif
 		fi }
 	/* a repeat that meets a run under way joins it */
--- a/tests/model/keys_cases.py
+++ b/tests/model/keys_cases.py
@@ -7,6 +7,7 @@
 KEYS = "keys.pml"
 _SMALL = ("VIEWS=2", "TRIES=1")
 _BOUNDS = ("VIEWS=3", "TRIES=2")
+_THRICE = ("VIEWS=2", "TRIES=1", "SENDINGS=3")
 _ONCE = "runs<=1"
 _NOT_RUN = "node[n].seen"
 
@@ -23,12 +24,13 @@
     ("LONE", _ONCE),
     ("FULL_UNCONFIRMED", _NOT_RUN),
     ("UNREACHABLE_NOT_RUN", _NOT_RUN),
+    ("LAST_WINS", _ONCE),
 )
 
 
-def _seed_mistake(name: str, breaks: str) -> Case:
+def _seed_mistake(name: str, breaks: str, bounds: tuple[str, ...] = _BOUNDS) -> Case:
     title = "keys: mistake " + name.lower().replace("_", " ")
-    return Case(title, KEYS, (f"MISTAKE_{name}", *_BOUNDS), mistake=breaks)
+    return Case(title, KEYS, (f"MISTAKE_{name}", *bounds), mistake=breaks)
 
 
 KEYS_CASES = (
@@ -38,5 +40,7 @@
         _BOUNDS,
         _SMALL,
     ),
+    Case("keys: a call not run frees its key", KEYS, _THRICE),
+    _seed_mistake("FACT_ANY_MARK", _ONCE, _THRICE),
     *(_seed_mistake(name, breaks) for name, breaks in _MISTAKES),
 )
