--- a/eelgrassmount/keys/follower.py
+++ b/eelgrassmount/keys/follower.py
@@ -8,8 +8,14 @@
 import anyio
 from attrs import define, field
 
-from eelgrassmount.gen.ttypes import Message, SlotAnswer, SlotQuestion, SlotView
-from eelgrassmount.keys.placement import SLOT_COUNT, choose_readers
+from eelgrassmount.gen.ttypes import (
+    MarkQuestion,
+    Message,
+    SlotAnswer,
+    SlotQuestion,
+    SlotView,
+)
+from eelgrassmount.keys.placement import NO_NODE, SLOT_COUNT, NodeId, choose_readers
 from eelgrassmount.keys.planning import SlotStanding, plan_proposals
 from eelgrassmount.keys.views import (
     Proposal,
@@ -206,12 +212,28 @@
         if isinstance(result, Appended):
             self._backoff_s = FIRST_BACKOFF_S
             await self.catch_up()
+            self._tell_holders(proposals)
             return
         # the record may stand or may still come: it names its base, so writing
         # it a second time can't set a view twice
         self._back_off()
         await self.catch_up()
 
+    def _tell_holders(self, proposals: list[Proposal]) -> None:
+        """Let new holders know at once: a question of a later version does so."""
+        told = {self.core.me, NO_NODE}
+        for proposal in proposals:
+            view = self.core.holders[proposal.slot].view
+            for node in (view.primary, view.backup):
+                if node not in told:
+                    told.add(node)
+                    self.core.tasks.start_soon(self._tell, node, view)
+
+    async def _tell(self, node: NodeId, view: View) -> None:
+        question = MarkQuestion(slot=view.slot, version=view.version, marks=[])
+        message = Message(mark_question=question)
+        await self.core.peers.ask(node.address, message, ASK_TIMEOUT_S)
+
     def _back_off(self) -> None:
         now_s = self.core.timers.read()
         self._retry_s = now_s + self._backoff_s * self.core.rng.uniform(0.8, 1.2)
--- a/eelgrassmount/keys/planning.py
+++ b/eelgrassmount/keys/planning.py
@@ -40,8 +40,8 @@
 
     def is_gone(self, node: NodeId) -> bool:
         """Tell whether a node is dead, has left, or has been replaced."""
-        if node == self.me:
-            return False
+        if node.address == self.me.address:
+            return node != self.me
         return node in self.gone or (self.settled and node not in self.known)
 
     @property
--- a/eelgrassmount/keys/routes.py
+++ b/eelgrassmount/keys/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -90,9 +91,14 @@
         view = holder.view
         if view.primary == self.core.me:
             return await self.owner.run(holder, call)
-        if view.version:
-            return await self._forward(view.primary.address, call)
-        return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+        if not view.version:
+            return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+        if view.primary.address == self.core.me.address:
+            return None
+        gone = self.core.read_roster().is_gone(view.primary)
+        # a dead address may swallow everything until the deadline
+        limit_s = RETRY_S if gone else math.inf
+        return await self._forward(view.primary.address, call, limit_s)
 
     def _refuse_unreachable(self) -> Outcome:
         # also when nothing was sent: an earlier sending of the key may have run
@@ -168,7 +174,9 @@
         self.core.rng.shuffle(ordered)
         return ordered
 
-    async def _forward(self, address: str, call: Call) -> Outcome | None:
+    async def _forward(
+        self, address: str, call: Call, limit_s: float = math.inf
+    ) -> Outcome | None:
         """Send a call towards its owner; sending it twice can't run it twice.
 
         ``None`` means that no answer came, whether or not the call was sent.
@@ -183,7 +191,7 @@
         message = Message(call=encode_call(call, Route.OWN, now_s))
         self._forwarding.add(call_id)
         try:
-            reply = await self.core.peers.ask(address, message, left_s)
+            reply = await self.core.peers.ask(address, message, min(left_s, limit_s))
         finally:
             self._forwarding.discard(call_id)
         return self._read_reply(reply)
--- a/tests/keys/test_scenarios.py
+++ b/tests/keys/test_scenarios.py
@@ -72,6 +72,22 @@
         assert isinstance(world.tell(entry, KEY), Answered)
 
 
+def test_nodes_that_do_not_read_the_log_hear_of_new_holders(world) -> None:
+    for _ in range(5):
+        world.start_node("howrah")
+        world.advance(2.0)
+    world.advance(30.0)
+    world.kill(world.find_holders(KEY)[0])
+    world.advance(3.5)
+    keys = [f"howrah:{number}" for number in range(40)]
+    nodes = [node for node in world.nodes.values() if node.alive]
+    told = [world.send(nodes[n % len(nodes)], key) for n, key in enumerate(keys)]
+    world.advance(1.0)
+    assert all(isinstance(sending.verdict, Answered) for sending in told)
+    primaries = {world.find_holders(key)[0] for key in keys}
+    assert len(primaries) >= 5
+
+
 def test_call_not_run_frees_its_key(world) -> None:
     world.shed_next = True
     assert world.tell(find_entry(world), KEY) == NotRun(Reason.OVERLOAD)
