--- a/tests/edge/test_listeners.py
+++ b/tests/edge/test_listeners.py
@@ -116,10 +116,10 @@
 
 
 @asynccontextmanager
-async def run_listener() -> AsyncIterator[Bench]:
+async def run_listener(leaving: bool = False) -> AsyncIterator[Bench]:
     entry = FakeEntry()
     listener = CallerListener(
-        entry, MAX_BODY_BYTES, make_metrics(), InFlight(), lambda: False
+        entry, MAX_BODY_BYTES, make_metrics(), InFlight(), lambda: leaving
     )
     address = find_address()
     async with anyio.create_task_group() as group:
@@ -129,7 +129,6 @@
         )
         yield Bench(entry, address, listener)
         server.end()
-        server.force_exit = True
 
 
 def post(path: str = "/desk/x", body: bytes = b"hello", extra: str = "") -> bytes:
@@ -267,6 +266,16 @@
         assert data.index("1st") < data.index("2nd")
 
 
+async def test_leaving_node_sends_its_callers_elsewhere() -> None:
+    async with run_listener(leaving=True) as bench, await bench.connect() as stream:
+        await stream.send(post())
+        answer = await read_answer(stream)
+        assert answer.startswith("HTTP/1.1 200 ")
+        assert "connection: close\r\n" in answer
+        with pytest.raises(anyio.EndOfStream), anyio.fail_after(LIMIT_S):
+            await stream.receive()
+
+
 async def test_address_in_use_is_told() -> None:
     async with run_listener() as bench, anyio.create_task_group() as group:
         with pytest.raises(ListenError, match="can't listen on"):
@@ -320,7 +329,6 @@
             await stream.send(post(path, body, extra).replace(b"POST", method.encode()))
             answer = await read_answer(stream)
         server.end()
-        server.force_exit = True
     assert answer.startswith(f"HTTP/1.1 {status} ")
     assert text in answer
 
