--- a/eelgrassmount/keys/routes.py
+++ b/eelgrassmount/keys/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -23,9 +24,11 @@
     from eelgrassmount.keys.holder import SlotHolder
     from eelgrassmount.keys.minted import Minter
     from eelgrassmount.keys.owner import Owner
+    from eelgrassmount.keys.views import View
 
 RELAYS = 2
-ROUTE_ATTEMPTS = 4
+ROUTE_ATTEMPTS = 8
+RETRY_S = 0.5
 
 
 @define
@@ -76,8 +79,11 @@
 
     async def _run_in_slot(self, holder: SlotHolder, call: Call) -> Outcome:
         for _ in range(ROUTE_ATTEMPTS):
+            view = holder.view
             outcome = await self._try_slot(holder, call)
-            if not _is_changing(outcome) or not await self._await_view(holder, call):
+            if not _is_changing(outcome):
+                break
+            if not await self._await_later(holder, view, call):
                 break
         return outcome or self._refuse_unreachable()
 
@@ -85,31 +91,34 @@
         view = holder.view
         if view.primary == self.core.me:
             return await self.owner.run(holder, call)
-        if view.version:
-            return await self._forward(view.primary.address, call)
-        return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+        if not view.version:
+            return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
+        if view.primary.address == self.core.me.address:
+            return None
+        gone = self.core.read_roster().is_gone(view.primary)
+        # a dead address may swallow everything until the deadline
+        limit_s = RETRY_S if gone else math.inf
+        return await self._forward(view.primary.address, call, limit_s)
 
     def _refuse_unreachable(self) -> Outcome:
         # also when nothing was sent: an earlier sending of the key may have run
         self.core.count("owner-unreachable")
         return Outcome(MayHaveRun(Reason.OWNER_UNREACHABLE))
 
-    async def _await_view(self, holder: SlotHolder, call: Call) -> bool:
-        """Hear of a later view of a slot; tell whether to try again."""
-        view = holder.view
+    async def _await_later(self, holder: SlotHolder, tried: View, call: Call) -> bool:
+        """Wait for a later view than the one tried; tell whether to try again."""
         left_s = call.context.deadline_s - self.core.timers.read()
         if left_s <= 0:
             return False
-        await self.follower.refresh()
-        if holder.view != view:
+        if holder.view == tried:
+            await self.follower.refresh()
+        if holder.view != tried:
             return True
-        gone = self.core.read_roster().is_gone(view.primary)
-        if holder.is_waiting(self.core.me, self.core.timers.read()):
-            return False
+        gone = self.core.read_roster().is_gone(tried.primary)
         if gone and not self.core.board.log_reachable:
             return False
-        await wait_change(holder, min(left_s, self.core.settings.change_wait_s))
-        return holder.view != view
+        await wait_change(holder, min(left_s, RETRY_S))
+        return True
 
     async def _run_minted(self, key: MintedKey, call: Call) -> Outcome:
         identity = self.core.board.identity
@@ -165,7 +174,9 @@
         self.core.rng.shuffle(ordered)
         return ordered
 
-    async def _forward(self, address: str, call: Call) -> Outcome | None:
+    async def _forward(
+        self, address: str, call: Call, limit_s: float = math.inf
+    ) -> Outcome | None:
         """Send a call towards its owner; sending it twice can't run it twice.
 
         ``None`` means that no answer came, whether or not the call was sent.
@@ -180,7 +191,7 @@
         message = Message(call=encode_call(call, Route.OWN, now_s))
         self._forwarding.add(call_id)
         try:
-            reply = await self.core.peers.ask(address, message, left_s)
+            reply = await self.core.peers.ask(address, message, min(left_s, limit_s))
         finally:
             self._forwarding.discard(call_id)
         return self._read_reply(reply)
