--- a/eelgrassmount/load/limiter.py
+++ b/eelgrassmount/load/limiter.py
@@ -9,7 +9,7 @@
 
 from eelgrassmount.load.port import Sample, SampleKind
 
-START_LIMIT = 8
+START_LIMIT = 16
 LEAST_LIMIT = 2
 MOST_LIMIT = 4096
 
@@ -27,7 +27,8 @@
 # the probe below the limit: how deep it goes, and how far above the knee the
 # limit is kept so that the server's slots stay full
 _PROBE_DEPTH = 0.75
-_MARGIN = 1.3
+_MARGIN = 1.25
+_ALLOWANCE = 1.0
 _SMOOTHING = 0.4
 _HOLD_RATIO = 3.0
 _START_GROWTH = 2.0
@@ -35,7 +36,7 @@
 # latency may rise with concurrency by this exponent and still count as flat
 _FLAT_ELASTICITY = 0.3
 _VERY_FLAT_ELASTICITY = 0.1
-# both levels lie above the knee, somewhere
+# both levels surely lie above the knee, somewhere
 _STEEP_ELASTICITY = 0.85
 _STEEP_CUT = 0.7
 _LEAST_LEVEL_RATIO = 1.1
@@ -47,6 +48,8 @@
 _SHED_MARGIN = 0.95
 _SATURATED = 0.9
 _TYPICAL_WEIGHT = 0.05
+_QUIET_KEEP = 0.95
+_QUIET_FRACTION = 0.5
 _LEAST_SERVICE_S = 1e-4
 
 
@@ -89,7 +92,8 @@
     bad: int = 0
     log_sum: float = 0.0
     log_square_sum: float = 0.0
-    in_flight_sum: int = 0
+    in_flight_sum: float = 0.0
+    downstream_sum_s: float = 0.0
 
     @property
     def mean_log(self) -> float:
@@ -113,6 +117,37 @@
         return self.bad > _BAD_FRACTION * max(self.runs, self.least_runs)
 
 
+@define
+class Quiet:
+    """Runs that had half of the limit free; older ones weigh less."""
+
+    runs: float = 0.0
+    log_sum: float = 0.0
+    in_flight_sum: float = 0.0
+    downstream_sum_s: float = 0.0
+
+    def add(self, sample: Sample, in_flight: int) -> None:
+        """Take in one run."""
+        self.runs = self.runs * _QUIET_KEEP + 1.0
+        self.log_sum = self.log_sum * _QUIET_KEEP + measure_log(sample)
+        self.in_flight_sum = self.in_flight_sum * _QUIET_KEEP + in_flight
+        self.downstream_sum_s *= _QUIET_KEEP
+        self.downstream_sum_s += sample.downstream_s
+
+    def find_measurement(self, now_s: float) -> Measurement | None:
+        """Return them as a measurement, ``None`` if they were too few."""
+        if self.runs < _SMALL_COHORT_RUNS:
+            return None
+        mean_in_flight = self.in_flight_sum / self.runs
+        quiet = Measurement(max(1, round(mean_in_flight)), now_s, 1)
+        quiet.started = quiet.runs = 1
+        quiet.in_flight_sum = mean_in_flight
+        quiet.log_sum = self.log_sum / self.runs
+        quiet.log_square_sum = quiet.log_sum**2
+        quiet.downstream_sum_s = self.downstream_sum_s / self.runs
+        return quiet
+
+
 @define
 class Limiter:
     """Finds how many calls a backend server can run at once.
@@ -136,6 +171,7 @@
     _previous: Measurement | None = field(init=False, default=None)
     _last_cut_s: float = field(init=False, default=-math.inf)
     _hold_s: float = field(init=False, default=0.0)
+    _quiet: Quiet = field(init=False, factory=Quiet)
     _ceiling: float = field(init=False, default=MOST_LIMIT)
 
     def __attrs_post_init__(self) -> None:
@@ -186,6 +222,8 @@
             return
         if sample.kind is SampleKind.COMPLETE:
             self._note_typical(sample.latency_s)
+            if in_flight <= _QUIET_FRACTION * self.limit:
+                self._quiet.add(sample, in_flight)
         if self.phase is not Phase.HOLD:
             self._add_run(sample, started_s)
         self._finish(now_s)
@@ -203,10 +241,11 @@
         if sample.kind is SampleKind.TIMEOUT:
             current.bad += 1
         if sample.kind in (SampleKind.COMPLETE, SampleKind.TIMEOUT):
-            service_s = max(sample.latency_s - sample.downstream_s, _LEAST_SERVICE_S)
+            log_service = measure_log(sample)
             current.runs += 1
-            current.log_sum += math.log(service_s)
-            current.log_square_sum += math.log(service_s) ** 2
+            current.log_sum += log_service
+            current.log_square_sum += log_service**2
+            current.downstream_sum_s += sample.downstream_s
 
     def adjust(self, now_s: float) -> None:
         """End what makes no progress; call it several times a second."""
@@ -267,6 +306,10 @@
                 self._give_up(now_s)
                 return
             self.size = move_limit(self.size, low, high)
+            if is_steep(low, high):
+                self._previous = None
+                self._begin(Phase.BEFORE, self.size, now_s)
+                return
         self._go_on(now_s)
 
     def _grow_first(
@@ -275,6 +318,8 @@
         if current.mean_in_flight < current.level * _SATURATED:
             self._give_up(now_s)
             return
+        if previous is None:
+            previous = self._quiet.find_measurement(now_s)
         if previous is None or is_flat(previous, current):
             size = self.size * _START_GROWTH
             phase = Phase.STARTING if size < self._ceiling else Phase.HOLD
@@ -321,6 +366,12 @@
     return Measurement(whole, now_s, runs)
 
 
+def measure_log(sample: Sample) -> float:
+    """Return the logarithm of the time that the server itself took."""
+    service_s = sample.latency_s - sample.downstream_s
+    return math.log(max(service_s, _LEAST_SERVICE_S))
+
+
 def differ_enough(low: Measurement, high: Measurement) -> bool:
     """Tell whether two cohorts met concurrency different enough to compare."""
     return high.mean_in_flight >= _LEAST_LEVEL_RATIO * low.mean_in_flight
@@ -331,26 +382,57 @@
 
     It is 0 while slots are free and 1 when all of them are taken.
     """
+    return min(max(_measure_elasticity(low, high), 0.0), 1.0)
+
+
+def _measure_elasticity(low: Measurement, high: Measurement) -> float:
     if not differ_enough(low, high):
         return 0.0
     ratio = high.mean_in_flight / low.mean_in_flight
-    elasticity = (high.mean_log - low.mean_log) / math.log(ratio)
-    return min(max(elasticity, 0.0), 1.0)
+    waiting_s = _measure_waiting(low, high)
+    low_s = math.exp(low.mean_log) + waiting_s
+    high_s = math.exp(high.mean_log) + waiting_s
+    return math.log(high_s / low_s) / math.log(ratio)
+
+
+def _measure_waiting(low: Measurement, high: Measurement) -> float:
+    """Return how long runs hold a slot while others work for them.
+
+    It is the same for both levels, since it says nothing about this server, but
+    the slots are held meanwhile.
+    """
+    waited_s = low.downstream_sum_s / low.runs + high.downstream_sum_s / high.runs
+    return waited_s / 2.0
+
+
+def _estimate_error(low: Measurement, high: Measurement) -> float:
+    error = math.sqrt(low.mean_log_error + high.mean_log_error)
+    own_s = math.exp(high.mean_log)
+    own = own_s / (own_s + _measure_waiting(low, high))
+    return own * error / math.log(high.mean_in_flight / low.mean_in_flight)
 
 
 def is_flat(low: Measurement, high: Measurement) -> bool:
     """Tell whether service time does not surely grow with concurrency."""
     if not differ_enough(low, high):
         return True
-    error = math.sqrt(low.mean_log_error + high.mean_log_error)
-    error /= math.log(high.mean_in_flight / low.mean_in_flight)
-    return compute_elasticity(low, high) - error < _FLAT_ELASTICITY
+    error = _estimate_error(low, high)
+    return _measure_elasticity(low, high) - error < _FLAT_ELASTICITY
+
+
+def is_steep(low: Measurement, high: Measurement) -> bool:
+    """Tell whether all slots are surely taken, even at the lower level."""
+    if not differ_enough(low, high):
+        return False
+    error = _estimate_error(low, high)
+    return _measure_elasticity(low, high) - error > _STEEP_ELASTICITY
 
 
 def estimate_limit(low: Measurement, high: Measurement) -> float:
     """Return the limit at which the slots are just full, with a margin."""
     ratio = high.mean_in_flight / low.mean_in_flight
-    return _MARGIN * high.level * ratio ** -compute_elasticity(low, high)
+    knee = high.level * ratio ** -compute_elasticity(low, high)
+    return _MARGIN * knee + _ALLOWANCE
 
 
 def move_limit(size: float, low: Measurement, high: Measurement) -> float:
@@ -358,6 +440,6 @@
     elasticity = compute_elasticity(low, high)
     if elasticity < _VERY_FLAT_ELASTICITY:
         return size * _GROWTH**_SMOOTHING
-    if elasticity > _STEEP_ELASTICITY:
-        return size * _STEEP_CUT**_SMOOTHING
+    if is_steep(low, high):
+        return size * _STEEP_CUT
     return size * (estimate_limit(low, high) / size) ** _SMOOTHING
