Let a server connection see every byte that no call waits for

A stream may take a second packet before its reader pauses it; the kernel's poll did not see these bytes, and the next call on the connection got them as its answer: dropped for its call id, but an innocent call was then of unknown fate. As a protocol the connection sees them at once. It is also not used again when the server answered before it was handed the whole request.

--- a/eelgrassmount/edge/exchange.py
+++ b/eelgrassmount/edge/exchange.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import select
-from contextlib import suppress
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import anyio
 import httptools
-from anyio.abc import SocketAttribute
 from attrs import define, field
 
 from eelgrassmount.edge import headers as names
@@ -22,14 +20,10 @@
 from eelgrassmount.metrics import DropReason
 from eelgrassmount.verdict import Header
 
-if TYPE_CHECKING:
-    from anyio.abc import SocketStream
-
-CHUNK_BYTES = 65536
 # with the names and values that the limits of headers allow, and more
 _MAX_HEAD_BYTES = 4 * MAX_HEADER_BYTES
+_EVENTS = select.POLLIN | select.POLLRDHUP
 _NO_BODY_STATUSES = frozenset({204, 304})
-_BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,64 +151,103 @@
         return RawAnswer(self.status, headers, body, self.keep_alive, self.extra)
 
 
-@define(eq=False)
-class Connection:
+class Connection(asyncio.Protocol):
     """A connection to a backend server, used by one call at a time.
 
-    ``used_s`` is when it was last given back, in monotonic seconds.
-    ``process`` is how the process at the other end named itself in its answers.
+    It is a protocol and no stream, because a stream may have taken bytes that
+    nobody has read, and these would then belong to the next call's answer.
+    ``used_s`` is when it was last given back, in monotonic seconds. ``process``
+    is how the process at the other end named itself in its answers, ``unasked``
+    tells that something came while no call was waiting.
     """
 
-    stream: SocketStream
-    used_s: float = 0.0
-    process: str = ""
-    _poll: select.poll = field(factory=select.poll)
-
-    def __attrs_post_init__(self) -> None:
-        raw_socket = self.stream.extra(SocketAttribute.raw_socket)
-        self._poll.register(raw_socket.fileno(), select.POLLIN)
+    def __init__(self) -> None:
+        self.used_s = 0.0
+        self.process = ""
+        self.unasked = False
+        self._lost = False
+        self._poll = select.poll()
+        self._received_bytes = 0
+        self._collector: _Collector | None = None
+        self._result: asyncio.Future[ExchangeResult] | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Take the transport of a new connection."""
+        self._transport = transport
+        self._poll.register(transport.get_extra_info("socket").fileno(), _EVENTS)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the call that waits: nothing more will come."""
+        self._lost = True
+        if self._received_bytes:
+            self._end(BadAnswer(DropReason.TRUNCATED))
+        else:
+            self._end(NoAnswer())
+
+    def data_received(self, data: bytes) -> None:
+        """Take a part of the answer that a call waits for."""
+        collector = self._collector
+        if collector is None or self._result.done():
+            self.unasked = True
+            self._transport.abort()
+            return
+        self._received_bytes += len(data)
+        collector.feed(data)
+        if not collector.status and self._received_bytes > _MAX_HEAD_BYTES:
+            collector.fail(DropReason.OVER_LONG)
+        if collector.fault is not None:
+            self._end(BadAnswer(collector.fault))
+        elif collector.done:
+            self._end(collector.make_answer())
+
+    def _end(self, result: ExchangeResult) -> None:
+        if self._result is not None and not self._result.done():
+            self._result.set_result(result)
 
     def is_quiet(self) -> bool:
         """Tell whether nothing came since the last answer, not even its end."""
-        return not self._poll.poll(0)
+        if self._lost or self.unasked:
+            return False
+        # what the loop has not come to read yet
+        events = [event for _, event in self._poll.poll(0)]
+        self.unasked = select.POLLIN in events
+        return not events
 
     async def exchange(
         self, method: str, data: bytes, max_body_bytes: int
     ) -> ExchangeResult:
         """Send a whole request and return what came of it."""
-        collector = _Collector(method, max_body_bytes)
-        received_bytes = 0
-        # where sending fails, it may have answered before it closed
-        with suppress(*_BROKEN):
-            await self.stream.send(data)
-        while not collector.done:
-            try:
-                part = await self.stream.receive(CHUNK_BYTES)
-            except (anyio.EndOfStream, *_BROKEN):
-                if received_bytes:
-                    return BadAnswer(DropReason.TRUNCATED)
-                return NoAnswer()
-            received_bytes += len(part)
-            collector.feed(part)
-            if not collector.status and received_bytes > _MAX_HEAD_BYTES:
-                collector.fail(DropReason.OVER_LONG)
-            if collector.fault is not None:
-                return BadAnswer(collector.fault)
-        answer = collector.make_answer()
-        self.process = find_header(answer.headers, names.SERVER) or self.process
-        return answer
-
-    async def close(self) -> None:
-        """Close the connection at once."""
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(self.stream)
+        if self._lost:
+            return NoAnswer()
+        self._received_bytes = 0
+        self._collector = _Collector(method, max_body_bytes)
+        self._result = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        try:
+            result = await self._result
+        finally:
+            self._collector = None
+            self._result = None
+        if isinstance(result, RawAnswer):
+            self.process = find_header(result.headers, names.SERVER) or self.process
+        return result
+
+    def is_sent(self) -> bool:
+        """Tell whether the server has been handed the whole request."""
+        return self._transport.get_write_buffer_size() == 0
+
+    def close(self) -> None:
+        """Close the connection at once; a call that waits on it ends."""
+        self._transport.abort()
 
 
 async def connect(host: str, port: int, limit_s: float) -> Connection | None:
     """Return a new connection, ``None`` when there is none within ``limit_s``."""
+    loop = asyncio.get_running_loop()
     with anyio.move_on_after(limit_s):
         try:
-            return Connection(await anyio.connect_tcp(host, port))
+            _, connection = await loop.create_connection(Connection, host, port)
         except OSError:
             return None
+        return connection
     return None
--- a/eelgrassmount/edge/probes.py
+++ b/eelgrassmount/edge/probes.py
@@ -94,7 +94,7 @@
                 self._asked_s[exchange.call.context.call_id] = now_s
             self._busy = False
             if connection is not None:
-                await connection.close()
+                connection.close()
 
     async def _ask_each(
         self, connection: Connection, address: str, due: list[Exchange]
@@ -107,7 +107,7 @@
                 return
             verdict = self._judge(exchange, result)
             if verdict is not None:
-                await exchange.settle(verdict)
+                exchange.settle(verdict)
             if not result.keep_alive or result.extra:
                 return
 
--- a/eelgrassmount/edge/server.py
+++ b/eelgrassmount/edge/server.py
@@ -65,11 +65,11 @@
     begun_s: float
     verdict: Verdict | None = None
 
-    async def settle(self, verdict: Verdict) -> None:
+    def settle(self, verdict: Verdict) -> None:
         """Give the call its verdict and close the connection that lost it."""
         if self.verdict is None:
             self.verdict = verdict
-            await self.connection.close()
+            self.connection.close()
 
 
 @define(eq=False)
@@ -118,7 +118,7 @@
             reusable = _is_reusable(result, verdict)
         finally:
             del self.exchanges[call.context.call_id]
-            await self._give_back(connection, address, reusable)
+            self._give_back(connection, address, reusable)
         if isinstance(verdict, Answered):
             self._note_latency(self.clock.read() - exchange.begun_s)
         return verdict
@@ -131,27 +131,27 @@
     async def _take(self, address: str) -> Connection | None:
         if address != self._address:
             self._address = address
-            await self.close()
+            self.close()
         oldest_s = self.clock.read() - IDLE_LIMIT_S
         while self._idle and self._idle[0].used_s < oldest_s:
-            await self._idle.popleft().close()
+            self._idle.popleft().close()
         while self._idle:
             connection = self._idle.pop()
             if connection.is_quiet():
                 return connection
-            await connection.close()
+            if connection.unasked:
+                self.metrics.dropped_answers.labels(DropReason.LATE).inc()
+            connection.close()
         target = parse_address(address)
         return await connect(target.host, target.port, CONNECT_LIMIT_S)
 
-    async def _give_back(
-        self, connection: Connection, address: str, reusable: bool
-    ) -> None:
+    def _give_back(self, connection: Connection, address: str, reusable: bool) -> None:
         room = len(self._idle) < MAX_IDLE_CONNECTIONS
-        if reusable and room and address == self._address:
+        if reusable and room and address == self._address and connection.is_sent():
             connection.used_s = self.clock.read()
             self._idle.append(connection)
             return
-        await connection.close()
+        connection.close()
 
     def _encode(self, address: str, call: Call, attempts_left: int) -> bytes | None:
         """Return a call as an HTTP request, ``None`` if HTTP can't carry it."""
@@ -203,10 +203,10 @@
         self.metrics.dropped_answers.labels(reason).inc()
         return MayHaveRun(Reason.BAD_ANSWER)
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
-            await self._idle.pop().close()
+            self._idle.pop().close()
 
 
 def _is_reusable(result: ExchangeResult, verdict: Verdict) -> bool:
--- a/tests/edge/servers.py
+++ b/tests/edge/servers.py
@@ -72,6 +72,7 @@
     connections: int = 0
     requests: list[bytes] = field(factory=list)
     streams: list[SocketStream] = field(factory=list)
+    early: bytes = b""
     answer: Callable[[bytes, int], bytes | None] = lambda request, number: b""
 
     async def serve(self, stream: SocketStream) -> None:
@@ -83,6 +84,11 @@
         number = self.connections
         self.streams.append(stream)
         async with stream:
+            if self.early:
+                # answers by the first bytes and reads no further
+                await stream.receive(10)
+                await stream.send(self.early)
+                await anyio.sleep_forever()
             try:
                 while request := await _read_request(stream):
                     self.requests.append(request)
--- a/tests/edge/test_probes.py
+++ b/tests/edge/test_probes.py
@@ -93,7 +93,7 @@
         await client.send(server.address, make_call(), 0, lambda: None)
         yield bench
         group.cancel_scope.cancel()
-        await client.close()
+        client.close()
 
 
 def repeat(body: bytes = b"good", call_id: str = "lost", extra: str = "") -> bytes:
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -33,7 +33,7 @@
 async def client() -> AsyncIterator[ServerClient]:
     client = ServerClient(ManualClock(), make_metrics(), MAX_BODY_BYTES)
     yield client
-    await client.close()
+    client.close()
 
 
 async def send(
@@ -244,13 +244,34 @@
         assert server.connections == 2
 
 
-@pytest.mark.parametrize("last_words", [b"", make_answer()])
+@pytest.mark.parametrize("turns", [0, 10])
+@pytest.mark.parametrize(
+    ("last_words", "counted"), [(b"", {}), (make_answer(), {"late": 1})]
+)
 async def test_idle_connection_that_got_more_is_not_used(
-    client: ServerClient, last_words: bytes
+    client: ServerClient, last_words: bytes, counted: dict[str, int], turns: int
 ) -> None:
     async with run_server(lambda request, number: make_answer()) as server:
         assert await send(client, server) == GOOD
         await server.speak(last_words)
+        # whether the loop has come to read it or not
+        for _ in range(turns):
+            await anyio.sleep(0)
+        assert await send(client, server) == GOOD
+        assert server.connections == 2
+        assert count_dropped(client) == counted
+
+
+async def test_early_answer_leaves_a_connection_that_is_still_being_written(
+    client: ServerClient,
+) -> None:
+    """The rest of the request may reach the server behind its answer."""
+    body = b"x" * 8_000_000
+    async with run_server(lambda request, number: make_answer()) as server:
+        server.early = make_answer(status="503 Busy", extra=SHED)
+        shed = await send(client, server, make_call(body=body))
+        assert shed == NotRun(Reason.SERVER_SHED, 0.25)
+        server.early = b""
         assert await send(client, server) == GOOD
         assert server.connections == 2
 
