--- a/eelgrassmount/edge/http.py
+++ b/eelgrassmount/edge/http.py
@@ -78,7 +78,7 @@
         self.ending.set()
 
 
-class BodyTooLong(Exception):
+class BodyTooLong(Exception):  # noqa: N818
     """The body of a request is longer than allowed."""
 
 
--- a/eelgrassmount/members/domains.py
+++ b/eelgrassmount/members/domains.py
@@ -27,7 +27,8 @@
     from eelgrassmount.timers import TimerService
 
 # changes that are not urgent, published in a tick by all failure domains together
-_PUBLISHED_BY_ALL = 14
+_PUBLISHED_BY_ALL = 5.0
+_MAX_CREDIT = 3.0
 _URGENT_CONTACTS = 2
 _REPAIR_SUMMARIES = 8
 # a digest differs for a moment whenever something changes
@@ -39,8 +40,8 @@
     """Publishes what the own failure domain's services can take, and tells the others.
 
     A few delegates do so. The first one publishes at once; the others only
-    what the first has not published after a while, staggered by rank, so that they
-    do not publish the same change twice.
+    what is urgent and what the first has not published after a while, staggered by
+    rank, so that they do not publish the same change twice.
     """
 
     roster: Roster
@@ -49,6 +50,9 @@
     _differs_since_s: float | None = None
     _outgoing: dict[str, UpdateQueue] = field(factory=dict)
     _mismatches: dict[str, int] = field(factory=dict)
+    _credit: float = 0.0
+    _rank: int | None = None
+    _rank_version: int = -1
 
     def start(self) -> None:
         """Subscribe to the timers."""
@@ -57,6 +61,12 @@
     @property
     def rank(self) -> int | None:
         """Return this node's rank among the delegates, if it is one."""
+        if self._rank_version != self.roster.version:
+            self._rank_version = self.roster.version
+            self._rank = self._compute_rank()
+        return self._rank
+
+    def _compute_rank(self) -> int | None:
         delegates = choose_delegates(
             self.roster.table.members.values(), self.roster.identity.failure_domain
         )
@@ -74,6 +84,7 @@
             self.roster.fresh.clear()
             self._differs_since_s = None
             return
+        self._earn_credit()
         self._publish_services(rank, now_s, urgent_only=False)
         self._publish_heartbeat(rank, now_s)
         self._queue_fresh()
@@ -83,12 +94,10 @@
 
     def react(self) -> None:
         """Publish and tell at once what would send calls to a server that left."""
-        if not self._published_in_vain():
-            return
         rank = self.rank
-        if rank is None or not self._publish_services(
-            rank, self.timers.read(), urgent_only=True
-        ):
+        if rank is None or not self._published_in_vain():
+            return
+        if not self._publish_services(rank, self.timers.read(), urgent_only=True):
             return
         self._queue_fresh()
         for domain in self.roster.contacts.domains:
@@ -126,6 +135,8 @@
             self.roster.table.members.values(), published, domain, now_s
         )
         changes = find_changes(published, present, self._list_serving())
+        if urgent_only or rank:
+            changes = [change for change in changes if change.urgent]
         if not changes:
             self._differs_since_s = None
             return False
@@ -133,18 +144,22 @@
             self._differs_since_s = now_s
         if now_s - self._differs_since_s < rank * self.roster.pace.stagger_s:
             return False
-        chosen = self._choose_changes(changes, urgent_only)
-        for change in chosen:
+        for change in self._choose_changes(changes):
             self._publish(change.summary, now_s)
-        return bool(chosen)
+        return True
 
-    def _choose_changes(self, changes: list[Change], urgent_only: bool) -> list[Change]:
+    def _choose_changes(self, changes: list[Change]) -> list[Change]:
+        """Return the urgent changes, and others as far as the share allows."""
         urgent = [change for change in changes if change.urgent]
-        if urgent_only:
-            return urgent
+        allowed = int(self._credit)
+        chosen = changes[len(urgent) : len(urgent) + allowed]
+        self._credit -= len(chosen)
+        return urgent + chosen
+
+    def _earn_credit(self) -> None:
         domains = len(self.roster.contacts.domains) + 1
-        share = max(1, _PUBLISHED_BY_ALL // domains)
-        return urgent + changes[len(urgent) : len(urgent) + share]
+        limit = max(_MAX_CREDIT, _PUBLISHED_BY_ALL / domains)
+        self._credit = min(limit, self._credit + _PUBLISHED_BY_ALL / domains)
 
     def _publish(self, summary: ServiceSummary, now_s: float) -> None:
         self.roster.counts.add(Count.SUMMARIES_PUBLISHED)
--- a/eelgrassmount/members/merge.py
+++ b/eelgrassmount/members/merge.py
@@ -70,6 +70,15 @@
     )
 
 
+def needs_reminder(own: Member, report: Member) -> bool:
+    """Tell whether a report doubts this incarnation and is refuted already."""
+    return (
+        report.identity.incarnation == own.identity.incarnation
+        and report.state is not MemberState.ALIVE
+        and rank_member(report) < rank_member(own)
+    )
+
+
 def needs_raise(own: Member, report: Member) -> bool:
     """Tell whether another incarnation at the own address stands above this one."""
     return report.identity.incarnation != own.identity.incarnation and rank_member(
@@ -82,3 +91,13 @@
     if known is None or not known.serves:
         return False
     return not report.serves and report.state in (MemberState.ALIVE, MemberState.LEFT)
+
+
+def refutes(known: Member | None, report: Member) -> bool:
+    """Tell whether a report takes back that this incarnation is not alive."""
+    return (
+        known is not None
+        and known.state in (MemberState.SUSPECT, MemberState.DEAD)
+        and report.state is MemberState.ALIVE
+        and report.identity.incarnation == known.identity.incarnation
+    )
