Know the process behind a fresh server connection by earlier answers

A call lost on a connection that had not answered yet waited for its deadline: nothing told which process had got it. A process that answered before the connection was made and answers the question afterwards was there all the time.

--- a/eelgrassmount/edge/exchange.py
+++ b/eelgrassmount/edge/exchange.py
@@ -157,7 +157,7 @@
     It is a protocol and no stream, because a stream may have taken bytes that
     nobody has read, and these would then belong to the next call's answer.
     ``used_s`` is when it was last given back, in monotonic seconds. ``process``
-    is how the process at the other end named itself in its answers, ``unasked``
+    is how the process at the other end names itself, as far as known, ``unasked``
     tells that something came while no call was waiting.
     """
 
--- a/eelgrassmount/edge/server.py
+++ b/eelgrassmount/edge/server.py
@@ -88,6 +88,7 @@
     exchanges: dict[str, Exchange] = field(factory=dict)
     _idle: deque[Connection] = field(factory=deque)
     _address: str = ""
+    _process: str = ""
 
     async def send(
         self,
@@ -114,6 +115,7 @@
             result = await connection.exchange(
                 call.request.method, data, self.max_body_bytes
             )
+            self._process = connection.process or self._process
             verdict = exchange.verdict or self.judge(call, result)
             reusable = _is_reusable(result, verdict)
         finally:
@@ -131,6 +133,7 @@
     async def _take(self, address: str) -> Connection | None:
         if address != self._address:
             self._address = address
+            self._process = ""
             self.close()
         oldest_s = self.clock.read() - IDLE_LIMIT_S
         while self._idle and self._idle[0].used_s < oldest_s:
@@ -142,8 +145,17 @@
             if connection.unasked:
                 self.metrics.dropped_answers.labels(DropReason.LATE).inc()
             connection.close()
+        return await self._connect(address)
+
+    async def _connect(self, address: str) -> Connection | None:
+        # a process that answered before, and answers a question afterwards, was
+        # there all the time, so that this connection is one to it
+        process = self._process
         target = parse_address(address)
-        return await connect(target.host, target.port, CONNECT_LIMIT_S)
+        connection = await connect(target.host, target.port, CONNECT_LIMIT_S)
+        if connection is not None:
+            connection.process = process
+        return connection
 
     def _give_back(self, connection: Connection, address: str, reusable: bool) -> None:
         room = len(self._idle) < MAX_IDLE_CONNECTIONS
--- a/tests/edge/test_probes.py
+++ b/tests/edge/test_probes.py
@@ -141,7 +141,21 @@
         assert bench.verdicts == []
 
 
-async def test_process_of_a_fresh_connection_is_not_known() -> None:
+@pytest.mark.parametrize(
+    ("process", "verdicts"), [(SAME, [NOT_RUN]), (OTHER, []), ("", [])]
+)
+async def test_fresh_connection_to_a_process_that_answered_before(
+    process: str, verdicts: list[Verdict]
+) -> None:
+    async with run_bench(make_answer(UNKNOWN, extra=process)) as bench:
+        bench.client.close()
+        await bench.lose(idempotent=False)
+        assert bench.server.connections == 2
+        await bench.pass_time(0.3)
+        assert bench.verdicts == verdicts
+
+
+async def test_process_that_never_answered_is_not_known() -> None:
     async with run_bench(make_answer(UNKNOWN, extra=SAME), first="") as bench:
         await bench.lose(idempotent=False)
         await bench.pass_time(0.3)
