--- a/eelgrassmount/compose/node.py
+++ b/eelgrassmount/compose/node.py
@@ -19,7 +19,6 @@
 from eelgrassmount.keys.service import KeyService
 from eelgrassmount.members.counts import Counts
 from eelgrassmount.members.membership import Membership
-from eelgrassmount.retry.exchange import QuarantineExchange
 
 if TYPE_CHECKING:
     from eelgrassmount.gen.ttypes import Gossip
@@ -144,7 +143,6 @@
     keys: KeyService,
 ) -> None:
     """Let versions and suspects ride on the messages of the membership."""
-    suspects = QuarantineExchange(path.quarantine, base.timers.clock)
 
     def fill_versions(gossip: Gossip) -> None:
         gossip.config_version = base.board.configuration.version
@@ -155,5 +153,5 @@
         if address in base.board.members.members:
             keys.hear_version((gossip.slot_versions or {}).get(ALL_SLOTS, 0), address)
 
-    membership.fillers += [fill_versions, suspects.fill]
-    membership.observers += [observe_versions, suspects.observe]
+    membership.fillers += [fill_versions, path.quarantine.fill]
+    membership.observers += [observe_versions, path.quarantine.observe]
--- a/eelgrassmount/compose/path.py
+++ b/eelgrassmount/compose/path.py
@@ -19,6 +19,7 @@
 from eelgrassmount.load.control import LoadControl
 from eelgrassmount.load.gate import LimitedGate
 from eelgrassmount.retry.budget import RetryRatio
+from eelgrassmount.retry.exchange import QuarantineExchange
 from eelgrassmount.retry.quarantine import Quarantine
 
 if TYPE_CHECKING:
@@ -32,7 +33,7 @@
     table: CallTable
     gate: LimitedGate
     control: LoadControl
-    quarantine: Quarantine
+    quarantine: QuarantineExchange
     announcements: Announcements
     dispatcher: Dispatcher
     downstream: Downstream
@@ -46,7 +47,9 @@
     table = CallTable()
     gate = LimitedGate(base.board, base.timers)
     control = LoadControl(base.board, base.timers)
-    quarantine = Quarantine()
+    quarantine = QuarantineExchange(
+        base.board, base.timers.clock, base.peers, Quarantine(), base.tasks
+    )
     client = ServerClient(base.timers.clock, base.metrics, base.settings.max_body_bytes)
     announcements = Announcements(
         base.board, base.timers, note_change, table.count_running
