--- a/tests/matrix/driver.py
+++ b/tests/matrix/driver.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 import traceback
 import uuid
+from contextlib import AsyncExitStack, suppress
 from typing import TYPE_CHECKING
 
 import anyio
@@ -203,17 +203,6 @@
         )
 
 
-async def _open_world(deployment: Deployment) -> World | str:
-    """Return the world of a started deployment, or why it does not get well."""
-    world = World(deployment)
-    try:
-        await world.publish(CONFIGURATION)
-        await world.wait_until_well()
-    except Exception:
-        return f"error: {traceback.format_exc(limit=-1)}"
-    return world
-
-
 async def run_cells(
     cells: Iterable[Cell], without: str, tell: Callable[[Result], None]
 ) -> None:
@@ -226,25 +215,33 @@
 
 
 async def _run_on_one(cells: list[Cell], without: str) -> AsyncIterator[Result]:
-    deployment = await asyncio.to_thread(_start, without)
-    try:
-        world = await _open_world(deployment)
-        if isinstance(world, str):
-            yield Result(cells[0], not_run=world)
+    async with AsyncExitStack() as stack:
+        try:
+            world = await _open_world(stack, without)
+        except Exception:
+            yield Result(cells[0], not_run=f"error: {traceback.format_exc(limit=-1)}")
             return
         for cell in list(cells):
             result, spoilt = await _run_cell(world, cell)
             yield result
             if spoilt:
                 return
-    finally:
-        await asyncio.to_thread(deployment.stop)
+
+
+async def _open_world(stack: AsyncExitStack, without: str) -> World:
+    """Return the world of a deployment that is started, configured and well."""
+    deployment = await asyncio.to_thread(_start, without)
+    stack.push_async_callback(asyncio.to_thread, deployment.stop)
+    world = World(deployment)
+    await world.publish(CONFIGURATION)
+    await world.wait_until_well()
+    return world
 
 
 def _start(without: str) -> Deployment:
     for _ in range(STARTS - 1):
         # another program may take a port that was free a moment ago
-        with contextlib.suppress(RuntimeError, TimeoutError):
+        with suppress(RuntimeError, TimeoutError):
             return Deployment(make_spec(without)).__enter__()
     return Deployment(make_spec(without)).__enter__()
 
