Measure what nodes cost for control, and bound the periodic work

A new benchmark fills the tables of a node to 715 members and 4810 summaries and times its periodic functions; small clusters had hidden what grows with them.

The roster is built when a member has changed and not each time; summaries are found by service; only services that were called are refreshed; the readers of the log stop counting once they know; delegates are ranked when a member has changed.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,242 @@
+"""What a node costs for control, measured on real processes, and the slopes.
+
+``python -m benchmarks.capacity`` runs clusters of several shapes, each at rest
+and under changes, then measures how soon a configuration is in force in every
+failure domain, then the periodic work on tables of the largest size. Processor
+time is that of the processes (from ``/proc``), so that a busy machine disturbs
+it less than any time on the clock. Servers only announce themselves; no calls.
+"""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import json
+import random
+import statistics
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from attrs import asdict
+from loguru import logger
+
+from benchmarks.capacity_cluster import Cluster, Shape
+from benchmarks.capacity_fit import MEASURES, REST_TERMS, fit, show_fit
+from benchmarks.capacity_force import measure_force, show_force
+from benchmarks.capacity_samples import (
+    Appends,
+    Cost,
+    Phase,
+    measure,
+    show_appends,
+    show_costs,
+)
+from benchmarks.capacity_tables import measure_tables, show_tables
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+SEED = 20261202
+SHAPES = "2x5x5,2x10x5,2x20x5,2x40x5,2x20x20,6x10x5,14x5x5,14x10x10"
+PARTS = ("nodes", "force", "tables")
+SETTLE_S = 12.0
+PUBLISH_EVERY_S = 0.5
+FLIP_EVERY_S = 0.8
+FLIP_S = 0.4
+RESTART_EVERY_S = 3.0
+REJOIN_LIMIT_S = 90.0
+TEXT = """failure_domains = [{domains}]
+
+[[class]]
+name = "booking"
+routes = ["POST /service-0/bookings"]
+idempotent = false
+refuse_last = true
+complete_fraction = 0.{fraction}
+within_ms = 2000
+"""
+
+
+def make_text(shape: Shape, number: int) -> str:
+    domains = ", ".join(f'"domain-{index}"' for index in range(shape.domains))
+    return TEXT.format(domains=domains, fraction=900 + number % 99)
+
+
+def rest(deadline: float) -> int:
+    return 0
+
+
+def make_publishing(cluster: Cluster) -> Callable[[float], int]:
+    """Publish configurations at a steady rate."""
+
+    def publish(deadline: float) -> int:
+        for number in itertools.count():
+            due_s = time.monotonic() + PUBLISH_EVERY_S
+            cluster.publish(make_text(cluster.shape, number))
+            if due_s >= deadline:
+                return number + 1
+            time.sleep(max(0.0, due_s - time.monotonic()))
+        return 0
+
+    return publish
+
+
+def make_flipping(cluster: Cluster, rng: random.Random) -> Callable[[float], int]:
+    """Let one server after the other say that it drains, and serve again."""
+
+    def flip(deadline: float) -> int:
+        changes = 0
+        while time.monotonic() + FLIP_EVERY_S < deadline:
+            due_s = time.monotonic() + FLIP_EVERY_S
+            node = rng.choice(cluster.nodes)
+            cluster.announce(node, "draining")
+            time.sleep(FLIP_S)
+            cluster.announce(node, "serving")
+            changes += 2
+            time.sleep(max(0.0, due_s - time.monotonic()))
+        return changes
+
+    return flip
+
+
+def make_restarting(cluster: Cluster, rng: random.Random) -> Callable[[float], int]:
+    """Replace one node after the other without a warning."""
+
+    def restart(deadline: float) -> int:
+        changes = 0
+        for node in rng.sample(cluster.nodes, len(cluster.nodes)):
+            if time.monotonic() + RESTART_EVERY_S >= deadline:
+                break
+            node.process.restart()
+            changes += 1
+            time.sleep(RESTART_EVERY_S)
+        return changes
+
+    return restart
+
+
+def make_mass_restart(cluster: Cluster) -> Callable[[float], int]:
+    """Replace all nodes at once and wait until they know each other."""
+
+    def restart(deadline: float) -> int:
+        began_s = time.monotonic()
+        for node in cluster.nodes:
+            node.process.kill()
+        for node in cluster.nodes:
+            node.process.start()
+        cluster.wait_until_joined(time.monotonic() + REJOIN_LIMIT_S)
+        took_s = time.monotonic() - began_s
+        print(f"all of {cluster.shape.nodes} nodes joined again in {took_s:.1f} s")
+        return cluster.shape.nodes
+
+    return restart
+
+
+def measure_shape(shape: Shape, rest_s: float, changes_s: float) -> list[Phase]:
+    """Run one cluster through all phases."""
+    rng = random.Random(SEED)
+    began_s = time.monotonic()
+    with Cluster(shape) as cluster:
+        print(f"{shape}: joined after {time.monotonic() - began_s:.1f} s", flush=True)
+        cluster.publish(make_text(shape, 0))
+        time.sleep(SETTLE_S)
+        plan = (
+            ("rest", rest_s, rest),
+            ("publishes", changes_s, make_publishing(cluster)),
+            ("server states", changes_s, make_flipping(cluster, rng)),
+            ("restarts", changes_s, make_restarting(cluster, rng)),
+            ("mass restart", changes_s, make_mass_restart(cluster)),
+        )
+        phases = []
+        for name, seconds, work in plan:
+            phases.append(measure(cluster, name, seconds, work))
+            show_costs(phases[-1].costs)
+            show_appends(phases[-1].appends)
+            if phases[-1].errors:
+                print(f"    errors counted by nodes: {phases[-1].errors:.0f}")
+        return phases
+
+
+def show_slopes(phases: Sequence[Phase]) -> None:
+    """Print the slopes at rest, and the cost of each change to each node."""
+    costs = [cost for phase in phases for cost in phase.costs]
+    at_rest = [cost for cost in costs if cost.phase == "rest"]
+    print("\nslopes at rest, a second and node")
+    for name in MEASURES:
+        show_fit(fit(at_rest, REST_TERMS, name))
+    print("\nwhat one change costs each node of the system, beyond rest")
+    for phase in phases:
+        if phase.costs and phase.costs[0].changes_a_second and phase.costs:
+            _show_change(phase.costs, at_rest)
+
+
+def _show_change(costs: Sequence[Cost], at_rest: Sequence[Cost]) -> None:
+    one = costs[0]
+    shape = (one.domains, one.members, one.services)
+    same = [
+        cost for cost in at_rest if (cost.domains, cost.members, cost.services) == shape
+    ]
+
+    def extra(name: str) -> float:
+        changed = statistics.mean(getattr(cost, name) for cost in costs)
+        before = statistics.mean(getattr(cost, name) for cost in same)
+        return (changed - before) / one.changes_a_second
+
+    print(
+        f"{one.phase:16} {one.domains:3} x {one.members:3} {one.services:3} services"
+        f" cpu ms {extra('cpu_ms'):.3f} bytes {extra('bytes_sent'):.0f}"
+        f" messages {extra('messages_sent'):.2f}"
+    )
+
+
+def parse_shape(text: str) -> Shape:
+    domains, members, services = (int(part) for part in text.split("x"))
+    return Shape(domains, members, services)
+
+
+def summarize_appends(appends: Appends) -> dict[str, object]:
+    return {**asdict(appends), "shape": asdict(appends.shape)}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--shapes", default=SHAPES, help="failure domains x members x services"
+    )
+    parser.add_argument("--rest-s", type=float, default=20.0)
+    parser.add_argument("--changes-s", type=float, default=12.0)
+    parser.add_argument("--force-domains", type=int, default=14)
+    parser.add_argument("--publishes", type=int, default=40, help="in each situation")
+    parser.add_argument("--parts", default=",".join(PARTS))
+    parser.add_argument("--output", type=Path, help="file for all figures, as JSON")
+    options = parser.parse_args()
+    logger.remove()
+    parts = options.parts.split(",")
+    began_s = time.monotonic()
+    figures: dict[str, object] = {}
+    if "nodes" in parts:
+        shapes = [parse_shape(text) for text in options.shapes.split(",")]
+        phases = [
+            phase
+            for shape in shapes
+            for phase in measure_shape(shape, options.rest_s, options.changes_s)
+        ]
+        show_slopes(phases)
+        figures["costs"] = [asdict(cost) for phase in phases for cost in phase.costs]
+        figures["appends"] = [summarize_appends(phase.appends) for phase in phases]
+    if "force" in parts:
+        forces = measure_force(options.force_domains, options.publishes)
+        show_force(forces)
+        figures["force"] = [asdict(force) for force in forces]
+    if "tables" in parts:
+        tables = measure_tables()
+        show_tables(tables)
+        figures["tables"] = [asdict(table) for table in tables]
+    if options.output is not None:
+        options.output.write_text(json.dumps(figures))
+    print(f"took {time.monotonic() - began_s:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/capacity_cluster.py
@@ -0,0 +1,324 @@
+"""Node processes with the platform's log, whose cost can be read."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import tempfile
+import threading
+import time
+import urllib.request
+from pathlib import Path
+from typing import TYPE_CHECKING, Self
+
+from attrs import define, field, frozen
+
+from standins.client import Client, UnansweredError
+from standins.faults import call_admin, get_stats
+from standins.processes import (
+    PYTHON,
+    Process,
+    find_free_address,
+    make_command,
+    make_flags,
+    poll_until,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+START_LIMIT_S = 120.0
+HTTP_LIMIT_S = 10.0
+ANNOUNCEMENT_PATH = "/_eelgrassmount/server"
+_FIRST_OCTET = 20
+_OCTETS = 200
+_ANNOUNCE_S = 1.0
+_ANNOUNCE_LIMIT_S = 2.0
+_TICKS = os.sysconf("SC_CLK_TCK")
+_USER_TICKS = 11
+_SYSTEM_TICKS = 12
+_KIB = 1024
+
+
+@frozen
+class Shape:
+    """How many nodes of how many services, in how many failure domains."""
+
+    domains: int
+    members: int
+    services: int
+
+    @property
+    def nodes(self) -> int:
+        return self.domains * self.members
+
+
+@define(eq=False)
+class NodeProcess:
+    """One node and the state that its backend server announces."""
+
+    name: str
+    failure_domain: str
+    service: str
+    peer_address: str
+    admin_address: str
+    backend_address: str
+    process: Process
+    state: str = "serving"
+
+
+@frozen
+class Usage:
+    """What a process has used since its start."""
+
+    cpu_s: float
+    memory_mb: float
+
+
+@frozen
+class Traffic:
+    """What a node has sent and received on its links to peers since its start."""
+
+    bytes_sent: float = 0.0
+    bytes_received: float = 0.0
+    messages_sent: float = 0.0
+    messages_received: float = 0.0
+    log_errors: float = 0.0
+    internal_errors: float = 0.0
+
+
+def read_usage(pid: int) -> Usage:
+    """Return the processor time and resident memory of a process."""
+    text = Path(f"/proc/{pid}/stat").read_text()
+    # the name of the program may hold spaces
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+    status = Path(f"/proc/{pid}/status").read_text()
+    resident = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+    return Usage(ticks / _TICKS, int(resident.split()[1]) / _KIB)
+
+
+def read_series(admin_address: str) -> dict[str, float]:
+    """Return a node's metrics by name and labels."""
+    url = f"http://{admin_address}/metrics"
+    with urllib.request.urlopen(url, timeout=HTTP_LIMIT_S) as answer:
+        text = answer.read().decode()
+    lines = (line for line in text.splitlines() if line and not line.startswith("#"))
+    series = (line.rpartition(" ") for line in lines)
+    return {name: float(value) for name, _, value in series}
+
+
+def read_traffic(admin_address: str) -> Traffic:
+    """Return what a node has sent and received so far."""
+    series = read_series(admin_address)
+
+    def find(name: str) -> float:
+        begin = f"eelgrassmount_{name}"
+        return sum(value for key, value in series.items() if key.startswith(begin))
+
+    return Traffic(
+        bytes_sent=find('peer_bytes_total{direction="sent"'),
+        bytes_received=find('peer_bytes_total{direction="received"'),
+        messages_sent=find('peer_messages_total{direction="sent"'),
+        messages_received=find('peer_messages_total{direction="received"'),
+        log_errors=find("log_errors_total"),
+        internal_errors=find("internal_errors_total"),
+    )
+
+
+def describe_server(node: NodeProcess) -> dict[str, str]:
+    """Return the announcement of a node's server; nobody calls its address."""
+    return {"service": node.service, "address": "127.0.0.1:1", "state": node.state}
+
+
+def publish(admin_address: str, text: str) -> int:
+    """Publish a configuration and return the version that was accepted."""
+    base = call_admin(admin_address, "GET", "/config")["version"]
+    url = f"http://{admin_address}/config?base={base}"
+    request = urllib.request.Request(url, text.encode(), method="POST")
+    with urllib.request.urlopen(request, timeout=HTTP_LIMIT_S) as answer:
+        return json.loads(answer.read())["version"]
+
+
+class Announcers:
+    """Announces the backend servers of all nodes, from a thread of its own.
+
+    Real servers would be as many processes more, and are not what is measured.
+    """
+
+    def __init__(self, nodes: Iterable[NodeProcess]) -> None:
+        self._nodes = list(nodes)
+        self._ending = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._ending.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        asyncio.run(self._announce_all())
+
+    async def _announce_all(self) -> None:
+        client = Client()
+        async with asyncio.TaskGroup() as group:
+            for index, node in enumerate(self._nodes):
+                phase_s = _ANNOUNCE_S * index / len(self._nodes)
+                group.create_task(self._announce(client, node, phase_s))
+        client.close()
+
+    async def _announce(self, client: Client, node: NodeProcess, wait_s: float) -> None:
+        await asyncio.sleep(wait_s)
+        while not self._ending.is_set():
+            began_s = time.monotonic()
+            if node.process.running:
+                await self._tell(client, node)
+            await asyncio.sleep(max(0.0, began_s + _ANNOUNCE_S - time.monotonic()))
+
+    async def _tell(self, client: Client, node: NodeProcess) -> None:
+        headers = {"content-type": "application/json"}
+        body = json.dumps(describe_server(node)).encode()
+        # a node that is just starting is told again in a second
+        with contextlib.suppress(UnansweredError):
+            await client.request(
+                node.backend_address,
+                "PUT",
+                ANNOUNCEMENT_PATH,
+                headers,
+                body,
+                _ANNOUNCE_LIMIT_S,
+            )
+
+
+@define(eq=False)
+class Cluster:
+    """Running nodes with servers that only announce themselves.
+
+    As a context manager it always ends its processes.
+    """
+
+    shape: Shape
+    nodes: list[NodeProcess] = field(factory=list)
+    log: Process = field(init=False)
+    log_admin_address: str = field(init=False)
+    _temporary: tempfile.TemporaryDirectory = field(init=False)
+    _announcers: Announcers = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._temporary = tempfile.TemporaryDirectory(prefix="capacity-")
+        first = _FIRST_OCTET + os.getpid() % _OCTETS
+        platform_ip = f"127.{first}.0.1"
+        log_address = find_free_address(platform_ip)
+        self.log_admin_address = find_free_address(platform_ip)
+        command = make_command(
+            "log", address=log_address, admin_address=self.log_admin_address
+        )
+        self.log = Process("log", command, self._folder)
+        for domain in range(self.shape.domains):
+            for number in range(self.shape.members):
+                ip = f"127.{first + 1 + domain}.{number + 1}.1"
+                self.nodes.append(self._make_node(domain, number, ip, log_address))
+        seeds = [node.peer_address for node in self.nodes[:: self.shape.members]]
+        for node in self.nodes:
+            others = [seed for seed in seeds if seed != node.peer_address]
+            if others:
+                node.process.command += (f"--peers={','.join(others)}",)
+        self._announcers = Announcers(self.nodes)
+
+    @property
+    def _folder(self) -> Path:
+        return Path(self._temporary.name)
+
+    def __enter__(self) -> Self:
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._announcers.stop()
+        self.stop()
+
+    def stop(self) -> None:
+        for process in (*(node.process for node in self.nodes), self.log):
+            process.kill()
+        self._temporary.cleanup()
+
+    def _make_node(
+        self, domain: int, number: int, ip: str, log_address: str
+    ) -> NodeProcess:
+        peer, admin, backend, caller = (find_free_address(ip) for _ in range(4))
+        name = f"domain-{domain}-{number}"
+        flags = {
+            "caller_address": caller,
+            "backend_address": backend,
+            "peer_address": peer,
+            "admin_address": admin,
+            "failure_domain": f"domain-{domain}",
+            "region": f"region-{domain % 6}",
+            "log_address": log_address,
+        }
+        command = (PYTHON, "-m", "eelgrassmount", "node", *make_flags(flags))
+        return NodeProcess(
+            name,
+            f"domain-{domain}",
+            f"service-{number % self.shape.services}",
+            peer,
+            admin,
+            backend,
+            Process(f"node-{name}", command, self._folder),
+        )
+
+    def _start(self) -> None:
+        self.log.start()
+        for node in self.nodes:
+            node.process.start()
+        self._announcers.start()
+        self.wait_until_joined(time.monotonic() + START_LIMIT_S)
+
+    def wait_until_joined(self, deadline: float) -> None:
+        """Wait until each node knows its failure domain and all services."""
+        for node in self.nodes:
+            for _ in poll_until(deadline, node.name):
+                if not node.process.running:
+                    raise RuntimeError(f"{node.name}: {node.process.read_log()}")
+                with contextlib.suppress(OSError):
+                    if self._has_joined(node):
+                        break
+
+    def _has_joined(self, node: NodeProcess) -> bool:
+        known = call_admin(node.admin_address, "GET", "/members")
+        alive = [one for one in known["members"] if one["state"] == "alive"]
+        services = {
+            (one["failure_domain"], one["service"])
+            for one in known["summaries"]
+            if one["service"] and one["failure_domain"] != node.failure_domain
+        }
+        wanted = (self.shape.domains - 1) * self.shape.services
+        return len(alive) >= self.shape.members and len(services) >= wanted
+
+    def announce(self, node: NodeProcess, state: str) -> None:
+        """Announce a new state of a node's server, at once and from now on."""
+        node.state = state
+        with contextlib.suppress(OSError):
+            body = describe_server(node)
+            call_admin(node.backend_address, "PUT", ANNOUNCEMENT_PATH, body)
+
+    def count_appends(self) -> dict[str, dict[int, int]]:
+        """Return the appends of each stream by second."""
+        appends = get_stats(self.log_admin_address)["appends"]
+        return {
+            stream: {int(second): count for second, count in counts.items()}
+            for stream, counts in appends.items()
+        }
+
+    def publish(self, text: str) -> int:
+        """Publish a configuration through the first running node."""
+        node = next(node for node in self.nodes if node.process.running)
+        return publish(node.admin_address, text)
--- /dev/null
+++ b/benchmarks/capacity_force.py
@@ -0,0 +1,183 @@
+"""How soon an accepted configuration is in force in every failure domain."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+import time
+from datetime import datetime
+from typing import TYPE_CHECKING
+
+import numpy as np
+from attrs import field, frozen
+
+from benchmarks.capacity_cluster import publish
+from standins.deploy import PYTHON, Deployment, DeploymentSpec, ServiceSpec
+from standins.processes import make_flags
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from standins.processes import Process
+
+MEMBERS = 2
+PEER_DELAY_MS = 1.0
+SETTLE_S = 10.0
+EVERY_S = 0.5
+LIMIT_S = 15.0
+LOAD_RATE = 300.0
+LOAD_WARM_S = 3.0
+AFTER_CUT_S = 5.0
+TEXT = """failure_domains = [{domains}]
+
+[[class]]
+name = "price"
+routes = ["GET /ratebook/price"]
+idempotent = true
+complete_fraction = 0.{fraction}
+within_ms = 1000
+"""
+_IN_FORCE = re.compile(r"configuration (\d+) is in force")
+
+
+@frozen
+class Force:
+    """Seconds from accepted to in force, over all publishes of one situation.
+
+    ``everywhere`` has one value for each version, when the last node had it;
+    ``nodes`` one for each node and version, ``cut`` only those of the failure
+    domain that was cut. Infinite where it was not in force at the end.
+    """
+
+    situation: str
+    domains: int
+    processes: int
+    versions: int
+    publish_s: list[float] = field(repr=False)
+    everywhere: list[float] = field(repr=False)
+    nodes: list[float] = field(repr=False)
+    cut: list[float] = field(repr=False)
+
+
+@frozen
+class Accepted:
+    """A version and the moments when it was sent and accepted."""
+
+    version: int
+    sent_s: float
+    accepted_s: float
+
+
+def measure_force(domains: int, count: int) -> list[Force]:
+    """Measure at rest, under load, and with one failure domain cut from the log."""
+    names = tuple(f"domain-{index}" for index in range(domains))
+    services = (ServiceSpec("ratebook", MEMBERS, slots=50),)
+    spec = DeploymentSpec(
+        names, services, relays=True, peer_delay_ms=PEER_DELAY_MS, ready_timeout_s=120
+    )
+    with Deployment(spec) as deployment:
+        time.sleep(SETTLE_S)
+        _publish_all(deployment, 1)
+        forces = [_measure(deployment, "rest", count)]
+        load = _start_load(deployment, count)
+        time.sleep(LOAD_WARM_S)
+        forces.append(_measure(deployment, "under load", count))
+        load.kill()
+        cut = names[-1]
+        deployment.cut(cut, "log", "drop")
+        time.sleep(AFTER_CUT_S)
+        forces.append(_measure(deployment, "one cut from the log", count, cut))
+        deployment.heal()
+    return forces
+
+
+def _publish_all(deployment: Deployment, count: int) -> list[Accepted]:
+    names = ", ".join(f'"{name}"' for name in deployment.spec.failure_domains)
+    accepted = []
+    for number in range(count):
+        text = TEXT.format(domains=names, fraction=100 + number % 800)
+        vm = deployment.vms[number % MEMBERS]
+        sent_s = time.time()
+        version = publish(vm.admin_address, text)
+        accepted.append(Accepted(version, sent_s, time.time()))
+        time.sleep(EVERY_S)
+    return accepted
+
+
+def _start_load(deployment: Deployment, count: int) -> Process:
+    classes = [{"name": "price", "method": "GET", "path": "/ratebook/price"}]
+    phases = [[LOAD_WARM_S + LIMIT_S + 2 * count * EVERY_S, LOAD_RATE]]
+    flags = make_flags(
+        {
+            "nodes": ",".join(deployment.caller_addresses),
+            "classes": json.dumps(classes),
+            "phases": json.dumps(phases),
+            "output": "/dev/null",
+        }
+    )
+    return deployment.start("caller", PYTHON, "-m", "standins.caller", *flags)
+
+
+def _measure(
+    deployment: Deployment, situation: str, count: int, cut: str = ""
+) -> Force:
+    accepted = _publish_all(deployment, count)
+    deployment.wait_until_in_force(accepted[-1].version, LIMIT_S)
+    seen = {vm.name: read_versions(vm.node.read_log()) for vm in deployment.vms}
+    domains = {vm.name: vm.failure_domain for vm in deployment.vms}
+    waits = {
+        name: [find_wait(versions, one) for one in accepted]
+        for name, versions in seen.items()
+    }
+    return Force(
+        situation=situation,
+        domains=len(deployment.spec.failure_domains),
+        processes=len(deployment.vms),
+        versions=count,
+        publish_s=[one.accepted_s - one.sent_s for one in accepted],
+        everywhere=[max(each) for each in zip(*waits.values(), strict=True)],
+        nodes=[wait for each in waits.values() for wait in each],
+        cut=[wait for name in waits if domains[name] == cut for wait in waits[name]],
+    )
+
+
+def read_versions(log: str) -> list[tuple[float, int]]:
+    """Return when each version came into force, from the log lines of a node."""
+    found = []
+    for line in log.splitlines():
+        match = _IN_FORCE.search(line)
+        if match is not None:
+            moment = datetime.fromisoformat(json.loads(line)["time"])
+            found.append((moment.timestamp(), int(match[1])))
+    return found
+
+
+def find_wait(versions: Sequence[tuple[float, int]], accepted: Accepted) -> float:
+    """Return the seconds from accepted to in force; not below zero."""
+    for moment_s, version in versions:
+        if version >= accepted.version:
+            return max(0.0, moment_s - accepted.accepted_s)
+    return math.inf
+
+
+def show_force(forces: Sequence[Force]) -> None:
+    """Print the percentiles of each situation."""
+    print("\nseconds from accepted to in force            p50     p99   worst")
+    for force in forces:
+        rows = {
+            "in every failure domain": force.everywhere,
+            "at each node": force.nodes,
+            "at each node of the cut one": force.cut,
+            "(the publish itself)": force.publish_s,
+        }
+        for name, values in rows.items():
+            if values:
+                p50, p99 = np.percentile(values, (50, 99))
+                print(
+                    f"{force.situation:21} {name:28} {p50:6.3f} {p99:7.3f}"
+                    f" {max(values):7.3f}"
+                    f"  {force.processes} nodes, {force.domains} failure domains,"
+                    f" {force.versions} versions",
+                    flush=True,
+                )
--- /dev/null
+++ b/benchmarks/capacity_samples.py
@@ -0,0 +1,231 @@
+"""What each node costs in a stretch of time, and how that depends on its role."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from attrs import evolve, frozen
+
+from benchmarks.capacity_cluster import read_traffic, read_usage
+from eelgrassmount.config.readers import READERS
+from eelgrassmount.members.delegates import choose_addresses
+from eelgrassmount.members.pace import DELEGATES
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from benchmarks.capacity_cluster import Cluster, Shape, Traffic, Usage
+
+_MS = 1000
+
+
+@frozen
+class Cost:
+    """What one node cost in each second of one phase."""
+
+    cpu_ms: float
+    memory_mb: float
+    bytes_sent: float
+    bytes_received: float
+    messages_sent: float
+    messages_received: float
+    phase: str = ""
+    domains: int = 0
+    members: int = 0
+    services: int = 0
+    delegate: bool = False
+    reader: bool = False
+    changes_a_second: float = 0.0
+
+    @property
+    def summaries(self) -> int:
+        """Summaries of other failure domains' services that the node knows."""
+        return (self.domains - 1) * self.services
+
+
+@frozen
+class Appends:
+    """Records on the log in one phase, each second, and in the worst second."""
+
+    phase: str
+    shape: Shape
+    seconds: float
+    mean: float
+    worst: int
+    streams: dict[str, int]
+
+
+@frozen
+class Phase:
+    """What was measured in one phase."""
+
+    costs: list[Cost]
+    appends: Appends
+    errors: float
+
+
+def find_delegates(cluster: Cluster) -> set[str]:
+    """Return the peer addresses of the nodes that speak for their failure domain."""
+    return _choose(cluster, lambda domain: domain, DELEGATES)
+
+
+def find_readers(cluster: Cluster) -> set[str]:
+    """Return the peer addresses of the nodes that always tail the configuration."""
+    # the rule of eelgrassmount.config.readers with its lasting salt
+    return _choose(cluster, lambda domain: "", READERS)
+
+
+def _choose(cluster: Cluster, key: Callable[[str], str], count: int) -> set[str]:
+    domains: dict[str, list[str]] = {}
+    for node in cluster.nodes:
+        domains.setdefault(node.failure_domain, []).append(node.peer_address)
+    return {
+        address
+        for domain, addresses in domains.items()
+        for address in choose_addresses(key(domain), addresses, count)
+    }
+
+
+@frozen
+class Reading:
+    """What one process had used and sent up to some moment."""
+
+    pid: int
+    usage: Usage
+    traffic: Traffic
+
+
+def measure(
+    cluster: Cluster, name: str, seconds: float, work: Callable[[float], int]
+) -> Phase:
+    """Measure all nodes while ``work`` makes changes until its deadline.
+
+    ``work`` returns how many it made. Nodes that were replaced meanwhile are
+    left out.
+    """
+    appends = _sum_appends(cluster)
+    # reading the metrics costs a node something, so that comes first and last
+    traffics = [read_traffic(node.admin_address) for node in cluster.nodes]
+    usages = [read_usage(node.process.pid) for node in cluster.nodes]
+    before = {
+        node.name: Reading(node.process.pid, usage, traffic)
+        for node, usage, traffic in zip(cluster.nodes, usages, traffics, strict=True)
+    }
+    began_s = time.monotonic()
+    changes = work(began_s + seconds)
+    time.sleep(max(0.0, began_s + seconds - time.monotonic()))
+    took_s = time.monotonic() - began_s
+    stayed = [
+        node for node in cluster.nodes if node.process.pid == before[node.name].pid
+    ]
+    usages = [read_usage(node.process.pid) for node in stayed]
+    after = {
+        node.name: Reading(node.process.pid, usage, read_traffic(node.admin_address))
+        for node, usage in zip(stayed, usages, strict=True)
+    }
+    delegates, readers = find_delegates(cluster), find_readers(cluster)
+    costs = [
+        evolve(
+            _compare(before[node.name], after[node.name], took_s),
+            phase=name,
+            domains=cluster.shape.domains,
+            members=cluster.shape.members,
+            services=cluster.shape.services,
+            delegate=node.peer_address in delegates,
+            reader=node.peer_address in readers,
+            changes_a_second=changes / took_s,
+        )
+        for node in stayed
+    ]
+    return Phase(
+        costs,
+        _compare_appends(cluster, name, appends, took_s),
+        _sum_errors(after) - _sum_errors({name: before[name] for name in after}),
+    )
+
+
+def _compare(before: Reading, after: Reading, took_s: float) -> Cost:
+    def rate(name: str) -> float:
+        return (getattr(after.traffic, name) - getattr(before.traffic, name)) / took_s
+
+    return Cost(
+        cpu_ms=_MS * (after.usage.cpu_s - before.usage.cpu_s) / took_s,
+        memory_mb=after.usage.memory_mb,
+        bytes_sent=rate("bytes_sent"),
+        bytes_received=rate("bytes_received"),
+        messages_sent=rate("messages_sent"),
+        messages_received=rate("messages_received"),
+    )
+
+
+def _sum_errors(readings: dict[str, Reading]) -> float:
+    traffics = [reading.traffic for reading in readings.values()]
+    return sum(traffic.log_errors + traffic.internal_errors for traffic in traffics)
+
+
+def _sum_appends(cluster: Cluster) -> Counter[tuple[str, int]]:
+    return Counter(
+        {
+            (stream, second): count
+            for stream, counts in cluster.count_appends().items()
+            for second, count in counts.items()
+        }
+    )
+
+
+def _compare_appends(
+    cluster: Cluster, name: str, before: Counter[tuple[str, int]], took_s: float
+) -> Appends:
+    new = _sum_appends(cluster) - before
+    seconds: Counter[int] = Counter()
+    streams: Counter[str] = Counter()
+    for (stream, second), count in new.items():
+        seconds[second] += count
+        streams[stream.partition(".")[0]] += count
+    return Appends(
+        phase=name,
+        shape=cluster.shape,
+        seconds=took_s,
+        mean=sum(seconds.values()) / took_s,
+        worst=max(seconds.values(), default=0),
+        streams=dict(streams),
+    )
+
+
+def show_costs(costs: list[Cost]) -> None:
+    """Print the mean of the nodes of each phase, and of the delegates."""
+    for delegate in (False, True):
+        chosen = [cost for cost in costs if cost.delegate is delegate]
+        if not chosen:
+            continue
+        one = chosen[0]
+        cpu = [cost.cpu_ms for cost in chosen]
+
+        def mean(name: str, chosen: list[Cost] = chosen) -> float:
+            return statistics.mean(getattr(cost, name) for cost in chosen)
+
+        print(
+            f"{one.phase:16} {one.domains:3} x {one.members:3},"
+            f" {one.services:3} services, {'delegates' if delegate else 'others':9} {len(chosen):4}"
+            f" cpu ms/s {statistics.mean(cpu):6.2f} (most {max(cpu):6.2f})"
+            f" MB {mean('memory_mb'):5.1f}"
+            f" B/s out {mean('bytes_sent'):6.0f} in {mean('bytes_received'):6.0f}"
+            f" msg/s out {mean('messages_sent'):5.1f}"
+            f" in {mean('messages_received'):5.1f}"
+            f" changes/s {one.changes_a_second:.2f}",
+            flush=True,
+        )
+
+
+def show_appends(appends: Appends) -> None:
+    """Print the records on the log in a phase."""
+    shape = appends.shape
+    print(
+        f"{appends.phase:16} {shape.domains:3} x {shape.members:3} appends/s"
+        f" {appends.mean:.2f}, worst second {appends.worst},"
+        f" in {appends.seconds:.0f} s by stream {appends.streams}",
+        flush=True,
+    )
--- a/eelgrassmount/config/readers.py
+++ b/eelgrassmount/config/readers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -31,8 +32,9 @@
 
 def _is_among_first(address: str, candidates: set[str], salt: str, count: int) -> bool:
     own = _weigh(address, salt)
-    above = sum(1 for other in candidates if _weigh(other, salt) > own)
-    return above < count
+    above = (other for other in candidates if _weigh(other, salt) > own)
+    # a few are enough to tell that this node is not among the first
+    return next(islice(above, count - 1, None), None) is None
 
 
 def _weigh(address: str, salt: str) -> int:
--- a/eelgrassmount/keys/core.py
+++ b/eelgrassmount/keys/core.py
@@ -77,6 +77,7 @@
     _live: frozenset[NodeId] = frozenset()
     _roster: Roster | None = None
     _roster_s: float = -math.inf
+    _basis: list[object] = field(factory=list)
     _live_since_s: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -103,12 +104,23 @@
 
     def _build_roster(self, now_s: float) -> Roster:
         members = self.board.members.members.values()
+        # comparing is far cheaper than building, and mostly nothing has changed
+        basis = [
+            self.leaving,
+            *((m.identity, m.state, m.server_state) for m in members),
+        ]
+        if self._roster is not None and basis == self._basis:
+            return self._settle(self._roster, now_s)
+        self._basis = basis
         roster = build_roster(self.me, members, self.leaving)
         live = roster.known - roster.gone
         if live != self._live:
             self._live = live
             self._live_since_s = now_s
-        if now_s - self._live_since_s < self.settings.settle_s:
+        return self._settle(roster, now_s)
+
+    def _settle(self, roster: Roster, now_s: float) -> Roster:
+        if roster.settled or now_s - self._live_since_s < self.settings.settle_s:
             return roster
         return evolve(roster, settled=True)
 
--- a/eelgrassmount/keys/follower.py
+++ b/eelgrassmount/keys/follower.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from eelgrassmount.gen.ttypes import Message, SlotAnswer, SlotQuestion, SlotView
-from eelgrassmount.keys.placement import SLOT_COUNT, choose_readers
+from eelgrassmount.keys.placement import SLOT_COUNT
 from eelgrassmount.keys.planning import SlotStanding, plan_proposals
 from eelgrassmount.keys.views import (
     Proposal,
@@ -103,7 +103,7 @@
     async def refresh(self) -> bool:
         """Hear of the present views, from a reader or else from the log."""
         roster = self.core.read_roster()
-        readers = choose_readers(roster.fit)
+        readers = roster.readers
         if self.core.me not in readers:
             for reader in readers:
                 if await self.ask_peer(reader.address):
@@ -126,7 +126,7 @@
         """Follow the stream while this node is one of its readers."""
         await self.refresh()
         while True:
-            if self.core.me in choose_readers(self.core.read_roster().fit):
+            if self.core.me in self.core.read_roster().readers:
                 ok = await self.catch_up(POLL_WAIT_S)
                 await anyio.sleep(0.0 if ok else FIRST_BACKOFF_S)
             else:
--- a/eelgrassmount/keys/placement.py
+++ b/eelgrassmount/keys/placement.py
@@ -56,14 +56,21 @@
     return max(sorted(failure_domains), key=lambda name: _weigh(key, name))
 
 
+def sort_nodes(nodes: Iterable[NodeId]) -> list[NodeId]:
+    """Return nodes in the order of their names."""
+    # several times faster than by the order that the class itself defines
+    return sorted(nodes, key=lambda node: (node.address, node.incarnation))
+
+
 def rank_nodes(subject: str, nodes: Iterable[NodeId]) -> list[NodeId]:
     """Return nodes by rendezvous hash, the first choice for ``subject`` first.
 
     A node that comes or goes changes only the ranks that it takes itself.
     """
-    by_name = sorted(nodes)
     return sorted(
-        by_name, key=lambda node: _weigh(subject, node.incarnation), reverse=True
+        sort_nodes(nodes),
+        key=lambda node: _weigh(subject, node.incarnation),
+        reverse=True,
     )
 
 
--- a/eelgrassmount/keys/planning.py
+++ b/eelgrassmount/keys/planning.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import frozen
+from attrs import field, frozen
 
 from eelgrassmount.keys.placement import (
     NO_NODE,
@@ -12,6 +12,7 @@
     choose_readers,
     identify_node,
     rank_for_slot,
+    sort_nodes,
 )
 from eelgrassmount.keys.views import Proposal, View
 from eelgrassmount.members.table import MemberState, ServerState
@@ -37,6 +38,11 @@
     known: frozenset[NodeId]
     gone: frozenset[NodeId]
     settled: bool = False
+    readers: tuple[NodeId, ...] = field(eq=False, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Choose the readers once, as they are asked for all the time."""
+        object.__setattr__(self, "readers", tuple(choose_readers(self.fit)))
 
     def is_gone(self, node: NodeId) -> bool:
         """Tell whether a node is dead, has left, or has been replaced."""
@@ -47,7 +53,7 @@
     @property
     def is_delegate(self) -> bool:
         """Tell whether this node proposes for slots that nobody holds."""
-        return choose_readers(self.fit)[:1] == [self.me]
+        return self.readers[:1] == (self.me,)
 
 
 @frozen
@@ -78,7 +84,7 @@
             gone.add(node)
         elif member.state is MemberState.ALIVE and _is_staying(member):
             fit.add(node)
-    return Roster(me, tuple(sorted(fit)), frozenset(known), frozenset(gone))
+    return Roster(me, tuple(sort_nodes(fit)), frozenset(known), frozenset(gone))
 
 
 def _is_staying(member: Member) -> bool:
--- a/eelgrassmount/load/routing.py
+++ b/eelgrassmount/load/routing.py
@@ -126,14 +126,15 @@
         """See which servers serve, and forget those long gone.
 
         Called every second or so, it tells a server that comes back from one
-        that merely had no calls.
+        that merely had no calls. Only services that this node has called matter.
         """
         for member in board.members.members.values():
-            if member.serves:
+            if member.service in self.subsets and member.serves:
                 self.find_record(member.identity.address, now_s)
-        for summary in board.members.summaries.values():
-            for address in summary.addresses:
-                self.find_record(address, now_s)
+        for service in self.subsets:
+            for summary in board.members.summaries.find(service):
+                for address in summary.addresses:
+                    self.find_record(address, now_s)
         for address, record in list(self.records.items()):
             gone_s = now_s - record.last_seen_s
             if gone_s > _LONGEST_AVOID_S and not record.outstanding:
--- a/eelgrassmount/members/domains.py
+++ b/eelgrassmount/members/domains.py
@@ -50,6 +50,8 @@
     _differs_since_s: float | None = None
     _outgoing: dict[str, UpdateQueue] = field(factory=dict)
     _mismatches: dict[str, int] = field(factory=dict)
+    _delegates: list[str] = field(factory=list)
+    _delegates_version: int = -1
     _credit: float = 0.0
     _rank: int | None = None
     _rank_version: int = -1
@@ -67,11 +69,13 @@
         return self._rank
 
     def _compute_rank(self) -> int | None:
-        delegates = choose_delegates(
-            self.roster.table.members.values(), self.roster.identity.failure_domain
-        )
+        if self._delegates_version != self.roster.version:
+            self._delegates_version = self.roster.version
+            self._delegates = choose_delegates(
+                self.roster.table.members.values(), self.roster.identity.failure_domain
+            )
         own = self.roster.identity.address
-        return delegates.index(own) if own in delegates else None
+        return self._delegates.index(own) if own in self._delegates else None
 
     def run_tick(self) -> None:
         """Do the periodic work of a delegate."""
--- a/eelgrassmount/members/table.py
+++ b/eelgrassmount/members/table.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from collections import UserDict
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping, ValuesView
+
 
 class MemberState(IntEnum):
     """What is thought of a node, in order of precedence for one heartbeat."""
@@ -86,12 +91,45 @@
     heard_s: float = 0.0
 
 
+class SummaryTable(UserDict[tuple[str, str], ServiceSummary]):
+    """Summaries by failure domain and service, which are found by service too.
+
+    There may be thousands of them, and each call looks for those of its service.
+    """
+
+    def __init__(
+        self, items: Mapping[tuple[str, str], ServiceSummary] | None = None
+    ) -> None:
+        self._by_service: dict[str, dict[str, ServiceSummary]] = {}
+        super().__init__(items)
+
+    def __setitem__(self, key: tuple[str, str], summary: ServiceSummary) -> None:
+        super().__setitem__(key, summary)
+        failure_domain, service = key
+        self._by_service.setdefault(service, {})[failure_domain] = summary
+
+    def __delitem__(self, key: tuple[str, str]) -> None:
+        super().__delitem__(key)
+        failure_domain, service = key
+        del self._by_service[service][failure_domain]
+        if not self._by_service[service]:
+            del self._by_service[service]
+
+    def values(self) -> ValuesView[ServiceSummary]:
+        """Return all summaries."""
+        return self.data.values()
+
+    def find(self, service: str) -> ValuesView[ServiceSummary]:
+        """Return the summaries of a service."""
+        return self._by_service.get(service, {}).values()
+
+
 @define
 class MemberTable:
     """All members of the own failure domain and summaries of the others."""
 
     members: dict[str, Member] = field(factory=dict)
-    summaries: dict[tuple[str, str], ServiceSummary] = field(factory=dict)
+    summaries: SummaryTable = field(factory=SummaryTable, converter=SummaryTable)
 
     def find_serving(self, service: str) -> list[Member]:
         """Return the members of the own failure domain that serve a service."""
@@ -104,7 +142,5 @@
     def find_summaries(self, service: str) -> list[ServiceSummary]:
         """Return what the other failure domains say of a service."""
         return [
-            summary
-            for summary in self.summaries.values()
-            if summary.service == service and summary.servers > 0
+            summary for summary in self.summaries.find(service) if summary.servers > 0
         ]
