--- a/eelgrassmount/keys/follower.py
+++ b/eelgrassmount/keys/follower.py
@@ -15,7 +15,7 @@
     SlotQuestion,
     SlotView,
 )
-from eelgrassmount.keys.placement import NO_NODE, SLOT_COUNT, NodeId, choose_readers
+from eelgrassmount.keys.placement import NO_NODE, SLOT_COUNT, NodeId
 from eelgrassmount.keys.planning import SlotStanding, plan_proposals
 from eelgrassmount.keys.views import (
     Proposal,
@@ -108,7 +108,7 @@
 
     async def refresh(self) -> bool:
         """Hear of the present views, from the log or else from a reader of it."""
-        readers = choose_readers(self.core.read_roster().fit)
+        readers = self.core.read_roster().readers
         reads = self.core.me in readers
         if reads and await self.catch_up():
             return True
@@ -133,7 +133,7 @@
         """Follow the stream while this node is one of its readers."""
         await self.refresh()
         while True:
-            if self.core.me in choose_readers(self.core.read_roster().fit):
+            if self.core.me in self.core.read_roster().readers:
                 ok = await self.catch_up(POLL_WAIT_S)
                 await anyio.sleep(0.0 if ok else FIRST_BACKOFF_S)
             else:
