Refuse keyed calls that may have waited out a long freeze

Hypothesis found a key run a second time: its repeat lay in a frozen node for longer than the key window and was taken for a new key when the node woke. Ruled out: the deadline alone, which is counted from when a request is read.

--- a/eelgrassmount/keys/core.py
+++ b/eelgrassmount/keys/core.py
@@ -32,6 +32,7 @@
 STALL_FRACTION = 0.25
 LONE_FRACTION = 0.5
 ROSTER_AGE_S = 0.2
+BACKLOG_S = 2.0
 
 
 @define
@@ -73,6 +74,7 @@
     marks: int = 0
     seen_s: float = field(init=False)
     stalled_s: float = math.inf
+    woke_s: float = -math.inf
     lone_s: float = -math.inf
     _live: frozenset[NodeId] = frozenset()
     _roster: Roster | None = None
@@ -140,10 +142,20 @@
         now_s = self.timers.read()
         if now_s - self.seen_s > self.settings.window_s * STALL_FRACTION:
             self.stalled_s = now_s
+            self.woke_s = now_s
             self.count("stalled")
         self.seen_s = now_s
         return self.stalled_s < math.inf
 
+    def may_be_backlog(self) -> bool:
+        """Tell whether a request that arrives now may be older than a window.
+
+        What was sent to a frozen process waits in its sockets and is read when
+        it wakes, when the key's earlier run may have been forgotten.
+        """
+        self.is_stalled()
+        return self.timers.read() - self.woke_s < BACKLOG_S
+
     def confirm_views(self, asked_s: float) -> None:
         """Note that the views are those of ``asked_s`` or later."""
         if not self.is_stalled() or asked_s >= self.stalled_s:
--- a/eelgrassmount/keys/routes.py
+++ b/eelgrassmount/keys/routes.py
@@ -47,6 +47,10 @@
         Refusals are *may have run* wherever an earlier sending of the key may
         have been run, also when this very sending certainly was not.
         """
+        late = call.context.deadline_s <= self.core.timers.read()
+        if late or self.core.may_be_backlog():
+            self.core.count("key-late")
+            return Outcome(MayHaveRun(Reason.DEADLINE))
         match parse_key(call.context.key):
             case BadKey():
                 self.core.count("key-malformed")
--- a/tests/keys/test_scenarios.py
+++ b/tests/keys/test_scenarios.py
@@ -145,11 +145,23 @@
     for node in pair:
         node.log_cut = True
         world.thaw(node)
+    world.advance(2.5)
     told = [world.send(node, KEY) for node in pair]
     world.advance(8.0)
     assert [explain(sending.verdict) for sending in told] == ["answered"] * 2
 
 
+def test_request_that_waited_in_a_frozen_node_is_not_taken_for_a_new_one(world) -> None:
+    entry = find_entry(world)
+    assert isinstance(world.tell(entry, KEY), Answered)
+    world.freeze(entry)
+    waiting = world.send(entry, KEY)
+    world.advance(WINDOW_S + 5.0)
+    world.thaw(entry)
+    world.advance(5.0)
+    assert waiting.verdict == MayHaveRun(Reason.DEADLINE)
+
+
 def test_replaced_primary_with_a_full_table_does_not_say_not_run(world) -> None:
     primary, backup = world.find_holders(KEY)
     primary.log_cut = True
--- a/tests/keys/world.py
+++ b/tests/keys/world.py
@@ -411,6 +411,9 @@
 
     async def _deliver(self, node: Node, sending: Sending, call: Call) -> None:
         await node.stand()
+        # a request that waited in a socket gets its deadline when it is read
+        deadline_s = self.loop.time() + 20.0
+        call = evolve(call, context=evolve(call.context, deadline_s=deadline_s))
         outcome = await node.service.run(call)
         await node.stand()
         sending.verdict = outcome.verdict
