--- a/tests/tools/test_reports.py
+++ b/tests/tools/test_reports.py
@@ -21,7 +21,15 @@
         "elements": [
             {"type": "background", "name": "", "status": "passed"},
             {"type": "scenario", "name": "one", "status": "passed"},
-            {"type": "scenario", "name": "two", "status": "hook_error"},
+            {"type": "scenario", "name": "two", "status": "failed"}
+            | {
+                "steps": [
+                    {"keyword": "Given", "name": "a node", "result": {}},
+                    {"keyword": "Then", "name": "it runs"}
+                    | {"result": {"error_message": ["ASSERT FAILED", "no"]}},
+                ]
+            },
+            {"type": "scenario", "name": "three", "status": "hook_error"},
         ],
     }
 ]
@@ -44,5 +52,10 @@
     report.write_text(json.dumps(BEHAVE))
     assert list(read_behave(report)) == [
         Result("tests/features/a.feature::one", Status.PASSED),
-        Result("tests/features/a.feature::two", Status.FAILED),
+        Result(
+            "tests/features/a.feature::two",
+            Status.FAILED,
+            "Then it runs\nASSERT FAILED\nno",
+        ),
+        Result("tests/features/a.feature::three", Status.FAILED),
     ]
--- a/tools/reports.py
+++ b/tools/reports.py
@@ -4,7 +4,7 @@
 
 import json
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from xml.etree import ElementTree
 
 from tools.results import Result, Status
@@ -44,13 +44,24 @@
         file_name = feature["location"].rpartition(":")[0]
         for element in feature.get("elements", ()):
             if element["type"] != "background":
-                yield Result(f"{file_name}::{element['name']}", _judge_status(element))
+                id = f"{file_name}::{element['name']}"
+                yield Result(id, _judge_status(element), _describe_failure(element))
 
 
-def _judge_status(element: dict[str, str]) -> Status:
+def _judge_status(element: dict[str, Any]) -> Status:
     match element.get("status"):
         case "passed":
             return Status.PASSED
         case "skipped":
             return Status.SKIPPED
     return Status.FAILED
+
+
+def _describe_failure(element: dict[str, Any]) -> str:
+    """Return the failed step with its error, which behave's progress leaves out."""
+    for step in element.get("steps", ()):
+        lines = step.get("result", {}).get("error_message")
+        if lines:
+            text = lines if isinstance(lines, str) else "\n".join(lines)
+            return f"{step['keyword']} {step['name']}\n{text}"
+    return ""
--- a/tools/results.py
+++ b/tools/results.py
@@ -23,10 +23,11 @@
 
 @frozen
 class Result:
-    """One check or test by its id."""
+    """One check or test by its id; ``detail`` is printed when it failed."""
 
     id: str
     status: Status
+    detail: str = ""
 
 
 @frozen
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -84,6 +84,9 @@
     # such as a fault outside of any test, or no test at all
     if not results or (status != 0 and not failed):
         results.append(Result(check.name, Status.FAILED))
+    for result in results:
+        if result.status is Status.FAILED and result.detail:
+            print(f"-- {result.id}\n{result.detail}")
     return results
 
 
