Foresee the queue, bound steps of the threshold, notice a stalled server

The wait of a queued call now also counts the time since a run last ended: with a tenfold slowdown the usual run time is known too late.

--- a/eelgrassmount/load/control.py
+++ b/eelgrassmount/load/control.py
@@ -9,7 +9,8 @@
 from eelgrassmount.context import compute_priority
 from eelgrassmount.load.admission import EntryState, admit_at_entry
 from eelgrassmount.load.exchange import LoadExchange
-from eelgrassmount.load.routing import RoutingState, choose_server, find_room
+from eelgrassmount.load.routing import choose_server, find_room
+from eelgrassmount.load.servers import RoutingState
 from eelgrassmount.load.shares import (
     SHARE_PERIOD_S,
     ShareTable,
--- a/eelgrassmount/load/gate.py
+++ b/eelgrassmount/load/gate.py
@@ -16,7 +16,6 @@
     Waiting,
     WaitingQueue,
     compute_capacity,
-    estimate_wait,
     make_waiting,
 )
 from eelgrassmount.load.refusals import (
@@ -28,7 +27,7 @@
 from eelgrassmount.load.threshold import (
     THRESHOLD_PERIOD_S,
     TIER_HOLD_S,
-    Observation,
+    Period,
     ThresholdState,
     adjust_threshold,
 )
@@ -48,19 +47,6 @@
 _STANDING_RUNS = 2.0
 
 
-@define
-class Period:
-    """What the gate counts between two adjustments of the threshold."""
-
-    ranks: list[int] = field(factory=list)
-    refused: int = 0
-    refused_last: bool = False
-    waiting: int = 0
-    waiting_last: int = 0
-    in_flight: int = 0
-    sweeps: int = 0
-
-
 @define
 class LimitedGate:
     """Admits calls to the backend server of this node.
@@ -81,6 +67,7 @@
     _period: Period = field(factory=Period)
     _run_s_by_class: dict[str, float] = field(factory=dict)
     _shut_until_s: float = 0.0
+    _left_s: float = 0.0
     _served_address: str = ""
 
     def __attrs_post_init__(self) -> None:
@@ -155,11 +142,18 @@
         remaining_s = waiting.context.measure_remaining(now_s)
         needed_s = self._run_s_by_class.get(waiting.context.class_name, 0.0)
         if ahead:
-            needed_s += estimate_wait(
-                ahead - 1, self.limiter.limit, self.limiter.typical_s
-            )
+            needed_s += ahead * self._estimate_turn(now_s)
         return remaining_s > 0 and needed_s <= remaining_s
 
+    def _estimate_turn(self, now_s: float) -> float:
+        """Return how long it takes until a slot comes free.
+
+        A server that slows down shows it first by the time since the last run
+        ended.
+        """
+        usual_s = self.limiter.typical_s / max(self.limiter.limit, 1)
+        return max(usual_s, now_s - self._left_s)
+
     def _enqueue(self, waiting: Waiting, now_s: float) -> None:
         if len(self.queue) < compute_capacity(self.limiter.limit):
             self.queue.push(waiting)
@@ -197,6 +191,9 @@
         waiting.done.set()
 
     def _admit(self, waiting: Waiting, now_s: float) -> None:
+        if not self.in_flight:
+            # it was idle, which is no slowness
+            self._left_s = now_s
         self.in_flight += 1
         self.limiter.note_start(self.in_flight, now_s)
         self.excess.note_admitted(now_s)
@@ -227,6 +224,7 @@
     def leave(self, sample: Sample) -> None:
         """Give the slot back and start the next call."""
         now_s = self.timers.read()
+        self._left_s = now_s
         self.limiter.record(sample, self.in_flight, now_s)
         self.in_flight -= 1
         if sample.kind is SampleKind.COMPLETE:
@@ -242,7 +240,11 @@
         """Refuse waiting calls that cannot finish any more, or not here."""
         now_s = self.timers.read()
         self._follow_server(now_s)
-        self._observe()
+        self._period.observe(
+            self.queue.count_below(self.threshold.advertised),
+            self.queue.count_below(PRIORITY_LEVELS),
+            self.in_flight,
+        )
         gone = self._check_server()
         for waiting in self.queue.find_all():
             if gone is not None:
@@ -255,13 +257,6 @@
             self._refuse(waiting, refusal)
         self._admit_waiting(now_s)
 
-    def _observe(self) -> None:
-        period = self._period
-        period.waiting += self.queue.count_below(self.threshold.advertised)
-        period.waiting_last += self.queue.count_below(PRIORITY_LEVELS)
-        period.in_flight += self.in_flight
-        period.sweeps += 1
-
     def _follow_server(self, now_s: float) -> None:
         server = self.board.server
         if server.state in (ServerState.ABSENT, ServerState.STARTING):
@@ -281,16 +276,7 @@
         now_s = self.timers.read()
         self.limiter.adjust(now_s)
         period, self._period = self._period, Period()
-        sweeps = max(period.sweeps, 1)
-        seen = Observation(
-            ranks=tuple(period.ranks),
-            refused=period.refused,
-            waiting=period.waiting / sweeps,
-            in_flight=period.in_flight / sweeps,
-            limit=self.limiter.limit,
-            waiting_last=period.waiting_last / sweeps,
-            refused_last=period.refused_last,
-        )
+        seen = period.summarise(self.limiter.limit)
         adjust_threshold(self.threshold, seen, now_s)
         if now_s < self.threshold.hold_until_s:
             self._refuse_tier(Tier.REFUSED_FIRST, now_s)
--- a/eelgrassmount/load/queue.py
+++ b/eelgrassmount/load/queue.py
@@ -120,8 +120,3 @@
 def compute_capacity(limit: int) -> int:
     """Return how many calls may wait before a limit."""
     return max(LEAST_CAPACITY, _CAPACITY_PER_LIMIT * limit)
-
-
-def estimate_wait(ahead: int, limit: int, typical_s: float) -> float:
-    """Return how long a call will wait behind ``ahead`` others."""
-    return (ahead + 1) * typical_s / max(limit, 1)
--- a/eelgrassmount/load/threshold.py
+++ b/eelgrassmount/load/threshold.py
@@ -20,17 +20,23 @@
 
 _QUEUE_TARGET = 0.5
 _QUEUE_GAIN = 0.06
+# a queue much too long weighs up to so many times as much as an empty one
+_MOST_EXCESS = 2.0
+# how many periods ahead the queue is foreseen from its present change
+_FORESIGHT_PERIODS = 1.0
 _LEAST_FACTOR = 0.5
 _LEAST_STEP = FULL_THRESHOLD / 500.0
 _MOST_STEP = FULL_THRESHOLD / 8.0
 # the density of calls is taken from so many ranks below the threshold
 _DENSITY_RANKS = 128
+# calls are nowhere taken to lie thinner than this part of the mean
+_MOST_SPARSE = 1.5
 # with slots to spare the threshold opens the faster the longer that lasts
 _OPENING_GAIN = 0.05
 _OPENING_GAIN_STEP = 0.03
 _MOST_OPENING_GAIN = 0.4
 _MUCH_SPARE = 0.5
-_MUCH_SPARE_PERIODS = 4
+_MUCH_SPARE_PERIODS = 2
 
 
 @frozen
@@ -51,6 +57,39 @@
     refused_last: bool = False
 
 
+@define
+class Period:
+    """What a gate counts in one period."""
+
+    ranks: list[int] = field(factory=list)
+    refused: int = 0
+    refused_last: bool = False
+    waiting: int = 0
+    waiting_last: int = 0
+    in_flight: int = 0
+    looks: int = 0
+
+    def observe(self, waiting: int, waiting_last: int, in_flight: int) -> None:
+        """Take one look at the queue and the server."""
+        self.waiting += waiting
+        self.waiting_last += waiting_last
+        self.in_flight += in_flight
+        self.looks += 1
+
+    def summarise(self, limit: int) -> Observation:
+        """Return the period as a whole."""
+        looks = max(self.looks, 1)
+        return Observation(
+            ranks=tuple(self.ranks),
+            refused=self.refused,
+            waiting=self.waiting / looks,
+            in_flight=self.in_flight / looks,
+            limit=limit,
+            waiting_last=self.waiting_last / looks,
+            refused_last=self.refused_last,
+        )
+
+
 @define
 class ThresholdState:
     """The threshold and the ranks of the calls that came lately."""
@@ -58,6 +97,7 @@
     threshold: float = FULL_THRESHOLD
     hold_until_s: float = -math.inf
     calm_periods: int = 0
+    waiting: float = 0.0
     histogram: list[float] = field(factory=lambda: [0.0] * _BUCKETS)
 
     @property
@@ -76,6 +116,7 @@
     """
     _remember(state, seen)
     factor = compute_factor(state, seen)
+    state.waiting = seen.waiting
     threshold = move_threshold(state, factor)
     if state.threshold >= PRIORITY_LEVELS and not _is_short_of_last(seen):
         threshold = max(threshold, PRIORITY_LEVELS)
@@ -114,9 +155,14 @@
     if calm:
         gain = _OPENING_GAIN + _OPENING_GAIN_STEP * state.calm_periods
         return 1.0 + min(gain, _MOST_OPENING_GAIN) * spare
+    return 1.0 + _QUEUE_GAIN * _measure_error(state, seen)
+
+
+def _measure_error(state: ThresholdState, seen: Observation) -> float:
     target = _compute_queue_target(seen)
-    error = min(max((target - seen.waiting) / target, -1.0), 1.0)
-    return 1.0 + _QUEUE_GAIN * error
+    change = seen.waiting - state.waiting
+    foreseen = max(0.0, seen.waiting + _FORESIGHT_PERIODS * change)
+    return max((target - foreseen) / target, -_MOST_EXCESS)
 
 
 def move_threshold(state: ThresholdState, factor: float) -> float:
@@ -125,12 +171,12 @@
     if factor >= 1.0:
         return min(state.threshold + _find_step(state, below, factor), FULL_THRESHOLD)
     wanted = below * factor
-    if not below:
-        return state.threshold * factor
+    # few calls leave gaps between them that mean nothing
+    lowest = state.threshold * max(0.0, 1.0 - _MOST_SPARSE * (1.0 - factor))
     threshold = state.threshold
-    while threshold > 0 and count_below(state, threshold) > wanted:
+    while threshold > lowest and count_below(state, threshold) > wanted:
         threshold -= _BUCKET / 4
-    return max(threshold, 0.0)
+    return max(threshold, lowest)
 
 
 def _find_step(state: ThresholdState, below: float, factor: float) -> float:
@@ -142,6 +188,7 @@
     base = PRIORITY_LEVELS if state.threshold > PRIORITY_LEVELS else 0
     ranks = min(state.threshold - base, _DENSITY_RANKS)
     near = below - count_below(state, state.threshold - ranks) if ranks else 0.0
+    near = max(near, below * ranks / state.threshold / _MOST_SPARSE)
     least = _LEAST_STEP * (1 + state.calm_periods)
     if state.threshold == PRIORITY_LEVELS or not near:
         return min(least, _MOST_STEP)
--- a/tests/load/test_routing.py
+++ b/tests/load/test_routing.py
@@ -9,12 +9,8 @@
 from attrs import evolve
 
 from eelgrassmount.blackboard import Blackboard
-from eelgrassmount.load.routing import (
-    SUBSET_SIZE,
-    RoutingState,
-    choose_server,
-    choose_subset,
-)
+from eelgrassmount.load.routing import choose_server
+from eelgrassmount.load.servers import SUBSET_SIZE, RoutingState, choose_subset
 from eelgrassmount.load.state import FULL_THRESHOLD
 from eelgrassmount.members.table import (
     Identity,
