--- a/eelgrassmount/load/exchange.py
+++ b/eelgrassmount/load/exchange.py
@@ -125,12 +125,20 @@
 def find_load(
     table: LoadTable, service: str, now_s: float, within_s: float = LAPSE_S
 ) -> ServiceLoad | None:
-    """Return the load of a service as a whole, ``None`` if not known."""
-    loads = [load for load in table.by_node.values() if load.service == service]
-    if not loads:
-        loads = list(table.relayed.get(service, {}).values())
-    loads = [load for load in loads if now_s - load.heard_s < within_s]
-    return combine_loads(service, loads, now_s) if loads else None
+    """Return the load of a service as a whole, ``None`` if not known.
+
+    What its own servers said goes before what was relayed, unless it is older.
+    """
+    direct = [load for load in table.by_node.values() if load.service == service]
+    relayed = list(table.relayed.get(service, {}).values())
+    for loads in (direct, relayed):
+        fresh = [load for load in loads if now_s - load.heard_s <= FRESH_S]
+        if fresh:
+            return combine_loads(service, fresh, now_s)
+    newest = max(direct + relayed, key=lambda load: load.heard_s, default=None)
+    if newest is None or now_s - newest.heard_s >= within_s:
+        return None
+    return combine_loads(service, [newest], now_s)
 
 
 def combine_loads(service: str, loads: list[ServiceLoad], now_s: float) -> ServiceLoad:
--- a/eelgrassmount/load/gate.py
+++ b/eelgrassmount/load/gate.py
@@ -43,6 +43,8 @@
 
 _SWEEP_PERIOD_S = 0.02
 _CLASS_WEIGHT = 0.1
+# a call above the threshold waits for one run time, but at least so long
+_LEAST_LEFT_OVER_S = 0.1
 # the queue stands when it has not been empty for so many typical run times
 _STANDING_RUNS = 2.0
 
@@ -251,12 +253,21 @@
                 refusal = gone
             elif not self._can_finish(waiting, 0, now_s):
                 refusal = self._make_refusal(Reason.DEADLINE, now_s)
+            elif self._is_left_over(waiting, now_s):
+                refusal = self._make_refusal(Reason.OVERLOAD, now_s)
             else:
                 continue
             self.queue.remove(waiting)
             self._refuse(waiting, refusal)
         self._admit_waiting(now_s)
 
+    def _is_left_over(self, waiting: Waiting, now_s: float) -> bool:
+        # those that go before it are enough to fill the server, so it would only
+        # wait for its time limit, and its parents with it
+        waited_s = now_s - waiting.arrived_s
+        too_long = waited_s > max(self.limiter.typical_s, _LEAST_LEFT_OVER_S)
+        return too_long and waiting.rank >= self.threshold.threshold
+
     def _follow_server(self, now_s: float) -> None:
         server = self.board.server
         if server.state in (ServerState.ABSENT, ServerState.STARTING):
--- a/tests/load/test_entry.py
+++ b/tests/load/test_entry.py
@@ -59,6 +59,15 @@
     assert admits(board, LOOKUP, 1023, NOW_S + 3.0)
 
 
+def test_newer_word_goes_before_a_direct_one(board: Blackboard) -> None:
+    exchange = LoadExchange(board.loads)
+    exchange.merge("127.0.0.1:7", "c", [ServiceLoad("c", 2048)], NOW_S - 1.0)
+    exchange.merge("127.0.0.1:8", "a", [ServiceLoad("c", 300)], NOW_S)
+    exchange.learn("booking", ["a", "c"])
+    assert not admits(board, BOOKING, 301, NOW_S)
+    assert admits(board, BOOKING, 299, NOW_S)
+
+
 def test_class_that_no_longer_touches_a_service(board: Blackboard) -> None:
     exchange = LoadExchange(board.loads)
     exchange.merge("127.0.0.1:7", "a", [ServiceLoad("c", 0)], NOW_S)
