--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,6 +22,7 @@
 from loguru import logger
 
 from benchmarks.capacity_cluster import Cluster, Shape
+from benchmarks.capacity_cut import show_cut
 from benchmarks.capacity_fit import MEASURES, REST_TERMS, fit, show_fit
 from benchmarks.capacity_force import measure_force, show_force
 from benchmarks.capacity_samples import (
@@ -226,8 +227,10 @@
         figures["costs"] = [asdict(cost) for phase in phases for cost in phase.costs]
         figures["appends"] = [summarize_appends(phase.appends) for phase in phases]
     if "force" in parts:
-        forces = measure_force(options.force_domains, options.publishes)
+        forces, cut = measure_force(options.force_domains, options.publishes)
         show_force(forces)
+        show_cut(cut)
+        figures["cut"] = [asdict(cost) for cost in cut]
         figures["force"] = [asdict(force) for force in forces]
     if "tables" in parts:
         tables = measure_tables()
--- /dev/null
+++ b/benchmarks/capacity_cut.py
@@ -0,0 +1,126 @@
+"""What a cut between regions costs, and its healing."""
+
+from __future__ import annotations
+
+import itertools
+import statistics
+import time
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from benchmarks.capacity_cluster import Traffic, Usage, read_traffic, read_usage
+from standins.faults import call_admin
+from standins.processes import poll_until
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from standins.deploy import Deployment
+
+PHASE_S = 10.0
+# longer than a silent failure domain stays in the tables
+CUT_S = 30.0
+HEAL_LIMIT_S = 60.0
+_MS = 1000
+
+
+@frozen
+class CutCost:
+    """The mean cost of a node a second; ``known_s`` until all know all again."""
+
+    phase: str
+    seconds: float
+    cpu_ms: float
+    worst_cpu_ms: float
+    bytes_sent: float
+    worst_bytes_sent: float
+    known_s: float = 0.0
+
+
+@frozen
+class _Reading:
+    moment_s: float
+    usages: list[Usage]
+    traffics: list[Traffic]
+
+
+def measure_cut(deployment: Deployment) -> list[CutCost]:
+    """Cut one half of the failure domains from the other, and heal."""
+    domains = deployment.spec.failure_domains
+    half = len(domains) // 2
+    pairs = list(itertools.product(domains[:half], domains[half:]))
+    costs = [_measure(deployment, "before the cut", lambda: _wait(PHASE_S))]
+    for one, other in pairs:
+        deployment.cut(one, other, "drop")
+    costs.append(_measure(deployment, "first seconds", lambda: _wait(PHASE_S)))
+    costs.append(_measure(deployment, "cut", lambda: _wait(CUT_S)))
+    deployment.heal()
+    costs.append(_measure(deployment, "healing", lambda: _wait_known(deployment)))
+    costs.append(_measure(deployment, "healed", lambda: _wait(PHASE_S)))
+    return costs
+
+
+def _wait(seconds: float) -> float:
+    time.sleep(seconds)
+    return 0.0
+
+
+def _wait_known(deployment: Deployment) -> float:
+    began_s = time.monotonic()
+    deadline = began_s + HEAL_LIMIT_S
+    count = len(deployment.spec.failure_domains) - 1
+    for vm in deployment.vms:
+        for _ in poll_until(deadline, f"all failure domains at {vm.name}"):
+            known = call_admin(vm.admin_address, "GET", "/members")["summaries"]
+            others = {
+                one["failure_domain"]
+                for one in known
+                if one["servers"] and one["failure_domain"] != vm.failure_domain
+            }
+            if len(others) == count:
+                break
+    return time.monotonic() - began_s
+
+
+def _measure(deployment: Deployment, phase: str, wait: Callable[[], float]) -> CutCost:
+    before = _read(deployment)
+    known_s = wait()
+    after = _read(deployment)
+    took_s = after.moment_s - before.moment_s
+    cpu = [
+        _MS * (one.cpu_s - other.cpu_s) / took_s
+        for one, other in zip(after.usages, before.usages, strict=True)
+    ]
+    sent = [
+        (one.bytes_sent - other.bytes_sent) / took_s
+        for one, other in zip(after.traffics, before.traffics, strict=True)
+    ]
+    return CutCost(
+        phase,
+        took_s,
+        statistics.mean(cpu),
+        max(cpu),
+        statistics.mean(sent),
+        max(sent),
+        known_s,
+    )
+
+
+def _read(deployment: Deployment) -> _Reading:
+    traffics = [read_traffic(vm.admin_address) for vm in deployment.vms]
+    usages = [read_usage(vm.node.pid) for vm in deployment.vms]
+    return _Reading(time.monotonic(), usages, traffics)
+
+
+def show_cut(costs: list[CutCost]) -> None:
+    """Print the cost of each phase."""
+    print("\nhalf of the failure domains cut from the other half")
+    for cost in costs:
+        known = f", all known again after {cost.known_s:.1f} s" if cost.known_s else ""
+        print(
+            f"{cost.phase:15} {cost.seconds:5.1f} s: cpu ms/s {cost.cpu_ms:6.2f}"
+            f" (most {cost.worst_cpu_ms:6.2f}) B/s out {cost.bytes_sent:6.0f}"
+            f" (most {cost.worst_bytes_sent:6.0f}){known}",
+            flush=True,
+        )
--- a/benchmarks/capacity_force.py
+++ b/benchmarks/capacity_force.py
@@ -13,12 +13,14 @@
 from attrs import field, frozen
 
 from benchmarks.capacity_cluster import publish
+from benchmarks.capacity_cut import measure_cut
 from standins.deploy import PYTHON, Deployment, DeploymentSpec, ServiceSpec
 from standins.processes import make_flags
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from benchmarks.capacity_cut import CutCost
     from standins.processes import Process
 
 MEMBERS = 2
@@ -45,6 +47,8 @@
 class Force:
     """Seconds from accepted to in force, over all publishes of one situation.
 
+    A version may be in force before its operator is told so, which counts as 0;
+    ``since_sent`` are the seconds from sending it until the last node had it.
     ``everywhere`` has one value for each version, when the last node had it;
     ``nodes`` one for each node and version, ``cut`` only those of the failure
     domain that was cut. Infinite where it was not in force at the end.
@@ -55,6 +59,7 @@
     processes: int
     versions: int
     publish_s: list[float] = field(repr=False)
+    since_sent: list[float] = field(repr=False)
     everywhere: list[float] = field(repr=False)
     nodes: list[float] = field(repr=False)
     cut: list[float] = field(repr=False)
@@ -69,8 +74,11 @@
     accepted_s: float
 
 
-def measure_force(domains: int, count: int) -> list[Force]:
-    """Measure at rest, under load, and with one failure domain cut from the log."""
+def measure_force(domains: int, count: int) -> tuple[list[Force], list[CutCost]]:
+    """Measure at rest, under load, and with one failure domain cut from the log.
+
+    A cut between two halves of the failure domains follows.
+    """
     names = tuple(f"domain-{index}" for index in range(domains))
     services = (ServiceSpec("ratebook", MEMBERS, slots=50),)
     spec = DeploymentSpec(
@@ -89,7 +97,9 @@
         time.sleep(AFTER_CUT_S)
         forces.append(_measure(deployment, "one cut from the log", count, cut))
         deployment.heal()
-    return forces
+        time.sleep(AFTER_CUT_S)
+        costs = measure_cut(deployment)
+    return forces, costs
 
 
 def _publish_all(deployment: Deployment, count: int) -> list[Accepted]:
@@ -130,15 +140,25 @@
         name: [find_wait(versions, one) for one in accepted]
         for name, versions in seen.items()
     }
+    everywhere = [max(each) for each in zip(*waits.values(), strict=True)]
     return Force(
         situation=situation,
         domains=len(deployment.spec.failure_domains),
         processes=len(deployment.vms),
         versions=count,
         publish_s=[one.accepted_s - one.sent_s for one in accepted],
-        everywhere=[max(each) for each in zip(*waits.values(), strict=True)],
-        nodes=[wait for each in waits.values() for wait in each],
-        cut=[wait for name in waits if domains[name] == cut for wait in waits[name]],
+        since_sent=[
+            wait + one.accepted_s - one.sent_s
+            for wait, one in zip(everywhere, accepted, strict=True)
+        ],
+        everywhere=[max(0.0, wait) for wait in everywhere],
+        nodes=[max(0.0, wait) for each in waits.values() for wait in each],
+        cut=[
+            max(0.0, wait)
+            for name in waits
+            if domains[name] == cut
+            for wait in waits[name]
+        ],
     )
 
 
@@ -154,10 +174,10 @@
 
 
 def find_wait(versions: Sequence[tuple[float, int]], accepted: Accepted) -> float:
-    """Return the seconds from accepted to in force; not below zero."""
+    """Return the seconds from accepted to in force, negative if it was before."""
     for moment_s, version in versions:
         if version >= accepted.version:
-            return max(0.0, moment_s - accepted.accepted_s)
+            return moment_s - accepted.accepted_s
     return math.inf
 
 
@@ -169,7 +189,8 @@
             "in every failure domain": force.everywhere,
             "at each node": force.nodes,
             "at each node of the cut one": force.cut,
-            "(the publish itself)": force.publish_s,
+            "sent to accepted": force.publish_s,
+            "sent to in force everywhere": force.since_sent,
         }
         for name, values in rows.items():
             if values:
--- a/benchmarks/capacity_samples.py
+++ b/benchmarks/capacity_samples.py
@@ -209,7 +209,8 @@
 
         print(
             f"{one.phase:16} {one.domains:3} x {one.members:3},"
-            f" {one.services:3} services, {'delegates' if delegate else 'others':9} {len(chosen):4}"
+            f" {one.services:3} services,"
+            f" {'delegates' if delegate else 'others':9} {len(chosen):4}"
             f" cpu ms/s {statistics.mean(cpu):6.2f} (most {max(cpu):6.2f})"
             f" MB {mean('memory_mb'):5.1f}"
             f" B/s out {mean('bytes_sent'):6.0f} in {mean('bytes_received'):6.0f}"
