--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -18,7 +18,7 @@
 
 from benchmarks.capacity_cluster import read_usage
 from eelgrassmount.blackboard import LocalServer
-from eelgrassmount.compose import Node, build_node
+from eelgrassmount.compose.node import Node, build_node
 from eelgrassmount.config.readers import READERS
 from eelgrassmount.context import Context, Tier
 from eelgrassmount.members.delegates import choose_addresses, summarize_services
