--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -32,6 +32,7 @@
     read_versions,
     show_force,
 )
+from benchmarks.capacity_plan import show_plan, work_out
 from benchmarks.capacity_samples import (
     Appends,
     Cost,
@@ -40,7 +41,8 @@
     show_appends,
     show_costs,
 )
-from benchmarks.capacity_tables import measure_tables, show_tables
+from benchmarks.capacity_tables import measure_tables
+from benchmarks.capacity_works import show_tables
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -266,6 +268,9 @@
         tables = measure_tables()
         show_tables(tables)
         figures["tables"] = [asdict(table) for table in tables]
+    if "nodes" in parts and "tables" in parts:
+        costs = [cost for phase in phases for cost in phase.costs]
+        show_plan(work_out(costs, tables))
     if options.output is not None:
         options.output.write_text(json.dumps(figures))
     print(f"took {time.monotonic() - began_s:.0f} s")
--- /dev/null
+++ b/benchmarks/capacity_announcers.py
@@ -0,0 +1,94 @@
+"""Announcements of backend servers that do nothing else."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from standins.client import Client, UnansweredError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from standins.processes import Process
+
+ANNOUNCEMENT_PATH = "/_eelgrassmount/server"
+_ANNOUNCE_S = 1.0
+_ANNOUNCE_LIMIT_S = 2.0
+
+
+@define(eq=False)
+class NodeProcess:
+    """One node and the state that its backend server announces."""
+
+    name: str
+    failure_domain: str
+    service: str
+    peer_address: str
+    admin_address: str
+    backend_address: str
+    process: Process
+    state: str = "serving"
+
+
+def describe_server(node: NodeProcess) -> dict[str, str]:
+    """Return the announcement of a node's server; nobody calls its address."""
+    return {"service": node.service, "address": "127.0.0.1:1", "state": node.state}
+
+
+class Announcers:
+    """Announces the backend servers of all nodes, from a thread of its own.
+
+    Real servers would be as many processes more, and are not what is measured.
+    """
+
+    def __init__(self, nodes: Iterable[NodeProcess]) -> None:
+        self._nodes = list(nodes)
+        self._ending = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._ending.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        asyncio.run(self._announce_all())
+
+    async def _announce_all(self) -> None:
+        client = Client()
+        async with asyncio.TaskGroup() as group:
+            for index, node in enumerate(self._nodes):
+                phase_s = _ANNOUNCE_S * index / len(self._nodes)
+                group.create_task(self._announce(client, node, phase_s))
+        client.close()
+
+    async def _announce(self, client: Client, node: NodeProcess, wait_s: float) -> None:
+        await asyncio.sleep(wait_s)
+        while not self._ending.is_set():
+            began_s = time.monotonic()
+            if node.process.running:
+                await self._tell(client, node)
+            await asyncio.sleep(max(0.0, began_s + _ANNOUNCE_S - time.monotonic()))
+
+    async def _tell(self, client: Client, node: NodeProcess) -> None:
+        headers = {"content-type": "application/json"}
+        body = json.dumps(describe_server(node)).encode()
+        # a node that is just starting is told again in a second
+        with contextlib.suppress(UnansweredError):
+            await client.request(
+                node.backend_address,
+                "PUT",
+                ANNOUNCEMENT_PATH,
+                headers,
+                body,
+                _ANNOUNCE_LIMIT_S,
+            )
--- /dev/null
+++ b/benchmarks/capacity_plan.py
@@ -0,0 +1,129 @@
+"""What a node would cost at the size that is aimed at, from the measured slopes."""
+
+from __future__ import annotations
+
+import statistics
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from benchmarks.capacity_samples import Cost
+    from benchmarks.capacity_works import Table
+
+DAY_S = 86_400
+MEMBERS = 715
+SERVICES = 370
+DOMAINS = 14
+PUBLISHES_A_DAY = 9_800
+RESTARTS_A_DAY = 770 + 18
+BUDGET_CPU_MS = 13.0
+BUDGET_MEMORY_MB = 128.0
+BUDGET_BYTES = 8_000.0
+
+
+@frozen
+class Need:
+    """What one role needs: milliseconds and bytes a second, and memory."""
+
+    role: str
+    rest_ms: float
+    tables_ms: float
+    changes_ms: float
+    bytes_sent: float
+    memory_mb: float
+
+    @property
+    def cpu_ms(self) -> float:
+        return self.rest_ms + self.tables_ms + self.changes_ms
+
+
+def work_out(costs: Sequence[Cost], tables: Sequence[Table]) -> list[Need]:
+    """Return the need of each role.
+
+    Rest is the mean of the nodes of that role in the clusters where it does most
+    alike: ordinary nodes and readers where a failure domain is largest, delegates
+    where there are most failure domains. Added is what the periodic work takes
+    more on tables of the size to come than on the smallest ones, and what the
+    changes of an ordinary day take.
+    """
+    rest = [cost for cost in costs if cost.phase == "rest"]
+    largest = max(cost.members for cost in rest)
+    widest = max(cost.domains for cost in rest)
+    roles: dict[str, Callable[[Cost], bool]] = {
+        "service node": lambda cost: (
+            cost.members == largest and not (cost.delegate or cost.reader)
+        ),
+        "log reader": lambda cost: cost.members == largest and cost.reader,
+        "delegate": lambda cost: cost.domains == widest and cost.delegate,
+    }
+    return [
+        _work_out(role, [cost for cost in rest if chosen(cost)], costs, tables)
+        for role, chosen in roles.items()
+    ]
+
+
+def _work_out(
+    role: str, chosen: Sequence[Cost], costs: Sequence[Cost], tables: Sequence[Table]
+) -> Need:
+    delegate = role == "delegate"
+    ranked = [table for table in tables if table.delegate is delegate]
+    small = min(ranked, key=lambda table: table.members + table.summaries)
+    full = max(ranked, key=lambda table: table.members + table.summaries)
+    publishes = PUBLISHES_A_DAY / DAY_S
+    restarts = RESTARTS_A_DAY / DOMAINS / DAY_S
+
+    def mean(name: str) -> float:
+        return statistics.mean(getattr(cost, name) for cost in chosen)
+
+    def change(name: str) -> float:
+        published = measure_change(costs, "publishes", name) * publishes
+        return published + measure_change(costs, "restarts", name) * restarts
+
+    return Need(
+        role,
+        rest_ms=mean("cpu_ms"),
+        tables_ms=full.ms - small.ms,
+        changes_ms=change("cpu_ms"),
+        bytes_sent=mean("bytes_sent") + change("bytes_sent"),
+        memory_mb=mean("memory_mb") + max(table.memory_mb for table in tables),
+    )
+
+
+def measure_change(costs: Sequence[Cost], phase: str, name: str) -> float:
+    """Return what one change cost each node beyond rest, the dearest of all shapes."""
+    shapes = {(cost.domains, cost.members, cost.services) for cost in costs}
+    extras = []
+    for shape in shapes:
+        same = [
+            cost
+            for cost in costs
+            if (cost.domains, cost.members, cost.services) == shape
+        ]
+        changed = [cost for cost in same if cost.phase == phase]
+        rest = [cost for cost in same if cost.phase == "rest"]
+        if changed and changed[0].changes_a_second:
+            more = _mean(changed, name) - _mean(rest, name)
+            extras.append(more / changed[0].changes_a_second)
+    return max(extras, default=0.0)
+
+
+def _mean(costs: Sequence[Cost], name: str) -> float:
+    return statistics.mean(getattr(cost, name) for cost in costs)
+
+
+def show_plan(needs: Sequence[Need]) -> None:
+    """Print each role beside its budget."""
+    print(
+        f"\nat {MEMBERS} members, {SERVICES} services in each of {DOMAINS} failure"
+        f" domains, {PUBLISHES_A_DAY} publishes and {RESTARTS_A_DAY} restarts a day;"
+        f" budget {BUDGET_CPU_MS:g} ms/s, {BUDGET_BYTES:g} B/s, {BUDGET_MEMORY_MB:g} MB"
+    )
+    for need in needs:
+        print(
+            f"{need.role:13} rest {need.rest_ms:6.2f} + tables {need.tables_ms:5.2f}"
+            f" + changes {need.changes_ms:5.2f} = {need.cpu_ms:6.2f} ms/s,"
+            f" {need.bytes_sent:6.0f} B/s sent, {need.memory_mb:6.1f} MB"
+        )
--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -14,9 +14,10 @@
 
 import anyio
 import numpy as np
-from attrs import evolve, frozen
+from attrs import evolve
 
 from benchmarks.capacity_cluster import read_usage
+from benchmarks.capacity_works import Table, Work
 from eelgrassmount.blackboard import LocalServer
 from eelgrassmount.compose.node import Node, build_node
 from eelgrassmount.config.readers import READERS
@@ -47,46 +48,10 @@
 LAST_PORT = 9000
 IDLE_PAUSE_S = 1.0
 KEYS_PLANS_PER_S = 2.0
-_SHOWN = 6
 _REPEATS = 15
-_MS = 1000
 _US = 1_000_000
 
 
-@frozen
-class Work:
-    """One function: microseconds each time and how often it runs a second.
-
-    Without a rate it is part of the path of a call.
-    """
-
-    name: str
-    each_us: float
-    rate: float = 0.0
-
-    @property
-    def ms(self) -> float:
-        """Milliseconds a second."""
-        return self.each_us * self.rate / _MS
-
-
-@frozen
-class Table:
-    """The work of a node that knows so many members and services."""
-
-    members: int
-    services: int
-    summaries: int
-    delegate: bool
-    memory_mb: float
-    works: list[Work]
-
-    @property
-    def ms(self) -> float:
-        """Milliseconds a second of all periodic work."""
-        return sum(work.ms for work in self.works)
-
-
 class Idle:
     """Takes tasks and runs none of them."""
 
@@ -278,31 +243,3 @@
         action()
         times.append(time.process_time() - began_s)
     return float(np.median(times)) * _US
-
-
-def show_tables(tables: list[Table]) -> None:
-    """Print the periodic work of each size, its dearest parts and the slopes."""
-    print("\nperiodic work on filled tables")
-    for table in tables:
-        role = "delegate" if table.delegate else "other"
-        print(
-            f"{table.members:4} members, {table.services:3} services,"
-            f" {table.summaries:5} summaries, {role:8}"
-            f" {table.ms:7.2f} ms/s, tables {table.memory_mb:5.1f} MB"
-        )
-        for work in table.works[:_SHOWN]:
-            print(f"      {work.ms:7.3f} ms/s {work.each_us:9.1f} us {work.name}")
-        for work in table.works:
-            if not work.rate:
-                print(f"                   {work.each_us:9.1f} us {work.name}")
-    for delegate in (False, True):
-        chosen = [table for table in tables if table.delegate is delegate]
-        terms = np.array([[1.0, one.members, one.summaries] for one in chosen])
-        seen = np.array([one.ms for one in chosen])
-        values, *_ = np.linalg.lstsq(terms, seen, rcond=None)
-        left = np.abs(seen - terms @ values).max()
-        print(
-            f"{'delegate' if delegate else 'other':8} ms/s: {values[0]:.3f}"
-            f" + {values[1]:.5f} a member + {values[2]:.6f} a summary,"
-            f" worst residual {left:.3f}"
-        )
--- /dev/null
+++ b/benchmarks/capacity_works.py
@@ -0,0 +1,71 @@
+"""Periodic work of a node, with its slopes."""
+
+from __future__ import annotations
+
+import numpy as np
+from attrs import frozen
+
+_SHOWN = 6
+_MS = 1000
+
+
+@frozen
+class Work:
+    """One function: microseconds each time and how often it runs a second.
+
+    Without a rate it is part of the path of a call.
+    """
+
+    name: str
+    each_us: float
+    rate: float = 0.0
+
+    @property
+    def ms(self) -> float:
+        """Milliseconds a second."""
+        return self.each_us * self.rate / _MS
+
+
+@frozen
+class Table:
+    """The work of a node that knows so many members and services."""
+
+    members: int
+    services: int
+    summaries: int
+    delegate: bool
+    memory_mb: float
+    works: list[Work]
+
+    @property
+    def ms(self) -> float:
+        """Milliseconds a second of all periodic work."""
+        return sum(work.ms for work in self.works)
+
+
+def show_tables(tables: list[Table]) -> None:
+    """Print the periodic work of each size, its dearest parts and the slopes."""
+    print("\nperiodic work on filled tables")
+    for table in tables:
+        role = "delegate" if table.delegate else "other"
+        print(
+            f"{table.members:4} members, {table.services:3} services,"
+            f" {table.summaries:5} summaries, {role:8}"
+            f" {table.ms:7.2f} ms/s, tables {table.memory_mb:5.1f} MB"
+        )
+        for work in table.works[:_SHOWN]:
+            print(f"      {work.ms:7.3f} ms/s {work.each_us:9.1f} us {work.name}")
+        for work in table.works:
+            if not work.rate:
+                print(f"                   {work.each_us:9.1f} us {work.name}")
+    for delegate in (False, True):
+        chosen = [table for table in tables if table.delegate is delegate]
+        terms = np.array([[1.0, one.members, one.summaries] for one in chosen])
+        seen = np.array([one.ms for one in chosen])
+        values, *_ = np.linalg.lstsq(terms, seen, rcond=None)
+        left = np.abs(seen - terms @ values).max()
+        print(
+            f"{'delegate' if delegate else 'other':8} ms/s: {values[0]:.3f}"
+            f" + {values[1]:.5f} a member + {values[2]:.6f} a summary,"
+            f" worst residual {left:.3f}"
+        )
