--- a/eelgrassmount/keys/core.py
+++ b/eelgrassmount/keys/core.py
@@ -32,6 +32,7 @@
 STALL_FRACTION = 0.25
 LONE_FRACTION = 0.5
 ROSTER_AGE_S = 0.2
+BACKLOG_S = 2.0
 
 
 @define
@@ -73,10 +74,12 @@
     marks: int = 0
     seen_s: float = field(init=False)
     stalled_s: float = math.inf
+    woke_s: float = -math.inf
     lone_s: float = -math.inf
     _live: frozenset[NodeId] = frozenset()
     _roster: Roster | None = None
     _roster_s: float = -math.inf
+    _basis: list[object] = field(factory=list)
     _live_since_s: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -103,12 +106,23 @@
 
     def _build_roster(self, now_s: float) -> Roster:
         members = self.board.members.members.values()
+        # comparing is far cheaper than building, and mostly nothing has changed
+        basis = [
+            self.leaving,
+            *((m.identity, m.state, m.server_state) for m in members),
+        ]
+        if self._roster is not None and basis == self._basis:
+            return self._settle(self._roster, now_s)
+        self._basis = basis
         roster = build_roster(self.me, members, self.leaving)
         live = roster.known - roster.gone
         if live != self._live:
             self._live = live
             self._live_since_s = now_s
-        if now_s - self._live_since_s < self.settings.settle_s:
+        return self._settle(roster, now_s)
+
+    def _settle(self, roster: Roster, now_s: float) -> Roster:
+        if roster.settled or now_s - self._live_since_s < self.settings.settle_s:
             return roster
         return evolve(roster, settled=True)
 
@@ -140,10 +154,20 @@
         now_s = self.timers.read()
         if now_s - self.seen_s > self.settings.window_s * STALL_FRACTION:
             self.stalled_s = now_s
+            self.woke_s = now_s
             self.count("stalled")
         self.seen_s = now_s
         return self.stalled_s < math.inf
 
+    def may_be_backlog(self) -> bool:
+        """Tell whether a request that arrives now may be older than a window.
+
+        What was sent to a frozen process waits in its sockets and is read when
+        it wakes, when the key's earlier run may have been forgotten.
+        """
+        self.is_stalled()
+        return self.timers.read() - self.woke_s < BACKLOG_S
+
     def confirm_views(self, asked_s: float) -> None:
         """Note that the views are those of ``asked_s`` or later."""
         if not self.is_stalled() or asked_s >= self.stalled_s:
--- a/eelgrassmount/load/limiter.py
+++ b/eelgrassmount/load/limiter.py
@@ -7,16 +7,26 @@
 
 from attrs import define, field
 
+from eelgrassmount.load.cohorts import (
+    COHORT_RUNS,
+    SMALL_COHORT_RUNS,
+    Measurement,
+    Quiet,
+    compute_elasticity,
+    differ_enough,
+    estimate_limit,
+    is_flat,
+    is_steep,
+    measure_log,
+)
 from eelgrassmount.load.port import Sample, SampleKind
 
-START_LIMIT = 8
+START_LIMIT = 16
 LEAST_LIMIT = 2
 MOST_LIMIT = 4096
 
 # a measurement is over when most of a cohort of runs has ended; a cohort is some
 # rounds of the whole level, but never very small or large
-_COHORT_RUNS = 50
-_SMALL_COHORT_RUNS = 10
 _COHORT_ROUNDS = 4.0
 _FIRST_COHORT_ROUNDS = 1.5
 _COHORT_ENDED = 0.95
@@ -24,30 +34,24 @@
 _LONGEST_MEASUREMENT_S = 2.0
 _LONGEST_ROUNDS = 6
 
-# the probe below the limit: how deep it goes, and how far above the knee the
-# limit is kept so that the server's slots stay full
+# the probe below the limit: how deep it goes, and how the limit is moved after it
 _PROBE_DEPTH = 0.75
-_MARGIN = 1.3
 _SMOOTHING = 0.4
 _HOLD_RATIO = 3.0
 _START_GROWTH = 2.0
 _GROWTH = 1.25
-# latency may rise with concurrency by this exponent and still count as flat
-_FLAT_ELASTICITY = 0.3
 _VERY_FLAT_ELASTICITY = 0.1
-# both levels lie above the knee, somewhere
-_STEEP_ELASTICITY = 0.85
 _STEEP_CUT = 0.7
-_LEAST_LEVEL_RATIO = 1.1
 
-_BAD_FRACTION = 0.5
 _BAD_CUT = 0.5
 # after most runs timed out, growth by doubling ends short of that limit
 _BAD_CEILING = 0.75
 _SHED_MARGIN = 0.95
 _SATURATED = 0.9
 _TYPICAL_WEIGHT = 0.05
-_LEAST_SERVICE_S = 1e-4
+_MUCH_SLOWER = 3.0
+_SLOWER_WEIGHT = 0.25
+_QUIET_FRACTION = 0.5
 
 
 class Phase(Enum):
@@ -69,50 +73,6 @@
 }
 
 
-@define
-class Measurement:
-    """A cohort of runs that began while one level of concurrency was kept up.
-
-    Whole cohorts are measured because the runs that end first are the short
-    ones. ``settled_s`` is when the level was reached and ``closed_s`` when the
-    cohort of at least ``least_runs`` was complete.
-    """
-
-    level: int
-    began_s: float
-    least_runs: int
-    settled_s: float = math.inf
-    closed_s: float = math.inf
-    started: int = 0
-    ended: int = 0
-    runs: int = 0
-    bad: int = 0
-    log_sum: float = 0.0
-    log_square_sum: float = 0.0
-    in_flight_sum: int = 0
-
-    @property
-    def mean_log(self) -> float:
-        """Return the mean logarithm of the service times."""
-        return self.log_sum / self.runs
-
-    @property
-    def mean_log_error(self) -> float:
-        """Return the variance of `mean_log` as an estimate."""
-        variance = self.log_square_sum / self.runs - self.mean_log**2
-        return max(variance, 0.0) / self.runs
-
-    @property
-    def mean_in_flight(self) -> float:
-        """Return the concurrency that the cohort really met."""
-        return self.in_flight_sum / self.started
-
-    @property
-    def failing(self) -> bool:
-        """Tell whether most runs timed out."""
-        return self.bad > _BAD_FRACTION * max(self.runs, self.least_runs)
-
-
 @define
 class Limiter:
     """Finds how many calls a backend server can run at once.
@@ -136,6 +96,7 @@
     _previous: Measurement | None = field(init=False, default=None)
     _last_cut_s: float = field(init=False, default=-math.inf)
     _hold_s: float = field(init=False, default=0.0)
+    _quiet: Quiet = field(init=False, factory=Quiet)
     _ceiling: float = field(init=False, default=MOST_LIMIT)
 
     def __attrs_post_init__(self) -> None:
@@ -186,6 +147,8 @@
             return
         if sample.kind is SampleKind.COMPLETE:
             self._note_typical(sample.latency_s)
+            if in_flight <= _QUIET_FRACTION * self.limit:
+                self._quiet.add(sample, in_flight)
         if self.phase is not Phase.HOLD:
             self._add_run(sample, started_s)
         self._finish(now_s)
@@ -193,7 +156,9 @@
     def _note_typical(self, latency_s: float) -> None:
         if not self.typical_s:
             self.typical_s = latency_s
-        self.typical_s += _TYPICAL_WEIGHT * (latency_s - self.typical_s)
+        slower = latency_s > _MUCH_SLOWER * self.typical_s
+        weight = _SLOWER_WEIGHT if slower else _TYPICAL_WEIGHT
+        self.typical_s += weight * (latency_s - self.typical_s)
 
     def _add_run(self, sample: Sample, started_s: float) -> None:
         current = self._current
@@ -203,10 +168,11 @@
         if sample.kind is SampleKind.TIMEOUT:
             current.bad += 1
         if sample.kind in (SampleKind.COMPLETE, SampleKind.TIMEOUT):
-            service_s = max(sample.latency_s - sample.downstream_s, _LEAST_SERVICE_S)
+            log_service = measure_log(sample)
             current.runs += 1
-            current.log_sum += math.log(service_s)
-            current.log_square_sum += math.log(service_s) ** 2
+            current.log_sum += log_service
+            current.log_square_sum += log_service**2
+            current.downstream_sum_s += sample.downstream_s
 
     def adjust(self, now_s: float) -> None:
         """End what makes no progress; call it several times a second."""
@@ -267,6 +233,10 @@
                 self._give_up(now_s)
                 return
             self.size = move_limit(self.size, low, high)
+            if is_steep(low, high):
+                self._previous = None
+                self._begin(Phase.BEFORE, self.size, now_s)
+                return
         self._go_on(now_s)
 
     def _grow_first(
@@ -275,6 +245,8 @@
         if current.mean_in_flight < current.level * _SATURATED:
             self._give_up(now_s)
             return
+        if previous is None:
+            previous = self._quiet.find_measurement(now_s)
         if previous is None or is_flat(previous, current):
             size = self.size * _START_GROWTH
             phase = Phase.STARTING if size < self._ceiling else Phase.HOLD
@@ -317,47 +289,15 @@
     whole = max(1, round(level))
     # the first growth is quick, and a mistake is soon found
     rounds = _FIRST_COHORT_ROUNDS if phase is Phase.STARTING else _COHORT_ROUNDS
-    runs = min(max(round(rounds * whole), _SMALL_COHORT_RUNS), _COHORT_RUNS)
+    runs = min(max(round(rounds * whole), SMALL_COHORT_RUNS), COHORT_RUNS)
     return Measurement(whole, now_s, runs)
 
 
-def differ_enough(low: Measurement, high: Measurement) -> bool:
-    """Tell whether two cohorts met concurrency different enough to compare."""
-    return high.mean_in_flight >= _LEAST_LEVEL_RATIO * low.mean_in_flight
-
-
-def compute_elasticity(low: Measurement, high: Measurement) -> float:
-    """Return the exponent by which service time grows with concurrency.
-
-    It is 0 while slots are free and 1 when all of them are taken.
-    """
-    if not differ_enough(low, high):
-        return 0.0
-    ratio = high.mean_in_flight / low.mean_in_flight
-    elasticity = (high.mean_log - low.mean_log) / math.log(ratio)
-    return min(max(elasticity, 0.0), 1.0)
-
-
-def is_flat(low: Measurement, high: Measurement) -> bool:
-    """Tell whether service time does not surely grow with concurrency."""
-    if not differ_enough(low, high):
-        return True
-    error = math.sqrt(low.mean_log_error + high.mean_log_error)
-    error /= math.log(high.mean_in_flight / low.mean_in_flight)
-    return compute_elasticity(low, high) - error < _FLAT_ELASTICITY
-
-
-def estimate_limit(low: Measurement, high: Measurement) -> float:
-    """Return the limit at which the slots are just full, with a margin."""
-    ratio = high.mean_in_flight / low.mean_in_flight
-    return _MARGIN * high.level * ratio ** -compute_elasticity(low, high)
-
-
 def move_limit(size: float, low: Measurement, high: Measurement) -> float:
     """Return the limit after one comparison of two levels."""
     elasticity = compute_elasticity(low, high)
     if elasticity < _VERY_FLAT_ELASTICITY:
         return size * _GROWTH**_SMOOTHING
-    if elasticity > _STEEP_ELASTICITY:
-        return size * _STEEP_CUT**_SMOOTHING
+    if is_steep(low, high):
+        return size * _STEEP_CUT
     return size * (estimate_limit(low, high) / size) ** _SMOOTHING
