--- a/eelgrassmount/keys/routes.py
+++ b/eelgrassmount/keys/routes.py
@@ -185,21 +185,31 @@
 
         ``None`` means that no answer came, whether or not the call was sent.
         """
-        now_s = self.core.timers.read()
-        left_s = call.context.deadline_s - now_s
         call_id = call.context.call_id
-        if left_s <= 0:
+        if call.context.deadline_s <= self.core.timers.read():
             return Outcome(MayHaveRun(Reason.DEADLINE))
         if call_id in self._forwarding:
             return Outcome(MayHaveRun(Reason.OWNER_CHANGING))
-        message = Message(call=encode_call(call, Route.OWN, now_s))
         self._forwarding.add(call_id)
         try:
-            reply = await self.core.peers.ask(address, message, min(left_s, limit_s))
+            reply = await self._ask(address, call, limit_s)
+            if isinstance(reply, PeerFailure) and reply.sent:
+                # its link was lost, and the node may be well
+                reply = await self._ask(address, call, limit_s)
         finally:
             self._forwarding.discard(call_id)
         return self._read_reply(reply)
 
+    async def _ask(
+        self, address: str, call: Call, limit_s: float
+    ) -> Message | PeerFailure:
+        now_s = self.core.timers.read()
+        left_s = call.context.deadline_s - now_s
+        if left_s <= 0:
+            return PeerFailure(address, sent=True)
+        message = Message(call=encode_call(call, Route.OWN, now_s))
+        return await self.core.peers.ask(address, message, min(left_s, limit_s))
+
     def _read_reply(self, reply: Message | PeerFailure) -> Outcome | None:
         if isinstance(reply, PeerFailure) or reply.outcome is None:
             return None
--- a/tests/keys/test_scenarios.py
+++ b/tests/keys/test_scenarios.py
@@ -103,6 +103,22 @@
     assert first.verdict == again
 
 
+@pytest.mark.parametrize("home", ["howrah", "sealdah"])
+@pytest.mark.parametrize("minted", [False, True])
+def test_sending_that_was_lost_with_its_link_is_sent_again(world, home, minted) -> None:
+    nodes = list(world.nodes.values())
+    [entry] = [node for node in nodes if node.identity.failure_domain == "sealdah"]
+    if home == "howrah":
+        entry = find_entry(world)
+    key = nodes[0].service.mint() if minted else KEY
+    if minted and entry is nodes[0]:
+        entry = nodes[1]
+    world.silence()
+    sending = world.send(entry, key)
+    world.advance(5.0)
+    assert isinstance(sending.verdict, Answered)
+
+
 def test_long_outage_of_the_log(world) -> None:
     world.log.up = False
     world.advance(3 * WINDOW_S)
--- a/tests/keys/world.py
+++ b/tests/keys/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import selectors
 from itertools import count
@@ -44,6 +45,7 @@
 
 WINDOW_S = 60.0
 HOP_S = 0.001
+SILENCE_S = 0.4
 SUSPECT_S = 2.0
 
 
@@ -240,6 +242,9 @@
         if target is None or not target.alive:
             return PeerFailure(address, False)
         reply = None
+        if self.world.is_silent(self, address):
+            await anyio.sleep(min(timeout_s, SILENCE_S))
+            return PeerFailure(address, True)
         if not self.world.is_cut(self, target) and not self.world.loses():
             work = target.spawn(target.handle(self.hello(), copy))
             with anyio.move_on_after(timeout_s):
@@ -297,6 +302,7 @@
     counts: dict[str, int] = field(factory=dict)
     cuts: set[tuple[str, str]] = field(factory=set)
     loss: float = 0.0
+    silent: set[tuple[str, str]] = field(factory=set)
     run_s: float = 0.05
     shed_next: bool = False
     faults: list[str] = field(factory=list)
@@ -312,6 +318,18 @@
     def loses(self) -> bool:
         return self.rng.random() < self.loss
 
+    def silence(self) -> None:
+        """Let every link lose the next question, and be a new one after that."""
+        pairs = itertools.permutations(self.nodes, 2)
+        self.silent = set(pairs)
+
+    def is_silent(self, source: Node, address: str) -> bool:
+        pair = (source.identity.address, address)
+        if pair not in self.silent:
+            return False
+        self.silent.discard(pair)
+        return True
+
     def is_cut(self, source: Node, target: Node) -> bool:
         ends = (source.identity.failure_domain, target.identity.failure_domain)
         return ends in self.cuts
