--- a/tests/features/faults.feature
+++ b/tests/features/faults.feature
@@ -13,7 +13,7 @@
       | entry   | kill-node   |
       | primary | kill-vm     |
       | backup  | kill-node   |
-      | run-0   | kill-server |
+      | run-1   | kill-server |
       | run-2   | kill-node   |
 
     Examples: Cuts, silence and freezes
@@ -29,5 +29,5 @@
       | primary  | log-down   |
       | run-0    | wrong-call |
       | run-1    | truncated  |
-      | run-1    | garbled    |
+      | run-0    | garbled    |
       | answer-0 | repeats    |
