Send the views of slots only to those that hold others

The question now has a digest of the asker's views, the reader is drawn, and the interval grows with the members. Ruled out: leaving it to gossip, which carries the latest version of all slots and not of each one.

--- a/benchmarks/capacity_samples.py
+++ b/benchmarks/capacity_samples.py
@@ -203,6 +203,7 @@
             continue
         one = chosen[0]
         cpu = [cost.cpu_ms for cost in chosen]
+        most = max(cost.bytes_sent for cost in chosen)
 
         def mean(name: str, chosen: list[Cost] = chosen) -> float:
             return statistics.mean(getattr(cost, name) for cost in chosen)
@@ -213,7 +214,8 @@
             f" {'delegates' if delegate else 'others':9} {len(chosen):4}"
             f" cpu ms/s {statistics.mean(cpu):6.2f} (most {max(cpu):6.2f})"
             f" MB {mean('memory_mb'):5.1f}"
-            f" B/s out {mean('bytes_sent'):6.0f} in {mean('bytes_received'):6.0f}"
+            f" B/s out {mean('bytes_sent'):6.0f} (most {most:6.0f})"
+            f" in {mean('bytes_received'):6.0f}"
             f" msg/s out {mean('messages_sent'):5.1f}"
             f" in {mean('messages_received'):5.1f}"
             f" changes/s {one.changes_a_second:.2f}",
--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -198,13 +198,16 @@
   5: bool lost
 }
 
+// With the digest of the asker's views, which is compared with the one's own.
 struct SlotQuestion {
   1: string failure_domain
+  2: optional i64 digest
 }
 
 struct SlotAnswer {
   1: string failure_domain
   2: list<SlotView> views
+  3: optional bool same
 }
 
 // Exactly one of the optional fields is set. A message with reply set answers
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -2265,12 +2265,14 @@
     """
     Attributes:
      - failure_domain
+     - digest
 
     """
 
 
-    def __init__(self, failure_domain=None,):
+    def __init__(self, failure_domain=None, digest=None,):
         self.failure_domain = failure_domain
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2286,6 +2288,11 @@
                     self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2300,6 +2307,10 @@
             oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
             oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 2)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2323,13 +2334,15 @@
     Attributes:
      - failure_domain
      - views
+     - same
 
     """
 
 
-    def __init__(self, failure_domain=None, views=None,):
+    def __init__(self, failure_domain=None, views=None, same=None,):
         self.failure_domain = failure_domain
         self.views = views
+        self.same = same
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2356,6 +2369,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.same = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2377,6 +2395,10 @@
                 iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.same is not None:
+            oprot.writeFieldBegin('same', TType.BOOL, 3)
+            oprot.writeBool(self.same)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2830,12 +2852,14 @@
 SlotQuestion.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'digest', None, None, ),  # 2
 )
 all_structs.append(SlotAnswer)
 SlotAnswer.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'views', (TType.STRUCT, [SlotView, None], False), None, ),  # 2
+    (3, TType.BOOL, 'same', None, None, ),  # 3
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/eelgrassmount/keys/follower.py
+++ b/eelgrassmount/keys/follower.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import xxhash
 from attrs import define, field
 
 from eelgrassmount.gen.ttypes import (
@@ -31,6 +32,8 @@
 from eelgrassmount.platform.port import Appended, LogFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from eelgrassmount.gen.ttypes import Hello
     from eelgrassmount.keys.core import Core
     from eelgrassmount.keys.planning import Roster
@@ -40,6 +43,7 @@
 ASK_TIMEOUT_S = 0.5
 TICK_S = 0.5
 LISTEN_S = 5.0
+LISTEN_SHARE_S = 0.1
 FIRST_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 10.0
 
@@ -95,14 +99,18 @@
         """Take over the views that another node of the failure domain knows."""
         asked_s = self.core.timers.read()
         domain = self.core.board.identity.failure_domain
-        question = Message(slot_question=SlotQuestion(failure_domain=domain))
+        digest = compute_digest(holder.view for holder in self.core.holders)
+        question = Message(
+            slot_question=SlotQuestion(failure_domain=domain, digest=digest)
+        )
         reply = await self.core.peers.ask(address, question, ASK_TIMEOUT_S)
         if isinstance(reply, PeerFailure) or reply.slot_answer is None:
             return False
         views = reply.slot_answer.views
-        if reply.slot_answer.failure_domain != domain or not views:
+        same = reply.slot_answer.same
+        if reply.slot_answer.failure_domain != domain or not (views or same):
             return False
-        self.core.adopt([decode_view(view) for view in views if _is_valid(view)])
+        self.core.adopt([decode_view(view) for view in views or () if _is_valid(view)])
         self.core.confirm_views(asked_s)
         return True
 
@@ -112,7 +120,7 @@
         reads = self.core.me in readers
         if reads and await self.catch_up():
             return True
-        for reader in readers:
+        for reader in self.core.rng.sample(readers, len(readers)):
             if reader != self.core.me and await self.ask_peer(reader.address):
                 return True
         return not reads and await self.catch_up()
@@ -122,12 +130,14 @@
         domain = self.core.board.identity.failure_domain
         views = []
         if not self.core.is_stalled():
-            views = [
-                encode_view(holder.view)
-                for holder in self.core.holders
-                if holder.view.version
-            ]
-        return Message(slot_answer=SlotAnswer(failure_domain=domain, views=views))
+            views = [holder.view for holder in self.core.holders if holder.view.version]
+        same = bool(views) and message.slot_question.digest == compute_digest(views)
+        answer = SlotAnswer(
+            failure_domain=domain,
+            views=[] if same else [encode_view(view) for view in views],
+            same=same,
+        )
+        return Message(slot_answer=answer)
 
     async def tail(self) -> None:
         """Follow the stream while this node is one of its readers."""
@@ -142,7 +152,10 @@
 
     async def _listen(self) -> None:
         now_s = self.core.timers.read()
-        interval_s = LISTEN_S * self.core.rng.uniform(0.8, 1.2)
+        # however many members ask, the readers answer equally often
+        members = len(self.core.read_roster().known)
+        interval_s = max(LISTEN_S, LISTEN_SHARE_S * members)
+        interval_s *= self.core.rng.uniform(0.8, 1.2)
         stalled = self.core.is_stalled()
         if stalled or now_s - self._listened_s >= interval_s:
             self._listened_s = now_s
@@ -240,6 +253,13 @@
         self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
 
 
+def compute_digest(views: Iterable[View]) -> int:
+    """Return a number that is the same for the same views."""
+    text = ",".join(f"{view.slot}:{view.version}" for view in views if view.version)
+    # a signed number on the wire
+    return xxhash.xxh3_64_intdigest(text.encode()) >> 1
+
+
 def encode_view(view: View) -> SlotView:
     """Return a view as it goes to other nodes."""
     return SlotView(
