--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -152,7 +152,10 @@
         (CAUSE_S, scenario.load * rate),
         (AFTER_S, CALM * rate),
     ]
-    classes = [asdict(one) for one in shape.make_call_classes()]
+    # the command line of the callers reads true and false as words
+    classes = [
+        {**asdict(one), "keyed": int(one.keyed)} for one in shape.make_call_classes()
+    ]
     if scenario.crashing and number == 0:
         classes.append(_make_crashing(shape))
     command = (
