--- a/standins/caller.py
+++ b/standins/caller.py
@@ -137,7 +137,7 @@
             if attempt < self._load.retries:
                 await self._pause(sending)
                 if not self._load.sticky:
-                    node = self._random.choice(self._load.nodes)
+                    node = self._choose_other(node)
         record.t_end = record.sendings[-1].t_end
         record.outcome = record.sendings[-1].outcome
         self._take(record)
@@ -170,6 +170,10 @@
         outcome = judge_answer(answer, name, call_class.expect)
         return _make_sending(request, node, start, outcome, answer)
 
+    def _choose_other(self, node: str) -> str:
+        others = [other for other in self._load.nodes if other != node]
+        return self._random.choice(others or [node])
+
     async def _pause(self, sending: Sending) -> None:
         pause_ms = self._load.pause_ms
         if self._load.obey_retry_after:
