--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from tests.matrix.driver import Result
 
+PAIRS = 30
+
 
 def print_result(result: Result) -> None:
     """Print one row: the cell, how it went, what was told and what ran."""
@@ -30,7 +32,7 @@
 
 def run_matrix(
     only: str = "",
-    pairs: int = 0,
+    pairs: int | None = None,
     seed: int = 1,
     without: str = "",
     lanes: int = LANES,
@@ -38,9 +40,12 @@
 ) -> None:
     """Run the cells whose names match ``only``, then ``pairs`` drawn pairs of faults.
 
+    A run of the whole table also draws `PAIRS` pairs if not told otherwise.
     ``without`` names a mechanism that is left out of the nodes; ``fixed`` runs only
     the cells of `make test`.
     """
+    if pairs is None:
+        pairs = 0 if only or fixed or without else PAIRS
     table = read_table()
     cells = [cell for cell in table if re.search(only, cell.name)]
     if fixed:
