--- a/eelgrassmount/calls/dispatch.py
+++ b/eelgrassmount/calls/dispatch.py
@@ -21,6 +21,8 @@
     from eelgrassmount.retry.exchange import QuarantineExchange
     from eelgrassmount.timers import TimerService
 
+SERVER_SILENT = NotRun(Reason.SERVER_SILENT)
+
 
 @define(eq=False)
 class Dispatcher:
@@ -53,7 +55,9 @@
         while address is not None:
             outcome = await self._attempt(address, call, outcome.attempts_left)
             may_have_run |= isinstance(outcome.verdict, MayHaveRun)
-            excluded.add(address)
+            # a connection that went silent says nothing against its server
+            if outcome.verdict != SERVER_SILENT:
+                excluded.add(address)
             reason = self._find_retry_reason(call, outcome, excluded)
             if reason is None:
                 break
--- a/eelgrassmount/edge/server.py
+++ b/eelgrassmount/edge/server.py
@@ -117,6 +117,9 @@
             )
             self._process = connection.process or self._process
             verdict = exchange.verdict or self.judge(call, result)
+            if exchange.verdict is not None:
+                # whatever lost this connection may have lost the others too
+                self.close()
             reusable = _is_reusable(result, verdict)
         finally:
             del self.exchanges[call.context.call_id]
--- a/tests/calls/test_dispatch.py
+++ b/tests/calls/test_dispatch.py
@@ -25,6 +25,7 @@
 A, B, C, D, E = ("127.0.0.2:1", "127.0.0.3:1", "127.0.0.4:1", "127.0.0.5:1", "x:1")
 LOST = MayHaveRun(Reason.PEER_LOST)
 DRAINING = NotRun(Reason.DRAINING)
+SILENT = NotRun(Reason.SERVER_SILENT)
 FULL = NotRun(Reason.OVERLOAD)
 
 
@@ -85,6 +86,12 @@
     assert [context.attempts_left for context in contexts] == [3, 2, 1]
 
 
+async def test_server_whose_connection_went_silent_is_tried_again() -> None:
+    dispatcher = make_dispatcher([SILENT, SILENT, ANSWER], [A])
+    outcome = await dispatcher.run(make_call(idempotent=False))
+    assert (outcome.verdict, outcome.attempts_left) == (ANSWER, 1)
+
+
 async def test_no_node_of_the_service_means_not_run() -> None:
     outcome = await make_dispatcher([], []).run(make_call())
     assert outcome.verdict == NotRun(Reason.NO_SERVER)
--- a/tests/edge/test_probes.py
+++ b/tests/edge/test_probes.py
@@ -133,6 +133,17 @@
             assert bench.verdicts == ([later] if later else [])
 
 
+async def test_connections_beside_a_silent_one_are_not_used_again() -> None:
+    async with run_bench(make_answer(UNKNOWN, extra=SAME)) as bench:
+        await bench.lose()
+        await bench.client.send(bench.server.address, make_call(), 0, lambda: None)
+        before = bench.server.connections
+        await bench.pass_time(0.3)
+        await bench.client.send(bench.server.address, make_call(), 0, lambda: None)
+        # one for the question, and one in place of the idle one
+        assert bench.server.connections == before + 2
+
+
 async def test_what_cannot_be_told_is_never_guessed_for_others() -> None:
     async with run_bench(NOT_FOUND) as bench:
         await bench.lose(idempotent=False)
