--- a/tests/matrix/crashes.py
+++ b/tests/matrix/crashes.py
@@ -86,6 +86,7 @@
 
 async def run_case(world: World, case: Crashing) -> Found:
     """Send the request again and again, other ones beside it, and count."""
+    _start_crashed(world)
     await world.wait_until_well()
     name = f"crash-{uuid.uuid4().hex[:8]}"
     told: Counter[str] = Counter()
@@ -171,12 +172,16 @@
 async def _revive(world: World) -> None:
     """Start crashed servers anew, as the platform does."""
     while True:
-        for vm in world.deployment.vms:
-            if not vm.server.running:
-                await asyncio.to_thread(vm.server.start)
+        _start_crashed(world)
         await asyncio.sleep(REVIVE_PERIOD_S)
 
 
+def _start_crashed(world: World) -> None:
+    for vm in world.deployment.vms:
+        if not vm.server.running:
+            vm.server.start()
+
+
 def _make_spec(without: str) -> DeploymentSpec:
     services = tuple(
         ServiceSpec(name, count, plans=PLANS.get(name, {}))
