Let the delegates take turns in speaking to other failure domains

Now each failure domain hears from one of the three each second; what can't wait still goes out at once from all.

The rank was kept twice after two changes met; once is enough.

--- a/eelgrassmount/members/domains.py
+++ b/eelgrassmount/members/domains.py
@@ -17,7 +17,7 @@
     find_changes,
     summarize_services,
 )
-from eelgrassmount.members.pace import MAX_CROSS_SUMMARIES
+from eelgrassmount.members.pace import DELEGATES, MAX_CROSS_SUMMARIES
 from eelgrassmount.members.table import MemberState, ServiceSummary
 from eelgrassmount.members.updates import SummaryKey, UpdateQueue
 
@@ -51,11 +51,10 @@
     _differs_since_s: float | None = None
     _outgoing: dict[str, UpdateQueue] = field(factory=dict)
     _mismatches: dict[str, int] = field(factory=dict)
-    _delegates: list[str] = field(factory=list)
-    _delegates_version: int = -1
     _credit: float = 0.0
     _rank: int | None = None
     _rank_version: int = -1
+    _ticks: int = 0
 
     def start(self) -> None:
         """Subscribe to the timers."""
@@ -70,13 +69,11 @@
         return self._rank
 
     def _compute_rank(self) -> int | None:
-        if self._delegates_version != self.roster.version:
-            self._delegates_version = self.roster.version
-            self._delegates = choose_delegates(
-                self.roster.table.members.values(), self.roster.identity.failure_domain
-            )
+        delegates = choose_delegates(
+            self.roster.table.members.values(), self.roster.identity.failure_domain
+        )
         own = self.roster.identity.address
-        return self._delegates.index(own) if own in self._delegates else None
+        return delegates.index(own) if own in delegates else None
 
     def run_tick(self) -> None:
         """Do the periodic work of a delegate."""
@@ -93,8 +90,11 @@
         self._publish_services(rank, now_s, urgent_only=False)
         self._publish_heartbeat(rank, now_s)
         self._queue_fresh()
-        for domain in self.roster.contacts.domains:
-            if domain != self.roster.identity.failure_domain:
+        self._ticks += 1
+        # each failure domain hears from one of the delegates in each tick
+        for turn, domain in enumerate(self.roster.contacts.domains, self._ticks):
+            is_turn = turn % DELEGATES == rank
+            if domain != self.roster.identity.failure_domain and is_turn:
                 self._send(domain, contacts=1)
 
     def react(self) -> None:
