--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -234,9 +234,9 @@
 )
 
 
-def measure(scenario: Scenario, seconds: float) -> list[Second]:
+def measure(scenario: Scenario, seconds: float, seed: int = 11) -> list[Second]:
     """Run one scenario."""
-    world = World(scenario, random.Random(11))
+    world = World(scenario, random.Random(seed))
     world.timers.advance(seconds)
     return world.seconds
 
--- a/eelgrassmount/load/gate.py
+++ b/eelgrassmount/load/gate.py
@@ -43,7 +43,10 @@
 
 _SWEEP_PERIOD_S = 0.02
 _CLASS_WEIGHT = 0.1
-# a call above the threshold waits for one run time, but at least so long
+# a call above the threshold waits for so many run times, but at least so long; while
+# a downstream call waits its parents hold slots
+_LEFT_OVER_RUNS = 3.0
+_DEEP_LEFT_OVER_RUNS = 1.0
 _LEAST_LEFT_OVER_S = 0.1
 # the queue stands when it has not been empty for so many typical run times
 _STANDING_RUNS = 2.0
@@ -278,8 +281,9 @@
         # those that go before it are enough to fill the server, so it would only
         # wait for its time limit, and its parents with it
         waited_s = now_s - waiting.arrived_s
-        too_long = waited_s > max(self.limiter.typical_s, _LEAST_LEFT_OVER_S)
-        return too_long and waiting.rank >= self.threshold.threshold
+        runs = _DEEP_LEFT_OVER_RUNS if waiting.context.depth else _LEFT_OVER_RUNS
+        patience_s = max(runs * self.limiter.typical_s, _LEAST_LEFT_OVER_S)
+        return waited_s > patience_s and waiting.rank >= self.threshold.threshold
 
     def _follow_server(self, now_s: float) -> None:
         server = self.board.server
--- a/tests/load/test_gate.py
+++ b/tests/load/test_gate.py
@@ -20,6 +20,7 @@
 
 LIMIT = 2
 CAPACITY = 4
+SEEDS = (1, 2, 3)
 LAST, FIRST = Tier.REFUSED_LAST, Tier.REFUSED_FIRST
 
 
@@ -190,10 +191,12 @@
     "scenario", SCENARIOS[:3], ids=[one.name for one in SCENARIOS[:3]]
 )
 def test_surge(scenario) -> None:
-    seconds = measure(scenario, 18.0)
-    surge = seconds[7:15]
-    complete = sum(second.complete.total() for second in surge) / len(surge)
+    runs = [measure(scenario, 18.0, seed) for seed in SEEDS]
+    # one second of a small server is too few calls, so it is the mean that counts
+    surges = [second for seconds in runs for second in seconds[7:15]]
+    complete = sum(second.complete.total() for second in surges) / len(surges)
     assert complete > 0.9 * scenario.capacity_per_s
-    assert sum(second.inversions for second in seconds) == 0
-    # two seconds after the surge nothing is refused any more
-    assert not seconds[17].refused_at_entry + seconds[17].refused_at_gate
+    for seconds in runs:
+        assert sum(second.inversions for second in seconds) == 0
+        # two seconds after the surge nothing is refused any more
+        assert not seconds[17].refused_at_entry + seconds[17].refused_at_gate
