--- a/eelgrassmount/admin/listener.py
+++ b/eelgrassmount/admin/listener.py
@@ -9,7 +9,8 @@
 from loguru import logger
 
 from eelgrassmount.admin.json import make_json_reply
-from eelgrassmount.edge.http import BodyTooLong, HttpRequest, read_request, send_reply
+from eelgrassmount.edge.http import HttpRequest, read_request, send_reply
+from eelgrassmount.errors import BodyTooLongError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -42,7 +43,7 @@
         """Answer one request of an operator."""
         try:
             request = await read_request(scope, receive, self.max_body_bytes)
-        except BodyTooLong:
+        except BodyTooLongError:
             text = f"the body is longer than {self.max_body_bytes} bytes"
             await send_reply(send, make_json_reply(413, {"message": text}))
             return
--- a/eelgrassmount/edge/backend.py
+++ b/eelgrassmount/edge/backend.py
@@ -12,7 +12,6 @@
 from eelgrassmount.edge.caller import convert_request, judge_body, make_reply
 from eelgrassmount.edge.headers import find_header
 from eelgrassmount.edge.http import (
-    BodyTooLong,
     HttpReply,
     HttpRequest,
     read_request,
@@ -20,7 +19,7 @@
     run_until_gone,
     send_reply,
 )
-from eelgrassmount.errors import AnnouncementError
+from eelgrassmount.errors import AnnouncementError, BodyTooLongError
 from eelgrassmount.verdict import MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
@@ -44,7 +43,7 @@
         """Answer one request of the backend server."""
         try:
             request = await read_request(scope, receive, self.max_body_bytes)
-        except BodyTooLong as error:
+        except BodyTooLongError as error:
             await refuse_body(receive, send, make_reply(judge_body(error), []))
             return
         if request is None:
--- a/eelgrassmount/edge/caller.py
+++ b/eelgrassmount/edge/caller.py
@@ -12,8 +12,6 @@
 from eelgrassmount.edge import headers as names
 from eelgrassmount.edge.headers import choose_status, make_verdict_headers
 from eelgrassmount.edge.http import (
-    BodyTooLong,
-    BodyTooSlow,
     HttpReply,
     HttpRequest,
     read_request,
@@ -21,6 +19,7 @@
     run_until_gone,
     send_reply,
 )
+from eelgrassmount.errors import BodyTooLongError, BodyTooSlowError
 from eelgrassmount.verdict import Answered, Header, MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
@@ -51,7 +50,7 @@
     async def _serve(self, scope: Any, receive: Receive, send: Send) -> None:
         try:
             request = await read_request(scope, receive, self.max_body_bytes)
-        except BodyTooLong as error:
+        except BodyTooLongError as error:
             verdict = judge_body(error)
             self.metrics.refusals.labels(verdict.reason).inc()
             await refuse_body(receive, send, make_reply(verdict, []))
@@ -85,9 +84,9 @@
         await send_reply(send, make_reply(reply.verdict, extra))
 
 
-def judge_body(error: BodyTooLong) -> NotRun:
+def judge_body(error: BodyTooLongError) -> NotRun:
     """Return the verdict on a request whose body can't be taken."""
-    if isinstance(error, BodyTooSlow):
+    if isinstance(error, BodyTooSlowError):
         return NotRun(Reason.DEADLINE)
     return NotRun(Reason.TOO_LARGE)
 
--- a/eelgrassmount/edge/http.py
+++ b/eelgrassmount/edge/http.py
@@ -13,7 +13,7 @@
 from eelgrassmount.edge import headers as names
 from eelgrassmount.edge.headers import find_header
 from eelgrassmount.edge.protocol import GONE, make_protocol
-from eelgrassmount.errors import ListenError
+from eelgrassmount.errors import BodyTooLongError, BodyTooSlowError, ListenError
 from eelgrassmount.verdict import Header
 
 if TYPE_CHECKING:
@@ -78,14 +78,6 @@
         self.ending.set()
 
 
-class BodyTooLong(Exception):  # noqa: N818
-    """The body of a request is longer than allowed."""
-
-
-class BodyTooSlow(BodyTooLong):
-    """The body of a request took longer than allowed."""
-
-
 async def serve_http(
     app: Any,
     address: Address,
@@ -136,8 +128,8 @@
 ) -> HttpRequest | None:
     """Return a whole request, ``None`` when its sender has gone.
 
-    Raises `BodyTooLong` as soon as the body is known to pass
-    ``max_body_bytes``, and `BodyTooSlow` after ``BODY_LIMIT_S``.
+    Raises `BodyTooLongError` as soon as the body is known to pass
+    ``max_body_bytes``, and `BodyTooSlowError` after ``BODY_LIMIT_S``.
     """
     headers = tuple(
         Header(name.decode("latin-1"), value.decode("latin-1"))
@@ -145,7 +137,7 @@
     )
     # the parser has checked that it is a number
     if int(find_header(headers, names.CONTENT_LENGTH) or 0) > max_body_bytes:
-        raise BodyTooLong
+        raise BodyTooLongError
     event = await receive()
     if event["type"] == "http.disconnect":
         return None
@@ -154,7 +146,7 @@
         with anyio.move_on_after(BODY_LIMIT_S) as limit:
             body = await _read_rest(body, receive, max_body_bytes)
         if limit.cancelled_caught:
-            raise BodyTooSlow
+            raise BodyTooSlowError
     if body is None:
         return None
     return HttpRequest(
@@ -174,7 +166,7 @@
     more = True
     while more:
         if length > max_body_bytes:
-            raise BodyTooLong
+            raise BodyTooLongError
         event = await receive()
         if event["type"] == "http.disconnect":
             return None
@@ -183,7 +175,7 @@
         length += len(part)
         more = event.get("more_body", False)
     if length > max_body_bytes:
-        raise BodyTooLong
+        raise BodyTooLongError
     return b"".join(parts)
 
 
--- a/eelgrassmount/errors.py
+++ b/eelgrassmount/errors.py
@@ -137,3 +137,19 @@
             f"can't listen on {self.address} ({self.cause}); give an address of this "
             "VM that no other process uses"
         )
+
+
+@dataclass(eq=False)
+class BodyTooLongError(EelgrassmountError):
+    """The body of a request is longer than allowed."""
+
+    def __str__(self) -> str:
+        return "the body is too long; send at most max_body_bytes"
+
+
+@dataclass(eq=False)
+class BodyTooSlowError(BodyTooLongError):
+    """The body of a request took longer than allowed."""
+
+    def __str__(self) -> str:
+        return "the body came too slowly; send it within the time limit"
