--- a/eelgrassmount/load/routing.py
+++ b/eelgrassmount/load/routing.py
@@ -72,7 +72,16 @@
     for candidates in choices:
         if candidates:
             return _pick(candidates, rng)
-    return None
+    return _choose_held(board, service, excluded, rng)
+
+
+def _choose_held(
+    board: Blackboard, service: str, excluded: Collection[str], rng: random.Random
+) -> str | None:
+    # holding a member back must not leave a service without any server
+    held = [member.identity.address for member in board.members.find_held(service)]
+    left = [address for address in held if address not in excluded]
+    return rng.choice(left) if left else None
 
 
 def find_room(
--- a/eelgrassmount/members/table.py
+++ b/eelgrassmount/members/table.py
@@ -70,10 +70,13 @@
     @property
     def serves(self) -> bool:
         """Tell whether new work may be sent to this node's backend server."""
+        return self.could_serve and not self.held
+
+    @property
+    def could_serve(self) -> bool:
+        """Tell whether the node is up and its server serves, held or not."""
         return (
-            self.state is MemberState.ALIVE
-            and self.server_state is ServerState.SERVING
-            and not self.held
+            self.state is MemberState.ALIVE and self.server_state is ServerState.SERVING
         )
 
 
@@ -139,6 +142,14 @@
             if member.service == service and member.serves
         ]
 
+    def find_held(self, service: str) -> list[Member]:
+        """Return the members that would serve a service but are held back."""
+        return [
+            member
+            for member in self.members.values()
+            if member.service == service and member.could_serve and member.held
+        ]
+
     def find_summaries(self, service: str) -> list[ServiceSummary]:
         """Return what the other failure domains say of a service."""
         return [
--- a/tests/load/test_routing.py
+++ b/tests/load/test_routing.py
@@ -160,3 +160,16 @@
     mean = len(nodes) * SUBSET_SIZE / len(servers)
     assert len(counts) == len(servers)
     assert max(counts.values()) < 2 * mean
+
+
+def test_member_that_is_held_back_serves_when_nobody_else_does(
+    board: Blackboard,
+) -> None:
+    for address in NEAR:
+        change(board, address, held=True)
+    assert set(choose(board, RoutingState())) == set(FAR)
+    board.members.summaries.clear()
+    assert set(choose(board, RoutingState())) == set(NEAR)
+    change(board, NEAR[0], server_state=ServerState.DRAINING)
+    chosen = choose(board, RoutingState(), excluded=(NEAR[1],))
+    assert set(chosen) == set(NEAR[2:])
