--- a/standins/caller.py
+++ b/standins/caller.py
@@ -225,7 +225,19 @@
 
 
 def _read(value: Any) -> Any:
-    return json.loads(value) if isinstance(value, str) else value
+    return json.loads(value) if isinstance(value, str) else _mend_words(value)
+
+
+def _mend_words(value: Any) -> Any:
+    # fire reads JSON as Python, where true and false are not words
+    match value:
+        case list() | tuple():
+            return [_mend_words(item) for item in value]
+        case dict():
+            return {name: _mend_words(item) for name, item in value.items()}
+        case "true" | "false":
+            return value == "true"
+    return value
 
 
 def serve(
--- a/tests/standins/test_records.py
+++ b/tests/standins/test_records.py
@@ -7,6 +7,7 @@
 import pytest
 
 from standins.answers import make_answer
+from standins.caller import _read
 from standins.client import Answer
 from standins.plans import dump_plans, expect_shape, read_plans
 from standins.records import (
@@ -98,3 +99,9 @@
     summary = summarise([record], doubled)
     assert summary["class"]["doubled"] == 1
     assert summary["all"]["sent"] == summary["all"]["refused"] == 1
+
+
+def test_flags_that_fire_has_read_keep_their_truth() -> None:
+    classes = [{"name": "a", "keyed": "false"}, {"name": "b", "keyed": "true"}]
+    assert [entry["keyed"] for entry in _read(classes)] == [False, True]
+    assert _read('[{"keyed": false}]') == [{"keyed": False}]
