Let make bench-overload run what takes minutes

Without flags it ran 8 scenarios of 3 systems in 2 shapes, about 50 minutes; the usual three of the Samiti's shape, the ones measured so far, take about eight.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -271,12 +271,20 @@
     return value if isinstance(value, str) else ",".join(value)
 
 
+_USUAL_SCENARIOS = "surge-2x,surge-5x,slow-2x"
+_USUAL_SHAPE = "samiti"
+
+
 def main(
-    scenarios: str | tuple[str, ...] = "",
+    scenarios: str | tuple[str, ...] = _USUAL_SCENARIOS,
     systems: str | tuple[str, ...] = "",
-    shapes: str | tuple[str, ...] = "",
+    shapes: str | tuple[str, ...] = _USUAL_SHAPE,
 ) -> None:
-    """Run the chosen scenarios and print the figures of each system."""
+    """Run the chosen scenarios and print the figures of each system.
+
+    The usual ones take about eight minutes; ``--scenarios= --shapes=`` runs
+    all of them, which takes most of an hour.
+    """
     _OUT.mkdir(parents=True, exist_ok=True)
     chosen = _choose(_join(scenarios), (one.name for one in SCENARIOS))
     letters = _choose(_join(systems), (one.letter for one in SYSTEMS))
