--- a/eelgrassmount/keys/routes.py
+++ b/eelgrassmount/keys/routes.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+import anyio
 from attrs import define, field
 
 from eelgrassmount.calls.request import Outcome
@@ -29,6 +30,8 @@
 RELAYS = 2
 ROUTE_ATTEMPTS = 8
 RETRY_S = 0.5
+ASK_AGAIN_S = 0.1
+ASK_LIMIT_S = 1.0
 
 
 @define
@@ -41,6 +44,27 @@
     minter: Minter
     _forwarding: set[str] = field(factory=set)
 
+    async def enter(self, call: Call) -> Outcome:
+        """Run a call that entered here, asking again for an owner not found.
+
+        A node that has just started knows too little for a moment, and an owner
+        that moves is found a moment later. Asking again can't run a key twice.
+        """
+        started_s = self.core.timers.read()
+        outcome = await self.run(call)
+        while _is_unfound(outcome) and self._may_ask_again(call, started_s):
+            await anyio.sleep(ASK_AGAIN_S)
+            outcome = await self.run(call)
+        return outcome
+
+    def _may_ask_again(self, call: Call, started_s: float) -> bool:
+        # without the log, no owner is replaced and nothing is to be hoped for
+        if not self.core.board.log_reachable:
+            return False
+        now_s = self.core.timers.read()
+        in_time = now_s + ASK_AGAIN_S < call.context.deadline_s
+        return in_time and now_s - started_s < ASK_LIMIT_S
+
     async def run(self, call: Call) -> Outcome:
         """Find the owner of the call's key and let it run the call.
 
@@ -220,6 +244,10 @@
             return Outcome(MayHaveRun(Reason.BAD_ANSWER))
 
 
+def _is_unfound(outcome: Outcome) -> bool:
+    return outcome.verdict == MayHaveRun(Reason.OWNER_UNREACHABLE)
+
+
 def _is_changing(outcome: Outcome | None) -> bool:
     """Tell whether the owner was not found: no answer, or not from the owner."""
     return outcome is None or outcome.verdict == MayHaveRun(Reason.OWNER_CHANGING)
--- a/eelgrassmount/keys/service.py
+++ b/eelgrassmount/keys/service.py
@@ -121,7 +121,7 @@
         Refusals are *may have run* wherever an earlier sending of the key may
         have been run, also when this very sending certainly was not.
         """
-        return await self.routes.run(call)
+        return await self.routes.enter(call)
 
     async def handle_own(self, call: Call) -> Outcome:
         """Act on a call that another node sent to the owner of its key."""
