--- a/tests/keys/test_scenarios.py
+++ b/tests/keys/test_scenarios.py
@@ -5,8 +5,11 @@
 import random
 from collections.abc import Iterator
 
+import anyio
 import pytest
 
+from eelgrassmount.gen.ttypes import Message, SlotQuestion
+from eelgrassmount.keys.follower import compute_digest
 from eelgrassmount.keys.syntax import BadKey, MintedKey, OwnKey, parse_key
 from eelgrassmount.verdict import Answered, MayHaveRun, NotRun, Reason
 from tests.keys.world import HOP_S, WINDOW_S, World
@@ -55,6 +58,22 @@
     assert world.tell(entry, KEY, b"other") == MayHaveRun(Reason.KEY_REUSED)
 
 
+def test_views_are_sent_only_to_those_that_hold_others(world) -> None:
+    home = [n for n in world.nodes.values() if n.identity.failure_domain == "howrah"]
+    follower = home[0].service.follower
+    views = [holder.view for holder in home[1].service.core.holders]
+    answers = []
+    for digest in (compute_digest(views), compute_digest(views[1:]), None):
+        question = SlotQuestion(failure_domain="howrah", digest=digest)
+        message = Message(slot_question=question)
+        answers.append(anyio.run(follower.answer, None, message).slot_answer)
+    assert [(answer.same, len(answer.views)) for answer in answers] == [
+        (True, 0),
+        (False, len(views)),
+        (False, len(views)),
+    ]
+
+
 @pytest.mark.parametrize("fail", ["freeze", "kill"])
 def test_successor_never_runs_a_key_that_its_predecessor_marked(world, fail) -> None:
     primary, _ = world.find_holders(KEY)
--- a/tests/load/test_gate.py
+++ b/tests/load/test_gate.py
@@ -204,3 +204,15 @@
         # two seconds after the surge nothing is refused any more
         assert not seconds[17].refused_at_entry + seconds[17].refused_at_gate
     assert sum(fractions) / len(fractions) > 0.9, fractions
+
+
+def test_gate_is_swept_only_while_calls_run_or_wait(gate: LimitedGate) -> None:
+    def measure_sleep() -> float:
+        gate.timers.advance(0.955)
+        return gate.timers.run_due()
+
+    idle_s = measure_sleep()
+    offer(gate)
+    busy_s = measure_sleep()
+    finish(gate)
+    assert busy_s < 0.03 < min(idle_s, measure_sleep())
--- a/tests/members/test_merge.py
+++ b/tests/members/test_merge.py
@@ -29,6 +29,7 @@
     MemberTable,
     ServerState,
     ServiceSummary,
+    SummaryTable,
 )
 from eelgrassmount.members.updates import MemberKey, UpdateQueue
 from eelgrassmount.members.wire import decode_member, encode_member
@@ -236,3 +237,18 @@
     queue.add(MemberKey("b"), 3)
     taken = [key for _ in range(9) for key in queue.take(1)]
     assert sorted(key.address for key in taken) == ["a", "b", "b", "b"]
+
+
+def test_summaries_are_found_by_service_after_every_change() -> None:
+    rng = random.Random(1)
+    table = SummaryTable()
+    for step in range(500):
+        key = (rng.choice("xyz"), rng.choice("abc"))
+        if key in table and rng.random() < 0.4:
+            del table[key]
+        else:
+            table[key] = ServiceSummary(*key, step, 1, 1, 1, ())
+        for service in "abc":
+            wanted = [one for one in table.values() if one.service == service]
+            found = sorted(table.find(service), key=lambda one: one.sequence)
+            assert found == sorted(wanted, key=lambda one: one.sequence)
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -78,3 +78,20 @@
         timers.schedule(0.0, done.set)
         await done.wait()
         group.cancel_scope.cancel()
+
+
+def test_periodic_timers_share_a_grid() -> None:
+    timers = make_timers(grid_s=0.1)
+    moments: set[float] = set()
+    counts = [0, 0, 0]
+
+    def count(index: int) -> None:
+        counts[index] += 1
+        moments.add(round(timers.read(), 6))
+
+    for index, (period_s, jitter) in enumerate([(0.1, 0.0), (0.5, 0.3), (1.0, 0.1)]):
+        timers.subscribe(period_s, lambda index=index: count(index), jitter)
+    timers.advance(100.0)
+    # each at its own rate, but never at more moments than the grid has
+    assert counts == pytest.approx([1000, 200, 100], rel=0.03)
+    assert len(moments) <= 1001
