Take callers only once the node has joined

The rolling restart still failed now and then: keyed sendings were told 'owner unreachable' or 'no server' within milliseconds by a node that had just started and knew neither members nor the log, and 'owner changing' before the first owners were chosen. A node now opens its caller listener when it knows a configuration, the log, a member and, with several failure domains, another one's summary, or after 3 s; the entry asks again for a changing owner too. Ruled out: the handing over of keys.

--- a/eelgrassmount/compose/listeners.py
+++ b/eelgrassmount/compose/listeners.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 from eelgrassmount.admin.listener import AdminListener
 from eelgrassmount.admin.routes import add_routes
-from eelgrassmount.blackboard import DrainStage
+from eelgrassmount.blackboard import Blackboard, DrainStage
 from eelgrassmount.calls.handlers import CallHandlers
 from eelgrassmount.compose.node import Node
 from eelgrassmount.drain.stages import Cause
@@ -18,6 +20,9 @@
 if TYPE_CHECKING:
     pass
 
+JOIN_LIMIT_S = 3.0
+JOIN_POLL_S = 0.05
+
 
 async def listen_to_peers(node: Node) -> None:
     """Take messages of other nodes."""
@@ -71,7 +76,27 @@
     )
     await serve_http(admin, base.settings.admin_address, base.tasks)
     await serve_http(backend, base.settings.backend_address, base.tasks)
+    await _wait_until_joined(base.board)
     server = await serve_http(
         caller, base.settings.caller_address, base.tasks, caller.note_malformed
     )
     node.callers.append(server)
+
+
+async def _wait_until_joined(board: Blackboard) -> None:
+    """Take no callers before this node can place their requests.
+
+    A node that knows no configuration or nobody else after a while may be the
+    only one, and takes them all the same.
+    """
+    with anyio.move_on_after(JOIN_LIMIT_S):
+        while not _has_joined(board):
+            await anyio.sleep(JOIN_POLL_S)
+
+
+def _has_joined(board: Blackboard) -> bool:
+    domains = board.configuration.document.failure_domains
+    knows_near = len(board.members.members) > 1
+    knows_far = len(domains) < 2 or bool(board.members.summaries)
+    configured = board.configuration.version > 0 and board.log_reachable
+    return configured and knows_near and knows_far
--- a/eelgrassmount/keys/routes.py
+++ b/eelgrassmount/keys/routes.py
@@ -245,7 +245,8 @@
 
 
 def _is_unfound(outcome: Outcome) -> bool:
-    return outcome.verdict == MayHaveRun(Reason.OWNER_UNREACHABLE)
+    unreachable = outcome.verdict == MayHaveRun(Reason.OWNER_UNREACHABLE)
+    return unreachable or _is_changing(outcome)
 
 
 def _is_changing(outcome: Outcome | None) -> bool:
--- a/tests/features/steps/deployments.py
+++ b/tests/features/steps/deployments.py
@@ -25,6 +25,7 @@
 EXIT_WITHIN_S = 30.0
 READY_WITHIN_S = 20.0
 SETTLE_S = 2.0
+OWNERS_S = 6.0
 FIRST_WITHIN_MS = 2000
 
 
@@ -185,6 +186,8 @@
 
 @when("callers send {rate:d} requests a second for {seconds:d} seconds")
 def start_traffic(context, rate, seconds):
+    # the first owners of keys are chosen when the members have settled
+    time.sleep(OWNERS_S)
     context.traffic = Traffic(context.deployment, seconds, rate)
     context.traffic.start()
     time.sleep(1.0)
