Take SIGTERM from when the node takes calls of others

Found on reading the change again: the wait until joined, up to 3 s, stood before the signal was taken, so SIGTERM within it ended the process at once although it served calls of other nodes already. Now the signal is taken before the wait.

--- a/eelgrassmount/compose/main.py
+++ b/eelgrassmount/compose/main.py
@@ -58,7 +58,6 @@
 
 
 async def _run_until_drained(node: Node) -> None:
-    node.base.tasks.start_soon(_wait_for_signal, node)
     drain = await node.shutdown.wait()
     logger.info("node stopped", cause=drain.cause, cut=drain.cut)
 
@@ -80,6 +79,8 @@
     node.path.announcements.start()
     node.path.probes.start()
     node.shutdown.start(base.tasks)
+    # calls of other nodes are taken from here on, before the callers' listener
+    base.tasks.start_soon(_wait_for_signal, node)
     base.timers.subscribe(EXPIRE_PERIOD_S, lambda: _expire(node))
     base.tasks.start_soon(base.timers.run)
     await listen_to_http(node)
