--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -231,3 +231,105 @@
   16: optional SlotQuestion slot_question
   17: optional SlotAnswer slot_answer
 }
+
+// Frames between the nodes of a deployment that runs beside its backend servers.
+// Each travels behind a length and a byte that names its kind.
+
+// The first frame of a link, in both directions.
+struct RelayHello {
+  1: string node_name
+  2: string incarnation
+  3: string service_name
+  4: i64 config_version
+}
+
+// A call to run on the receiver's backend server. ``head`` is the block of headers
+// that the server gets; ``resumed`` marks a call that went out on a link that broke,
+// to the receiver's ``incarnation``.
+struct RelayCall {
+  1: i64 sequence
+  2: string request_id
+  3: string route_name
+  4: string service_name
+  5: string caller_service
+  6: i32 remaining_ms
+  7: i32 rank
+  8: bool idempotent
+  9: bool resumed
+  10: string method
+  11: string target
+  12: binary head
+  13: binary body
+  14: bool repeated
+  15: string incarnation
+}
+
+enum RelayOutcome {
+  ANSWERED = 0
+  NOT_RUN = 1
+  MAY_HAVE_RUN = 2
+}
+
+struct RelayReply {
+  1: i64 sequence
+  2: i32 outcome
+  3: string reason
+  4: i32 status
+  5: binary head
+  6: binary body
+  7: i32 in_flight
+  8: i32 queued
+}
+
+struct RelayCancel {
+  1: i64 sequence
+}
+
+// Mean duration of a route's runs on one server, in milliseconds.
+struct RouteTime {
+  1: string route_name
+  2: double run_ms
+}
+
+// How many calls of another route one run of a route makes.
+struct RouteCalls {
+  1: string run_route
+  2: string called_route
+  3: double calls_per_run
+}
+
+// What a node tells the nodes that send it calls. ``level`` is the part of the
+// ranks that may still be admitted, in thousandths.
+struct RelayReport {
+  1: bool accepting
+  2: i32 in_flight
+  3: i32 queued
+  4: i32 limit
+  5: i32 level
+  6: i64 config_version
+  7: list<RouteTime> times
+  8: list<RouteCalls> calls
+  9: i32 failures_ppm
+}
+
+struct RelaySuspects {
+  1: string crash_id
+  2: list<string> digests
+}
+
+struct RelayConfigRequest {
+  1: i64 known_version
+}
+
+struct RelayConfig {
+  1: i64 version
+  2: binary document
+}
+
+// The record of a node in the deployment's topic.
+struct NodeRecord {
+  1: string node_name
+  2: string address
+  3: string failure_domain
+  4: string service_name
+}
--- /dev/null
+++ b/eelgrassmount/compose/relay.py
@@ -0,0 +1,382 @@
+"""Wiring and running of a node beside its backend server."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define
+from loguru import logger
+
+from eelgrassmount.errors import ListenError, PlatformDocumentError
+from eelgrassmount.gen import ttypes
+from eelgrassmount.http1.server import SWEEP_PERIOD_S, HttpListener, ServerLimits
+from eelgrassmount.platform.configuration import read_configuration
+from eelgrassmount.platform.headers import DIALECT
+from eelgrassmount.platform.heartbeats import read_announcement
+from eelgrassmount.platform.store import StoreClient
+from eelgrassmount.platform.topics import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    NODES_TOPIC,
+)
+from eelgrassmount.relay.admission import STEP_S, Admission, CallGraph
+from eelgrassmount.relay.announcements import AnnouncementListener
+from eelgrassmount.relay.backend import BackendPool
+from eelgrassmount.relay.budget import RetryBudget
+from eelgrassmount.relay.decisions import DecisionLog
+from eelgrassmount.relay.entry import Entry
+from eelgrassmount.relay.frames import decode_struct, encode_struct
+from eelgrassmount.relay.gate import Gate
+from eelgrassmount.relay.inbound import Inbound
+from eelgrassmount.relay.link import LinkEvents
+from eelgrassmount.relay.members import MemberTable
+from eelgrassmount.relay.metrics import RelayMetrics
+from eelgrassmount.relay.node import Beliefs, Controllers, News
+from eelgrassmount.relay.routing import Router
+from eelgrassmount.relay.server import LocalServer
+from eelgrassmount.relay.stopping import Stopping
+from eelgrassmount.relay.store import StoreFailure
+from eelgrassmount.relay.topics import TopicFollower
+from eelgrassmount.relay.vectors import INTERVAL_S
+from eelgrassmount.retry.quarantine import Quarantine
+from eelgrassmount.timers import MonotonicClock, TimerService
+from eelgrassmount.util.addresses import Address
+
+if TYPE_CHECKING:
+    from eelgrassmount.http1.exchange import Exchange
+    from eelgrassmount.relay.settings import RelaySettings
+    from eelgrassmount.relay.store import StoredRecord
+
+INCARNATION_BYTES = 6
+METRICS_PORT = 9464
+LINK_PERIOD_S = 0.1
+VECTOR_PERIOD_S = 2.0
+RECORD_RETRY_S = 0.5
+METRICS_TYPE = b"content-type: text/plain; version=0.0.4\r\n"
+
+
+@define(eq=False)
+class RelayNode:
+    """All parts of a node beside its backend server."""
+
+    settings: RelaySettings
+    beliefs: Beliefs
+    gate: Gate
+    inbound: Inbound
+    entry: Entry
+    admission: Admission
+    controllers: Controllers
+    news: News
+    decisions: DecisionLog
+    metrics: RelayMetrics
+    store: StoreClient
+    timers: TimerService
+    callers: HttpListener
+    rng: random.Random
+    found_nodes: bool = False
+
+    def apply_document(self, document: bytes) -> None:
+        """Put a configuration in force unless it is older than the present one."""
+        try:
+            table = read_configuration(document)
+        except PlatformDocumentError as error:
+            logger.error("configuration refused", cause=str(error))
+            return
+        beliefs = self.beliefs
+        if table.version <= beliefs.table.version:
+            return
+        logger.info(
+            "configuration in force",
+            version=table.version,
+            before=beliefs.table.version,
+            routes=table.count_routes(),
+        )
+        beliefs.table = table
+        beliefs.document = document
+        beliefs.graph.forget_routes()
+        self.admission.forget_ladders()
+        self.entry.table = table
+        limits = table.limits
+        self.callers.limits = ServerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_limit_s,
+            limits.idle_limit_s,
+        )
+
+    def take_configuration(
+        self, records: tuple[StoredRecord, ...], whole: bool
+    ) -> None:
+        """Take up records of the operator's topic."""
+        for record in records:
+            if record.key == CONFIGURATION_KEY and record.value:
+                self.apply_document(record.value)
+
+    def take_nodes(self, records: tuple[StoredRecord, ...], whole: bool) -> None:
+        """Take up records of nodes."""
+        for record in records:
+            if not record.value:
+                self.beliefs.members.remove(record.key)
+                continue
+            found = decode_struct(ttypes.NodeRecord, record.value)
+            if found.node_name != self.settings.name:
+                self.beliefs.members.put(
+                    found.node_name,
+                    found.address,
+                    found.failure_domain,
+                    found.service_name,
+                )
+        self.found_nodes = True
+
+    def is_ready(self) -> bool:
+        """Tell whether clients may send requests here."""
+        beliefs = self.beliefs
+        return beliefs.table.version > 0 and self.found_nodes and not beliefs.stopping
+
+    def answer_ready(self, exchange: Exchange) -> None:
+        """Answer the platform's question whether this node is ready."""
+        exchange.respond(200 if self.is_ready() else 503)
+
+    def answer_metrics(self, exchange: Exchange) -> None:
+        """Answer with all metrics as text."""
+        self.update_gauges()
+        exchange.respond(200, METRICS_TYPE, self.metrics.render())
+
+    def update_gauges(self) -> None:
+        """Set the gauges to what the node believes now."""
+        state = self.metrics.state
+        state.labels("configuration_version").set(self.beliefs.table.version)
+        state.labels("in_flight").set(self.gate.in_flight)
+        state.labels("queued").set(self.gate.queued)
+        state.labels("limit").set(self.beliefs.server.compute_limit())
+        state.labels("level").set(self.beliefs.level.level)
+        state.labels("members").set(len(self.beliefs.members.by_name))
+        state.labels("open_requests").set(self.entry.open_flows)
+        state.labels("lines_left_out").set(self.decisions.failures.left_out)
+
+    def count_open(self) -> int:
+        """Return how many requests and calls have no answer yet."""
+        return self.callers.count_open() + self.inbound.count_open()
+
+    def note_server_change(self) -> None:
+        """Act on news of the server beside this node, before it is acknowledged."""
+        self.controllers.report_now()
+        own = self.beliefs.members.by_name.get(self.settings.name)
+        if own is not None and own.service != self.beliefs.server.service:
+            self.put_own()
+
+    def put_own(self) -> None:
+        """Enter this node among the members."""
+        self.beliefs.members.put(
+            self.settings.name,
+            str(self.settings.peer_address),
+            self.settings.failure_domain,
+            self.beliefs.server.service,
+        )
+
+
+def build_relay(settings: RelaySettings) -> RelayNode:
+    """Return a node whose parts are wired but not started."""
+    rng = random.Random(secrets.randbits(64))
+    clock = time.monotonic
+    incarnation = secrets.token_hex(INCARNATION_BYTES)
+    metrics = RelayMetrics()
+    quarantine = Quarantine()
+    server = LocalServer(settings.service, settings.server_address)
+    members = MemberTable(settings.name)
+    graph = CallGraph()
+    beliefs = Beliefs(settings.name, incarnation, server, members, graph, clock, rng)
+    pool = BackendPool(
+        clock,
+        lambda answer: DIALECT.read_answer(answer.headers).idle_limit_s,
+        metrics.connections.inc,
+    )
+    gate = Gate(
+        server,
+        pool,
+        DIALECT,
+        quarantine,
+        clock,
+        on_run=lambda route_name: beliefs.counts.note_run(route_name),
+        on_crash=lambda jobs: news.note_crash(jobs),
+        on_change=lambda: controllers.report_now(),
+    )
+    inbound = Inbound(
+        incarnation,
+        gate,
+        clock,
+        beliefs.find_route,
+        beliefs.make_hello,
+        lambda hello: None,
+        lambda suspects: news.note_suspects(suspects),
+        lambda version: news.find_config(version),
+    )
+    news = News(
+        beliefs,
+        quarantine,
+        lambda document: node.apply_document(document),
+        inbound.tell_all,
+    )
+    admission = Admission(graph, beliefs.find_level)
+    events = LinkEvents(
+        beliefs.make_hello,
+        news.note_hello,
+        news.note_report,
+        news.note_suspects,
+        news.note_config,
+    )
+    controllers = Controllers(
+        beliefs,
+        gate,
+        inbound,
+        events,
+        admission.forget_ladders,
+        settings.failure_domain,
+    )
+    decisions = DecisionLog.create(clock)
+    entry = Entry(
+        settings.name,
+        lambda: server.service,
+        DIALECT,
+        Router(members, settings.failure_domain, clock, rng),
+        gate,
+        RetryBudget(
+            clock,
+            settings.retry_ratio,
+            settings.retry_window_s,
+            settings.retry_slack,
+            lambda: len(members.by_name),
+        ),
+        admission,
+        quarantine,
+        decisions,
+        metrics,
+        clock,
+        rng,
+        lambda route_name: route_name in beliefs.inner,
+        lambda route_name: beliefs.counts.note_call(route_name),
+    )
+    node = RelayNode(
+        settings,
+        beliefs,
+        gate,
+        inbound,
+        entry,
+        admission,
+        controllers,
+        news,
+        decisions,
+        metrics,
+        StoreClient(settings.log_address),
+        TimerService(MonotonicClock(), rng),
+        HttpListener(entry.handle, clock),
+        rng,
+    )
+    return node
+
+
+async def serve_relay(settings: RelaySettings) -> None:
+    """Run a node until SIGTERM and its end in order.
+
+    Raises `ListenError` when one of its addresses can't be bound.
+    """
+    node = build_relay(settings)
+    node.put_own()
+    async with anyio.create_task_group() as group:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await _listen(node)
+            _subscribe(node)
+            group.start_soon(node.timers.run)
+            group.start_soon(_follow, node, CONFIGURATION_TOPIC)
+            group.start_soon(_join, node)
+            logger.info(
+                "node started",
+                node=settings.name,
+                incarnation=node.beliefs.incarnation,
+                service=settings.service,
+                failure_domain=settings.failure_domain,
+            )
+            async for _ in signals:
+                break
+        await Stopping(
+            node.beliefs,
+            node.callers,
+            node.inbound,
+            settings.grace_s,
+            node.controllers.report_now,
+            node.count_open,
+        ).run()
+        node.decisions.tell_left_out()
+        group.cancel_scope.cancel()
+
+
+async def _listen(node: RelayNode) -> None:
+    settings = node.settings
+    clock = node.beliefs.clock
+    announcements = AnnouncementListener(
+        node.beliefs.server, read_announcement, node.note_server_change
+    )
+    metrics_address = Address(settings.peer_address.host, METRICS_PORT)
+    await _bind(node.inbound, settings.peer_address)
+    announcing = HttpListener(announcements.handle, clock)
+    await _bind(announcing, settings.announce_address)
+    await _bind(HttpListener(node.answer_ready, clock), settings.ready_address)
+    await _bind(HttpListener(node.answer_metrics, clock), metrics_address)
+    await _bind(node.callers, settings.caller_address)
+
+
+async def _bind(listener: HttpListener | Inbound, address: Address) -> None:
+    try:
+        await listener.start(address.host, address.port)
+    except OSError as error:
+        raise ListenError(str(address), str(error)) from error
+
+
+def _subscribe(node: RelayNode) -> None:
+    timers = node.timers
+    timers.subscribe(LINK_PERIOD_S, node.controllers.watch_links)
+    timers.subscribe(STEP_S, node.controllers.step)
+    timers.subscribe(STEP_S, node.gate.sweep)
+    timers.subscribe(INTERVAL_S, node.controllers.learn)
+    timers.subscribe(VECTOR_PERIOD_S, node.controllers.apply_vectors)
+    timers.subscribe(SWEEP_PERIOD_S, node.callers.sweep)
+    timers.subscribe(SWEEP_PERIOD_S, node.gate.pool.sweep)
+    timers.subscribe(SWEEP_PERIOD_S, node.inbound.expire)
+    timers.subscribe(SWEEP_PERIOD_S, node.decisions.tell_left_out)
+
+
+async def _follow(node: RelayNode, topic: str) -> None:
+    take = node.take_configuration
+    if topic == NODES_TOPIC:
+        take = node.take_nodes
+    await TopicFollower(node.store, topic, take, node.rng).run()
+
+
+async def _join(node: RelayNode) -> None:
+    """Write this node's record unless it stands there, then follow the others."""
+    settings = node.settings
+    record = ttypes.NodeRecord(
+        settings.name,
+        str(settings.peer_address),
+        settings.failure_domain,
+        settings.service,
+    )
+    value = encode_struct(record)
+    while True:
+        snapshot = await node.store.read_newest(NODES_TOPIC)
+        if not isinstance(snapshot, StoreFailure):
+            node.take_nodes(snapshot.records, True)
+            if any(one.value == value for one in snapshot.records):
+                break
+            offset = await node.store.append(NODES_TOPIC, settings.name, value)
+            if not isinstance(offset, StoreFailure):
+                break
+        await anyio.sleep(RECORD_RETRY_S * node.rng.uniform(0.5, 1.5))
+    # nodes that start together are read together
+    await anyio.sleep(RECORD_RETRY_S)
+    await _follow(node, NODES_TOPIC)
--- a/eelgrassmount/errors.py
+++ b/eelgrassmount/errors.py
@@ -153,3 +153,14 @@
 
     def __str__(self) -> str:
         return "the body came too slowly; send it within the time limit"
+
+
+@dataclass(eq=False)
+class PlatformDocumentError(EelgrassmountError):
+    """A document of the platform, such as a heartbeat, that can't be read."""
+
+    document: str
+    cause: str
+
+    def __str__(self) -> str:
+        return f"{self.document}: can't be read ({self.cause})"
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -67,6 +67,24 @@
     }
 
 
+class RelayOutcome(object):
+    ANSWERED = 0
+    NOT_RUN = 1
+    MAY_HAVE_RUN = 2
+
+    _VALUES_TO_NAMES = {
+        0: "ANSWERED",
+        1: "NOT_RUN",
+        2: "MAY_HAVE_RUN",
+    }
+
+    _NAMES_TO_VALUES = {
+        "ANSWERED": 0,
+        "NOT_RUN": 1,
+        "MAY_HAVE_RUN": 2,
+    }
+
+
 class Header(object):
     """
     Attributes:
@@ -2663,224 +2681,1412 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(Header)
-Header.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'value', 'UTF8', None, ),  # 2
-)
-all_structs.append(Context)
-Context.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'root_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'call_id', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'parent_id', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'class_name', 'UTF8', None, ),  # 4
-    (5, TType.I32, 'remaining_ms', None, None, ),  # 5
-    (6, TType.I32, 'attempts_left', None, None, ),  # 6
-    (7, TType.I32, 'tier', None, None, ),  # 7
-    (8, TType.I32, 'priority', None, None, ),  # 8
-    (9, TType.I32, 'depth', None, None, ),  # 9
-    (10, TType.BOOL, 'idempotent', None, None, ),  # 10
-    (11, TType.STRING, 'key', 'UTF8', None, ),  # 11
-    (12, TType.STRING, 'digest', 'UTF8', None, ),  # 12
-)
-all_structs.append(Call)
-Call.thrift_spec = (
-    None,  # 0
-    (1, TType.STRUCT, 'context', [Context, None], None, ),  # 1
-    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'method', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'path', 'UTF8', None, ),  # 4
-    (5, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 5
-    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
-    (7, TType.I32, 'route', None, None, ),  # 7
-)
-all_structs.append(ServiceLoad)
-ServiceLoad.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'threshold', None, None, ),  # 2
-    (3, TType.I32, 'headroom', None, None, ),  # 3
-    (4, TType.I32, 'retry_after_ms', None, None, ),  # 4
-)
-all_structs.append(Outcome)
-Outcome.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'kind', None, None, ),  # 2
-    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
-    (4, TType.I32, 'retry_after_ms', None, None, ),  # 4
-    (5, TType.I32, 'status', None, None, ),  # 5
-    (6, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 6
-    (7, TType.STRING, 'body', 'BINARY', None, ),  # 7
-    (8, TType.I32, 'attempts_left', None, None, ),  # 8
-    (9, TType.LIST, 'loads', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 9
-)
-all_structs.append(Cancel)
-Cancel.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
-)
-all_structs.append(FateQuestion)
-FateQuestion.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
-)
-all_structs.append(FateAnswer)
-FateAnswer.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'state', None, None, ),  # 2
-    (3, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 3
-)
-all_structs.append(Hello)
-Hello.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'region', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'incarnation', 'UTF8', None, ),  # 4
-    (5, TType.I32, 'release', None, None, ),  # 5
-)
-all_structs.append(Ping)
-Ping.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'sequence', None, None, ),  # 1
-    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
-)
-all_structs.append(Member)
-Member.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'region', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'incarnation', 'UTF8', None, ),  # 4
-    (5, TType.I64, 'heartbeat', None, None, ),  # 5
-    (6, TType.I32, 'state', None, None, ),  # 6
-    (7, TType.STRING, 'service_name', 'UTF8', None, ),  # 7
-    (8, TType.I32, 'server_state', None, None, ),  # 8
-    (9, TType.I32, 'headroom', None, None, ),  # 9
-    (10, TType.I64, 'started', None, None, ),  # 10
-    (11, TType.I32, 'threshold', None, None, ),  # 11
-)
-all_structs.append(ServiceSummary)
-ServiceSummary.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
-    (3, TType.I64, 'sequence', None, None, ),  # 3
-    (4, TType.I32, 'servers', None, None, ),  # 4
-    (5, TType.I32, 'headroom', None, None, ),  # 5
-    (6, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), None, ),  # 6
-    (7, TType.I32, 'threshold', None, None, ),  # 7
-)
-all_structs.append(Gossip)
-Gossip.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
-    (2, TType.LIST, 'summaries', (TType.STRUCT, [ServiceSummary, None], False), None, ),  # 2
-    (3, TType.I64, 'config_version', None, None, ),  # 3
-    (4, TType.MAP, 'slot_versions', (TType.I32, None, TType.I64, None, False), None, ),  # 4
-    (5, TType.LIST, 'quarantine', (TType.STRUCT, [QuarantineNote, None], False), None, ),  # 5
-    (6, TType.I64, 'digest', None, None, ),  # 6
-    (7, TType.BOOL, 'full', None, None, ),  # 7
-    (8, TType.LIST, 'buckets', (TType.I64, None, False), None, ),  # 8
-    (9, TType.LIST, 'wanted', (TType.I32, None, False), None, ),  # 9
-)
-all_structs.append(QuarantineNote)
-QuarantineNote.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'crashes', None, None, ),  # 2
-    (3, TType.I32, 'remaining_ms', None, None, ),  # 3
-    (4, TType.LIST, 'calls', (TType.STRING, 'UTF8', False), None, ),  # 4
-    (5, TType.BOOL, 'cleared', None, None, ),  # 5
-)
-all_structs.append(ConfigQuestion)
-ConfigQuestion.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'version', None, None, ),  # 1
-)
-all_structs.append(ConfigAnswer)
-ConfigAnswer.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'version', None, None, ),  # 1
-    (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
-    (3, TType.I64, 'offset', None, None, ),  # 3
-)
-all_structs.append(KeyMark)
-KeyMark.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'age_ms', None, None, ),  # 3
-    (4, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 4
-    (5, TType.STRING, 'call_id', 'UTF8', None, ),  # 5
-)
-all_structs.append(MarkQuestion)
-MarkQuestion.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'slot', None, None, ),  # 1
-    (2, TType.I64, 'version', None, None, ),  # 2
-    (3, TType.LIST, 'marks', (TType.STRUCT, [KeyMark, None], False), None, ),  # 3
-)
-all_structs.append(MarkAnswer)
-MarkAnswer.thrift_spec = (
-    None,  # 0
-    (1, TType.BOOL, 'accepted', None, None, ),  # 1
-    (2, TType.I64, 'version', None, None, ),  # 2
-)
-all_structs.append(SlotTransfer)
-SlotTransfer.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'slot', None, None, ),  # 1
-    (2, TType.I64, 'version', None, None, ),  # 2
-    (3, TType.LIST, 'marks', (TType.STRUCT, [KeyMark, None], False), None, ),  # 3
-    (4, TType.BOOL, 'last', None, None, ),  # 4
-)
-all_structs.append(SlotView)
-SlotView.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'slot', None, None, ),  # 1
-    (2, TType.I64, 'version', None, None, ),  # 2
-    (3, TType.STRING, 'primary', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'backup', 'UTF8', None, ),  # 4
-    (5, TType.BOOL, 'lost', None, None, ),  # 5
-)
-all_structs.append(SlotQuestion)
-SlotQuestion.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'digest', None, None, ),  # 2
-)
-all_structs.append(SlotAnswer)
-SlotAnswer.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'views', (TType.STRUCT, [SlotView, None], False), None, ),  # 2
-    (3, TType.BOOL, 'same', None, None, ),  # 3
-)
-all_structs.append(Message)
-Message.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'sequence', None, None, ),  # 1
-    (2, TType.BOOL, 'reply', None, None, ),  # 2
-    (3, TType.STRUCT, 'hello', [Hello, None], None, ),  # 3
-    (4, TType.STRUCT, 'call', [Call, None], None, ),  # 4
-    (5, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 5
-    (6, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 6
-    (7, TType.STRUCT, 'fate_question', [FateQuestion, None], None, ),  # 7
-    (8, TType.STRUCT, 'fate_answer', [FateAnswer, None], None, ),  # 8
-    (9, TType.STRUCT, 'ping', [Ping, None], None, ),  # 9
-    (10, TType.STRUCT, 'gossip', [Gossip, None], None, ),  # 10
-    (11, TType.STRUCT, 'config_question', [ConfigQuestion, None], None, ),  # 11
-    (12, TType.STRUCT, 'config_answer', [ConfigAnswer, None], None, ),  # 12
-    (13, TType.STRUCT, 'mark_question', [MarkQuestion, None], None, ),  # 13
-    (14, TType.STRUCT, 'mark_answer', [MarkAnswer, None], None, ),  # 14
-    (15, TType.STRUCT, 'slot_transfer', [SlotTransfer, None], None, ),  # 15
-    (16, TType.STRUCT, 'slot_question', [SlotQuestion, None], None, ),  # 16
-    (17, TType.STRUCT, 'slot_answer', [SlotAnswer, None], None, ),  # 17
+
+
+class RelayHello(object):
+    """
+    Attributes:
+     - node_name
+     - incarnation
+     - service_name
+     - config_version
+
+    """
+
+
+    def __init__(self, node_name=None, incarnation=None, service_name=None, config_version=None,):
+        self.node_name = node_name
+        self.incarnation = incarnation
+        self.service_name = service_name
+        self.config_version = config_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayHello')
+        if self.node_name is not None:
+            oprot.writeFieldBegin('node_name', TType.STRING, 1)
+            oprot.writeString(self.node_name.encode('utf-8') if sys.version_info[0] == 2 else self.node_name)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 4)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayCall(object):
+    """
+    Attributes:
+     - sequence
+     - request_id
+     - route_name
+     - service_name
+     - caller_service
+     - remaining_ms
+     - rank
+     - idempotent
+     - resumed
+     - method
+     - target
+     - head
+     - body
+     - repeated
+     - incarnation
+
+    """
+
+
+    def __init__(self, sequence=None, request_id=None, route_name=None, service_name=None, caller_service=None, remaining_ms=None, rank=None, idempotent=None, resumed=None, method=None, target=None, head=None, body=None, repeated=None, incarnation=None,):
+        self.sequence = sequence
+        self.request_id = request_id
+        self.route_name = route_name
+        self.service_name = service_name
+        self.caller_service = caller_service
+        self.remaining_ms = remaining_ms
+        self.rank = rank
+        self.idempotent = idempotent
+        self.resumed = resumed
+        self.method = method
+        self.target = target
+        self.head = head
+        self.body = body
+        self.repeated = repeated
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.caller_service = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.remaining_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.idempotent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.resumed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.head = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.repeated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayCall')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.route_name is not None:
+            oprot.writeFieldBegin('route_name', TType.STRING, 3)
+            oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 4)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.caller_service is not None:
+            oprot.writeFieldBegin('caller_service', TType.STRING, 5)
+            oprot.writeString(self.caller_service.encode('utf-8') if sys.version_info[0] == 2 else self.caller_service)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 6)
+            oprot.writeI32(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 7)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.idempotent is not None:
+            oprot.writeFieldBegin('idempotent', TType.BOOL, 8)
+            oprot.writeBool(self.idempotent)
+            oprot.writeFieldEnd()
+        if self.resumed is not None:
+            oprot.writeFieldBegin('resumed', TType.BOOL, 9)
+            oprot.writeBool(self.resumed)
+            oprot.writeFieldEnd()
+        if self.method is not None:
+            oprot.writeFieldBegin('method', TType.STRING, 10)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 11)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.head is not None:
+            oprot.writeFieldBegin('head', TType.STRING, 12)
+            oprot.writeBinary(self.head)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 13)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.repeated is not None:
+            oprot.writeFieldBegin('repeated', TType.BOOL, 14)
+            oprot.writeBool(self.repeated)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 15)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayReply(object):
+    """
+    Attributes:
+     - sequence
+     - outcome
+     - reason
+     - status
+     - head
+     - body
+     - in_flight
+     - queued
+
+    """
+
+
+    def __init__(self, sequence=None, outcome=None, reason=None, status=None, head=None, body=None, in_flight=None, queued=None,):
+        self.sequence = sequence
+        self.outcome = outcome
+        self.reason = reason
+        self.status = status
+        self.head = head
+        self.body = body
+        self.in_flight = in_flight
+        self.queued = queued
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.outcome = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.head = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.in_flight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.queued = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayReply')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.I32, 2)
+            oprot.writeI32(self.outcome)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 4)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.head is not None:
+            oprot.writeFieldBegin('head', TType.STRING, 5)
+            oprot.writeBinary(self.head)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 6)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.in_flight is not None:
+            oprot.writeFieldBegin('in_flight', TType.I32, 7)
+            oprot.writeI32(self.in_flight)
+            oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.I32, 8)
+            oprot.writeI32(self.queued)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayCancel(object):
+    """
+    Attributes:
+     - sequence
+
+    """
+
+
+    def __init__(self, sequence=None,):
+        self.sequence = sequence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayCancel')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RouteTime(object):
+    """
+    Attributes:
+     - route_name
+     - run_ms
+
+    """
+
+
+    def __init__(self, route_name=None, run_ms=None,):
+        self.route_name = route_name
+        self.run_ms = run_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.run_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteTime')
+        if self.route_name is not None:
+            oprot.writeFieldBegin('route_name', TType.STRING, 1)
+            oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
+            oprot.writeFieldEnd()
+        if self.run_ms is not None:
+            oprot.writeFieldBegin('run_ms', TType.DOUBLE, 2)
+            oprot.writeDouble(self.run_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RouteCalls(object):
+    """
+    Attributes:
+     - run_route
+     - called_route
+     - calls_per_run
+
+    """
+
+
+    def __init__(self, run_route=None, called_route=None, calls_per_run=None,):
+        self.run_route = run_route
+        self.called_route = called_route
+        self.calls_per_run = calls_per_run
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.run_route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.called_route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.calls_per_run = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteCalls')
+        if self.run_route is not None:
+            oprot.writeFieldBegin('run_route', TType.STRING, 1)
+            oprot.writeString(self.run_route.encode('utf-8') if sys.version_info[0] == 2 else self.run_route)
+            oprot.writeFieldEnd()
+        if self.called_route is not None:
+            oprot.writeFieldBegin('called_route', TType.STRING, 2)
+            oprot.writeString(self.called_route.encode('utf-8') if sys.version_info[0] == 2 else self.called_route)
+            oprot.writeFieldEnd()
+        if self.calls_per_run is not None:
+            oprot.writeFieldBegin('calls_per_run', TType.DOUBLE, 3)
+            oprot.writeDouble(self.calls_per_run)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayReport(object):
+    """
+    Attributes:
+     - accepting
+     - in_flight
+     - queued
+     - limit
+     - level
+     - config_version
+     - times
+     - calls
+     - failures_ppm
+
+    """
+
+
+    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, level=None, config_version=None, times=None, calls=None, failures_ppm=None,):
+        self.accepting = accepting
+        self.in_flight = in_flight
+        self.queued = queued
+        self.limit = limit
+        self.level = level
+        self.config_version = config_version
+        self.times = times
+        self.calls = calls
+        self.failures_ppm = failures_ppm
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.accepting = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.in_flight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.queued = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.limit = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.level = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.times = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = RouteTime()
+                        _elem105.read(iprot)
+                        self.times.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.calls = []
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = RouteCalls()
+                        _elem111.read(iprot)
+                        self.calls.append(_elem111)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.failures_ppm = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayReport')
+        if self.accepting is not None:
+            oprot.writeFieldBegin('accepting', TType.BOOL, 1)
+            oprot.writeBool(self.accepting)
+            oprot.writeFieldEnd()
+        if self.in_flight is not None:
+            oprot.writeFieldBegin('in_flight', TType.I32, 2)
+            oprot.writeI32(self.in_flight)
+            oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.I32, 3)
+            oprot.writeI32(self.queued)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.I32, 4)
+            oprot.writeI32(self.limit)
+            oprot.writeFieldEnd()
+        if self.level is not None:
+            oprot.writeFieldBegin('level', TType.I32, 5)
+            oprot.writeI32(self.level)
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 6)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.times is not None:
+            oprot.writeFieldBegin('times', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.times))
+            for iter112 in self.times:
+                iter112.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.calls is not None:
+            oprot.writeFieldBegin('calls', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.calls))
+            for iter113 in self.calls:
+                iter113.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.failures_ppm is not None:
+            oprot.writeFieldBegin('failures_ppm', TType.I32, 9)
+            oprot.writeI32(self.failures_ppm)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelaySuspects(object):
+    """
+    Attributes:
+     - crash_id
+     - digests
+
+    """
+
+
+    def __init__(self, crash_id=None, digests=None,):
+        self.crash_id = crash_id
+        self.digests = digests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.crash_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.digests = []
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digests.append(_elem119)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelaySuspects')
+        if self.crash_id is not None:
+            oprot.writeFieldBegin('crash_id', TType.STRING, 1)
+            oprot.writeString(self.crash_id.encode('utf-8') if sys.version_info[0] == 2 else self.crash_id)
+            oprot.writeFieldEnd()
+        if self.digests is not None:
+            oprot.writeFieldBegin('digests', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.digests))
+            for iter120 in self.digests:
+                oprot.writeString(iter120.encode('utf-8') if sys.version_info[0] == 2 else iter120)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayConfigRequest(object):
+    """
+    Attributes:
+     - known_version
+
+    """
+
+
+    def __init__(self, known_version=None,):
+        self.known_version = known_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayConfigRequest')
+        if self.known_version is not None:
+            oprot.writeFieldBegin('known_version', TType.I64, 1)
+            oprot.writeI64(self.known_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayConfig(object):
+    """
+    Attributes:
+     - version
+     - document
+
+    """
+
+
+    def __init__(self, version=None, document=None,):
+        self.version = version
+        self.document = document
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.document = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayConfig')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 2)
+            oprot.writeBinary(self.document)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NodeRecord(object):
+    """
+    Attributes:
+     - node_name
+     - address
+     - failure_domain
+     - service_name
+
+    """
+
+
+    def __init__(self, node_name=None, address=None, failure_domain=None, service_name=None,):
+        self.node_name = node_name
+        self.address = address
+        self.failure_domain = failure_domain
+        self.service_name = service_name
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NodeRecord')
+        if self.node_name is not None:
+            oprot.writeFieldBegin('node_name', TType.STRING, 1)
+            oprot.writeString(self.node_name.encode('utf-8') if sys.version_info[0] == 2 else self.node_name)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 3)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 4)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(Header)
+Header.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'UTF8', None, ),  # 2
+)
+all_structs.append(Context)
+Context.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'root_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'call_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'parent_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'class_name', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'remaining_ms', None, None, ),  # 5
+    (6, TType.I32, 'attempts_left', None, None, ),  # 6
+    (7, TType.I32, 'tier', None, None, ),  # 7
+    (8, TType.I32, 'priority', None, None, ),  # 8
+    (9, TType.I32, 'depth', None, None, ),  # 9
+    (10, TType.BOOL, 'idempotent', None, None, ),  # 10
+    (11, TType.STRING, 'key', 'UTF8', None, ),  # 11
+    (12, TType.STRING, 'digest', 'UTF8', None, ),  # 12
+)
+all_structs.append(Call)
+Call.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'context', [Context, None], None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'method', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'path', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 5
+    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.I32, 'route', None, None, ),  # 7
+)
+all_structs.append(ServiceLoad)
+ServiceLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'threshold', None, None, ),  # 2
+    (3, TType.I32, 'headroom', None, None, ),  # 3
+    (4, TType.I32, 'retry_after_ms', None, None, ),  # 4
+)
+all_structs.append(Outcome)
+Outcome.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'kind', None, None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'retry_after_ms', None, None, ),  # 4
+    (5, TType.I32, 'status', None, None, ),  # 5
+    (6, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 6
+    (7, TType.STRING, 'body', 'BINARY', None, ),  # 7
+    (8, TType.I32, 'attempts_left', None, None, ),  # 8
+    (9, TType.LIST, 'loads', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 9
+)
+all_structs.append(Cancel)
+Cancel.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(FateQuestion)
+FateQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(FateAnswer)
+FateAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'call_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'state', None, None, ),  # 2
+    (3, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 3
+)
+all_structs.append(Hello)
+Hello.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'region', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'incarnation', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'release', None, None, ),  # 5
+)
+all_structs.append(Ping)
+Ping.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+)
+all_structs.append(Member)
+Member.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'region', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'incarnation', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'heartbeat', None, None, ),  # 5
+    (6, TType.I32, 'state', None, None, ),  # 6
+    (7, TType.STRING, 'service_name', 'UTF8', None, ),  # 7
+    (8, TType.I32, 'server_state', None, None, ),  # 8
+    (9, TType.I32, 'headroom', None, None, ),  # 9
+    (10, TType.I64, 'started', None, None, ),  # 10
+    (11, TType.I32, 'threshold', None, None, ),  # 11
+)
+all_structs.append(ServiceSummary)
+ServiceSummary.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I32, 'servers', None, None, ),  # 4
+    (5, TType.I32, 'headroom', None, None, ),  # 5
+    (6, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.I32, 'threshold', None, None, ),  # 7
+)
+all_structs.append(Gossip)
+Gossip.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
+    (2, TType.LIST, 'summaries', (TType.STRUCT, [ServiceSummary, None], False), None, ),  # 2
+    (3, TType.I64, 'config_version', None, None, ),  # 3
+    (4, TType.MAP, 'slot_versions', (TType.I32, None, TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'quarantine', (TType.STRUCT, [QuarantineNote, None], False), None, ),  # 5
+    (6, TType.I64, 'digest', None, None, ),  # 6
+    (7, TType.BOOL, 'full', None, None, ),  # 7
+    (8, TType.LIST, 'buckets', (TType.I64, None, False), None, ),  # 8
+    (9, TType.LIST, 'wanted', (TType.I32, None, False), None, ),  # 9
+)
+all_structs.append(QuarantineNote)
+QuarantineNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'crashes', None, None, ),  # 2
+    (3, TType.I32, 'remaining_ms', None, None, ),  # 3
+    (4, TType.LIST, 'calls', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.BOOL, 'cleared', None, None, ),  # 5
+)
+all_structs.append(ConfigQuestion)
+ConfigQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+)
+all_structs.append(ConfigAnswer)
+ConfigAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+)
+all_structs.append(KeyMark)
+KeyMark.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 4
+    (5, TType.STRING, 'call_id', 'UTF8', None, ),  # 5
+)
+all_structs.append(MarkQuestion)
+MarkQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'slot', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.LIST, 'marks', (TType.STRUCT, [KeyMark, None], False), None, ),  # 3
+)
+all_structs.append(MarkAnswer)
+MarkAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'accepted', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+)
+all_structs.append(SlotTransfer)
+SlotTransfer.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'slot', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.LIST, 'marks', (TType.STRUCT, [KeyMark, None], False), None, ),  # 3
+    (4, TType.BOOL, 'last', None, None, ),  # 4
+)
+all_structs.append(SlotView)
+SlotView.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'slot', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'primary', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'backup', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'lost', None, None, ),  # 5
+)
+all_structs.append(SlotQuestion)
+SlotQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'digest', None, None, ),  # 2
+)
+all_structs.append(SlotAnswer)
+SlotAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'views', (TType.STRUCT, [SlotView, None], False), None, ),  # 2
+    (3, TType.BOOL, 'same', None, None, ),  # 3
+)
+all_structs.append(Message)
+Message.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.BOOL, 'reply', None, None, ),  # 2
+    (3, TType.STRUCT, 'hello', [Hello, None], None, ),  # 3
+    (4, TType.STRUCT, 'call', [Call, None], None, ),  # 4
+    (5, TType.STRUCT, 'outcome', [Outcome, None], None, ),  # 5
+    (6, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 6
+    (7, TType.STRUCT, 'fate_question', [FateQuestion, None], None, ),  # 7
+    (8, TType.STRUCT, 'fate_answer', [FateAnswer, None], None, ),  # 8
+    (9, TType.STRUCT, 'ping', [Ping, None], None, ),  # 9
+    (10, TType.STRUCT, 'gossip', [Gossip, None], None, ),  # 10
+    (11, TType.STRUCT, 'config_question', [ConfigQuestion, None], None, ),  # 11
+    (12, TType.STRUCT, 'config_answer', [ConfigAnswer, None], None, ),  # 12
+    (13, TType.STRUCT, 'mark_question', [MarkQuestion, None], None, ),  # 13
+    (14, TType.STRUCT, 'mark_answer', [MarkAnswer, None], None, ),  # 14
+    (15, TType.STRUCT, 'slot_transfer', [SlotTransfer, None], None, ),  # 15
+    (16, TType.STRUCT, 'slot_question', [SlotQuestion, None], None, ),  # 16
+    (17, TType.STRUCT, 'slot_answer', [SlotAnswer, None], None, ),  # 17
+)
+all_structs.append(RelayHello)
+RelayHello.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'config_version', None, None, ),  # 4
+)
+all_structs.append(RelayCall)
+RelayCall.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'route_name', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'caller_service', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'remaining_ms', None, None, ),  # 6
+    (7, TType.I32, 'rank', None, None, ),  # 7
+    (8, TType.BOOL, 'idempotent', None, None, ),  # 8
+    (9, TType.BOOL, 'resumed', None, None, ),  # 9
+    (10, TType.STRING, 'method', 'UTF8', None, ),  # 10
+    (11, TType.STRING, 'target', 'UTF8', None, ),  # 11
+    (12, TType.STRING, 'head', 'BINARY', None, ),  # 12
+    (13, TType.STRING, 'body', 'BINARY', None, ),  # 13
+    (14, TType.BOOL, 'repeated', None, None, ),  # 14
+    (15, TType.STRING, 'incarnation', 'UTF8', None, ),  # 15
+)
+all_structs.append(RelayReply)
+RelayReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.I32, 'outcome', None, None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'status', None, None, ),  # 4
+    (5, TType.STRING, 'head', 'BINARY', None, ),  # 5
+    (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.I32, 'in_flight', None, None, ),  # 7
+    (8, TType.I32, 'queued', None, None, ),  # 8
+)
+all_structs.append(RelayCancel)
+RelayCancel.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+)
+all_structs.append(RouteTime)
+RouteTime.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'run_ms', None, None, ),  # 2
+)
+all_structs.append(RouteCalls)
+RouteCalls.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'run_route', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'called_route', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'calls_per_run', None, None, ),  # 3
+)
+all_structs.append(RelayReport)
+RelayReport.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'accepting', None, None, ),  # 1
+    (2, TType.I32, 'in_flight', None, None, ),  # 2
+    (3, TType.I32, 'queued', None, None, ),  # 3
+    (4, TType.I32, 'limit', None, None, ),  # 4
+    (5, TType.I32, 'level', None, None, ),  # 5
+    (6, TType.I64, 'config_version', None, None, ),  # 6
+    (7, TType.LIST, 'times', (TType.STRUCT, [RouteTime, None], False), None, ),  # 7
+    (8, TType.LIST, 'calls', (TType.STRUCT, [RouteCalls, None], False), None, ),  # 8
+    (9, TType.I32, 'failures_ppm', None, None, ),  # 9
+)
+all_structs.append(RelaySuspects)
+RelaySuspects.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'crash_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'digests', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(RelayConfigRequest)
+RelayConfigRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'known_version', None, None, ),  # 1
+)
+all_structs.append(RelayConfig)
+RelayConfig.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
+)
+all_structs.append(NodeRecord)
+NodeRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/eelgrassmount/http1/exchange.py
@@ -0,0 +1,65 @@
+"""A request as it arrives, and the place for its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.http1.server import ServerConnection
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@define(eq=False)
+class Exchange:
+    """One request of a connection.
+
+    ``headers`` are pairs of lower-case name and value. ``on_abandon`` is called
+    when the client closes its connection before the answer.
+    """
+
+    connection: ServerConnection
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    keep_alive: bool
+    arrived_s: float
+    on_abandon: Callable[[], None] | None = None
+    answer: bytes | None = None
+
+    def respond(self, status: int, head: bytes = b"", body: bytes = b"") -> None:
+        """Give the answer; ``head`` holds whole header lines."""
+        if self.answer is not None:
+            return
+        self.on_abandon = None
+        reason = REASONS.get(status, b"-")
+        closing = not self.keep_alive or self.connection.ending
+        if closing:
+            self.keep_alive = False
+        self.answer = b"HTTP/1.1 %d %s\r\n%scontent-length: %d\r\n%s\r\n%s" % (
+            status,
+            reason,
+            head,
+            len(body),
+            b"connection: close\r\n" if closing else b"",
+            b"" if self.method == "HEAD" else body,
+        )
+        self.connection.flush()
--- /dev/null
+++ b/eelgrassmount/platform/headers.py
@@ -0,0 +1,142 @@
+"""The platform's headers, read and written once at the edges of a node."""
+
+from __future__ import annotations
+
+from eelgrassmount.relay.dialect import AnswerHead, Dialect, RequestHead
+
+REQUEST_ID = b"eelgrassmount-attempt-id"
+REMAINING_MS = b"eelgrassmount-deadline-ms"
+EXPECTED_INSTANCE = b"eelgrassmount-expect-instance"
+CALLER_SERVICE = b"eelgrassmount-caller-service"
+SIGNATURE = b"eelgrassmount-response-signature"
+NOT_RUN = b"eelgrassmount-not-executed"
+INSTANCE = b"eelgrassmount-instance-id"
+
+# headers that concern one connection only, or that a node sets itself
+_OF_ONE_CONNECTION = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+_SET_BY_NODE = frozenset((REMAINING_MS, EXPECTED_INSTANCE, CALLER_SERVICE))
+_DROPPED_FROM_REQUEST = _OF_ONE_CONNECTION | _SET_BY_NODE
+
+MAX_REMAINING_MS = 3_600_000
+
+
+def read_request(headers: list[tuple[bytes, bytes]]) -> RequestHead:
+    """Read the headers of a request; names are in lower case."""
+    head = RequestHead()
+    lines = []
+    dropped = _DROPPED_FROM_REQUEST
+    for name, value in headers:
+        if name == b"host":
+            head.host = value.decode("latin-1").partition(":")[0].lower()
+        elif name == REQUEST_ID:
+            head.request_id = value.decode("latin-1")
+        elif name == REMAINING_MS:
+            head.remaining_ms = _read_remaining(value)
+        elif name == b"connection" and value.lower() not in (b"close", b"keep-alive"):
+            named = {one.strip() for one in value.lower().split(b",")}
+            dropped = dropped | named
+    for name, value in headers:
+        if name not in dropped:
+            lines.append(b"%s: %s\r\n" % (name, value))
+    head.passed_on = b"".join(lines)
+    return head
+
+
+def _read_remaining(value: bytes) -> int | None:
+    if not value.strip().isdigit():
+        return None
+    return min(int(value), MAX_REMAINING_MS)
+
+
+def write_request(
+    method: str,
+    target: str,
+    passed_on: bytes,
+    body: bytes,
+    remaining_ms: int,
+    caller_service: str,
+    instance: str,
+) -> bytes:
+    """Return the bytes of a request to the backend server."""
+    length = b""
+    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        length = b"content-length: %d\r\n" % len(body)
+    expected = b""
+    if instance:
+        expected = b"%s: %s\r\n" % (EXPECTED_INSTANCE, instance.encode("latin-1"))
+    return b"%s %s HTTP/1.1\r\n%s%s%s: %d\r\n%s: %s\r\n%s\r\n%s" % (
+        method.encode("latin-1"),
+        target.encode("latin-1"),
+        passed_on,
+        length,
+        REMAINING_MS,
+        remaining_ms,
+        CALLER_SERVICE,
+        caller_service.encode("latin-1"),
+        expected,
+        body,
+    )
+
+
+def read_answer(headers: list[tuple[bytes, bytes]]) -> AnswerHead:
+    """Read the headers of a server's answer; names are in lower case."""
+    head = AnswerHead()
+    lines = []
+    for name, value in headers:
+        if name == SIGNATURE:
+            head.signed = bool(value)
+        elif name == REQUEST_ID:
+            head.request_id = value
+        elif name == NOT_RUN:
+            head.not_run = True
+        elif name == INSTANCE:
+            head.instance = value.decode("latin-1")
+        elif name == b"keep-alive":
+            head.idle_limit_s = _read_idle_limit(value)
+        if name not in _OF_ONE_CONNECTION:
+            lines.append(b"%s: %s\r\n" % (name, value))
+    head.passed_on = b"".join(lines)
+    return head
+
+
+def find_request_id(headers: list[tuple[bytes, bytes]]) -> bytes:
+    """Return the id of the request that an answer belongs to, if it says so."""
+    for name, value in headers:
+        if name == REQUEST_ID:
+            return value
+    return b""
+
+
+def write_refusal(request_id: str, retry_after_s: float) -> bytes:
+    """Return the header lines of an answer that a node gives itself."""
+    lines = b""
+    if request_id:
+        lines = b"%s: %s\r\n" % (REQUEST_ID, request_id.encode("latin-1"))
+    if retry_after_s > 0:
+        lines += b"retry-after: %.3f\r\n" % retry_after_s
+    return lines
+
+
+def _read_idle_limit(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
+
+
+DIALECT = Dialect(
+    read_request, write_request, read_answer, find_request_id, write_refusal
+)
--- /dev/null
+++ b/eelgrassmount/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a call on a node that runs beside its backend server."""
--- /dev/null
+++ b/eelgrassmount/relay/backend.py
@@ -0,0 +1,168 @@
+"""Connections from a node to the backend server beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.http1.client import Break, ClientAnswer, ClientConnection
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.util.addresses import Address
+
+# the server is on the same VM: what takes longer is a server that doesn't accept
+CONNECT_LIMIT_S = 1.0
+# idle time after which a connection is not used again, when the server says none
+DEFAULT_IDLE_LIMIT_S = 4.0
+# taken off the server's own limit, since its clock started before ours
+IDLE_MARGIN_S = 1.0
+# work that must not run twice doesn't go out on a connection that was idle for
+# longer: when the server has dropped it, nobody could tell whether it ran
+FRESH_IDLE_S = 0.5
+
+Done = "Callable[[ClientAnswer | Break], None]"
+
+
+@define(eq=False)
+class Sending:
+    """One request on its way; ``cancel`` gives it up."""
+
+    done: Callable[[ClientAnswer | Break], None]
+    connection: ClientConnection | None = None
+    ended: bool = False
+
+    def cancel(self) -> None:
+        """Give up the request; ``done`` is called if it has not been."""
+        if self.ended:
+            return
+        if self.connection is not None:
+            self.connection.cancel()
+        else:
+            self.tell(Break.CANCELLED)
+
+    def tell(self, outcome: ClientAnswer | Break) -> None:
+        """Tell the outcome once."""
+        if not self.ended:
+            self.ended = True
+            self.done(outcome)
+
+
+@define(eq=False)
+class BackendPool:
+    """Sends requests over kept connections, the one used last first."""
+
+    clock: Callable[[], float]
+    read_idle_limit: Callable[[ClientAnswer], float | None]
+    on_open: Callable[[], None] = lambda: None
+    _idle: list[ClientConnection] = field(factory=list)
+    _tasks: set[asyncio.Task[None]] = field(factory=set)
+
+    def send(
+        self,
+        address: Address,
+        data: bytes,
+        fresh: bool,
+        accepts: Callable[[ClientAnswer], bool],
+        done: Callable[[ClientAnswer | Break], None],
+    ) -> Sending:
+        """Send a whole request; ``fresh`` asks for a connection in recent use."""
+        sending = Sending(done)
+        connection = self._take(fresh)
+        if connection is not None:
+            self._send_on(connection, sending, data, accepts)
+            return sending
+        task = asyncio.get_running_loop().create_task(
+            self._connect_and_send(address, sending, data, accepts)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return sending
+
+    def drop_idle(self) -> None:
+        """Close the idle connections, as when the server has been replaced."""
+        for connection in list(self._idle):
+            connection.close()
+        self._idle.clear()
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long."""
+        now_s = self.clock()
+        for connection in list(self._idle):
+            if not self._is_usable(connection, now_s):
+                self._idle.remove(connection)
+                connection.close()
+
+    def _take(self, fresh: bool) -> ClientConnection | None:
+        now_s = self.clock()
+        while self._idle:
+            connection = self._idle[-1]
+            if fresh and now_s - connection.idle_since_s > FRESH_IDLE_S:
+                return None
+            self._idle.pop()
+            if not connection.closed and self._is_usable(connection, now_s):
+                return connection
+            connection.close()
+        return None
+
+    def _is_usable(self, connection: ClientConnection, now_s: float) -> bool:
+        limit_s = connection.idle_limit_s
+        if limit_s is None:
+            limit_s = DEFAULT_IDLE_LIMIT_S
+        return now_s - connection.idle_since_s < max(0.0, limit_s - IDLE_MARGIN_S)
+
+    def _send_on(
+        self,
+        connection: ClientConnection,
+        sending: Sending,
+        data: bytes,
+        accepts: Callable[[ClientAnswer], bool],
+    ) -> None:
+        sending.connection = connection
+
+        def note(outcome: ClientAnswer | Break) -> None:
+            if isinstance(outcome, ClientAnswer):
+                limit_s = self.read_idle_limit(outcome)
+                if limit_s is not None:
+                    connection.idle_limit_s = limit_s
+            sending.tell(outcome)
+
+        connection.send(data, note, accepts)
+
+    async def _connect_and_send(
+        self,
+        address: Address,
+        sending: Sending,
+        data: bytes,
+        accepts: Callable[[ClientAnswer], bool],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self._note_idle, self._note_lost),
+                    address.host,
+                    address.port,
+                )
+        except (OSError, TimeoutError):
+            # told to the caller, who counts it as a server that can't be reached
+            sending.tell(Break.REFUSED)
+            return
+        self.on_open()
+        if connection.closed:
+            sending.tell(Break.REFUSED)
+        elif sending.ended:
+            self._note_idle(connection)
+        else:
+            self._send_on(connection, sending, data, accepts)
+
+    def _note_idle(self, connection: ClientConnection) -> None:
+        connection.idle_since_s = self.clock()
+        self._idle.append(connection)
+
+    def _note_lost(self, connection: ClientConnection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
--- /dev/null
+++ b/eelgrassmount/relay/dialect.py
@@ -0,0 +1,52 @@
+"""How requests and answers are read and written at the edges of a node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@define(eq=False)
+class RequestHead:
+    """What a node needs from the headers of a request.
+
+    ``remaining_ms`` is how long the client will wait, ``None`` when it doesn't
+    say; ``passed_on`` are the header lines that go on to the server.
+    """
+
+    host: str = ""
+    request_id: str = ""
+    remaining_ms: int | None = None
+    passed_on: bytes = b""
+
+
+@define(eq=False)
+class AnswerHead:
+    """What a node needs from the headers of a server's answer.
+
+    ``signed`` tells that the server vouches for the body, ``not_run`` that it did
+    not run the request, and ``instance`` which incarnation of the server spoke.
+    ``idle_limit_s`` is how long it keeps an idle connection.
+    """
+
+    signed: bool = False
+    not_run: bool = False
+    request_id: bytes = b""
+    instance: str = ""
+    idle_limit_s: float | None = None
+    passed_on: bytes = b""
+
+
+@frozen
+class Dialect:
+    """The functions that read and write headers, which an adapter supplies."""
+
+    read_request: Callable[[list[tuple[bytes, bytes]]], RequestHead]
+    write_request: Callable[[str, str, bytes, bytes, int, str, str], bytes]
+    read_answer: Callable[[list[tuple[bytes, bytes]]], AnswerHead]
+    find_request_id: Callable[[list[tuple[bytes, bytes]]], bytes]
+    write_refusal: Callable[[str, float], bytes]
--- /dev/null
+++ b/eelgrassmount/relay/entry.py
@@ -0,0 +1,367 @@
+"""Requests of the clients and of the server on this VM, from arrival to answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.relay.gate import INNER_RANK, Job
+from eelgrassmount.relay.messages import Call, Fate, Reply
+from eelgrassmount.relay.routes import RouteTable, TargetChooser
+from eelgrassmount.verdict import Reason
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from eelgrassmount.http1.exchange import Exchange
+    from eelgrassmount.relay.admission import Admission
+    from eelgrassmount.relay.budget import RetryBudget
+    from eelgrassmount.relay.decisions import DecisionLog
+    from eelgrassmount.relay.dialect import Dialect, RequestHead
+    from eelgrassmount.relay.gate import Gate
+    from eelgrassmount.relay.members import Member
+    from eelgrassmount.relay.metrics import RelayMetrics
+    from eelgrassmount.relay.routes import Route
+    from eelgrassmount.relay.routing import Router
+    from eelgrassmount.retry.quarantine import Quarantine
+
+# nodes that may refuse a call before it is given up
+MAX_REFUSALS = 4
+# parts of the objective after which a refused client is to come back: soon enough
+# for the objective to hold, and spread so that they don't all come at once
+COME_BACK_MIN = 0.25
+COME_BACK_MAX = 0.6
+# without a configuration, a client is told to come back after so long
+UNCONFIGURED_S = 0.5
+# without a deadline of the client, a request is kept this long at most
+DEFAULT_REMAINING_MS = 60_000
+# time that a repeated run must have left, in expected durations of a run
+REPEAT_ROOM_S = 0.02
+
+NOT_FOUND = 404
+UNAVAILABLE = 503
+BAD_GATEWAY = 502
+TIMEOUT = 504
+
+
+@define(eq=False)
+class Flow:
+    """One request while it has no answer."""
+
+    exchange: Exchange
+    call: Call
+    inner: bool
+    timer: asyncio.TimerHandle | None = None
+    member: Member | None = None
+    job: Job | None = None
+    sequence: int = 0
+    attempts: int = 0
+    refusals: int = 0
+    may_have_run: bool = False
+    ended: bool = False
+    excluded: set[str] = field(factory=set)
+    last: Reply | None = None
+
+
+@define(eq=False)
+class Entry:
+    """Takes requests, sends each to a server and answers it exactly once.
+
+    A call is sent again when it has certainly not run, or when it may run twice
+    and the retry budget allows it. ``note_called`` learns which routes this VM
+    calls; ``is_inner`` tells whether the server beside this node is their caller.
+    """
+
+    own_name: str
+    own_service: Callable[[], str]
+    dialect: Dialect
+    router: Router
+    gate: Gate
+    budget: RetryBudget
+    admission: Admission
+    quarantine: Quarantine
+    decisions: DecisionLog
+    metrics: RelayMetrics
+    clock: Callable[[], float]
+    rng: random.Random
+    is_inner: Callable[[str], bool]
+    note_called: Callable[[str], None]
+    table: RouteTable = field(factory=RouteTable)
+    chooser: TargetChooser = field(factory=TargetChooser)
+    open_flows: int = 0
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a request."""
+        head = self.dialect.read_request(exchange.headers)
+        table = self.table
+        if table.version == 0:
+            self._refuse_early(exchange, head, Reason.NO_CONFIGURATION)
+            return
+        path = exchange.target.partition("?")[0]
+        route = table.find(head.host, path)
+        if route is None:
+            self._answer_unknown(exchange, head)
+            return
+        self.note_called(route.name)
+        call = self._make_call(exchange, head, route)
+        inner = call.rank == INNER_RANK
+        if not inner and not self.admission.allows(route, table):
+            self._refuse(exchange, call, Reason.OVERLOAD)
+            return
+        if self.quarantine.suspects and self.quarantine.check(
+            call.find_digest(), self.clock()
+        ):
+            self._refuse(exchange, call, Reason.QUARANTINED)
+            return
+        self._begin(Flow(exchange, call, inner))
+
+    def _make_call(self, exchange: Exchange, head: RequestHead, route: Route) -> Call:
+        remaining_ms = head.remaining_ms
+        if remaining_ms is None:
+            remaining_ms = DEFAULT_REMAINING_MS
+        arrived_s = exchange.arrived_s
+        inner = self.is_inner(route.name)
+        return Call(
+            head.request_id,
+            route,
+            self.chooser.choose(route, self.rng.random()),
+            self.own_service(),
+            exchange.method,
+            exchange.target,
+            head.passed_on,
+            exchange.body,
+            arrived_s,
+            arrived_s + min(remaining_ms / 1000, route.timeout_s),
+            INNER_RANK if inner else route.priority,
+        )
+
+    def _begin(self, flow: Flow) -> None:
+        self.open_flows += 1
+        call = flow.call
+        flow.exchange.on_abandon = lambda: self._abandon(flow)
+        delay_s = max(0.0, call.deadline_s - self.clock())
+        loop = asyncio.get_running_loop()
+        flow.timer = loop.call_later(delay_s, self._time_out, flow)
+        self.budget.note_request(call.service)
+        self._send(flow)
+
+    def _send(self, flow: Flow) -> None:
+        call = flow.call
+        member = self.router.choose(call.service, call.route, flow.excluded)
+        if member is None:
+            self._give_up(flow)
+            return
+        flow.member = member
+        now_s = self.clock()
+        member.used_s = now_s
+        member.sent_since += 1
+        if member.name == self.own_name:
+            flow.job = Job(call, lambda reply: self._note_reply(flow, member, reply))
+            self.gate.offer(flow.job)
+        else:
+            flow.sequence = member.link.call(
+                call, lambda reply: self._note_reply(flow, member, reply)
+            )
+
+    def _note_reply(self, flow: Flow, member: Member, reply: Reply) -> None:
+        if flow.ended:
+            return
+        flow.member = None
+        flow.job = None
+        flow.last = reply
+        if reply.fate is Fate.ANSWERED:
+            self._note_answer(flow, member, reply)
+        elif reply.fate is Fate.NOT_RUN:
+            self._note_refusal(flow, member, reply)
+        else:
+            self._note_loss(flow, member, reply)
+
+    def _note_answer(self, flow: Flow, member: Member, reply: Reply) -> None:
+        flow.attempts += 1
+        if reply.status >= 500:
+            flow.may_have_run = True
+            if self._may_repeat(flow):
+                self._repeat(flow, member, f"status-{reply.status}")
+                return
+        self._deliver(flow, member, reply)
+
+    def _note_refusal(self, flow: Flow, member: Member, reply: Reply) -> None:
+        flow.refusals += 1
+        flow.excluded.add(member.name)
+        if reply.reason in (Reason.DRAINING, Reason.NO_SERVER, Reason.SERVER_STARTING):
+            # until its next report says otherwise
+            member.load.accepting = False
+            member.load.reported_s = self.clock()
+        if reply.reason is Reason.SERVER_SHED:
+            # the server has seen it, which counts as an arrival
+            flow.attempts += 1
+            if not self._may_send_again(flow):
+                self._give_up(flow)
+                return
+        if flow.refusals >= MAX_REFUSALS or reply.reason is Reason.QUARANTINED:
+            self._give_up(flow)
+            return
+        self.metrics.count_retry(reply.reason)
+        self._send(flow)
+
+    def _note_loss(self, flow: Flow, member: Member, reply: Reply) -> None:
+        flow.attempts += 1
+        flow.may_have_run = True
+        if self._may_repeat(flow):
+            self._repeat(flow, member, reply.reason)
+        else:
+            self._give_up(flow)
+
+    def _may_repeat(self, flow: Flow) -> bool:
+        return flow.call.route.idempotent and self._may_send_again(flow)
+
+    def _may_send_again(self, flow: Flow) -> bool:
+        call = flow.call
+        if flow.attempts >= call.route.max_attempts:
+            return False
+        if call.deadline_s - self.clock() < REPEAT_ROOM_S:
+            return False
+        return self.budget.take(call.service)
+
+    def _repeat(self, flow: Flow, member: Member, reason: str) -> None:
+        flow.excluded.add(member.name)
+        flow.call.repeated = True
+        self.metrics.count_retry(reason)
+        self.decisions.note(
+            "sent again",
+            flow.call.request_id,
+            str(reason),
+            route=flow.call.route.name,
+            after=member.name,
+            attempts=flow.attempts,
+        )
+        self._send(flow)
+
+    def _deliver(self, flow: Flow, member: Member, reply: Reply) -> None:
+        self._end(flow)
+        call = flow.call
+        seconds = self.clock() - call.arrived_s
+        self.metrics.count_answer(call.route.name, reply.status, seconds)
+        if reply.status >= 500:
+            self.decisions.note(
+                "server failed",
+                call.request_id,
+                f"status-{reply.status}",
+                route=call.route.name,
+                server=member.name,
+                seconds=round(seconds, 3),
+            )
+        else:
+            self.decisions.sample(
+                "answered",
+                call.request_id,
+                route=call.route.name,
+                server=member.name,
+                seconds=round(seconds, 3),
+            )
+        flow.exchange.respond(reply.status, reply.head, reply.body)
+
+    def _give_up(self, flow: Flow) -> None:
+        """Give the final answer of a request that no server answers."""
+        last = flow.last
+        if last is not None and last.fate is Fate.ANSWERED:
+            self._deliver_last(flow, last)
+            return
+        self._end(flow)
+        reason = Reason.NO_SERVER if last is None else last.reason
+        if flow.may_have_run:
+            self._fail(flow, BAD_GATEWAY, reason)
+        else:
+            self._refuse(flow.exchange, flow.call, reason)
+
+    def _deliver_last(self, flow: Flow, last: Reply) -> None:
+        self._end(flow)
+        call = flow.call
+        seconds = self.clock() - call.arrived_s
+        self.metrics.count_answer(call.route.name, last.status, seconds)
+        flow.exchange.respond(last.status, last.head, last.body)
+
+    def _time_out(self, flow: Flow) -> None:
+        if flow.ended:
+            return
+        sent = flow.member is not None or flow.may_have_run
+        self._cancel(flow)
+        self._end(flow)
+        if sent:
+            self._fail(flow, TIMEOUT, Reason.DEADLINE)
+        else:
+            self._refuse(flow.exchange, flow.call, Reason.DEADLINE)
+
+    def _abandon(self, flow: Flow) -> None:
+        if not flow.ended:
+            self._cancel(flow)
+            self._end(flow)
+            self.metrics.count_abandoned(flow.call.route.name)
+
+    def _cancel(self, flow: Flow) -> None:
+        flow.ended = True
+        if flow.job is not None:
+            self.gate.cancel(flow.job)
+        elif flow.member is not None and flow.member.link is not None:
+            flow.member.link.cancel(flow.sequence)
+
+    def _end(self, flow: Flow) -> None:
+        flow.ended = True
+        self.open_flows -= 1
+        if flow.timer is not None:
+            flow.timer.cancel()
+
+    def _fail(self, flow: Flow, status: int, reason: Reason | None) -> None:
+        call = flow.call
+        self.metrics.count_failure(call.route.name, str(reason))
+        self.decisions.note(
+            "failed",
+            call.request_id,
+            str(reason),
+            route=call.route.name,
+            status=status,
+            attempts=flow.attempts,
+            tried=sorted(flow.excluded),
+            seconds=round(self.clock() - call.arrived_s, 3),
+        )
+        flow.exchange.respond(status, self.dialect.write_refusal(call.request_id, 0.0))
+
+    def _refuse(self, exchange: Exchange, call: Call, reason: Reason | None) -> None:
+        """Say that a request has not run, and when to come back."""
+        delay_s = call.route.objective_s * self.rng.uniform(
+            COME_BACK_MIN, COME_BACK_MAX
+        )
+        self.metrics.count_refusal(call.route.name, str(reason))
+        self.decisions.note(
+            "refused",
+            call.request_id,
+            str(reason),
+            route=call.route.name,
+            service=call.service,
+            share=round(self.admission.compute_share(call.route, self.table), 3),
+            retry_after_s=round(delay_s, 3),
+        )
+        head = self.dialect.write_refusal(call.request_id, delay_s)
+        exchange.respond(UNAVAILABLE, head)
+
+    def _refuse_early(
+        self, exchange: Exchange, head: RequestHead, reason: Reason
+    ) -> None:
+        self.metrics.count_refusal("", reason)
+        self.decisions.note("refused", head.request_id, reason)
+        lines = self.dialect.write_refusal(head.request_id, UNCONFIGURED_S)
+        exchange.respond(UNAVAILABLE, lines)
+
+    def _answer_unknown(self, exchange: Exchange, head: RequestHead) -> None:
+        self.metrics.count_refusal("", Reason.NO_ROUTE)
+        self.decisions.note(
+            "no route",
+            head.request_id,
+            "status-404",
+            host=head.host,
+            version=self.table.version,
+        )
+        exchange.respond(NOT_FOUND, self.dialect.write_refusal(head.request_id, 0.0))
--- /dev/null
+++ b/eelgrassmount/relay/frames.py
@@ -0,0 +1,136 @@
+"""Frames of the links between nodes: a length, a kind and a thrift struct."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import IntEnum
+from typing import Any
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from eelgrassmount.errors import BadFrameError, OverlongFrameError
+from eelgrassmount.gen import ttypes
+from eelgrassmount.http1.client import watch_silence
+
+LENGTH_BYTES = 4
+HEAD_BYTES = LENGTH_BYTES + 1
+MAX_FRAME_BYTES = 128 * 1024 * 1024
+
+
+class FrameKind(IntEnum):
+    """What a frame carries."""
+
+    HELLO = 1
+    CALL = 2
+    REPLY = 3
+    CANCEL = 4
+    REPORT = 5
+    SUSPECTS = 6
+    CONFIG_REQUEST = 7
+    CONFIG = 8
+    PING = 9
+
+
+_STRUCTS = {
+    FrameKind.HELLO: ttypes.RelayHello,
+    FrameKind.CALL: ttypes.RelayCall,
+    FrameKind.REPLY: ttypes.RelayReply,
+    FrameKind.CANCEL: ttypes.RelayCancel,
+    FrameKind.REPORT: ttypes.RelayReport,
+    FrameKind.SUSPECTS: ttypes.RelaySuspects,
+    FrameKind.CONFIG_REQUEST: ttypes.RelayConfigRequest,
+    FrameKind.CONFIG: ttypes.RelayConfig,
+    FrameKind.PING: ttypes.RelayConfigRequest,
+}
+
+
+def encode_struct(struct: Any) -> bytes:
+    """Return a thrift struct as bytes."""
+    buffer = TMemoryBuffer()
+    struct.write(TBinaryProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def decode_struct(make: Any, payload: bytes) -> Any:
+    """Return a thrift struct, raising `BadFrameError` if there is none."""
+    struct = make()
+    try:
+        struct.read(TBinaryProtocolAccelerated(TMemoryBuffer(payload)))
+    # the accelerated decoder raises many types on malformed input
+    except Exception as error:
+        raise BadFrameError(f"not a {make.__name__}: {error!r}") from error
+    return struct
+
+
+def encode_frame(kind: FrameKind, struct: Any) -> bytes:
+    """Return a whole frame."""
+    payload = encode_struct(struct)
+    return (len(payload) + 1).to_bytes(LENGTH_BYTES, "big") + bytes((kind,)) + payload
+
+
+class FrameConnection(asyncio.Protocol):
+    """A connection that carries frames; subclasses say what they mean."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.closed = False
+        self._buffer = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the transport (called by the event loop)."""
+        self.transport = transport
+        watch_silence(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell that the connection is gone."""
+        self.closed = True
+        self.note_lost()
+
+    def send(self, kind: FrameKind, struct: Any) -> None:
+        """Send a frame; nothing is sent on a connection that is gone."""
+        if not self.closed and self.transport is not None:
+            self.transport.write(encode_frame(kind, struct))
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Cut the bytes into frames and hand each on."""
+        buffer = self._buffer + data if self._buffer else data
+        position = 0
+        size = len(buffer)
+        try:
+            while size - position >= HEAD_BYTES:
+                length = int.from_bytes(buffer[position : position + 4], "big")
+                if not 1 <= length <= MAX_FRAME_BYTES:
+                    raise OverlongFrameError(f"a frame of {length} bytes")
+                end = position + LENGTH_BYTES + length
+                if end > size:
+                    break
+                kind = buffer[position + LENGTH_BYTES]
+                self._take(kind, buffer[position + HEAD_BYTES : end])
+                position = end
+        except BadFrameError as error:
+            self.note_bad(error)
+            self.abort()
+            return
+        self._buffer = buffer[position:] if position else buffer
+
+    def _take(self, kind: int, payload: bytes) -> None:
+        make = _STRUCTS.get(kind)
+        # kinds of later releases are skipped
+        if make is not None:
+            self.note_frame(FrameKind(kind), decode_struct(make, payload))
+
+    def note_frame(self, kind: FrameKind, struct: Any) -> None:
+        """Handle a frame."""
+        raise NotImplementedError
+
+    def note_bad(self, error: BadFrameError) -> None:
+        """Handle bytes that are no frame; the connection is dropped after it."""
+
+    def note_lost(self) -> None:
+        """Handle the end of the connection."""
--- /dev/null
+++ b/eelgrassmount/relay/gate.py
@@ -0,0 +1,292 @@
+"""The gate beside a backend server: what runs there, waits or is refused."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.http1.client import Break, ClientAnswer
+from eelgrassmount.relay.messages import Fate, Reply
+from eelgrassmount.verdict import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.relay.backend import BackendPool, Sending
+    from eelgrassmount.relay.dialect import Dialect
+    from eelgrassmount.relay.messages import Call
+    from eelgrassmount.relay.server import LocalServer
+    from eelgrassmount.retry.quarantine import Quarantine
+
+# rank of calls made by running servers: they go first, since to refuse one wastes
+# the whole request that it belongs to
+INNER_RANK = -1
+# part of a route's objective that a call may be expected to wait at the gate
+WAIT_SHARE = 0.25
+INNER_WAIT_SHARE = 1.0
+# a server that has less time than this left is not begun with
+MIN_REMAINING_S = 0.005
+# past its deadline, a call that has no answer is given up after so long
+OVERDUE_S = 0.3
+# connections that break so shortly before the server refuses new ones were cut
+# by its crash
+CRASH_SPAN_S = 1.0
+# weight of a new sample in the mean of durations and failures
+SAMPLE_WEIGHT = 0.05
+# duration that is assumed before the first sample
+DEFAULT_RUN_S = 0.05
+
+_FATES = {
+    Break.REFUSED: (Fate.NOT_RUN, Reason.NO_SERVER),
+    Break.CLOSED: (Fate.MAY_HAVE_RUN, Reason.SERVER_CRASHED),
+    Break.TRUNCATED: (Fate.MAY_HAVE_RUN, Reason.BAD_ANSWER),
+    Break.MALFORMED: (Fate.MAY_HAVE_RUN, Reason.BAD_ANSWER),
+    Break.CANCELLED: (Fate.MAY_HAVE_RUN, Reason.CANCELLED),
+}
+
+
+@define(eq=False)
+class Job:
+    """A call at the gate; ``done`` is called once with its reply."""
+
+    call: Call
+    done: Callable[[Reply], None]
+    sending: Sending | None = None
+    started_s: float = 0.0
+    ended: bool = False
+    overdue: bool = False
+
+
+@define(eq=False)
+class RouteStats:
+    """Mean duration of the runs of a route, and how many there were."""
+
+    run_s: float = DEFAULT_RUN_S
+    runs: int = 0
+
+    def add(self, seconds: float) -> None:
+        """Take up the duration of a run."""
+        self.runs += 1
+        weight = max(SAMPLE_WEIGHT, 1.0 / self.runs)
+        self.run_s += weight * (seconds - self.run_s)
+
+
+@define(eq=False)
+class Gate:
+    """Gives the server no more calls than it has slots and queues the others.
+
+    The queue is ordered by rank. A call that would wait too long is refused at
+    once, so that another server can have it.
+    """
+
+    server: LocalServer
+    pool: BackendPool
+    dialect: Dialect
+    quarantine: Quarantine
+    clock: Callable[[], float]
+    on_run: Callable[[str], None] = lambda route_name: None
+    on_crash: Callable[[list[Job]], None] = lambda jobs: None
+    on_change: Callable[[], None] = lambda: None
+    in_flight: int = 0
+    queued: int = 0
+    mean_run_s: float = DEFAULT_RUN_S
+    failure_share: float = 0.0
+    routes: dict[str, RouteStats] = field(factory=dict)
+    running: set[Job] = field(factory=set)
+    _queue: list[tuple[int, int, Job]] = field(factory=list)
+    _numbers: itertools.count[int] = field(factory=itertools.count)
+    _area: float = 0.0
+    _area_s: float = 0.0
+    _since_s: float = 0.0
+    _broken: list[tuple[float, Job]] = field(factory=list)
+
+    def offer(self, job: Job) -> None:
+        """Run a job now or later, or refuse it."""
+        now_s = self.clock()
+        reason = self._find_refusal(job.call, now_s)
+        if reason is not None:
+            self._refuse(job, reason)
+            return
+        if self.in_flight < self.server.compute_limit():
+            self._start(job, now_s)
+            return
+        if self._expect_wait() > self._allow_wait(job.call):
+            self._refuse(job, Reason.OVERLOAD)
+            return
+        self._integrate(now_s)
+        heapq.heappush(self._queue, (job.call.rank, next(self._numbers), job))
+        self.queued += 1
+
+    def cancel(self, job: Job) -> None:
+        """Give up a job nobody waits for; what must not run twice runs on."""
+        if job.ended:
+            return
+        if job.sending is None:
+            self._integrate(self.clock())
+            job.ended = True
+            self.queued -= 1
+        elif job.call.route.idempotent:
+            job.sending.cancel()
+
+    def sweep(self) -> None:
+        """Give up jobs that are past their deadline, running or queued."""
+        now_s = self.clock()
+        self._broken = [one for one in self._broken if now_s - one[0] < CRASH_SPAN_S]
+        for job in list(self.running):
+            if now_s > job.call.deadline_s + OVERDUE_S and job.sending is not None:
+                job.overdue = True
+                job.sending.cancel()
+        self._fill()
+
+    def take_load(self) -> float:
+        """Return the mean of running and queued jobs since the last question."""
+        now_s = self.clock()
+        self._integrate(now_s)
+        area = self._area
+        self._area = 0.0
+        span_s = now_s - self._since_s if self._since_s else 0.0
+        self._since_s = now_s
+        return area / span_s if span_s > 0 else float(self.in_flight + self.queued)
+
+    def _integrate(self, now_s: float) -> None:
+        self._area += (now_s - self._area_s) * (self.in_flight + self.queued)
+        self._area_s = now_s
+
+    def _find_refusal(self, call: Call, now_s: float) -> Reason | None:
+        if call.service != self.server.service:
+            return Reason.NO_SERVER
+        reason = self.server.find_refusal(now_s)
+        if reason is not None:
+            return reason
+        if call.deadline_s - now_s < MIN_REMAINING_S:
+            return Reason.DEADLINE
+        if self.quarantine.suspects and self.quarantine.check(
+            call.find_digest(), now_s
+        ):
+            return Reason.QUARANTINED
+        return None
+
+    def _expect_wait(self) -> float:
+        return self.mean_run_s * (self.queued + 1) / self.server.compute_limit()
+
+    def _allow_wait(self, call: Call) -> float:
+        share = INNER_WAIT_SHARE if call.rank == INNER_RANK else WAIT_SHARE
+        return share * call.route.objective_s
+
+    def _refuse(self, job: Job, reason: Reason) -> None:
+        job.ended = True
+        job.done(Reply(Fate.NOT_RUN, reason))
+
+    def _start(self, job: Job, now_s: float) -> None:
+        self._integrate(now_s)
+        self.in_flight += 1
+        self.running.add(job)
+        job.started_s = now_s
+        call = job.call
+        data = self.dialect.write_request(
+            call.method,
+            call.target,
+            call.head,
+            call.body,
+            max(1, int((call.deadline_s - now_s) * 1000)),
+            call.caller_service,
+            self.server.incarnation,
+        )
+        request_id = call.request_id.encode("latin-1")
+
+        def accepts(answer: ClientAnswer) -> bool:
+            found = self.dialect.find_request_id(answer.headers)
+            return not found or found == request_id
+
+        job.sending = self.pool.send(
+            self.server.address,
+            data,
+            not call.route.idempotent,
+            accepts,
+            lambda outcome: self._end(job, outcome),
+        )
+
+    def _end(self, job: Job, outcome: ClientAnswer | Break) -> None:
+        now_s = self.clock()
+        self._integrate(now_s)
+        self.in_flight -= 1
+        self.running.discard(job)
+        job.ended = True
+        reply = self._judge(job, outcome, now_s)
+        self._learn(job, reply, now_s)
+        self._fill()
+        job.done(reply)
+
+    def _judge(self, job: Job, outcome: ClientAnswer | Break, now_s: float) -> Reply:
+        if isinstance(outcome, ClientAnswer):
+            return self._judge_answer(outcome)
+        fate, reason = _FATES[outcome]
+        if job.overdue:
+            reason = Reason.DEADLINE
+        if outcome is Break.REFUSED:
+            self._note_unreachable(now_s)
+        elif outcome is Break.CLOSED:
+            self._broken.append((now_s, job))
+        return Reply(fate, reason)
+
+    def _judge_answer(self, answer: ClientAnswer) -> Reply:
+        head = self.dialect.read_answer(answer.headers)
+        if answer.status == 421:
+            self.server.note_named(head.instance)
+            return Reply(Fate.NOT_RUN, Reason.NO_SERVER)
+        if head.not_run:
+            return Reply(Fate.NOT_RUN, Reason.SERVER_SHED)
+        if 200 <= answer.status < 300 and not head.signed:
+            return Reply(Fate.MAY_HAVE_RUN, Reason.BAD_ANSWER)
+        return Reply(Fate.ANSWERED, None, answer.status, head.passed_on, answer.body)
+
+    def _note_unreachable(self, now_s: float) -> None:
+        """Suspect what ran when connections broke, now that the server is gone."""
+        self.server.note_unreachable(now_s)
+        self.on_change()
+        suspects = [job for at_s, job in self._broken if now_s - at_s < CRASH_SPAN_S]
+        self._broken.clear()
+        if suspects:
+            self.on_crash(suspects)
+
+    def _learn(self, job: Job, reply: Reply, now_s: float) -> None:
+        if reply.fate is Fate.NOT_RUN or reply.reason is Reason.CANCELLED:
+            return
+        if self.quarantine.suspects and reply.fate is Fate.ANSWERED:
+            self.quarantine.note_success(job.call.find_digest(), now_s)
+        failed = reply.fate is not Fate.ANSWERED or reply.status >= 500
+        self.failure_share += SAMPLE_WEIGHT * (failed - self.failure_share)
+        route_name = job.call.route.name
+        self.on_run(route_name)
+        if failed and not job.overdue:
+            return
+        seconds = now_s - job.started_s
+        self.mean_run_s += SAMPLE_WEIGHT * (seconds - self.mean_run_s)
+        stats = self.routes.get(route_name)
+        if stats is None:
+            stats = self.routes[route_name] = RouteStats()
+        stats.add(seconds)
+
+    def _fill(self) -> None:
+        """Start or refuse queued jobs now that there may be room."""
+        now_s = self.clock()
+        limit = self.server.compute_limit()
+        while self._queue and self.in_flight < limit:
+            job = heapq.heappop(self._queue)[2]
+            if job.ended:
+                continue
+            self._integrate(now_s)
+            self.queued -= 1
+            reason = self._find_late_refusal(job.call, now_s)
+            if reason is None:
+                self._start(job, now_s)
+            else:
+                self._refuse(job, reason)
+
+    def _find_late_refusal(self, call: Call, now_s: float) -> Reason | None:
+        """Return why a queued call can't run; a draining server still takes it."""
+        reason = self._find_refusal(call, now_s)
+        return None if reason is Reason.DRAINING else reason
--- /dev/null
+++ b/eelgrassmount/relay/inbound.py
@@ -0,0 +1,220 @@
+"""Calls that other nodes send to the backend server of this one."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+from loguru import logger
+
+from eelgrassmount.gen import ttypes
+from eelgrassmount.relay.frames import FrameConnection, FrameKind
+from eelgrassmount.relay.gate import Job
+from eelgrassmount.relay.messages import Call, Fate, Reply
+from eelgrassmount.verdict import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.errors import BadFrameError
+    from eelgrassmount.relay.gate import Gate
+    from eelgrassmount.relay.routes import Route
+
+# replies to calls that must not run twice are kept for a sender that asks again
+KEEP_REPLY_S = 6.0
+# a sender that has been quiet for longer gets no more reports
+ACTIVE_S = 3.0
+
+
+@define(eq=False)
+class Kept:
+    """A call that must not run twice, and its reply once there is one."""
+
+    job: Job
+    connection: InboundConnection
+    sequence: int
+    reply: Reply | None = None
+    ended_s: float = 0.0
+
+
+@define(eq=False)
+class Inbound:
+    """Takes links of other nodes.
+
+    A call that must not run twice is known by its sender's incarnation and
+    sequence, so that one that comes again, over whichever connection and in
+    whichever order, is joined to the first.
+    """
+
+    incarnation: str
+    gate: Gate
+    clock: Callable[[], float]
+    find_route: Callable[[str, bool], Route]
+    make_hello: Callable[[], ttypes.RelayHello]
+    note_hello: Callable[[ttypes.RelayHello], None]
+    note_suspects: Callable[[ttypes.RelaySuspects], None]
+    find_config: Callable[[int], ttypes.RelayConfig | None]
+    accepting: bool = True
+    connections: set[InboundConnection] = field(factory=set)
+    kept: dict[tuple[str, int], Kept] = field(factory=dict)
+    _server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Bind the address, raising `OSError` when that is not possible."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: InboundConnection(self), host, port, backlog=512, reuse_address=True
+        )
+
+    def tell_all(self, kind: FrameKind, struct: Any, only_active: bool = True) -> None:
+        """Send a frame to the nodes that send calls here."""
+        now_s = self.clock()
+        for connection in self.connections:
+            if not only_active or now_s - connection.heard_s < ACTIVE_S:
+                connection.send(kind, struct)
+
+    def expire(self) -> None:
+        """Forget replies that nobody will ask for any more."""
+        now_s = self.clock()
+        old = [
+            key
+            for key, kept in self.kept.items()
+            if kept.reply is not None and now_s - kept.ended_s > KEEP_REPLY_S
+        ]
+        for key in old:
+            del self.kept[key]
+
+    def count_open(self) -> int:
+        """Return how many calls of other nodes have no reply yet."""
+        return sum(len(connection.jobs) for connection in self.connections)
+
+
+class InboundConnection(FrameConnection):
+    """One link of another node."""
+
+    def __init__(self, inbound: Inbound):
+        super().__init__()
+        self.inbound = inbound
+        self.jobs: dict[int, Job] = {}
+        self.sender = ""
+        self.heard_s = inbound.clock()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Say who this node is."""
+        super().connection_made(transport)
+        self.inbound.connections.add(self)
+        self.send(FrameKind.HELLO, self.inbound.make_hello())
+
+    def note_lost(self) -> None:
+        """Give up what nobody waits for any more."""
+        self.inbound.connections.discard(self)
+        for job in list(self.jobs.values()):
+            if job.call.route.idempotent:
+                self.inbound.gate.cancel(job)
+        self.jobs.clear()
+
+    def note_bad(self, error: BadFrameError) -> None:
+        """Say that the other node sent what is no frame."""
+        logger.warning("bad frame", peer=self.sender, cause=str(error))
+
+    def note_frame(self, kind: FrameKind, struct: Any) -> None:
+        """Handle a frame of the other node."""
+        self.heard_s = self.inbound.clock()
+        if kind is FrameKind.CALL:
+            self._take_call(struct)
+        elif kind is FrameKind.CANCEL:
+            self._cancel(struct.sequence)
+        elif kind is FrameKind.HELLO:
+            self.sender = f"{struct.node_name}/{struct.incarnation}"
+            self.inbound.note_hello(struct)
+        elif kind is FrameKind.PING:
+            self.send(FrameKind.PING, struct)
+        elif kind is FrameKind.SUSPECTS:
+            self.inbound.note_suspects(struct)
+        elif kind is FrameKind.CONFIG_REQUEST:
+            config = self.inbound.find_config(struct.known_version)
+            if config is not None:
+                self.send(FrameKind.CONFIG, config)
+
+    def _take_call(self, frame: ttypes.RelayCall) -> None:
+        sequence = frame.sequence
+        if not frame.idempotent and self._join(frame):
+            return
+        call = self._read_call(frame)
+        job = Job(call, lambda reply: self._end(sequence, reply))
+        if not frame.idempotent:
+            kept = Kept(job, self, sequence)
+            self.inbound.kept[self.sender, sequence] = kept
+            job.done = lambda reply: self._end_kept(kept, reply)
+        self.jobs[sequence] = job
+        if self.inbound.accepting:
+            self.inbound.gate.offer(job)
+        else:
+            job.ended = True
+            job.done(Reply(Fate.NOT_RUN, Reason.DRAINING))
+
+    def _join(self, frame: ttypes.RelayCall) -> bool:
+        """Join a call that has come before; tell whether that settles it."""
+        kept = self.inbound.kept.get((self.sender, frame.sequence))
+        if kept is not None:
+            kept.connection = self
+            if kept.reply is not None:
+                self._send_reply(frame.sequence, kept.reply)
+            else:
+                self.jobs[frame.sequence] = kept.job
+            return True
+        if frame.resumed and frame.incarnation != self.inbound.incarnation:
+            reply = Reply(Fate.MAY_HAVE_RUN, Reason.PEER_LOST)
+            self._send_reply(frame.sequence, reply)
+            return True
+        return False
+
+    def _read_call(self, frame: ttypes.RelayCall) -> Call:
+        now_s = self.inbound.clock()
+        return Call(
+            frame.request_id,
+            self.inbound.find_route(frame.route_name, frame.idempotent),
+            frame.service_name,
+            frame.caller_service,
+            frame.method,
+            frame.target,
+            frame.head,
+            frame.body,
+            now_s,
+            now_s + frame.remaining_ms / 1000,
+            frame.rank,
+            frame.repeated,
+        )
+
+    def _end(self, sequence: int, reply: Reply) -> None:
+        if self.jobs.pop(sequence, None) is not None:
+            self._send_reply(sequence, reply)
+
+    def _end_kept(self, kept: Kept, reply: Reply) -> None:
+        kept.reply = reply
+        kept.ended_s = self.inbound.clock()
+        connection = kept.connection
+        connection.jobs.pop(kept.sequence, None)
+        connection._send_reply(kept.sequence, reply)
+
+    def _cancel(self, sequence: int) -> None:
+        job = self.jobs.pop(sequence, None)
+        if job is not None:
+            self.inbound.gate.cancel(job)
+
+    def _send_reply(self, sequence: int, reply: Reply) -> None:
+        gate = self.inbound.gate
+        self.send(
+            FrameKind.REPLY,
+            ttypes.RelayReply(
+                sequence,
+                int(reply.fate),
+                reply.reason,
+                reply.status,
+                reply.head,
+                reply.body,
+                gate.in_flight,
+                gate.queued,
+            ),
+        )
--- /dev/null
+++ b/eelgrassmount/relay/link.py
@@ -0,0 +1,264 @@
+"""The link to another node, which carries calls there and replies back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, field
+from loguru import logger
+
+from eelgrassmount.gen import ttypes
+from eelgrassmount.relay.frames import FrameConnection, FrameKind
+from eelgrassmount.relay.messages import Fate, Reply
+from eelgrassmount.verdict import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.errors import BadFrameError
+    from eelgrassmount.relay.members import Member
+    from eelgrassmount.relay.messages import Call
+
+# within a region a connection takes a few milliseconds
+CONNECT_LIMIT_S = 0.4
+# a link with open calls is asked for a sign of life after so long, and given up
+# after that long without any
+PING_AFTER_S = 0.25
+SILENCE_LIMIT_S = 0.8
+# calls that must not run twice are asked for again over a new connection
+MAX_RESUMES = 2
+
+
+@define(eq=False)
+class OpenCall:
+    """A call without a reply, as it went out."""
+
+    frame: Any
+    call: Call
+    done: Callable[[Reply], None]
+    written: bool = False
+    resumes: int = 0
+
+
+@define(eq=False)
+class LinkEvents:
+    """What a node does with the frames that are not replies."""
+
+    make_hello: Callable[[], ttypes.RelayHello]
+    note_hello: Callable[[Member, ttypes.RelayHello], None]
+    note_report: Callable[[Member, ttypes.RelayReport], None]
+    note_suspects: Callable[[ttypes.RelaySuspects], None]
+    note_config: Callable[[ttypes.RelayConfig], None]
+
+
+@define(eq=False)
+class PeerLink:
+    """Calls that go to one other node, over one connection at a time.
+
+    A connection that breaks is replaced. Calls that may be repeated are told as
+    *may have run*, and their sender decides. The others are sent again, marked as
+    resumed: the same incarnation of the node knows whether it has them already.
+    """
+
+    member: Member
+    clock: Callable[[], float]
+    events: LinkEvents
+    open_calls: dict[int, OpenCall] = field(factory=dict)
+    incarnation: str = ""
+    heard_s: float = 0.0
+    pinged: bool = False
+    closed: bool = False
+    _connection: LinkConnection | None = None
+    _connecting: asyncio.Task[None] | None = None
+    _sequence: int = 0
+
+    def call(self, call: Call, done: Callable[[Reply], None]) -> int:
+        """Send a call; ``done`` is called once with its reply."""
+        self._sequence += 1
+        sequence = self._sequence
+        frame = ttypes.RelayCall(
+            sequence,
+            call.request_id,
+            call.route.name,
+            call.service,
+            call.caller_service,
+            0,
+            call.rank,
+            call.route.idempotent,
+            False,
+            call.method,
+            call.target,
+            call.head,
+            call.body,
+            call.repeated,
+        )
+        opened = OpenCall(frame, call, done)
+        self.open_calls[sequence] = opened
+        if len(self.open_calls) == 1:
+            self.heard_s = self.clock()
+        if self._connection is not None:
+            self._write(opened)
+        else:
+            self.connect()
+        return sequence
+
+    def cancel(self, sequence: int) -> None:
+        """Tell the other node that nobody waits for a call any more."""
+        opened = self.open_calls.pop(sequence, None)
+        if opened is not None and opened.written and self._connection is not None:
+            self._connection.send(FrameKind.CANCEL, ttypes.RelayCancel(sequence))
+
+    def is_up(self) -> bool:
+        """Tell whether there is a connection."""
+        return self._connection is not None
+
+    def send(self, kind: FrameKind, struct: Any) -> None:
+        """Send a frame that needs no reply, if there is a connection."""
+        if self._connection is not None:
+            self._connection.send(kind, struct)
+
+    def connect(self) -> None:
+        """Open the connection unless there is one."""
+        if self._connection is None and self._connecting is None and not self.closed:
+            loop = asyncio.get_running_loop()
+            self._connecting = loop.create_task(self._connect())
+
+    def close(self) -> None:
+        """Drop the link and fail its calls."""
+        self.closed = True
+        if self._connection is not None:
+            self._connection.abort()
+        self._fail_all()
+
+    def check_silence(self, now_s: float) -> None:
+        """Give up a connection on which calls wait and nothing is heard."""
+        connection = self._connection
+        if connection is None or not self.open_calls:
+            return
+        silent_s = now_s - self.heard_s
+        if silent_s > SILENCE_LIMIT_S:
+            logger.warning("link silent", peer=self.member.name, silent_s=silent_s)
+            connection.abort()
+            self._connection = None
+            self._note_lost(connection)
+        elif silent_s > PING_AFTER_S and not self.pinged:
+            self.pinged = True
+            connection.send(FrameKind.PING, ttypes.RelayConfigRequest(0))
+
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        host, _, port = self.member.address.partition(":")
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                _, connection = await loop.create_connection(
+                    lambda: LinkConnection(self), host, int(port)
+                )
+        except (OSError, TimeoutError) as error:
+            self._connecting = None
+            if self.member.failures == 0:
+                logger.warning(
+                    "node unreachable", peer=self.member.name, cause=repr(error)
+                )
+            self.member.note_unreachable(self.clock())
+            self._fail_all()
+            return
+        self._connecting = None
+        if connection.closed or self.closed:
+            self._fail_all()
+            return
+        self._connection = connection
+        self.heard_s = self.clock()
+        connection.send(FrameKind.HELLO, self.events.make_hello())
+        for opened in list(self.open_calls.values()):
+            self._write(opened)
+
+    def _write(self, opened: OpenCall) -> None:
+        frame = opened.frame
+        frame.remaining_ms = max(0, int((opened.call.deadline_s - self.clock()) * 1000))
+        if not opened.resumes:
+            frame.incarnation = self.incarnation
+        opened.written = True
+        self._connection.send(FrameKind.CALL, frame)
+
+    def _note_lost(self, connection: LinkConnection) -> None:
+        if self._connection is connection:
+            self._connection = None
+        if self.closed:
+            return
+        for sequence, opened in list(self.open_calls.items()):
+            if not self._resume(opened):
+                del self.open_calls[sequence]
+                opened.done(Reply(Fate.MAY_HAVE_RUN, Reason.PEER_LOST))
+        if self.open_calls:
+            self.connect()
+
+    def _resume(self, opened: OpenCall) -> bool:
+        if opened.call.route.idempotent or opened.resumes >= MAX_RESUMES:
+            return False
+        opened.resumes += 1
+        opened.frame.resumed = True
+        return True
+
+    def _fail_all(self) -> None:
+        calls = list(self.open_calls.values())
+        self.open_calls.clear()
+        for opened in calls:
+            fate = Fate.MAY_HAVE_RUN if opened.written else Fate.NOT_RUN
+            opened.done(Reply(fate, Reason.PEER_LOST))
+
+    def note_frame(self, kind: FrameKind, struct: Any) -> None:
+        """Handle a frame of the other node."""
+        self.heard_s = self.clock()
+        self.pinged = False
+        if kind is FrameKind.REPLY:
+            self._note_reply(struct)
+        elif kind is FrameKind.REPORT:
+            self.events.note_report(self.member, struct)
+        elif kind is FrameKind.HELLO:
+            self._note_hello(struct)
+        elif kind is FrameKind.SUSPECTS:
+            self.events.note_suspects(struct)
+        elif kind is FrameKind.CONFIG:
+            self.events.note_config(struct)
+
+    def _note_reply(self, reply: ttypes.RelayReply) -> None:
+        load = self.member.load
+        load.in_flight = reply.in_flight
+        load.queued = reply.queued
+        self.member.sent_since = 0
+        opened = self.open_calls.pop(reply.sequence, None)
+        if opened is not None:
+            reason = Reason(reply.reason) if reply.reason else None
+            fate = Fate(reply.outcome)
+            opened.done(Reply(fate, reason, reply.status, reply.head, reply.body))
+
+    def _note_hello(self, hello: ttypes.RelayHello) -> None:
+        self.member.note_reachable()
+        self.incarnation = hello.incarnation
+        self.events.note_hello(self.member, hello)
+
+    def note_bad(self, error: BadFrameError) -> None:
+        """Say that the other node sent what is no frame."""
+        logger.warning("bad frame", peer=self.member.name, cause=str(error))
+
+
+class LinkConnection(FrameConnection):
+    """One connection of a link."""
+
+    def __init__(self, link: PeerLink):
+        super().__init__()
+        self.link = link
+
+    def note_frame(self, kind: FrameKind, struct: Any) -> None:
+        """Hand a frame to the link."""
+        self.link.note_frame(kind, struct)
+
+    def note_bad(self, error: BadFrameError) -> None:
+        """Hand the error to the link."""
+        self.link.note_bad(error)
+
+    def note_lost(self) -> None:
+        """Let the link replace the connection."""
+        if self.link._connection is self:
+            self.link._note_lost(self)
--- /dev/null
+++ b/eelgrassmount/relay/members.py
@@ -0,0 +1,119 @@
+"""The nodes of a deployment and what is known of their load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from eelgrassmount.relay.link import PeerLink
+
+# a node that can't be reached is tried again after so long, doubled each time
+RETRY_BASE_S = 0.25
+RETRY_LIMIT_S = 3.0
+# a report that is older says nothing about the load of now
+REPORT_LIMIT_S = 1.5
+
+
+@define(eq=False)
+class MemberLoad:
+    """What a node reported of its backend server.
+
+    ``run_s`` is the mean duration of the runs of each route; ``level`` the part
+    of the ranks, from 0 to 1, that its service still admits.
+    """
+
+    accepting: bool = True
+    in_flight: int = 0
+    queued: int = 0
+    limit: int = 0
+    level: float = 1.0
+    failure_share: float = 0.0
+    run_s: dict[str, float] = field(factory=dict)
+    reported_s: float = 0.0
+
+
+@define(eq=False)
+class Member:
+    """A node, the address of its link and its service.
+
+    ``sent_since`` counts the calls sent since the load was last heard.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    service: str
+    load: MemberLoad = field(factory=MemberLoad)
+    link: PeerLink | None = None
+    sent_since: int = 0
+    used_s: float = 0.0
+    failures: int = 0
+    retry_s: float = 0.0
+    closed_until_s: float = 0.0
+
+    def is_connected(self) -> bool:
+        """Tell whether calls to the node go out at once."""
+        return self.link is not None and self.link.is_up()
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Leave the node alone for a while, longer each time."""
+        delay_s = min(RETRY_LIMIT_S, RETRY_BASE_S * 2**self.failures)
+        self.failures = min(self.failures + 1, 8)
+        self.retry_s = now_s + delay_s
+
+    def note_reachable(self) -> None:
+        """Forget that the node could not be reached."""
+        self.failures = 0
+        self.retry_s = 0.0
+
+    def can_take(self, now_s: float) -> bool:
+        """Tell whether the node may be sent a call.
+
+        One that could not be reached has to be reached by a connection first.
+        """
+        if self.failures or now_s < self.closed_until_s:
+            return False
+        load = self.load
+        return load.accepting or now_s - load.reported_s > REPORT_LIMIT_S
+
+
+@define(eq=False)
+class MemberTable:
+    """All known nodes, by name and by service."""
+
+    own_name: str
+    by_name: dict[str, Member] = field(factory=dict)
+    by_service: dict[str, dict[str, Member]] = field(factory=dict)
+
+    def put(
+        self, name: str, address: str, failure_domain: str, service: str
+    ) -> Member | None:
+        """Add or replace a node; return it if it is new or has changed."""
+        known = self.by_name.get(name)
+        if known is not None:
+            if known.address == address and known.service == service:
+                return None
+            self.remove(name)
+        member = Member(name, address, failure_domain, service)
+        self.by_name[name] = member
+        self.by_service.setdefault(service, {})[name] = member
+        return member
+
+    def remove(self, name: str) -> Member | None:
+        """Forget a node."""
+        member = self.by_name.pop(name, None)
+        if member is None:
+            return None
+        found = self.by_service.get(member.service, {})
+        found.pop(name, None)
+        if member.link is not None:
+            member.link.close()
+        return member
+
+    def list_service(self, service: str) -> Iterable[Member]:
+        """Return the nodes of a service."""
+        return self.by_service.get(service, {}).values()
--- /dev/null
+++ b/eelgrassmount/relay/messages.py
@@ -0,0 +1,67 @@
+"""Calls and what became of them."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from eelgrassmount.context import compute_digest
+
+if TYPE_CHECKING:
+    from eelgrassmount.relay.routes import Route
+    from eelgrassmount.verdict import Reason
+
+
+class Fate(IntEnum):
+    """Whether a call has its answer, or else whether it may have run."""
+
+    ANSWERED = 0
+    NOT_RUN = 1
+    MAY_HAVE_RUN = 2
+
+
+@define(eq=False)
+class Reply:
+    """What became of one sending of a call.
+
+    ``head`` holds whole header lines of the server's answer. ``reason`` says why
+    there is no answer.
+    """
+
+    fate: Fate
+    reason: Reason | None = None
+    status: int = 0
+    head: bytes = b""
+    body: bytes = b""
+
+
+@define(eq=False)
+class Call:
+    """A request on its way to a backend server.
+
+    ``head`` is the block of header lines that goes on to the server unchanged.
+    ``deadline_s`` is on the node's steady clock.
+    """
+
+    request_id: str
+    route: Route
+    service: str
+    caller_service: str
+    method: str
+    target: str
+    head: bytes
+    body: bytes
+    arrived_s: float
+    deadline_s: float
+    rank: int
+    repeated: bool = False
+    _digest: str = ""
+
+    def find_digest(self) -> str:
+        """Return a digest of the content, worked out when it is first needed."""
+        if not self._digest:
+            path = f"{self.caller_service} {self.target}"
+            self._digest = compute_digest(self.method, path, self.body)
+        return self._digest
--- /dev/null
+++ b/eelgrassmount/relay/metrics.py
@@ -0,0 +1,117 @@
+"""Counters, gauges and latency histograms of a node beside its server."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import define, field
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from eelgrassmount.metrics import CALL_BUCKETS_S, PREFIX
+
+
+@define(eq=False)
+class RelayMetrics:
+    """The metrics; children are looked up once for each set of labels."""
+
+    registry: CollectorRegistry = field(factory=CollectorRegistry)
+    answers: Counter = field(init=False)
+    seconds: Histogram = field(init=False)
+    refusals: Counter = field(init=False)
+    failures: Counter = field(init=False)
+    retries: Counter = field(init=False)
+    abandoned: Counter = field(init=False)
+    connections: Counter = field(init=False)
+    state: Gauge = field(init=False)
+    _children: dict[tuple[str, ...], Any] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Register everything."""
+        registry = self.registry
+        self.answers = Counter(
+            f"{PREFIX}_relay_answers",
+            "Answers of servers handed on, by route and status.",
+            ["route", "status"],
+            registry=registry,
+        )
+        self.seconds = Histogram(
+            f"{PREFIX}_relay_seconds",
+            "Time from the arrival of a request to its answer, by route.",
+            ["route"],
+            buckets=CALL_BUCKETS_S,
+            registry=registry,
+        )
+        self.refusals = Counter(
+            f"{PREFIX}_relay_refusals",
+            "Requests that have not run, by route and reason.",
+            ["route", "reason"],
+            registry=registry,
+        )
+        self.failures = Counter(
+            f"{PREFIX}_relay_failures",
+            "Requests that may have run and have no answer, by route and reason.",
+            ["route", "reason"],
+            registry=registry,
+        )
+        self.retries = Counter(
+            f"{PREFIX}_relay_retries",
+            "Calls sent once more, by the reason of the sending before.",
+            ["reason"],
+            registry=registry,
+        )
+        self.abandoned = Counter(
+            f"{PREFIX}_relay_abandoned",
+            "Requests whose client left before the answer, by route.",
+            ["route"],
+            registry=registry,
+        )
+        self.connections = Counter(
+            f"{PREFIX}_relay_server_connections",
+            "Connections opened to the server of this VM.",
+            registry=registry,
+        )
+        self.state = Gauge(
+            f"{PREFIX}_relay_state",
+            "What the node believes: the version in force, calls, limit and level.",
+            ["name"],
+            registry=registry,
+        )
+
+    def count_answer(self, route: str, status: int, seconds: float) -> None:
+        """Count an answer and its time."""
+        key = ("answer", route, str(status))
+        children = self._children.get(key)
+        if children is None:
+            children = (
+                self.answers.labels(route, str(status)),
+                self.seconds.labels(route),
+            )
+            self._children[key] = children
+        children[0].inc()
+        children[1].observe(seconds)
+
+    def count_refusal(self, route: str, reason: str) -> None:
+        """Count a request that has not run."""
+        self.refusals.labels(route, reason).inc()
+
+    def count_failure(self, route: str, reason: str) -> None:
+        """Count a request without an answer that may have run."""
+        self.failures.labels(route, reason).inc()
+
+    def count_retry(self, reason: object) -> None:
+        """Count a call that is sent once more."""
+        self.retries.labels(str(reason)).inc()
+
+    def count_abandoned(self, route: str) -> None:
+        """Count a request whose client has left."""
+        self.abandoned.labels(route).inc()
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/eelgrassmount/relay/routes.py
@@ -0,0 +1,136 @@
+"""Routes of the configuration in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@frozen
+class Target:
+    """A service that a route leads to, with its share of the requests."""
+
+    service: str
+    weight: float
+
+
+@frozen
+class Route:
+    """How requests of one host and path prefix are handled.
+
+    ``objective_s`` is the latency objective, ``timeout_s`` the longest time that
+    a request is kept waiting, and ``priority`` its rank, of which 0 is refused
+    last. ``max_attempts`` counts the backend servers that may get one request.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    targets: tuple[Target, ...]
+    timeout_s: float
+    objective_s: float
+    max_attempts: int
+    priority: int
+
+
+@frozen
+class Service:
+    """A service as the configuration describes it."""
+
+    name: str
+    health_path: str
+    max_connections: int
+
+
+@frozen
+class RequestLimits:
+    """What a client may send; times are in seconds."""
+
+    max_header_bytes: int = 65536
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_limit_s: float = 10.0
+    idle_limit_s: float = 60.0
+
+
+@define(eq=False)
+class RouteTable:
+    """A whole configuration; version 0 stands for none.
+
+    Of the routes of a host, the one with the longest prefix that begins the path
+    is taken::
+
+        table = RouteTable.build(7, routes, services, RequestLimits())
+        route = table.find("shop.example", "/orders/17")
+    """
+
+    version: int = 0
+    routes: dict[str, Route] = field(factory=dict)
+    services: dict[str, Service] = field(factory=dict)
+    limits: RequestLimits = field(factory=RequestLimits)
+    _by_host: dict[str, list[Route]] = field(factory=dict)
+
+    @classmethod
+    def build(
+        cls,
+        version: int,
+        routes: Iterable[Route],
+        services: Iterable[Service],
+        limits: RequestLimits,
+    ) -> RouteTable:
+        """Return a table with its routes ready for look-ups."""
+        table = cls(version, limits=limits)
+        for route in routes:
+            table.routes[route.name] = route
+            table._by_host.setdefault(route.host, []).append(route)
+        for service in services:
+            table.services[service.name] = service
+        for found in table._by_host.values():
+            found.sort(key=lambda route: -len(route.prefix))
+        return table
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, ``None`` when there is none."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def count_routes(self) -> int:
+        """Return how many routes there are."""
+        return len(self.routes)
+
+
+@define
+class TargetChooser:
+    """Divides the requests of routes among their targets by weight.
+
+    Each choice goes to the target that lags furthest behind its share, so that
+    the shares hold over any few requests and not only on average.
+    """
+
+    _credits: dict[str, list[float]] = field(factory=dict)
+
+    def choose(self, route: Route, start: float = 0.0) -> str:
+        """Return the service for the next request of a route.
+
+        ``start``, from 0 to 1, is where a new round begins, so that nodes don't
+        all begin with the same target.
+        """
+        targets = route.targets
+        if len(targets) == 1:
+            return targets[0].service
+        total = sum(target.weight for target in targets)
+        credits = self._credits.get(route.name)
+        if credits is None or len(credits) != len(targets):
+            credits = [start * target.weight / total for target in targets]
+            self._credits[route.name] = credits
+        for index, target in enumerate(targets):
+            credits[index] += target.weight / total
+        best = max(range(len(targets)), key=credits.__getitem__)
+        credits[best] -= 1.0
+        return targets[best].service
--- /dev/null
+++ b/eelgrassmount/relay/routing.py
@@ -0,0 +1,89 @@
+"""Choosing the node that a call goes to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Container
+
+    from eelgrassmount.relay.members import Member, MemberTable
+    from eelgrassmount.relay.routes import Route
+
+# part of the objective that another failure domain has to be faster by: bytes
+# between failure domains cost more than a few milliseconds
+FAR_SHARE = 0.12
+# noise on the scores, so that nodes that know the same don't all choose the same
+NOISE = 0.05
+# every so many choices go to the node that has been unused for longest, so that
+# what is believed of it is found out to be still true
+EXPLORE_PERIOD = 100
+# of a larger service, so many nodes are looked at for one choice
+MAX_CANDIDATES = 12
+
+
+@define(eq=False)
+class Router:
+    """Chooses by the time that a call is expected to take at each node."""
+
+    members: MemberTable
+    failure_domain: str
+    clock: Callable[[], float]
+    rng: random.Random
+    _choices: int = 0
+    _means: dict[tuple[str, str], float] = field(factory=dict)
+
+    def choose(
+        self, service: str, route: Route, excluded: Container[str]
+    ) -> Member | None:
+        """Return the best node for a call, ``None`` when there is none."""
+        now_s = self.clock()
+        candidates = [
+            member
+            for member in self.members.list_service(service)
+            if member.name not in excluded and member.can_take(now_s)
+        ]
+        if not candidates:
+            return None
+        connected = [one for one in candidates if one.is_connected()]
+        candidates = connected or candidates
+        if len(candidates) > MAX_CANDIDATES:
+            candidates = self._sample(candidates)
+        self._choices += 1
+        if self._choices % EXPLORE_PERIOD == 0:
+            return min(candidates, key=lambda member: member.used_s)
+        typical_s = self._find_typical(candidates, route)
+        return min(candidates, key=lambda member: self._score(member, route, typical_s))
+
+    def _sample(self, candidates: list[Member]) -> list[Member]:
+        near = [one for one in candidates if self._is_near(one)]
+        far = [one for one in candidates if not self._is_near(one)]
+        half = MAX_CANDIDATES // 2
+        chosen = self.rng.sample(near, min(len(near), MAX_CANDIDATES - half))
+        return chosen + self.rng.sample(far, min(len(far), half))
+
+    def _is_near(self, member: Member) -> bool:
+        return member.failure_domain == self.failure_domain
+
+    def _find_typical(self, candidates: list[Member], route: Route) -> float:
+        known = [
+            member.load.run_s[route.name]
+            for member in candidates
+            if route.name in member.load.run_s
+        ]
+        return sum(known) / len(known) if known else 0.0
+
+    def _score(self, member: Member, route: Route, typical_s: float) -> float:
+        load = member.load
+        run_s = load.run_s.get(route.name, typical_s)
+        waiting = load.in_flight + load.queued + member.sent_since + 1 - load.limit
+        score = run_s
+        if load.limit and waiting > 0:
+            score += run_s * waiting / load.limit
+        score += load.failure_share * route.objective_s
+        if not self._is_near(member):
+            score += FAR_SHARE * route.objective_s
+        return score * self.rng.uniform(1.0 - NOISE, 1.0 + NOISE)
