--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -55,7 +55,7 @@
 INCARNATION_BYTES = 6
 METRICS_PORT = 9464
 LINK_PERIOD_S = 0.1
-VECTOR_PERIOD_S = 2.0
+VECTOR_PERIOD_S = 1.0
 RECORD_RETRY_S = 0.5
 METRICS_TYPE = b"content-type: text/plain; version=0.0.4\r\n"
 
@@ -258,7 +258,7 @@
         metrics,
         clock,
         rng,
-        lambda route_name: route_name in beliefs.inner,
+        graph.is_called,
         lambda route_name: beliefs.counts.note_call(route_name),
     )
     node = RelayNode(
--- a/eelgrassmount/platform/configuration.py
+++ b/eelgrassmount/platform/configuration.py
@@ -62,7 +62,8 @@
     else:
         targets = (Target(action["service"], 1.0),)
     return Route(
-        name=rule["name"],
+        # the rule's own name may change from one version to the next
+        name=f"{host.lower()}{rule['match']['pathPrefix']}",
         host=host.lower(),
         prefix=rule["match"]["pathPrefix"],
         idempotent=rule["kind"] == IDEMPOTENT,
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -35,10 +35,7 @@
     def update(self, load: float, limit: int) -> float:
         """Take up the mean load of a step and return the new level."""
         use = load / max(1, limit)
-        if use <= 0:
-            factor = MAX_RISE
-        else:
-            factor = min(MAX_RISE, max(MAX_CUT, TARGET_USE / use))
+        factor = MAX_RISE if use <= 0 else min(MAX_RISE, max(MAX_CUT, TARGET_USE / use))
         self.level = min(1.0, max(MIN_LEVEL, self.level * factor))
         return self.level
 
@@ -47,17 +44,20 @@
 class CallGraph:
     """Which services each route leads to, from the vectors of all nodes.
 
-    ``vectors`` holds, by route, the calls that one run of it makes.
+    ``vectors`` holds, by route, the calls that one run of it makes. It is mature
+    once any vector is known: before, calls of servers can't be told from requests.
     """
 
     vectors: dict[str, dict[str, float]] = field(factory=dict)
     _reached: dict[str, frozenset[str]] = field(factory=dict)
+    _called: set[str] | None = None
 
     def put(self, route_name: str, calls: dict[str, float]) -> None:
         """Take up the vector of a route."""
         known = self.vectors.get(route_name)
         if known is None or known.keys() != calls.keys():
             self._reached.clear()
+            self._called = None
         self.vectors[route_name] = calls
 
     def forget_routes(self) -> None:
@@ -88,9 +88,15 @@
             ahead = following
         return services
 
+    def is_mature(self) -> bool:
+        """Tell whether calls of servers can be told from requests of clients."""
+        return bool(self.vectors)
+
     def is_called(self, route_name: str) -> bool:
         """Tell whether running servers make calls of a route."""
-        return any(route_name in calls for calls in self.vectors.values())
+        if self._called is None:
+            self._called = {name for calls in self.vectors.values() for name in calls}
+        return route_name in self._called
 
 
 @define(eq=False)
@@ -123,6 +129,8 @@
     def compute_share(self, route: Route, table: RouteTable) -> float:
         """Return the part of a route's requests that is admitted."""
         share = 1.0
+        if not self.graph.is_mature():
+            return share
         for service in self.graph.find_services(route, table):
             level = self.find_level(service)
             if level < 1.0:
--- a/eelgrassmount/relay/node.py
+++ b/eelgrassmount/relay/node.py
@@ -78,7 +78,6 @@
     learner: VectorLearner = field(factory=VectorLearner)
     level: LevelControl = field(factory=LevelControl)
     levels: dict[str, float] = field(factory=dict)
-    inner: set[str] = field(factory=set)
     own_vectors: dict[str, dict[str, float]] = field(factory=dict)
     stopping: bool = False
     _unknown_routes: dict[str, Route] = field(factory=dict)
@@ -258,11 +257,10 @@
         beliefs = self.beliefs
         beliefs.own_vectors = beliefs.learner.solve()
         for name, calls in beliefs.own_vectors.items():
-            if name in beliefs.table.routes:
+            if name in beliefs.table.routes and (
+                calls or name in beliefs.graph.vectors
+            ):
                 beliefs.graph.put(name, calls)
-        beliefs.inner = {
-            called for calls in beliefs.own_vectors.values() for called in calls
-        }
         self.forget_ladders()
 
 
--- a/eelgrassmount/relay/routes.py
+++ b/eelgrassmount/relay/routes.py
@@ -22,6 +22,7 @@
 class Route:
     """How requests of one host and path prefix are handled.
 
+    ``name`` stays the same for a host and prefix in all versions.
     ``objective_s`` is the latency objective, ``timeout_s`` the longest time that
     a request is kept waiting, and ``priority`` its rank, of which 0 is refused
     last. ``max_attempts`` counts the backend servers that may get one request.
--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -5,14 +5,14 @@
 from attrs import define, field
 
 # a count is taken over so long, and older counts fade with this factor
-INTERVAL_S = 0.5
-FADE = 0.97
+INTERVAL_S = 0.25
+FADE = 0.985
 # keeps the solution small where the counts say little; in runs squared
 RIDGE = 4.0
 # fewer calls a run than this are taken for coincidence
 MIN_CALLS_PER_RUN = 0.3
 # runs that a route must have had before its vector is believed
-MIN_RUNS = 30.0
+MIN_RUNS = 20.0
 MAX_CALLS_PER_RUN = 100.0
 
 
