--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from attrs import define
+from attrs import define, field
 from loguru import logger
 
 from eelgrassmount.errors import ListenError, PlatformDocumentError
@@ -48,6 +48,8 @@
 from eelgrassmount.util.addresses import Address
 
 if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
     from eelgrassmount.http1.exchange import Exchange
     from eelgrassmount.relay.settings import RelaySettings
     from eelgrassmount.relay.store import StoredRecord
@@ -78,8 +80,20 @@
     timers: TimerService
     callers: HttpListener
     rng: random.Random
+    listeners: list[HttpListener] = field(factory=list)
     found_nodes: bool = False
 
+    def end(self) -> None:
+        """Drop every listener and connection."""
+        for listener in self.listeners:
+            listener.end()
+        self.inbound.end()
+        self.gate.pool.drop_idle()
+        for member in list(self.beliefs.members.by_name.values()):
+            if member.link is not None:
+                member.link.close()
+        self.store.end()
+
     def apply_document(self, document: bytes) -> None:
         """Put a configuration in force unless it is older than the present one."""
         try:
@@ -286,21 +300,9 @@
     Raises `ListenError` when one of its addresses can't be bound.
     """
     node = build_relay(settings)
-    node.put_own()
     async with anyio.create_task_group() as group:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            await _listen(node)
-            _subscribe(node)
-            group.start_soon(node.timers.run)
-            group.start_soon(_follow, node, CONFIGURATION_TOPIC)
-            group.start_soon(_join, node)
-            logger.info(
-                "node started",
-                node=settings.name,
-                incarnation=node.beliefs.incarnation,
-                service=settings.service,
-                failure_domain=settings.failure_domain,
-            )
+            await start_relay(node, group)
             async for _ in signals:
                 break
         await Stopping(
@@ -312,9 +314,28 @@
             node.count_open,
         ).run()
         node.decisions.tell_left_out()
+        node.end()
         group.cancel_scope.cancel()
 
 
+async def start_relay(node: RelayNode, group: TaskGroup) -> None:
+    """Start all parts of a node, the listener for clients last."""
+    settings = node.settings
+    node.put_own()
+    await _listen(node)
+    _subscribe(node)
+    group.start_soon(node.timers.run)
+    group.start_soon(_follow, node, CONFIGURATION_TOPIC)
+    group.start_soon(_join, node)
+    logger.info(
+        "node started",
+        node=settings.name,
+        incarnation=node.beliefs.incarnation,
+        service=settings.service,
+        failure_domain=settings.failure_domain,
+    )
+
+
 async def _listen(node: RelayNode) -> None:
     settings = node.settings
     clock = node.beliefs.clock
@@ -323,10 +344,15 @@
     )
     metrics_address = Address(settings.peer_address.host, METRICS_PORT)
     await _bind(node.inbound, settings.peer_address)
-    announcing = HttpListener(announcements.handle, clock)
-    await _bind(announcing, settings.announce_address)
-    await _bind(HttpListener(node.answer_ready, clock), settings.ready_address)
-    await _bind(HttpListener(node.answer_metrics, clock), metrics_address)
+    for handle, address in (
+        (announcements.handle, settings.announce_address),
+        (node.answer_ready, settings.ready_address),
+        (node.answer_metrics, metrics_address),
+    ):
+        listener = HttpListener(handle, clock)
+        node.listeners.append(listener)
+        await _bind(listener, address)
+    node.listeners.append(node.callers)
     await _bind(node.callers, settings.caller_address)
 
 
--- a/eelgrassmount/http1/server.py
+++ b/eelgrassmount/http1/server.py
@@ -58,6 +58,13 @@
         if self._server is not None:
             self._server.close()
 
+    def end(self) -> None:
+        """Take nothing more and drop all connections."""
+        self.stop_listening()
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
     def count_open(self) -> int:
         """Return how many requests have no answer yet."""
         return sum(len(connection.pending) for connection in self.connections)
--- a/eelgrassmount/platform/store.py
+++ b/eelgrassmount/platform/store.py
@@ -112,6 +112,12 @@
             return answer
         return _cut_records(answer, offset)
 
+    def end(self) -> None:
+        """Drop all connections."""
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
+
     async def _call(
         self,
         connection_name: str,
--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -83,7 +83,7 @@
         return sending
 
     def drop_idle(self) -> None:
-        """Close the idle connections, as when the server has been replaced."""
+        """Close the idle connections, as when the node ends."""
         for connection in list(self._idle):
             connection.close()
         self._idle.clear()
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -67,6 +67,13 @@
             lambda: InboundConnection(self), host, port, backlog=512, reuse_address=True
         )
 
+    def end(self) -> None:
+        """Take nothing more and drop all links."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
     def tell_all(self, kind: FrameKind, struct: Any, only_active: bool = True) -> None:
         """Send a frame to the nodes that send calls here."""
         now_s = self.clock()
--- /dev/null
+++ b/standins/platform_log.py
@@ -0,0 +1,161 @@
+"""A stand-in for the platform's log, with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import time
+from enum import Enum
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlsplit
+
+from attrs import define, field
+
+from eelgrassmount.http1.server import HttpListener
+
+if TYPE_CHECKING:
+    from eelgrassmount.http1.exchange import Exchange
+
+MAX_PAGE = 500
+JSON = b"content-type: application/json\r\n"
+
+
+class Trouble(Enum):
+    """What is wrong with the log."""
+
+    NONE = "none"
+    TURNED_AWAY = "turned-away"  # 503 for every call
+    LIMITED = "limited"  # 429 for every call
+    SILENT = "silent"  # no answer
+    RESET = "reset"  # the connection ends
+    LOST = "lost"  # done, and the answer is lost
+
+
+@define(eq=False)
+class Topic:
+    """The records of a keyed topic; history before ``first`` is forgotten."""
+
+    records: list[tuple[str, bytes]] = field(factory=list)
+    first: int = 0
+    news: asyncio.Event = field(factory=asyncio.Event)
+
+
+@define(eq=False)
+class PlatformLog:
+    """Keeps keyed topics in memory and serves them over HTTP."""
+
+    trouble: Trouble = Trouble.NONE
+    delay_s: float = 0.0
+    calls: int = 0
+    topics: dict[str, Topic] = field(factory=dict)
+    listener: HttpListener = field(init=False)
+    _tasks: set[asyncio.Task[None]] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the listener."""
+        self.listener = HttpListener(self._take, time.monotonic)
+
+    async def start(self, host: str, port: int) -> None:
+        """Take calls."""
+        await self.listener.start(host, port)
+
+    def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record as the operator would; return its offset."""
+        found = self.find(topic)
+        found.records.append((key, value))
+        found.news.set()
+        found.news = asyncio.Event()
+        return len(found.records) - 1
+
+    def find(self, name: str) -> Topic:
+        """Return a topic, made on first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def forget_history(self, name: str) -> None:
+        """Delete all records but the newest of each key."""
+        topic = self.find(name)
+        topic.first = len(topic.records)
+
+    def _take(self, exchange: Exchange) -> None:
+        task = asyncio.get_running_loop().create_task(self._answer(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, exchange: Exchange) -> None:
+        self.calls += 1
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if self.trouble is Trouble.TURNED_AWAY:
+            exchange.respond(503)
+        elif self.trouble is Trouble.LIMITED:
+            exchange.respond(429)
+        elif self.trouble is Trouble.RESET:
+            exchange.connection.transport.abort()
+        elif self.trouble is not Trouble.SILENT:
+            await self._serve(exchange)
+
+    async def _serve(self, exchange: Exchange) -> None:
+        parts = urlsplit(exchange.target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        topic = self.find(query.get("topic", ""))
+        if parts.path == "/log-append":
+            self._append(exchange, query["topic"])
+        elif parts.path == "/log-newest":
+            self._serve_newest(exchange, topic, query.get("after", ""))
+        elif parts.path == "/log-read":
+            await self._serve_read(exchange, topic, query)
+        else:
+            exchange.respond(404)
+
+    def _append(self, exchange: Exchange, name: str) -> None:
+        content = exchange.body[4:]
+        key_end = 1 + content[0]
+        offset = self.put(name, content[1:key_end].decode(), content[key_end:])
+        if self.trouble is Trouble.LOST:
+            exchange.connection.transport.abort()
+            return
+        body = json.dumps({"offset": offset, "end": offset + 1}).encode()
+        exchange.respond(200, JSON, body)
+
+    def _serve_newest(self, exchange: Exchange, topic: Topic, after: str) -> None:
+        newest: dict[str, tuple[int, bytes]] = {}
+        for offset, (key, value) in enumerate(topic.records):
+            newest.pop(key, None)
+            if value:
+                newest[key] = (offset, value)
+        keys = [key for key in sorted(newest) if key > after]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(newest[key][1]).decode(),
+                "offset": newest[key][0],
+            }
+            for key in keys[:MAX_PAGE]
+        ]
+        content = {
+            "items": items,
+            "more": len(keys) > MAX_PAGE,
+            "end": len(topic.records),
+        }
+        exchange.respond(200, JSON, json.dumps(content).encode())
+
+    async def _serve_read(
+        self, exchange: Exchange, topic: Topic, query: dict[str, str]
+    ) -> None:
+        start = int(query["from"])
+        if start < topic.first:
+            body = json.dumps({"first": topic.first}).encode()
+            exchange.respond(410, JSON, body)
+            return
+        wait_s = int(query.get("waitMs", "0")) / 1000
+        if start >= len(topic.records) and wait_s:
+            # without news the answer has no records
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(topic.news.wait(), wait_s)
+        body = len(topic.records).to_bytes(8, "big") + topic.first.to_bytes(8, "big")
+        for key, value in topic.records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            body += len(content).to_bytes(4, "big") + content
+        exchange.respond(200, b"", body)
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,71 @@
+"""A stand-in for a backend server of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.http1.server import HttpListener
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.http1.exchange import Exchange
+
+SIGNATURE = b"eelgrassmount-response-signature"
+REQUEST_ID = b"eelgrassmount-attempt-id"
+EXPECTED = b"eelgrassmount-expect-instance"
+
+
+@define(eq=False)
+class PlatformServer:
+    """Runs requests for ``work_s`` seconds and signs its answers.
+
+    ``runs`` holds the ids of the requests that began to run. ``answer`` may be
+    replaced to misbehave.
+    """
+
+    incarnation: str
+    work_s: float = 0.0
+    runs: list[str] = field(factory=list)
+    seen: list[dict[bytes, bytes]] = field(factory=list)
+    answer: Callable[[Exchange], None] | None = None
+    listener: HttpListener = field(init=False)
+    _tasks: set[asyncio.Task[None]] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the listener."""
+        self.listener = HttpListener(self._take, time.monotonic)
+
+    async def start(self, host: str, port: int) -> None:
+        """Take requests."""
+        await self.listener.start(host, port)
+
+    def _take(self, exchange: Exchange) -> None:
+        names = dict(exchange.headers)
+        if names.get(EXPECTED, b"").decode() not in ("", self.incarnation):
+            instance = self.incarnation.encode()
+            exchange.respond(421, b"eelgrassmount-instance-id: %s\r\n" % instance)
+            return
+        self.runs.append(names.get(REQUEST_ID, b"").decode())
+        self.seen.append(names)
+        task = asyncio.get_running_loop().create_task(self._run(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, exchange: Exchange) -> None:
+        if self.work_s:
+            await asyncio.sleep(self.work_s)
+        if self.answer is not None:
+            self.answer(exchange)
+            return
+        names = dict(exchange.headers)
+        head = b"%s: signed\r\n%s: %s\r\n" % (
+            SIGNATURE,
+            REQUEST_ID,
+            names.get(REQUEST_ID, b""),
+        )
+        exchange.respond(200, head, b"%s by %s" % (exchange.target.encode(), head[:5]))
--- /dev/null
+++ b/tests/http1/test_client.py
@@ -0,0 +1,126 @@
+"""The client's side of a connection, without a socket."""
+
+from __future__ import annotations
+
+import pytest
+
+from eelgrassmount.http1.client import Break, ClientAnswer, ClientConnection
+from tests.http1.transports import MemoryTransport
+
+OK = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nhi"
+
+
+class Setup:
+    def __init__(self) -> None:
+        self.idle: list[ClientConnection] = []
+        self.lost: list[ClientConnection] = []
+        self.told: list[ClientAnswer | Break] = []
+        self.connection = ClientConnection(self.idle.append, self.lost.append)
+        self.transport = MemoryTransport(self.connection)
+        self.connection.connection_made(self.transport)
+
+    def send(self, accepts=None) -> None:
+        self.connection.send(b"request", self.told.append, accepts)
+
+    def receive(self, *parts: bytes) -> None:
+        for part in parts:
+            self.connection.data_received(part)
+
+    def end(self, error: Exception | None = None) -> None:
+        if error is None:
+            self.connection.eof_received()
+        self.connection.connection_lost(error)
+
+
+@pytest.fixture
+def setup() -> Setup:
+    setup = Setup()
+    setup.send()
+    return setup
+
+
+def test_whole_answer_is_told_and_the_connection_kept(setup):
+    setup.receive(OK[:30], OK[30:])
+    (answer,) = setup.told
+    assert (answer.status, answer.body) == (200, b"hi")
+    assert (b"x-id", b"7") in answer.headers
+    assert setup.idle == [setup.connection]
+
+
+def test_connection_takes_a_second_request(setup):
+    setup.receive(OK)
+    setup.send()
+    setup.receive(OK)
+    assert [answer.body for answer in setup.told] == [b"hi", b"hi"]
+
+
+def test_interim_answer_is_skipped(setup):
+    setup.receive(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
+    assert [answer.status for answer in setup.told] == [200]
+
+
+def test_close_of_the_other_side_keeps_the_connection_from_use(setup):
+    setup.receive(OK.replace(b"X-Id: 7", b"Connection: close"))
+    assert setup.told[0].status == 200
+    assert setup.idle == []
+    assert setup.lost == [setup.connection]
+
+
+@pytest.mark.parametrize("extra", [OK, b"garbage\r\n\r\n", b"\x00"])
+def test_bytes_behind_an_answer_end_the_connection(setup, extra):
+    setup.receive(OK + extra)
+    assert [answer.body for answer in setup.told] == [b"hi"]
+    assert setup.idle == []
+
+
+def test_bytes_that_nobody_asked_for_end_the_connection(setup):
+    setup.receive(OK)
+    setup.receive(OK)
+    assert len(setup.told) == 1
+    assert setup.connection.closed
+
+
+def test_late_answer_to_an_earlier_request_is_skipped(setup):
+    setup.receive(OK)
+    setup.send(lambda answer: (b"x-id", b"8") in answer.headers)
+    setup.receive(OK + OK.replace(b"7", b"8").replace(b"hi", b"yo"))
+    assert setup.told[1].body == b"yo"
+    assert len(setup.idle) == 1
+
+
+def test_answer_without_length_ends_with_its_connection(setup):
+    setup.receive(b"HTTP/1.1 200 OK\r\n\r\nab", b"cd")
+    assert setup.told == []
+    setup.end()
+    assert setup.told[0].body == b"abcd"
+
+
+def test_answer_without_length_is_not_complete_when_reset(setup):
+    setup.receive(b"HTTP/1.1 200 OK\r\n\r\nab")
+    setup.end(ConnectionResetError())
+    assert setup.told == [Break.TRUNCATED]
+
+
+def test_cut_answer_is_not_complete(setup):
+    setup.receive(OK[:-1])
+    setup.end()
+    assert setup.told == [Break.TRUNCATED]
+
+
+def test_connection_that_ends_without_an_answer(setup):
+    setup.end()
+    assert setup.told == [Break.CLOSED]
+
+
+def test_malformed_answer(setup):
+    setup.receive(b"nonsense\r\n\r\n")
+    assert setup.told == [Break.MALFORMED]
+    assert setup.connection.closed
+
+
+def test_cancelled_request_closes_the_connection(setup):
+    setup.connection.cancel()
+    assert setup.told == [Break.CANCELLED]
+    assert setup.transport.closing
+    setup.end(ConnectionResetError())
+    assert setup.told == [Break.CANCELLED]
--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,153 @@
+"""The server's side of a connection, without a socket."""
+
+from __future__ import annotations
+
+import pytest
+
+from eelgrassmount.http1.exchange import Exchange
+from eelgrassmount.http1.server import (
+    MAX_PIPELINED,
+    HttpListener,
+    ServerConnection,
+    ServerLimits,
+)
+from tests.http1.transports import MemoryTransport
+
+GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Setup:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self.taken: list[Exchange] = []
+        self.listener = HttpListener(self.taken.append, lambda: self.now_s)
+        self.connection = ServerConnection(self.listener)
+        self.transport = MemoryTransport(self.connection)
+        self.connection.connection_made(self.transport)
+
+    def receive(self, data: bytes) -> None:
+        self.connection.data_received(data)
+
+
+@pytest.fixture
+def setup() -> Setup:
+    return Setup()
+
+
+def test_request_is_read_whole(setup):
+    setup.receive(b"POST /p?q=1 HTTP/1.1\r\nHost: x\r\nContent-Le")
+    setup.receive(b"ngth: 5\r\n\r\nhel")
+    assert setup.taken == []
+    setup.receive(b"lo")
+    (exchange,) = setup.taken
+    assert (exchange.method, exchange.target) == ("POST", "/p?q=1")
+    assert exchange.body == b"hello"
+    assert (b"host", b"x") in exchange.headers
+
+
+def test_chunked_body_is_joined(setup):
+    setup.receive(b"PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+    setup.receive(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    assert setup.taken[0].body == b"abcde"
+
+
+def test_answers_keep_the_order_of_the_requests(setup):
+    setup.receive(GET + GET.replace(b"/a", b"/b"))
+    first, second = setup.taken
+    second.respond(200, b"", b"second")
+    assert setup.transport.written == b""
+    first.respond(200, b"", b"first")
+    written = setup.transport.written
+    assert written.index(b"first") < written.index(b"second")
+
+
+def test_only_the_first_answer_counts(setup):
+    setup.receive(GET)
+    setup.taken[0].respond(504)
+    setup.taken[0].respond(200, b"", b"late")
+    assert setup.transport.written.startswith(b"HTTP/1.1 504 ")
+    assert b"late" not in setup.transport.written
+
+
+def test_last_request_of_a_client_closes_behind_its_answer(setup):
+    setup.receive(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n" + GET)
+    assert len(setup.taken) == 1
+    setup.taken[0].respond(200)
+    assert b"connection: close\r\n" in setup.transport.written
+    assert setup.transport.closing
+
+
+def test_ending_listener_closes_each_connection_behind_its_answer(setup):
+    setup.receive(GET + GET)
+    setup.listener.ending = True
+    gone = []
+    setup.taken[1].on_abandon = lambda: gone.append("second")
+    setup.taken[0].respond(200)
+    assert setup.transport.closing
+    assert gone == ["second"]
+
+
+def test_idle_connections_are_closed_and_busy_ones_are_not(setup):
+    setup.receive(GET)
+    setup.listener.close_idle()
+    assert not setup.transport.closing
+    setup.taken[0].respond(200)
+    setup.listener.close_idle()
+    assert setup.transport.closing
+
+
+def test_client_that_leaves_is_told_to_the_request(setup):
+    setup.receive(GET)
+    gone = []
+    setup.taken[0].on_abandon = lambda: gone.append(True)
+    setup.connection.connection_lost(None)
+    assert gone == [True]
+
+
+def test_malformed_request_is_refused(setup):
+    setup.receive(b"no request\r\n\r\n")
+    assert setup.transport.written.startswith(b"HTTP/1.1 400 ")
+    assert setup.transport.closing
+    assert setup.taken == []
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nX: " + b"a" * 200 + b"\r\n\r\n", b"431"),
+        (b"PUT / HTTP/1.1\r\nContent-Length: 50\r\n\r\n" + b"a" * 50, b"413"),
+    ],
+)
+def test_too_long_requests_are_refused(setup, data, status):
+    setup.listener.limits = ServerLimits(max_header_bytes=100, max_body_bytes=20)
+    setup.receive(data)
+    assert setup.transport.written.startswith(b"HTTP/1.1 " + status)
+    assert setup.transport.written.count(b"HTTP/1.1") == 1
+
+
+def test_slow_request_is_timed_out(setup):
+    setup.listener.limits = ServerLimits(header_limit_s=3.0)
+    setup.receive(b"GET / HT")
+    setup.now_s += 3.5
+    setup.listener.sweep()
+    assert setup.transport.written.startswith(b"HTTP/1.1 408 ")
+
+
+def test_idle_limit_counts_from_the_last_answer(setup):
+    setup.listener.limits = ServerLimits(idle_limit_s=10.0)
+    setup.receive(GET)
+    setup.now_s += 8.0
+    setup.taken[0].respond(200)
+    setup.now_s += 8.0
+    setup.listener.sweep()
+    assert not setup.transport.closing
+    setup.now_s += 3.0
+    setup.listener.sweep()
+    assert setup.transport.closing
+
+
+def test_connection_is_not_read_on_while_many_answers_are_open(setup):
+    setup.receive(GET * MAX_PIPELINED)
+    assert not setup.transport.reading
+    setup.taken[0].respond(200)
+    assert setup.transport.reading
--- /dev/null
+++ b/tests/http1/transports.py
@@ -0,0 +1,34 @@
+"""A transport that keeps what is written to it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class MemoryTransport:
+    """Stands for a connection; ``protocol`` is told when it is dropped."""
+
+    def __init__(self, protocol: Any = None):
+        self.protocol = protocol
+        self.written = b""
+        self.closing = False
+        self.reading = True
+
+    def write(self, data: bytes) -> None:
+        if not self.closing:
+            self.written += data
+
+    def close(self) -> None:
+        self.closing = True
+
+    def abort(self) -> None:
+        self.closing = True
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+    def get_extra_info(self, name: str) -> None:
+        return None
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,161 @@
+"""Configuration, heartbeats and settings of the platform."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from eelgrassmount.errors import FileError, PlatformDocumentError, SettingError
+from eelgrassmount.platform.configuration import read_configuration, read_version
+from eelgrassmount.platform.heartbeats import read_announcement
+from eelgrassmount.platform.settings import load_settings, parse_settings
+from eelgrassmount.relay.routes import Target
+
+CONFIGURATION = {
+    "version": "r12",
+    "limits": {"maxHeaderBytes": 1000, "idleTimeoutMs": 15000},
+    "listeners": [
+        {
+            "host": "Shop.example",
+            "routeRules": [
+                {
+                    "name": "r-1",
+                    "kind": "non_idempotent",
+                    "targetLatencyMs": 1500,
+                    "priority": 2,
+                    "match": {"pathPrefix": "/a/"},
+                    "action": {"service": "desk", "timeoutMs": 800, "maxAttempts": 2},
+                },
+                {
+                    "name": "r-2",
+                    "kind": "idempotent",
+                    "match": {"pathPrefix": "/b/"},
+                    "action": {
+                        "trafficSplit": [
+                            {"service": "one", "weight": 90},
+                            {"service": "two", "weight": 10},
+                        ]
+                    },
+                },
+            ],
+        }
+    ],
+    "clusters": [{"name": "desk", "healthPath": "/h", "maxConnections": 9}],
+}
+
+SETTINGS = """
+nodeId = "sidecar-1"
+ip = "10.1.0.8"
+zone = "bowbazar"
+service = "huvo11a"
+appAddr = "10.1.0.8:8301"
+portRange = [7620, 7635]
+bounds = ["graceS=6", "retryBudgetRatio=0.2", "budgetSlack=49", "closed=true"]
+unknown = 3
+[listen]
+outbound = "10.1.0.8:8304"
+ready = "10.1.0.8:8302"
+control = "10.1.0.8:8306"
+[platform]
+address = "10.200.1.7:8309"
+"""
+
+
+def test_configuration_is_read():
+    table = read_configuration(json.dumps(CONFIGURATION).encode())
+    assert table.version == 12
+    route = table.find("shop.example", "/a/1")
+    assert not route.idempotent
+    assert (route.timeout_s, route.objective_s) == (0.8, 1.5)
+    assert (route.max_attempts, route.priority) == (2, 2)
+    split = table.find("shop.example", "/b/1")
+    assert split.targets == (Target("one", 90.0), Target("two", 10.0))
+    assert table.limits.max_header_bytes == 1000
+    assert table.limits.idle_limit_s == 15.0
+    assert table.services["desk"].health_path == "/h"
+
+
+def test_route_keeps_its_name_when_the_rule_is_renamed():
+    first = read_configuration(json.dumps(CONFIGURATION).encode())
+    renamed = json.dumps(CONFIGURATION).replace("r-1", "r-9").encode()
+    assert read_configuration(renamed).routes.keys() == first.routes.keys()
+
+
+@pytest.mark.parametrize("text", ["12", "r", "rx", None, 12])
+def test_wrong_version(text):
+    with pytest.raises(PlatformDocumentError):
+        read_version(text)
+
+
+@pytest.mark.parametrize("document", [b"", b"[]", b'{"version":"r1"}', b"\xff"])
+def test_wrong_configuration(document):
+    with pytest.raises(PlatformDocumentError):
+        read_configuration(document)
+
+
+def test_heartbeat_is_read():
+    body = {
+        "address": "10.1.0.8:8301",
+        "info": {"service": "desk", "version": "v1", "zone": "a", "slots": 168},
+        "status": {"state": "draining", "sequence": 4, "coldRemainingMs": 500},
+    }
+    heartbeat = read_announcement(
+        "POST", "/instances/i-7/heartbeat", json.dumps(body).encode()
+    )
+    assert heartbeat.incarnation == "i-7"
+    assert (heartbeat.service, heartbeat.slots) == ("desk", 168)
+    assert heartbeat.draining
+    assert not heartbeat.leaving
+    assert (heartbeat.sequence, heartbeat.cold_s) == (4, 0.5)
+
+
+def test_leave_is_read():
+    heartbeat = read_announcement("POST", "/instances/i-7/leave", b"")
+    assert heartbeat.incarnation == "i-7"
+    assert heartbeat.leaving
+
+
+@pytest.mark.parametrize(
+    ("method", "target"),
+    [("GET", "/instances/i/heartbeat"), ("POST", "/x"), ("POST", "/instances/i/z")],
+)
+def test_other_calls_are_no_announcement(method, target):
+    assert read_announcement(method, target, b"{}") is None
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"[]", b'{"info":{},"status":{}}'])
+def test_wrong_heartbeat(body):
+    with pytest.raises(PlatformDocumentError):
+        read_announcement("POST", "/instances/i/heartbeat", body)
+
+
+def test_settings_are_read():
+    settings = parse_settings(SETTINGS)
+    assert settings.name == "sidecar-1"
+    assert settings.failure_domain == "bowbazar"
+    assert str(settings.peer_address) == "10.1.0.8:7620"
+    assert str(settings.server_address) == "10.1.0.8:8301"
+    assert (settings.grace_s, settings.retry_slack) == (6.0, 49.0)
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "name"),
+    [
+        ('nodeId = "sidecar-1"', "", "nodeId"),
+        ('control = "10.1.0.8:8306"', 'control = "host:1"', "listen.control"),
+        ("portRange = [7620, 7635]", 'portRange = "7620"', "portRange"),
+        ('"graceS=6"', '"graceS=soon"', "bounds"),
+        ("nodeId =", "nodeId", "settings file"),
+    ],
+)
+def test_wrong_setting_is_named_in_one_line(before, after, name):
+    with pytest.raises(SettingError) as caught:
+        parse_settings(SETTINGS.replace(before, after))
+    assert caught.value.name == name
+    assert "\n" not in str(caught.value)
+
+
+def test_missing_file_is_named(tmp_path):
+    with pytest.raises(FileError):
+        load_settings(str(tmp_path / "none.toml"))
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,75 @@
+"""Reading and writing the platform's headers."""
+
+from __future__ import annotations
+
+import pytest
+
+from eelgrassmount.platform import headers
+
+
+def test_request_head_is_read_and_only_what_may_go_on_goes_on():
+    head = headers.read_request(
+        [
+            (b"host", b"Shop.Example:80"),
+            (b"eelgrassmount-attempt-id", b"a1"),
+            (b"eelgrassmount-deadline-ms", b"900"),
+            (b"eelgrassmount-caller-service", b"forged"),
+            (b"eelgrassmount-expect-instance", b"forged"),
+            (b"connection", b"keep-alive, x-hop"),
+            (b"x-hop", b"1"),
+            (b"content-length", b"3"),
+            (b"x-kept", b"yes"),
+        ]
+    )
+    assert (head.host, head.request_id) == ("shop.example", "a1")
+    assert head.remaining_ms == 900
+    assert head.passed_on == (
+        b"host: Shop.Example:80\r\neelgrassmount-attempt-id: a1\r\nx-kept: yes\r\n"
+    )
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"soon", b"1.5"])
+def test_unreadable_time_left_counts_as_none(value):
+    head = headers.read_request([(b"eelgrassmount-deadline-ms", value)])
+    assert head.remaining_ms is None
+
+
+def test_request_to_the_server():
+    data = headers.write_request(
+        "POST", "/p", b"host: x\r\n", b"body", 250, "desk", "i1"
+    )
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert body == b"body"
+    assert head.split(b"\r\n") == [
+        b"POST /p HTTP/1.1",
+        b"host: x",
+        b"content-length: 4",
+        b"eelgrassmount-deadline-ms: 250",
+        b"eelgrassmount-caller-service: desk",
+        b"eelgrassmount-expect-instance: i1",
+    ]
+
+
+def test_answer_head_is_read():
+    head = headers.read_answer(
+        [
+            (b"eelgrassmount-response-signature", b"s"),
+            (b"eelgrassmount-attempt-id", b"a1"),
+            (b"keep-alive", b"timeout=10, max=5"),
+            (b"connection", b"keep-alive"),
+            (b"content-type", b"text/plain"),
+        ]
+    )
+    assert head.signed
+    assert not head.not_run
+    assert head.idle_limit_s == 10.0
+    assert b"connection" not in head.passed_on
+    assert b"eelgrassmount-response-signature: s\r\n" in head.passed_on
+    assert b"content-type: text/plain\r\n" in head.passed_on
+
+
+def test_refusal_says_when_to_come_back():
+    assert headers.write_refusal("a1", 0.25) == (
+        b"eelgrassmount-attempt-id: a1\r\nretry-after: 0.250\r\n"
+    )
+    assert headers.write_refusal("", 0.0) == b""
--- /dev/null
+++ b/tests/relay/deployment.py
@@ -0,0 +1,200 @@
+"""A small deployment on loopback: log, servers and nodes in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from attrs import define, field
+
+from eelgrassmount.compose.relay import RelayNode, build_relay, start_relay
+from eelgrassmount.http1.client import Break, ClientAnswer, ClientConnection
+from eelgrassmount.relay.settings import RelaySettings
+from eelgrassmount.util.addresses import Address
+from standins.platform_log import PlatformLog
+from standins.platform_server import PlatformServer
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+LOG = Address("127.77.0.1", 8309)
+HOST = "shop.example"
+WAIT_S = 5.0
+
+
+def make_rule(prefix: str, service: str, **changes: Any) -> dict[str, Any]:
+    rule = {
+        "name": f"r-{service}",
+        "kind": "idempotent",
+        "targetLatencyMs": 300,
+        "priority": 1,
+        "match": {"pathPrefix": prefix},
+        "action": {"service": service, "timeoutMs": 1000, "maxAttempts": 2},
+    }
+    action = changes.pop("action", {})
+    rule["action"].update(action)
+    return {**rule, **changes}
+
+
+def make_document(version: int, *rules: dict[str, Any]) -> bytes:
+    services = sorted({rule["action"]["service"] for rule in rules})
+    return json.dumps(
+        {
+            "version": f"r{version}",
+            "limits": {},
+            "listeners": [{"host": HOST, "routeRules": list(rules)}],
+            "clusters": [{"name": name, "healthPath": "/h"} for name in services],
+        }
+    ).encode()
+
+
+@define(eq=False)
+class Vm:
+    """A node and the server beside it."""
+
+    node: RelayNode
+    server: PlatformServer
+    settings: RelaySettings
+    sequence: int = 0
+
+    async def announce(self, draining: bool = False) -> ClientAnswer | Break:
+        """Send a heartbeat of the server."""
+        self.sequence += 1
+        body = {
+            "address": str(self.settings.server_address),
+            "info": {
+                "service": self.settings.service,
+                "version": "v1",
+                "zone": "a",
+                "slots": 8,
+            },
+            "status": {
+                "state": "draining" if draining else "ready",
+                "sequence": self.sequence,
+                "coldRemainingMs": 0,
+            },
+        }
+        target = f"/instances/{self.server.incarnation}/heartbeat"
+        address = self.settings.announce_address
+        return await request(address, "POST", target, json.dumps(body).encode())
+
+
+@define(eq=False)
+class Deployment:
+    """A log, and VMs that are added one by one."""
+
+    group: TaskGroup
+    log: PlatformLog = field(factory=PlatformLog)
+    vms: list[Vm] = field(factory=list)
+
+    async def start(self, *rules: dict[str, Any]) -> None:
+        """Start the log with a first configuration."""
+        await self.log.start(LOG.host, LOG.port)
+        if rules:
+            self.configure(1, *rules)
+
+    async def end(self) -> None:
+        """Drop everything."""
+        for vm in self.vms:
+            vm.node.end()
+            vm.server.listener.end()
+        self.log.listener.end()
+        await anyio.sleep(0.01)
+
+    def configure(self, version: int, *rules: dict[str, Any]) -> None:
+        """Publish a configuration."""
+        self.log.put("keyed.op", "config", make_document(version, *rules))
+
+    async def add(self, service: str, domain: str = "a", **changes: Any) -> Vm:
+        """Start a VM and let its server announce itself."""
+        host = f"127.77.1.{len(self.vms) + 1}"
+        values = {
+            "name": f"node-{len(self.vms) + 1}",
+            "failure_domain": domain,
+            "service": service,
+            "caller_address": Address(host, 8304),
+            "peer_address": Address(host, 7620),
+            "ready_address": Address(host, 8302),
+            "announce_address": Address(host, 8306),
+            "server_address": Address(host, 8301),
+            "log_address": LOG,
+        }
+        settings = RelaySettings(**{**values, **changes})
+        server = PlatformServer(f"i-{len(self.vms) + 1}")
+        await server.start(host, 8301)
+        node = build_relay(settings)
+        await start_relay(node, self.group)
+        vm = Vm(node, server, settings)
+        self.vms.append(vm)
+        await vm.announce()
+        return vm
+
+    async def settle(self) -> None:
+        """Wait until all nodes know each other and the configuration."""
+        with anyio.fail_after(WAIT_S):
+            while not all(self._is_settled(vm) for vm in self.vms):
+                await anyio.sleep(0.02)
+
+    def _is_settled(self, vm: Vm) -> bool:
+        beliefs = vm.node.beliefs
+        wanted = {
+            target.service
+            for route in beliefs.table.routes.values()
+            for target in route.targets
+        }
+        linked = all(
+            member.is_connected()
+            for member in beliefs.members.by_name.values()
+            if member.name != beliefs.name and member.service in wanted
+        )
+        known = len(beliefs.members.by_name) == len(self.vms)
+        return vm.node.is_ready() and known and linked
+
+
+async def connect(address: Address) -> ClientConnection:
+    """Open a connection."""
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(
+        lambda: ClientConnection(lambda _: None, lambda _: None),
+        address.host,
+        address.port,
+    )
+    return connection
+
+
+async def send(connection: ClientConnection, data: bytes) -> ClientAnswer | Break:
+    """Send a request and return what became of it."""
+    future = asyncio.get_running_loop().create_future()
+    connection.send(data, future.set_result)
+    with anyio.fail_after(WAIT_S):
+        return await future
+
+
+def make_request(
+    method: str, target: str, body: bytes = b"", request_id: str = "a1", **names: str
+) -> bytes:
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        f"host: {HOST}",
+        f"eelgrassmount-attempt-id: {request_id}",
+        f"content-length: {len(body)}",
+    ]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in names.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def request(
+    address: Address, method: str, target: str, body: bytes = b"", **names: str
+) -> ClientAnswer | Break:
+    """Send one request over a new connection."""
+    connection = await connect(address)
+    answer = await send(connection, make_request(method, target, body, **names))
+    connection.close()
+    return answer
+
+
+async def ask(vm: Vm, target: str, method: str = "GET", **names: str) -> ClientAnswer:
+    """Send one request as a client of a VM does."""
+    return await request(vm.settings.caller_address, method, target, **names)
--- /dev/null
+++ b/tests/relay/test_deployment.py
@@ -0,0 +1,322 @@
+"""Whole requests through nodes, links and servers, with faults from outside."""
+
+from __future__ import annotations
+
+import asyncio
+
+import anyio
+import pytest
+
+from eelgrassmount.http1.client import Break
+from standins.platform_log import Trouble
+from tests.relay.deployment import (
+    Deployment,
+    ask,
+    connect,
+    make_request,
+    make_rule,
+    request,
+    send,
+)
+
+LIST = make_rule("/list/", "list")
+BOOK = make_rule("/book/", "list", kind="non_idempotent")
+
+
+def run(scenario, *rules) -> None:
+    """Run a scenario on a deployment that begins with these rules."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            deployment = Deployment(group)
+            await deployment.start(*rules)
+            try:
+                with anyio.fail_after(20):
+                    await scenario(deployment)
+            finally:
+                await deployment.end()
+                group.cancel_scope.cancel()
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+def test_request_goes_to_the_node_beside_a_server_and_its_answer_back():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        answer = await ask(front, "/list/1", eelgrassmount_deadline_ms="700")
+        assert answer.status == 200
+        names = dict(answer.headers)
+        assert names[b"eelgrassmount-response-signature"] == b"signed"
+        assert back.server.runs == ["a1"]
+        seen = back.server.seen[0]
+        assert seen[b"eelgrassmount-caller-service"] == b"front"
+        assert 600 < int(seen[b"eelgrassmount-deadline-ms"]) <= 700
+        assert seen[b"eelgrassmount-expect-instance"] == b"i-2"
+
+    run(scenario, LIST)
+
+
+def test_unknown_route_and_no_configuration_are_told_apart():
+    async def scenario(deployment: Deployment) -> None:
+        vm = await deployment.add("list")
+        answer = await ask(vm, "/list/1")
+        assert answer.status == 503
+        assert b"retry-after" in dict(answer.headers)
+        ready = await request(vm.settings.ready_address, "GET", "/ready")
+        assert ready.status == 503
+        deployment.configure(4, LIST)
+        await deployment.settle()
+        assert (await ask(vm, "/list/1")).status == 200
+        assert (await ask(vm, "/other/")).status == 404
+        ready = await request(vm.settings.ready_address, "GET", "/ready")
+        assert ready.status == 200
+
+    run(scenario)
+
+
+def test_configuration_never_goes_back():
+    async def scenario(deployment: Deployment) -> None:
+        vm = await deployment.add("list")
+        await deployment.settle()
+        deployment.configure(5, BOOK)
+        with anyio.fail_after(2):
+            while vm.node.beliefs.table.version != 5:
+                await anyio.sleep(0.01)
+        deployment.configure(3, LIST)
+        await anyio.sleep(0.5)
+        assert vm.node.beliefs.table.version == 5
+
+    run(scenario, LIST)
+
+
+def test_other_nodes_hand_on_what_the_log_withholds():
+    async def scenario(deployment: Deployment) -> None:
+        first = await deployment.add("list")
+        await deployment.add("front")
+        await deployment.settle()
+        deployment.log.trouble = Trouble.TURNED_AWAY
+        first.node.apply_document(
+            deployment.log.find("keyed.op").records[0][1].replace(b'"r1"', b'"r7"')
+        )
+        other = deployment.vms[1]
+        with anyio.fail_after(3):
+            while other.node.beliefs.table.version != 7:
+                await anyio.sleep(0.01)
+
+    run(scenario, LIST)
+
+
+@pytest.mark.parametrize("trouble", [Trouble.TURNED_AWAY, Trouble.RESET])
+def test_requests_go_on_while_the_log_is_away(trouble):
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        await deployment.add("list")
+        await deployment.settle()
+        deployment.log.trouble = trouble
+        for _ in range(5):
+            assert (await ask(front, "/list/1")).status == 200
+        deployment.log.trouble = Trouble.NONE
+        deployment.configure(2, LIST, BOOK)
+        with anyio.fail_after(4):
+            while front.node.beliefs.table.version != 2:
+                await anyio.sleep(0.01)
+
+    run(scenario, LIST)
+
+
+def test_forgotten_history_is_read_anew():
+    async def scenario(deployment: Deployment) -> None:
+        vm = await deployment.add("list")
+        await deployment.settle()
+        deployment.log.trouble = Trouble.RESET
+        deployment.configure(2, LIST, BOOK)
+        await anyio.sleep(0.2)
+        deployment.log.forget_history("keyed.op")
+        deployment.log.trouble = Trouble.NONE
+        with anyio.fail_after(4):
+            while vm.node.beliefs.table.version != 2:
+                await anyio.sleep(0.01)
+
+    run(scenario, LIST)
+
+
+def test_draining_server_gets_nothing_after_its_heartbeat_is_acknowledged():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        leaving = await deployment.add("list")
+        staying = await deployment.add("list")
+        await deployment.settle()
+        assert (await leaving.announce(draining=True)).status == 200
+        before = len(leaving.server.runs)
+        for _ in range(10):
+            assert (await ask(front, "/list/1")).status == 200
+        assert len(leaving.server.runs) == before
+        assert len(staying.server.runs) >= 10
+
+    run(scenario, LIST)
+
+
+def test_failed_idempotent_request_is_repeated_elsewhere():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        servers = [await deployment.add("list"), await deployment.add("list")]
+        await deployment.settle()
+        servers[0].server.answer = lambda exchange: exchange.respond(500)
+        answers = [await ask(front, "/list/1") for _ in range(4)]
+        assert {answer.status for answer in answers} == {200}
+
+    run(scenario, LIST)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        lambda exchange: exchange.respond(200, b"", b"unsigned"),
+        lambda exchange: exchange.connection.transport.abort(),
+        lambda exchange: exchange.connection.transport.write(b"junk\r\n\r\n"),
+    ],
+)
+def test_work_that_may_have_run_is_not_repeated(answer):
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        servers = [await deployment.add("list"), await deployment.add("list")]
+        await deployment.settle()
+        for vm in servers:
+            vm.server.answer = answer
+        outcome = await ask(front, "/book/1", "POST")
+        assert outcome.status == 502
+        assert sum(len(vm.server.runs) for vm in servers) == 1
+
+    run(scenario, BOOK)
+
+
+def test_request_is_answered_at_its_time_out():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        back.server.work_s = 5.0
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        answer = await ask(front, "/list/1")
+        assert answer.status == 504
+        assert 0.95 < loop.time() - started_s < 1.4
+
+    run(scenario, LIST)
+
+
+def test_request_of_a_client_that_left_is_cut_at_the_server():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        back.server.work_s = 5.0
+        connection = await connect(front.settings.caller_address)
+        connection.send(make_request("GET", "/list/1"), lambda outcome: None)
+        with anyio.fail_after(2):
+            while not back.server.runs:
+                await anyio.sleep(0.01)
+        connection.close()
+        with anyio.fail_after(0.5):
+            while back.node.gate.in_flight:
+                await anyio.sleep(0.01)
+
+    run(scenario, LIST)
+
+
+def test_pipelined_answers_come_in_order():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        waits = iter([0.2, 0.0])
+
+        async def answer_later(exchange) -> None:
+            await anyio.sleep(next(waits))
+            head = b"eelgrassmount-response-signature: s\r\n"
+            exchange.respond(200, head, exchange.target.encode())
+
+        tasks = []
+        back.server.answer = lambda exchange: tasks.append(
+            asyncio.ensure_future(answer_later(exchange))
+        )
+        reader, writer = await asyncio.open_connection(
+            front.settings.caller_address.host, front.settings.caller_address.port
+        )
+        writer.write(make_request("GET", "/list/1", request_id="a"))
+        writer.write(make_request("GET", "/list/2", request_id="b"))
+        received = b""
+        with anyio.fail_after(3):
+            while b"/list/2" not in received:
+                received += await reader.read(4096)
+        assert received.index(b"/list/1") < received.index(b"/list/2")
+        writer.close()
+
+    run(scenario, LIST)
+
+
+def test_wrong_incarnation_runs_nothing_and_is_corrected():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        back.server.incarnation = "i-new"
+        answer = await ask(front, "/book/1", "POST")
+        assert answer.status == 503
+        assert back.server.runs == []
+        with anyio.fail_after(3):
+            while (await ask(front, "/book/1", "POST")).status != 200:
+                await anyio.sleep(0.05)
+
+    run(scenario, BOOK)
+
+
+def test_call_that_must_not_run_twice_survives_a_broken_link():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        back.server.work_s = 0.4
+        connection = await connect(front.settings.caller_address)
+        data = make_request("POST", "/book/1")
+        async with anyio.create_task_group() as group:
+
+            async def break_link() -> None:
+                with anyio.fail_after(2):
+                    while not back.server.runs:
+                        await anyio.sleep(0.01)
+                for link in list(back.node.inbound.connections):
+                    link.abort()
+
+            group.start_soon(break_link)
+            answer = await send(connection, data)
+        assert answer.status == 200
+        assert back.server.runs == ["a1"]
+
+    run(scenario, BOOK)
+
+
+def test_stopping_node_answers_what_it_has_taken():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        back.server.work_s = 0.3
+        connection = await connect(front.settings.caller_address)
+        future = asyncio.get_running_loop().create_future()
+        connection.send(make_request("GET", "/list/1"), future.set_result)
+        with anyio.fail_after(2):
+            while not back.server.runs:
+                await anyio.sleep(0.01)
+        front.node.beliefs.stopping = True
+        front.node.callers.ending = True
+        ready = await request(front.settings.ready_address, "GET", "/ready")
+        assert ready.status == 503
+        answer = await asyncio.wait_for(future, 3)
+        assert not isinstance(answer, Break)
+        assert answer.status == 200
+        assert dict(answer.headers)[b"connection"] == b"close"
+
+    run(scenario, LIST)
--- /dev/null
+++ b/tests/relay/test_gate.py
@@ -0,0 +1,228 @@
+"""The gate with a pool that answers when told to."""
+
+from __future__ import annotations
+
+import pytest
+
+from eelgrassmount.http1.client import Break, ClientAnswer
+from eelgrassmount.platform.headers import DIALECT
+from eelgrassmount.relay.gate import INNER_RANK, Gate, Job
+from eelgrassmount.relay.heartbeats import Heartbeat
+from eelgrassmount.relay.messages import Fate, Reply
+from eelgrassmount.relay.server import LocalServer
+from eelgrassmount.retry.quarantine import Quarantine
+from eelgrassmount.util.addresses import Address
+from eelgrassmount.verdict import Reason
+from tests.relay.samples import make_call, make_route
+
+SIGNED = [(b"eelgrassmount-response-signature", b"s")]
+
+
+class FakeSending:
+    def __init__(self, pool, done):
+        self.pool = pool
+        self.done = done
+
+    def cancel(self):
+        self.end(Break.CANCELLED)
+
+    def end(self, outcome):
+        self.pool.open.remove(self)
+        self.done(outcome)
+
+
+class FakePool:
+    def __init__(self):
+        self.open: list[FakeSending] = []
+        self.sent: list[bytes] = []
+        self.fresh: list[bool] = []
+
+    def send(self, address, data, fresh, accepts, done):
+        sending = FakeSending(self, done)
+        self.open.append(sending)
+        self.sent.append(data)
+        self.fresh.append(fresh)
+        return sending
+
+
+class Setup:
+    def __init__(self, slots: int = 2):
+        self.now_s = 100.0
+        self.server = LocalServer("list", Address("127.0.0.1", 80))
+        self.server.note_heartbeat(Heartbeat("i1", service="list", slots=slots))
+        self.pool = FakePool()
+        self.crashes: list[list[Job]] = []
+        self.gate = Gate(
+            self.server,
+            self.pool,
+            DIALECT,
+            Quarantine(),
+            lambda: self.now_s,
+            on_crash=self.crashes.append,
+        )
+        self.replies: list[Reply] = []
+
+    def offer(self, call=None, **changes) -> Job:
+        call = call or make_call(now_s=self.now_s, **changes)
+        job = Job(call, self.replies.append)
+        self.gate.offer(job)
+        return job
+
+    def answer(self, status=200, headers=SIGNED, index=0):
+        self.pool.open[index].end(ClientAnswer(status, headers, b"body"))
+
+
+@pytest.fixture
+def setup() -> Setup:
+    return Setup()
+
+
+def test_answer_goes_back_whole(setup):
+    setup.offer()
+    setup.answer()
+    (reply,) = setup.replies
+    assert (reply.fate, reply.status, reply.body) == (Fate.ANSWERED, 200, b"body")
+    assert reply.head == b"eelgrassmount-response-signature: s\r\n"
+
+
+def test_request_names_incarnation_caller_and_time_left(setup):
+    setup.offer()
+    sent = setup.pool.sent[0]
+    assert b"eelgrassmount-expect-instance: i1\r\n" in sent
+    assert b"eelgrassmount-caller-service: front\r\n" in sent
+    assert b"eelgrassmount-deadline-ms: 2000\r\n" in sent
+
+
+def test_time_in_the_queue_is_taken_off_the_time_left():
+    setup = Setup(slots=1)
+    setup.offer()
+    setup.offer(rank=INNER_RANK)
+    setup.now_s += 0.5
+    setup.answer()
+    assert b"eelgrassmount-deadline-ms: 1500\r\n" in setup.pool.sent[1]
+
+
+def test_no_more_runs_than_slots_and_the_urgent_go_first():
+    setup = Setup(slots=1)
+    setup.offer(request_id="first")
+    setup.offer(request_id="late", rank=2)
+    setup.offer(request_id="soon", rank=0)
+    setup.offer(request_id="inner", rank=INNER_RANK)
+    for _ in range(4):
+        assert len(setup.pool.open) == 1
+        setup.answer()
+    order = [data.split(b"\r\n")[0] for data in setup.pool.sent]
+    assert len(order) == 4
+    assert setup.gate.queued == 0
+    assert setup.gate.in_flight == 0
+
+
+def test_call_that_would_wait_too_long_is_refused_at_once():
+    setup = Setup(slots=1)
+    setup.gate.mean_run_s = 1.0
+    setup.offer()
+    setup.offer()
+    assert setup.replies[0].fate is Fate.NOT_RUN
+    assert setup.replies[0].reason is Reason.OVERLOAD
+
+
+def test_draining_server_gets_nothing_new_but_what_waits_still_runs():
+    setup = Setup(slots=1)
+    setup.offer()
+    setup.offer()
+    setup.server.note_heartbeat(
+        Heartbeat("i1", service="list", slots=1, sequence=2, draining=True)
+    )
+    setup.offer()
+    assert setup.replies[0].reason is Reason.DRAINING
+    setup.answer()
+    assert len(setup.pool.open) == 1
+
+
+def test_other_service_is_refused(setup):
+    setup.offer(service="elsewhere")
+    assert setup.replies[0].fate is Fate.NOT_RUN
+    assert setup.pool.sent == []
+
+
+@pytest.mark.parametrize(
+    ("outcome", "fate"),
+    [
+        (Break.REFUSED, Fate.NOT_RUN),
+        (Break.CLOSED, Fate.MAY_HAVE_RUN),
+        (Break.TRUNCATED, Fate.MAY_HAVE_RUN),
+        (Break.MALFORMED, Fate.MAY_HAVE_RUN),
+        (ClientAnswer(200, [], b"x"), Fate.MAY_HAVE_RUN),
+        (ClientAnswer(421, [], b""), Fate.NOT_RUN),
+        (
+            ClientAnswer(503, [(b"eelgrassmount-not-executed", b"1")], b""),
+            Fate.NOT_RUN,
+        ),
+        (ClientAnswer(503, [], b""), Fate.ANSWERED),
+        (ClientAnswer(500, SIGNED, b""), Fate.ANSWERED),
+    ],
+)
+def test_not_run_is_said_only_when_it_is_certain(setup, outcome, fate):
+    setup.offer()
+    setup.pool.open[0].end(outcome)
+    assert setup.replies[0].fate is fate
+
+
+def test_wrong_incarnation_is_replaced_by_the_one_that_answered(setup):
+    setup.offer()
+    setup.answer(421, [(b"eelgrassmount-instance-id", b"i2")])
+    setup.offer()
+    assert b"eelgrassmount-expect-instance: i2\r\n" in setup.pool.sent[1]
+
+
+def test_work_that_must_not_run_twice_asks_for_a_fresh_connection(setup):
+    setup.offer(make_call(make_route(idempotent=False)))
+    assert setup.pool.fresh == [True]
+
+
+def test_cancelled_idempotent_call_is_cut_and_the_other_runs_on(setup):
+    job = setup.offer()
+    other = setup.offer(make_call(make_route(idempotent=False)))
+    setup.gate.cancel(job)
+    setup.gate.cancel(other)
+    assert len(setup.pool.open) == 1
+    assert setup.gate.in_flight == 1
+
+
+def test_cancelled_call_in_the_queue_never_runs():
+    setup = Setup(slots=1)
+    setup.offer()
+    job = setup.offer()
+    setup.gate.cancel(job)
+    setup.answer()
+    assert len(setup.pool.sent) == 1
+    assert setup.gate.queued == 0
+
+
+def test_server_that_never_answers_is_given_up_after_the_deadline(setup):
+    setup.offer()
+    setup.now_s += 2.2
+    setup.gate.sweep()
+    assert setup.replies == []
+    setup.now_s += 0.2
+    setup.gate.sweep()
+    assert setup.replies[0].reason is Reason.DEADLINE
+    assert setup.gate.in_flight == 0
+
+
+def test_crash_is_told_once_the_server_refuses_connections(setup):
+    first = setup.offer(request_id="a")
+    setup.pool.open[0].end(Break.CLOSED)
+    assert setup.crashes == []
+    setup.offer(request_id="b")
+    setup.pool.open[0].end(Break.REFUSED)
+    assert setup.crashes == [[first]]
+
+
+def test_load_is_the_mean_over_time(setup):
+    setup.gate.take_load()
+    setup.now_s += 1.0
+    setup.offer()
+    setup.offer()
+    setup.now_s += 1.0
+    assert setup.gate.take_load() == pytest.approx(1.0)
--- /dev/null
+++ b/tests/relay/test_routing.py
@@ -0,0 +1,98 @@
+"""Choosing the node for a call."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from eelgrassmount.relay.members import MemberTable
+from eelgrassmount.relay.routing import Router
+from tests.relay.samples import make_route
+
+ROUTE = make_route(objective_s=0.2)
+
+
+class Setup:
+    def __init__(self):
+        self.now_s = 100.0
+        self.members = MemberTable("own")
+        self.router = Router(self.members, "near", lambda: self.now_s, random.Random(3))
+
+    def add(self, name: str, domain: str = "near", run_s: float = 0.05, **load):
+        member = self.members.put(name, f"{name}:1", domain, "list")
+        member.load.limit = 10
+        member.load.reported_s = self.now_s
+        member.load.run_s = {ROUTE.name: run_s}
+        for key, value in load.items():
+            setattr(member.load, key, value)
+        return member
+
+    def count(self, times: int = 99) -> Counter:
+        names = Counter()
+        for _ in range(times):
+            member = self.router.choose("list", ROUTE, ())
+            self.now_s += 0.001
+            member.used_s = self.now_s
+            names[member.name] += 1
+        return names
+
+
+@pytest.fixture
+def setup() -> Setup:
+    return Setup()
+
+
+def test_own_failure_domain_goes_first(setup):
+    setup.add("a")
+    setup.add("b", "far")
+    assert setup.count()["a"] == 99
+
+
+def test_full_server_gives_way_to_another_failure_domain(setup):
+    setup.add("a", in_flight=10, queued=10)
+    setup.add("b", "far")
+    assert setup.count()["b"] == 99
+
+
+def test_slow_server_gives_way(setup):
+    setup.add("a", run_s=0.2)
+    setup.add("b", "far", run_s=0.05)
+    assert setup.count()["b"] == 99
+
+
+def test_failing_server_gives_way(setup):
+    setup.add("a", failure_share=0.5)
+    setup.add("b", "far")
+    assert setup.count()["b"] == 99
+
+
+def test_calls_since_the_last_report_count_as_load(setup):
+    first = setup.add("a", in_flight=9)
+    setup.add("b", in_flight=9)
+    first.sent_since = 20
+    assert setup.count()["b"] == 99
+
+
+def test_server_that_takes_nothing_is_left_out(setup):
+    setup.add("a", accepting=False)
+    assert setup.router.choose("list", ROUTE, ()) is None
+    # what was reported long ago is no longer believed
+    setup.now_s += 10
+    assert setup.router.choose("list", ROUTE, ()).name == "a"
+
+
+def test_excluded_and_unreachable_nodes_are_left_out(setup):
+    setup.add("a")
+    lost = setup.add("b")
+    lost.note_unreachable(setup.now_s)
+    assert setup.router.choose("list", ROUTE, {"a"}) is None
+    lost.note_reachable()
+    assert setup.router.choose("list", ROUTE, {"a"}) is lost
+
+
+def test_unused_node_is_tried_now_and_then(setup):
+    setup.add("a")
+    setup.add("b", "far")
+    assert setup.count(1000)["b"] > 0
