--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -298,6 +298,12 @@
   3: double calls_per_run
 }
 
+// How often a route is asked for on one VM, by clients and server together.
+struct RouteRate {
+  1: string route_name
+  2: double calls_per_s
+}
+
 // What a node tells the nodes that send it calls. ``level`` is the part of the
 // ranks that may still be admitted, in thousandths.
 struct RelayReport {
@@ -310,6 +316,7 @@
   7: list<RouteTime> times
   8: list<RouteCalls> calls
   9: i32 failures_ppm
+  10: list<RouteRate> rates
 }
 
 struct RelaySuspects {
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -216,7 +216,8 @@
         DIALECT,
         quarantine,
         clock,
-        on_run=lambda route_name: beliefs.counts.note_run(route_name),
+        on_begin=beliefs.learner.begin,
+        on_end=beliefs.learner.end,
         on_crash=lambda jobs: news.note_crash(jobs),
         on_change=lambda: controllers.report_now(),
     )
@@ -273,7 +274,7 @@
         clock,
         rng,
         graph.is_called,
-        lambda route_name: beliefs.counts.note_call(route_name),
+        beliefs.note_call,
     )
     node = RelayNode(
         settings,
@@ -368,7 +369,7 @@
     timers.subscribe(LINK_PERIOD_S, node.controllers.watch_links)
     timers.subscribe(STEP_S, node.controllers.step)
     timers.subscribe(STEP_S, node.gate.sweep)
-    timers.subscribe(INTERVAL_S, node.controllers.learn)
+    timers.subscribe(INTERVAL_S, node.controllers.count_calls)
     timers.subscribe(VECTOR_PERIOD_S, node.controllers.apply_vectors)
     timers.subscribe(SWEEP_PERIOD_S, node.callers.sweep)
     timers.subscribe(SWEEP_PERIOD_S, node.gate.pool.sweep)
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -3322,6 +3322,74 @@
         return not (self == other)
 
 
+class RouteRate(object):
+    """
+    Attributes:
+     - route_name
+     - calls_per_s
+
+    """
+
+
+    def __init__(self, route_name=None, calls_per_s=None,):
+        self.route_name = route_name
+        self.calls_per_s = calls_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.calls_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteRate')
+        if self.route_name is not None:
+            oprot.writeFieldBegin('route_name', TType.STRING, 1)
+            oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
+            oprot.writeFieldEnd()
+        if self.calls_per_s is not None:
+            oprot.writeFieldBegin('calls_per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.calls_per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RelayReport(object):
     """
     Attributes:
@@ -3334,11 +3402,12 @@
      - times
      - calls
      - failures_ppm
+     - rates
 
     """
 
 
-    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, level=None, config_version=None, times=None, calls=None, failures_ppm=None,):
+    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, level=None, config_version=None, times=None, calls=None, failures_ppm=None, rates=None,):
         self.accepting = accepting
         self.in_flight = in_flight
         self.queued = queued
@@ -3348,6 +3417,7 @@
         self.times = times
         self.calls = calls
         self.failures_ppm = failures_ppm
+        self.rates = rates
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3415,6 +3485,17 @@
                     self.failures_ppm = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.rates = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = RouteRate()
+                        _elem117.read(iprot)
+                        self.rates.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3452,21 +3533,28 @@
         if self.times is not None:
             oprot.writeFieldBegin('times', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.times))
-            for iter112 in self.times:
-                iter112.write(oprot)
+            for iter118 in self.times:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter113 in self.calls:
-                iter113.write(oprot)
+            for iter119 in self.calls:
+                iter119.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failures_ppm is not None:
             oprot.writeFieldBegin('failures_ppm', TType.I32, 9)
             oprot.writeI32(self.failures_ppm)
             oprot.writeFieldEnd()
+        if self.rates is not None:
+            oprot.writeFieldBegin('rates', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.rates))
+            for iter120 in self.rates:
+                iter120.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3515,10 +3603,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype117, _size114) = iprot.readListBegin()
-                    for _i118 in range(_size114):
-                        _elem119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digests.append(_elem119)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digests.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3539,8 +3627,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter120 in self.digests:
-                oprot.writeString(iter120.encode('utf-8') if sys.version_info[0] == 2 else iter120)
+            for iter127 in self.digests:
+                oprot.writeString(iter127.encode('utf-8') if sys.version_info[0] == 2 else iter127)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4050,6 +4138,12 @@
     (2, TType.STRING, 'called_route', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'calls_per_run', None, None, ),  # 3
 )
+all_structs.append(RouteRate)
+RouteRate.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'calls_per_s', None, None, ),  # 2
+)
 all_structs.append(RelayReport)
 RelayReport.thrift_spec = (
     None,  # 0
@@ -4062,6 +4156,7 @@
     (7, TType.LIST, 'times', (TType.STRUCT, [RouteTime, None], False), None, ),  # 7
     (8, TType.LIST, 'calls', (TType.STRUCT, [RouteCalls, None], False), None, ),  # 8
     (9, TType.I32, 'failures_ppm', None, None, ),  # 9
+    (10, TType.LIST, 'rates', (TType.STRUCT, [RouteRate, None], False), None, ),  # 10
 )
 all_structs.append(RelaySuspects)
 RelaySuspects.thrift_spec = (
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -12,10 +12,10 @@
 
     from eelgrassmount.relay.routes import Route, RouteTable
 
-# part of the limit up to which a server is filled: the queue stays short there
+# a gate whose slots are in use up to this part leaves the level as it is
 TARGET_USE = 0.92
 # the level goes down by at most this factor at each step, and up by that one
-MAX_CUT = 0.8
+MAX_CUT = 0.85
 MAX_RISE = 1.08
 MIN_LEVEL = 0.02
 STEP_S = 0.2
@@ -27,16 +27,21 @@
 class LevelControl:
     """The level of a gate: the part of the ranks that may still be admitted.
 
-    Each step compares the running and queued calls with the limit and scales the
-    level so that use comes back to its target.
+    Each step compares the wait at the gate with the wait that is allowed there, not
+    the length of the queue: servers differ threefold in speed, and calls go to the
+    fast ones until their queue takes as long as the slow ones' runs.
     """
 
     level: float = 1.0
 
-    def update(self, load: float, limit: int) -> float:
-        """Take up the mean load of a step and return the new level."""
-        use = load / max(1, limit)
-        factor = MAX_RISE if use <= 0 else min(MAX_RISE, max(MAX_CUT, TARGET_USE / use))
+    def update(self, use: float, wait_s: float, allowed_s: float) -> float:
+        """Take up the mean use of the slots and the wait; return the new level."""
+        if wait_s > allowed_s:
+            factor = max(MAX_CUT, allowed_s / wait_s)
+        elif use > TARGET_USE:
+            factor = 1.0
+        else:
+            factor = min(MAX_RISE, TARGET_USE / max(use, MIN_LEVEL))
         self.level = min(1.0, max(MIN_LEVEL, self.level * factor))
         return self.level
 
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -21,12 +21,17 @@
     from eelgrassmount.relay.server import LocalServer
     from eelgrassmount.retry.quarantine import Quarantine
 
-# rank of calls made by running servers: they go first, since to refuse one wastes
-# the whole request that it belongs to
+# rank of calls made by running servers: they are refused last, since to refuse one
+# wastes the whole request that it belongs to
 INNER_RANK = -1
 # part of a route's objective that a call may be expected to wait at the gate
-WAIT_SHARE = 0.25
+WAIT_SHARE = 0.5
 INNER_WAIT_SHARE = 1.0
+# part of the tightest objective that the mean wait may take, and its bounds
+MEAN_WAIT_SHARE = 0.2
+MIN_MEAN_WAIT_S = 0.01
+MAX_MEAN_WAIT_S = 0.1
+MIN_SPAN_S = 0.01
 # a server that has less time than this left is not begun with
 MIN_REMAINING_S = 0.005
 # past its deadline, a call that has no answer is given up after so long
@@ -66,6 +71,7 @@
 
     run_s: float = DEFAULT_RUN_S
     runs: int = 0
+    objective_s: float = 0.0
 
     def add(self, seconds: float) -> None:
         """Take up the duration of a run."""
@@ -74,12 +80,20 @@
         self.run_s += weight * (seconds - self.run_s)
 
 
+@define
+class GateLoad:
+    """Mean load of a gate: the part of the slots in use, and the wait in seconds."""
+
+    use: float
+    wait_s: float
+
+
 @define(eq=False)
 class Gate:
     """Gives the server no more calls than it has slots and queues the others.
 
-    The queue is ordered by rank. A call that would wait too long is refused at
-    once, so that another server can have it.
+    The queue is ordered by the time at which each call is due. A call that would
+    wait too long is refused at once, so that another server can have it.
     """
 
     server: LocalServer
@@ -87,7 +101,8 @@
     dialect: Dialect
     quarantine: Quarantine
     clock: Callable[[], float]
-    on_run: Callable[[str], None] = lambda route_name: None
+    on_begin: Callable[[str], None] = lambda route_name: None
+    on_end: Callable[[str], None] = lambda route_name: None
     on_crash: Callable[[list[Job]], None] = lambda jobs: None
     on_change: Callable[[], None] = lambda: None
     in_flight: int = 0
@@ -96,9 +111,10 @@
     failure_share: float = 0.0
     routes: dict[str, RouteStats] = field(factory=dict)
     running: set[Job] = field(factory=set)
-    _queue: list[tuple[int, int, Job]] = field(factory=list)
+    _queue: list[tuple[float, int, Job]] = field(factory=list)
     _numbers: itertools.count[int] = field(factory=itertools.count)
-    _area: float = 0.0
+    _running_area: float = 0.0
+    _queued_area: float = 0.0
     _area_s: float = 0.0
     _since_s: float = 0.0
     _broken: list[tuple[float, Job]] = field(factory=list)
@@ -117,7 +133,9 @@
             self._refuse(job, Reason.OVERLOAD)
             return
         self._integrate(now_s)
-        heapq.heappush(self._queue, (job.call.rank, next(self._numbers), job))
+        # soonest due by its objective: what is tight is not kept behind what isn't
+        due_s = now_s + job.call.route.objective_s
+        heapq.heappush(self._queue, (due_s, next(self._numbers), job))
         self.queued += 1
 
     def cancel(self, job: Job) -> None:
@@ -141,18 +159,35 @@
                 job.sending.cancel()
         self._fill()
 
-    def take_load(self) -> float:
-        """Return the mean of running and queued jobs since the last question."""
+    def take_load(self) -> GateLoad:
+        """Return the mean load since the last question."""
         now_s = self.clock()
         self._integrate(now_s)
-        area = self._area
-        self._area = 0.0
-        span_s = now_s - self._since_s if self._since_s else 0.0
+        span_s = max(now_s - self._since_s, MIN_SPAN_S)
+        limit = self.server.compute_limit()
+        load = GateLoad(
+            use=self._running_area / span_s / limit,
+            wait_s=self._queued_area / span_s * self.mean_run_s / limit,
+        )
         self._since_s = now_s
-        return area / span_s if span_s > 0 else float(self.in_flight + self.queued)
+        self._running_area = 0.0
+        self._queued_area = 0.0
+        return load
+
+    def allow_mean_wait(self) -> float:
+        """Return the mean wait at which fewer requests should be admitted.
+
+        It follows the tightest objective among the routes that run here.
+        """
+        objectives = [stats.objective_s for stats in self.routes.values()]
+        tightest_s = min(objectives, default=MAX_MEAN_WAIT_S)
+        allowed_s = MEAN_WAIT_SHARE * tightest_s
+        return min(MAX_MEAN_WAIT_S, max(MIN_MEAN_WAIT_S, allowed_s))
 
     def _integrate(self, now_s: float) -> None:
-        self._area += (now_s - self._area_s) * (self.in_flight + self.queued)
+        span_s = now_s - self._area_s
+        self._running_area += span_s * self.in_flight
+        self._queued_area += span_s * self.queued
         self._area_s = now_s
 
     def _find_refusal(self, call: Call, now_s: float) -> Reason | None:
@@ -186,6 +221,7 @@
         self.running.add(job)
         job.started_s = now_s
         call = job.call
+        self.on_begin(call.route.name)
         data = self.dialect.write_request(
             call.method,
             call.target,
@@ -214,6 +250,7 @@
         self._integrate(now_s)
         self.in_flight -= 1
         self.running.discard(job)
+        self.on_end(job.call.route.name)
         job.ended = True
         reply = self._judge(job, outcome, now_s)
         self._learn(job, reply, now_s)
@@ -260,7 +297,6 @@
         failed = reply.fate is not Fate.ANSWERED or reply.status >= 500
         self.failure_share += SAMPLE_WEIGHT * (failed - self.failure_share)
         route_name = job.call.route.name
-        self.on_run(route_name)
         if failed and not job.overdue:
             return
         seconds = now_s - job.started_s
@@ -268,6 +304,7 @@
         stats = self.routes.get(route_name)
         if stats is None:
             stats = self.routes[route_name] = RouteStats()
+        stats.objective_s = job.call.route.objective_s
         stats.add(seconds)
 
     def _fill(self) -> None:
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -23,7 +23,8 @@
     """What a node reported of its backend server.
 
     ``run_s`` is the mean duration of the runs of each route; ``level`` the part
-    of the ranks, from 0 to 1, that its service still admits.
+    of the ranks, from 0 to 1, that its service still admits. ``rates`` says how
+    often each route is asked for on its VM, in calls a second.
     """
 
     accepting: bool = True
@@ -33,6 +34,7 @@
     level: float = 1.0
     failure_share: float = 0.0
     run_s: dict[str, float] = field(factory=dict)
+    rates: dict[str, float] = field(factory=dict)
     reported_s: float = 0.0
 
 
--- a/eelgrassmount/relay/node.py
+++ b/eelgrassmount/relay/node.py
@@ -13,7 +13,12 @@
 from eelgrassmount.relay.link import PeerLink
 from eelgrassmount.relay.members import REPORT_LIMIT_S, Member
 from eelgrassmount.relay.routes import Route, RouteTable, Target
-from eelgrassmount.relay.vectors import VectorLearner
+from eelgrassmount.relay.vectors import (
+    INTERVAL_S,
+    VectorLearner,
+    find_inner_routes,
+    update_rates,
+)
 from eelgrassmount.retry.quarantine import QUARANTINE_S, Suspect
 
 if TYPE_CHECKING:
@@ -41,22 +46,6 @@
 UNKNOWN_ROUTE_S = 5.0
 
 
-@define(eq=False)
-class Counts:
-    """Runs ended and calls taken since the last look, by route."""
-
-    runs: dict[str, int] = field(factory=dict)
-    calls: dict[str, int] = field(factory=dict)
-
-    def note_run(self, route_name: str) -> None:
-        """Count a run of the server."""
-        self.runs[route_name] = self.runs.get(route_name, 0) + 1
-
-    def note_call(self, route_name: str) -> None:
-        """Count a request that was sent from this VM."""
-        self.calls[route_name] = self.calls.get(route_name, 0) + 1
-
-
 @define(eq=False)
 class Beliefs:
     """The state that the parts of a node share.
@@ -74,14 +63,24 @@
     rng: random.Random
     table: RouteTable = field(factory=RouteTable)
     document: bytes = b""
-    counts: Counts = field(factory=Counts)
-    learner: VectorLearner = field(factory=VectorLearner)
+    learner: VectorLearner = field(init=False)
+    called: dict[str, int] = field(factory=dict)
     level: LevelControl = field(factory=LevelControl)
     levels: dict[str, float] = field(factory=dict)
+    rates: dict[str, float] = field(factory=dict)
     own_vectors: dict[str, dict[str, float]] = field(factory=dict)
     stopping: bool = False
     _unknown_routes: dict[str, Route] = field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Begin to learn."""
+        self.learner = VectorLearner(self.clock)
+
+    def note_call(self, route_name: str) -> None:
+        """Note that a request was sent from this VM."""
+        self.called[route_name] = self.called.get(route_name, 0) + 1
+        self.learner.note_call(route_name)
+
     def find_level(self, service: str) -> float:
         """Return the part of the ranks that a service admits, from 0 to 1."""
         return self.levels.get(service, 1.0)
@@ -170,8 +169,17 @@
     def step(self) -> None:
         """Set the own level, work out those of the services, and report."""
         beliefs = self.beliefs
-        server = beliefs.server
-        level = beliefs.level.update(self.gate.take_load(), server.compute_limit())
+        load = self.gate.take_load()
+        allowed_s = self.gate.allow_mean_wait()
+        before = beliefs.level.level
+        level = beliefs.level.update(load.use, load.wait_s, allowed_s)
+        if (level < 1.0) != (before < 1.0):
+            logger.info(
+                "overload begins" if level < 1.0 else "overload ended",
+                use=round(load.use, 2),
+                wait_s=round(load.wait_s, 3),
+                allowed_s=allowed_s,
+            )
         self._note_own_load(level)
         self._average_levels()
         self._reports += 1
@@ -188,7 +196,11 @@
         """Return what this node tells of its server."""
         beliefs = self.beliefs
         rows = []
+        rates = []
         if with_rows:
+            rates = [
+                ttypes.RouteRate(name, rate) for name, rate in beliefs.rates.items()
+            ][:MAX_ROWS]
             rows = [
                 ttypes.RouteCalls(run_route, called, count)
                 for run_route, calls in beliefs.graph.vectors.items()
@@ -207,6 +219,7 @@
             ],
             rows[:MAX_ROWS],
             round(self.gate.failure_share * PPM),
+            rates,
         )
 
     def _accepts(self) -> bool:
@@ -245,17 +258,25 @@
                 levels[service] = part / total
         beliefs.levels = levels
 
-    def learn(self) -> None:
-        """Learn the calls of the own server's runs from the latest counts."""
+    def count_calls(self) -> None:
+        """Take up how often each route was asked for in the latest interval."""
         beliefs = self.beliefs
-        counts = beliefs.counts
-        beliefs.counts = Counts()
-        beliefs.learner.add(counts.runs, counts.calls)
+        update_rates(beliefs.rates, beliefs.called, INTERVAL_S)
+        beliefs.called = {}
+
+    def _find_inner(self) -> set[str]:
+        beliefs = self.beliefs
+        rates = {
+            service: [one.load.rates for one in found.values() if one.load.rates]
+            for service, found in beliefs.members.by_service.items()
+        }
+        rates.setdefault(beliefs.server.service, []).append(beliefs.rates)
+        return find_inner_routes({name: one for name, one in rates.items() if one})
 
     def apply_vectors(self) -> None:
         """Work out the own vectors anew and put them into the graph."""
         beliefs = self.beliefs
-        beliefs.own_vectors = beliefs.learner.solve()
+        beliefs.own_vectors = beliefs.learner.solve(self._find_inner())
         for name, calls in beliefs.own_vectors.items():
             if name in beliefs.table.routes and (
                 calls or name in beliefs.graph.vectors
@@ -303,6 +324,8 @@
         load.failure_share = report.failures_ppm / PPM
         load.run_s = {time.route_name: time.run_ms / MS for time in report.times}
         load.reported_s = self.beliefs.clock()
+        if report.rates:
+            load.rates = {one.route_name: one.calls_per_s for one in report.rates}
         member.sent_since = 0
         self._take_rows(report.calls)
         self._note_version(member, report.config_version)
--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -2,106 +2,275 @@
 
 from __future__ import annotations
 
+import math
+from typing import TYPE_CHECKING
+
 from attrs import define, field
 
-# a count is taken over so long, and older counts fade with this factor
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# rates of calls are taken over so long
 INTERVAL_S = 0.25
-FADE = 0.985
-# keeps the solution small where the counts say little; in runs squared
-RIDGE = 4.0
+# what was counted fades with this factor at each solution, once a second
+FADE = 0.97
+# steps of the estimate; it changes little after that
+STEPS = 25
 # fewer calls a run than this are taken for coincidence
 MIN_CALLS_PER_RUN = 0.3
+# multiple of its standard error that a rate has to reach
+MIN_SIGNIFICANCE = 4.0
 # runs that a route must have had before its vector is believed
 MIN_RUNS = 20.0
-MAX_CALLS_PER_RUN = 100.0
-
+# less information than this is none
+MIN_PIVOT = 1e-9
+# states that are told apart; more are not needed and would cost time
+MAX_STATES = 1500
 
-@define
-class RunCounts:
-    """Counts of one interval: ended runs and calls that the VM sent, by route."""
 
-    runs: dict[str, int] = field(factory=dict)
-    calls: dict[str, int] = field(factory=dict)
+def round_count(count: int) -> int:
+    """Return a number of runs in classes that grow with it."""
+    if count < 8:
+        return count
+    if count < 32:
+        return count - count % 4
+    return count - count % 16
 
 
 @define(eq=False)
 class VectorLearner:
-    """Learns the calls per run from the counts of a node, by least squares.
+    """Learns the calls per run from what is in flight when a call is made.
 
     The node beside a server sees its runs and the calls that leave its VM, but
-    not which run makes which call. Over many intervals the number of calls of a
-    route follows the numbers of the runs that make them; clients on the same VM
-    add a part that doesn't, which the constant takes up::
+    not which run makes which call. A call can only come from a run in flight, so
+    that for each route that is called, the rate of calls is a sum over the routes
+    that run, each with its number of runs in flight times a rate of its own. The
+    most likely rates are found by expectation and maximization over the states,
+    which are the numbers of runs in flight::
 
-        learner.add({"book": 3}, {"list": 6})
-        learner.solve()  # {"book": {"list": 2.0}}
+        learner.begin("book")
+        learner.note_call("list")
+        learner.note_call("list")
+        learner.end("book")
     """
 
-    _runs: list[str] = field(factory=list)
-    _moments: dict[tuple[str, str], float] = field(factory=dict)
-    _cross: dict[tuple[str, str], float] = field(factory=dict)
-    _totals: dict[str, float] = field(factory=dict)
-    _called: set[str] = field(factory=set)
+    clock: Callable[[], float]
+    _names: list[str] = field(factory=list)
+    _running: list[int] = field(factory=list)
+    _begun: list[float] = field(factory=list)
+    _places: dict[str, int] = field(factory=dict)
+    _spans: dict[tuple[int, ...], float] = field(factory=dict)
+    _calls: dict[str, dict[tuple[int, ...], float]] = field(factory=dict)
+    _state: tuple[int, ...] = ()
+    _since_s: float = 0.0
+
+    def begin(self, route_name: str) -> None:
+        """Note that a run starts."""
+        place = self._places.get(route_name)
+        if place is None:
+            place = self._add(route_name)
+        self._begun[place] += 1.0
+        self._running[place] += 1
+        self._move()
+
+    def end(self, route_name: str) -> None:
+        """Note that a run has ended."""
+        self._running[self._places[route_name]] -= 1
+        self._move()
 
-    def add(self, runs: dict[str, int], calls: dict[str, int]) -> None:
-        """Take up the counts of one interval."""
-        for table in (self._moments, self._cross, self._totals):
+    def note_call(self, route_name: str) -> None:
+        """Note that a request was sent from this VM."""
+        if not any(self._state):
+            return
+        states = self._calls.get(route_name)
+        if states is None:
+            states = self._calls[route_name] = {}
+        states[self._state] = states.get(self._state, 0.0) + 1.0
+
+    def solve(self, inner: set[str]) -> dict[str, dict[str, float]]:
+        """Return the calls per run, by route that runs and route that is called.
+
+        Only routes in ``inner``, which clients don't use, are looked at.
+        """
+        self._move()
+        spans = [(self._pad(state), span) for state, span in self._spans.items()]
+        exposures = [
+            sum(state[place] * span for state, span in spans)
+            for place in range(len(self._names))
+        ]
+        vectors: dict[str, dict[str, float]] = {
+            name: {}
+            for place, name in enumerate(self._names)
+            if self._begun[place] >= MIN_RUNS and exposures[place] > 0
+        }
+        for called in inner & self._calls.keys():
+            counts = [
+                (self._pad(state), count)
+                for state, count in self._calls[called].items()
+            ]
+            rates = estimate_rates(counts, exposures)
+            errors = find_errors(spans, counts, rates)
+            for place, name in enumerate(self._names):
+                per_run = rates[place] * exposures[place] / max(self._begun[place], 1.0)
+                significant = rates[place] >= MIN_SIGNIFICANCE * errors[place]
+                if name in vectors and per_run >= MIN_CALLS_PER_RUN and significant:
+                    vectors[name][called] = per_run
+        self._fade()
+        return vectors
+
+    def _add(self, route_name: str) -> int:
+        place = len(self._names)
+        self._places[route_name] = place
+        self._names.append(route_name)
+        self._running.append(0)
+        self._begun.append(0.0)
+        return place
+
+    def _move(self) -> None:
+        now_s = self.clock()
+        state = self._state
+        if any(state):
+            self._spans[state] = self._spans.get(state, 0.0) + now_s - self._since_s
+        self._since_s = now_s
+        self._state = tuple(map(round_count, self._running))
+
+    def _pad(self, state: tuple[int, ...]) -> tuple[int, ...]:
+        """Return a state from when fewer routes were known with all its places."""
+        return state + (0,) * (len(self._names) - len(state))
+
+    def _fade(self) -> None:
+        self._begun = [count * FADE for count in self._begun]
+        for table in (self._spans, *self._calls.values()):
             for key in table:
                 table[key] *= FADE
-        for name in runs:
-            if name not in self._runs:
-                self._runs.append(name)
-        self._called.update(calls)
-        counts: dict[str, float] = {"": 1.0, **runs}
-        for one, count in counts.items():
-            self._totals[one] = self._totals.get(one, 0.0) + count
-            for other, other_count in counts.items():
-                key = (one, other)
-                self._moments[key] = self._moments.get(key, 0.0) + count * other_count
-            for called, called_count in calls.items():
-                key = (one, called)
-                self._cross[key] = self._cross.get(key, 0.0) + count * called_count
-
-    def solve(self) -> dict[str, dict[str, float]]:
-        """Return the calls per run, by route that runs and route that is called."""
-        believed = [
-            name for name in self._runs if self._totals.get(name, 0.0) >= MIN_RUNS
-        ]
-        names = ["", *believed]
-        matrix = [
-            [self._moments.get((row, column), 0.0) for column in names] for row in names
+            if len(table) > MAX_STATES:
+                rarest = sorted(table, key=table.__getitem__)
+                for key in rarest[: len(table) - MAX_STATES // 2]:
+                    del table[key]
+
+
+def estimate_rates(
+    counts: list[tuple[tuple[int, ...], float]], exposures: list[float]
+) -> list[float]:
+    """Return the most likely calls a second of one run of each route.
+
+    ``counts`` holds how many calls were seen in each state, ``exposures`` the
+    seconds of all runs of each route together.
+    """
+    total = sum(exposures)
+    calls = sum(count for _, count in counts)
+    if total <= 0:
+        return [0.0] * len(exposures)
+    rates = [calls / total if exposure > 0 else 0.0 for exposure in exposures]
+    places = range(len(rates))
+    for _ in range(STEPS):
+        credits = [0.0] * len(rates)
+        for state, count in counts:
+            whole = sum(rates[place] * state[place] for place in places)
+            if whole > 0:
+                for place in places:
+                    credits[place] += count * rates[place] * state[place] / whole
+        rates = [
+            credit / exposure if exposure > 0 else 0.0
+            for credit, exposure in zip(credits, exposures, strict=True)
         ]
-        for index in range(1, len(names)):
-            matrix[index][index] += RIDGE
-        vectors: dict[str, dict[str, float]] = {name: {} for name in believed}
-        for called in self._called:
-            right = [self._cross.get((name, called), 0.0) for name in names]
-            solution = solve_linear(matrix, right)
-            for name, value in zip(names[1:], solution[1:], strict=True):
-                if MIN_CALLS_PER_RUN <= value <= MAX_CALLS_PER_RUN:
-                    vectors[name][called] = value
-        return vectors
+    return rates
+
+
+def find_errors(
+    spans: list[tuple[tuple[int, ...], float]],
+    counts: list[tuple[tuple[int, ...], float]],
+    rates: list[float],
+) -> list[float]:
+    """Return the standard errors of the rates.
 
+    They follow from the information in the states, widened where calls come more
+    unevenly than by chance, as the calls of one run do.
+    """
+    places = range(len(rates))
+    information = [[0.0] * len(rates) for _ in places]
+    seen = dict(counts)
+    excess = 0.0
+    for state, span in spans:
+        whole = sum(rate * count for rate, count in zip(rates, state, strict=True))
+        if whole <= 0:
+            continue
+        excess += (seen.get(state, 0.0) - whole * span) ** 2 / (whole * span + 1.0)
+        for row in places:
+            for column in places:
+                information[row][column] += span * state[row] * state[column] / whole
+    uneven = math.sqrt(max(1.0, excess / max(1, len(spans) - len(rates))))
+    variances = invert_diagonal(information)
+    return [math.sqrt(variance) * uneven for variance in variances]
 
-def solve_linear(matrix: list[list[float]], right: list[float]) -> list[float]:
-    """Solve a small linear system; an unknown without a pivot becomes 0."""
-    size = len(right)
-    rows = [[*row, value] for row, value in zip(matrix, right, strict=True)]
-    pivots: list[int | None] = [None] * size
-    used: set[int] = set()
+
+def invert_diagonal(matrix: list[list[float]]) -> list[float]:
+    """Return the diagonal of the inverse; infinite where there is none."""
+    size = len(matrix)
+    rows = [
+        [*row, *(float(index == place) for place in range(size))]
+        for index, row in enumerate(matrix)
+    ]
+    found = [True] * size
     for column in range(size):
-        free = [index for index in range(size) if index not in used]
-        best = max(free, key=lambda index: abs(rows[index][column]), default=None)
-        if best is None or abs(rows[best][column]) < 1e-9:
+        pivot = rows[column][column]
+        if abs(pivot) < MIN_PIVOT:
+            found[column] = False
             continue
-        used.add(best)
-        pivots[column] = best
+        rows[column] = [value / pivot for value in rows[column]]
         for index in range(size):
-            if index != best and rows[index][column]:
-                factor = rows[index][column] / rows[best][column]
-                for place in range(column, size + 1):
-                    rows[index][place] -= factor * rows[best][place]
+            factor = rows[index][column]
+            if index != column and factor:
+                rows[index] = [
+                    value - factor * other
+                    for value, other in zip(rows[index], rows[column], strict=True)
+                ]
     return [
-        0.0 if pivot is None else rows[pivot][size] / rows[pivot][column]
-        for column, pivot in enumerate(pivots)
+        max(0.0, rows[place][size + place]) if found[place] else math.inf
+        for place in range(size)
     ]
+
+
+# weight of the latest interval in the mean rate of calls
+RATE_WEIGHT = 0.1
+# a route that is asked for less often is not judged
+MIN_RATE_PER_S = 2.0
+# on the VMs of some service, a route that clients use is asked for at least at
+# this part of its highest rate on those of any
+CLIENT_RATE_SHARE = 0.05
+
+
+def update_rates(
+    rates: dict[str, float], calls: dict[str, int], interval_s: float
+) -> None:
+    """Take up the calls of one interval into the mean rates."""
+    for name in rates.keys() | calls.keys():
+        now = calls.get(name, 0) / interval_s
+        before = rates.get(name, 0.0)
+        rates[name] = before + RATE_WEIGHT * (now - before)
+
+
+def find_inner_routes(rates: dict[str, list[dict[str, float]]]) -> set[str]:
+    """Return the routes that only running servers call.
+
+    ``rates`` holds, by service, the rates on each VM of it that is known. Clients
+    are on all VMs, so what they use is asked for everywhere; what a server calls
+    is asked for on the VMs of its service only.
+    """
+    means: list[dict[str, float]] = []
+    for tables in rates.values():
+        total: dict[str, float] = {}
+        for table in tables:
+            for name, rate in table.items():
+                total[name] = total.get(name, 0.0) + rate / len(tables)
+        if sum(total.values()) >= MIN_RATE_PER_S:
+            means.append(total)
+    if len(means) < 2:
+        return set()
+    inner = set()
+    for name in {name for mean in means for name in mean}:
+        found = [mean.get(name, 0.0) for mean in means]
+        highest = max(found)
+        if highest >= MIN_RATE_PER_S and min(found) < CLIENT_RATE_SHARE * highest:
+            inner.add(name)
+    return inner
