Admit whole requests by the demand on all servers of a service

Cause: a level for each gate followed the length of its queue, so that fast servers with short queues cut what idle slow ones could have run, a backlog cut it again, and steps in rank did nothing over a third of their range. Now the entries pile up what the offered requests ask of each service, from the most urgent up, and admit up to a level that demand over capacity moves.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -298,25 +298,27 @@
   3: double calls_per_run
 }
 
-// How often a route is asked for on one VM, by clients and server together.
-struct RouteRate {
+// How often a route has lately been asked for on one VM, by clients and server.
+struct RouteCount {
   1: string route_name
-  2: double calls_per_s
+  2: double count
 }
 
-// What a node tells the nodes that send it calls. ``level`` is the part of the
-// ranks that may still be admitted, in thousandths.
+// What a node tells the nodes that send it calls. ``demand`` is the work that
+// arrives at its server as a part of what it can do, in thousandths, and ``wait`` the
+// mean wait at its gate as a part of what is allowed there, in thousandths.
 struct RelayReport {
   1: bool accepting
   2: i32 in_flight
   3: i32 queued
   4: i32 limit
-  5: i32 level
+  5: i32 demand
   6: i64 config_version
   7: list<RouteTime> times
   8: list<RouteCalls> calls
   9: i32 failures_ppm
-  10: list<RouteRate> rates
+  10: list<RouteCount> counts
+  11: i32 wait
 }
 
 struct RelaySuspects {
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -113,7 +113,6 @@
         beliefs.table = table
         beliefs.document = document
         beliefs.graph.forget_routes()
-        self.admission.forget_ladders()
         self.entry.table = table
         limits = table.limits
         self.callers.limits = ServerLimits(
@@ -168,7 +167,9 @@
         state.labels("in_flight").set(self.gate.in_flight)
         state.labels("queued").set(self.gate.queued)
         state.labels("limit").set(self.beliefs.server.compute_limit())
-        state.labels("level").set(self.beliefs.level.level)
+        state.labels("demand").set(self.gate.load.demand)
+        for service, control in self.beliefs.levels.items():
+            self.metrics.levels.labels(service).set(control.level)
         state.labels("members").set(len(self.beliefs.members.by_name))
         state.labels("open_requests").set(self.entry.open_flows)
         state.labels("lines_left_out").set(self.decisions.failures.left_out)
@@ -250,7 +251,7 @@
         gate,
         inbound,
         events,
-        admission.forget_ladders,
+        admission.update,
         settings.failure_domain,
     )
     decisions = DecisionLog.create(clock)
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -3322,18 +3322,18 @@
         return not (self == other)
 
 
-class RouteRate(object):
+class RouteCount(object):
     """
     Attributes:
      - route_name
-     - calls_per_s
+     - count
 
     """
 
 
-    def __init__(self, route_name=None, calls_per_s=None,):
+    def __init__(self, route_name=None, count=None,):
         self.route_name = route_name
-        self.calls_per_s = calls_per_s
+        self.count = count
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3351,7 +3351,7 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.DOUBLE:
-                    self.calls_per_s = iprot.readDouble()
+                    self.count = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -3363,14 +3363,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('RouteRate')
+        oprot.writeStructBegin('RouteCount')
         if self.route_name is not None:
             oprot.writeFieldBegin('route_name', TType.STRING, 1)
             oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
             oprot.writeFieldEnd()
-        if self.calls_per_s is not None:
-            oprot.writeFieldBegin('calls_per_s', TType.DOUBLE, 2)
-            oprot.writeDouble(self.calls_per_s)
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.DOUBLE, 2)
+            oprot.writeDouble(self.count)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -3397,27 +3397,29 @@
      - in_flight
      - queued
      - limit
-     - level
+     - demand
      - config_version
      - times
      - calls
      - failures_ppm
-     - rates
+     - counts
+     - wait
 
     """
 
 
-    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, level=None, config_version=None, times=None, calls=None, failures_ppm=None, rates=None,):
+    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, demand=None, config_version=None, times=None, calls=None, failures_ppm=None, counts=None, wait=None,):
         self.accepting = accepting
         self.in_flight = in_flight
         self.queued = queued
         self.limit = limit
-        self.level = level
+        self.demand = demand
         self.config_version = config_version
         self.times = times
         self.calls = calls
         self.failures_ppm = failures_ppm
-        self.rates = rates
+        self.counts = counts
+        self.wait = wait
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3450,7 +3452,7 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.I32:
-                    self.level = iprot.readI32()
+                    self.demand = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -3487,15 +3489,20 @@
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
-                    self.rates = []
+                    self.counts = []
                     (_etype115, _size112) = iprot.readListBegin()
                     for _i116 in range(_size112):
-                        _elem117 = RouteRate()
+                        _elem117 = RouteCount()
                         _elem117.read(iprot)
-                        self.rates.append(_elem117)
+                        self.counts.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.wait = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3522,9 +3529,9 @@
             oprot.writeFieldBegin('limit', TType.I32, 4)
             oprot.writeI32(self.limit)
             oprot.writeFieldEnd()
-        if self.level is not None:
-            oprot.writeFieldBegin('level', TType.I32, 5)
-            oprot.writeI32(self.level)
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.I32, 5)
+            oprot.writeI32(self.demand)
             oprot.writeFieldEnd()
         if self.config_version is not None:
             oprot.writeFieldBegin('config_version', TType.I64, 6)
@@ -3548,13 +3555,17 @@
             oprot.writeFieldBegin('failures_ppm', TType.I32, 9)
             oprot.writeI32(self.failures_ppm)
             oprot.writeFieldEnd()
-        if self.rates is not None:
-            oprot.writeFieldBegin('rates', TType.LIST, 10)
-            oprot.writeListBegin(TType.STRUCT, len(self.rates))
-            for iter120 in self.rates:
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter120 in self.counts:
                 iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.wait is not None:
+            oprot.writeFieldBegin('wait', TType.I32, 11)
+            oprot.writeI32(self.wait)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4138,11 +4149,11 @@
     (2, TType.STRING, 'called_route', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'calls_per_run', None, None, ),  # 3
 )
-all_structs.append(RouteRate)
-RouteRate.thrift_spec = (
+all_structs.append(RouteCount)
+RouteCount.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'route_name', 'UTF8', None, ),  # 1
-    (2, TType.DOUBLE, 'calls_per_s', None, None, ),  # 2
+    (2, TType.DOUBLE, 'count', None, None, ),  # 2
 )
 all_structs.append(RelayReport)
 RelayReport.thrift_spec = (
@@ -4151,12 +4162,13 @@
     (2, TType.I32, 'in_flight', None, None, ),  # 2
     (3, TType.I32, 'queued', None, None, ),  # 3
     (4, TType.I32, 'limit', None, None, ),  # 4
-    (5, TType.I32, 'level', None, None, ),  # 5
+    (5, TType.I32, 'demand', None, None, ),  # 5
     (6, TType.I64, 'config_version', None, None, ),  # 6
     (7, TType.LIST, 'times', (TType.STRUCT, [RouteTime, None], False), None, ),  # 7
     (8, TType.LIST, 'calls', (TType.STRUCT, [RouteCalls, None], False), None, ),  # 8
     (9, TType.I32, 'failures_ppm', None, None, ),  # 9
-    (10, TType.LIST, 'rates', (TType.STRUCT, [RouteRate, None], False), None, ),  # 10
+    (10, TType.LIST, 'counts', (TType.STRUCT, [RouteCount, None], False), None, ),  # 10
+    (11, TType.I32, 'wait', None, None, ),  # 11
 )
 all_structs.append(RelaySuspects)
 RelaySuspects.thrift_spec = (
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -12,36 +12,42 @@
 
     from eelgrassmount.relay.routes import Route, RouteTable
 
-# a gate whose slots are in use up to this part leaves the level as it is
-TARGET_USE = 0.92
-# the level goes down by at most this factor at each step, and up by that one
-MAX_CUT = 0.85
-MAX_RISE = 1.08
+# demand, as a part of what the servers can do, that admission aims at, and while
+# calls wait longer than allowed
+TARGET_DEMAND = 0.97
+TARGET_WITH_WAIT = 0.87
+# part of the way to the target that one step takes: what is admitted now shows in
+# the demand two steps later
+STEP_GAIN = 0.25
+# bounds of the change of the level in one step
+MAX_CUT = 0.75
+MAX_RISE = 1.15
 MIN_LEVEL = 0.02
 STEP_S = 0.2
+# what was offered fades with this factor at each step: half is gone in 1.3 s
+OFFERED_FADE = 0.9
+# routes with fewer requests are left out
+MIN_OFFERED = 0.5
 # how deep chains of calls are followed
-MAX_CHAIN = 12
+MAX_CHAIN = 6
 
 
 @define
 class LevelControl:
-    """The level of a gate: the part of the ranks that may still be admitted.
+    """The level of a service: the part of what is offered that is admitted.
 
-    Each step compares the wait at the gate with the wait that is allowed there, not
-    the length of the queue: servers differ threefold in speed, and calls go to the
-    fast ones until their queue takes as long as the slow ones' runs.
+    Each step compares the work that arrives at the servers with what they can do.
+    The length of the queues says little, since a backlog stays for a while after
+    the demand has fallen, and since fast servers have queues where slow ones don't.
     """
 
     level: float = 1.0
 
-    def update(self, use: float, wait_s: float, allowed_s: float) -> float:
-        """Take up the mean use of the slots and the wait; return the new level."""
-        if wait_s > allowed_s:
-            factor = max(MAX_CUT, allowed_s / wait_s)
-        elif use > TARGET_USE:
-            factor = 1.0
-        else:
-            factor = min(MAX_RISE, TARGET_USE / max(use, MIN_LEVEL))
+    def update(self, demand: float, wait: float) -> float:
+        """Take up demand and wait, as parts of what is possible and allowed."""
+        target = TARGET_WITH_WAIT if wait > 1.0 else TARGET_DEMAND
+        factor = (target / max(demand, MIN_LEVEL)) ** STEP_GAIN
+        factor = min(MAX_RISE, max(MAX_CUT, factor))
         self.level = min(1.0, max(MIN_LEVEL, self.level * factor))
         return self.level
 
@@ -55,14 +61,14 @@
     """
 
     vectors: dict[str, dict[str, float]] = field(factory=dict)
-    _reached: dict[str, frozenset[str]] = field(factory=dict)
+    _reached: dict[str, dict[str, float]] = field(factory=dict)
     _called: set[str] | None = None
 
     def put(self, route_name: str, calls: dict[str, float]) -> None:
         """Take up the vector of a route."""
         known = self.vectors.get(route_name)
+        self._reached.clear()
         if known is None or known.keys() != calls.keys():
-            self._reached.clear()
             self._called = None
             rounded = {name: round(count, 2) for name, count in calls.items()}
             logger.info("calls of a route learned", route=route_name, calls=rounded)
@@ -72,29 +78,37 @@
         """Follow the chains anew, after the routes have changed."""
         self._reached.clear()
 
-    def find_services(self, route: Route, table: RouteTable) -> frozenset[str]:
-        """Return the services that a request of a route needs, its own included."""
+    def count_calls(self, route: Route, table: RouteTable) -> dict[str, float]:
+        """Return how many calls a request of a route makes of each service.
+
+        The request itself counts as one; calls of calls are counted along the
+        whole chain, up to a depth that ends cycles.
+        """
         found = self._reached.get(route.name)
         if found is None:
-            found = frozenset(self._walk(route, table))
+            found = {}
+            self._walk(route, table, 1.0, MAX_CHAIN, found)
             self._reached[route.name] = found
         return found
 
-    def _walk(self, route: Route, table: RouteTable) -> set[str]:
-        services: set[str] = set()
-        seen = {route.name}
-        ahead = [route]
-        for _ in range(MAX_CHAIN):
-            following = []
-            for one in ahead:
-                services.update(target.service for target in one.targets)
-                for name in self.vectors.get(one.name, ()):
-                    called = table.routes.get(name)
-                    if called is not None and name not in seen:
-                        seen.add(name)
-                        following.append(called)
-            ahead = following
-        return services
+    def _walk(
+        self,
+        route: Route,
+        table: RouteTable,
+        times: float,
+        depth: int,
+        found: dict[str, float],
+    ) -> None:
+        total = sum(target.weight for target in route.targets)
+        for target in route.targets:
+            part = times * target.weight / total if total else 0.0
+            found[target.service] = found.get(target.service, 0.0) + part
+        if depth == 0:
+            return
+        for name, per_run in self.vectors.get(route.name, {}).items():
+            called = table.routes.get(name)
+            if called is not None and name != route.name:
+                self._walk(called, table, times * per_run, depth - 1, found)
 
     def is_mature(self) -> bool:
         """Tell whether calls of servers can be told from requests of clients."""
@@ -111,56 +125,63 @@
 class Admission:
     """Decides at the entry whether a request of a client may begin.
 
-    The routes that lead to a service stand on a ladder by priority. Of a level
-    between 0 and 1, each priority takes an equal part, the most urgent first; a
-    route whose part is not fully covered is admitted in that proportion. The
-    scarcest of the services that a request needs decides.
+    The routes that lead to a service stand one above the other, the most urgent
+    at the bottom, each as high as the calls that its requests ask of the service.
+    The level says up to which part of this pile requests are admitted. A route at
+    the level is admitted in proportion, and of all services that a request needs
+    the scarcest decides.
     """
 
     graph: CallGraph
     find_level: Callable[[str], float]
+    offered: dict[str, float] = field(factory=dict)
+    shares: dict[str, float] = field(factory=dict)
     _credits: dict[str, float] = field(factory=dict)
-    _ladders: dict[str, list[int]] = field(factory=dict)
 
-    def allows(self, route: Route, table: RouteTable) -> bool:
+    def allows(self, route: Route) -> bool:
         """Decide on one request, dividing evenly over time."""
-        share = self.compute_share(route, table)
+        name = route.name
+        self.offered[name] = self.offered.get(name, 0.0) + 1.0
+        share = self.shares.get(name, 1.0)
         if share >= 1.0:
             return True
-        credit = self._credits.get(route.name, 0.5) + share
+        credit = self._credits.get(name, 0.5) + share
         if credit >= 1.0:
-            self._credits[route.name] = credit - 1.0
+            self._credits[name] = credit - 1.0
             return True
-        self._credits[route.name] = credit
+        self._credits[name] = credit
         return False
 
-    def compute_share(self, route: Route, table: RouteTable) -> float:
-        """Return the part of a route's requests that is admitted."""
-        share = 1.0
-        if not self.graph.is_mature():
-            return share
-        for service in self.graph.find_services(route, table):
-            level = self.find_level(service)
-            if level < 1.0:
-                ladder = self._find_ladder(service, table)
-                place = ladder.index(route.priority) if route.priority in ladder else 0
-                share = min(share, level * len(ladder) - place)
-        return max(0.0, share)
-
-    def forget_ladders(self) -> None:
-        """Build the ladders anew, after routes or vectors have changed."""
-        self._ladders.clear()
-
-    def _find_ladder(self, service: str, table: RouteTable) -> list[int]:
-        ladder = self._ladders.get(service)
-        if ladder is None:
-            ladder = sorted(
-                {
-                    route.priority
-                    for route in table.routes.values()
-                    if not self.graph.is_called(route.name)
-                    and service in self.graph.find_services(route, table)
-                }
-            )
-            self._ladders[service] = ladder
-        return ladder
+    def update(self, table: RouteTable) -> None:
+        """Work out the shares anew from the levels and what was offered lately."""
+        self.shares = {}
+        if self.graph.is_mature():
+            for service, asked in self._pile(table).items():
+                level = self.find_level(service)
+                if level < 1.0:
+                    self._limit(asked, level)
+        for name in self.offered:
+            self.offered[name] *= OFFERED_FADE
+
+    def _pile(self, table: RouteTable) -> dict[str, list[tuple[Route, float]]]:
+        """Return what the offered requests ask of each service, by route."""
+        piles: dict[str, list[tuple[Route, float]]] = {}
+        for name, count in self.offered.items():
+            route = table.routes.get(name)
+            if route is None or count < MIN_OFFERED or self.graph.is_called(name):
+                continue
+            for service, calls in self.graph.count_calls(route, table).items():
+                piles.setdefault(service, []).append((route, count * calls))
+        return piles
+
+    def _limit(self, asked: list[tuple[Route, float]], level: float) -> None:
+        total = sum(calls for _, calls in asked)
+        below = 0.0
+        for priority in sorted({route.priority for route, _ in asked}):
+            rank = [one for one in asked if one[0].priority == priority]
+            height = sum(calls for _, calls in rank)
+            share = max(0.0, min(1.0, (level * total - below) / height))
+            for route, _ in rank:
+                known = self.shares.get(route.name, 1.0)
+                self.shares[route.name] = min(known, share)
+            below += height
--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -108,7 +108,7 @@
         self.note_called(route.name)
         call = self._make_call(exchange, head, route)
         inner = call.rank == INNER_RANK
-        if not inner and not self.admission.allows(route, table):
+        if not inner and not self.admission.allows(route):
             self._refuse(exchange, call, Reason.OVERLOAD)
             return
         if self.quarantine.suspects and self.quarantine.check(
@@ -342,7 +342,7 @@
             str(reason),
             route=call.route.name,
             service=call.service,
-            share=round(self.admission.compute_share(call.route, self.table), 3),
+            share=round(self.admission.shares.get(call.route.name, 1.0), 3),
             retry_after_s=round(delay_s, 3),
         )
         head = self.dialect.write_refusal(call.request_id, delay_s)
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -41,6 +41,8 @@
 CRASH_SPAN_S = 1.0
 # weight of a new sample in the mean of durations and failures
 SAMPLE_WEIGHT = 0.05
+# weight of the latest step in the mean demand
+LOAD_WEIGHT = 0.4
 # duration that is assumed before the first sample
 DEFAULT_RUN_S = 0.05
 
@@ -82,10 +84,14 @@
 
 @define
 class GateLoad:
-    """Mean load of a gate: the part of the slots in use, and the wait in seconds."""
+    """Mean load of a gate.
 
-    use: float
-    wait_s: float
+    ``demand`` is the work that arrived as a part of what the server can do, and
+    ``wait`` the mean wait as a part of what is allowed.
+    """
+
+    demand: float = 0.0
+    wait: float = 0.0
 
 
 @define(eq=False)
@@ -109,11 +115,12 @@
     queued: int = 0
     mean_run_s: float = DEFAULT_RUN_S
     failure_share: float = 0.0
+    load: GateLoad = field(factory=GateLoad)
     routes: dict[str, RouteStats] = field(factory=dict)
     running: set[Job] = field(factory=set)
     _queue: list[tuple[float, int, Job]] = field(factory=list)
     _numbers: itertools.count[int] = field(factory=itertools.count)
-    _running_area: float = 0.0
+    _arrivals: int = 0
     _queued_area: float = 0.0
     _area_s: float = 0.0
     _since_s: float = 0.0
@@ -126,6 +133,7 @@
         if reason is not None:
             self._refuse(job, reason)
             return
+        self._arrivals += 1
         if self.in_flight < self.server.compute_limit():
             self._start(job, now_s)
             return
@@ -159,20 +167,19 @@
                 job.sending.cancel()
         self._fill()
 
-    def take_load(self) -> GateLoad:
-        """Return the mean load since the last question."""
+    def update_load(self) -> None:
+        """Take what arrived and waited since the last time into the mean load."""
         now_s = self.clock()
         self._integrate(now_s)
         span_s = max(now_s - self._since_s, MIN_SPAN_S)
         limit = self.server.compute_limit()
-        load = GateLoad(
-            use=self._running_area / span_s / limit,
-            wait_s=self._queued_area / span_s * self.mean_run_s / limit,
-        )
+        demand = self._arrivals * self.mean_run_s / span_s / limit
+        self.load.demand += LOAD_WEIGHT * (demand - self.load.demand)
+        wait_s = self._queued_area / span_s * self.mean_run_s / limit
+        self.load.wait = wait_s / self.allow_mean_wait()
         self._since_s = now_s
-        self._running_area = 0.0
+        self._arrivals = 0
         self._queued_area = 0.0
-        return load
 
     def allow_mean_wait(self) -> float:
         """Return the mean wait at which fewer requests should be admitted.
@@ -180,13 +187,13 @@
         It follows the tightest objective among the routes that run here.
         """
         objectives = [stats.objective_s for stats in self.routes.values()]
-        tightest_s = min(objectives, default=MAX_MEAN_WAIT_S)
-        allowed_s = MEAN_WAIT_SHARE * tightest_s
+        if not objectives:
+            return MAX_MEAN_WAIT_S
+        allowed_s = MEAN_WAIT_SHARE * min(objectives)
         return min(MAX_MEAN_WAIT_S, max(MIN_MEAN_WAIT_S, allowed_s))
 
     def _integrate(self, now_s: float) -> None:
         span_s = now_s - self._area_s
-        self._running_area += span_s * self.in_flight
         self._queued_area += span_s * self.queued
         self._area_s = now_s
 
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -22,19 +22,21 @@
 class MemberLoad:
     """What a node reported of its backend server.
 
-    ``run_s`` is the mean duration of the runs of each route; ``level`` the part
-    of the ranks, from 0 to 1, that its service still admits. ``rates`` says how
-    often each route is asked for on its VM, in calls a second.
+    ``run_s`` is the mean duration of the runs of each route; ``demand`` the work
+    that arrives as a part of what it can do, ``wait`` the mean wait at its gate as
+    a part of what is allowed. ``called`` says how
+    often each route has lately been asked for on its VM.
     """
 
     accepting: bool = True
     in_flight: int = 0
     queued: int = 0
     limit: int = 0
-    level: float = 1.0
+    demand: float = 0.0
+    wait: float = 0.0
     failure_share: float = 0.0
     run_s: dict[str, float] = field(factory=dict)
-    rates: dict[str, float] = field(factory=dict)
+    called: dict[str, float] = field(factory=dict)
     reported_s: float = 0.0
 
 
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -29,6 +29,7 @@
     abandoned: Counter = field(init=False)
     connections: Counter = field(init=False)
     state: Gauge = field(init=False)
+    levels: Gauge = field(init=False)
     _children: dict[tuple[str, ...], Any] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -78,11 +79,18 @@
         )
         self.state = Gauge(
             f"{PREFIX}_relay_state",
-            "What the node believes: the version in force, calls, limit and level.",
+            "What the node believes: the version in force, calls, limit and demand.",
             ["name"],
             registry=registry,
         )
 
+        self.levels = Gauge(
+            f"{PREFIX}_relay_level",
+            "Part of what is offered that is admitted, by service it leads to.",
+            ["service"],
+            registry=registry,
+        )
+
     def count_answer(self, route: str, status: int, seconds: float) -> None:
         """Count an answer and its time."""
         key = ("answer", route, str(status))
--- a/eelgrassmount/relay/node.py
+++ b/eelgrassmount/relay/node.py
@@ -14,10 +14,9 @@
 from eelgrassmount.relay.members import REPORT_LIMIT_S, Member
 from eelgrassmount.relay.routes import Route, RouteTable, Target
 from eelgrassmount.relay.vectors import (
-    INTERVAL_S,
     VectorLearner,
     find_inner_routes,
-    update_rates,
+    update_counts,
 )
 from eelgrassmount.retry.quarantine import QUARANTINE_S, Suspect
 
@@ -35,13 +34,13 @@
 
 # links kept to the nodes of one service, those of the own failure domain first
 MAX_LINKS = 16
-LEVEL_SCALE = 1000
+SCALE = 1000
 PPM = 1_000_000
 MS = 1000.0
 # rows of the vectors that one report carries at most
 MAX_ROWS = 200
 # the rows go along with every so many reports
-ROWS_PERIOD = 5
+ROWS_PERIOD = 2
 # objective and time-out of a route that another node knows and this one doesn't
 UNKNOWN_ROUTE_S = 5.0
 
@@ -65,9 +64,8 @@
     document: bytes = b""
     learner: VectorLearner = field(init=False)
     called: dict[str, int] = field(factory=dict)
-    level: LevelControl = field(factory=LevelControl)
-    levels: dict[str, float] = field(factory=dict)
-    rates: dict[str, float] = field(factory=dict)
+    levels: dict[str, LevelControl] = field(factory=dict)
+    called_before: dict[str, float] = field(factory=dict)
     own_vectors: dict[str, dict[str, float]] = field(factory=dict)
     stopping: bool = False
     _unknown_routes: dict[str, Route] = field(factory=dict)
@@ -83,7 +81,8 @@
 
     def find_level(self, service: str) -> float:
         """Return the part of the ranks that a service admits, from 0 to 1."""
-        return self.levels.get(service, 1.0)
+        control = self.levels.get(service)
+        return 1.0 if control is None else control.level
 
     def find_route(self, name: str, idempotent: bool) -> Route:
         """Return a route by name, also one that only another node knows yet."""
@@ -121,7 +120,7 @@
     gate: Gate
     inbound: Inbound
     events: LinkEvents
-    forget_ladders: Callable[[], None]
+    update_shares: Callable[[RouteTable], None]
     failure_domain: str
     _reports: int = 0
 
@@ -167,28 +166,18 @@
         return found[:MAX_LINKS]
 
     def step(self) -> None:
-        """Set the own level, work out those of the services, and report."""
-        beliefs = self.beliefs
-        load = self.gate.take_load()
-        allowed_s = self.gate.allow_mean_wait()
-        before = beliefs.level.level
-        level = beliefs.level.update(load.use, load.wait_s, allowed_s)
-        if (level < 1.0) != (before < 1.0):
-            logger.info(
-                "overload begins" if level < 1.0 else "overload ended",
-                use=round(load.use, 2),
-                wait_s=round(load.wait_s, 3),
-                allowed_s=allowed_s,
-            )
-        self._note_own_load(level)
-        self._average_levels()
+        """Work out the levels of all services and the shares of routes, and report."""
+        self.gate.update_load()
+        self._note_own_load()
+        self._update_levels()
+        self.update_shares(self.beliefs.table)
         self._reports += 1
         with_rows = self._reports % ROWS_PERIOD == 0
         self.inbound.tell_all(FrameKind.REPORT, self.make_report(with_rows))
 
     def report_now(self) -> None:
         """Tell the other nodes at once, as when the server leaves."""
-        self._note_own_load(self.beliefs.level.level)
+        self._note_own_load()
         report = self.make_report(False)
         self.inbound.tell_all(FrameKind.REPORT, report, only_active=False)
 
@@ -196,10 +185,11 @@
         """Return what this node tells of its server."""
         beliefs = self.beliefs
         rows = []
-        rates = []
+        counts = []
         if with_rows:
-            rates = [
-                ttypes.RouteRate(name, rate) for name, rate in beliefs.rates.items()
+            counts = [
+                ttypes.RouteCount(name, count)
+                for name, count in beliefs.called_before.items()
             ][:MAX_ROWS]
             rows = [
                 ttypes.RouteCalls(run_route, called, count)
@@ -211,7 +201,7 @@
             self.gate.in_flight,
             self.gate.queued,
             beliefs.server.compute_limit(),
-            round(beliefs.level.level * LEVEL_SCALE),
+            round(self.gate.load.demand * SCALE),
             beliefs.table.version,
             [
                 ttypes.RouteTime(name, stats.run_s * MS)
@@ -219,7 +209,8 @@
             ],
             rows[:MAX_ROWS],
             round(self.gate.failure_share * PPM),
-            rates,
+            counts,
+            round(self.gate.load.wait * SCALE),
         )
 
     def _accepts(self) -> bool:
@@ -227,7 +218,7 @@
         refusal = beliefs.server.find_refusal(beliefs.clock())
         return refusal is None and not beliefs.stopping
 
-    def _note_own_load(self, level: float) -> None:
+    def _note_own_load(self) -> None:
         own = self.beliefs.members.by_name.get(self.beliefs.name)
         if own is None:
             return
@@ -236,16 +227,16 @@
         load.in_flight = self.gate.in_flight
         load.queued = self.gate.queued
         load.limit = self.beliefs.server.compute_limit()
-        load.level = level
+        load.demand = self.gate.load.demand
+        load.wait = self.gate.load.wait
         load.failure_share = self.gate.failure_share
         load.run_s = {name: one.run_s for name, one in self.gate.routes.items()}
         load.reported_s = self.beliefs.clock()
         own.sent_since = 0
 
-    def _average_levels(self) -> None:
+    def _update_levels(self) -> None:
         beliefs = self.beliefs
         oldest_s = beliefs.clock() - REPORT_LIMIT_S
-        levels = {}
         for service, found in beliefs.members.by_service.items():
             fresh = [
                 one.load
@@ -254,24 +245,36 @@
             ]
             total = sum(load.limit for load in fresh)
             if total:
-                part = sum(load.level * load.limit for load in fresh)
-                levels[service] = part / total
-        beliefs.levels = levels
+                demand = sum(load.demand * load.limit for load in fresh) / total
+                wait = sum(load.wait * load.limit for load in fresh) / total
+                self._update_level(service, demand, wait)
+
+    def _update_level(self, service: str, demand: float, wait: float) -> None:
+        control = self.beliefs.levels.setdefault(service, LevelControl())
+        before = control.level
+        level = control.update(demand, wait)
+        if (level < 1.0) != (before < 1.0):
+            logger.info(
+                "overload begins" if level < 1.0 else "overload ended",
+                service=service,
+                demand=round(demand, 2),
+                wait=round(wait, 2),
+            )
 
     def count_calls(self) -> None:
         """Take up how often each route was asked for in the latest interval."""
         beliefs = self.beliefs
-        update_rates(beliefs.rates, beliefs.called, INTERVAL_S)
+        update_counts(beliefs.called_before, beliefs.called)
         beliefs.called = {}
 
     def _find_inner(self) -> set[str]:
         beliefs = self.beliefs
-        rates = {
-            service: [one.load.rates for one in found.values() if one.load.rates]
+        counts = {
+            service: [one.load.called for one in found.values() if one.load.called]
             for service, found in beliefs.members.by_service.items()
         }
-        rates.setdefault(beliefs.server.service, []).append(beliefs.rates)
-        return find_inner_routes({name: one for name, one in rates.items() if one})
+        counts.setdefault(beliefs.server.service, []).append(beliefs.called_before)
+        return find_inner_routes({name: one for name, one in counts.items() if one})
 
     def apply_vectors(self) -> None:
         """Work out the own vectors anew and put them into the graph."""
@@ -282,7 +285,6 @@
                 calls or name in beliefs.graph.vectors
             ):
                 beliefs.graph.put(name, calls)
-        self.forget_ladders()
 
 
 @define(eq=False)
@@ -320,12 +322,13 @@
         load.in_flight = report.in_flight
         load.queued = report.queued
         load.limit = report.limit
-        load.level = report.level / LEVEL_SCALE
+        load.demand = report.demand / SCALE
+        load.wait = report.wait / SCALE
         load.failure_share = report.failures_ppm / PPM
         load.run_s = {time.route_name: time.run_ms / MS for time in report.times}
         load.reported_s = self.beliefs.clock()
-        if report.rates:
-            load.rates = {one.route_name: one.calls_per_s for one in report.rates}
+        if report.counts:
+            load.called = {one.route_name: one.count for one in report.counts}
         member.sent_since = 0
         self._take_rows(report.calls)
         self._note_version(member, report.config_version)
--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# rates of calls are taken over so long
+# counts of calls are taken over so long
 INTERVAL_S = 0.25
 # what was counted fades with this factor at each solution, once a second
 FADE = 0.97
@@ -18,6 +18,8 @@
 STEPS = 25
 # fewer calls a run than this are taken for coincidence
 MIN_CALLS_PER_RUN = 0.3
+# fewer than this are not even possible callers
+MIN_POSSIBLE = 0.1
 # multiple of its standard error that a rate has to reach
 MIN_SIGNIFICANCE = 4.0
 # runs that a route must have had before its vector is believed
@@ -110,11 +112,23 @@
             ]
             rates = estimate_rates(counts, exposures)
             errors = find_errors(spans, counts, rates)
-            for place, name in enumerate(self._names):
-                per_run = rates[place] * exposures[place] / max(self._begun[place], 1.0)
-                significant = rates[place] >= MIN_SIGNIFICANCE * errors[place]
-                if name in vectors and per_run >= MIN_CALLS_PER_RUN and significant:
-                    vectors[name][called] = per_run
+            found = {
+                name: rates[place] * exposures[place] / max(self._begun[place], 1.0)
+                for place, name in enumerate(self._names)
+                if name in vectors
+            }
+            found = {name: one for name, one in found.items() if one >= MIN_POSSIBLE}
+            sure = {
+                name: per_run
+                for name, per_run in found.items()
+                if per_run >= MIN_CALLS_PER_RUN
+                and rates[self._places[name]]
+                >= MIN_SIGNIFICANCE * errors[self._places[name]]
+            }
+            # while nothing is sure, each route may be the one that calls: to take
+            # a route for a caller costs less than to admit what can't be finished
+            for name, per_run in (sure or found).items():
+                vectors[name][called] = per_run
         self._fade()
         return vectors
 
@@ -231,46 +245,43 @@
     ]
 
 
-# weight of the latest interval in the mean rate of calls
-RATE_WEIGHT = 0.1
-# a route that is asked for less often is not judged
-MIN_RATE_PER_S = 2.0
+# counts of calls fade with this factor at each interval: half is gone in 6 s
+COUNT_FADE = 0.972
+# calls on one VM on the mean, below which a route is not judged: at 15, a route of
+# clients would be missed elsewhere by chance less than once in a million
+MIN_CALLS = 15.0
 # on the VMs of some service, a route that clients use is asked for at least at
-# this part of its highest rate on those of any
-CLIENT_RATE_SHARE = 0.05
+# this part of its highest count on those of any
+CLIENT_SHARE = 0.05
 
 
-def update_rates(
-    rates: dict[str, float], calls: dict[str, int], interval_s: float
-) -> None:
-    """Take up the calls of one interval into the mean rates."""
-    for name in rates.keys() | calls.keys():
-        now = calls.get(name, 0) / interval_s
-        before = rates.get(name, 0.0)
-        rates[name] = before + RATE_WEIGHT * (now - before)
+def update_counts(counts: dict[str, float], calls: dict[str, int]) -> None:
+    """Take up the calls of one interval into the fading counts."""
+    for name in counts.keys() | calls.keys():
+        counts[name] = counts.get(name, 0.0) * COUNT_FADE + calls.get(name, 0)
 
 
-def find_inner_routes(rates: dict[str, list[dict[str, float]]]) -> set[str]:
+def find_inner_routes(counts: dict[str, list[dict[str, float]]]) -> set[str]:
     """Return the routes that only running servers call.
 
-    ``rates`` holds, by service, the rates on each VM of it that is known. Clients
+    ``counts`` holds, by service, the counts on each VM of it that is known. Clients
     are on all VMs, so what they use is asked for everywhere; what a server calls
     is asked for on the VMs of its service only.
     """
     means: list[dict[str, float]] = []
-    for tables in rates.values():
-        total: dict[str, float] = {}
+    for tables in counts.values():
+        mean: dict[str, float] = {}
         for table in tables:
-            for name, rate in table.items():
-                total[name] = total.get(name, 0.0) + rate / len(tables)
-        if sum(total.values()) >= MIN_RATE_PER_S:
-            means.append(total)
+            for name, count in table.items():
+                mean[name] = mean.get(name, 0.0) + count / len(tables)
+        if sum(mean.values()) >= MIN_CALLS:
+            means.append(mean)
     if len(means) < 2:
         return set()
     inner = set()
     for name in {name for mean in means for name in mean}:
         found = [mean.get(name, 0.0) for mean in means]
         highest = max(found)
-        if highest >= MIN_RATE_PER_S and min(found) < CLIENT_RATE_SHARE * highest:
+        if highest >= MIN_CALLS and min(found) < CLIENT_SHARE * highest:
             inner.add(name)
     return inner
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -6,6 +6,7 @@
 
 from eelgrassmount.relay.admission import (
     MIN_LEVEL,
+    TARGET_DEMAND,
     Admission,
     CallGraph,
     LevelControl,
@@ -19,68 +20,98 @@
 TABLE = make_table(BOOK, STATUS, PRICE, PART)
 
 
-def make_admission(level: float) -> Admission:
+def make_admission(level: float, book: int = 10, status: int = 10, price: int = 20):
     graph = CallGraph()
     graph.put(BOOK.name, {PART.name: 2.0})
     graph.put(PRICE.name, {PART.name: 1.0})
     levels = {"proof": level}
-    return Admission(graph, lambda service: levels.get(service, 1.0))
+    admission = Admission(graph, lambda service: levels.get(service, 1.0))
+    for route, count in ((BOOK, book), (STATUS, status), (PRICE, price)):
+        for _ in range(count):
+            admission.allows(route)
+    # 20 calls of bookings, then 10 of status checks, then 20 of price lists
+    admission.update(TABLE)
+    return admission
 
 
 def test_everything_is_admitted_while_nothing_is_short():
     admission = make_admission(1.0)
-    assert all(admission.allows(route, TABLE) for route in (BOOK, STATUS, PRICE))
+    assert all(admission.allows(route) for route in (BOOK, STATUS, PRICE))
 
 
-def test_least_urgent_that_leads_to_the_short_service_goes_first():
-    admission = make_admission(0.66)
-    assert admission.compute_share(BOOK, TABLE) == 1.0
-    assert admission.compute_share(STATUS, TABLE) > 0.9
-    assert admission.compute_share(PRICE, TABLE) == pytest.approx(0.0, abs=0.01)
+@pytest.mark.parametrize(
+    ("level", "book", "status", "price"),
+    [
+        (0.8, 1.0, 1.0, 0.5),
+        (0.6, 1.0, 1.0, 0.0),
+        (0.5, 1.0, 0.5, 0.0),
+        (0.2, 0.5, 0, 0),
+    ],
+)
+def test_least_urgent_calls_of_the_short_service_go_first(level, book, status, price):
+    shares = make_admission(level).shares
+    assert shares[BOOK.name] == pytest.approx(book)
+    assert shares[STATUS.name] == pytest.approx(status)
+    assert shares[PRICE.name] == pytest.approx(price)
 
 
 def test_share_is_divided_evenly():
-    admission = make_admission(5 / 6)
-    admitted = sum(admission.allows(PRICE, TABLE) for _ in range(100))
-    assert 49 <= admitted <= 51
+    admission = make_admission(0.8)
+    assert sum(admission.allows(PRICE) for _ in range(100)) == 50
+
+
+def test_scarcest_service_decides():
+    admission = make_admission(0.8)
+    admission.find_level = {"proof": 0.8, "rate": 0.25, "desk": 1.0}.__getitem__
+    admission.update(TABLE)
+    assert admission.shares[PRICE.name] == pytest.approx(0.25)
 
 
 def test_nothing_is_refused_before_calls_of_servers_are_known():
     admission = Admission(CallGraph(), lambda service: 0.1)
-    assert admission.allows(PRICE, TABLE)
+    admission.allows(PRICE)
+    admission.update(TABLE)
+    assert admission.allows(PRICE)
 
 
-def test_services_are_found_along_the_whole_chain():
+def test_calls_are_counted_along_the_whole_chain():
     graph = CallGraph()
-    graph.put("shop/price/", {"shop/book/": 1.0})
-    graph.put("shop/book/", {"shop/part/": 1.0})
-    assert graph.find_services(PRICE, TABLE) == {"rate", "desk", "proof"}
+    graph.put("shop/price/", {"shop/book/": 3.0})
+    graph.put("shop/book/", {"shop/part/": 2.0})
+    calls = graph.count_calls(PRICE, TABLE)
+    assert calls == {"rate": 1.0, "desk": 3.0, "proof": 6.0}
 
 
 def test_cycle_of_calls_ends():
     graph = CallGraph()
     graph.put("shop/price/", {"shop/book/": 1.0})
     graph.put("shop/book/", {"shop/price/": 1.0})
-    assert graph.find_services(PRICE, TABLE) == {"rate", "desk"}
+    assert graph.count_calls(PRICE, TABLE).keys() == {"rate", "desk"}
 
 
-def test_level_falls_with_the_wait_and_comes_back():
+def test_level_falls_with_demand_and_comes_back():
     control = LevelControl()
-    for _ in range(100):
-        control.update(1.0, 0.2, 0.02)
+    for _ in range(200):
+        control.update(3.0, 2.0)
     assert control.level == MIN_LEVEL
     for _ in range(100):
-        control.update(0.3, 0.0, 0.02)
+        control.update(0.3, 0.0)
     assert control.level == 1.0
 
 
-def test_long_queue_of_a_fast_server_is_no_overload():
+def test_level_settles_where_demand_meets_its_target_though_it_shows_late():
     control = LevelControl()
-    control.update(1.0, 0.015, 0.02)
-    assert control.level == 1.0
+    late = [2.0, 2.0, 2.0]
+    levels = []
+    for _ in range(100):
+        late.append(2.0 * control.level)
+        levels.append(control.update(late.pop(0), 0.0))
+    assert levels[-1] * 2.0 == pytest.approx(TARGET_DEMAND, abs=0.02)
+    assert min(levels) * 2.0 > 0.7
 
 
-def test_full_slots_without_a_wait_hold_the_level():
+def test_backlog_alone_lowers_the_level_little():
     control = LevelControl(0.5)
-    control.update(0.98, 0.001, 0.02)
-    assert control.level == 0.5
+    for _ in range(5):
+        control.update(0.95, 10.0)
+    assert control.level > 0.4
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -6,7 +6,14 @@
 
 from eelgrassmount.http1.client import Break, ClientAnswer
 from eelgrassmount.platform.headers import DIALECT
-from eelgrassmount.relay.gate import INNER_RANK, Gate, Job
+from eelgrassmount.relay.gate import (
+    INNER_RANK,
+    LOAD_WEIGHT,
+    MAX_MEAN_WAIT_S,
+    Gate,
+    Job,
+    RouteStats,
+)
 from eelgrassmount.relay.heartbeats import Heartbeat
 from eelgrassmount.relay.messages import Fate, Reply
 from eelgrassmount.relay.server import LocalServer
@@ -220,13 +227,17 @@
     assert setup.crashes == [[first]]
 
 
-def test_load_is_the_mean_over_time():
+def test_demand_and_wait_are_parts_of_what_is_possible():
     setup = Setup(slots=1)
-    setup.gate.take_load()
+    setup.gate.update_load()
     setup.now_s += 1.0
-    setup.offer()
-    setup.offer()
+    for _ in range(3):
+        setup.offer()
     setup.now_s += 1.0
-    load = setup.gate.take_load()
-    assert load.use == pytest.approx(0.5)
-    assert load.wait_s == pytest.approx(0.5 * setup.gate.mean_run_s)
+    setup.gate.update_load()
+    run_s = setup.gate.mean_run_s
+    assert setup.gate.load.demand == pytest.approx(LOAD_WEIGHT * 3 * run_s / 2)
+    # two wait for one of two seconds; a fifth of the objective is allowed
+    setup.gate.routes["r"] = RouteStats(objective_s=0.4)
+    assert setup.gate.allow_mean_wait() == pytest.approx(0.08)
+    assert setup.gate.load.wait == pytest.approx(run_s / MAX_MEAN_WAIT_S)
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -23,9 +23,9 @@
 def test_runs_and_calls_of_a_node_become_a_vector():
     now = [1.0]
     beliefs = make_beliefs(now)
-    controllers = Controllers(beliefs, None, None, None, lambda: None, "near")
+    controllers = Controllers(beliefs, None, None, None, lambda table: None, "near")
     front = beliefs.members.put("front", "a:1", "near", "front")
-    front.load.rates = {"shop/book/": 20.0}
+    front.load.called = {"shop/book/": 20.0}
     for _ in range(40):
         beliefs.note_call("shop/book/")
         now[0] += 0.05
--- a/tests/relay/test_vectors.py
+++ b/tests/relay/test_vectors.py
@@ -10,10 +10,11 @@
 import pytest
 
 from eelgrassmount.relay.vectors import (
+    COUNT_FADE,
     MAX_STATES,
     VectorLearner,
     find_inner_routes,
-    update_rates,
+    update_counts,
 )
 
 
@@ -99,9 +100,9 @@
 
 def test_routes_of_clients_are_asked_for_everywhere():
     rates = {
-        "desk": [{"book": 10.0, "status": 7.0, "list": 80.0}, {"book": 16.0}],
-        "rate": [{"book": 8.0, "status": 9.0}],
-        "proof": [{"book": 12.0, "status": 8.0, "list": 0.0}],
+        "desk": [{"book": 20.0, "status": 17.0, "list": 80.0}, {"book": 36.0}],
+        "rate": [{"book": 18.0, "status": 19.0}],
+        "proof": [{"book": 22.0, "status": 18.0, "list": 0.0}],
     }
     assert find_inner_routes(rates) == {"list"}
 
@@ -110,8 +111,8 @@
     assert find_inner_routes({"desk": [{"book": 10.0, "list": 80.0}]}) == set()
 
 
-def test_rates_follow_the_counts():
-    rates: dict[str, float] = {}
-    for _ in range(200):
-        update_rates(rates, {"book": 5}, 0.25)
-    assert rates["book"] == pytest.approx(20.0, abs=0.1)
+def test_counts_fade():
+    counts: dict[str, float] = {}
+    for _ in range(500):
+        update_counts(counts, {"book": 5})
+    assert counts["book"] == pytest.approx(5 / (1 - COUNT_FADE), abs=1)
