Open a missing link, answer for a failed handler, learn from callers' hellos

Now the link is opened, and whatever a handler raises is logged and answered 500. A node that starts while the log is away is given configuration and members by the nodes that call it (test, failing before).

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -241,6 +241,8 @@
   2: string incarnation
   3: string service_name
   4: i64 config_version
+  5: string address
+  6: string failure_domain
 }
 
 // A call to run on the receiver's backend server. ``head`` is the block of headers
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -149,7 +149,8 @@
     def is_ready(self) -> bool:
         """Tell whether clients may send requests here."""
         beliefs = self.beliefs
-        return beliefs.table.version > 0 and self.found_nodes and not beliefs.stopping
+        found = self.found_nodes or len(beliefs.members.by_name) > 1
+        return beliefs.table.version > 0 and found and not beliefs.stopping
 
     def answer_ready(self, exchange: Exchange) -> None:
         """Answer the platform's question whether this node is ready."""
@@ -205,7 +206,17 @@
     server = LocalServer(settings.service, settings.server_address)
     members = MemberTable(settings.name)
     graph = CallGraph()
-    beliefs = Beliefs(settings.name, incarnation, server, members, graph, clock, rng)
+    beliefs = Beliefs(
+        settings.name,
+        incarnation,
+        str(settings.peer_address),
+        settings.failure_domain,
+        server,
+        members,
+        graph,
+        clock,
+        rng,
+    )
     pool = BackendPool(
         clock,
         lambda answer: DIALECT.read_answer(answer.headers).idle_limit_s,
@@ -228,8 +239,9 @@
         clock,
         beliefs.find_route,
         beliefs.make_hello,
-        lambda hello: None,
+        lambda hello: news.note_caller(hello),
         lambda suspects: news.note_suspects(suspects),
+        lambda config: news.note_config(config),
         lambda version: news.find_config(version),
     )
     news = News(
@@ -245,6 +257,7 @@
         news.note_report,
         news.note_suspects,
         news.note_config,
+        news.find_config,
     )
     controllers = Controllers(
         beliefs,
@@ -252,7 +265,6 @@
         inbound,
         events,
         admission.update,
-        settings.failure_domain,
     )
     decisions = DecisionLog.create(clock)
     entry = Entry(
@@ -276,6 +288,7 @@
         rng,
         graph.is_called,
         beliefs.note_call,
+        controllers.open_link,
     )
     node = RelayNode(
         settings,
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -2690,15 +2690,19 @@
      - incarnation
      - service_name
      - config_version
+     - address
+     - failure_domain
 
     """
 
 
-    def __init__(self, node_name=None, incarnation=None, service_name=None, config_version=None,):
+    def __init__(self, node_name=None, incarnation=None, service_name=None, config_version=None, address=None, failure_domain=None,):
         self.node_name = node_name
         self.incarnation = incarnation
         self.service_name = service_name
         self.config_version = config_version
+        self.address = address
+        self.failure_domain = failure_domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2729,6 +2733,16 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2755,6 +2769,14 @@
             oprot.writeFieldBegin('config_version', TType.I64, 4)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 5)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 6)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4099,6 +4121,8 @@
     (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
     (4, TType.I64, 'config_version', None, None, ),  # 4
+    (5, TType.STRING, 'address', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 6
 )
 all_structs.append(RelayCall)
 RelayCall.thrift_spec = (
--- a/eelgrassmount/http1/server.py
+++ b/eelgrassmount/http1/server.py
@@ -238,4 +238,9 @@
         if len(self.pending) >= MAX_PIPELINED and not self._paused:
             self._paused = True
             self.transport.pause_reading()
-        self.listener.handle(exchange)
+        try:
+            self.listener.handle(exchange)
+        except Exception:
+            # whatever went wrong, the client gets an answer that promises nothing
+            logger.exception("request handler failed")
+            exchange.respond(500)
--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -89,6 +89,7 @@
     rng: random.Random
     is_inner: Callable[[str], bool]
     note_called: Callable[[str], None]
+    open_link: Callable[[Member], None]
     table: RouteTable = field(factory=RouteTable)
     chooser: TargetChooser = field(factory=TargetChooser)
     open_flows: int = 0
@@ -162,6 +163,8 @@
             flow.job = Job(call, lambda reply: self._note_reply(flow, member, reply))
             self.gate.offer(flow.job)
         else:
+            if member.link is None:
+                self.open_link(member)
             flow.sequence = member.link.call(
                 call, lambda reply: self._note_reply(flow, member, reply)
             )
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -52,8 +52,9 @@
     clock: Callable[[], float]
     find_route: Callable[[str, bool], Route]
     make_hello: Callable[[], ttypes.RelayHello]
-    note_hello: Callable[[ttypes.RelayHello], None]
+    note_caller: Callable[[ttypes.RelayHello], bool]
     note_suspects: Callable[[ttypes.RelaySuspects], None]
+    note_config: Callable[[ttypes.RelayConfig], None]
     find_config: Callable[[int], ttypes.RelayConfig | None]
     accepting: bool = True
     connections: set[InboundConnection] = field(factory=set)
@@ -135,11 +136,14 @@
             self._cancel(struct.sequence)
         elif kind is FrameKind.HELLO:
             self.sender = f"{struct.node_name}/{struct.incarnation}"
-            self.inbound.note_hello(struct)
+            if self.inbound.note_caller(struct):
+                self.send(FrameKind.CONFIG_REQUEST, ttypes.RelayConfigRequest(0))
         elif kind is FrameKind.PING:
             self.send(FrameKind.PING, struct)
         elif kind is FrameKind.SUSPECTS:
             self.inbound.note_suspects(struct)
+        elif kind is FrameKind.CONFIG:
+            self.inbound.note_config(struct)
         elif kind is FrameKind.CONFIG_REQUEST:
             config = self.inbound.find_config(struct.known_version)
             if config is not None:
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -50,6 +50,7 @@
     note_report: Callable[[Member, ttypes.RelayReport], None]
     note_suspects: Callable[[ttypes.RelaySuspects], None]
     note_config: Callable[[ttypes.RelayConfig], None]
+    find_config: Callable[[int], ttypes.RelayConfig | None]
 
 
 @define(eq=False)
@@ -221,6 +222,10 @@
             self.events.note_suspects(struct)
         elif kind is FrameKind.CONFIG:
             self.events.note_config(struct)
+        elif kind is FrameKind.CONFIG_REQUEST:
+            config = self.events.find_config(struct.known_version)
+            if config is not None:
+                self.send(FrameKind.CONFIG, config)
 
     def _note_reply(self, reply: ttypes.RelayReply) -> None:
         load = self.member.load
--- a/eelgrassmount/relay/node.py
+++ b/eelgrassmount/relay/node.py
@@ -55,6 +55,8 @@
 
     name: str
     incarnation: str
+    address: str
+    failure_domain: str
     server: LocalServer
     members: MemberTable
     graph: CallGraph
@@ -108,7 +110,12 @@
     def make_hello(self) -> ttypes.RelayHello:
         """Return what a node says of itself at the start of a link."""
         return ttypes.RelayHello(
-            self.name, self.incarnation, self.server.service, self.table.version
+            self.name,
+            self.incarnation,
+            self.server.service,
+            self.table.version,
+            self.address,
+            self.failure_domain,
         )
 
 
@@ -121,7 +128,6 @@
     inbound: Inbound
     events: LinkEvents
     update_shares: Callable[[RouteTable], None]
-    failure_domain: str
     _reports: int = 0
 
     def watch_links(self) -> None:
@@ -159,7 +165,7 @@
         own = self.beliefs.name
         found.sort(
             key=lambda member: (
-                member.failure_domain != self.failure_domain,
+                member.failure_domain != self.beliefs.failure_domain,
                 hash((own, member.name)),
             )
         )
@@ -315,6 +321,21 @@
             return
         self._note_version(member, hello.config_version)
 
+    def note_caller(self, hello: ttypes.RelayHello) -> bool:
+        """Take up a node that has opened a link; tell whether it knows more.
+
+        A node that starts while the log is away learns of the others in this way.
+        """
+        beliefs = self.beliefs
+        if hello.address and hello.node_name != beliefs.name:
+            beliefs.members.put(
+                hello.node_name,
+                hello.address,
+                hello.failure_domain,
+                hello.service_name,
+            )
+        return (hello.config_version or 0) > beliefs.table.version
+
     def note_report(self, member: Member, report: ttypes.RelayReport) -> None:
         """Take up the load of another node's server."""
         load = member.load
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -151,3 +151,12 @@
     assert not setup.transport.reading
     setup.taken[0].respond(200)
     assert setup.transport.reading
+
+
+def test_handler_that_fails_is_answered_and_logged(setup):
+    def fail(exchange: Exchange) -> None:
+        raise ValueError("wrong")
+
+    setup.listener.handle = fail
+    setup.receive(GET + GET)
+    assert setup.transport.written.count(b"HTTP/1.1 500 ") == 2
--- a/tests/relay/test_deployment.py
+++ b/tests/relay/test_deployment.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from eelgrassmount.compose.relay import build_relay, start_relay
 from eelgrassmount.http1.client import Break
 from standins.platform_log import Trouble
 from tests.relay.deployment import (
@@ -320,3 +321,38 @@
         assert dict(answer.headers)[b"connection"] == b"close"
 
     run(scenario, LIST)
+
+
+def test_node_that_starts_while_the_log_is_away_is_told_by_the_others():
+    async def scenario(deployment: Deployment) -> None:
+        await deployment.add("list")
+        late = await deployment.add("list")
+        await deployment.settle()
+        deployment.log.trouble = Trouble.TURNED_AWAY
+        late.node.end()
+        deployment.vms.pop()
+        await anyio.sleep(0.05)
+        again = build_relay(late.settings)
+        await start_relay(again, deployment.group)
+        again.beliefs.server.incarnation = late.server.incarnation
+        with anyio.fail_after(5):
+            while not again.is_ready():
+                await anyio.sleep(0.02)
+        again.end()
+        late.server.listener.end()
+
+    run(scenario, LIST)
+
+
+def test_request_to_a_node_without_a_link_opens_it():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        member = front.node.beliefs.members.by_name["node-2"]
+        member.link.close()
+        member.link = None
+        assert (await ask(front, "/list/1")).status == 200
+        assert len(back.server.runs) == 1
+
+    run(scenario, LIST)
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -15,7 +15,9 @@
 def make_beliefs(now: list[float]) -> Beliefs:
     server = LocalServer("desk", Address("127.0.0.1", 80))
     members = MemberTable("own")
-    beliefs = Beliefs("own", "i", server, members, CallGraph(), lambda: now[0], None)
+    beliefs = Beliefs(
+        "own", "i", "a:1", "near", server, members, CallGraph(), lambda: now[0], None
+    )
     beliefs.table = make_table(make_route("shop/book/"), make_route("shop/part/"))
     return beliefs
 
@@ -23,7 +25,7 @@
 def test_runs_and_calls_of_a_node_become_a_vector():
     now = [1.0]
     beliefs = make_beliefs(now)
-    controllers = Controllers(beliefs, None, None, None, lambda table: None, "near")
+    controllers = Controllers(beliefs, None, None, None, lambda table: None)
     front = beliefs.members.put("front", "a:1", "near", "front")
     front.load.called = {"shop/book/": 20.0}
     for _ in range(40):
