Identify a running server by its health when a node starts

One health check as the first configuration comes names the incarnation. Ruled out: sending without it (another server may be there).

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -51,6 +51,7 @@
     from anyio.abc import TaskGroup
 
     from eelgrassmount.http1.exchange import Exchange
+    from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
     from eelgrassmount.relay.store import StoredRecord
 
@@ -110,6 +111,8 @@
             before=beliefs.table.version,
             routes=table.count_routes(),
         )
+        if not beliefs.server.incarnation:
+            self._identify_server(table)
         beliefs.table = table
         beliefs.document = document
         beliefs.graph.forget_routes()
@@ -122,6 +125,11 @@
             limits.idle_limit_s,
         )
 
+    def _identify_server(self, table: RouteTable) -> None:
+        service = table.services.get(self.beliefs.server.service)
+        if service is not None:
+            self.gate.identify(service.health_path)
+
     def take_configuration(
         self, records: tuple[StoredRecord, ...], whole: bool
     ) -> None:
--- a/eelgrassmount/platform/headers.py
+++ b/eelgrassmount/platform/headers.py
@@ -90,6 +90,11 @@
     )
 
 
+def write_probe(path: str) -> bytes:
+    """Return the bytes of a health check, whose answer names the incarnation."""
+    return b"GET %s HTTP/1.1\r\nhost: server\r\n\r\n" % path.encode("latin-1")
+
+
 def read_answer(headers: list[tuple[bytes, bytes]]) -> AnswerHead:
     """Read the headers of a server's answer; names are in lower case."""
     head = AnswerHead()
@@ -138,5 +143,10 @@
 
 
 DIALECT = Dialect(
-    read_request, write_request, read_answer, find_request_id, write_refusal
+    read_request,
+    write_request,
+    write_probe,
+    read_answer,
+    find_request_id,
+    write_refusal,
 )
--- a/eelgrassmount/relay/dialect.py
+++ b/eelgrassmount/relay/dialect.py
@@ -47,6 +47,7 @@
 
     read_request: Callable[[list[tuple[bytes, bytes]]], RequestHead]
     write_request: Callable[[str, str, bytes, bytes, int, str, str], bytes]
+    write_probe: Callable[[str], bytes]
     read_answer: Callable[[list[tuple[bytes, bytes]]], AnswerHead]
     find_request_id: Callable[[list[tuple[bytes, bytes]]], bytes]
     write_refusal: Callable[[str, float], bytes]
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import define, field
+from loguru import logger
 
 from eelgrassmount.http1.client import Break, ClientAnswer
 from eelgrassmount.relay.messages import Fate, Reply
@@ -146,6 +147,24 @@
         heapq.heappush(self._queue, (due_s, next(self._numbers), job))
         self.queued += 1
 
+    def identify(self, health_path: str) -> None:
+        """Ask a server that has not announced itself yet which incarnation it is.
+
+        A node that starts beside a running server would otherwise refuse calls
+        until the next heartbeat.
+        """
+
+        def note(outcome: ClientAnswer | Break) -> None:
+            if isinstance(outcome, ClientAnswer) and outcome.status == 200:
+                head = self.dialect.read_answer(outcome.headers)
+                if not self.server.incarnation:
+                    logger.info("server identified", incarnation=head.instance)
+                    self.server.note_named(head.instance)
+                    self.on_change()
+
+        data = self.dialect.write_probe(health_path)
+        self.pool.send(self.server.address, data, True, lambda answer: True, note)
+
     def cancel(self, job: Job) -> None:
         """Give up a job nobody waits for; what must not run twice runs on."""
         if job.ended:
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -241,3 +241,21 @@
     setup.gate.routes["r"] = RouteStats(objective_s=0.4)
     assert setup.gate.allow_mean_wait() == pytest.approx(0.08)
     assert setup.gate.load.wait == pytest.approx(run_s / MAX_MEAN_WAIT_S)
+
+
+def test_server_that_runs_already_is_identified_by_its_health():
+    setup = Setup()
+    setup.server.incarnation = ""
+    setup.gate.identify("/health")
+    assert setup.pool.sent == [b"GET /health HTTP/1.1\r\nhost: server\r\n\r\n"]
+    setup.answer(200, [(b"eelgrassmount-instance-id", b"i7")])
+    assert setup.server.incarnation == "i7"
+    assert setup.gate.in_flight == 0
+
+
+def test_server_that_is_not_well_is_not_taken_up_by_its_health():
+    setup = Setup()
+    setup.server.incarnation = ""
+    setup.gate.identify("/health")
+    setup.answer(503, [(b"eelgrassmount-instance-id", b"i7")])
+    assert setup.server.incarnation == ""
