--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -50,6 +50,11 @@
             instance = self.incarnation.encode()
             exchange.respond(421, b"eelgrassmount-instance-id: %s\r\n" % instance)
             return
+        if REQUEST_ID not in names:
+            # a health check
+            instance = self.incarnation.encode()
+            exchange.respond(200, b"eelgrassmount-instance-id: %s\r\n" % instance)
+            return
         self.runs.append(names.get(REQUEST_ID, b"").decode())
         self.seen.append(names)
         task = asyncio.get_running_loop().create_task(self._run(exchange))
--- /dev/null
+++ b/tests/relay/test_program.py
@@ -0,0 +1,127 @@
+"""The real program, as its own process, with stand-ins around it."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+
+from eelgrassmount.util.addresses import Address
+from standins.platform_log import PlatformLog
+from standins.platform_server import PlatformServer
+from tests.relay.deployment import connect, make_document, make_request, make_rule, send
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ROOT = Path(__file__).parent.parent.parent
+HOST = "127.77.3.1"
+SETTINGS = f"""
+nodeId = "vm-1"
+ip = "{HOST}"
+zone = "a"
+service = "list"
+appAddr = "{HOST}:8301"
+portRange = [7620, 7635]
+bounds = ["graceS=4"]
+[listen]
+outbound = "{HOST}:8304"
+ready = "{HOST}:8302"
+control = "{HOST}:8306"
+[platform]
+address = "{HOST}:8309"
+"""
+START_LIMIT_S = 10.0
+
+
+def start(path: Path) -> subprocess.Popen[bytes]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "eelgrassmount", "relay"],
+        cwd=ROOT,
+        env={**os.environ, "EELGRASSMOUNT_NODE_FILE": str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+
+
+def run(path: Path, scenario: Callable) -> None:
+    async def main() -> None:
+        log = PlatformLog()
+        await log.start(HOST, 8309)
+        log.put("keyed.op", "config", make_document(1, make_rule("/list/", "list")))
+        server = PlatformServer("i-1")
+        await server.start(HOST, 8301)
+        process = start(path)
+        try:
+            with anyio.fail_after(START_LIMIT_S):
+                while await ask_ready() != 200:
+                    await anyio.sleep(0.05)
+            await scenario(server, process)
+        finally:
+            process.kill()
+            process.communicate()
+            server.listener.end()
+            log.listener.end()
+            await anyio.sleep(0.01)
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+
+
+async def ask_ready() -> int:
+    try:
+        connection = await connect(Address(HOST, 8302))
+    except OSError:
+        return 0
+    answer = await send(connection, make_request("GET", "/ready"))
+    connection.close()
+    return answer.status
+
+
+@pytest.fixture
+def settings(tmp_path: Path) -> Path:
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    return path
+
+
+def test_program_serves_reports_and_stops_in_order(settings):
+    async def scenario(server: PlatformServer, process: subprocess.Popen) -> None:
+        connection = await connect(Address(HOST, 8304))
+        answer = await send(connection, make_request("GET", "/list/1"))
+        assert answer.status == 200
+        assert server.runs == ["a1"]
+        metrics = await connect(Address(HOST, 9464))
+        text = (await send(metrics, make_request("GET", "/metrics"))).body
+        assert b'eelgrassmount_relay_answers_total{route="shop.example/list/"' in text
+        assert b"eelgrassmount_relay_seconds_bucket" in text
+        metrics.close()
+        process.send_signal(signal.SIGTERM)
+        # clients go on using their connections until they are told to close
+        answer = await send(connection, make_request("GET", "/list/2"))
+        assert answer.status in (200, 503)
+        assert dict(answer.headers)[b"connection"] == b"close"
+        assert await ask_ready() == 503
+        with anyio.fail_after(5):
+            while process.poll() is None:
+                await anyio.sleep(0.05)
+        assert process.returncode == 0
+        lines = process.stdout.read().decode()
+        for message in ("node started", "configuration in force", "stopping"):
+            assert message in lines
+
+    run(settings, scenario)
+
+
+def test_wrong_settings_end_the_program_with_one_line(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS.replace('zone = "a"', ""))
+    process = start(path)
+    _, errors = process.communicate(timeout=20)
+    assert process.returncode == 2
+    assert errors.decode().strip().splitlines()[-1].startswith("zone: ")
