Wait for the node's not-ready before the request that must close

Cause: the test sent its request before the signal was handled, and was answered on an open connection (1 of 2 runs beside load). It now waits for the readiness answer to change, and asserts the close as before.

--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -102,11 +102,13 @@
         assert b"eelgrassmount_relay_seconds_bucket" in text
         metrics.close()
         process.send_signal(signal.SIGTERM)
+        with anyio.fail_after(2):
+            while await ask_ready() != 503:
+                await anyio.sleep(0.01)
         # clients go on using their connections until they are told to close
         answer = await send(connection, make_request("GET", "/list/2"))
         assert answer.status in (200, 503)
         assert dict(answer.headers)[b"connection"] == b"close"
-        assert await ask_ready() == 503
         with anyio.fail_after(5):
             while process.poll() is None:
                 await anyio.sleep(0.05)
