Keep links only to the services in use where there are many

Cause: by reading: a node opened up to 16 links to each service of the table, 5,900 links at 370 services. Now to those that its requests need, directly or by calls; with eight services or fewer to all, as before. Test with 20 services.

--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -29,6 +29,9 @@
 MAX_ROWS = 200
 # the rows go along with every so many reports
 ROWS_PERIOD = 2
+# with so few services, links to all of them are opened before they are needed; with
+# more, a node would keep links to thousands of nodes that it never calls
+EAGER_SERVICES = 8
 # shares and times travel as whole numbers
 SCALE = 1000
 PPM = 1_000_000
@@ -65,12 +68,18 @@
         member.link.connect()
 
     def _list_wanted(self) -> set[str]:
-        """Return the services that requests of this VM may need."""
-        table = self.beliefs.table
+        """Return the services that requests of this VM need, directly or not."""
+        beliefs = self.beliefs
+        routes = beliefs.table.routes
+        if len(beliefs.members.by_service) <= EAGER_SERVICES:
+            return {
+                target.service for route in routes.values() for target in route.targets
+            }
         return {
-            target.service
-            for route in table.routes.values()
-            for target in route.targets
+            service
+            for name in beliefs.called_before
+            if name in routes
+            for service in beliefs.graph.count_calls(routes[name], beliefs.table)
         }
 
     def _choose_links(self, service: str) -> list[Member]:
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -43,3 +43,18 @@
     assert calls["shop/part/"] == pytest.approx(2.0, abs=0.1)
     assert beliefs.graph.is_called("shop/part/")
     assert not beliefs.graph.is_called("shop/book/")
+
+
+def test_links_are_kept_to_the_services_in_use_only():
+    beliefs = make_beliefs([1.0])
+    services = [f"s{number}" for number in range(20)]
+    routes = [make_route(f"shop/{name}/", (name,)) for name in services]
+    beliefs.table = make_table(*routes)
+    for name in services:
+        beliefs.members.put(f"node-{name}", "a:1", "near", name)
+    controllers = Controllers(beliefs, None, None, None, lambda table: None)
+    assert controllers._list_wanted() == set()
+    beliefs.note_call("shop/s3/")
+    beliefs.graph.put("shop/s3/", {"shop/s7/": 1.0})
+    controllers.count_calls()
+    assert controllers._list_wanted() == {"s3", "s7"}
