--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -38,7 +38,7 @@
 UNCONFIGURED_S = 0.5
 # without a deadline of the client, a request is kept this long at most
 DEFAULT_REMAINING_MS = 60_000
-# time that a repeated run must have left, in expected durations of a run
+# time that a call must have left to be sent again
 REPEAT_ROOM_S = 0.02
 
 NOT_FOUND = 404
@@ -49,11 +49,15 @@
 
 @define(eq=False)
 class Flow:
-    """One request while it has no answer."""
+    """One request while it has no answer.
+
+    ``last`` is the latest reply and ``server`` the node that gave it; ``attempts``
+    counts the sendings that may have reached a server, ``refusals`` those that have
+    not.
+    """
 
     exchange: Exchange
     call: Call
-    inner: bool
     timer: asyncio.TimerHandle | None = None
     member: Member | None = None
     job: Job | None = None
@@ -64,6 +68,7 @@
     ended: bool = False
     excluded: set[str] = field(factory=set)
     last: Reply | None = None
+    server: str = ""
 
 
 @define(eq=False)
@@ -71,8 +76,9 @@
     """Takes requests, sends each to a server and answers it exactly once.
 
     A call is sent again when it has certainly not run, or when it may run twice
-    and the retry budget allows it. ``note_called`` learns which routes this VM
-    calls; ``is_inner`` tells whether the server beside this node is their caller.
+    and the retry budget allows it. ``note_called`` hears of each route that is
+    asked for on this VM; ``is_inner`` tells whether running servers call a route,
+    whose calls are not refused here.
     """
 
     own_name: str
@@ -108,8 +114,7 @@
             return
         self.note_called(route.name)
         call = self._make_call(exchange, head, route)
-        inner = call.rank == INNER_RANK
-        if not inner and not self.admission.allows(route):
+        if call.rank != INNER_RANK and not self.admission.allows(route):
             self._refuse(exchange, call, Reason.OVERLOAD)
             return
         if self.quarantine.suspects and self.quarantine.check(
@@ -117,7 +122,7 @@
         ):
             self._refuse(exchange, call, Reason.QUARANTINED)
             return
-        self._begin(Flow(exchange, call, inner))
+        self._begin(Flow(exchange, call))
 
     def _make_call(self, exchange: Exchange, head: RequestHead, route: Route) -> Call:
         remaining_ms = head.remaining_ms
@@ -175,6 +180,7 @@
         flow.member = None
         flow.job = None
         flow.last = reply
+        flow.server = member.name
         if reply.fate is Fate.ANSWERED:
             self._note_answer(flow, member, reply)
         elif reply.fate is Fate.NOT_RUN:
@@ -189,7 +195,7 @@
             if self._may_repeat(flow):
                 self._repeat(flow, member, f"status-{reply.status}")
                 return
-        self._deliver(flow, member, reply)
+        self._deliver(flow, reply)
 
     def _note_refusal(self, flow: Flow, member: Member, reply: Reply) -> None:
         flow.refusals += 1
@@ -244,35 +250,29 @@
         )
         self._send(flow)
 
-    def _deliver(self, flow: Flow, member: Member, reply: Reply) -> None:
+    def _deliver(self, flow: Flow, reply: Reply) -> None:
+        """Hand the answer of a server on."""
         self._end(flow)
         call = flow.call
         seconds = self.clock() - call.arrived_s
         self.metrics.count_answer(call.route.name, reply.status, seconds)
+        inputs = {
+            "route": call.route.name,
+            "server": flow.server,
+            "seconds": round(seconds, 3),
+        }
         if reply.status >= 500:
-            self.decisions.note(
-                "server failed",
-                call.request_id,
-                f"status-{reply.status}",
-                route=call.route.name,
-                server=member.name,
-                seconds=round(seconds, 3),
-            )
+            outcome = f"status-{reply.status}"
+            self.decisions.note("server failed", call.request_id, outcome, **inputs)
         else:
-            self.decisions.sample(
-                "answered",
-                call.request_id,
-                route=call.route.name,
-                server=member.name,
-                seconds=round(seconds, 3),
-            )
+            self.decisions.sample("answered", call.request_id, **inputs)
         flow.exchange.respond(reply.status, reply.head, reply.body)
 
     def _give_up(self, flow: Flow) -> None:
         """Give the final answer of a request that no server answers."""
         last = flow.last
         if last is not None and last.fate is Fate.ANSWERED:
-            self._deliver_last(flow, last)
+            self._deliver(flow, last)
             return
         self._end(flow)
         reason = Reason.NO_SERVER if last is None else last.reason
@@ -281,13 +281,6 @@
         else:
             self._refuse(flow.exchange, flow.call, reason)
 
-    def _deliver_last(self, flow: Flow, last: Reply) -> None:
-        self._end(flow)
-        call = flow.call
-        seconds = self.clock() - call.arrived_s
-        self.metrics.count_answer(call.route.name, last.status, seconds)
-        flow.exchange.respond(last.status, last.head, last.body)
-
     def _time_out(self, flow: Flow) -> None:
         if flow.ended:
             return
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC, abstractmethod
 from enum import IntEnum
 from typing import Any
 
@@ -69,7 +70,7 @@
     return (len(payload) + 1).to_bytes(LENGTH_BYTES, "big") + bytes((kind,)) + payload
 
 
-class FrameConnection(asyncio.Protocol):
+class FrameConnection(asyncio.Protocol, ABC):
     """A connection that carries frames; subclasses say what they mean."""
 
     def __init__(self) -> None:
@@ -130,12 +131,14 @@
         if make is not None:
             self.note_frame(FrameKind(kind), decode_struct(make, payload))
 
+    @abstractmethod
     def note_frame(self, kind: FrameKind, struct: Any) -> None:
         """Handle a frame."""
-        raise NotImplementedError
 
+    @abstractmethod
     def note_bad(self, error: BadFrameError) -> None:
         """Handle bytes that are no frame; the connection is dropped after it."""
 
+    @abstractmethod
     def note_lost(self) -> None:
         """Handle the end of the connection."""
