Let every way to start the program know the command relay

Cause: the console script and the one-file program did not know it, only 'python -m'. Test through the common entry of both, failing before.

--- a/eelgrassmount/cmd/main.py
+++ b/eelgrassmount/cmd/main.py
@@ -22,8 +22,32 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+PROGRAM = "eelgrassmount"
+
+_FLAG = re.compile(r"--|-[a-z]")
+_BOOLEAN_FLAGS = ("--json", "-j")
+_HELP_FLAGS = ("--help", "-h")
+
+
+def relay() -> Action:
+    """Run a node beside a backend server on the users' platform.
+
+    It takes no flags: the platform's settings file says everything, and its path
+    stands in the environment. It runs until SIGTERM.
+    """
+
+    def start() -> int:
+        # a node imports what the other commands don't need
+        from eelgrassmount.cmd.relay import run_relay
+
+        return run_relay()
+
+    return Action(start)
+
+
 COMMANDS = {
     "node": node,
+    "relay": relay,
     "config": {
         "publish": config.publish,
         "show": config.show,
@@ -35,11 +59,6 @@
     "drain": status.drain,
     "version": status.version,
 }
-PROGRAM = "eelgrassmount"
-
-_FLAG = re.compile(r"--|-[a-z]")
-_BOOLEAN_FLAGS = ("--json", "-j")
-_HELP_FLAGS = ("--help", "-h")
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/eelgrassmount/cmd/relay.py
+++ b/eelgrassmount/cmd/relay.py
@@ -14,7 +14,6 @@
 from eelgrassmount.logs import setup_logs
 from eelgrassmount.platform.settings import find_settings_file
 
-COMMAND = "relay"
 # objects before a collection of the youngest, middle and oldest generation: the
 # collector's pauses are latency, and calls leave few cycles behind
 COLLECTOR_THRESHOLDS = (50_000, 20, 50)
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -136,3 +136,18 @@
     _, errors = process.communicate(timeout=20)
     assert process.returncode == 2
     assert errors.decode().strip().splitlines()[-1].startswith("zone: ")
+
+
+def test_every_way_to_start_the_program_knows_the_command(tmp_path):
+    code = "import sys; from eelgrassmount.cmd.main import main; sys.exit(main())"
+    environment = {**os.environ, "EELGRASSMOUNT_NODE_FILE": str(tmp_path / "none")}
+    result = subprocess.run(
+        [sys.executable, "-c", code, "relay"],
+        cwd=ROOT,
+        env=environment,
+        capture_output=True,
+        timeout=20,
+        check=False,
+    )
+    assert result.returncode == 2
+    assert b"none: can't be read" in result.stderr
