Drop settings and state of the relay that nothing reads

Found on reading the whole change: a time until which a member would be closed that nothing set, two settings that nothing used, and a name for a type. No change of behaviour; the tests of the relay, its HTTP and the adapter pass unchanged (ruff clean).

--- a/eelgrassmount/platform/settings.py
+++ b/eelgrassmount/platform/settings.py
@@ -58,8 +58,6 @@
         retry_window_s=bounds.get("budgetWindowS", 10.0),
         retry_slack=bounds.get("budgetSlack", 10.0),
         grace_s=bounds.get("graceS", 6.0),
-        stable_s=bounds.get("stableWindowMs", 3000.0) / 1000,
-        memory_mb=_read_memory(content),
     )
 
 
@@ -106,8 +104,3 @@
             allowed = "entries such as graceS=6"
             raise SettingError("bounds", str(text), allowed) from error
     return bounds
-
-
-def _read_memory(content: dict[str, Any]) -> int:
-    memory = _find(content, "limits", "memoryMb")
-    return int(memory) if isinstance(memory, (int, float)) else 0
--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -24,8 +24,6 @@
 # longer: when the server has dropped it, nobody could tell whether it ran
 FRESH_IDLE_S = 0.5
 
-Done = "Callable[[ClientAnswer | Break], None]"
-
 
 @define(eq=False)
 class Sending:
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -57,7 +57,6 @@
     used_s: float = 0.0
     failures: int = 0
     retry_s: float = 0.0
-    closed_until_s: float = 0.0
 
     def is_connected(self) -> bool:
         """Tell whether calls to the node go out at once."""
@@ -79,7 +78,7 @@
 
         One that could not be reached has to be reached by a connection first.
         """
-        if self.failures or now_s < self.closed_until_s:
+        if self.failures:
             return False
         if self.link is not None and self.link.is_suspect(now_s):
             return False
--- a/eelgrassmount/relay/settings.py
+++ b/eelgrassmount/relay/settings.py
@@ -30,5 +30,3 @@
     retry_window_s: float = 10.0
     retry_slack: float = 10.0
     grace_s: float = 6.0
-    stable_s: float = 3.0
-    memory_mb: int = 0
