Tell the story of one request from log lines

Ruled out: a store of lines beside the nodes: the platform keeps none, and the lines that explain a failure are there already. Before: `grep`, by hand, a VM at a time. Not measured: worth (nothing on the path changed). Conclusion: kept; tests/cmd/test_explain.py and test_program.py hold it.

--- /dev/null
+++ b/eelgrassmount/cmd/explain.py
@@ -0,0 +1,160 @@
+"""The command that tells the story of one request from log lines."""
+
+from __future__ import annotations
+
+import json as json_format
+import sys
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING, Any
+
+from attrs import field, frozen
+
+from eelgrassmount.cmd.action import Action, ExitCode, is_set, print_result
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# what happened to a node or service this long before a request may have caused its end
+BEFORE = timedelta(seconds=5)
+# lines on nodes and services that are shown at most, those nearest to the end
+MAX_AROUND = 20
+# fields that are told at the start of a line or not at all
+_TOLD_FIELDS = ("time", "level", "module", "message", "node", "request", "outcome")
+# fields of a decision that name other nodes
+_NODE_FIELDS = ("node", "after", "server", "peer")
+
+
+@frozen
+class LogLine:
+    """One line of a node's log; ``fields`` holds it as it was written."""
+
+    time: datetime
+    message: str
+    fields: dict[str, Any]
+
+    def list_nodes(self) -> set[str]:
+        """Return the nodes that the line is about."""
+        names = {self.fields.get(name) for name in _NODE_FIELDS}
+        names.update(self.fields.get("tried", ()))
+        return {name for name in names if name}
+
+    def describe(self) -> str:
+        """Return the line for people."""
+        fields = self.fields
+        outcome = f": {fields['outcome']}" if "outcome" in fields else ""
+        rest = " ".join(
+            f"{name}={value}"
+            for name, value in fields.items()
+            if name not in _TOLD_FIELDS
+        )
+        moment = self.time.strftime("%H:%M:%S.%f")[:-3]
+        return f"{moment} {fields.get('node', '?')} {self.message}{outcome}  {rest}"
+
+
+@frozen
+class Story:
+    """The lines on one request, and those on the nodes and services it met."""
+
+    request_id: str
+    own: list[LogLine] = field(factory=list)
+    around: list[LogLine] = field(factory=list)
+    left_out: int = 0
+    unread: int = 0
+
+    def describe(self) -> str:
+        """Return the story for people."""
+        parts = [f"request {self.request_id}"]
+        parts += [f"  {line.describe()}" for line in self.own]
+        if not self.own:
+            parts.append("  no line names it")
+        if self.around:
+            parts.append("on the nodes and services it met, shortly before")
+            parts += [f"  {line.describe()}" for line in self.around]
+        if self.left_out:
+            parts.append(
+                f"{self.left_out} lines on requests were left out by the nodes"
+            )
+        if self.unread:
+            parts.append(f"{self.unread} lines of the input are not log lines")
+        return "\n".join(parts)
+
+    def encode(self) -> dict[str, Any]:
+        """Return the story as one JSON value."""
+        return {
+            "request": self.request_id,
+            "lines": [line.fields for line in self.own],
+            "around": [line.fields for line in self.around],
+            "left_out": self.left_out,
+            "unread": self.unread,
+        }
+
+
+def explain(request: str, json: bool = False) -> Action:
+    """Tell what happened to a request, from log lines on standard input.
+
+    Give it the lines of all nodes, in any order.
+
+    Args:
+        request: Id of the request, as its client was told it.
+        json: Print JSON.
+    """
+
+    def start() -> ExitCode:
+        story = tell_story(request, sys.stdin)
+        print_result(story.describe(), story.encode(), is_set("json", json))
+        return ExitCode.DONE if story.own else ExitCode.UNKNOWN
+
+    return Action(start)
+
+
+def tell_story(request_id: str, texts: Iterable[str]) -> Story:
+    """Pick the lines that matter for one request.
+
+    Lines that can't be read are counted; what stands before the JSON object of a
+    line, such as the name of a VM, is passed over.
+    """
+    lines = []
+    unread = 0
+    for text in texts:
+        line = _read_line(text)
+        if line is None:
+            unread += bool(text.strip())
+        else:
+            lines.append(line)
+    lines.sort(key=lambda line: line.time)
+    own = [line for line in lines if line.fields.get("request") == request_id]
+    left_out = sum(
+        line.fields.get("count", 0)
+        for line in lines
+        if line.message == "lines left out"
+    )
+    return Story(request_id, own, _find_around(own, lines), left_out, unread)
+
+
+def _read_line(text: str) -> LogLine | None:
+    _, brace, rest = text.partition("{")
+    try:
+        fields = json_format.loads(brace + rest)
+        return LogLine(
+            datetime.fromisoformat(fields["time"]), str(fields["message"]), fields
+        )
+    except (ValueError, KeyError, TypeError):
+        # counted by the caller, who says how many there were
+        return None
+
+
+def _find_around(own: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
+    if not own:
+        return []
+    nodes = {name for line in own for name in line.list_nodes()}
+    services = {line.fields["service"] for line in own if "service" in line.fields}
+    first = own[0].time - BEFORE
+    last = own[-1].time
+    found = [
+        line
+        for line in lines
+        if first <= line.time <= last
+        and "request" not in line.fields
+        and (line.list_nodes() & nodes or line.fields.get("service") in services)
+    ]
+    return found[-MAX_AROUND:]
--- a/eelgrassmount/cmd/main.py
+++ b/eelgrassmount/cmd/main.py
@@ -12,6 +12,7 @@
 
 from eelgrassmount.cmd import config, status
 from eelgrassmount.cmd.action import Action, ExitCode
+from eelgrassmount.cmd.explain import explain
 from eelgrassmount.cmd.node import node
 from eelgrassmount.errors import (
     AdminRefusedError,
@@ -56,6 +57,7 @@
         "rollback": config.rollback,
     },
     "status": status.status,
+    "explain": explain,
     "drain": status.drain,
     "version": status.version,
 }
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -180,6 +180,8 @@
     Raises `ListenError` when one of its addresses can't be bound.
     """
     settings = load_settings(path)
+    # the lines of many nodes are read together
+    logger.configure(extra={"node": settings.name})
     node = build_relay(settings)
     watch = SettingsWatch(path, load_settings, node.apply_settings)
     async with anyio.create_task_group() as group:
@@ -219,7 +221,6 @@
     group.start_soon(_join, node)
     logger.info(
         "node started",
-        node=settings.name,
         incarnation=node.beliefs.incarnation,
         service=settings.service,
         failure_domain=settings.failure_domain,
--- /dev/null
+++ b/tests/cmd/test_explain.py
@@ -0,0 +1,83 @@
+"""The story of one request, from log lines."""
+
+from __future__ import annotations
+
+import io
+import json
+
+import pytest
+
+from eelgrassmount.cmd.action import ExitCode
+from eelgrassmount.cmd.explain import MAX_AROUND, tell_story
+from eelgrassmount.cmd.main import main
+
+
+def write_line(second: float, message: str, node: str = "vm-1", **fields) -> str:
+    time = f"2026-01-01T10:00:{second:06.3f}+00:00"
+    line = {"time": time, "level": "info", "message": message, "node": node}
+    return json.dumps({**line, **fields}) + "\n"
+
+
+LINES = [
+    write_line(9, "failed", request="a1", outcome="deadline", tried=["vm-7"]),
+    write_line(8, "sent again", request="a1", outcome="peer-lost", after="vm-5"),
+    write_line(7.9, "link silent", peer="vm-5"),
+    write_line(7.8, "server crashed", node="vm-7"),
+    write_line(7.7, "link silent", node="vm-3", peer="vm-4"),
+    write_line(7.6, "refused", request="a2", outcome="overload"),
+    write_line(1, "node unreachable", peer="vm-5"),
+    write_line(9.5, "lines left out", count=3),
+]
+
+
+def test_lines_of_a_request_stand_in_order():
+    story = tell_story("a1", LINES)
+    assert [line.message for line in story.own] == ["sent again", "failed"]
+    assert story.left_out == 3
+
+
+def test_what_happened_shortly_before_to_the_nodes_it_met_is_told():
+    around = tell_story("a1", LINES).around
+    assert [line.message for line in around] == ["server crashed", "link silent"]
+
+
+def test_service_that_was_short_is_told():
+    lines = [
+        write_line(1, "overload begins", node="vm-9", service="list", demand=1.4),
+        write_line(1, "overload begins", node="vm-9", service="book", demand=1.4),
+        write_line(2, "refused", request="a1", outcome="overload", service="list"),
+    ]
+    around = tell_story("a1", lines).around
+    assert [line.fields["service"] for line in around] == ["list"]
+
+
+def test_no_more_than_the_nearest_lines_are_shown():
+    lines = [write_line(1 + i / 50, "link silent", peer="vm-5") for i in range(50)]
+    lines.append(write_line(3, "failed", request="a1", outcome="deadline"))
+    around = tell_story("a1", lines).around
+    assert len(around) == MAX_AROUND
+    assert around[-1].time.microsecond == 980_000
+
+
+def test_other_lines_are_counted_and_a_leading_name_is_passed_over():
+    texts = ["vm-1| " + LINES[0], "Traceback\n", "{broken\n", "[1]\n", "\n"]
+    story = tell_story("a1", texts)
+    assert len(story.own) == 1
+    assert story.unread == 3
+
+
+@pytest.mark.parametrize(
+    ("request_id", "code", "text"),
+    [("a1", ExitCode.DONE, "failed: deadline"), ("x", ExitCode.UNKNOWN, "no line")],
+)
+def test_command_reads_standard_input(monkeypatch, capsys, request_id, code, text):
+    monkeypatch.setattr("sys.stdin", io.StringIO("".join(LINES)))
+    assert main(["explain", request_id]) == code
+    assert text in capsys.readouterr().out
+
+
+def test_command_prints_json(monkeypatch, capsys):
+    monkeypatch.setattr("sys.stdin", io.StringIO("".join(LINES)))
+    assert main(["explain", "a1", "--json"]) == ExitCode.DONE
+    content = json.loads(capsys.readouterr().out)
+    assert [line["message"] for line in content["lines"]] == ["sent again", "failed"]
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
 import subprocess
@@ -125,6 +126,9 @@
             "stopping",
         ):
             assert message in lines
+        nodes = {json.loads(line).get("node") for line in lines.splitlines()}
+        assert len(nodes) == 1
+        assert None not in nodes
 
     run(settings, scenario)
 
