Learn how soon a server forgets idle connections

Cause: a server may drop a connection that rested 0.3 s without notice; work that must not run twice went out on connections idle for up to 0.5 s, and its fate was unknown. Ruled out: a new connection for each such call: connections are dear at one site. Before: no learning, limit 0.5 s. After: 0.25 s, and less once a connection that had rested breaks on its next request; trust comes back by a tenth a second. Conclusion: kept; tests/relay/test_backend.py holds it.

--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import define, field
+from loguru import logger
 
 from eelgrassmount.http1.client import Break, ClientAnswer, ClientConnection
 
@@ -21,8 +22,17 @@
 # taken off the server's own limit, since its clock started before ours
 IDLE_MARGIN_S = 1.0
 # work that must not run twice doesn't go out on a connection that was idle for
-# longer: when the server has dropped it, nobody could tell whether it ran
-FRESH_IDLE_S = 0.5
+# longer: when the server has dropped it, nobody could tell whether it ran; servers
+# that forget connections do so after 0.3 s
+FRESH_IDLE_S = 0.25
+# a connection that was idle for at least this long and breaks so soon after the next
+# request was forgotten by the server, and not cut by its crash
+FORGOTTEN_IDLE_S = 0.05
+FORGOTTEN_WITHIN_S = 0.05
+# part of that idle time which connections are trusted for from then on
+TRUSTED_SHARE = 0.6
+# growth of this trust at each sweep: from 0.1 s to the usual 4 s within 40 s
+TRUST_GROWTH = 1.1
 
 
 @define(eq=False)
@@ -56,6 +66,7 @@
     clock: Callable[[], float]
     read_idle_limit: Callable[[ClientAnswer], float | None]
     on_open: Callable[[], None] = lambda: None
+    _trusted_idle_s: float = DEFAULT_IDLE_LIMIT_S
     _idle: list[ClientConnection] = field(factory=list)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
 
@@ -88,6 +99,8 @@
 
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
+        grown_s = self._trusted_idle_s * TRUST_GROWTH
+        self._trusted_idle_s = min(DEFAULT_IDLE_LIMIT_S, grown_s)
         now_s = self.clock()
         for connection in list(self._idle):
             if not self._is_usable(connection, now_s):
@@ -110,7 +123,8 @@
         limit_s = connection.idle_limit_s
         if limit_s is None:
             limit_s = DEFAULT_IDLE_LIMIT_S
-        return now_s - connection.idle_since_s < max(0.0, limit_s - IDLE_MARGIN_S)
+        limit_s = min(max(0.0, limit_s - IDLE_MARGIN_S), self._trusted_idle_s)
+        return now_s - connection.idle_since_s < limit_s
 
     def _send_on(
         self,
@@ -120,8 +134,13 @@
         accepts: Callable[[ClientAnswer], bool],
     ) -> None:
         sending.connection = connection
+        sent_s = self.clock()
+        idle_s = sent_s - connection.idle_since_s
 
         def note(outcome: ClientAnswer | Break) -> None:
+            soon = self.clock() - sent_s < FORGOTTEN_WITHIN_S
+            if outcome is Break.CLOSED and soon:
+                self._note_forgotten(idle_s)
             if isinstance(outcome, ClientAnswer):
                 limit_s = self.read_idle_limit(outcome)
                 if limit_s is not None:
@@ -157,6 +176,16 @@
         else:
             self._send_on(connection, sending, data, accepts)
 
+    def _note_forgotten(self, idle_s: float) -> None:
+        """Trust idle connections for less time if one had been forgotten."""
+        if FORGOTTEN_IDLE_S <= idle_s < self._trusted_idle_s:
+            self._trusted_idle_s = TRUSTED_SHARE * idle_s
+            logger.info(
+                "server forgets idle connections",
+                idle_s=round(idle_s, 3),
+                trusted_s=round(self._trusted_idle_s, 3),
+            )
+
     def _note_idle(self, connection: ClientConnection) -> None:
         connection.idle_since_s = self.clock()
         self._idle.append(connection)
--- /dev/null
+++ b/tests/relay/test_backend.py
@@ -0,0 +1,176 @@
+"""The pool of connections to a server that forgets idle ones."""
+
+from __future__ import annotations
+
+import asyncio
+
+import anyio
+from attrs import define, field
+
+from eelgrassmount.http1.client import Break, ClientAnswer
+from eelgrassmount.relay.backend import FRESH_IDLE_S, BackendPool
+from eelgrassmount.util.addresses import Address
+
+HOST = "127.77.3.1"
+REQUEST = b"GET /list/1 HTTP/1.1\r\ncontent-length: 0\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+# a server of these tests drops a connection that was idle for so long
+FORGETS_AFTER_S = 0.1
+
+
+@define(eq=False)
+class Server:
+    """Answers, but resets connections that were idle for longer than its limit."""
+
+    clock: object
+    opened: int = 0
+    holds: bool = False
+    held: list[asyncio.Transport] = field(factory=list)
+    address: Address = field(init=False)
+    _server: asyncio.Server = field(init=False)
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Link(self), HOST, 0)
+        self.address = Address(HOST, self._server.sockets[0].getsockname()[1])
+
+    def end(self) -> None:
+        self._server.close()
+
+
+@define(eq=False)
+class Link(asyncio.Protocol):
+    server: Server
+    used_s: float | None = None
+    transport: asyncio.Transport = field(init=False)
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        self.server.opened += 1
+
+    def data_received(self, data: bytes) -> None:
+        now_s = self.server.clock()
+        if self.used_s is not None and now_s - self.used_s > FORGETS_AFTER_S:
+            self.transport.abort()
+            return
+        self.used_s = now_s
+        if self.server.holds:
+            self.server.held.append(self.transport)
+        else:
+            self.transport.write(ANSWER)
+
+
+@define(eq=False)
+class Setup:
+    now_s: float = 100.0
+    server: Server = field(init=False)
+    pool: BackendPool = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.server = Server(self.clock)
+        self.pool = BackendPool(self.clock, lambda answer: None)
+
+    def clock(self) -> float:
+        return self.now_s
+
+    async def send(self, fresh: bool) -> ClientAnswer | Break:
+        future = asyncio.get_running_loop().create_future()
+        address = self.server.address
+        self.pool.send(address, REQUEST, fresh, lambda _: True, future.set_result)
+        with anyio.fail_after(3):
+            return await future
+
+
+def run(scenario) -> None:
+    async def main() -> None:
+        setup = Setup()
+        await setup.server.start()
+        try:
+            await scenario(setup)
+        finally:
+            setup.pool.drop_idle()
+            setup.server.end()
+
+    asyncio.run(main())
+
+
+def test_work_that_must_not_run_twice_goes_out_on_a_connection_in_recent_use():
+    async def scenario(setup: Setup) -> None:
+        await setup.send(True)
+        setup.now_s += FORGETS_AFTER_S / 2
+        assert isinstance(await setup.send(True), ClientAnswer)
+        assert setup.server.opened == 1
+        setup.now_s += FRESH_IDLE_S * 1.1
+        assert isinstance(await setup.send(True), ClientAnswer)
+        assert setup.server.opened == 2
+
+    run(scenario)
+
+
+def test_pool_learns_how_soon_a_server_forgets_connections():
+    async def scenario(setup: Setup) -> None:
+        idle_s = FORGETS_AFTER_S * 1.5
+        assert isinstance(await setup.send(False), ClientAnswer)
+        setup.now_s += idle_s
+        assert await setup.send(False) is Break.CLOSED
+        for fresh in (False, True):
+            assert isinstance(await setup.send(fresh), ClientAnswer)
+            setup.now_s += idle_s
+            assert isinstance(await setup.send(fresh), ClientAnswer)
+
+    run(scenario)
+
+
+def test_what_was_learned_is_forgotten_again():
+    async def scenario(setup: Setup) -> None:
+        await setup.send(False)
+        setup.now_s += FORGETS_AFTER_S * 1.5
+        assert await setup.send(False) is Break.CLOSED
+        for _ in range(60):
+            setup.pool.sweep()
+        await setup.send(False)
+        opened = setup.server.opened
+        setup.now_s += FORGETS_AFTER_S * 0.9
+        await setup.send(False)
+        assert setup.server.opened == opened
+
+    run(scenario)
+
+
+def test_break_of_a_connection_in_use_teaches_nothing():
+    async def scenario(setup: Setup) -> None:
+        await setup.send(False)
+        setup.now_s += 0.01
+        # the server crashes
+        await setup.send(False)
+        for transport in list(setup.pool._idle):
+            transport.transport.abort()
+        await anyio.sleep(0.05)
+        await setup.send(False)
+        opened = setup.server.opened
+        setup.now_s += FORGETS_AFTER_S * 0.9
+        await setup.send(True)
+        assert setup.server.opened == opened
+
+    run(scenario)
+
+
+def test_crash_during_a_run_teaches_nothing():
+    async def scenario(setup: Setup) -> None:
+        await setup.send(False)
+        setup.now_s += FORGETS_AFTER_S * 0.9
+        setup.server.holds = True
+        async with anyio.create_task_group() as group:
+            group.start_soon(setup.send, False)
+            while not setup.server.held:
+                await anyio.sleep(0.01)
+            setup.now_s += 1.0
+            setup.server.held[0].abort()
+        setup.server.holds = False
+        await setup.send(False)
+        opened = setup.server.opened
+        setup.now_s += FORGETS_AFTER_S * 0.9
+        await setup.send(False)
+        assert setup.server.opened == opened
+
+    run(scenario)
