Leave a server that stays silent long before the time-out

Ruled out: waiting for the link: it is alive, the server behind it isn't. A second sending beside the first: the first would go on using a slot. Change: after half the objective and four times the usual run the call is cancelled and sent to another server, within the retry budget and not under overload; the gate counts such a run as a failure while it still runs.

--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -38,6 +39,10 @@
 UNCONFIGURED_S = 0.5
 # without a deadline of the client, a request is kept this long at most
 DEFAULT_REMAINING_MS = 60_000
+# a call that may run twice is taken from a silent server and sent to another after
+# so many times what such runs usually take, and this part of its objective
+PATIENCE_TIMES = 4.0
+PATIENCE_SHARE = 0.5
 # time that a call must have left to be sent again
 REPEAT_ROOM_S = 0.02
 
@@ -62,6 +67,7 @@
     member: Member | None = None
     job: Job | None = None
     sequence: int = 0
+    sending: int = 0
     attempts: int = 0
     refusals: int = 0
     may_have_run: bool = False
@@ -148,12 +154,49 @@
         self.open_flows += 1
         call = flow.call
         flow.exchange.on_abandon = lambda: self._abandon(flow)
-        delay_s = max(0.0, call.deadline_s - self.clock())
-        loop = asyncio.get_running_loop()
-        flow.timer = loop.call_later(delay_s, self._time_out, flow)
+        if call.route.idempotent:
+            self._wake(flow, PATIENCE_SHARE * call.route.objective_s)
+        else:
+            self._wake(flow, math.inf)
         self.budget.note_request(call.service)
         self._send(flow)
 
+    def _wake(self, flow: Flow, patience_s: float) -> None:
+        """Look at a flow again after its patience, or at its deadline if sooner."""
+        remaining_s = max(0.0, flow.call.deadline_s - self.clock())
+        loop = asyncio.get_running_loop()
+        if patience_s < remaining_s:
+            flow.timer = loop.call_later(patience_s, self._leave_silent, flow)
+        else:
+            flow.timer = loop.call_later(remaining_s, self._time_out, flow)
+
+    def _leave_silent(self, flow: Flow) -> None:
+        """Ask another server when the one that was asked stays silent.
+
+        Not under overload, when all are slow and each sending more makes it worse.
+        """
+        call = flow.call
+        usual_s = self.router.find_usual(call.service, call.route)
+        waited_s = self.clock() - call.arrived_s
+        missing_s = PATIENCE_TIMES * usual_s - waited_s
+        if missing_s > 0.0:
+            self._wake(flow, missing_s)
+            return
+        self._wake(flow, math.inf)
+        member = flow.member
+        if member is None or self.admission.find_level(call.service) < 1.0:
+            return
+        if not self.router.has_choice(call.service, {*flow.excluded, member.name}):
+            return
+        # the sending that is left counts, as it may have reached its server
+        flow.attempts += 1
+        if not self._may_send_again(flow):
+            flow.attempts -= 1
+            return
+        flow.may_have_run = True
+        self._cancel_sending(flow)
+        self._repeat(flow, member, Reason.SERVER_SILENT)
+
     def _send(self, flow: Flow) -> None:
         call = flow.call
         member = self.router.choose(call.service, call.route, flow.excluded)
@@ -161,22 +204,24 @@
             self._give_up(flow)
             return
         flow.member = member
-        now_s = self.clock()
-        member.used_s = now_s
+        member.used_s = self.clock()
         member.sent_since += 1
+        flow.sending += 1
+        number = flow.sending
+
+        def note(reply: Reply) -> None:
+            if not flow.ended and flow.sending == number:
+                self._note_reply(flow, member, reply)
+
         if member.name == self.own_name:
-            flow.job = Job(call, lambda reply: self._note_reply(flow, member, reply))
+            flow.job = Job(call, note)
             self.gate.offer(flow.job)
         else:
             if member.link is None:
                 self.open_link(member)
-            flow.sequence = member.link.call(
-                call, lambda reply: self._note_reply(flow, member, reply)
-            )
+            flow.sequence = member.link.call(call, note)
 
     def _note_reply(self, flow: Flow, member: Member, reply: Reply) -> None:
-        if flow.ended:
-            return
         flow.member = None
         flow.job = None
         flow.last = reply
@@ -300,10 +345,19 @@
 
     def _cancel(self, flow: Flow) -> None:
         flow.ended = True
-        if flow.job is not None:
-            self.gate.cancel(flow.job)
-        elif flow.member is not None and flow.member.link is not None:
-            flow.member.link.cancel(flow.sequence)
+        self._cancel_sending(flow)
+
+    def _cancel_sending(self, flow: Flow) -> None:
+        job = flow.job
+        member = flow.member
+        flow.job = None
+        flow.member = None
+        # what a cancelled sending still tells is not heard
+        flow.sending += 1
+        if job is not None:
+            self.gate.cancel(job)
+        elif member is not None and member.link is not None:
+            member.link.cancel(flow.sequence)
 
     def _end(self, flow: Flow) -> None:
         flow.ended = True
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -44,6 +44,11 @@
 SAMPLE_WEIGHT = 0.05
 # weight of the latest step in the mean demand
 LOAD_WEIGHT = 0.4
+# a run is taken for silent once it takes so many times its usual duration and this
+# part of its objective: most that wait for one end at their deadline, cancelled by
+# the caller, so that a server that answers nothing would seem to fail nothing
+SILENT_TIMES = 4.0
+SILENT_SHARE = 0.5
 # duration that is assumed before the first sample
 DEFAULT_RUN_S = 0.05
 
@@ -66,6 +71,7 @@
     started_s: float = 0.0
     ended: bool = False
     overdue: bool = False
+    silent: bool = False
 
 
 @define(eq=False)
@@ -174,13 +180,15 @@
             job.ended = True
             self.queued -= 1
         elif job.call.route.idempotent:
+            self._note_silence(job, self.clock())
             job.sending.cancel()
 
     def sweep(self) -> None:
-        """Give up jobs that are past their deadline, running or queued."""
+        """Give up jobs past their deadline, and count silent ones as failures."""
         now_s = self.clock()
         self._broken = [one for one in self._broken if now_s - one[0] < CRASH_SPAN_S]
         for job in list(self.running):
+            self._note_silence(job, now_s)
             if now_s > job.call.deadline_s + OVERDUE_S and job.sending is not None:
                 job.overdue = True
                 job.sending.cancel()
@@ -211,6 +219,19 @@
         allowed_s = MEAN_WAIT_SHARE * min(objectives)
         return min(MAX_MEAN_WAIT_S, max(MIN_MEAN_WAIT_S, allowed_s))
 
+    def _note_silence(self, job: Job, now_s: float) -> None:
+        """Count a run as a failure once it takes far longer than usual."""
+        route = job.call.route
+        stats = self.routes.get(route.name)
+        usual_s = DEFAULT_RUN_S if stats is None else stats.run_s
+        patience_s = max(SILENT_SHARE * route.objective_s, SILENT_TIMES * usual_s)
+        if not job.silent and now_s - job.started_s > patience_s:
+            job.silent = True
+            self._count_outcome(True)
+
+    def _count_outcome(self, failed: bool) -> None:
+        self.failure_share += SAMPLE_WEIGHT * (failed - self.failure_share)
+
     def _integrate(self, now_s: float) -> None:
         span_s = now_s - self._area_s
         self._queued_area += span_s * self.queued
@@ -321,7 +342,8 @@
         if self.quarantine.suspects and reply.fate is Fate.ANSWERED:
             self.quarantine.note_success(job.call.find_digest(), now_s)
         failed = reply.fate is not Fate.ANSWERED or reply.status >= 500
-        self.failure_share += SAMPLE_WEIGHT * (failed - self.failure_share)
+        if not (failed and job.silent):
+            self._count_outcome(failed)
         route_name = job.call.route.name
         if failed and not job.overdue:
             return
--- a/eelgrassmount/relay/routing.py
+++ b/eelgrassmount/relay/routing.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Container
+    from collections.abc import Callable, Container, Iterable
 
     from eelgrassmount.relay.members import Member, MemberTable
     from eelgrassmount.relay.routes import Route
@@ -58,6 +58,18 @@
         typical_s = self._find_typical(candidates, route)
         return min(candidates, key=lambda member: self._score(member, route, typical_s))
 
+    def find_usual(self, service: str, route: Route) -> float:
+        """Return the mean duration in seconds of a route's runs, 0 if none is known."""
+        return self._find_typical(self.members.list_service(service), route)
+
+    def has_choice(self, service: str, excluded: Container[str]) -> bool:
+        """Tell whether a node outside of those excluded may be sent a call."""
+        now_s = self.clock()
+        return any(
+            member.name not in excluded and member.can_take(now_s)
+            for member in self.members.list_service(service)
+        )
+
     def _sample(self, candidates: list[Member]) -> list[Member]:
         near = [one for one in candidates if self._is_near(one)]
         far = [one for one in candidates if not self._is_near(one)]
@@ -68,7 +80,7 @@
     def _is_near(self, member: Member) -> bool:
         return member.failure_domain == self.failure_domain
 
-    def _find_typical(self, candidates: list[Member], route: Route) -> float:
+    def _find_typical(self, candidates: Iterable[Member], route: Route) -> float:
         known = [
             member.load.run_s[route.name]
             for member in candidates
--- a/tests/relay/test_deployment.py
+++ b/tests/relay/test_deployment.py
@@ -109,6 +109,49 @@
     run(scenario, LIST)
 
 
+def test_read_is_sent_again_long_before_its_timeout_when_a_server_is_silent():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        first = await deployment.add("list")
+        second = await deployment.add("list")
+        await deployment.settle()
+        for vm in (first, second):
+            vm.server.answer = lambda exchange: None
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        group = deployment.group
+
+        async def heal() -> None:
+            # the one that has not been asked answers again
+            while not first.server.runs and not second.server.runs:
+                await anyio.sleep(0.01)
+            idle = second if first.server.runs else first
+            idle.server.answer = None
+
+        group.start_soon(heal)
+        answer = await ask(front, "/list/1")
+        assert answer.status == 200
+        assert loop.time() - begun_s < 0.6
+        assert len(first.server.runs + second.server.runs) == 2
+
+    run(scenario, LIST)
+
+
+def test_work_that_must_not_run_twice_waits_for_a_silent_server():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        first = await deployment.add("list")
+        second = await deployment.add("list")
+        await deployment.settle()
+        for vm in (first, second):
+            vm.server.answer = lambda exchange: None
+        answer = await ask(front, "/book/1", "POST")
+        assert answer.status == 504
+        assert len(first.server.runs + second.server.runs) == 1
+
+    run(scenario, BOOK)
+
+
 @pytest.mark.parametrize("trouble", [Trouble.TURNED_AWAY, Trouble.RESET])
 def test_requests_go_on_while_the_log_is_away(trouble):
     async def scenario(deployment: Deployment) -> None:
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -218,6 +218,43 @@
     assert setup.gate.in_flight == 0
 
 
+def test_run_that_stays_silent_counts_as_a_failure_before_it_ends(setup):
+    setup.offer()
+    setup.answer()
+    setup.offer()
+    setup.gate.sweep()
+    assert setup.gate.failure_share == 0.0
+    setup.now_s += 1.5
+    setup.gate.sweep()
+    counted = setup.gate.failure_share
+    assert counted > 0.0
+    setup.gate.sweep()
+    assert setup.gate.failure_share == counted
+
+
+def test_run_of_a_slow_server_is_not_silent_before_several_times_its_usual(setup):
+    usual_s = 0.8
+    for _ in range(3):
+        setup.offer()
+        setup.now_s += usual_s
+        setup.answer()
+    setup.offer()
+    setup.now_s += 2 * usual_s
+    setup.gate.sweep()
+    assert setup.gate.failure_share == 0.0
+
+
+def test_silent_run_that_is_cancelled_stays_counted(setup):
+    job = setup.offer()
+    setup.now_s += 1.5
+    setup.gate.cancel(job)
+    assert setup.gate.failure_share > 0.0
+    quick = setup.offer()
+    counted = setup.gate.failure_share
+    setup.gate.cancel(quick)
+    assert setup.gate.failure_share == counted
+
+
 def test_crash_is_told_once_the_server_refuses_connections(setup):
     first = setup.offer(request_id="a")
     setup.pool.open[0].end(Break.CLOSED)
