Halve what a node does beside its calls

Ruled out: the path of a call itself, 0.16 ms through two nodes here. Change: waits end on whole milliseconds; estimates begin with the ones before (5 steps for 25); prefixes are looked up by length; one protocol for all frames; an ended job is not kept by a circle of references.

--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -46,18 +46,23 @@
 }
 
 
+# used for all structs, one after the other: to make one takes longer than to encode
+_PROTOCOL = TBinaryProtocolAccelerated(TMemoryBuffer())
+
+
 def encode_struct(struct: Any) -> bytes:
     """Return a thrift struct as bytes."""
-    buffer = TMemoryBuffer()
-    struct.write(TBinaryProtocolAccelerated(buffer))
+    buffer = _PROTOCOL.trans = TMemoryBuffer()
+    struct.write(_PROTOCOL)
     return buffer.getvalue()
 
 
 def decode_struct(make: Any, payload: bytes) -> Any:
     """Return a thrift struct, raising `BadFrameError` if there is none."""
     struct = make()
+    _PROTOCOL.trans = TMemoryBuffer(payload)
     try:
-        struct.read(TBinaryProtocolAccelerated(TMemoryBuffer(payload)))
+        struct.read(_PROTOCOL)
     # the accelerated decoder raises many types on malformed input
     except Exception as error:
         raise BadFrameError(f"not a {make.__name__}: {error!r}") from error
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -299,6 +299,9 @@
         self.running.discard(job)
         self.on_end(job.call.route.name)
         job.ended = True
+        # the sending leads back to the job: without this, ended jobs and their bodies
+        # stay until the collector runs
+        job.sending = None
         reply = self._judge(job, outcome, now_s)
         self._learn(job, reply, now_s)
         self._fill()
--- a/eelgrassmount/relay/routes.py
+++ b/eelgrassmount/relay/routes.py
@@ -73,7 +73,8 @@
     routes: dict[str, Route] = field(factory=dict)
     services: dict[str, Service] = field(factory=dict)
     limits: RequestLimits = field(factory=RequestLimits)
-    _by_host: dict[str, list[Route]] = field(factory=dict)
+    _by_host: dict[str, dict[str, Route]] = field(factory=dict)
+    _lengths: dict[str, list[int]] = field(factory=dict)
 
     @classmethod
     def build(
@@ -87,17 +88,22 @@
         table = cls(version, limits=limits)
         for route in routes:
             table.routes[route.name] = route
-            table._by_host.setdefault(route.host, []).append(route)
+            table._by_host.setdefault(route.host, {}).setdefault(route.prefix, route)
         for service in services:
             table.services[service.name] = service
-        for found in table._by_host.values():
-            found.sort(key=lambda route: -len(route.prefix))
+        for host, found in table._by_host.items():
+            table._lengths[host] = sorted({len(prefix) for prefix in found})[::-1]
         return table
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request, ``None`` when there is none."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.prefix):
+        found = self._by_host.get(host)
+        if found is None:
+            return None
+        # of 40 routes of a host, the prefixes have a few lengths only
+        for length in self._lengths[host]:
+            route = found.get(path[:length])
+            if route is not None:
                 return route
         return None
 
--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -14,8 +14,13 @@
 INTERVAL_S = 0.25
 # what was counted fades with this factor at each solution, once a second
 FADE = 0.97
-# steps of the estimate; it changes little after that
+# steps of the first estimate; it changes little after that
 STEPS = 25
+# steps of each further one, which begins with the one before: solved anew each time,
+# the estimates took a tenth of a node's processor time
+FURTHER_STEPS = 5
+# a rate begins with at least this part of the mean, since none comes back from zero
+LEAST_START = 0.05
 # fewer calls a run than this are taken for coincidence
 MIN_CALLS_PER_RUN = 0.3
 # fewer than this are not even possible callers
@@ -63,6 +68,7 @@
     _places: dict[str, int] = field(factory=dict)
     _spans: dict[tuple[int, ...], float] = field(factory=dict)
     _calls: dict[str, dict[tuple[int, ...], float]] = field(factory=dict)
+    _rates: dict[str, list[float]] = field(factory=dict)
     _state: tuple[int, ...] = ()
     _since_s: float = 0.0
 
@@ -110,7 +116,8 @@
                 (self._pad(state), count)
                 for state, count in self._calls[called].items()
             ]
-            rates = estimate_rates(counts, exposures)
+            rates = estimate_rates(counts, exposures, self._rates.get(called))
+            self._rates[called] = rates
             errors = find_errors(spans, counts, rates)
             found = {
                 name: rates[place] * exposures[place] / max(self._begun[place], 1.0)
@@ -164,20 +171,30 @@
 
 
 def estimate_rates(
-    counts: list[tuple[tuple[int, ...], float]], exposures: list[float]
+    counts: list[tuple[tuple[int, ...], float]],
+    exposures: list[float],
+    before: list[float] | None = None,
 ) -> list[float]:
     """Return the most likely calls a second of one run of each route.
 
     ``counts`` holds how many calls were seen in each state, ``exposures`` the
-    seconds of all runs of each route together.
+    seconds of all runs of each route together. ``before`` is an earlier estimate.
     """
     total = sum(exposures)
     calls = sum(count for _, count in counts)
     if total <= 0:
         return [0.0] * len(exposures)
-    rates = [calls / total if exposure > 0 else 0.0 for exposure in exposures]
+    mean = calls / total
+    rates = [mean if exposure > 0 else 0.0 for exposure in exposures]
+    steps = STEPS
+    if before is not None and len(before) == len(rates):
+        rates = [
+            max(known, LEAST_START * mean) if exposure > 0 else 0.0
+            for known, exposure in zip(before, exposures, strict=True)
+        ]
+        steps = FURTHER_STEPS
     places = range(len(rates))
-    for _ in range(STEPS):
+    for _ in range(steps):
         credits = [0.0] * len(rates)
         for state, count in counts:
             whole = sum(rates[place] * state[place] for place in places)
--- a/eelgrassmount/timers.py
+++ b/eelgrassmount/timers.py
@@ -17,6 +17,22 @@
     from collections.abc import Callable
 
 
+# an event loop's clock counts whole milliseconds, and a wait that ends between two is
+# looked at anew, without a pause, until it has ended: 4,900 times a second in a node,
+# a quarter of its processor time
+LOOP_TICK_S = 0.001
+# taken off a wait of whole ticks, so that its end is not missed by a rounding error
+TICK_MARGIN_S = LOOP_TICK_S / 100
+
+
+def round_wait(wait_s: float) -> float:
+    """Return a wait in seconds, made longer to end where the loop's clock moves."""
+    if math.isinf(wait_s):
+        return wait_s
+    ticks = math.floor(wait_s / LOOP_TICK_S) + 1
+    return ticks * LOOP_TICK_S - TICK_MARGIN_S
+
+
 class Clock(Protocol):
     """A monotonic clock, in seconds from an arbitrary start."""
 
@@ -167,7 +183,7 @@
     async def run(self) -> None:
         """Run timers as they fall due, until cancelled."""
         while True:
-            wait_s = self.run_due()
+            wait_s = round_wait(self.run_due())
             self._wake = anyio.Event()
             with anyio.move_on_after(wait_s):
                 await self._wake.wait()
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
+
 import pytest
 
 from eelgrassmount.http1.client import Break, ClientAnswer
@@ -296,3 +299,13 @@
     setup.gate.identify("/health")
     setup.answer(503, [(b"eelgrassmount-instance-id", b"i7")])
     assert setup.server.incarnation == ""
+
+
+def test_job_is_gone_once_it_has_ended(setup):
+    gc.disable()
+    try:
+        job = weakref.ref(setup.offer())
+        setup.answer()
+        assert job() is None
+    finally:
+        gc.enable()
--- a/tests/relay/test_vectors.py
+++ b/tests/relay/test_vectors.py
@@ -64,6 +64,26 @@
     assert vectors["ledger"]["list"] == pytest.approx(1.0, abs=0.4)
 
 
+def test_estimates_that_begin_with_the_one_before_follow_a_change():
+    load = Load()
+    load.add("book", 60.0, 0.2, ["list"])
+    load.add("ledger", 90.0, 0.1, [])
+    for _ in range(10):
+        load.run(1.0)
+        vectors = load.learner.solve({"list"})
+    assert vectors["book"]["list"] == pytest.approx(1.0, abs=0.3)
+    assert "list" not in vectors["ledger"]
+    # from now on the other route makes the calls
+    load.due.clear()
+    load.add("book", 60.0, 0.2, [])
+    load.add("ledger", 90.0, 0.1, ["list", "list"])
+    for _ in range(150):
+        load.run(1.0)
+        vectors = load.learner.solve({"list"})
+    assert "list" not in vectors["book"]
+    assert vectors["ledger"]["list"] == pytest.approx(2.0, abs=0.5)
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_runs_beside_those_that_call_are_not_blamed(seed):
     load = Load(seed)
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 
 import anyio
 import pytest
+from anyio._backends import _asyncio as anyio_loop
 
-from eelgrassmount.timers import ManualClock, MonotonicClock, TimerService
+from eelgrassmount.timers import (
+    LOOP_TICK_S,
+    ManualClock,
+    MonotonicClock,
+    TimerService,
+    round_wait,
+)
 
 
 def make_timers(**rest: object) -> TimerService:
@@ -95,3 +103,34 @@
     # each at its own rate, but never at more moments than the grid has
     assert counts == pytest.approx([1000, 200, 100], rel=0.03)
     assert len(moments) <= 1001
+
+
+@pytest.mark.parametrize("wait_s", [0.0, 0.0004, 0.001, 0.0123, 2.0])
+def test_wait_becomes_longer_by_at_most_a_tick(wait_s) -> None:
+    assert wait_s - LOOP_TICK_S / 50 <= round_wait(wait_s) <= wait_s + LOOP_TICK_S
+    assert round_wait(math.inf) == math.inf
+
+
+def test_wait_is_not_looked_at_again_and_again(monkeypatch) -> None:
+    scope = anyio_loop.CancelScope
+    looks: list[int] = []
+    original = scope._timeout
+
+    def look(self) -> None:
+        looks.append(1)
+        original(self)
+
+    monkeypatch.setattr(scope, "_timeout", look)
+    timers = TimerService(MonotonicClock(), random.Random(1))
+    fired: list[int] = []
+    timers.subscribe(0.0103, lambda: fired.append(1))
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(timers.run)
+            await anyio.sleep(0.5)
+            group.cancel_scope.cancel()
+
+    anyio.run(main, backend_options={"use_uvloop": True})
+    assert len(fired) >= 10
+    assert len(looks) <= 3 * len(fired) + 5
