Let the server of a stopping node serve the others until its clients are gone

Cause: a node that was told to stop refused the calls of other nodes at once, then waited 2.6 s for its clients to go elsewhere, and took 0.9 s to come back: its server was out for 3.5 s of each restart. Ruled out: servers that had left (one of three had); a wait shorter than the clients' two questions, which would cut them off. Change: other nodes are told 0.5 s before the listener closes.

--- a/eelgrassmount/relay/beliefs.py
+++ b/eelgrassmount/relay/beliefs.py
@@ -27,7 +27,8 @@
     """The state that the parts of a node share.
 
     ``document`` is the configuration in force as it was read, which other nodes
-    may ask for. ``levels`` holds the mean level of each service.
+    may ask for. ``levels`` holds the mean level of each service. A node that is
+    ``stopping`` gets no new clients, one that is ``closing`` no calls of other nodes.
     """
 
     name: str
@@ -47,6 +48,7 @@
     called_before: dict[str, float] = field(factory=dict)
     own_vectors: dict[str, dict[str, float]] = field(factory=dict)
     stopping: bool = False
+    closing: bool = False
     _unknown_routes: dict[str, Route] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
--- a/eelgrassmount/relay/stopping.py
+++ b/eelgrassmount/relay/stopping.py
@@ -17,6 +17,11 @@
 
 # clients are sent elsewhere once two questions a second apart had no "ready"
 CLIENTS_GONE_S = 2.6
+# other nodes are told so long before that to send no more calls: until then the
+# server goes on with them, since it is out for all the time that its node takes to
+# come back. A service of three servers whose nodes were restarted a second apart
+# had none for two seconds when calls ended with the signal
+PEERS_GONE_S = 0.5
 # the end comes so much before the process would be killed
 MARGIN_S = 0.5
 POLL_S = 0.05
@@ -38,12 +43,15 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self.grace_s - MARGIN_S
         self.beliefs.stopping = True
-        self.inbound.accepting = False
         logger.info("stopping", open=self.count_open())
-        self.report_now()
-        # clients go on using their connections until then
+        # clients go on using their connections until they are gone
         self.callers.ending = True
-        await asyncio.sleep(min(CLIENTS_GONE_S, max(0.0, end_s - loop.time())))
+        left_s = min(CLIENTS_GONE_S, max(0.0, end_s - loop.time()))
+        await asyncio.sleep(max(0.0, left_s - PEERS_GONE_S))
+        self.beliefs.closing = True
+        self.inbound.accepting = False
+        self.report_now()
+        await asyncio.sleep(min(left_s, PEERS_GONE_S))
         self.callers.stop_listening()
         self.callers.close_idle()
         while self.count_open() and loop.time() < end_s:
--- a/tests/relay/test_deployment.py
+++ b/tests/relay/test_deployment.py
@@ -7,8 +7,9 @@
 import anyio
 import pytest
 
-from eelgrassmount.compose.relay import build_relay, start_relay
+from eelgrassmount.compose.relay import build_relay, start_relay, stop_relay
 from eelgrassmount.http1.client import Break
+from eelgrassmount.relay.stopping import CLIENTS_GONE_S, PEERS_GONE_S
 from standins.platform_log import Trouble
 from tests.relay.deployment import (
     Deployment,
@@ -366,6 +367,33 @@
     run(scenario, LIST)
 
 
+def test_server_of_a_stopping_node_serves_other_nodes_until_the_clients_are_gone():
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        deployment.group.start_soon(stop_relay, back.node)
+        deployment.vms.remove(back)
+        served_s = 0.0
+        while back.node.inbound.accepting:
+            answer = await ask(front, "/list/1")
+            if answer.status == 200:
+                served_s = loop.time() - begun_s
+            await anyio.sleep(0.05)
+        assert CLIENTS_GONE_S - 2 * PEERS_GONE_S < served_s < CLIENTS_GONE_S
+        await anyio.sleep(0.1)
+        # from here on it takes nothing, and that is known before anything is sent
+        runs = len(back.server.runs)
+        assert (await ask(front, "/list/1")).status == 503
+        assert len(back.server.runs) == runs
+        await anyio.sleep(PEERS_GONE_S + 0.2)
+        back.server.listener.end()
+
+    run(scenario, LIST)
+
+
 def test_node_that_starts_while_the_log_is_away_is_told_by_the_others():
     async def scenario(deployment: Deployment) -> None:
         await deployment.add("list")
