Take vectors from the nodes that learned them, by median

Cause: reports carried what a node had heard of others as well as what it had learned, and a route that calls nothing had no row. A route blamed once (plate orders, which run beside the reads that make the calls) kept its false vector on all other nodes, which told it on, long after its own nodes had learned better; and of several nodes the last to report was believed. Ruled out: the estimate itself, which is right within seconds on the nodes concerned. Change: only what a node learned is told, an empty vector too, and all nodes take the median of what the nodes of a route learned.

--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -13,7 +13,11 @@
 from eelgrassmount.relay.frames import FrameKind
 from eelgrassmount.relay.link import PeerLink
 from eelgrassmount.relay.members import REPORT_LIMIT_S, Member
-from eelgrassmount.relay.vectors import find_inner_routes, update_counts
+from eelgrassmount.relay.vectors import (
+    find_inner_routes,
+    merge_vectors,
+    update_counts,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +47,31 @@
 MS = 1000.0
 
 
+def write_rows(vectors: dict[str, dict[str, float]]) -> list[ttypes.RouteCalls]:
+    """Return vectors as rows; a route that calls nothing has a row without a name.
+
+    Only what a node has learned itself is told: what it heard of others would go
+    round among the nodes long after those have learned better.
+    """
+    rows = []
+    for run_route, calls in vectors.items():
+        if not calls:
+            rows.append(ttypes.RouteCalls(run_route, "", 0.0))
+        for called, count in calls.items():
+            rows.append(ttypes.RouteCalls(run_route, called, count))
+    return rows
+
+
+def read_rows(rows: list[ttypes.RouteCalls]) -> dict[str, dict[str, float]]:
+    """Return the vectors that rows stand for."""
+    vectors: dict[str, dict[str, float]] = {}
+    for row in rows:
+        calls = vectors.setdefault(row.run_route, {})
+        if row.called_route:
+            calls[row.called_route] = row.calls_per_run
+    return vectors
+
+
 @frozen
 class ChosenLinks:
     """The nodes of a service that links are kept to, while no node has changed."""
@@ -157,11 +186,7 @@
                 ttypes.RouteCount(name, count)
                 for name, count in beliefs.called_before.items()
             ][:MAX_ROWS]
-            rows = [
-                ttypes.RouteCalls(run_route, called, count)
-                for run_route, calls in beliefs.graph.vectors.items()
-                for called, count in calls.items()
-            ]
+            rows = write_rows(beliefs.own_vectors)
         return ttypes.RelayReport(
             self._accepts(),
             self.gate.in_flight,
@@ -250,7 +275,9 @@
         """Work out the own vectors anew and put them into the graph."""
         beliefs = self.beliefs
         beliefs.own_vectors = beliefs.learner.solve(self._find_inner())
-        for name, calls in beliefs.own_vectors.items():
+        learned = [beliefs.own_vectors]
+        learned += [one.load.vectors for one in beliefs.members.by_name.values()]
+        for name, calls in merge_vectors(learned).items():
             if name in beliefs.table.routes and (
                 calls or name in beliefs.graph.vectors
             ):
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -25,7 +25,8 @@
     ``run_s`` is the mean duration of the runs of each route; ``demand`` the work
     that arrives as a part of what it can do, ``wait`` the mean wait at its gate as
     a part of what is allowed. ``called`` says how
-    often each route has lately been asked for on its VM.
+    often each route has lately been asked for on its VM, and ``vectors`` what the
+    node has learned of the calls that runs of its server make.
     """
 
     accepting: bool = True
@@ -37,6 +38,7 @@
     failure_share: float = 0.0
     run_s: dict[str, float] = field(factory=dict)
     called: dict[str, float] = field(factory=dict)
+    vectors: dict[str, dict[str, float]] = field(factory=dict)
     reported_s: float = 0.0
 
 
--- a/eelgrassmount/relay/news.py
+++ b/eelgrassmount/relay/news.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from eelgrassmount.gen import ttypes
-from eelgrassmount.relay.controllers import MS, PPM, SCALE
+from eelgrassmount.relay.controllers import MS, PPM, SCALE, read_rows
 from eelgrassmount.relay.frames import FrameKind
 from eelgrassmount.retry.quarantine import QUARANTINE_S, Suspect
 
@@ -79,18 +79,10 @@
         if report.counts:
             load.called = {one.route_name: one.count for one in report.counts}
         member.sent_since = 0
-        self._take_rows(report.calls)
+        if report.calls:
+            load.vectors = read_rows(report.calls)
         self._note_version(member, report.config_version)
 
-    def _take_rows(self, rows: list[ttypes.RouteCalls]) -> None:
-        vectors: dict[str, dict[str, float]] = {}
-        for row in rows:
-            vectors.setdefault(row.run_route, {})[row.called_route] = row.calls_per_run
-        own = self.beliefs.own_vectors
-        for name, calls in vectors.items():
-            if name not in own and name in self.beliefs.table.routes:
-                self.beliefs.graph.put(name, calls)
-
     def _note_version(self, member: Member, version: int) -> None:
         known = self.beliefs.table.version
         if version > known and member.link is not None:
--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from statistics import median
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -262,6 +263,27 @@
     ]
 
 
+def merge_vectors(
+    learned: list[dict[str, dict[str, float]]],
+) -> dict[str, dict[str, float]]:
+    """Return, for each route, the median of what several nodes have learned.
+
+    A node that takes a route for a caller by mistake is outvoted; a call that is
+    not in a node's vector counts as none.
+    """
+    merged: dict[str, dict[str, float]] = {}
+    for name in {name for vectors in learned for name in vectors}:
+        found = [vectors[name] for vectors in learned if name in vectors]
+        medians = {
+            called: median(calls.get(called, 0.0) for calls in found)
+            for called in {called for calls in found for called in calls}
+        }
+        merged[name] = {
+            called: count for called, count in medians.items() if count >= MIN_POSSIBLE
+        }
+    return merged
+
+
 # counts of calls fade with this factor at each interval: half is gone in 6 s
 COUNT_FADE = 0.972
 # calls on one VM on the mean, below which a route is not judged: at 15, a route of
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -8,7 +8,12 @@
 
 from eelgrassmount.relay.admission import CallGraph
 from eelgrassmount.relay.beliefs import Beliefs
-from eelgrassmount.relay.controllers import MAX_LINKS, Controllers
+from eelgrassmount.relay.controllers import (
+    MAX_LINKS,
+    Controllers,
+    read_rows,
+    write_rows,
+)
 from eelgrassmount.relay.gate import GateLoad
 from eelgrassmount.relay.members import MemberTable
 from eelgrassmount.relay.server import LocalServer
@@ -89,7 +94,7 @@
 def test_reports_to_many_callers_are_sent_less_often(callers, reports):
     inbound = FakeInbound(callers)
     beliefs = make_beliefs([1.0])
-    beliefs.graph.put("shop/book/", {"shop/part/": 2.0})
+    beliefs.own_vectors = {"shop/book/": {"shop/part/": 2.0}}
     controllers = Controllers(beliefs, FakeGate(), inbound, None, lambda table: None)
     for _ in range(60):
         controllers.step()
@@ -98,6 +103,36 @@
     assert 6 <= len(with_rows) <= 12
 
 
+def test_vectors_survive_their_way_to_other_nodes():
+    vectors = {"shop/book/": {"shop/part/": 2.0, "shop/list/": 1.0}, "shop/part/": {}}
+    assert read_rows(write_rows(vectors)) == vectors
+
+
+def test_node_that_blames_the_wrong_route_is_outvoted():
+    beliefs = make_beliefs([1.0])
+    for name, calls in (("a", {"shop/part/": 4.0}), ("b", {}), ("c", {})):
+        member = beliefs.members.put(name, f"{name}:1", "near", "desk")
+        member.load.vectors = {"shop/book/": calls}
+    beliefs.graph.put("shop/book/", {"shop/part/": 4.0})
+    controllers = Controllers(beliefs, None, None, None, lambda table: None)
+    controllers.apply_vectors()
+    assert beliefs.graph.vectors["shop/book/"] == {}
+
+
+def test_what_was_heard_is_not_told_on_and_corrections_are_taken():
+    beliefs = make_beliefs([1.0])
+    member = beliefs.members.put("a", "a:1", "near", "desk")
+    inbound = FakeInbound(1)
+    controllers = Controllers(beliefs, FakeGate(), inbound, None, lambda table: None)
+    member.load.vectors = {"shop/book/": {"shop/part/": 4.0}}
+    controllers.apply_vectors()
+    assert beliefs.graph.vectors["shop/book/"] == {"shop/part/": 4.0}
+    assert controllers.make_report(True).calls == []
+    member.load.vectors = {"shop/book/": {}}
+    controllers.apply_vectors()
+    assert beliefs.graph.vectors["shop/book/"] == {}
+
+
 def test_links_to_a_large_service_are_chosen_anew_when_its_nodes_change():
     beliefs = make_beliefs([1.0])
     for number in range(MAX_LINKS + 8):
