Give the calls of long chains the time that their request leaves them

Change: the time of a request (the less of objective and time-out) is divided among the calls that its vectors foretell; routing, the queue at the gate and the wait at which fewer requests are admitted follow this allowance where it is below the objective.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -96,6 +96,7 @@
         DIALECT,
         quarantine,
         clock,
+        find_allowance=beliefs.find_allowance,
         on_begin=beliefs.learner.begin,
         on_end=beliefs.learner.end,
         on_crash=lambda jobs: news.note_crash(jobs),
@@ -139,7 +140,7 @@
         settings.name,
         lambda: server.service,
         DIALECT,
-        Router(members, settings.failure_domain, clock, rng),
+        Router(members, settings.failure_domain, clock, rng, beliefs.find_allowance),
         gate,
         RetryBudget(
             clock,
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -74,12 +74,13 @@
 
     vectors: dict[str, dict[str, float]] = field(factory=dict)
     _reached: dict[str, dict[str, float]] = field(factory=dict)
+    _allowances: dict[str, float] = field(factory=dict)
     _called: set[str] | None = None
 
     def put(self, route_name: str, calls: dict[str, float]) -> None:
         """Take up the vector of a route."""
         known = self.vectors.get(route_name)
-        self._reached.clear()
+        self.forget_routes()
         if known is None or known.keys() != calls.keys():
             self._called = None
             rounded = {name: round(count, 2) for name, count in calls.items()}
@@ -89,6 +90,48 @@
     def forget_routes(self) -> None:
         """Follow the chains anew, after the routes have changed."""
         self._reached.clear()
+        self._allowances.clear()
+
+    def find_allowance(self, route: Route, table: RouteTable) -> float:
+        """Return the seconds that a call of a route may take for all to be in time.
+
+        That is its objective, or less where a request with a tighter one makes many
+        such calls: what a request has is divided among its calls as if they were
+        made one after the other and took the same time::
+
+            # book has 0.8 s and makes 2 calls of list, each with 4 calls of part
+            graph.find_allowance(part, table)  # 0.8 / (1 + 2 * (1 + 4))
+        """
+        if not self._allowances:
+            self._allowances = self._divide_time(table)
+        return self._allowances.get(route.name, route.objective_s)
+
+    def _divide_time(self, table: RouteTable) -> dict[str, float]:
+        allowances = {
+            name: min(route.objective_s, route.timeout_s)
+            for name, route in table.routes.items()
+        }
+        sizes = {name: self._count_chain(name, MAX_CHAIN) for name in self.vectors}
+        for _ in range(MAX_CHAIN):
+            for name, calls in self.vectors.items():
+                if name not in allowances:
+                    continue
+                for called in calls.keys() & allowances.keys():
+                    part = sizes.get(called, 1.0) / sizes[name]
+                    divided = allowances[name] * part
+                    allowances[called] = min(allowances[called], divided)
+        return allowances
+
+    def _count_chain(self, name: str, depth: int) -> float:
+        """Return how many runs a request of a route leads to, itself included."""
+        if depth == 0:
+            return 1.0
+        calls = self.vectors.get(name, {})
+        return 1.0 + sum(
+            count * self._count_chain(called, depth - 1)
+            for called, count in calls.items()
+            if called != name
+        )
 
     def count_calls(self, route: Route, table: RouteTable) -> dict[str, float]:
         """Return how many calls a request of a route makes of each service.
--- a/eelgrassmount/relay/beliefs.py
+++ b/eelgrassmount/relay/beliefs.py
@@ -55,6 +55,10 @@
         """Begin to learn."""
         self.learner = VectorLearner(self.clock)
 
+    def find_allowance(self, route: Route) -> float:
+        """Return the seconds that a call of a route may take."""
+        return self.graph.find_allowance(route, self.table)
+
     def note_call(self, route_name: str) -> None:
         """Note that a request was sent from this VM."""
         self.called[route_name] = self.called.get(route_name, 0) + 1
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -19,6 +19,7 @@
     from eelgrassmount.relay.backend import BackendPool, Sending
     from eelgrassmount.relay.dialect import Dialect
     from eelgrassmount.relay.messages import Call
+    from eelgrassmount.relay.routes import Route
     from eelgrassmount.relay.server import LocalServer
     from eelgrassmount.retry.quarantine import Quarantine
 
@@ -28,7 +29,7 @@
 # part of a route's objective that a call may be expected to wait at the gate
 WAIT_SHARE = 0.5
 INNER_WAIT_SHARE = 1.0
-# part of the tightest objective that the mean wait may take, and its bounds
+# part of the least time that a call may take for the mean wait, and its bounds
 MEAN_WAIT_SHARE = 0.2
 MIN_MEAN_WAIT_S = 0.01
 MAX_MEAN_WAIT_S = 0.1
@@ -80,7 +81,7 @@
 
     run_s: float = DEFAULT_RUN_S
     runs: int = 0
-    objective_s: float = 0.0
+    allowed_s: float = 0.0
 
     def add(self, seconds: float) -> None:
         """Take up the duration of a run."""
@@ -114,6 +115,7 @@
     dialect: Dialect
     quarantine: Quarantine
     clock: Callable[[], float]
+    find_allowance: Callable[[Route], float] = lambda route: route.objective_s
     on_begin: Callable[[str], None] = lambda route_name: None
     on_end: Callable[[str], None] = lambda route_name: None
     on_crash: Callable[[list[Job]], None] = lambda jobs: None
@@ -148,8 +150,8 @@
             self._refuse(job, Reason.OVERLOAD)
             return
         self._integrate(now_s)
-        # soonest due by its objective: what is tight is not kept behind what isn't
-        due_s = now_s + job.call.route.objective_s
+        # what has little time is not kept behind what has more
+        due_s = now_s + self.find_allowance(job.call.route)
         heapq.heappush(self._queue, (due_s, next(self._numbers), job))
         self.queued += 1
 
@@ -211,12 +213,12 @@
     def allow_mean_wait(self) -> float:
         """Return the mean wait at which fewer requests should be admitted.
 
-        It follows the tightest objective among the routes that run here.
+        It follows the least time that a call of the routes that run here may take.
         """
-        objectives = [stats.objective_s for stats in self.routes.values()]
-        if not objectives:
+        allowances = [stats.allowed_s for stats in self.routes.values()]
+        if not allowances:
             return MAX_MEAN_WAIT_S
-        allowed_s = MEAN_WAIT_SHARE * min(objectives)
+        allowed_s = MEAN_WAIT_SHARE * min(allowances)
         return min(MAX_MEAN_WAIT_S, max(MIN_MEAN_WAIT_S, allowed_s))
 
     def _note_silence(self, job: Job, now_s: float) -> None:
@@ -355,7 +357,7 @@
         stats = self.routes.get(route_name)
         if stats is None:
             stats = self.routes[route_name] = RouteStats()
-        stats.objective_s = job.call.route.objective_s
+        stats.allowed_s = self.find_allowance(job.call.route)
         stats.add(seconds)
 
     def _fill(self) -> None:
--- a/eelgrassmount/relay/routing.py
+++ b/eelgrassmount/relay/routing.py
@@ -33,6 +33,7 @@
     failure_domain: str
     clock: Callable[[], float]
     rng: random.Random
+    find_allowance: Callable[[Route], float] = lambda route: route.objective_s
     _choices: int = 0
     _means: dict[tuple[str, str], float] = field(factory=dict)
 
@@ -49,7 +50,11 @@
         if self._choices % EXPLORE_PERIOD == 0:
             return min(candidates, key=lambda member: member.used_s)
         typical_s = self._find_typical(candidates, route)
-        return min(candidates, key=lambda member: self._score(member, route, typical_s))
+        allowed_s = self.find_allowance(route)
+        return min(
+            candidates,
+            key=lambda member: self._score(member, route, typical_s, allowed_s),
+        )
 
     def _list_candidates(self, service: str, excluded: Container[str]) -> list[Member]:
         """Return the nodes of a service that may be sent a call, or a sample.
@@ -102,7 +107,9 @@
         ]
         return sum(known) / len(known) if known else 0.0
 
-    def _score(self, member: Member, route: Route, typical_s: float) -> float:
+    def _score(
+        self, member: Member, route: Route, typical_s: float, allowed_s: float
+    ) -> float:
         load = member.load
         run_s = load.run_s.get(route.name, typical_s)
         waiting = load.in_flight + load.queued + member.sent_since + 1 - load.limit
@@ -111,8 +118,9 @@
             expected_s += run_s * waiting / load.limit
         # an objective is missed the sooner the nearer the mean comes to it, so that
         # time far below it weighs little against bytes between failure domains
-        score = expected_s * expected_s / route.objective_s
+        score = expected_s * expected_s / allowed_s
+        # a call that fails fails its whole request
         score += load.failure_share * route.objective_s
         if not self._is_near(member):
-            score += FAR_SHARE * route.objective_s
+            score += FAR_SHARE * allowed_s
         return score * self.rng.uniform(1.0 - NOISE, 1.0 + NOISE)
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -11,6 +11,7 @@
     CallGraph,
     LevelControl,
 )
+from eelgrassmount.relay.routes import RouteTable
 from tests.relay.samples import make_route, make_table
 
 BOOK = make_route("shop/book/", ("desk",), idempotent=False, priority=0)
@@ -129,3 +130,35 @@
     for _ in range(4):
         quarter.update(1.5, 0.0, 0.25)
     assert quarter.level == pytest.approx(whole.level)
+
+
+def make_chain() -> tuple[CallGraph, RouteTable]:
+    book = make_route("shop/book/", objective_s=1.5, timeout_s=0.8)
+    listing = make_route("shop/list/", objective_s=0.8)
+    part = make_route("shop/part/", objective_s=0.3)
+    status = make_route("shop/status/", objective_s=0.15)
+    graph = CallGraph()
+    graph.put("shop/book/", {"shop/list/": 2.0})
+    graph.put("shop/list/", {"shop/part/": 4.0})
+    return graph, make_table(book, listing, part, status)
+
+
+def test_time_of_a_request_is_divided_among_its_calls():
+    graph, table = make_chain()
+    allowed = {
+        name: graph.find_allowance(route, table) for name, route in table.routes.items()
+    }
+    assert allowed["shop/book/"] == pytest.approx(0.8)
+    assert allowed["shop/list/"] == pytest.approx(0.8 * 5 / 11)
+    assert allowed["shop/part/"] == pytest.approx(0.8 / 11)
+    assert allowed["shop/status/"] == pytest.approx(0.15)
+
+
+def test_division_follows_what_is_learned_and_ends_in_a_circle():
+    graph, table = make_chain()
+    part = table.routes["shop/part/"]
+    before = graph.find_allowance(part, table)
+    graph.put("shop/list/", {"shop/part/": 1.0})
+    assert graph.find_allowance(part, table) > before
+    graph.put("shop/part/", {"shop/list/": 1.0})
+    assert 0.0 < graph.find_allowance(part, table) <= 0.3
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -128,6 +128,21 @@
     assert setup.gate.in_flight == 0
 
 
+def test_call_of_a_long_chain_goes_before_one_with_a_tighter_objective():
+    setup = Setup(slots=1)
+    setup.gate.mean_run_s = 0.001
+    allowances = {"shop/part/": 0.05}
+    setup.gate.find_allowance = lambda route: allowances.get(
+        route.name, route.objective_s
+    )
+    setup.offer()
+    for name, objective_s in (("status", 0.15), ("part", 0.3)):
+        route = make_route(f"shop/{name}/", objective_s=objective_s)
+        setup.offer(make_call(route, setup.now_s, target=f"/{name}/1"))
+    setup.answer()
+    assert setup.pool.sent[1].split()[1] == b"/part/1"
+
+
 def test_call_that_would_wait_too_long_is_refused_at_once():
     setup = Setup(slots=1)
     setup.gate.mean_run_s = 1.0
@@ -278,7 +293,7 @@
     run_s = setup.gate.mean_run_s
     assert setup.gate.load.demand == pytest.approx(LOAD_WEIGHT * 3 * run_s / 2)
     # two wait for one of two seconds; a fifth of the objective is allowed
-    setup.gate.routes["r"] = RouteStats(objective_s=0.4)
+    setup.gate.routes["r"] = RouteStats(allowed_s=0.4)
     assert setup.gate.allow_mean_wait() == pytest.approx(0.08)
     assert setup.gate.load.wait == pytest.approx(run_s / MAX_MEAN_WAIT_S)
 
--- a/tests/relay/test_routing.py
+++ b/tests/relay/test_routing.py
@@ -68,6 +68,13 @@
     assert setup.count()["a"] == 99
 
 
+def test_slow_server_gives_way_sooner_where_a_call_may_take_less_time(setup):
+    setup.add("a", run_s=0.045)
+    setup.add("b", "far", run_s=0.015)
+    setup.router.find_allowance = lambda route: 0.06
+    assert setup.count()["b"] == 99
+
+
 def test_failing_server_gives_way(setup):
     setup.add("a", failure_share=0.5)
     setup.add("b", "far")
