--- a/eelgrassmount/cmd/relay.py
+++ b/eelgrassmount/cmd/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import sys
 
@@ -29,7 +30,7 @@
     gc.set_threshold(*COLLECTOR_THRESHOLDS)
     try:
         anyio.run(
-            serve_relay,
+            _serve_and_exit,
             find_settings_file(),
             backend="asyncio",
             backend_options={"use_uvloop": True},
@@ -38,3 +39,14 @@
         print(error, file=sys.stderr)
         return ExitCode.USAGE
     return ExitCode.DONE
+
+
+async def _serve_and_exit(path: str) -> None:
+    """Run a node and end the process at once when it has ended in order.
+
+    Nothing is left that a loop or an interpreter would have to clean up, and the
+    grace time is nearly over when calls were open until its end.
+    """
+    await serve_relay(path)
+    sys.stdout.flush()
+    os._exit(ExitCode.DONE)
