Show what a node on the platform believes

Cause: an operator could see a node's lines and counters, but not its members, learned calls, allowances, retry budget and lost topics. Ruled out: a listener of its own; the one for metrics answers `/state` as well, and the code for it is imported when it is first asked. Not measured: worth (nothing on the path changed). Conclusion: kept; tests/relay/test_program.py asks a running program.

--- a/eelgrassmount/cmd/client.py
+++ b/eelgrassmount/cmd/client.py
@@ -48,6 +48,14 @@
         raise SettingError("admin", text, _ALLOWED) from None
 
 
+def read_address(flag: str, text: str) -> Address:
+    """Return the address given by a flag."""
+    try:
+        return parse_address(text)
+    except AddressError:
+        raise SettingError(flag, text, "an IPv4 address and port") from None
+
+
 def call_admin(
     address: Address,
     method: str,
--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -8,6 +8,7 @@
 from eelgrassmount.cmd.action import Action, ExitCode, is_set, print_result
 from eelgrassmount.cmd.client import (
     call_admin,
+    read_address,
     read_admin,
     read_admin_address,
     require_success,
@@ -20,15 +21,28 @@
 _SUMMARY_COLUMNS = ("failure_domain", "service", "servers", "headroom")
 
 
-def status(admin: str = "", json: bool = False) -> Action:
+_PEER_COLUMNS = (
+    *("name", "service", "failure_domain", "linked", "accepting"),
+    *("in_flight", "queued", "limit", "failure_share", "age_s"),
+)
+_BUDGET_COLUMNS = ("service", "requests", "retries")
+
+
+def status(admin: str = "", json: bool = False, relay: str = "") -> Action:
     """Show the state of a node and the members that it knows.
 
     Args:
         admin: Admin address (ip:port) of the node; else EELGRASSMOUNT_ADMIN.
         json: Print JSON.
+        relay: Metrics address (ip:port) of a node on the platform, in place of admin.
     """
 
     def start() -> ExitCode:
+        if relay:
+            content = read_admin(read_address("relay", relay), "/state")
+            text = "\n".join(_format_relay(content))
+            print_result(text, content, is_set("json", json))
+            return ExitCode.DONE
         address = read_admin_address(admin)
         state = read_admin(address, "/state")
         members = read_admin(address, "/members")
@@ -73,6 +87,38 @@
     return Action(start)
 
 
+def _format_relay(state: dict[str, Any]) -> list[str]:
+    server = state["server"]
+    work = f"no work: {server['refusal']}" if server["refusal"] else "takes work"
+    age = "" if state["version_age_s"] is None else f", {state['version_age_s']} s old"
+    lost = ", ".join(state["lost_topics"])
+    lines = [
+        f"node           {state['node']}, incarnation {state['incarnation']}",
+        f"place          {state['failure_domain']}, service {state['service']}",
+        f"clients        {'ready' if state['ready'] else 'not ready'}"
+        f"{', stopping' if state['stopping'] else ''}",
+        f"configuration  version {state['version']}{age}, {state['routes']} routes",
+        f"log            {f'lost: {lost}' if lost else 'reachable'}",
+        f"server         {server['incarnation'] or 'not known'}, {work}",
+        f"gate           {server['in_flight']} of {server['limit']} in flight "
+        f"({server['slots']} slots), {server['queued']} queued",
+        f"load           demand {server['demand']}, wait {server['wait']}, failures "
+        f"{server['failure_share']}",
+    ]
+    for name, level in state["levels"].items():
+        if level < 1.0:
+            lines.append(f"short          {name}: {level} of what is offered admitted")
+    for name, share in state["shares"].items():
+        lines.append(f"refused partly {name}: {share} admitted")
+    for name, calls in state["vectors"].items():
+        made = ", ".join(f"{count} {called}" for called, count in calls.items())
+        lines.append(f"calls          {name}: {made or 'none'}")
+    lines += ["", "retry budget, requests and retries in the window:"]
+    lines += format_table(_BUDGET_COLUMNS, state["budgets"])
+    lines += ["", f"other nodes: {len(state['members'])}"]
+    return lines + format_table(_PEER_COLUMNS, state["members"])
+
+
 def _format_state(state: dict[str, Any]) -> list[str]:
     server = f"{state['service'] or 'no service'}, {state['server_state']}"
     reach = "reachable" if state["log_reachable"] else "not reachable"
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -276,7 +276,9 @@
     take = node.take_configuration
     if topic == NODES_TOPIC:
         take = node.take_nodes
-    await TopicFollower(node.store, topic, take, node.rng).run()
+    follower = TopicFollower(node.store, topic, take, node.rng)
+    node.followers.append(follower)
+    await follower.run()
 
 
 async def _join(node: RelayNode) -> None:
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING
 
-from attrs import define, evolve, field
+from attrs import asdict, define, evolve, field
 from loguru import logger
 
 from eelgrassmount.errors import PlatformDocumentError
@@ -32,8 +33,11 @@
     from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
     from eelgrassmount.relay.store import StoredRecord
+    from eelgrassmount.relay.topics import TopicFollower
     from eelgrassmount.timers import TimerService
 
+STATE_PATH = "/state"
+JSON_TYPE = b"content-type: application/json\r\n"
 METRICS_TYPE = b"content-type: text/plain; version=0.0.4\r\n"
 
 
@@ -56,6 +60,7 @@
     callers: HttpListener
     rng: random.Random
     listeners: list[HttpListener] = field(factory=list)
+    followers: list[TopicFollower] = field(factory=list)
     found_nodes: bool = False
 
     def end(self) -> None:
@@ -105,6 +110,7 @@
         if not beliefs.server.incarnation:
             self._identify_server(table)
         beliefs.table = table
+        beliefs.table_since_s = beliefs.clock()
         beliefs.document = document
         beliefs.graph.forget_routes()
         self.entry.table = table
@@ -156,7 +162,14 @@
         exchange.respond(200 if self.is_ready() else 503)
 
     def answer_metrics(self, exchange: Exchange) -> None:
-        """Answer with all metrics as text."""
+        """Answer with all metrics as text, or with the state of the node as JSON."""
+        if exchange.target == STATE_PATH:
+            # only people ask for it, and most nodes are never asked
+            from eelgrassmount.relay.state import read_state
+
+            state = json.dumps(asdict(read_state(self))).encode()
+            exchange.respond(200, JSON_TYPE, state)
+            return
         self.update_gauges()
         exchange.respond(200, METRICS_TYPE, self.metrics.render())
 
--- a/eelgrassmount/relay/beliefs.py
+++ b/eelgrassmount/relay/beliefs.py
@@ -27,8 +27,9 @@
     """The state that the parts of a node share.
 
     ``document`` is the configuration in force as it was read, which other nodes
-    may ask for. ``levels`` holds the mean level of each service. A node that is
-    ``stopping`` gets no new clients, one that is ``closing`` no calls of other nodes.
+    may ask for; ``table_since_s`` is when it came. ``levels`` holds the mean level of
+    each service. A node that is ``stopping`` gets no new clients, one that is
+    ``closing`` no calls of other nodes.
     """
 
     name: str
@@ -41,6 +42,7 @@
     clock: Callable[[], float]
     rng: random.Random
     table: RouteTable = field(factory=RouteTable)
+    table_since_s: float = 0.0
     document: bytes = b""
     learner: VectorLearner = field(init=False)
     called: dict[str, int] = field(factory=dict)
--- a/eelgrassmount/relay/budget.py
+++ b/eelgrassmount/relay/budget.py
@@ -67,6 +67,13 @@
         budget.retries.append(now_s)
         return True
 
+    def list_services(self) -> list[tuple[str, ServiceBudget]]:
+        """Return the services with what counts in the window now."""
+        now_s = self.clock()
+        for budget in self._services.values():
+            self._expire(budget, now_s)
+        return sorted(self._services.items())
+
     def _find(self, service: str) -> ServiceBudget:
         budget = self._services.get(service)
         if budget is None:
--- /dev/null
+++ b/eelgrassmount/relay/state.py
@@ -0,0 +1,164 @@
+"""What a node believes, told to people and programs that ask."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+if TYPE_CHECKING:
+    from eelgrassmount.compose.relay_node import RelayNode
+    from eelgrassmount.relay.budget import RetryBudget
+    from eelgrassmount.relay.members import Member
+
+
+@frozen
+class ServerState:
+    """The server beside a node, and its gate.
+
+    ``refusal`` says why it gets no work, and is empty when it does. ``demand`` and
+    ``wait`` are parts of what is possible and allowed.
+    """
+
+    incarnation: str
+    refusal: str
+    slots: int
+    limit: int
+    in_flight: int
+    queued: int
+    demand: float
+    wait: float
+    failure_share: float
+
+
+@frozen
+class MemberState:
+    """Another node, as it is known here; ``age_s`` is the age of its last report."""
+
+    name: str
+    service: str
+    failure_domain: str
+    linked: bool
+    accepting: bool
+    in_flight: int
+    queued: int
+    limit: int
+    failure_share: float
+    age_s: float | None
+
+
+@frozen
+class BudgetState:
+    """Requests and repeated calls of a service in the window of the retry budget."""
+
+    service: str
+    requests: int
+    retries: int
+
+
+@frozen
+class NodeState:
+    """All that a node believes.
+
+    ``levels`` holds the part of what is offered that is admitted, by service;
+    ``shares`` the same by route, where it is below 1; ``vectors`` the calls that one
+    run makes and ``allowances`` the seconds that one may take, by route.
+    ``lost_topics`` are the topics of the log that can't be read now.
+    """
+
+    node: str
+    incarnation: str
+    service: str
+    failure_domain: str
+    ready: bool
+    stopping: bool
+    version: int
+    version_age_s: float | None
+    routes: int
+    lost_topics: list[str]
+    server: ServerState
+    levels: dict[str, float]
+    shares: dict[str, float]
+    vectors: dict[str, dict[str, float]]
+    allowances: dict[str, float]
+    budgets: list[BudgetState]
+    members: list[MemberState]
+
+
+def read_state(node: RelayNode) -> NodeState:
+    """Return what a node believes now."""
+    beliefs = node.beliefs
+    now_s = beliefs.clock()
+    routes = beliefs.table.routes
+    version_age_s = None
+    if beliefs.table.version:
+        version_age_s = round(now_s - beliefs.table_since_s, 3)
+    return NodeState(
+        beliefs.name,
+        beliefs.incarnation,
+        beliefs.server.service,
+        beliefs.failure_domain,
+        node.is_ready(),
+        beliefs.stopping,
+        beliefs.table.version,
+        version_age_s,
+        len(routes),
+        [one.topic for one in node.followers if not one.reachable],
+        _read_server(node, now_s),
+        {name: round(one.level, 3) for name, one in beliefs.levels.items()},
+        {name: round(one, 3) for name, one in node.admission.shares.items()},
+        {
+            name: {called: round(count, 2) for called, count in calls.items()}
+            for name, calls in beliefs.graph.vectors.items()
+        },
+        {
+            name: round(beliefs.find_allowance(route), 3)
+            for name, route in routes.items()
+        },
+        _read_budgets(node.entry.budget),
+        [
+            _read_member(one, now_s)
+            for one in beliefs.members.by_name.values()
+            if one.name != beliefs.name
+        ],
+    )
+
+
+def _read_server(node: RelayNode, now_s: float) -> ServerState:
+    server = node.beliefs.server
+    gate = node.gate
+    return ServerState(
+        server.incarnation,
+        str(server.find_refusal(now_s) or ""),
+        server.slots,
+        server.compute_limit(),
+        gate.in_flight,
+        gate.queued,
+        round(gate.load.demand, 3),
+        round(gate.load.wait, 3),
+        round(gate.failure_share, 3),
+    )
+
+
+def _read_member(member: Member, now_s: float) -> MemberState:
+    load = member.load
+    age_s = round(now_s - load.reported_s, 3) if load.reported_s else None
+    return MemberState(
+        member.name,
+        member.service,
+        member.failure_domain,
+        member.is_connected(),
+        load.accepting,
+        load.in_flight,
+        load.queued,
+        load.limit,
+        round(load.failure_share, 3),
+        age_s,
+    )
+
+
+def _read_budgets(budget: RetryBudget) -> list[BudgetState]:
+    return [
+        BudgetState(name, len(one.requests), len(one.retries))
+        for name, one in budget.list_services()
+    ]
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -102,6 +102,18 @@
         assert b'eelgrassmount_relay_answers_total{route="shop.example/list/"' in text
         assert b"eelgrassmount_relay_seconds_bucket" in text
         metrics.close()
+        command = [sys.executable, "-m", "eelgrassmount", "status"]
+        command += ["--relay", f"{HOST}:9464"]
+        told = await anyio.run_process([*command, "--json"], cwd=ROOT)
+        state = json.loads(told.stdout)
+        assert state["version"] == 1
+        assert state["ready"]
+        assert state["server"]["refusal"] == ""
+        assert state["lost_topics"] == []
+        assert state["allowances"].keys() == {"shop.example/list/"}
+        told = await anyio.run_process(command, cwd=ROOT)
+        assert b"takes work" in told.stdout
+        assert b"list" in told.stdout
         settings.write_text(SETTINGS.replace("graceS=4", "graceS=5"))
         process.send_signal(signal.SIGHUP)
         answer = await send(connection, make_request("GET", "/list/1"))
