--- a/eelgrassmount/config/follower.py
+++ b/eelgrassmount/config/follower.py
@@ -17,8 +17,8 @@
 from eelgrassmount.config.rewrite import Rewriter
 from eelgrassmount.config.stream import ConfigStream, read_decisions
 from eelgrassmount.members.table import MemberState
-from eelgrassmount.platform.backoff import Backoff
 from eelgrassmount.platform.port import LogFailure
+from eelgrassmount.util.backoff import Backoff
 from eelgrassmount.util.waiting import wait_for
 
 if TYPE_CHECKING:
--- a/eelgrassmount/relay/topics.py
+++ b/eelgrassmount/relay/topics.py
@@ -8,8 +8,8 @@
 from attrs import define, field
 from loguru import logger
 
-from eelgrassmount.platform.backoff import Backoff
 from eelgrassmount.relay.store import FailureKind, StoreFailure
+from eelgrassmount.util.backoff import Backoff
 
 if TYPE_CHECKING:
     import random
