Keep what was learned of calls on the log, for nodes that start

On the nodes of one service, which had seen few runs, its route then seemed to call nothing. Ruled out: a record each (they are read by all nodes); the reports of others, which know as little after such a restart. Change: any node writes the calls of all routes to one key once they have been the same for 5 s, by a chance that makes one writer; a node that starts takes it up, and goes by it and by others for 4 s before it judges by its own runs. A record that can't be read costs a line and not the reading of the others.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -344,3 +344,9 @@
   3: string failure_domain
   4: string service_name
 }
+
+// The record of what all nodes have learned of the calls that runs make, for nodes
+// that start when nobody is there to ask.
+struct LearnedRecord {
+  1: list<RouteCalls> calls
+}
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -21,6 +21,7 @@
 from eelgrassmount.platform.store import StoreClient
 from eelgrassmount.platform.topics import (
     CONFIGURATION_TOPIC,
+    LEARNED_KEY,
     NODES_TOPIC,
 )
 from eelgrassmount.relay.admission import STEP_S, Admission, CallGraph
@@ -34,6 +35,7 @@
 from eelgrassmount.relay.frames import encode_struct
 from eelgrassmount.relay.gate import Gate
 from eelgrassmount.relay.inbound import Inbound
+from eelgrassmount.relay.learned import PERIOD_S, LearnedCalls
 from eelgrassmount.relay.link import LinkEvents
 from eelgrassmount.relay.members import MemberTable
 from eelgrassmount.relay.metrics import RelayMetrics
@@ -173,6 +175,7 @@
         StoreClient(settings.log_address),
         TimerService(MonotonicClock(), rng, grid_s=TIMER_GRID_S),
         HttpListener(entry.handle, clock),
+        LearnedCalls(beliefs),
         rng,
     )
     return node
@@ -224,6 +227,7 @@
     group.start_soon(node.timers.run)
     group.start_soon(_follow, node, CONFIGURATION_TOPIC)
     group.start_soon(_join, node)
+    group.start_soon(_keep_learned, node)
     logger.info(
         "node started",
         incarnation=node.beliefs.incarnation,
@@ -304,3 +308,16 @@
     # nodes that start together are read together
     await anyio.sleep(RECORD_RETRY_S)
     await _follow(node, NODES_TOPIC)
+
+
+async def _keep_learned(node: RelayNode) -> None:
+    """Write what all nodes have learned when it has changed for good."""
+    while True:
+        await anyio.sleep(PERIOD_S)
+        value = node.learned.find_record()
+        if value is None:
+            continue
+        offset = await node.store.append(NODES_TOPIC, LEARNED_KEY, value)
+        if isinstance(offset, StoreFailure):
+            # it is written later by the same chance, here or elsewhere
+            logger.warning("learned calls not kept", kind=offset.kind)
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -8,11 +8,11 @@
 from attrs import asdict, define, evolve, field
 from loguru import logger
 
-from eelgrassmount.errors import PlatformDocumentError
+from eelgrassmount.errors import BadFrameError, PlatformDocumentError
 from eelgrassmount.gen import ttypes
 from eelgrassmount.http1.server import ServerLimits
 from eelgrassmount.platform.configuration import read_configuration
-from eelgrassmount.platform.topics import CONFIGURATION_KEY
+from eelgrassmount.platform.topics import CONFIGURATION_KEY, LEARNED_KEY
 from eelgrassmount.relay.frames import decode_struct
 
 if TYPE_CHECKING:
@@ -28,6 +28,7 @@
     from eelgrassmount.relay.entry import Entry
     from eelgrassmount.relay.gate import Gate
     from eelgrassmount.relay.inbound import Inbound
+    from eelgrassmount.relay.learned import LearnedCalls
     from eelgrassmount.relay.metrics import RelayMetrics
     from eelgrassmount.relay.news import News
     from eelgrassmount.relay.routes import RouteTable
@@ -58,6 +59,7 @@
     store: StoreClient
     timers: TimerService
     callers: HttpListener
+    learned: LearnedCalls
     rng: random.Random
     listeners: list[HttpListener] = field(factory=list)
     followers: list[TopicFollower] = field(factory=list)
@@ -136,20 +138,31 @@
                 self.apply_document(record.value)
 
     def take_nodes(self, records: tuple[StoredRecord, ...], whole: bool) -> None:
-        """Take up records of nodes."""
+        """Take up records of nodes, and of what all have learned."""
         for record in records:
-            if not record.value:
-                self.beliefs.members.remove(record.key)
-                continue
+            try:
+                self._take_record(record)
+            except BadFrameError as error:
+                # the others still hold
+                logger.warning("record not read", key=record.key, cause=str(error))
+        self.found_nodes = True
+
+    def _take_record(self, record: StoredRecord) -> None:
+        members = self.beliefs.members
+        if record.key == LEARNED_KEY:
+            if record.value:
+                self.learned.take(record.value)
+        elif not record.value:
+            members.remove(record.key)
+        else:
             found = decode_struct(ttypes.NodeRecord, record.value)
             if found.node_name != self.settings.name:
-                self.beliefs.members.put(
+                members.put(
                     found.node_name,
                     found.address,
                     found.failure_domain,
                     found.service_name,
                 )
-        self.found_nodes = True
 
     def is_ready(self) -> bool:
         """Tell whether clients may send requests here."""
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -3895,6 +3895,72 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class LearnedRecord(object):
+    """
+    Attributes:
+     - calls
+
+    """
+
+
+    def __init__(self, calls=None,):
+        self.calls = calls
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.calls = []
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = RouteCalls()
+                        _elem133.read(iprot)
+                        self.calls.append(_elem133)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LearnedRecord')
+        if self.calls is not None:
+            oprot.writeFieldBegin('calls', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.calls))
+            for iter134 in self.calls:
+                iter134.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Header)
 Header.thrift_spec = (
     None,  # 0
@@ -4219,5 +4285,10 @@
     (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
 )
+all_structs.append(LearnedRecord)
+LearnedRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'calls', (TType.STRUCT, [RouteCalls, None], False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/eelgrassmount/platform/topics.py
+++ b/eelgrassmount/platform/topics.py
@@ -7,3 +7,5 @@
 CONFIGURATION_KEY = "config"
 # the nodes of this system, one record each
 NODES_TOPIC = "keyed.nodes"
+# beside them, what all have learned; no machine has such a name
+LEARNED_KEY = "learned/calls"
--- a/eelgrassmount/relay/beliefs.py
+++ b/eelgrassmount/relay/beliefs.py
@@ -45,6 +45,7 @@
     table_since_s: float = 0.0
     document: bytes = b""
     learner: VectorLearner = field(init=False)
+    started_s: float = field(init=False)
     called: dict[str, int] = field(factory=dict)
     levels: dict[str, LevelControl] = field(factory=dict)
     called_before: dict[str, float] = field(factory=dict)
@@ -55,6 +56,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Begin to learn."""
+        self.started_s = self.clock()
         self.learner = VectorLearner(self.clock)
 
     def find_allowance(self, route: Route) -> float:
--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -46,6 +46,9 @@
 # and at least this part of them
 FAILURE_WEIGHT = 2.0
 LEAST_HEALTH = 0.1
+# for so long after its start, a node goes by what others have learned or kept, if
+# there is any: from the calls of its first second, routes seemed to call nothing
+LEARNING_S = 4.0
 # shares and times travel as whole numbers
 SCALE = 1000
 PPM = 1_000_000
@@ -297,7 +300,9 @@
     def apply_vectors(self) -> None:
         """Work out the own vectors anew and put them into the graph."""
         beliefs = self.beliefs
-        beliefs.own_vectors = beliefs.learner.solve(self._find_inner())
+        vectors = beliefs.learner.solve(self._find_inner())
+        young = beliefs.clock() - beliefs.started_s < LEARNING_S
+        beliefs.own_vectors = {} if young and beliefs.graph.vectors else vectors
         learned = [beliefs.own_vectors]
         learned += [one.load.vectors for one in beliefs.members.by_name.values()]
         for name, calls in merge_vectors(learned).items():
--- /dev/null
+++ b/eelgrassmount/relay/learned.py
@@ -0,0 +1,80 @@
+"""What all nodes have learned, kept on the log for nodes that start."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+from loguru import logger
+
+from eelgrassmount.gen import ttypes
+from eelgrassmount.relay.controllers import read_rows, write_rows
+from eelgrassmount.relay.frames import decode_struct, encode_struct
+
+if TYPE_CHECKING:
+    from eelgrassmount.relay.beliefs import Beliefs
+
+# what is kept is looked at so often
+PERIOD_S = 1.0
+# calls that were learned have to stay the same for so long before they are kept
+SETTLED_S = 5.0
+# a count that differs by less than this part is the same
+SAME_SHARE = 0.3
+
+
+@define(eq=False)
+class LearnedCalls:
+    """Decides when the calls of routes are written, and takes up what was.
+
+    After a restart of everything, no node has runs to learn from, and nobody to ask:
+    for two seconds requests were admitted and routed as if none led to others. Any
+    node may write, by a chance that makes it one a second among all.
+    """
+
+    beliefs: Beliefs
+    _kept: dict[str, dict[str, float]] = field(factory=dict)
+    _seen: dict[str, dict[str, float]] = field(factory=dict)
+    _since_s: float = 0.0
+
+    def take(self, value: bytes) -> None:
+        """Take up a record; what was learned since goes first."""
+        record = decode_struct(ttypes.LearnedRecord, value)
+        self._kept = read_rows(record.calls)
+        graph = self.beliefs.graph
+        for name, calls in self._kept.items():
+            if name not in graph.vectors:
+                graph.put(name, calls)
+
+    def find_record(self) -> bytes | None:
+        """Return the record to write now, ``None`` if there is nothing to say."""
+        beliefs = self.beliefs
+        now_s = beliefs.clock()
+        vectors = {
+            name: calls for name, calls in beliefs.graph.vectors.items() if calls
+        }
+        if not is_same(vectors, self._seen):
+            self._seen = vectors
+            self._since_s = now_s
+        settled = now_s - self._since_s >= SETTLED_S
+        if not vectors or not settled or is_same(vectors, self._kept):
+            return None
+        if beliefs.rng.random() * len(beliefs.members.by_name) > 1.0:
+            return None
+        logger.info("learned calls kept", routes=sorted(vectors))
+        return encode_struct(ttypes.LearnedRecord(write_rows(vectors)))
+
+
+def is_same(
+    vectors: dict[str, dict[str, float]], others: dict[str, dict[str, float]]
+) -> bool:
+    """Tell whether the same routes make about as many of the same calls."""
+    if vectors.keys() != others.keys():
+        return False
+    for name, calls in vectors.items():
+        known = others[name]
+        if calls.keys() != known.keys():
+            return False
+        for called, count in calls.items():
+            if abs(count - known[called]) > SAME_SHARE * max(count, known[called]):
+                return False
+    return True
--- a/tests/relay/test_deployment.py
+++ b/tests/relay/test_deployment.py
@@ -9,7 +9,11 @@
 import pytest
 
 from eelgrassmount.compose.relay import build_relay, start_relay, stop_relay
+from eelgrassmount.gen import ttypes
 from eelgrassmount.http1.client import Break
+from eelgrassmount.platform.topics import LEARNED_KEY
+from eelgrassmount.relay.controllers import write_rows
+from eelgrassmount.relay.frames import encode_struct
 from eelgrassmount.relay.stopping import CLIENTS_GONE_S, PEERS_GONE_S
 from standins.platform_log import Trouble
 from tests.relay.deployment import (
@@ -344,6 +348,37 @@
     run(scenario, BOOK)
 
 
+def test_record_that_is_none_leaves_the_others():
+    async def scenario(deployment: Deployment) -> None:
+        vm = await deployment.add("list")
+        await deployment.settle()
+        for key in ("learned/calls", "node-9"):
+            deployment.log.put("keyed.nodes", key, b"\xff\xff no record")
+        await deployment.add("front")
+        await deployment.settle()
+        assert vm.node.beliefs.members.by_name.keys() == {"node-1", "node-2"}
+
+    run(scenario, LIST)
+
+
+def test_node_that_starts_alone_knows_what_was_learned():
+    async def scenario(deployment: Deployment) -> None:
+        first = await deployment.add("list")
+        await deployment.settle()
+        calls = {"shop.example/list/": {"shop.example/book/": 2.0}}
+        record = ttypes.LearnedRecord(write_rows(calls))
+        deployment.log.put("keyed.nodes", LEARNED_KEY, encode_struct(record))
+        late = await deployment.add("front")
+        for vm in (late, first):
+            graph = vm.node.beliefs.graph
+            with anyio.fail_after(3):
+                while graph.vectors != calls:
+                    await anyio.sleep(0.02)
+            assert graph.is_called("shop.example/book/")
+
+    run(scenario, LIST, BOOK)
+
+
 def test_stopping_node_answers_what_it_has_taken():
     async def scenario(deployment: Deployment) -> None:
         front = await deployment.add("front")
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -9,6 +9,7 @@
 from eelgrassmount.relay.admission import CallGraph
 from eelgrassmount.relay.beliefs import Beliefs
 from eelgrassmount.relay.controllers import (
+    LEARNING_S,
     MAX_LINKS,
     Controllers,
     measure_load,
@@ -134,6 +135,23 @@
     assert beliefs.graph.vectors["shop/book/"] == {}
 
 
+def test_node_that_has_just_started_goes_by_what_is_known():
+    now = [1.0]
+    beliefs = make_beliefs(now)
+    beliefs.graph.put("shop/book/", {"shop/part/": 2.0})
+    controllers = Controllers(beliefs, None, None, None, lambda table: None)
+    for _ in range(40):
+        beliefs.learner.begin("shop/book/")
+        now[0] += 0.01
+        beliefs.learner.end("shop/book/")
+    controllers.apply_vectors()
+    assert beliefs.graph.vectors["shop/book/"] == {"shop/part/": 2.0}
+    assert beliefs.own_vectors == {}
+    now[0] += LEARNING_S
+    controllers.apply_vectors()
+    assert beliefs.graph.vectors["shop/book/"] == {}
+
+
 def test_links_to_a_large_service_are_chosen_anew_when_its_nodes_change():
     beliefs = make_beliefs([1.0])
     for number in range(MAX_LINKS + 8):
