Ask for reports of a short service, and admit again where nothing is known

Cause: a node that refuses all that leads to a short service sends it no calls; after 3 s without calls the nodes there send it no reports, and without reports its level stays where it is. Ruled out: false vectors, the allowed wait (two other nodes that were watched admitted nearly all). Change: a node asks the nodes of a short service that have not reported for 1.5 s; where nothing at all is known, the level rises.

--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -21,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from eelgrassmount.relay.beliefs import Beliefs
     from eelgrassmount.relay.gate import Gate
@@ -268,6 +268,21 @@
             ]
             if fresh:
                 self._update_level(service, measure_load(fresh))
+            elif service in beliefs.levels:
+                # nothing is known: to go on refusing would keep it so
+                self._update_level(service, GateLoad())
+            if beliefs.find_level(service) < 1.0:
+                self._ask_for_reports(found.values(), oldest_s)
+
+    def _ask_for_reports(self, members: Iterable[Member], oldest_s: float) -> None:
+        """Ask the nodes of a short service that no longer report to this one.
+
+        A node that refuses all that leads there sends it no calls, gets no reports
+        in turn, and would refuse for good: one did for 15 s after the shortage.
+        """
+        for member in members:
+            if member.is_connected() and member.load.reported_s <= oldest_s:
+                member.link.send(FrameKind.PING, ttypes.RelayConfigRequest(0))
 
     def _update_level(self, service: str, load: GateLoad) -> None:
         control = self.beliefs.levels.setdefault(service, LevelControl())
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -16,6 +16,7 @@
     read_rows,
     write_rows,
 )
+from eelgrassmount.relay.frames import FrameKind
 from eelgrassmount.relay.gate import GateLoad
 from eelgrassmount.relay.members import MemberLoad, MemberTable
 from eelgrassmount.relay.server import LocalServer
@@ -166,6 +167,51 @@
     assert chosen[0] not in again
 
 
+class FakeLink:
+    def __init__(self):
+        self.sent = []
+
+    def is_up(self):
+        return True
+
+    def send(self, kind, struct):
+        self.sent.append(kind)
+
+
+def make_short_service(now: list[float]):
+    beliefs = make_beliefs(now)
+    member = beliefs.members.put("a", "a:1", "near", "list")
+    member.link = FakeLink()
+    member.load = MemberLoad(limit=10, demand=2.0, reported_s=now[0])
+    controllers = Controllers(beliefs, None, None, None, lambda table: None)
+    for _ in range(20):
+        controllers._update_levels()
+    assert beliefs.find_level("list") < 0.5
+    assert member.link.sent == []
+    return beliefs, member, controllers
+
+
+def test_node_asks_for_reports_while_a_service_is_short():
+    now = [1.0]
+    _, member, controllers = make_short_service(now)
+    now[0] += 2.0
+    controllers._update_levels()
+    assert member.link.sent == [FrameKind.PING]
+    member.load.reported_s = now[0]
+    controllers._update_levels()
+    assert member.link.sent == [FrameKind.PING]
+
+
+def test_level_rises_while_nothing_is_heard_of_a_service():
+    now = [1.0]
+    beliefs, member, controllers = make_short_service(now)
+    member.link = None
+    now[0] += 2.0
+    for _ in range(40):
+        controllers._update_levels()
+    assert beliefs.find_level("list") == 1.0
+
+
 def test_server_that_leaves_counts_neither_for_demand_nor_for_room():
     beliefs = make_beliefs([1.0])
     leaving = beliefs.members.put("a", "a:1", "near", "list")
