Have one type for what clients may send

Cause: ServerLimits of the listener and RequestLimits of the configuration had the same four fields with the same defaults, and the node copied one into the other field by field. Change: the configuration gives the listener's own type, and the copy is gone. Ruled out: two types for two layers: the relay imports the listener's package already. Tests of relay, http1 and platform pass.

--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -10,7 +10,6 @@
 
 from eelgrassmount.errors import BadFrameError, PlatformDocumentError
 from eelgrassmount.gen import ttypes
-from eelgrassmount.http1.server import ServerLimits
 from eelgrassmount.platform.configuration import read_configuration
 from eelgrassmount.platform.topics import CONFIGURATION_KEY, LEARNED_KEY
 from eelgrassmount.relay.frames import decode_struct
@@ -116,13 +115,7 @@
         beliefs.document = document
         beliefs.graph.forget_routes()
         self.entry.table = table
-        limits = table.limits
-        self.callers.limits = ServerLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_limit_s,
-            limits.idle_limit_s,
-        )
+        self.callers.limits = table.limits
 
     def _identify_server(self, table: RouteTable) -> None:
         service = table.services.get(self.beliefs.server.service)
--- a/eelgrassmount/http1/server.py
+++ b/eelgrassmount/http1/server.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import httptools
-from attrs import define, field
+from attrs import define, field, frozen
 from loguru import logger
 
 from eelgrassmount.http1.exchange import Exchange
@@ -21,9 +21,9 @@
 SWEEP_PERIOD_S = 1.0
 
 
-@define
+@frozen
 class ServerLimits:
-    """What a client may send, and how long it may take or stay idle."""
+    """What a client may send, and how many seconds it may take or stay idle."""
 
     max_header_bytes: int = 65536
     max_body_bytes: int = 64 * 1024 * 1024
--- a/eelgrassmount/platform/configuration.py
+++ b/eelgrassmount/platform/configuration.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from eelgrassmount.errors import PlatformDocumentError
+from eelgrassmount.http1.server import ServerLimits
 from eelgrassmount.relay.routes import (
-    RequestLimits,
     Route,
     RouteTable,
     Service,
@@ -83,9 +83,9 @@
     )
 
 
-def _read_limits(limits: dict[str, Any]) -> RequestLimits:
-    usual = RequestLimits()
-    return RequestLimits(
+def _read_limits(limits: dict[str, Any]) -> ServerLimits:
+    usual = ServerLimits()
+    return ServerLimits(
         int(limits.get("maxHeaderBytes") or usual.max_header_bytes),
         int(limits.get("maxBodyBytes") or usual.max_body_bytes),
         float(limits.get("headerTimeoutMs") or usual.header_limit_s * 1000) / 1000,
--- a/eelgrassmount/relay/routes.py
+++ b/eelgrassmount/relay/routes.py
@@ -6,6 +6,8 @@
 
 from attrs import define, field, frozen
 
+from eelgrassmount.http1.server import ServerLimits
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -48,16 +50,6 @@
     max_connections: int
 
 
-@frozen
-class RequestLimits:
-    """What a client may send; times are in seconds."""
-
-    max_header_bytes: int = 65536
-    max_body_bytes: int = 64 * 1024 * 1024
-    header_limit_s: float = 10.0
-    idle_limit_s: float = 60.0
-
-
 @define(eq=False)
 class RouteTable:
     """A whole configuration; version 0 stands for none.
@@ -65,14 +57,14 @@
     Of the routes of a host, the one with the longest prefix that begins the path
     is taken::
 
-        table = RouteTable.build(7, routes, services, RequestLimits())
+        table = RouteTable.build(7, routes, services, ServerLimits())
         route = table.find("shop.example", "/orders/17")
     """
 
     version: int = 0
     routes: dict[str, Route] = field(factory=dict)
     services: dict[str, Service] = field(factory=dict)
-    limits: RequestLimits = field(factory=RequestLimits)
+    limits: ServerLimits = field(factory=ServerLimits)
     _by_host: dict[str, dict[str, Route]] = field(factory=dict)
     _lengths: dict[str, list[int]] = field(factory=dict)
 
@@ -82,7 +74,7 @@
         version: int,
         routes: Iterable[Route],
         services: Iterable[Service],
-        limits: RequestLimits,
+        limits: ServerLimits,
     ) -> RouteTable:
         """Return a table with its routes ready for look-ups."""
         table = cls(version, limits=limits)
--- a/tests/relay/samples.py
+++ b/tests/relay/samples.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from eelgrassmount.http1.server import ServerLimits
 from eelgrassmount.relay.messages import Call
 from eelgrassmount.relay.routes import (
-    RequestLimits,
     Route,
     RouteTable,
     Service,
@@ -39,7 +39,7 @@
         version,
         routes,
         [Service(name, "/health", 100) for name in services],
-        RequestLimits(),
+        ServerLimits(),
     )
 
 
