Open HTTP connections in one place

Ruled out: the link between nodes, which opens a protocol of its own. Tests of relay, http1 and platform pass.

--- a/eelgrassmount/http1/client.py
+++ b/eelgrassmount/http1/client.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from eelgrassmount.util.addresses import Address
+
 # a connection that answers no probe is given up after about three seconds
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_PERIOD_S = 1
@@ -53,6 +55,24 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
 
 
+async def open_connection(
+    address: Address,
+    limit_s: float,
+    on_idle: Callable[[ClientConnection], None] = lambda connection: None,
+    on_lost: Callable[[ClientConnection], None] = lambda connection: None,
+) -> ClientConnection:
+    """Connect to an address within ``limit_s`` seconds.
+
+    Raises `OSError`, of which `TimeoutError` is one, when that is not possible.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(limit_s):
+        _, connection = await loop.create_connection(
+            lambda: ClientConnection(on_idle, on_lost), address.host, address.port
+        )
+    return connection
+
+
 class ClientConnection(asyncio.Protocol):
     """Sends requests one after the other and tells each outcome once.
 
--- a/eelgrassmount/platform/store.py
+++ b/eelgrassmount/platform/store.py
@@ -10,7 +10,7 @@
 
 from attrs import define, field
 
-from eelgrassmount.http1.client import Break, ClientAnswer, ClientConnection
+from eelgrassmount.http1.client import Break, ClientAnswer, open_connection
 from eelgrassmount.relay.store import (
     Batch,
     FailureKind,
@@ -20,6 +20,7 @@
 )
 
 if TYPE_CHECKING:
+    from eelgrassmount.http1.client import ClientConnection
     from eelgrassmount.util.addresses import Address
 
 LENGTH_BYTES = 4
@@ -128,9 +129,10 @@
     ) -> bytes | StoreFailure:
         connection = self._connections.pop(connection_name, None)
         if connection is None or connection.closed:
-            connection = await self._connect()
-            if isinstance(connection, StoreFailure):
-                return connection
+            try:
+                connection = await open_connection(self.address, CONNECT_LIMIT_S)
+            except OSError as error:
+                return StoreFailure(FailureKind.UNREACHABLE, repr(error))
         outcome: asyncio.Future[ClientAnswer | Break] = (
             asyncio.get_running_loop().create_future()
         )
@@ -161,19 +163,6 @@
             return StoreFailure(kind, f"status {answer.status}")
         return answer.body
 
-    async def _connect(self) -> ClientConnection | StoreFailure:
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_LIMIT_S):
-                _, connection = await loop.create_connection(
-                    lambda: ClientConnection(lambda _: None, lambda _: None),
-                    self.address.host,
-                    self.address.port,
-                )
-        except (OSError, TimeoutError) as error:
-            return StoreFailure(FailureKind.UNREACHABLE, repr(error))
-        return connection
-
 
 def _cut_records(content: bytes, offset: int) -> Batch | StoreFailure:
     """Cut the answer to a read; it begins with the end and the first offset."""
--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -8,11 +8,12 @@
 from attrs import define, field
 from loguru import logger
 
-from eelgrassmount.http1.client import Break, ClientAnswer, ClientConnection
+from eelgrassmount.http1.client import Break, ClientAnswer, open_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from eelgrassmount.http1.client import ClientConnection
     from eelgrassmount.util.addresses import Address
 
 # the server is on the same VM: what takes longer is a server that doesn't accept
@@ -156,15 +157,11 @@
         data: bytes,
         accepts: Callable[[ClientAnswer], bool],
     ) -> None:
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_LIMIT_S):
-                _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self._note_idle, self._note_lost),
-                    address.host,
-                    address.port,
-                )
-        except (OSError, TimeoutError):
+            connection = await open_connection(
+                address, CONNECT_LIMIT_S, self._note_idle, self._note_lost
+            )
+        except OSError:
             # told to the caller, who counts it as a server that can't be reached
             sending.tell(Break.REFUSED)
             return
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -10,7 +10,12 @@
 from attrs import define, field
 
 from eelgrassmount.compose.relay import RelayNode, build_relay, start_relay
-from eelgrassmount.http1.client import Break, ClientAnswer, ClientConnection
+from eelgrassmount.http1.client import (
+    Break,
+    ClientAnswer,
+    ClientConnection,
+    open_connection,
+)
 from eelgrassmount.relay.settings import RelaySettings
 from eelgrassmount.util.addresses import Address
 from standins.platform_log import PlatformLog
@@ -155,13 +160,7 @@
 
 async def connect(address: Address) -> ClientConnection:
     """Open a connection."""
-    loop = asyncio.get_running_loop()
-    _, connection = await loop.create_connection(
-        lambda: ClientConnection(lambda _: None, lambda _: None),
-        address.host,
-        address.port,
-    )
-    return connection
+    return await open_connection(address, WAIT_S)
 
 
 async def send(connection: ClientConnection, data: bytes) -> ClientAnswer | Break:
