Handle what either end of a link may send in one place

Cause: suspects, configurations and requests for one came to the same three functions by two copies of the same branches, one in the link and one where links come in, each handed the three functions by the composition. Change: News.take_frame; both ends hand on what they don't know themselves. Tests of the relay pass.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -111,9 +111,7 @@
         beliefs.find_route,
         beliefs.make_hello,
         lambda hello: news.note_caller(hello),
-        lambda suspects: news.note_suspects(suspects),
-        lambda config: news.note_config(config),
-        lambda version: news.find_config(version),
+        lambda kind, struct, send: news.take_frame(kind, struct, send),
     )
     news = News(
         beliefs,
@@ -126,9 +124,7 @@
         beliefs.make_hello,
         news.note_hello,
         news.note_report,
-        news.note_suspects,
-        news.note_config,
-        news.find_config,
+        news.take_frame,
     )
     controllers = Controllers(
         beliefs,
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from enum import IntEnum
 from typing import Any
 
@@ -50,6 +51,10 @@
 _PROTOCOL = TBinaryProtocolAccelerated(TMemoryBuffer())
 
 
+# handles a frame; the function that it is given sends one back
+FrameTaker = Callable[[FrameKind, Any, Callable[[FrameKind, Any], None]], None]
+
+
 def encode_struct(struct: Any) -> bytes:
     """Return a thrift struct as bytes."""
     buffer = _PROTOCOL.trans = TMemoryBuffer()
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from eelgrassmount.errors import BadFrameError
+    from eelgrassmount.relay.frames import FrameTaker
     from eelgrassmount.relay.gate import Gate
     from eelgrassmount.relay.routes import Route
 
@@ -53,9 +54,7 @@
     find_route: Callable[[str, bool], Route]
     make_hello: Callable[[], ttypes.RelayHello]
     note_caller: Callable[[ttypes.RelayHello], bool]
-    note_suspects: Callable[[ttypes.RelaySuspects], None]
-    note_config: Callable[[ttypes.RelayConfig], None]
-    find_config: Callable[[int], ttypes.RelayConfig | None]
+    take_frame: FrameTaker
     accepting: bool = True
     connections: set[InboundConnection] = field(factory=set)
     kept: dict[tuple[str, int], Kept] = field(factory=dict)
@@ -146,14 +145,8 @@
                 self.send(FrameKind.CONFIG_REQUEST, ttypes.RelayConfigRequest(0))
         elif kind is FrameKind.PING:
             self.send(FrameKind.PING, struct)
-        elif kind is FrameKind.SUSPECTS:
-            self.inbound.note_suspects(struct)
-        elif kind is FrameKind.CONFIG:
-            self.inbound.note_config(struct)
-        elif kind is FrameKind.CONFIG_REQUEST:
-            config = self.inbound.find_config(struct.known_version)
-            if config is not None:
-                self.send(FrameKind.CONFIG, config)
+        else:
+            self.inbound.take_frame(kind, struct, self.send)
 
     def _take_call(self, frame: ttypes.RelayCall) -> None:
         sequence = frame.sequence
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
 
     from eelgrassmount.errors import BadFrameError
+    from eelgrassmount.relay.frames import FrameTaker
     from eelgrassmount.relay.members import Member
     from eelgrassmount.relay.messages import Call
 
@@ -50,9 +51,7 @@
     make_hello: Callable[[], ttypes.RelayHello]
     note_hello: Callable[[Member, ttypes.RelayHello], None]
     note_report: Callable[[Member, ttypes.RelayReport], None]
-    note_suspects: Callable[[ttypes.RelaySuspects], None]
-    note_config: Callable[[ttypes.RelayConfig], None]
-    find_config: Callable[[int], ttypes.RelayConfig | None]
+    take_frame: FrameTaker
 
 
 @define(eq=False)
@@ -224,14 +223,8 @@
             self.events.note_report(self.member, struct)
         elif kind is FrameKind.HELLO:
             self._note_hello(struct)
-        elif kind is FrameKind.SUSPECTS:
-            self.events.note_suspects(struct)
-        elif kind is FrameKind.CONFIG:
-            self.events.note_config(struct)
-        elif kind is FrameKind.CONFIG_REQUEST:
-            config = self.events.find_config(struct.known_version)
-            if config is not None:
-                self.send(FrameKind.CONFIG, config)
+        else:
+            self.events.take_frame(kind, struct, self.send)
 
     def _note_reply(self, reply: ttypes.RelayReply) -> None:
         load = self.member.load
--- a/eelgrassmount/relay/news.py
+++ b/eelgrassmount/relay/news.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from attrs import define
 from loguru import logger
@@ -89,6 +89,19 @@
             request = ttypes.RelayConfigRequest(known)
             member.link.send(FrameKind.CONFIG_REQUEST, request)
 
+    def take_frame(
+        self, kind: FrameKind, struct: Any, send: Callable[[FrameKind, Any], None]
+    ) -> None:
+        """Handle a frame that either end of a link may send; ``send`` answers it."""
+        if kind is FrameKind.SUSPECTS:
+            self.note_suspects(struct)
+        elif kind is FrameKind.CONFIG:
+            self.note_config(struct)
+        elif kind is FrameKind.CONFIG_REQUEST:
+            config = self.find_config(struct.known_version)
+            if config is not None:
+                send(FrameKind.CONFIG, config)
+
     def note_config(self, config: ttypes.RelayConfig) -> None:
         """Take up a configuration that another node has sooner."""
         if config.version > self.beliefs.table.version:
--- a/tests/relay/test_link.py
+++ b/tests/relay/test_link.py
@@ -37,9 +37,7 @@
             ttypes.RelayHello,
             lambda member, hello: None,
             lambda member, report: None,
-            lambda suspects: None,
-            lambda config: None,
-            lambda version: None,
+            lambda kind, struct, send: None,
         )
         self.link = UnconnectedLink(self.member, lambda: self.now_s, events)
         self.member.link = self.link
