Read the headers of a server's answer once

Cause: the pool had the whole head of each answer read, its lines copied and joined, for the idle limit alone; the gate then read the same head for the rest. Change: read_idle_limit looks for that one header, and the head no longer holds it. The test of the head asserts the same limit from the same lines. Ruled out: the gate telling the pool: the connection is idle again before the gate hears. Tests of relay and platform pass.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -89,7 +89,7 @@
     )
     pool = BackendPool(
         clock,
-        lambda answer: DIALECT.read_answer(answer.headers).idle_limit_s,
+        lambda answer: DIALECT.read_idle_limit(answer.headers),
         metrics.connections.inc,
     )
     gate = Gate(
--- a/eelgrassmount/platform/headers.py
+++ b/eelgrassmount/platform/headers.py
@@ -108,8 +108,6 @@
             head.not_run = True
         elif name == INSTANCE:
             head.instance = value.decode("latin-1")
-        elif name == b"keep-alive":
-            head.idle_limit_s = _read_idle_limit(value)
         if name not in _OF_ONE_CONNECTION:
             lines.append(b"%s: %s\r\n" % (name, value))
     head.passed_on = b"".join(lines)
@@ -134,7 +132,16 @@
     return lines
 
 
-def _read_idle_limit(value: bytes) -> float | None:
+def read_idle_limit(headers: list[tuple[bytes, bytes]]) -> float | None:
+    """Return the seconds that a server keeps an idle connection, if it says so."""
+    limit_s = None
+    for name, value in headers:
+        if name == b"keep-alive":
+            limit_s = _parse_idle_limit(value)
+    return limit_s
+
+
+def _parse_idle_limit(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
         if name.lower() == b"timeout" and number.strip().isdigit():
@@ -148,5 +155,6 @@
     write_probe,
     read_answer,
     find_request_id,
+    read_idle_limit,
     write_refusal,
 )
--- a/eelgrassmount/relay/dialect.py
+++ b/eelgrassmount/relay/dialect.py
@@ -30,14 +30,12 @@
 
     ``signed`` tells that the server vouches for the body, ``not_run`` that it did
     not run the request, and ``instance`` which incarnation of the server spoke.
-    ``idle_limit_s`` is how long it keeps an idle connection.
     """
 
     signed: bool = False
     not_run: bool = False
     request_id: bytes = b""
     instance: str = ""
-    idle_limit_s: float | None = None
     passed_on: bytes = b""
 
 
@@ -50,4 +48,5 @@
     write_probe: Callable[[str], bytes]
     read_answer: Callable[[list[tuple[bytes, bytes]]], AnswerHead]
     find_request_id: Callable[[list[tuple[bytes, bytes]]], bytes]
+    read_idle_limit: Callable[[list[tuple[bytes, bytes]]], float | None]
     write_refusal: Callable[[str, float], bytes]
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -51,18 +51,17 @@
 
 
 def test_answer_head_is_read():
-    head = headers.read_answer(
-        [
-            (b"eelgrassmount-response-signature", b"s"),
-            (b"eelgrassmount-attempt-id", b"a1"),
-            (b"keep-alive", b"timeout=10, max=5"),
-            (b"connection", b"keep-alive"),
-            (b"content-type", b"text/plain"),
-        ]
-    )
+    lines = [
+        (b"eelgrassmount-response-signature", b"s"),
+        (b"eelgrassmount-attempt-id", b"a1"),
+        (b"keep-alive", b"timeout=10, max=5"),
+        (b"connection", b"keep-alive"),
+        (b"content-type", b"text/plain"),
+    ]
+    head = headers.read_answer(lines)
     assert head.signed
     assert not head.not_run
-    assert head.idle_limit_s == 10.0
+    assert headers.read_idle_limit(lines) == 10.0
     assert b"connection" not in head.passed_on
     assert b"eelgrassmount-response-signature: s\r\n" in head.passed_on
     assert b"content-type: text/plain\r\n" in head.passed_on
