Give the rows of vectors a module of their own

Cause: what reports and the kept record share sat in the module of periodic work, so that news and records imported it for two functions. Change: relay/rows.py; the functions are moved as they were. Tests import them from there. Ruled out: vectors.py, which knows nothing of what travels.

--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -14,6 +14,7 @@
 from eelgrassmount.relay.gate import GateLoad
 from eelgrassmount.relay.link import PeerLink
 from eelgrassmount.relay.members import REPORT_LIMIT_S, Member, MemberLoad
+from eelgrassmount.relay.rows import write_rows
 from eelgrassmount.relay.vectors import (
     find_inner_routes,
     merge_vectors,
@@ -76,31 +77,6 @@
     )
 
 
-def write_rows(vectors: dict[str, dict[str, float]]) -> list[ttypes.RouteCalls]:
-    """Return vectors as rows; a route that calls nothing has a row without a name.
-
-    Only what a node has learned itself is told: what it heard of others would go
-    round among the nodes long after those have learned better.
-    """
-    rows = []
-    for run_route, calls in vectors.items():
-        if not calls:
-            rows.append(ttypes.RouteCalls(run_route, "", 0.0))
-        for called, count in calls.items():
-            rows.append(ttypes.RouteCalls(run_route, called, count))
-    return rows
-
-
-def read_rows(rows: list[ttypes.RouteCalls]) -> dict[str, dict[str, float]]:
-    """Return the vectors that rows stand for."""
-    vectors: dict[str, dict[str, float]] = {}
-    for row in rows:
-        calls = vectors.setdefault(row.run_route, {})
-        if row.called_route:
-            calls[row.called_route] = row.calls_per_run
-    return vectors
-
-
 @frozen
 class ChosenLinks:
     """The nodes of a service that links are kept to, while no node has changed."""
--- a/eelgrassmount/relay/learned.py
+++ b/eelgrassmount/relay/learned.py
@@ -7,8 +7,8 @@
 from attrs import define, field
 
 from eelgrassmount.gen import ttypes
-from eelgrassmount.relay.controllers import read_rows, write_rows
 from eelgrassmount.relay.frames import decode_struct, encode_struct
+from eelgrassmount.relay.rows import read_rows, write_rows
 
 if TYPE_CHECKING:
     from eelgrassmount.relay.beliefs import Beliefs
--- a/eelgrassmount/relay/news.py
+++ b/eelgrassmount/relay/news.py
@@ -8,8 +8,9 @@
 from loguru import logger
 
 from eelgrassmount.gen import ttypes
-from eelgrassmount.relay.controllers import MS, PPM, SCALE, read_rows
+from eelgrassmount.relay.controllers import MS, PPM, SCALE
 from eelgrassmount.relay.frames import FrameKind
+from eelgrassmount.relay.rows import read_rows
 from eelgrassmount.retry.quarantine import QUARANTINE_S, Suspect
 
 if TYPE_CHECKING:
--- a/tests/relay/test_deployment.py
+++ b/tests/relay/test_deployment.py
@@ -12,8 +12,8 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.http1.client import Break
 from eelgrassmount.platform.topics import LEARNED_KEY
-from eelgrassmount.relay.controllers import write_rows
 from eelgrassmount.relay.frames import encode_struct
+from eelgrassmount.relay.rows import write_rows
 from eelgrassmount.relay.stopping import CLIENTS_GONE_S, PEERS_GONE_S
 from standins.platform_log import Trouble
 from tests.relay.deployment import (
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -13,12 +13,11 @@
     MAX_LINKS,
     Controllers,
     measure_load,
-    read_rows,
-    write_rows,
 )
 from eelgrassmount.relay.frames import FrameKind
 from eelgrassmount.relay.gate import GateLoad
 from eelgrassmount.relay.members import MemberLoad, MemberTable
+from eelgrassmount.relay.rows import read_rows, write_rows
 from eelgrassmount.relay.server import LocalServer
 from eelgrassmount.util.addresses import Address
 from tests.relay.samples import make_route, make_table
