Drop state of the relay that nothing reads

Cause: the router's means, the member table's own name, the mark of repeated calls (set, sent in each call and decided on by nobody), the id in the head of an answer (the gate looks for it apart), the flag that a batch is whole (ignored by both who get it), and a setting named in a comment only. Change: gone; the field of the call's frame too, its number stays unused. Ruled out: the parameter for answers without a body in http1/client.py. Tests of relay, platform and http1 pass; two test set-ups no longer name an owner of the table.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -262,7 +262,6 @@
   11: string target
   12: binary head
   13: binary body
-  14: bool repeated
   15: string incarnation
 }
 
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -74,7 +74,7 @@
     metrics = RelayMetrics()
     quarantine = Quarantine()
     server = LocalServer(settings.service, settings.server_address)
-    members = MemberTable(settings.name)
+    members = MemberTable()
     graph = CallGraph()
     beliefs = Beliefs(
         settings.name,
@@ -294,7 +294,7 @@
     while True:
         snapshot = await node.store.read_newest(NODES_TOPIC)
         if not isinstance(snapshot, StoreFailure):
-            node.take_nodes(snapshot.records, True)
+            node.take_nodes(snapshot.records)
             if any(one.value == value for one in snapshot.records):
                 break
             offset = await node.store.append(NODES_TOPIC, settings.name, value)
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -122,15 +122,13 @@
         if service is not None:
             self.gate.identify(service.health_path)
 
-    def take_configuration(
-        self, records: tuple[StoredRecord, ...], whole: bool
-    ) -> None:
+    def take_configuration(self, records: tuple[StoredRecord, ...]) -> None:
         """Take up records of the operator's topic."""
         for record in records:
             if record.key == CONFIGURATION_KEY and record.value:
                 self.apply_document(record.value)
 
-    def take_nodes(self, records: tuple[StoredRecord, ...], whole: bool) -> None:
+    def take_nodes(self, records: tuple[StoredRecord, ...]) -> None:
         """Take up records of nodes, and of what all have learned."""
         for record in records:
             try:
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -2811,13 +2811,12 @@
      - target
      - head
      - body
-     - repeated
      - incarnation
 
     """
 
 
-    def __init__(self, sequence=None, request_id=None, route_name=None, service_name=None, caller_service=None, remaining_ms=None, rank=None, idempotent=None, resumed=None, method=None, target=None, head=None, body=None, repeated=None, incarnation=None,):
+    def __init__(self, sequence=None, request_id=None, route_name=None, service_name=None, caller_service=None, remaining_ms=None, rank=None, idempotent=None, resumed=None, method=None, target=None, head=None, body=None, incarnation=None,):
         self.sequence = sequence
         self.request_id = request_id
         self.route_name = route_name
@@ -2831,7 +2830,6 @@
         self.target = target
         self.head = head
         self.body = body
-        self.repeated = repeated
         self.incarnation = incarnation
 
     def read(self, iprot):
@@ -2908,11 +2906,6 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
-            elif fid == 14:
-                if ftype == TType.BOOL:
-                    self.repeated = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.STRING:
                     self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
@@ -2980,10 +2973,6 @@
             oprot.writeFieldBegin('body', TType.STRING, 13)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
-        if self.repeated is not None:
-            oprot.writeFieldBegin('repeated', TType.BOOL, 14)
-            oprot.writeBool(self.repeated)
-            oprot.writeFieldEnd()
         if self.incarnation is not None:
             oprot.writeFieldBegin('incarnation', TType.STRING, 15)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
@@ -4206,7 +4195,7 @@
     (11, TType.STRING, 'target', 'UTF8', None, ),  # 11
     (12, TType.STRING, 'head', 'BINARY', None, ),  # 12
     (13, TType.STRING, 'body', 'BINARY', None, ),  # 13
-    (14, TType.BOOL, 'repeated', None, None, ),  # 14
+    None,  # 14
     (15, TType.STRING, 'incarnation', 'UTF8', None, ),  # 15
 )
 all_structs.append(RelayReply)
--- a/eelgrassmount/platform/headers.py
+++ b/eelgrassmount/platform/headers.py
@@ -102,8 +102,6 @@
     for name, value in headers:
         if name == SIGNATURE:
             head.signed = bool(value)
-        elif name == REQUEST_ID:
-            head.request_id = value
         elif name == NOT_RUN:
             head.not_run = True
         elif name == INSTANCE:
--- a/eelgrassmount/relay/dialect.py
+++ b/eelgrassmount/relay/dialect.py
@@ -34,7 +34,6 @@
 
     signed: bool = False
     not_run: bool = False
-    request_id: bytes = b""
     instance: str = ""
     passed_on: bytes = b""
 
--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -283,7 +283,6 @@
 
     def _repeat(self, flow: Flow, member: Member, reason: str) -> None:
         flow.excluded.add(member.name)
-        flow.call.repeated = True
         self.metrics.count_retry(reason)
         self.decisions.note(
             "sent again",
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -195,7 +195,6 @@
             now_s,
             now_s + frame.remaining_ms / 1000,
             frame.rank,
-            frame.repeated,
         )
 
     def _end(self, sequence: int, reply: Reply) -> None:
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -93,7 +93,6 @@
             call.target,
             call.head,
             call.body,
-            call.repeated,
         )
         opened = OpenCall(frame, call, done)
         self.open_calls[sequence] = opened
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -95,7 +95,6 @@
     ``changes`` counts how often a node was added, replaced or forgotten.
     """
 
-    own_name: str
     changes: int = 0
     by_name: dict[str, Member] = field(factory=dict)
     by_service: dict[str, dict[str, Member]] = field(factory=dict)
--- a/eelgrassmount/relay/messages.py
+++ b/eelgrassmount/relay/messages.py
@@ -56,7 +56,6 @@
     arrived_s: float
     deadline_s: float
     rank: int
-    repeated: bool = False
     _digest: str = ""
 
     def find_digest(self) -> str:
--- a/eelgrassmount/relay/routing.py
+++ b/eelgrassmount/relay/routing.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define
 
 if TYPE_CHECKING:
     import random
@@ -35,7 +35,6 @@
     rng: random.Random
     find_allowance: Callable[[Route], float] = lambda route: route.objective_s
     _choices: int = 0
-    _means: dict[tuple[str, str], float] = field(factory=dict)
 
     def choose(
         self, service: str, route: Route, excluded: Container[str]
--- a/eelgrassmount/relay/settings.py
+++ b/eelgrassmount/relay/settings.py
@@ -13,8 +13,7 @@
 
     The retry budget allows ``retry_ratio`` of a service's requests in
     ``retry_window_s`` plus ``retry_slack``, over all nodes together. A node is
-    killed ``grace_s`` after it was told to stop. ``apply_limit_s`` is the time in
-    which a new configuration has to be in force.
+    killed ``grace_s`` after it was told to stop.
     """
 
     name: str
--- a/eelgrassmount/relay/topics.py
+++ b/eelgrassmount/relay/topics.py
@@ -30,13 +30,13 @@
 class TopicFollower:
     """Reads the newest record of each key and then what is appended.
 
-    ``take`` gets the records of a batch; with ``whole`` set they are all there
-    are. A log that can't be reached is asked again for as long as it takes.
+    ``take`` gets the records of a batch. A log that can't be reached is asked again
+    for as long as it takes.
     """
 
     store: Store
     topic: str
-    take: Callable[[tuple[StoredRecord, ...], bool], None]
+    take: Callable[[tuple[StoredRecord, ...]], None]
     rng: random.Random
     reachable: bool = True
     _backoff: Backoff = field(init=False)
@@ -64,14 +64,14 @@
             if isinstance(snapshot, StoreFailure):
                 return snapshot
             self._next = snapshot.end
-            self.take(snapshot.records, True)
+            self.take(snapshot.records)
             return None
         batch = await self.store.read(self.topic, self._next, WAIT_S)
         if isinstance(batch, StoreFailure):
             return batch
         self._next = batch.next_offset
         if batch.records:
-            self.take(batch.records, False)
+            self.take(batch.records)
             await asyncio.sleep(GATHER_S)
         return None
 
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -25,7 +25,7 @@
 
 def make_beliefs(now: list[float]) -> Beliefs:
     server = LocalServer("desk", Address("127.0.0.1", 80))
-    members = MemberTable("own")
+    members = MemberTable()
     beliefs = Beliefs(
         "own", "i", "a:1", "near", server, members, CallGraph(), lambda: now[0], None
     )
--- a/tests/relay/test_routing.py
+++ b/tests/relay/test_routing.py
@@ -17,7 +17,7 @@
 class Setup:
     def __init__(self):
         self.now_s = 100.0
-        self.members = MemberTable("own")
+        self.members = MemberTable()
         self.router = Router(self.members, "near", lambda: self.now_s, random.Random(3))
 
     def add(self, name: str, domain: str = "near", run_s: float = 0.05, **load):
