Say once when a server is silent and when a content is held

Cause: the entry and the gate each had the two numbers by which a server counts as silent, and the same test of the quarantine; whether there is another node was worked out beside the function that lists them; attempts were raised and lowered again to ask about one more; a flow was marked as ended before its end, which the number of its sending does already; and the gate counted what the set of running jobs counts. Change: one pair of constants, Call.is_quarantined, has_choice by the list of candidates, attempts as a parameter, no second cancel, in_flight as the size of the set. Ruled out: one timer for both ends: the gate also judges calls that must not run twice. Tests of relay, platform and http1 pass.

--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from eelgrassmount.relay.gate import INNER_RANK, Job
+from eelgrassmount.relay.gate import INNER_RANK, SILENT_SHARE, SILENT_TIMES, Job
 from eelgrassmount.relay.messages import Call, Fate, Reply
 from eelgrassmount.relay.routes import RouteTable, TargetChooser
 from eelgrassmount.verdict import Reason
@@ -39,10 +39,6 @@
 UNCONFIGURED_S = 0.5
 # without a deadline of the client, a request is kept this long at most
 DEFAULT_REMAINING_MS = 60_000
-# a call that may run twice is taken from a silent server and sent to another after
-# so many times what such runs usually take, and this part of its objective
-PATIENCE_TIMES = 4.0
-PATIENCE_SHARE = 0.5
 # time that a call must have left to be sent again
 REPEAT_ROOM_S = 0.02
 
@@ -58,7 +54,7 @@
 
     ``last`` is the latest reply and ``server`` the node that gave it; ``attempts``
     counts the sendings that may have reached a server, ``refusals`` those that have
-    not.
+    not. ``sending`` numbers the sendings, of which only the latest is waited for.
     """
 
     exchange: Exchange
@@ -123,9 +119,7 @@
         if call.rank != INNER_RANK and not self.admission.allows(route):
             self._refuse(exchange, call, Reason.OVERLOAD)
             return
-        if self.quarantine.suspects and self.quarantine.check(
-            call.find_digest(), self.clock()
-        ):
+        if call.is_quarantined(self.quarantine, call.arrived_s):
             self._refuse(exchange, call, Reason.QUARANTINED)
             return
         self._begin(Flow(exchange, call))
@@ -155,7 +149,7 @@
         call = flow.call
         flow.exchange.on_abandon = lambda: self._abandon(flow)
         if call.route.idempotent:
-            self._wake(flow, PATIENCE_SHARE * call.route.objective_s)
+            self._wake(flow, SILENT_SHARE * call.route.objective_s)
         else:
             self._wake(flow, math.inf)
         self.budget.note_request(call.service)
@@ -178,7 +172,7 @@
         call = flow.call
         usual_s = self.router.find_usual(call.service, call.route)
         waited_s = self.clock() - call.arrived_s
-        missing_s = PATIENCE_TIMES * usual_s - waited_s
+        missing_s = SILENT_TIMES * usual_s - waited_s
         if missing_s > 0.0:
             self._wake(flow, missing_s)
             return
@@ -189,10 +183,10 @@
         if not self.router.has_choice(call.service, {*flow.excluded, member.name}):
             return
         # the sending that is left counts, as it may have reached its server
-        flow.attempts += 1
-        if not self._may_send_again(flow):
-            flow.attempts -= 1
+        attempts = flow.attempts + 1
+        if not self._may_send_again(call, attempts):
             return
+        flow.attempts = attempts
         flow.may_have_run = True
         self._cancel_sending(flow)
         self._repeat(flow, member, Reason.SERVER_SILENT)
@@ -252,7 +246,7 @@
         if reply.reason is Reason.SERVER_SHED:
             # the server has seen it, which counts as an arrival
             flow.attempts += 1
-            if not self._may_send_again(flow):
+            if not self._may_send_again(flow.call, flow.attempts):
                 self._give_up(flow)
                 return
         if flow.refusals >= MAX_REFUSALS or reply.reason is Reason.QUARANTINED:
@@ -270,11 +264,11 @@
             self._give_up(flow)
 
     def _may_repeat(self, flow: Flow) -> bool:
-        return flow.call.route.idempotent and self._may_send_again(flow)
-
-    def _may_send_again(self, flow: Flow) -> bool:
         call = flow.call
-        if flow.attempts >= call.route.max_attempts:
+        return call.route.idempotent and self._may_send_again(call, flow.attempts)
+
+    def _may_send_again(self, call: Call, attempts: int) -> bool:
+        if attempts >= call.route.max_attempts:
             return False
         if call.deadline_s - self.clock() < REPEAT_ROOM_S:
             return False
@@ -329,7 +323,7 @@
         if flow.ended:
             return
         sent = flow.member is not None or flow.may_have_run
-        self._cancel(flow)
+        self._cancel_sending(flow)
         self._end(flow)
         if sent:
             self._fail(flow, TIMEOUT, Reason.DEADLINE)
@@ -338,14 +332,10 @@
 
     def _abandon(self, flow: Flow) -> None:
         if not flow.ended:
-            self._cancel(flow)
+            self._cancel_sending(flow)
             self._end(flow)
             self.metrics.count_abandoned(flow.call.route.name)
 
-    def _cancel(self, flow: Flow) -> None:
-        flow.ended = True
-        self._cancel_sending(flow)
-
     def _cancel_sending(self, flow: Flow) -> None:
         job = flow.job
         member = flow.member
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -50,7 +50,8 @@
 LOAD_WEIGHT = 0.4
 # a run is taken for silent once it takes so many times its usual duration and this
 # part of its objective: most that wait for one end at their deadline, cancelled by
-# the caller, so that a server that answers nothing would seem to fail nothing
+# the caller, so that a server that answers nothing would seem to fail nothing. Callers
+# leave it after the same time
 SILENT_TIMES = 4.0
 SILENT_SHARE = 0.5
 # duration that is assumed before the first sample
@@ -123,7 +124,6 @@
     on_end: Callable[[str], None] = lambda route_name: None
     on_crash: Callable[[list[Job]], None] = lambda jobs: None
     on_change: Callable[[], None] = lambda: None
-    in_flight: int = 0
     queued: int = 0
     mean_run_s: float = DEFAULT_RUN_S
     failure_share: float = 0.0
@@ -139,6 +139,11 @@
     _shed_s: float = -SHED_LINE_S
     _broken: list[tuple[float, Job]] = field(factory=list)
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many calls the server has now."""
+        return len(self.running)
+
     def offer(self, job: Job) -> None:
         """Run a job now or later, or refuse it."""
         now_s = self.clock()
@@ -254,9 +259,7 @@
             return reason
         if call.deadline_s - now_s < MIN_REMAINING_S:
             return Reason.DEADLINE
-        if self.quarantine.suspects and self.quarantine.check(
-            call.find_digest(), now_s
-        ):
+        if call.is_quarantined(self.quarantine, now_s):
             return Reason.QUARANTINED
         return None
 
@@ -273,7 +276,6 @@
 
     def _start(self, job: Job, now_s: float) -> None:
         self._integrate(now_s)
-        self.in_flight += 1
         self.running.add(job)
         job.started_s = now_s
         call = job.call
@@ -304,7 +306,6 @@
     def _end(self, job: Job, outcome: ClientAnswer | Break) -> None:
         now_s = self.clock()
         self._integrate(now_s)
-        self.in_flight -= 1
         self.running.discard(job)
         self.on_end(job.call.route.name)
         job.ended = True
--- a/eelgrassmount/relay/messages.py
+++ b/eelgrassmount/relay/messages.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from eelgrassmount.relay.routes import Route
+    from eelgrassmount.retry.quarantine import Quarantine
     from eelgrassmount.verdict import Reason
 
 
@@ -58,6 +59,13 @@
     rank: int
     _digest: str = ""
 
+    def is_quarantined(self, quarantine: Quarantine, now_s: float) -> bool:
+        """Tell whether servers may not be given this content, which crashed others."""
+        # without suspects, the digest is not worked out
+        if not quarantine.suspects:
+            return False
+        return quarantine.check(self.find_digest(), now_s) is not None
+
     def find_digest(self) -> str:
         """Return a digest of the content, worked out when it is first needed."""
         if not self._digest:
--- a/eelgrassmount/relay/routing.py
+++ b/eelgrassmount/relay/routing.py
@@ -82,11 +82,7 @@
 
     def has_choice(self, service: str, excluded: Container[str]) -> bool:
         """Tell whether a node outside of those excluded may be sent a call."""
-        now_s = self.clock()
-        return any(
-            member.name not in excluded and member.can_take(now_s)
-            for member in self.members.list_service(service)
-        )
+        return bool(self._list_candidates(service, excluded))
 
     def _sample(self, candidates: Collection[Member]) -> list[Member]:
         near = [one for one in candidates if self._is_near(one)]
