Read addresses of commands in one function

Cause: the admin address and the one of a relay were parsed by two functions that differ in what the error says is allowed. Change: one function with that as a parameter. Errors read as before.

--- a/eelgrassmount/cmd/client.py
+++ b/eelgrassmount/cmd/client.py
@@ -41,19 +41,17 @@
 
 def read_admin_address(text: str) -> Address:
     """Return the address given by flag or else by environment variable."""
-    text = text or os.environ.get(ADMIN_VARIABLE, "")
-    try:
-        return parse_address(text)
-    except AddressError:
-        raise SettingError("admin", text, _ALLOWED) from None
+    return read_address("admin", text or os.environ.get(ADMIN_VARIABLE, ""), _ALLOWED)
 
 
-def read_address(flag: str, text: str) -> Address:
-    """Return the address given by a flag."""
+def read_address(
+    flag: str, text: str, allowed: str = "an IPv4 address and port"
+) -> Address:
+    """Return the address given by a flag; ``allowed`` is what an error says of it."""
     try:
         return parse_address(text)
     except AddressError:
-        raise SettingError(flag, text, "an IPv4 address and port") from None
+        raise SettingError(flag, text, allowed) from None
 
 
 def call_admin(
