Check each field of a heartbeat for its type and range

Cause: fields were converted in passing (int, float, or a default for what is false), so that a heartbeat of another writer was taken up; a missing field came back to its sender as the text of a Python exception, and a body nested 100,000 deep as 500. Now small functions in util/fields.py read one field each and raise an error that names it. All fields that the platform names are required but born, which its examples leave out; where it is there, it is checked. An identity has plain characters, since it stands in paths and headers. Ruled out: a library for schemas, which costs start-up time and words its own errors.

--- a/eelgrassmount/errors.py
+++ b/eelgrassmount/errors.py
@@ -157,10 +157,17 @@
 
 @dataclass(eq=False)
 class PlatformDocumentError(EelgrassmountError):
-    """A document of the platform, such as a heartbeat, that can't be read."""
+    """A document of the platform, such as a heartbeat, that can't be read.
+
+    ``part`` names the field that is missing or wrong, where it is one::
+
+        heartbeat: can't be read (info.slots: give a whole number from 1 to 100000)
+    """
 
     document: str
     cause: str
+    part: str = ""
 
     def __str__(self) -> str:
-        return f"{self.document}: can't be read ({self.cause})"
+        place = f"{self.part}: " if self.part else ""
+        return f"{self.document}: can't be read ({place}{self.cause})"
--- a/eelgrassmount/relay/heartbeats.py
+++ b/eelgrassmount/relay/heartbeats.py
@@ -10,7 +10,8 @@
     """A heartbeat of one incarnation of a backend server, or its leave.
 
     ``sequence`` rises with each heartbeat of an incarnation; ``cold_s`` is how
-    much longer the server stays slow after its start.
+    much longer the server stays slow after its start. ``started_ms`` is the Unix time
+    of that start in milliseconds, 0 where it is not known.
     """
 
     incarnation: str
@@ -21,3 +22,4 @@
     leaving: bool = False
     sequence: int = 0
     cold_s: float = 0.0
+    started_ms: int = 0
--- /dev/null
+++ b/eelgrassmount/util/fields.py
@@ -0,0 +1,121 @@
+"""Fields of JSON documents that others write, each checked for its type and range.
+
+Nothing is converted in passing: a whole number that comes as text, as a fraction or as
+``true`` is refused, since its writer is not one that this release knows.
+
+    >>> read_whole({"slots": 141}, "slots", (1, 1000), "heartbeat")
+    141
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import TYPE_CHECKING, Any, NoReturn
+
+from eelgrassmount.errors import AddressError, PlatformDocumentError
+from eelgrassmount.util.addresses import Address, parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+# characters of a name; the longest seen have about 40
+MAX_NAME_LENGTH = 128
+_IDENTITY = re.compile(rf"[A-Za-z0-9._:~-]{{1,{MAX_NAME_LENGTH}}}")
+
+
+def read_object(content: bytes, document: str) -> dict[str, Any]:
+    """Return the JSON object that the bytes hold.
+
+    Raises `PlatformDocumentError` if they hold anything else, also for NaN and for
+    an object that is nested too deep to be read.
+    """
+    try:
+        found = json.loads(content.decode(), parse_constant=_refuse_constant)
+    except UnicodeDecodeError as error:
+        raise PlatformDocumentError(document, "not UTF-8 text", "body") from error
+    except RecursionError as error:
+        raise PlatformDocumentError(document, "nested too deep", "body") from error
+    except ValueError as error:
+        raise PlatformDocumentError(document, "not JSON", "body") from error
+    if not isinstance(found, dict):
+        refuse_field(document, "body", "a JSON object")
+    return found
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    raise ValueError(f"{name} is not JSON")
+
+
+def refuse_field(document: str, path: str, allowed: str) -> NoReturn:
+    """Raise the error for a field that is missing or not as ``allowed``."""
+    raise PlatformDocumentError(document, f"give {allowed}", path)
+
+
+def find_field(content: dict[str, Any], path: str) -> Any:
+    """Return the value at a path such as ``info.slots``, ``None`` if it is missing."""
+    found: Any = content
+    for name in path.split("."):
+        found = found.get(name) if isinstance(found, dict) else None
+    return found
+
+
+def read_whole(
+    content: dict[str, Any], path: str, bounds: tuple[int, int], document: str
+) -> int:
+    """Return a whole number that lies within the bounds."""
+    value = find_field(content, path)
+    lowest, highest = bounds
+    # a bool is an int to the language, but not in JSON
+    if type(value) is not int or not lowest <= value <= highest:
+        refuse_field(document, path, f"a whole number from {lowest} to {highest}")
+    return value
+
+
+def read_number(
+    content: dict[str, Any], path: str, bounds: tuple[float, float], document: str
+) -> float:
+    """Return a number, whole or not, that lies within the bounds."""
+    value = find_field(content, path)
+    lowest, highest = bounds
+    # NaN and infinity lie within no bounds
+    if type(value) not in (int, float) or not lowest <= value <= highest:
+        refuse_field(document, path, f"a number from {lowest:g} to {highest:g}")
+    return value
+
+
+def read_name(content: dict[str, Any], path: str, document: str) -> str:
+    """Return a text that is not empty, not long and without control characters."""
+    value = find_field(content, path)
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_LENGTH:
+        refuse_field(document, path, f"a text of 1 to {MAX_NAME_LENGTH} characters")
+    if not value.isprintable():
+        refuse_field(document, path, "a text without control characters")
+    return value
+
+
+def read_choice(
+    content: dict[str, Any], path: str, choices: Collection[str], document: str
+) -> str:
+    """Return a text that is one of the choices."""
+    value = find_field(content, path)
+    if not isinstance(value, str) or value not in choices:
+        refuse_field(document, path, " or ".join(choices))
+    return value
+
+
+def read_address(content: dict[str, Any], path: str, document: str) -> Address:
+    """Return an IPv4 address and port."""
+    text = read_name(content, path, document)
+    try:
+        return parse_address(text)
+    except AddressError:
+        refuse_field(document, path, "an IPv4 address and port")
+
+
+def is_identity(text: str) -> bool:
+    """Tell whether a text can be the identity of a server.
+
+    It stands in paths and headers, so that it has plain characters only.
+    """
+    return _IDENTITY.fullmatch(text) is not None
