Take heartbeats of this VM's server only, and count what is refused

Cause: the listener handed every heartbeat that could be read to LocalServer, which took its service and barred the identity of before. A heartbeat that names another service than the settings, or another address, is now refused with 421 before it is noted; the settings file is looked at first, since it may have changed without a signal, and a changed service is taken up with the first heartbeat that names it (it was kept until a restart). Ruled out: to keep the service of the start for good, by which a node whose VM is given another service would refuse its real server until someone restarts it; to check the zone, which nothing here uses. Refused messages are counted by kind in the metrics and in status, with one line a minute for each source and cause; the table of these is bounded.

--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -105,6 +105,10 @@
         f"load           demand {server['demand']}, wait {server['wait']}, failures "
         f"{server['failure_share']}",
     ]
+    refused = state["refused"]
+    if refused:
+        counts = ", ".join(f"{count} {kind}" for kind, count in refused.items())
+        lines.append(f"not taken up   {counts}")
     for name, level in state["levels"].items():
         if level < 1.0:
             lines.append(f"short          {name}: {level} of what is offered admitted")
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -40,6 +40,7 @@
 from eelgrassmount.relay.members import MemberTable
 from eelgrassmount.relay.metrics import RelayMetrics
 from eelgrassmount.relay.news import News
+from eelgrassmount.relay.refused import RefusedMessages
 from eelgrassmount.relay.reload import WATCH_PERIOD_S, SettingsWatch
 from eelgrassmount.relay.routing import Router
 from eelgrassmount.relay.server import LocalServer
@@ -173,6 +174,7 @@
         HttpListener(entry.handle, clock),
         LearnedCalls(beliefs),
         rng,
+        RefusedMessages(clock, metrics.count_refused),
     )
     return node
 
@@ -187,6 +189,7 @@
     logger.configure(extra={"node": settings.name})
     node = build_relay(settings)
     watch = SettingsWatch(path, load_settings, node.apply_settings)
+    node.look_at_settings = watch.check
     async with anyio.create_task_group() as group:
         ends = (signal.SIGTERM, signal.SIGINT)
         with anyio.open_signal_receiver(*ends, signal.SIGHUP) as signals:
@@ -236,7 +239,11 @@
     settings = node.settings
     clock = node.beliefs.clock
     announcements = AnnouncementListener(
-        node.beliefs.server, read_announcement, node.note_server_change
+        node.beliefs.server,
+        read_announcement,
+        node.check_heartbeat,
+        node.note_server_change,
+        node.refused,
     )
     metrics_address = Address(settings.peer_address.host, METRICS_PORT)
     await _bind(node.inbound, settings.peer_address)
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -12,10 +12,12 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.platform.configuration import read_configuration
 from eelgrassmount.platform.topics import CONFIGURATION_KEY, LEARNED_KEY
+from eelgrassmount.relay.announcements import check_server
 from eelgrassmount.relay.frames import decode_struct
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from eelgrassmount.http1.exchange import Exchange
     from eelgrassmount.http1.server import HttpListener
@@ -26,10 +28,12 @@
     from eelgrassmount.relay.decisions import DecisionLog
     from eelgrassmount.relay.entry import Entry
     from eelgrassmount.relay.gate import Gate
+    from eelgrassmount.relay.heartbeats import Heartbeat
     from eelgrassmount.relay.inbound import Inbound
     from eelgrassmount.relay.learned import LearnedCalls
     from eelgrassmount.relay.metrics import RelayMetrics
     from eelgrassmount.relay.news import News
+    from eelgrassmount.relay.refused import RefusedMessages
     from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
     from eelgrassmount.relay.store import StoredRecord
@@ -60,6 +64,8 @@
     callers: HttpListener
     learned: LearnedCalls
     rng: random.Random
+    refused: RefusedMessages
+    look_at_settings: Callable[[], None] = lambda: None
     listeners: list[HttpListener] = field(factory=list)
     followers: list[TopicFollower] = field(factory=list)
     found_nodes: bool = False
@@ -76,8 +82,15 @@
         self.store.end()
 
     def apply_settings(self, settings: RelaySettings) -> None:
-        """Take up settings that have changed; addresses hold until a restart."""
-        fixed = ("name", "service", "caller_address", "peer_address", "ready_address")
+        """Take up settings that have changed; addresses hold until a restart.
+
+        A new service is one that a heartbeat may name from now on. Until one does,
+        the server of before may still run.
+        """
+        fixed = (
+            *("name", "caller_address", "peer_address", "ready_address"),
+            *("announce_address", "server_address", "log_address"),
+        )
         kept = [
             name
             for name in fixed
@@ -89,7 +102,10 @@
         budget.window_s = settings.retry_window_s
         budget.slack = settings.retry_slack
         self.settings = evolve(
-            self.settings, grace_s=settings.grace_s, retry_ratio=settings.retry_ratio
+            self.settings,
+            service=settings.service,
+            grace_s=settings.grace_s,
+            retry_ratio=settings.retry_ratio,
         )
 
     def apply_document(self, document: bytes) -> None:
@@ -195,6 +211,15 @@
         """Return how many requests and calls have no answer yet."""
         return self.callers.count_open() + self.inbound.count_open()
 
+    def check_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Raise `WrongServerError` for the heartbeat of a server of another VM."""
+        service = self.settings.service
+        if not heartbeat.leaving and heartbeat.service != service:
+            # the settings may have changed a moment ago, and without a signal
+            self.look_at_settings()
+        address = str(self.beliefs.server.address)
+        check_server(heartbeat, self.settings.service, address)
+
     def note_server_change(self) -> None:
         """Act on news of the server beside this node, before it is acknowledged."""
         self.controllers.report_now()
--- a/eelgrassmount/errors.py
+++ b/eelgrassmount/errors.py
@@ -125,6 +125,21 @@
         return f"bad announcement: {self.detail}"
 
 
+@dataclass(eq=False)
+class WrongServerError(EelgrassmountError):
+    """A heartbeat that names another service or address than those of this VM."""
+
+    part: str
+    found: str
+    expected: str
+
+    def __str__(self) -> str:
+        return (
+            f"heartbeat: {self.part} {self.found!r} is not {self.expected!r}, which "
+            "this node was told"
+        )
+
+
 @dataclass(eq=False)
 class ListenError(EelgrassmountError):
     """An address of the settings on which the node can't listen."""
--- a/eelgrassmount/relay/announcements.py
+++ b/eelgrassmount/relay/announcements.py
@@ -7,13 +7,15 @@
 from attrs import define
 from loguru import logger
 
-from eelgrassmount.errors import PlatformDocumentError
+from eelgrassmount.errors import PlatformDocumentError, WrongServerError
+from eelgrassmount.relay.refused import MessageKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from eelgrassmount.http1.exchange import Exchange
     from eelgrassmount.relay.heartbeats import Heartbeat
+    from eelgrassmount.relay.refused import RefusedMessages
     from eelgrassmount.relay.server import LocalServer
 
 ACCEPTED = b"content-type: application/json\r\n"
@@ -24,20 +26,27 @@
     """Takes heartbeats and leaves, closes the gate and then acknowledges.
 
     The acknowledgement of a server that leaves binds this node: the gate is
-    closed and the other nodes are told before it is sent.
+    closed and the other nodes are told before it is sent. One that can't be read,
+    or that ``check`` refuses with `WrongServerError`, changes nothing.
     """
 
     server: LocalServer
     read: Callable[[str, str, bytes], Heartbeat | None]
+    check: Callable[[Heartbeat], None]
     on_change: Callable[[], None]
+    refused: RefusedMessages
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
         try:
             heartbeat = self.read(exchange.method, exchange.target, exchange.body)
+            if heartbeat is not None:
+                self.check(heartbeat)
         except PlatformDocumentError as error:
-            logger.warning("bad heartbeat", cause=str(error))
-            exchange.respond(400, b"", str(error).encode())
+            self._refuse(exchange, 400, error.part, str(error))
+            return
+        except WrongServerError as error:
+            self._refuse(exchange, 421, f"other {error.part}", str(error))
             return
         if heartbeat is None:
             exchange.respond(404)
@@ -53,3 +62,22 @@
             )
             self.on_change()
         exchange.respond(200, ACCEPTED, b"{}")
+
+    def _refuse(self, exchange: Exchange, status: int, cause: str, detail: str) -> None:
+        source = exchange.find_peer()
+        self.refused.note(MessageKind.ANNOUNCEMENT, source, cause, detail)
+        exchange.respond(status, b"", detail.encode())
+
+
+def check_server(heartbeat: Heartbeat, service: str, address: str) -> None:
+    """Raise `WrongServerError` unless a heartbeat names this service and address.
+
+    A heartbeat of another server would move this node to its service, and bar the
+    server that runs here. A leave names neither.
+    """
+    if heartbeat.leaving:
+        return
+    if heartbeat.service != service:
+        raise WrongServerError("service", heartbeat.service, service)
+    if heartbeat.address != address:
+        raise WrongServerError("address", heartbeat.address, address)
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -28,6 +28,7 @@
     retries: Counter = field(init=False)
     abandoned: Counter = field(init=False)
     connections: Counter = field(init=False)
+    refused: Counter = field(init=False)
     state: Gauge = field(init=False)
     levels: Gauge = field(init=False)
     _children: dict[tuple[str, ...], Any] = field(factory=dict)
@@ -77,6 +78,12 @@
             "Connections opened to the server of this VM.",
             registry=registry,
         )
+        self.refused = Counter(
+            f"{PREFIX}_relay_refused",
+            "Messages of other writers that were not taken up, by kind.",
+            ["kind"],
+            registry=registry,
+        )
         self.state = Gauge(
             f"{PREFIX}_relay_state",
             "What the node believes: the version in force, calls, limit and demand.",
@@ -120,6 +127,10 @@
         """Count a request whose client has left."""
         self.abandoned.labels(route).inc()
 
+    def count_refused(self, kind: str) -> None:
+        """Count a message that was not taken up."""
+        self.refused.labels(kind).inc()
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self.registry)
--- a/eelgrassmount/relay/state.py
+++ b/eelgrassmount/relay/state.py
@@ -63,7 +63,8 @@
     ``levels`` holds the part of what is offered that is admitted, by service;
     ``shares`` the same by route, where it is below 1; ``vectors`` the calls that one
     run makes and ``allowances`` the seconds that one may take, by route.
-    ``lost_topics`` are the topics of the log that can't be read now.
+    ``lost_topics`` are the topics of the log that can't be read now, and ``refused``
+    counts messages that were not taken up, by kind.
     """
 
     node: str
@@ -76,6 +77,7 @@
     version_age_s: float | None
     routes: int
     lost_topics: list[str]
+    refused: dict[str, int]
     server: ServerState
     levels: dict[str, float]
     shares: dict[str, float]
@@ -104,6 +106,7 @@
         version_age_s,
         len(routes),
         [one.topic for one in node.followers if not one.reachable],
+        dict(node.refused.totals),
         _read_server(node, now_s),
         {name: round(one.level, 3) for name, one in beliefs.levels.items()},
         {name: round(one, 3) for name, one in node.admission.shares.items()},
--- /dev/null
+++ b/tests/relay/test_refused.py
@@ -0,0 +1,78 @@
+"""Messages that were not taken up: counted, and told within bounds."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+
+from loguru import logger
+
+from eelgrassmount.relay.refused import (
+    LINE_PERIOD_S,
+    MAX_SHOWN,
+    MAX_TOLD,
+    MessageKind,
+    RefusedMessages,
+)
+
+KIND = MessageKind.ANNOUNCEMENT
+
+
+@contextmanager
+def list_lines():
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{message} {extra}")
+    try:
+        yield lines
+    finally:
+        logger.remove(sink)
+
+
+def make_refused(now_s: list[float]) -> RefusedMessages:
+    return RefusedMessages(lambda: now_s[0])
+
+
+def test_same_cause_is_told_once_in_a_period():
+    now_s = [0.0]
+    refused = make_refused(now_s)
+    with list_lines() as lines:
+        for _ in range(10):
+            refused.note(KIND, "10.0.0.1", "info.slots", "give a whole number")
+        assert len(lines) == 1
+        refused.note(KIND, "10.0.0.1", "info.service", "give a text")
+        refused.note(KIND, "10.0.0.2", "info.slots", "give a whole number")
+        assert len(lines) == 3
+        now_s[0] = LINE_PERIOD_S
+        refused.note(KIND, "10.0.0.1", "info.slots", "give a whole number")
+        assert len(lines) == 4
+    assert refused.totals == {"announcement": 13}
+    assert "10.0.0.1" in lines[3]
+    assert "'refused': 13" in lines[3]
+
+
+def test_many_sources_keep_lines_and_memory_bounded():
+    now_s = [0.0]
+    refused = make_refused(now_s)
+    with list_lines() as lines:
+        for number in range(3 * MAX_TOLD):
+            refused.note(KIND, f"writer-{number}", "body", "not JSON")
+        assert len(lines) == MAX_TOLD
+        assert len(refused._told_s) == MAX_TOLD
+        now_s[0] = LINE_PERIOD_S
+        refused.note(KIND, "writer-x", "body", "not JSON")
+    assert len(refused._told_s) == 1
+    assert refused.totals[KIND] == 3 * MAX_TOLD + 1
+
+
+def test_long_source_is_cut():
+    refused = make_refused([0.0])
+    with list_lines() as lines:
+        refused.note(KIND, "s" * 10_000, "body", "d" * 10_000)
+    assert len(lines[0]) < 4 * MAX_SHOWN
+    assert max(len(source) for _, source, _ in refused._told_s) == MAX_SHOWN
+
+
+def test_counter_is_raised():
+    counted = []
+    refused = RefusedMessages(lambda: 0.0, counted.append)
+    refused.note(MessageKind.NODE, "key", "address", "give an address")
+    assert counted == ["node-record"]
