Check what other nodes send and store when it is decoded

Cause: thrift leaves a field at None that is missing or of another type and takes any number; the parts behind it used them as they came. Now relay/checks.py looks at each struct once behind its decoding and raises BadFrameError with the name of the field: all fields there, names bounded and plain, addresses parsed, numbers finite and in range, lines and header blocks of calls that stay within their request. Lists have 50,000 entries at most, since 200,000 empty rows of a byte each took 23 MB. An address with a port of 5,000 digits ended in ValueError. Ruled out: checks in each part that uses a field, which were forgotten before.

--- /dev/null
+++ b/eelgrassmount/relay/checks.py
@@ -0,0 +1,199 @@
+"""Checks of what other nodes send and store, made once when it is decoded.
+
+A decoder of thrift leaves a field at ``None`` that is missing or came in another type,
+and takes any number that fits. Behind `check_struct`, all fields are there and within
+their range, so that no other part has to ask.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from eelgrassmount.errors import AddressError, BadFrameError
+from eelgrassmount.gen import ttypes
+from eelgrassmount.relay.messages import Fate
+from eelgrassmount.util.addresses import parse_address
+from eelgrassmount.util.fields import MAX_NAME_LENGTH, is_printable
+from eelgrassmount.verdict import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+# characters of the name of a route: a host and the begin of a path, which have room
+# in the headers of a request
+MAX_ROUTE_LENGTH = 65536
+# characters of an incarnation or a digest, which have some dozen
+MAX_ID_LENGTH = 512
+# a call may take an hour, as a client may ask for
+MAX_REMAINING_MS = 3_600_000
+# calls at one server; a VM has some thousand descriptors
+MAX_CALLS = 1_000_000
+# load as a part of what is possible, in thousandths
+MAX_LOAD = 1_000_000_000
+MAX_PPM = 1_000_000
+MAX_VERSION = 2**62
+# calls that one run makes, and requests or milliseconds of one route
+MAX_COUNT = 1e9
+
+_REASONS = frozenset(str(reason) for reason in Reason)
+_FATES = frozenset(int(fate) for fate in Fate)
+
+
+def check_struct(struct: Any) -> None:
+    """Raise `BadFrameError`, naming the field, unless all of a struct can be used."""
+    values = struct.__dict__
+    if None in values.values():
+        _require_all(struct)
+    check = _CHECKS.get(type(struct))
+    if check is not None:
+        check(struct)
+
+
+def _require_all(struct: Any) -> None:
+    optional = _OPTIONAL.get(type(struct))
+    for name, value in vars(struct).items():
+        if value is None and name != optional:
+            _refuse(struct, name, "missing or of another type")
+
+
+def _refuse(struct: Any, name: str, cause: str) -> None:
+    raise BadFrameError(f"{type(struct).__name__}.{name} is {cause}")
+
+
+def _check_ranges(struct: Any, highest: dict[str, int]) -> None:
+    values = struct.__dict__
+    for name, most in highest.items():
+        if not 0 <= values[name] <= most:
+            _refuse(struct, name, f"not from 0 to {most}")
+
+
+def _check_texts(struct: Any, names: Iterable[str], longest: int) -> None:
+    for name in names:
+        text = getattr(struct, name)
+        if not is_printable(text, longest):
+            _refuse(struct, name, f"no plain text of 1 to {longest} characters")
+
+
+def _check_address(struct: Any) -> None:
+    try:
+        parse_address(struct.address)
+    except AddressError as error:
+        raise BadFrameError(f"{type(struct).__name__}.address: {error}") from error
+
+
+def _check_hello(hello: ttypes.RelayHello) -> None:
+    _check_node(hello)
+    _check_ranges(hello, {"config_version": MAX_VERSION})
+    _check_texts(hello, ("incarnation",), MAX_ID_LENGTH)
+
+
+def _check_node(node: ttypes.RelayHello | ttypes.NodeRecord) -> None:
+    names = ("node_name", "failure_domain", "service_name")
+    _check_texts(node, names, MAX_NAME_LENGTH)
+    _check_address(node)
+
+
+def _check_call(call: ttypes.RelayCall) -> None:
+    _check_ranges(call, _CALL_RANGES)
+    if not (call.method and call.target and call.route_name):
+        _refuse(call, "method, target or route_name", "empty")
+    _check_lines(call)
+    _check_head(call)
+
+
+def _check_lines(call: ttypes.RelayCall) -> None:
+    """Refuse texts that would not stay within their line of a request."""
+    line = f"{call.method}{call.target}{call.request_id}{call.caller_service}"
+    if "\r" in line or "\n" in line:
+        _refuse(call, "method, target or a header", "more than a line")
+    try:
+        line.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise BadFrameError(f"{type(call).__name__}: {error.reason}") from error
+
+
+def _check_head(struct: ttypes.RelayCall | ttypes.RelayReply) -> None:
+    """Refuse a block of headers that would end before its end, or not with it."""
+    head = struct.head
+    if head and (not head.endswith(b"\r\n") or b"\r\n\r\n" in b"\r\n" + head):
+        _refuse(struct, "head", "no block of whole lines")
+
+
+def _check_reply(reply: ttypes.RelayReply) -> None:
+    if reply.outcome not in _FATES:
+        _refuse(reply, "outcome", "none that is known")
+    if reply.reason and reply.reason not in _REASONS:
+        _refuse(reply, "reason", "none that is known")
+    if reply.outcome == Fate.ANSWERED and not 100 <= reply.status <= 999:
+        _refuse(reply, "status", "no status of an answer")
+    _check_ranges(reply, _REPLY_RANGES)
+    _check_head(reply)
+
+
+def _check_report(report: ttypes.RelayReport) -> None:
+    _check_ranges(report, _REPORT_RANGES)
+    for time in report.times:
+        _check_row(time, ("route_name",), "run_ms")
+    for count in report.counts:
+        _check_row(count, ("route_name",), "count")
+    _check_calls(report.calls)
+
+
+def _check_learned(record: ttypes.LearnedRecord) -> None:
+    _check_calls(record.calls)
+
+
+def _check_calls(rows: list[ttypes.RouteCalls]) -> None:
+    for row in rows:
+        # a route that calls nothing has one row without a name
+        names = ("run_route",) if row.called_route == "" else _CALL_NAMES
+        _check_row(row, names, "calls_per_run")
+
+
+def _check_row(row: Any, names: tuple[str, ...], number: str) -> None:
+    values = row.__dict__
+    for name in names:
+        text = values[name]
+        if text is None or not 0 < len(text) <= MAX_ROUTE_LENGTH:
+            _refuse(row, name, "no name of a route")
+    value = values[number]
+    # NaN and infinity lie within no bounds
+    if value is None or not 0 <= value <= MAX_COUNT:
+        _refuse(row, number, f"not from 0 to {MAX_COUNT:g}")
+
+
+def _check_suspects(suspects: ttypes.RelaySuspects) -> None:
+    _check_texts(suspects, ("crash_id",), MAX_ID_LENGTH)
+    for digest in suspects.digests:
+        if not is_printable(digest, MAX_ID_LENGTH):
+            _refuse(suspects, "digests", "not a list of digests")
+
+
+def _check_config(config: ttypes.RelayConfig) -> None:
+    _check_ranges(config, {"version": MAX_VERSION})
+
+
+_CALL_NAMES = ("run_route", "called_route")
+_CALL_RANGES = {"remaining_ms": MAX_REMAINING_MS, "sequence": MAX_VERSION}
+_REPLY_RANGES = {"in_flight": MAX_CALLS, "queued": MAX_CALLS}
+_REPORT_RANGES = {
+    "in_flight": MAX_CALLS,
+    "queued": MAX_CALLS,
+    "limit": MAX_CALLS,
+    "demand": MAX_LOAD,
+    "wait": MAX_LOAD,
+    "failures_ppm": MAX_PPM,
+    "config_version": MAX_VERSION,
+}
+# fields that may be missing: a reply with an answer has no reason
+_OPTIONAL = {ttypes.RelayReply: "reason"}
+_CHECKS: dict[type, Callable[[Any], None]] = {
+    ttypes.RelayHello: _check_hello,
+    ttypes.RelayCall: _check_call,
+    ttypes.RelayReply: _check_reply,
+    ttypes.RelayReport: _check_report,
+    ttypes.RelaySuspects: _check_suspects,
+    ttypes.RelayConfig: _check_config,
+    ttypes.NodeRecord: _check_node,
+    ttypes.LearnedRecord: _check_learned,
+}
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -14,10 +14,14 @@
 from eelgrassmount.errors import BadFrameError, OverlongFrameError
 from eelgrassmount.gen import ttypes
 from eelgrassmount.http1.client import watch_silence
+from eelgrassmount.relay.checks import check_struct
 
 LENGTH_BYTES = 4
 HEAD_BYTES = LENGTH_BYTES + 1
 MAX_FRAME_BYTES = 128 * 1024 * 1024
+# entries of one list; reports and records have some hundred. An entry may be written
+# as one byte and takes some hundred once it is decoded
+MAX_ENTRIES = 50_000
 
 
 class FrameKind(IntEnum):
@@ -48,7 +52,13 @@
 
 
 # used for all structs, one after the other: to make one takes longer than to encode
-_PROTOCOL = TBinaryProtocolAccelerated(TMemoryBuffer())
+_PROTOCOL = TBinaryProtocolAccelerated(
+    TMemoryBuffer(),
+    # a body may be as long as a frame; by the library's own limit, a longer one than
+    # 16 MB was taken for a bad frame and the link dropped
+    string_length_limit=MAX_FRAME_BYTES,
+    container_length_limit=MAX_ENTRIES,
+)
 
 
 # handles a frame; the function that it is given sends one back
@@ -63,7 +73,10 @@
 
 
 def decode_struct(make: Any, payload: bytes) -> Any:
-    """Return a thrift struct, raising `BadFrameError` if there is none."""
+    """Return a thrift struct, raising `BadFrameError` if there is none.
+
+    All its fields are there and within their range, see `check_struct`.
+    """
     struct = make()
     _PROTOCOL.trans = TMemoryBuffer(payload)
     try:
@@ -71,6 +84,7 @@
     # the accelerated decoder raises many types on malformed input
     except Exception as error:
         raise BadFrameError(f"not a {make.__name__}: {error!r}") from error
+    check_struct(struct)
     return struct
 
 
--- a/eelgrassmount/util/addresses.py
+++ b/eelgrassmount/util/addresses.py
@@ -9,6 +9,7 @@
 from eelgrassmount.errors import AddressError
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 @frozen(order=True)
@@ -33,6 +34,8 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         raise AddressError(text) from None
-    if not (port.isascii() and port.isdecimal() and 1 <= int(port) <= MAX_PORT):
+    if not (port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS):
+        raise AddressError(text)
+    if not 1 <= int(port) <= MAX_PORT:
         raise AddressError(text)
     return Address(host, int(port))
--- a/eelgrassmount/util/fields.py
+++ b/eelgrassmount/util/fields.py
@@ -21,6 +21,7 @@
 
 # characters of a name; the longest seen have about 40
 MAX_NAME_LENGTH = 128
+REPLACED = "\ufffd"
 _IDENTITY = re.compile(rf"[A-Za-z0-9._:~-]{{1,{MAX_NAME_LENGTH}}}")
 
 
@@ -87,10 +88,9 @@
 def read_name(content: dict[str, Any], path: str, document: str) -> str:
     """Return a text that is not empty, not long and without control characters."""
     value = find_field(content, path)
-    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_LENGTH:
-        refuse_field(document, path, f"a text of 1 to {MAX_NAME_LENGTH} characters")
-    if not value.isprintable():
-        refuse_field(document, path, "a text without control characters")
+    if not isinstance(value, str) or not is_printable(value):
+        allowed = f"a plain text of 1 to {MAX_NAME_LENGTH} characters"
+        refuse_field(document, path, allowed)
     return value
 
 
@@ -113,6 +113,14 @@
         refuse_field(document, path, "an IPv4 address and port")
 
 
+def is_printable(text: str, longest: int = MAX_NAME_LENGTH) -> bool:
+    """Tell whether a text has 1 to ``longest`` characters, all of which are plain.
+
+    Bytes that are not UTF-8 come as the replacement character from some decoders.
+    """
+    return 0 < len(text) <= longest and text.isprintable() and REPLACED not in text
+
+
 def is_identity(text: str) -> bool:
     """Tell whether a text can be the identity of a server.
 
