--- /dev/null
+++ b/eelgrassmount/metered.py
@@ -0,0 +1,43 @@
+"""A log that counts what is asked of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from eelgrassmount.metrics import LogError
+from eelgrassmount.platform.port import LogFailure
+
+if TYPE_CHECKING:
+    from eelgrassmount.metrics import Metrics
+    from eelgrassmount.platform.port import Appended, LogPort, Page
+
+
+@define(eq=False)
+class MeteredLog:
+    """Passes everything on to ``log`` and counts appends and failures."""
+
+    log: LogPort
+    metrics: Metrics
+
+    async def append(self, stream: str, body: bytes) -> Appended | LogFailure:
+        """Append one record."""
+        self.metrics.log_appends.labels(stream).inc()
+        result = await self.log.append(stream, body)
+        self._note(result)
+        return result
+
+    async def read(
+        self, stream: str, offset: int, limit: int, wait_s: float
+    ) -> Page | LogFailure:
+        """Read records from ``offset`` on, waiting up to ``wait_s`` for one."""
+        result = await self.log.read(stream, offset, limit, wait_s)
+        self._note(result)
+        return result
+
+    def _note(self, result: Appended | Page | LogFailure) -> None:
+        if not isinstance(result, LogFailure):
+            return
+        kind = LogError.TIMEOUT if result.sent else LogError.UNREACHABLE
+        self.metrics.log_errors.labels(kind).inc()
--- /dev/null
+++ b/tests/relay/test_records.py
@@ -0,0 +1,209 @@
+"""Records of the log by other writers, through a node and its followers."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import anyio
+import pytest
+
+from eelgrassmount.compose.relay import build_relay
+from eelgrassmount.gen import ttypes
+from eelgrassmount.platform.topics import CONFIGURATION_KEY, LEARNED_KEY
+from eelgrassmount.relay import members
+from eelgrassmount.relay.frames import encode_struct
+from eelgrassmount.relay.store import Batch, Snapshot, StoredRecord
+from eelgrassmount.relay.topics import TopicFollower
+from tests.relay.deployment import make_document, make_rule
+from tests.relay.lone_node import SETTINGS
+
+LIST = make_rule("/list/", "list")
+CALLS = {"shop/a/": {"shop/b/": 2.0}}
+
+
+@pytest.fixture
+def node():
+    node = build_relay(SETTINGS)
+    node.put_own()
+    return node
+
+
+def make_record(name: str = "n2", key: str = "", **changes: Any) -> StoredRecord:
+    values = {
+        "node_name": name,
+        "address": "127.0.0.2:7620",
+        "failure_domain": "a",
+        "service_name": "list",
+    }
+    struct = ttypes.NodeRecord(**{**values, **changes})
+    return StoredRecord(key or name, encode_struct(struct))
+
+
+def make_learned(*rows: tuple[Any, Any, Any]) -> StoredRecord:
+    calls = [ttypes.RouteCalls(*row) for row in rows]
+    return StoredRecord(LEARNED_KEY, encode_struct(ttypes.LearnedRecord(calls)))
+
+
+def list_members(node) -> list[tuple[str, str, str]]:
+    found = node.beliefs.members.by_name.values()
+    return [(one.name, one.address, one.service) for one in found]
+
+
+BAD_NODES = [
+    StoredRecord("n2", b"\xff\xfe"),
+    StoredRecord("n2", b"{}"),
+    StoredRecord("n2", b"\x00"),
+    make_record(address=None),
+    make_record(address="127.0.0.2:99999"),
+    make_record(address="n2"),
+    make_record(service_name=None),
+    make_record(service_name=""),
+    make_record(service_name="x" * 70_000),
+    make_record(failure_domain=None),
+    make_record(name="", key="n2"),
+    # a record under the key of another node is not that node's
+    make_record(name="n3", key="n2"),
+    make_record(name="n2", key="n3"),
+]
+
+
+# Another writer's record of a node came without a name or an address, and the node
+# entered a member called None; a link to an address that is none ended a timer's step.
+@pytest.mark.parametrize("record", BAD_NODES, ids=lambda one: repr(one)[:60])
+def test_bad_record_of_a_node_leaves_the_others_and_what_was_known(node, record):
+    node.take_nodes((make_record(),))
+    before = list_members(node)
+    node.take_nodes((record, make_record("n4")))
+    known = [*before, ("n4", "127.0.0.2:7620", "list")]
+    assert list_members(node) == known
+    assert node.refused.totals == {"node-record": 1}
+    assert node.found_nodes
+
+
+# A record with an empty value drops a key; one for the node's own name made it forget
+# itself, so that it no longer gave its own server any work.
+def test_nobody_drops_the_node_itself(node):
+    before = list_members(node)
+    node.take_nodes((StoredRecord(SETTINGS.name, b""),))
+    node.take_nodes((make_record(SETTINGS.name, address="127.0.0.9:1"),))
+    assert list_members(node) == before
+    node.take_nodes((make_record(), StoredRecord("n2", b"")))
+    assert list_members(node) == before
+
+
+def test_number_of_members_is_bounded(node):
+    records = [make_record(f"n{number}") for number in range(members.MAX_MEMBERS + 50)]
+    node.take_nodes(tuple(records))
+    assert len(node.beliefs.members.by_name) == members.MAX_MEMBERS
+    assert node.refused.totals == {"node-record": 51}
+    # those that are known may still change and leave
+    node.take_nodes((make_record("n1", address="127.0.0.3:7620"),))
+    assert node.beliefs.members.by_name["n1"].address == "127.0.0.3:7620"
+    node.take_nodes((StoredRecord("n1", b""), make_record("n-late")))
+    assert "n-late" in node.beliefs.members.by_name
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        StoredRecord(LEARNED_KEY, b"\xff"),
+        StoredRecord(LEARNED_KEY, b"\x00"),
+        make_learned(("shop/c/", "shop/d/", float("nan"))),
+        make_learned(("shop/c/", "shop/d/", float("inf"))),
+        make_learned(("shop/c/", "shop/d/", -1.0)),
+        make_learned(("shop/c/", "shop/d/", None)),
+        make_learned((None, "shop/d/", 1.0)),
+        make_learned(("", "shop/d/", 1.0)),
+        make_learned(("shop/c/", "shop/d/", 1.0), ("shop/e/", None, 1.0)),
+    ],
+    ids=lambda one: repr(one.value)[:60],
+)
+def test_bad_record_of_learned_calls_changes_nothing(node, record):
+    node.take_nodes((make_learned(("shop/a/", "shop/b/", 2.0)),))
+    assert node.beliefs.graph.vectors == CALLS
+    node.take_nodes((record, make_record()))
+    assert node.beliefs.graph.vectors == CALLS
+    assert len(list_members(node)) == 2
+    assert node.refused.totals == {"learned-calls": 1}
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        b"{",
+        b"\xff",
+        b"[" * 100_000,
+        b"null",
+        make_document(7, LIST).replace(b'"r7"', b"7"),
+        make_document(7, LIST).replace(b'"r7"', b'"r7777777777777777777777777"'),
+        make_document(7, LIST).replace(b'"r7"', b'"r\xc2\xb2"'),
+        make_document(7, LIST).replace(b'"r7"', b'"r%s"' % (b"7" * 5000)),
+        make_document(7, LIST).replace(b"300", b"NaN"),
+        make_document(7, LIST).replace(b"300", b'"300"'),
+        make_document(7, LIST).replace(b"300", b"true"),
+        make_document(7, LIST).replace(b"300", b"-300"),
+        make_document(7, LIST).replace(b"1000", b"1e400"),
+        make_document(7, LIST).replace(b'"maxAttempts": 2', b'"maxAttempts": 2.5'),
+        make_document(7, LIST).replace(b'"maxAttempts": 2', b'"maxAttempts": "2"'),
+        make_document(7, LIST).replace(b'"idempotent"', b"null"),
+        make_document(7, LIST).replace(b'"/list/"', b"7"),
+        make_document(7, LIST).replace(b'"/list/"', b"null"),
+        make_document(7, LIST).replace(b'"list"', b'""'),
+        make_document(7, LIST).replace(b'"list"', b"[]"),
+        make_document(7, LIST).replace(b'"/h"', b'"/h\\r\\nx: y"'),
+        make_document(7, LIST).replace(b"{},", b'{"maxBodyBytes": -1},'),
+        make_document(7, LIST).replace(b"{},", b"[],"),
+    ],
+    ids=lambda one: repr(one[:20]) + repr(one[-40:]),
+)
+def test_bad_configuration_leaves_the_one_in_force(node, document):
+    node.take_configuration((StoredRecord(CONFIGURATION_KEY, make_document(3, LIST)),))
+    table = node.beliefs.table
+    assert table.version == 3
+    node.take_configuration((StoredRecord(CONFIGURATION_KEY, document),))
+    assert node.beliefs.table is table
+    assert node.refused.totals == {"configuration": 1}
+    node.take_configuration((StoredRecord(CONFIGURATION_KEY, make_document(8, LIST)),))
+    assert node.beliefs.table.version == 8
+
+
+class ScriptedLog:
+    """A log that gives batches and then stays silent."""
+
+    def __init__(self, *batches: tuple[StoredRecord, ...]):
+        self.batches = list(batches)
+
+    async def read_newest(self, topic: str) -> Snapshot:
+        return Snapshot((), 0)
+
+    async def read(self, topic: str, offset: int, wait_s: float) -> Batch:
+        if not self.batches:
+            await anyio.sleep_forever()
+        return Batch(self.batches.pop(0), offset + 1)
+
+
+# An exception for one record ended the follower, and with it the node.
+def test_follower_goes_on_after_a_record_that_cannot_be_taken():
+    taken = []
+
+    def take(records: tuple[StoredRecord, ...]) -> None:
+        if any(one.key == "poison" for one in records):
+            raise ValueError("poison")
+        taken.extend(one.key for one in records)
+
+    first = tuple(StoredRecord(key, b"") for key in ("a", "poison", "b"))
+    log = ScriptedLog(first, (StoredRecord("c", b""),))
+    follower = TopicFollower(log, "keyed.x", take, random.Random(1))
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(follower.run)
+            with anyio.fail_after(10):
+                while "c" not in taken:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert taken == ["a", "b", "c"]
+    assert follower.reachable
