Let no record of another writer change what is believed

Cause: a configuration was read with int and float in passing, so that numbers as text, fractions, true and versions too long for a link were put in force; a record with an empty value under a node's own name made that node forget itself; a record was taken from under another key, by which it could never be dropped; an exception in a record ended its follower and, with it, the node. Now each field of a configuration is checked like those of a heartbeat, node records are taken from under their own name only and never for the node itself, at most 10,000 members are kept, and a follower that meets an exception hands the records on one by one and writes down the one that fails. What is refused is counted by kind. An unknown kind of route still means one that may run only once, as before: it is the safe reading, and later kinds may come.

--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -14,6 +14,7 @@
 from eelgrassmount.platform.topics import CONFIGURATION_KEY, LEARNED_KEY
 from eelgrassmount.relay.announcements import check_server
 from eelgrassmount.relay.frames import decode_struct
+from eelgrassmount.relay.refused import MessageKind
 
 if TYPE_CHECKING:
     import random
@@ -113,7 +114,8 @@
         try:
             table = read_configuration(document)
         except PlatformDocumentError as error:
-            logger.error("configuration refused", cause=str(error))
+            kind = MessageKind.CONFIGURATION
+            self.refused.note(kind, "", error.part, str(error))
             return
         beliefs = self.beliefs
         if table.version <= beliefs.table.version:
@@ -147,29 +149,41 @@
     def take_nodes(self, records: tuple[StoredRecord, ...]) -> None:
         """Take up records of nodes, and of what all have learned."""
         for record in records:
+            kind = MessageKind.NODE
+            if record.key == LEARNED_KEY:
+                kind = MessageKind.LEARNED
             try:
                 self._take_record(record)
             except BadFrameError as error:
                 # the others still hold
-                logger.warning("record not read", key=record.key, cause=str(error))
+                self.refused.note(kind, record.key, "bad record", error.detail)
         self.found_nodes = True
 
     def _take_record(self, record: StoredRecord) -> None:
-        members = self.beliefs.members
         if record.key == LEARNED_KEY:
             if record.value:
                 self.learned.take(record.value)
-        elif not record.value:
-            members.remove(record.key)
+        elif record.key == self.settings.name:
+            # nobody else knows better what this node is
+            return
+        elif record.value:
+            self._put_node(record)
         else:
-            found = decode_struct(ttypes.NodeRecord, record.value)
-            if found.node_name != self.settings.name:
-                members.put(
-                    found.node_name,
-                    found.address,
-                    found.failure_domain,
-                    found.service_name,
-                )
+            self.beliefs.members.remove(record.key)
+
+    def _put_node(self, record: StoredRecord) -> None:
+        members = self.beliefs.members
+        found = decode_struct(ttypes.NodeRecord, record.value)
+        if found.node_name != record.key:
+            raise BadFrameError(f"node {found.node_name!r} under another key")
+        if members.is_full(found.node_name):
+            raise BadFrameError(f"there are {len(members.by_name)} nodes already")
+        members.put(
+            found.node_name,
+            found.address,
+            found.failure_domain,
+            found.service_name,
+        )
 
     def is_ready(self) -> bool:
         """Tell whether clients may send requests here."""
--- a/eelgrassmount/platform/configuration.py
+++ b/eelgrassmount/platform/configuration.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from eelgrassmount.errors import PlatformDocumentError
 from eelgrassmount.http1.server import ServerLimits
-from eelgrassmount.relay.routes import (
-    Route,
-    RouteTable,
-    Service,
-    Target,
+from eelgrassmount.relay.routes import Route, RouteTable, Service, Target
+from eelgrassmount.util.fields import (
+    find_field,
+    read_list,
+    read_name,
+    read_number,
+    read_object,
+    read_text,
+    read_whole,
+    refuse_field,
 )
 
 IDEMPOTENT = "idempotent"
@@ -19,6 +23,16 @@
 DEFAULT_OBJECTIVE_MS = 1000
 DEFAULT_ATTEMPTS = 1
 DEFAULT_PRIORITY = 0
+DEFAULT_HEALTH_PATH = "/health"
+_KIND = "configuration"
+# versions travel between nodes as whole numbers of 64 bits
+MAX_VERSION = 2**62
+MAX_VERSION_DIGITS = 19
+MAX_PATH_LENGTH = 16384
+MAX_HOST_LENGTH = 253
+TIMES_MS = (0, 86_400_000)
+COUNTS = (0, 2**31 - 1)
+WEIGHTS = (0.0, 1e9)
 
 
 def read_version(text: Any) -> int:
@@ -26,9 +40,11 @@
 
     Raises `PlatformDocumentError` for anything else.
     """
-    if isinstance(text, str) and text.startswith("r") and text[1:].isdigit():
-        return int(text[1:])
-    raise PlatformDocumentError("version", f"{text!r} is not a version such as r12")
+    digits = text[1:] if isinstance(text, str) and text.startswith("r") else ""
+    plain = digits.isascii() and digits.isdigit() and len(digits) <= MAX_VERSION_DIGITS
+    if not plain or int(digits) > MAX_VERSION:
+        refuse_field(_KIND, "version", f"one such as r12, up to r{MAX_VERSION}")
+    return int(digits)
 
 
 def read_configuration(document: bytes) -> RouteTable:
@@ -36,58 +52,87 @@
 
     Raises `PlatformDocumentError`, which names the part that can't be read.
     """
-    try:
-        content = json.loads(document)
-        return RouteTable.build(
-            read_version(content["version"]),
-            [
-                _read_route(listener["host"], rule)
-                for listener in content["listeners"]
-                for rule in listener["routeRules"]
-            ],
-            [_read_service(cluster) for cluster in content["clusters"]],
-            _read_limits(content.get("limits") or {}),
-        )
-    except (ValueError, TypeError, AttributeError, KeyError) as error:
-        raise PlatformDocumentError("configuration", repr(error)) from error
+    content = read_object(document, _KIND)
+    return RouteTable.build(
+        read_version(content.get("version")),
+        [
+            _read_route(
+                read_text(listener, "host", MAX_HOST_LENGTH, _KIND).lower(), rule
+            )
+            for listener in read_list(content, "listeners", _KIND)
+            for rule in read_list(listener, "routeRules", _KIND)
+        ],
+        [_read_service(one) for one in read_list(content, "clusters", _KIND)],
+        _read_limits(content.get("limits")),
+    )
 
 
 def _read_route(host: str, rule: dict[str, Any]) -> Route:
-    action = rule["action"]
-    split = action.get("trafficSplit")
-    if split:
-        targets = tuple(
-            Target(part["service"], float(part["weight"])) for part in split
-        )
-    else:
-        targets = (Target(action["service"], 1.0),)
+    prefix = read_text(rule, "match.pathPrefix", MAX_PATH_LENGTH, _KIND)
+    timeout_ms = _read_time(rule, "action.timeoutMs") or DEFAULT_TIMEOUT_MS
+    objective_ms = _read_time(rule, "targetLatencyMs") or DEFAULT_OBJECTIVE_MS
+    attempts = _read_count(rule, "action.maxAttempts") or DEFAULT_ATTEMPTS
     return Route(
         # the rule's own name may change from one version to the next
-        name=f"{host.lower()}{rule['match']['pathPrefix']}",
-        host=host.lower(),
-        prefix=rule["match"]["pathPrefix"],
-        idempotent=rule["kind"] == IDEMPOTENT,
-        targets=targets,
-        timeout_s=float(action.get("timeoutMs") or DEFAULT_TIMEOUT_MS) / 1000,
-        objective_s=float(rule.get("targetLatencyMs") or DEFAULT_OBJECTIVE_MS) / 1000,
-        max_attempts=max(1, int(action.get("maxAttempts") or DEFAULT_ATTEMPTS)),
-        priority=int(rule.get("priority") or DEFAULT_PRIORITY),
+        name=f"{host}{prefix}",
+        host=host,
+        prefix=prefix,
+        # a kind of a later release is taken for one that may run only once
+        idempotent=read_name(rule, "kind", _KIND) == IDEMPOTENT,
+        targets=_read_targets(rule),
+        timeout_s=timeout_ms / 1000,
+        objective_s=objective_ms / 1000,
+        max_attempts=attempts,
+        priority=_read_count(rule, "priority") or DEFAULT_PRIORITY,
     )
 
 
-def _read_service(cluster: dict[str, Any]) -> Service:
-    return Service(
-        cluster["name"],
-        cluster.get("healthPath") or "/health",
-        int(cluster.get("maxConnections") or 0),
+def _read_targets(rule: dict[str, Any]) -> tuple[Target, ...]:
+    if not find_field(rule, "action.trafficSplit"):
+        return (Target(read_name(rule, "action.service", _KIND), 1.0),)
+    targets = tuple(
+        Target(
+            read_name(part, "service", _KIND),
+            float(read_number(part, "weight", WEIGHTS, _KIND)),
+        )
+        for part in read_list(rule, "action.trafficSplit", _KIND)
     )
+    if not any(target.weight for target in targets):
+        refuse_field(_KIND, "action.trafficSplit", "a weight above 0")
+    return targets
+
+
+def _read_service(cluster: dict[str, Any]) -> Service:
+    path = DEFAULT_HEALTH_PATH
+    if cluster.get("healthPath"):
+        path = read_text(cluster, "healthPath", MAX_PATH_LENGTH, _KIND)
+    if not path.isascii():
+        refuse_field(_KIND, "healthPath", "a path of plain ASCII characters")
+    connections = _read_count(cluster, "maxConnections")
+    return Service(read_name(cluster, "name", _KIND), path, connections)
 
 
-def _read_limits(limits: dict[str, Any]) -> ServerLimits:
+def _read_limits(limits: Any) -> ServerLimits:
     usual = ServerLimits()
+    if limits is None:
+        return usual
+    if not isinstance(limits, dict):
+        raise PlatformDocumentError(_KIND, "give a JSON object", "limits")
+    header_ms = _read_time(limits, "headerTimeoutMs") or usual.header_limit_s * 1000
+    idle_ms = _read_time(limits, "idleTimeoutMs") or usual.idle_limit_s * 1000
     return ServerLimits(
-        int(limits.get("maxHeaderBytes") or usual.max_header_bytes),
-        int(limits.get("maxBodyBytes") or usual.max_body_bytes),
-        float(limits.get("headerTimeoutMs") or usual.header_limit_s * 1000) / 1000,
-        float(limits.get("idleTimeoutMs") or usual.idle_limit_s * 1000) / 1000,
+        _read_count(limits, "maxHeaderBytes") or usual.max_header_bytes,
+        _read_count(limits, "maxBodyBytes") or usual.max_body_bytes,
+        header_ms / 1000,
+        idle_ms / 1000,
     )
+
+
+def _read_time(content: dict[str, Any], path: str) -> float:
+    """Return milliseconds; 0 where the operator leaves them to the node."""
+    return read_number(content, path, TIMES_MS, _KIND, missing=0)
+
+
+def _read_count(content: dict[str, Any], path: str) -> int:
+    """Return a whole number; 0 where the operator leaves it to the node."""
+    return read_whole(content, path, COUNTS, _KIND, missing=0)
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -14,6 +14,8 @@
 # a node that can't be reached is tried again after so long, doubled each time
 RETRY_BASE_S = 0.25
 RETRY_LIMIT_S = 3.0
+# nodes that are known at most: an installation has 300, and a thousand in tests of size
+MAX_MEMBERS = 10_000
 # a report that is older says nothing about the load of now
 REPORT_LIMIT_S = 1.5
 
@@ -102,7 +104,12 @@
     def put(
         self, name: str, address: str, failure_domain: str, service: str
     ) -> Member | None:
-        """Add or replace a node; return it if it is new or has changed."""
+        """Add or replace a node; return it if it is new or has changed.
+
+        No more than `MAX_MEMBERS` are kept, see `is_full`.
+        """
+        if self.is_full(name):
+            return None
         known = self.by_name.get(name)
         if known is not None:
             if known.address == address and known.service == service:
@@ -114,6 +121,10 @@
         self.by_service.setdefault(service, {})[name] = member
         return member
 
+    def is_full(self, name: str) -> bool:
+        """Tell whether there is no room for a node that is not known yet."""
+        return name not in self.by_name and len(self.by_name) >= MAX_MEMBERS
+
     def remove(self, name: str) -> Member | None:
         """Forget a node."""
         member = self.by_name.pop(name, None)
--- a/eelgrassmount/relay/topics.py
+++ b/eelgrassmount/relay/topics.py
@@ -64,17 +64,35 @@
             if isinstance(snapshot, StoreFailure):
                 return snapshot
             self._next = snapshot.end
-            self.take(snapshot.records)
+            self._hand_on(snapshot.records)
             return None
         batch = await self.store.read(self.topic, self._next, WAIT_S)
         if isinstance(batch, StoreFailure):
             return batch
         self._next = batch.next_offset
         if batch.records:
-            self.take(batch.records)
+            self._hand_on(batch.records)
             await asyncio.sleep(GATHER_S)
         return None
 
+    def _hand_on(self, records: tuple[StoredRecord, ...]) -> None:
+        """Hand records on together, or one by one if one of them can't be taken.
+
+        A record that nobody foresaw must not end the follower, and the node with it.
+        """
+        try:
+            self.take(records)
+        except Exception:
+            logger.exception("records not taken together", topic=self.topic)
+            for record in records:
+                self._hand_on_one(record)
+
+    def _hand_on_one(self, record: StoredRecord) -> None:
+        try:
+            self.take((record,))
+        except Exception:
+            logger.exception("record not taken", topic=self.topic, key=record.key)
+
     def _note_reached(self) -> None:
         self._backoff.reset()
         if not self.reachable:
--- a/eelgrassmount/util/fields.py
+++ b/eelgrassmount/util/fields.py
@@ -62,10 +62,19 @@
 
 
 def read_whole(
-    content: dict[str, Any], path: str, bounds: tuple[int, int], document: str
+    content: dict[str, Any],
+    path: str,
+    bounds: tuple[int, int],
+    document: str,
+    missing: int | None = None,
 ) -> int:
-    """Return a whole number that lies within the bounds."""
+    """Return a whole number that lies within the bounds.
+
+    ``missing`` is the value of a field that may be left out.
+    """
     value = find_field(content, path)
+    if value is None and missing is not None:
+        return missing
     lowest, highest = bounds
     # a bool is an int to the language, but not in JSON
     if type(value) is not int or not lowest <= value <= highest:
@@ -74,10 +83,16 @@
 
 
 def read_number(
-    content: dict[str, Any], path: str, bounds: tuple[float, float], document: str
+    content: dict[str, Any],
+    path: str,
+    bounds: tuple[float, float],
+    document: str,
+    missing: float | None = None,
 ) -> float:
     """Return a number, whole or not, that lies within the bounds."""
     value = find_field(content, path)
+    if value is None and missing is not None:
+        return missing
     lowest, highest = bounds
     # NaN and infinity lie within no bounds
     if type(value) not in (int, float) or not lowest <= value <= highest:
@@ -87,10 +102,24 @@
 
 def read_name(content: dict[str, Any], path: str, document: str) -> str:
     """Return a text that is not empty, not long and without control characters."""
+    return read_text(content, path, MAX_NAME_LENGTH, document)
+
+
+def read_text(content: dict[str, Any], path: str, longest: int, document: str) -> str:
+    """Return a text of 1 to ``longest`` characters without control characters."""
+    value = find_field(content, path)
+    if not isinstance(value, str) or not is_printable(value, longest):
+        refuse_field(document, path, f"a plain text of 1 to {longest} characters")
+    return value
+
+
+def read_list(
+    content: dict[str, Any], path: str, document: str
+) -> list[dict[str, Any]]:
+    """Return a list of objects."""
     value = find_field(content, path)
-    if not isinstance(value, str) or not is_printable(value):
-        allowed = f"a plain text of 1 to {MAX_NAME_LENGTH} characters"
-        refuse_field(document, path, allowed)
+    if not isinstance(value, list) or not all(isinstance(one, dict) for one in value):
+        refuse_field(document, path, "a list of JSON objects")
     return value
 
 
