--- a/eelgrassmount/relay/refused.py
+++ b/eelgrassmount/relay/refused.py
@@ -54,7 +54,10 @@
         self.totals[kind] = self.totals.get(kind, 0) + 1
         self.count(kind)
         if self._may_tell((kind, source[:MAX_SHOWN], cause)):
-            logger.warning(
+            # a configuration is the operator's, and meant for all nodes
+            level = "ERROR" if kind is MessageKind.CONFIGURATION else "WARNING"
+            logger.log(
+                level,
                 "message not taken up",
                 kind=str(kind),
                 source=source[:MAX_SHOWN],
--- a/tests/relay/test_refused.py
+++ b/tests/relay/test_refused.py
@@ -76,3 +76,15 @@
     refused = RefusedMessages(lambda: 0.0, counted.append)
     refused.note(MessageKind.NODE, "key", "address", "give an address")
     assert counted == ["node-record"]
+
+
+def test_refused_configuration_is_an_error():
+    refused = make_refused([0.0])
+    lines: list[str] = []
+    sink = logger.add(lines.append, format="{level}")
+    try:
+        refused.note(MessageKind.CONFIGURATION, "", "version", "give one such as r12")
+        refused.note(MessageKind.LEARNED, "", "bad record", "no name of a route")
+    finally:
+        logger.remove(sink)
+    assert [line.strip() for line in lines] == ["ERROR", "WARNING"]
