Leave out records of the log that cannot be read, and count them

Cause: one item of a page without a key or with a value that is no base64 made all of read_newest a failure, which the follower met again at each try for as long as the record stood; a key longer than its record took the start of the next; json.loads raised RecursionError out of the follower. Now such a record is left out and counted, its offset included; offsets, ends and flags are checked for their type; a page that does not go on is a failure.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -283,7 +283,7 @@
     take = node.take_configuration
     if topic == NODES_TOPIC:
         take = node.take_nodes
-    follower = TopicFollower(node.store, topic, take, node.rng)
+    follower = TopicFollower(node.store, topic, take, node.rng, node.note_unreadable)
     node.followers.append(follower)
     await follower.run()
 
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -159,6 +159,11 @@
                 self.refused.note(kind, record.key, "bad record", error.detail)
         self.found_nodes = True
 
+    def note_unreadable(self, topic: str, count: int) -> None:
+        """Count records of a topic whose bytes could not be read."""
+        cause = "no key or value that can be read"
+        self.refused.note(MessageKind.RECORD, topic, cause, cause, count)
+
     def _take_record(self, record: StoredRecord) -> None:
         if record.key == LEARNED_KEY:
             if record.value:
--- a/eelgrassmount/platform/store.py
+++ b/eelgrassmount/platform/store.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
-import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
 from attrs import define, field
 
-from eelgrassmount.http1.client import Break, ClientAnswer, open_connection
+from eelgrassmount.errors import PlatformDocumentError
+from eelgrassmount.relay.calls import KeptConnections
 from eelgrassmount.relay.store import (
     Batch,
     FailureKind,
@@ -18,19 +17,26 @@
     StoredRecord,
     StoreFailure,
 )
+from eelgrassmount.util.fields import (
+    read_flag,
+    read_list,
+    read_object,
+    read_whole,
+    refuse_field,
+)
 
 if TYPE_CHECKING:
-    from eelgrassmount.http1.client import ClientConnection
     from eelgrassmount.util.addresses import Address
 
 LENGTH_BYTES = 4
 HEAD_BYTES = 16
 # an answer usually takes a few milliseconds; a slow log takes a hundred times that
 CALL_LIMIT_S = 2.0
-CONNECT_LIMIT_S = 1.0
 # what a read may return at once, in kilobytes
 MAX_READ_KB = 1024
-
+OFFSETS = (0, 2**62)
+_APPENDED = "answer to an append"
+_PAGE = "page of the newest records"
 
 _KINDS = {
     503: FailureKind.TURNED_AWAY,
@@ -44,14 +50,14 @@
 
 @define(eq=False)
 class StoreClient:
-    """Speaks to the log at ``address``; one connection for each kind of call.
-
-    Nothing is sent a second time from here, because a call without an answer may
-    have been done.
-    """
+    """Speaks to the log at ``address``; one connection for each kind of call."""
 
     address: Address
-    _connections: dict[str, ClientConnection] = field(factory=dict)
+    _connections: KeptConnections = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the connections, which are made when they are needed."""
+        self._connections = KeptConnections(self.address)
 
     async def append(self, topic: str, key: str, value: bytes) -> int | StoreFailure:
         """Append a record to a keyed topic and return its offset."""
@@ -62,9 +68,10 @@
         if isinstance(answer, StoreFailure):
             return answer
         try:
-            return int(json.loads(answer)["offset"])
-        except (ValueError, TypeError, KeyError) as error:
-            return StoreFailure(FailureKind.MALFORMED, repr(error))
+            content = read_object(answer, _APPENDED)
+            return read_whole(content, "offset", OFFSETS, _APPENDED)
+        except PlatformDocumentError as error:
+            return StoreFailure(FailureKind.MALFORMED, str(error))
 
     async def read_newest(self, topic: str) -> Snapshot | StoreFailure:
         """Return the newest record of each key of a topic.
@@ -72,28 +79,29 @@
         ``end`` is that of the first page: records that come while the pages are
         read are seen again by reads from there.
         """
-        records: list[StoredRecord] = []
+        found: list[StoredRecord | None] = []
         end: int | None = None
-        after: str | None = None
+        after = ""
         while True:
             query = {"topic": topic, "part": 0}
-            if after is not None:
+            if after:
                 query["after"] = after
             target = "/log-newest?" + urlencode(query)
             answer = await self._call(topic, "GET", target, b"", CALL_LIMIT_S)
             if isinstance(answer, StoreFailure):
                 return answer
             try:
-                page = json.loads(answer)
-                for item in page["items"]:
-                    value = base64.b64decode(item["value"])
-                    records.append(StoredRecord(item["key"], value))
-                end = int(page["end"]) if end is None else end
-                if not page["more"]:
-                    return Snapshot(tuple(records), end)
-                after = page["items"][-1]["key"]
-            except (ValueError, TypeError, KeyError, IndexError) as error:
-                return StoreFailure(FailureKind.MALFORMED, repr(error))
+                page = read_object(answer, _PAGE)
+                items = read_list(page, "items", _PAGE)
+                found += map(_read_item, items)
+                page_end = read_whole(page, "end", OFFSETS, _PAGE)
+                end = page_end if end is None else end
+                if not read_flag(page, "more", _PAGE):
+                    records = tuple(one for one in found if one is not None)
+                    return Snapshot(records, end, len(found) - len(records))
+                after = _read_last_key(items, after)
+            except PlatformDocumentError as error:
+                return StoreFailure(FailureKind.MALFORMED, str(error))
 
     async def read(
         self, topic: str, offset: int, wait_s: float
@@ -115,9 +123,7 @@
 
     def end(self) -> None:
         """Drop all connections."""
-        for connection in self._connections.values():
-            connection.close()
-        self._connections.clear()
+        self._connections.end()
 
     async def _call(
         self,
@@ -127,37 +133,14 @@
         body: bytes,
         limit_s: float,
     ) -> bytes | StoreFailure:
-        connection = self._connections.pop(connection_name, None)
-        if connection is None or connection.closed:
-            try:
-                connection = await open_connection(self.address, CONNECT_LIMIT_S)
-            except OSError as error:
-                return StoreFailure(FailureKind.UNREACHABLE, repr(error))
-        outcome: asyncio.Future[ClientAnswer | Break] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-        def note(answer: ClientAnswer | Break) -> None:
-            if not outcome.done():
-                outcome.set_result(answer)
-
         head = (
             f"{method} {target} HTTP/1.1\r\nhost: {self.address}\r\n"
             f"content-length: {len(body)}\r\n\r\n"
         )
-        connection.send(head.encode("latin-1") + body, note)
-        try:
-            answer = await asyncio.wait_for(outcome, limit_s)
-        except TimeoutError:
-            return StoreFailure(FailureKind.UNANSWERED, f"silent for {limit_s} s")
-        finally:
-            # a connection on which an answer is missing gives nothing further
-            if not outcome.done() or outcome.cancelled():
-                connection.cancel()
-        if isinstance(answer, Break):
-            return StoreFailure(FailureKind.UNANSWERED, answer.value)
-        if not connection.closed:
-            self._connections[connection_name] = connection
+        data = head.encode("latin-1") + body
+        answer = await self._connections.call(connection_name, data, limit_s)
+        if isinstance(answer, StoreFailure):
+            return answer
         if answer.status != 200:
             kind = _KINDS.get(answer.status, FailureKind.MALFORMED)
             return StoreFailure(kind, f"status {answer.status}")
@@ -168,15 +151,44 @@
     """Cut the answer to a read; it begins with the end and the first offset."""
     if len(content) < HEAD_BYTES:
         return StoreFailure(FailureKind.MALFORMED, "a read without its head")
-    records = []
+    found: list[StoredRecord | None] = []
     position = HEAD_BYTES
     while position + LENGTH_BYTES <= len(content):
         length = int.from_bytes(content[position : position + LENGTH_BYTES], "big")
         start = position + LENGTH_BYTES
         position = start + length
-        if length == 0 or position > len(content):
+        if position > len(content):
             return StoreFailure(FailureKind.MALFORMED, "a record that is cut off")
-        key_end = start + 1 + content[start]
-        key = content[start + 1 : key_end].decode("utf-8", "replace")
-        records.append(StoredRecord(key, content[key_end:position]))
-    return Batch(tuple(records), offset + len(records))
+        found.append(_read_record(content[start:position]))
+    records = tuple(one for one in found if one is not None)
+    return Batch(records, offset + len(found), len(found) - len(records))
+
+
+def _read_record(content: bytes) -> StoredRecord | None:
+    """Return a record, ``None`` for one without a key that can be read."""
+    if not content or len(content) <= content[0]:
+        return None
+    key_end = 1 + content[0]
+    try:
+        return StoredRecord(content[1:key_end].decode(), content[key_end:])
+    except UnicodeDecodeError:
+        return None
+
+
+def _read_item(item: dict[str, Any]) -> StoredRecord | None:
+    """Return a record of a page of the newest, ``None`` if it can't be read."""
+    key, value = item.get("key"), item.get("value")
+    if not isinstance(key, str) or not isinstance(value, str):
+        return None
+    try:
+        return StoredRecord(key, base64.b64decode(value, validate=True))
+    except ValueError:
+        return None
+
+
+def _read_last_key(items: list[dict[str, Any]], before: str) -> str:
+    """Return the key that the next page begins behind, which goes on for ever else."""
+    key = items[-1].get("key") if items else None
+    if not isinstance(key, str) or not key or key == before:
+        refuse_field(_PAGE, "items", "a last key from which to go on")
+    return key
--- /dev/null
+++ b/eelgrassmount/relay/calls.py
@@ -0,0 +1,68 @@
+"""Calls over connections that are kept from one to the next."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.http1.client import Break, ClientAnswer, open_connection
+from eelgrassmount.relay.store import FailureKind, StoreFailure
+
+if TYPE_CHECKING:
+    from eelgrassmount.http1.client import ClientConnection
+    from eelgrassmount.util.addresses import Address
+
+CONNECT_LIMIT_S = 1.0
+
+
+@define(eq=False)
+class KeptConnections:
+    """Connections to one address, one for each kind of call.
+
+    Nothing is sent a second time from here, because a call without an answer may
+    have been done.
+    """
+
+    address: Address
+    _connections: dict[str, ClientConnection] = field(factory=dict)
+
+    async def call(
+        self, kind: str, data: bytes, limit_s: float
+    ) -> ClientAnswer | StoreFailure:
+        """Send a request and return its answer."""
+        connection = self._connections.pop(kind, None)
+        if connection is None or connection.closed:
+            try:
+                connection = await open_connection(self.address, CONNECT_LIMIT_S)
+            except OSError as error:
+                return StoreFailure(FailureKind.UNREACHABLE, repr(error))
+        outcome: asyncio.Future[ClientAnswer | Break] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def note(answer: ClientAnswer | Break) -> None:
+            if not outcome.done():
+                outcome.set_result(answer)
+
+        connection.send(data, note)
+        try:
+            answer = await asyncio.wait_for(outcome, limit_s)
+        except TimeoutError:
+            return StoreFailure(FailureKind.UNANSWERED, f"silent for {limit_s} s")
+        finally:
+            # a connection on which an answer is missing gives nothing further
+            if not outcome.done() or outcome.cancelled():
+                connection.cancel()
+        if isinstance(answer, Break):
+            return StoreFailure(FailureKind.UNANSWERED, answer.value)
+        if not connection.closed:
+            self._connections[kind] = connection
+        return answer
+
+    def end(self) -> None:
+        """Drop all connections."""
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -127,9 +127,9 @@
         """Count a request whose client has left."""
         self.abandoned.labels(route).inc()
 
-    def count_refused(self, kind: str) -> None:
-        """Count a message that was not taken up."""
-        self.refused.labels(kind).inc()
+    def count_refused(self, kind: str, messages: int = 1) -> None:
+        """Count messages that were not taken up."""
+        self.refused.labels(kind).inc(messages)
 
     def render(self) -> bytes:
         """Return all metrics as text."""
--- a/eelgrassmount/relay/refused.py
+++ b/eelgrassmount/relay/refused.py
@@ -24,7 +24,6 @@
 
     ANNOUNCEMENT = "announcement"
     CONFIGURATION = "configuration"
-    FRAME = "frame"
     LEARNED = "learned-calls"
     NODE = "node-record"
     RECORD = "record"
@@ -45,14 +44,21 @@
     """
 
     clock: Callable[[], float]
-    count: Callable[[str], None] = lambda kind: None
+    count: Callable[[str, int], None] = lambda kind, messages: None
     totals: dict[str, int] = field(factory=dict)
     _told_s: dict[tuple[str, str, str], float] = field(factory=dict)
 
-    def note(self, kind: MessageKind, source: str, cause: str, detail: str) -> None:
-        """Count a message; ``cause`` is one of a few, ``detail`` is for people."""
-        self.totals[kind] = self.totals.get(kind, 0) + 1
-        self.count(kind)
+    def note(
+        self,
+        kind: MessageKind,
+        source: str,
+        cause: str,
+        detail: str,
+        messages: int = 1,
+    ) -> None:
+        """Count messages; ``cause`` is one of a few, ``detail`` is for people."""
+        self.totals[kind] = self.totals.get(kind, 0) + messages
+        self.count(kind, messages)
         if self._may_tell((kind, source[:MAX_SHOWN], cause)):
             # a configuration is the operator's, and meant for all nodes
             level = "ERROR" if kind is MessageKind.CONFIGURATION else "WARNING"
--- a/eelgrassmount/relay/store.py
+++ b/eelgrassmount/relay/store.py
@@ -40,18 +40,26 @@
 
 @frozen
 class Snapshot:
-    """The newest record of each key, and the offset where later ones begin."""
+    """The newest record of each key, and the offset where later ones begin.
+
+    ``unreadable`` counts records that were left out.
+    """
 
     records: tuple[StoredRecord, ...]
     end: int
+    unreadable: int = 0
 
 
 @frozen
 class Batch:
-    """Records read in order, and the offset behind them."""
+    """Records read in order, and the offset behind them.
+
+    ``unreadable`` counts records that were left out.
+    """
 
     records: tuple[StoredRecord, ...]
     next_offset: int
+    unreadable: int = 0
 
 
 class Store(Protocol):
--- a/eelgrassmount/relay/topics.py
+++ b/eelgrassmount/relay/topics.py
@@ -15,7 +15,7 @@
     import random
     from collections.abc import Callable
 
-    from eelgrassmount.relay.store import Store, StoredRecord
+    from eelgrassmount.relay.store import Batch, Snapshot, Store, StoredRecord
 
 # a read waits this long for news; connections that fell silent are found by the
 # system's probes, so that a long wait costs nothing but saves calls
@@ -30,14 +30,15 @@
 class TopicFollower:
     """Reads the newest record of each key and then what is appended.
 
-    ``take`` gets the records of a batch. A log that can't be reached is asked again
-    for as long as it takes.
+    ``take`` gets the records of a batch; ``on_unreadable`` is told how many were left
+    out of it. A log that can't be reached is asked again for as long as it takes.
     """
 
     store: Store
     topic: str
     take: Callable[[tuple[StoredRecord, ...]], None]
     rng: random.Random
+    on_unreadable: Callable[[str, int], None] = lambda topic, count: None
     reachable: bool = True
     _backoff: Backoff = field(init=False)
     _next: int | None = None
@@ -64,27 +65,29 @@
             if isinstance(snapshot, StoreFailure):
                 return snapshot
             self._next = snapshot.end
-            self._hand_on(snapshot.records)
+            self._hand_on(snapshot)
             return None
         batch = await self.store.read(self.topic, self._next, WAIT_S)
         if isinstance(batch, StoreFailure):
             return batch
         self._next = batch.next_offset
-        if batch.records:
-            self._hand_on(batch.records)
+        if batch.records or batch.unreadable:
+            self._hand_on(batch)
             await asyncio.sleep(GATHER_S)
         return None
 
-    def _hand_on(self, records: tuple[StoredRecord, ...]) -> None:
+    def _hand_on(self, read: Snapshot | Batch) -> None:
         """Hand records on together, or one by one if one of them can't be taken.
 
         A record that nobody foresaw must not end the follower, and the node with it.
         """
+        if read.unreadable:
+            self.on_unreadable(self.topic, read.unreadable)
         try:
-            self.take(records)
+            self.take(read.records)
         except Exception:
             logger.exception("records not taken together", topic=self.topic)
-            for record in records:
+            for record in read.records:
                 self._hand_on_one(record)
 
     def _hand_on_one(self, record: StoredRecord) -> None:
--- a/eelgrassmount/util/fields.py
+++ b/eelgrassmount/util/fields.py
@@ -113,6 +113,14 @@
     return value
 
 
+def read_flag(content: dict[str, Any], path: str, document: str) -> bool:
+    """Return a value that is true or false."""
+    value = find_field(content, path)
+    if not isinstance(value, bool):
+        refuse_field(document, path, "true or false")
+    return value
+
+
 def read_list(
     content: dict[str, Any], path: str, document: str
 ) -> list[dict[str, Any]]:
--- a/tests/relay/test_refused.py
+++ b/tests/relay/test_refused.py
@@ -73,9 +73,12 @@
 
 def test_counter_is_raised():
     counted = []
-    refused = RefusedMessages(lambda: 0.0, counted.append)
+    refused = RefusedMessages(
+        lambda: 0.0, lambda kind, messages: counted.append((kind, messages))
+    )
     refused.note(MessageKind.NODE, "key", "address", "give an address")
-    assert counted == ["node-record"]
+    refused.note(MessageKind.RECORD, "topic", "no key", "no key", 3)
+    assert counted == [("node-record", 1), ("record", 3)]
 
 
 def test_refused_configuration_is_an_error():
