--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -72,3 +72,29 @@
         b"eelgrassmount-attempt-id: a1\r\nretry-after: 0.250\r\n"
     )
     assert headers.write_refusal("", 0.0) == b""
+
+
+# A server behind the address of this VM's may name itself with anything; the name goes
+# into the header of the next call.
+@pytest.mark.parametrize(
+    "value",
+    [b"", b" ", b"a b", b"a\tb", b"\xff\xfe", b"x" * 129, b"a,b", b"a/b", b"%41"],
+)
+def test_answer_with_an_identity_that_is_none_names_nobody(value):
+    assert headers.read_answer([(b"eelgrassmount-instance-id", value)]).instance == ""
+
+
+def test_answer_names_the_server():
+    head = headers.read_answer([(b"eelgrassmount-instance-id", b"i-7f3a91c2")])
+    assert head.instance == "i-7f3a91c2"
+
+
+# The time limit of a request with 5,000 digits ended in ValueError, and the request in
+# 500; an idle limit of 400 digits made a connection live for ever.
+def test_numbers_of_very_many_digits():
+    digits = b"9" * 5000
+    head = headers.read_request([(b"eelgrassmount-deadline-ms", digits)])
+    assert head.remaining_ms == headers.MAX_REMAINING_MS
+    assert headers.read_idle_limit([(b"keep-alive", b"timeout=" + digits)]) is None
+    assert headers.read_idle_limit([(b"keep-alive", b"timeout=" + b"9" * 400)]) is None
+    assert headers.read_idle_limit([(b"keep-alive", b"timeout=86400")]) == 86400.0
