--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,6 +5,7 @@
 import json
 
 import pytest
+from loguru import logger
 
 from eelgrassmount.errors import FileError, PlatformDocumentError, SettingError
 from eelgrassmount.platform.configuration import read_configuration, read_version
@@ -159,3 +160,91 @@
 def test_missing_file_is_named(tmp_path):
     with pytest.raises(FileError):
         load_settings(str(tmp_path / "none.toml"))
+
+
+BOUNDS = (
+    'bounds = ["graceS=6", "retryBudgetRatio=0.2", "budgetSlack=49", "closed=true"]'
+)
+ALL_BOUNDS = 'bounds = ["graceS=6", "retryBudgetRatio=0.2", "budgetSlack=49", "budgetWindowS=10"]'
+
+
+def list_warnings(text: str) -> list[str]:
+    lines: list[str] = []
+    sink = logger.add(lines.append, level="WARNING", format="{message} {extra}")
+    try:
+        parse_settings(text)
+    finally:
+        logger.remove(sink)
+    return lines
+
+
+# Settings without bounds, or without one of them, started without a word, by figures
+# that may not be those of the installation.
+def test_defaults_in_force_are_told_in_one_line():
+    assert list_warnings(SETTINGS.replace(BOUNDS, ALL_BOUNDS)) == []
+    lines = list_warnings(SETTINGS)
+    assert len(lines) == 1
+    assert "'defaults': {'retry_window_s': 10.0}" in lines[0]
+    lines = list_warnings(SETTINGS.replace(BOUNDS, ""))
+    assert len(lines) == 1
+    for name in ("retry_ratio", "retry_window_s", "retry_slack", "grace_s"):
+        assert name in lines[0]
+    assert list_warnings(SETTINGS.replace(BOUNDS, "bounds = []")) == lines
+
+
+@pytest.mark.parametrize(
+    "bounds",
+    [
+        '"graceS=6"',
+        "6",
+        "true",
+        "{ graceS = 6 }",
+        "[6]",
+        "[true]",
+        '["graceS"]',
+        '["graceS="]',
+        '["graceS=nan"]',
+        '["graceS=inf"]',
+        '["graceS=-1"]',
+        '["graceS=1e9"]',
+        '["graceS=true"]',
+        '["graceS=6_0"]',
+        '["graceS=6", "graceS=7"]',
+        '["budgetWindowS=0"]',
+        '["budgetSlack=false"]',
+        '["retryBudgetRatio=-0.2"]',
+    ],
+)
+def test_wrong_bounds_are_named(bounds):
+    with pytest.raises(SettingError) as caught:
+        parse_settings(SETTINGS.replace(BOUNDS, f"bounds = {bounds}"))
+    assert caught.value.name.startswith("bounds")
+    assert "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "name"),
+    [
+        ('nodeId = "sidecar-1"', "nodeId = 7", "nodeId"),
+        ('nodeId = "sidecar-1"', 'nodeId = "a\\nb"', "nodeId"),
+        ('nodeId = "sidecar-1"', f'nodeId = "{"x" * 129}"', "nodeId"),
+        ('service = "huvo11a"', "service = true", "service"),
+        ('service = "huvo11a"', 'service = ""', "service"),
+        ('zone = "bowbazar"', 'zone = ["a"]', "zone"),
+        ('ip = "10.1.0.8"', 'ip = "host"', "ip"),
+        ('ip = "10.1.0.8"', "ip = 10", "ip"),
+        ("portRange = [7620, 7635]", "portRange = [true, 7635]", "portRange"),
+        ("portRange = [7620, 7635]", "portRange = [0, 7635]", "portRange"),
+        ("portRange = [7620, 7635]", "portRange = [70000, 70001]", "portRange"),
+        ("portRange = [7620, 7635]", "portRange = [7620.5, 7635]", "portRange"),
+        ("portRange = [7620, 7635]", "portRange = []", "portRange"),
+        ("portRange = [7620, 7635]", "", "portRange"),
+        ("[platform]", "[other]", "platform.address"),
+        ("[listen]", "[[listen]]", "listen.outbound"),
+    ],
+)
+def test_setting_of_another_type_or_range_is_named(before, after, name):
+    with pytest.raises(SettingError) as caught:
+        parse_settings(SETTINGS.replace(before, after))
+    assert caught.value.name == name
+    assert "\n" not in str(caught.value)
