Believe no identity that can't be one, and bound the digits of numbers

Cause: the identity in a server's answer was decoded as it came and sent as the header of the next call; int() of more than 4,300 digits raises ValueError, which turned a request with such a time limit into a 500.

--- a/eelgrassmount/platform/headers.py
+++ b/eelgrassmount/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from eelgrassmount.relay.dialect import AnswerHead, Dialect, RequestHead
+from eelgrassmount.util.fields import is_identity
 
 REQUEST_ID = b"eelgrassmount-attempt-id"
 REMAINING_MS = b"eelgrassmount-deadline-ms"
@@ -30,6 +31,8 @@
 _DROPPED_FROM_REQUEST = _OF_ONE_CONNECTION | _SET_BY_NODE
 
 MAX_REMAINING_MS = 3_600_000
+# digits of a number that is looked at
+MAX_DIGITS = 9
 
 
 def read_request(headers: list[tuple[bytes, bytes]]) -> RequestHead:
@@ -55,9 +58,12 @@
 
 
 def _read_remaining(value: bytes) -> int | None:
-    if not value.strip().isdigit():
+    digits = value.strip()
+    if not digits.isdigit():
         return None
-    return min(int(value), MAX_REMAINING_MS)
+    if len(digits) > MAX_DIGITS:
+        return MAX_REMAINING_MS
+    return min(int(digits), MAX_REMAINING_MS)
 
 
 def write_request(
@@ -105,7 +111,9 @@
         elif name == NOT_RUN:
             head.not_run = True
         elif name == INSTANCE:
-            head.instance = value.decode("latin-1")
+            named = value.decode("latin-1")
+            # anything else names no server
+            head.instance = named if is_identity(named) else ""
         if name not in _OF_ONE_CONNECTION:
             lines.append(b"%s: %s\r\n" % (name, value))
     head.passed_on = b"".join(lines)
@@ -142,7 +150,10 @@
 def _parse_idle_limit(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.strip().isdigit():
+        number = number.strip()
+        if name.lower() != b"timeout" or not number.isdigit():
+            continue
+        if len(number) <= MAX_DIGITS:
             return float(number)
     return None
 
