Say which defaults are in force, and check the settings for their types

Cause: bounds that are missing were replaced by defaults without a word, and those that are there were taken as any float, NaN and negative ones included. Now one warning names the defaults in force, and a bound of another type or out of range, a name with control characters, an address or a port that is none is an error that names the setting. Bounds that are not used here are no longer looked at.

--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -26,10 +26,10 @@
 from eelgrassmount.keys.service import KeyService
 from eelgrassmount.keys.table import Budget, Entry, KeyTable, Stage
 from eelgrassmount.keys.views import Proposal, encode_proposals
+from eelgrassmount.log_port import Appended, Page, Record
 from eelgrassmount.members.table import Identity, Member, ServerState
 from eelgrassmount.peer.codec import FRAME_HEADER_BYTES, decode_payload, encode_frame
 from eelgrassmount.peer.port import PeerFailure
-from eelgrassmount.platform.port import Appended, Page, Record
 from eelgrassmount.timers import MonotonicClock, TimerService
 from eelgrassmount.verdict import Answered
 
--- a/eelgrassmount/config/publish.py
+++ b/eelgrassmount/config/publish.py
@@ -12,7 +12,7 @@
 from eelgrassmount.config.fold import RESTORE_SKIP, Decision, Fold, FoldResult
 from eelgrassmount.config.record import ConfigRecord, RecordKind
 from eelgrassmount.config.stream import read_decisions
-from eelgrassmount.platform.port import Appended, LogFailure
+from eelgrassmount.log_port import Appended, LogFailure
 from eelgrassmount.util.backoff import Backoff
 from eelgrassmount.util.waiting import wait_for
 
--- a/eelgrassmount/config/stream.py
+++ b/eelgrassmount/config/stream.py
@@ -23,14 +23,14 @@
     decode_record,
     encode_record,
 )
-from eelgrassmount.platform.port import LogFailure, Page
+from eelgrassmount.log_port import LogFailure, Page
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.config.record import ConfigRecord
-    from eelgrassmount.platform.port import Appended, LogPort
+    from eelgrassmount.log_port import Appended, LogPort
 
 CONFIG_STREAM = "config"
 PAGE_RECORDS = 200
--- a/eelgrassmount/keys/core.py
+++ b/eelgrassmount/keys/core.py
@@ -22,8 +22,8 @@
 
     from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.keys.port import Runner
+    from eelgrassmount.log_port import LogPort
     from eelgrassmount.peer.port import PeerPort
-    from eelgrassmount.platform.port import LogPort
     from eelgrassmount.timers import TimerService
 
     Counter = Callable[[str], None]
--- a/eelgrassmount/keys/follower.py
+++ b/eelgrassmount/keys/follower.py
@@ -28,8 +28,8 @@
     parse_node,
     rewrite_view,
 )
+from eelgrassmount.log_port import Appended, LogFailure
 from eelgrassmount.peer.port import PeerFailure
-from eelgrassmount.platform.port import Appended, LogFailure
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/eelgrassmount/keys/service.py
+++ b/eelgrassmount/keys/service.py
@@ -26,8 +26,8 @@
     from eelgrassmount.gen.ttypes import Hello, Message
     from eelgrassmount.keys.holder import SlotHolder
     from eelgrassmount.keys.port import Runner
+    from eelgrassmount.log_port import LogPort
     from eelgrassmount.peer.port import Handlers, PeerPort
-    from eelgrassmount.platform.port import LogPort
     from eelgrassmount.timers import TimerService
 
 HAND_OVER_S = 20.0
--- a/eelgrassmount/members/joining.py
+++ b/eelgrassmount/members/joining.py
@@ -11,23 +11,23 @@
 from thrift.TSerialization import deserialize, serialize
 
 from eelgrassmount.gen import ttypes
+from eelgrassmount.log_port import LogFailure
 from eelgrassmount.members import exchange
 from eelgrassmount.members.counts import Count
 from eelgrassmount.members.delegates import choose_addresses
 from eelgrassmount.members.pace import MAX_ADDRESSES
 from eelgrassmount.members.table import MemberState
 from eelgrassmount.members.wire import decode_members, encode_member
-from eelgrassmount.platform.port import LogFailure
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from anyio.abc import TaskGroup
 
+    from eelgrassmount.log_port import LogPort, Record
     from eelgrassmount.members.roster import Roster
     from eelgrassmount.members.rounds import Rounds
     from eelgrassmount.members.table import Member
-    from eelgrassmount.platform.port import LogPort, Record
     from eelgrassmount.timers import TimerService
 
 STREAM = "members"
--- a/eelgrassmount/members/membership.py
+++ b/eelgrassmount/members/membership.py
@@ -28,8 +28,8 @@
     from eelgrassmount.blackboard import Blackboard
     from eelgrassmount.gen.ttypes import Gossip
     from eelgrassmount.load.state import ServiceLoad
+    from eelgrassmount.log_port import LogPort
     from eelgrassmount.peer.port import Handlers, PeerPort
-    from eelgrassmount.platform.port import LogPort
     from eelgrassmount.timers import TimerService
     from eelgrassmount.util.background import Background
 
--- a/eelgrassmount/metered.py
+++ b/eelgrassmount/metered.py
@@ -6,12 +6,12 @@
 
 from attrs import define
 
+from eelgrassmount.log_port import LogFailure
 from eelgrassmount.metrics import LogError
-from eelgrassmount.platform.port import LogFailure
 
 if TYPE_CHECKING:
+    from eelgrassmount.log_port import Appended, LogPort, Page
     from eelgrassmount.metrics import Metrics
-    from eelgrassmount.platform.port import Appended, LogPort, Page
 
 
 @define(eq=False)
--- a/eelgrassmount/platform/settings.py
+++ b/eelgrassmount/platform/settings.py
@@ -7,14 +7,26 @@
 from typing import TYPE_CHECKING, Any
 
 from eelgrassmount.errors import AddressError, FileError, SettingError
-from eelgrassmount.relay.settings import RelaySettings
-from eelgrassmount.util.addresses import Address, parse_address
+from eelgrassmount.relay.settings import RANGES, RelaySettings
+from eelgrassmount.util.addresses import MAX_PORT, Address, parse_address
+from eelgrassmount.util.fields import (
+    MAX_NAME_LENGTH,
+    find_field,
+    is_printable,
+    parse_number,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 FILE_VARIABLE = "EELGRASSMOUNT_NODE_FILE"
 FILE_DEFAULT = "/etc/eelgrassmount/boot.toml"
+_BOUNDS = {
+    "retryBudgetRatio": "retry_ratio",
+    "budgetWindowS": "retry_window_s",
+    "budgetSlack": "retry_slack",
+    "graceS": "grace_s",
+}
 
 
 def find_settings_file(environment: Mapping[str, str] = os.environ) -> str:
@@ -44,63 +56,70 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingError("settings file", str(error), "a TOML file") from error
     bounds = _read_bounds(content)
-    return RelaySettings(
+    settings = RelaySettings(
         name=_read_text(content, "nodeId"),
         failure_domain=_read_text(content, "zone"),
         service=_read_text(content, "service"),
-        caller_address=_read_address(content, "listen", "outbound"),
+        caller_address=_read_address(content, "listen.outbound"),
         peer_address=_read_peer_address(content),
-        ready_address=_read_address(content, "listen", "ready"),
-        announce_address=_read_address(content, "listen", "control"),
+        ready_address=_read_address(content, "listen.ready"),
+        announce_address=_read_address(content, "listen.control"),
         server_address=_read_address(content, "appAddr"),
-        log_address=_read_address(content, "platform", "address"),
-        retry_ratio=bounds.get("retryBudgetRatio", 0.2),
-        retry_window_s=bounds.get("budgetWindowS", 10.0),
-        retry_slack=bounds.get("budgetSlack", 10.0),
-        grace_s=bounds.get("graceS", 6.0),
+        log_address=_read_address(content, "platform.address"),
+        **bounds,
     )
+    settings.tell_defaults(bounds)
+    return settings
 
 
-def _find(content: dict[str, Any], *path: str) -> Any:
-    found: Any = content
-    for name in path:
-        found = found.get(name) if isinstance(found, dict) else None
-    return found
-
-
-def _read_text(content: dict[str, Any], *path: str) -> str:
-    value = _find(content, *path)
-    if not isinstance(value, str) or not value:
-        raise SettingError(".".join(path), str(value), "a text that is not empty")
+def _read_text(content: dict[str, Any], path: str) -> str:
+    value = find_field(content, path)
+    if not isinstance(value, str) or not is_printable(value):
+        allowed = f"a plain text of 1 to {MAX_NAME_LENGTH} characters"
+        raise SettingError(path, str(value), allowed)
     return value
 
 
-def _read_address(content: dict[str, Any], *path: str) -> Address:
-    text = _read_text(content, *path)
+def _read_address(content: dict[str, Any], path: str) -> Address:
+    text = _read_text(content, path)
     try:
         return parse_address(text)
     except AddressError as error:
-        raise SettingError(".".join(path), text, "an IPv4 address and port") from error
+        raise SettingError(path, text, "an IPv4 address and port") from error
 
 
 def _read_peer_address(content: dict[str, Any]) -> Address:
-    ports = _find(content, "portRange")
-    allowed = "a list of the first and the last port"
-    if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
+    host = _read_text(content, "ip")
+    ports = find_field(content, "portRange")
+    first = ports[0] if isinstance(ports, list) and ports else None
+    if type(first) is not int or not 1 <= first <= MAX_PORT:
+        allowed = "a list of the first and the last port"
         raise SettingError("portRange", str(ports), allowed)
-    return Address(_read_text(content, "ip"), ports[0])
+    try:
+        return parse_address(f"{host}:{first}")
+    except AddressError as error:
+        raise SettingError("ip", host, "an IPv4 address") from error
 
 
 def _read_bounds(content: dict[str, Any]) -> dict[str, float]:
-    bounds = {}
-    for text in content.get("bounds") or []:
-        name, _, value = str(text).partition("=")
-        if value in ("true", "false"):
-            bounds[name] = float(value == "true")
+    """Return the bounds that are used here and stand in the file, by our names."""
+    texts = content.get("bounds", [])
+    if not isinstance(texts, list):
+        raise SettingError("bounds", str(texts), 'a list such as ["graceS=6"]')
+    bounds: dict[str, float] = {}
+    for text in texts:
+        name, equals, value = str(text).partition("=")
+        if not isinstance(text, str) or not equals:
+            raise SettingError("bounds", str(text), "entries such as graceS=6")
+        setting = _BOUNDS.get(name)
+        if setting is None:
             continue
-        try:
-            bounds[name] = float(value)
-        except ValueError as error:
-            allowed = "entries such as graceS=6"
-            raise SettingError("bounds", str(text), allowed) from error
+        if setting in bounds:
+            raise SettingError("bounds", text, f"{name} once")
+        bounds[setting] = parse_number(value)
+        lowest, highest = RANGES[setting]
+        # what is no number lies within no range
+        if not lowest <= bounds[setting] <= highest:
+            allowed = f"a number from {lowest:g} to {highest:g}"
+            raise SettingError("bounds", text, allowed)
     return bounds
--- a/eelgrassmount/relay/settings.py
+++ b/eelgrassmount/relay/settings.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 from attrs import frozen
+from loguru import logger
 
 from eelgrassmount.util.addresses import Address
 
+# settings that may be left out, and their ranges: times of up to a day
+RANGES = {
+    "retry_ratio": (0.0, 100.0),
+    "retry_window_s": (0.1, 86400.0),
+    "retry_slack": (0.0, 1e6),
+    "grace_s": (0.0, 86400.0),
+}
+
 
 @frozen
 class RelaySettings:
@@ -29,3 +40,13 @@
     retry_window_s: float = 10.0
     retry_slack: float = 10.0
     grace_s: float = 6.0
+
+    def tell_defaults(self, given: Container[str]) -> None:
+        """Write down which defaults are in force for what was not given."""
+        defaults = {name: getattr(self, name) for name in RANGES if name not in given}
+        if defaults:
+            logger.warning(
+                "settings left out, defaults in force",
+                node=self.name,
+                defaults=defaults,
+            )
--- a/eelgrassmount/util/fields.py
+++ b/eelgrassmount/util/fields.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import math
 import re
 from typing import TYPE_CHECKING, Any, NoReturn
 
@@ -21,6 +22,7 @@
 
 # characters of a name; the longest seen have about 40
 MAX_NAME_LENGTH = 128
+_DIGITS = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 REPLACED = "\ufffd"
 _IDENTITY = re.compile(rf"[A-Za-z0-9._:~-]{{1,{MAX_NAME_LENGTH}}}")
 
@@ -150,6 +152,11 @@
         refuse_field(document, path, "an IPv4 address and port")
 
 
+def parse_number(text: str) -> float:
+    """Return a number written in digits, with a point or without; NaN for others."""
+    return float(text) if _DIGITS.fullmatch(text) else math.nan
+
+
 def is_printable(text: str, longest: int = MAX_NAME_LENGTH) -> bool:
     """Tell whether a text has 1 to ``longest`` characters, all of which are plain.
 
--- a/tests/config/test_fold.py
+++ b/tests/config/test_fold.py
@@ -16,8 +16,8 @@
 from eelgrassmount.config.record import RecordKind, decode_record, encode_record
 from eelgrassmount.config.rewrite import make_rewrite
 from eelgrassmount.gen.ttypes import ConfigQuestion, Hello, Message
+from eelgrassmount.log_port import Appended, LogFailure, Page, Record
 from eelgrassmount.members.table import Identity
-from eelgrassmount.platform.port import Appended, LogFailure, Page, Record
 from eelgrassmount.timers import ManualClock, TimerService
 from tests.config.fakes import make_text
 
--- a/tests/keys/world.py
+++ b/tests/keys/world.py
@@ -21,6 +21,7 @@
 from eelgrassmount.keys.placement import find_home, find_slot
 from eelgrassmount.keys.service import KeyService
 from eelgrassmount.keys.syntax import MintedKey, parse_key
+from eelgrassmount.log_port import Appended, LogFailure, Page, Record
 from eelgrassmount.members.table import (
     Identity,
     Member,
@@ -36,7 +37,6 @@
     encode_outcome,
 )
 from eelgrassmount.peer.port import PeerFailure
-from eelgrassmount.platform.port import Appended, LogFailure, Page, Record
 from eelgrassmount.timers import TimerService
 from eelgrassmount.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -7,8 +7,8 @@
 import anyio
 import pytest
 
+from eelgrassmount.log_port import Appended, LogFailure, Page, Record
 from eelgrassmount.platform.client import LogClient
-from eelgrassmount.platform.port import Appended, LogFailure, Page, Record
 
 PAGE = b'{"first":3,"next":18,"records":[{"offset":17,"body":"aGk="}]}'
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -165,7 +165,7 @@
 BOUNDS = (
     'bounds = ["graceS=6", "retryBudgetRatio=0.2", "budgetSlack=49", "closed=true"]'
 )
-ALL_BOUNDS = 'bounds = ["graceS=6", "retryBudgetRatio=0.2", "budgetSlack=49", "budgetWindowS=10"]'
+ALL_BOUNDS = BOUNDS.replace("closed=true", "budgetWindowS=10")
 
 
 def list_warnings(text: str) -> list[str]:
