Say when the event loop stood still, and who caused it

A check each 0.1 s compares the steady clock, the clock that counts suspensions, the process's time and its switches, and names the timer's action that took longest. Ruled out: a thread that watches (it would be held up with the process). Before: no line. After: one line a second at most, and a counter of all stalls. Tested with clocks of the test's own; not yet seen on a deployment.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -43,12 +43,13 @@
 from eelgrassmount.relay.reload import WATCH_PERIOD_S, SettingsWatch
 from eelgrassmount.relay.routing import Router
 from eelgrassmount.relay.server import LocalServer
+from eelgrassmount.relay.stalls import StallWatch, read_process_times
 from eelgrassmount.relay.stopping import Stopping
 from eelgrassmount.relay.store import StoreFailure
 from eelgrassmount.relay.topics import TopicFollower
 from eelgrassmount.relay.vectors import INTERVAL_S
 from eelgrassmount.retry.quarantine import Quarantine
-from eelgrassmount.timers import MonotonicClock, TimerService
+from eelgrassmount.timers import MonotonicClock, SlowestAction, TimerService
 from eelgrassmount.util.addresses import Address
 
 if TYPE_CHECKING:
@@ -169,7 +170,9 @@
         decisions,
         metrics,
         StoreClient(settings.log_address),
-        TimerService(MonotonicClock(), rng, grid_s=TIMER_GRID_S),
+        TimerService(
+            MonotonicClock(), rng, grid_s=TIMER_GRID_S, slowest=SlowestAction()
+        ),
         HttpListener(entry.handle, clock),
         LearnedCalls(beliefs),
         rng,
@@ -261,6 +264,13 @@
 
 def _subscribe(node: RelayNode) -> None:
     timers = node.timers
+    stalls = StallWatch(
+        LINK_PERIOD_S,
+        read_process_times,
+        timers.slowest.take,
+        node.metrics.stalls.inc,
+    )
+    timers.subscribe(LINK_PERIOD_S, stalls.check)
     timers.subscribe(LINK_PERIOD_S, node.controllers.watch_links)
     timers.subscribe(STEP_S, node.controllers.step)
     timers.subscribe(STEP_S, node.gate.sweep)
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -28,6 +28,7 @@
     retries: Counter = field(init=False)
     abandoned: Counter = field(init=False)
     connections: Counter = field(init=False)
+    stalls: Counter = field(init=False)
     state: Gauge = field(init=False)
     levels: Gauge = field(init=False)
     _children: dict[tuple[str, ...], Any] = field(factory=dict)
@@ -77,6 +78,11 @@
             "Connections opened to the server of this VM.",
             registry=registry,
         )
+        self.stalls = Counter(
+            f"{PREFIX}_relay_stall_seconds",
+            "Seconds for which the event loop stood still, in stalls over 0.2 s.",
+            registry=registry,
+        )
         self.state = Gauge(
             f"{PREFIX}_relay_state",
             "What the node believes: the version in force, calls, limit and demand.",
--- a/eelgrassmount/timers.py
+++ b/eelgrassmount/timers.py
@@ -74,6 +74,31 @@
         self.active = False
 
 
+@define(eq=False)
+class SlowestAction:
+    """Keeps the action of a timer that took longest since it was last asked for.
+
+    All actions run on one event loop, so that one that takes long holds up all
+    else that the process does.
+    """
+
+    name: str = ""
+    seconds: float = 0.0
+
+    def note(self, action: Callable[[], None], seconds: float) -> None:
+        """Take up how long an action took."""
+        if seconds > self.seconds:
+            self.name = getattr(action, "__qualname__", repr(action))
+            self.seconds = seconds
+
+    def take(self) -> tuple[str, float]:
+        """Return the name of the slowest action and its seconds, and begin anew."""
+        found = self.name, self.seconds
+        self.name = ""
+        self.seconds = 0.0
+        return found
+
+
 @define
 class TimerService:
     """Runs functions once or periodically on a given clock.
@@ -87,13 +112,15 @@
 
     With ``grid_s``, periodic timers whose period is not shorter fall due on a
     common grid of so many seconds: most of what an idle process costs is waking
-    up, so what is due at nearly the same time is done in one go.
+    up, so what is due at nearly the same time is done in one go. ``slowest`` hears
+    how long each action took.
     """
 
     clock: Clock
     rng: random.Random
     note_error: Callable[[], None] = lambda: None
     grid_s: float = 0.0
+    slowest: SlowestAction | None = None
     # tuples, since comparing them is most of the work of an idle node
     _heap: list[tuple[float, int, Timer]] = field(factory=list)
     _order: itertools.count = field(factory=itertools.count)
@@ -165,12 +192,15 @@
             # runs each timer once instead of catching up
             timer.due_s = self._find_due(timer.period_s, timer.period_s, timer.jitter)
             self._push(timer)
+        begun_s = self.read()
         try:
             timer.action()
         except Exception:
             # one faulty action must not stop the others
             logger.exception("a timer's action failed")
             self.note_error()
+        if self.slowest is not None:
+            self.slowest.note(timer.action, self.read() - begun_s)
 
     def advance(self, seconds: float) -> None:
         """Move a `ManualClock` on, running all timers that fall due on the way."""
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -14,6 +14,7 @@
     LOOP_TICK_S,
     ManualClock,
     MonotonicClock,
+    SlowestAction,
     TimerService,
     round_wait,
 )
@@ -134,3 +135,17 @@
     anyio.run(main, backend_options={"use_uvloop": True})
     assert len(fired) >= 10
     assert len(looks) <= 3 * len(fired) + 5
+
+
+def test_slowest_action_is_noted() -> None:
+    timers = make_timers(slowest=SlowestAction())
+
+    def work() -> None:
+        timers.clock.now_s += 0.4
+
+    timers.schedule(1.0, work)
+    timers.schedule(1.0, lambda: None)
+    timers.advance(1.0)
+    name, seconds = timers.slowest.take()
+    assert name.endswith("work")
+    assert seconds == pytest.approx(0.4)
