--- a/eelgrassmount/cmd/relay.py
+++ b/eelgrassmount/cmd/relay.py
@@ -10,7 +10,7 @@
 import anyio
 
 from eelgrassmount.cmd.action import ExitCode
-from eelgrassmount.compose.relay import serve_relay
+from eelgrassmount.compose.relay_run import serve_relay
 from eelgrassmount.errors import EelgrassmountError
 from eelgrassmount.logs import setup_logs
 from eelgrassmount.platform.settings import find_settings_file
--- /dev/null
+++ b/eelgrassmount/compose/relay_run.py
@@ -0,0 +1,195 @@
+"""Starting, running and ending a node beside its backend server."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from eelgrassmount.compose.relay import build_relay
+from eelgrassmount.errors import ListenError
+from eelgrassmount.gen import ttypes
+from eelgrassmount.http1.server import SWEEP_PERIOD_S, HttpListener
+from eelgrassmount.platform.heartbeats import read_announcement
+from eelgrassmount.platform.settings import load_settings
+from eelgrassmount.platform.topics import (
+    CONFIGURATION_TOPIC,
+    LEARNED_KEY,
+    NODES_TOPIC,
+)
+from eelgrassmount.relay.admission import STEP_S
+from eelgrassmount.relay.announcements import AnnouncementListener
+from eelgrassmount.relay.frames import encode_struct
+from eelgrassmount.relay.learned import PERIOD_S
+from eelgrassmount.relay.reload import WATCH_PERIOD_S, SettingsWatch
+from eelgrassmount.relay.stalls import StallWatch, read_process_times
+from eelgrassmount.relay.stopping import Stopping
+from eelgrassmount.relay.store import StoreFailure
+from eelgrassmount.relay.topics import TopicFollower
+from eelgrassmount.relay.vectors import INTERVAL_S
+from eelgrassmount.util.addresses import Address
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from eelgrassmount.compose.relay_node import RelayNode
+    from eelgrassmount.relay.inbound import Inbound
+
+METRICS_PORT = 9464
+LINK_PERIOD_S = 0.1
+VECTOR_PERIOD_S = 1.0
+RECORD_RETRY_S = 0.5
+
+
+async def serve_relay(path: str) -> None:
+    """Run a node as the settings file says, until SIGTERM and its end in order.
+
+    Raises `ListenError` when one of its addresses can't be bound.
+    """
+    settings = load_settings(path)
+    # the lines of many nodes are read together
+    logger.configure(extra={"node": settings.name})
+    node = build_relay(settings)
+    watch = SettingsWatch(path, load_settings, node.apply_settings)
+    async with anyio.create_task_group() as group:
+        ends = (signal.SIGTERM, signal.SIGINT)
+        with anyio.open_signal_receiver(*ends, signal.SIGHUP) as signals:
+            await start_relay(node, group)
+            node.timers.subscribe(WATCH_PERIOD_S, watch.check)
+            async for received in signals:
+                if received != signal.SIGHUP:
+                    break
+                watch.reload()
+            await stop_relay(node)
+        group.cancel_scope.cancel()
+
+
+async def stop_relay(node: RelayNode) -> None:
+    """End a node in order: clients go first, then calls of other nodes."""
+    await Stopping(
+        node.beliefs,
+        node.callers,
+        node.inbound,
+        node.settings.grace_s,
+        node.controllers.report_now,
+        node.count_open,
+    ).run()
+    node.decisions.tell_left_out()
+    node.end()
+
+
+async def start_relay(node: RelayNode, group: TaskGroup) -> None:
+    """Start all parts of a node, the listener for clients last."""
+    settings = node.settings
+    node.put_own()
+    await _listen(node)
+    _subscribe(node)
+    group.start_soon(node.timers.run)
+    group.start_soon(_follow, node, CONFIGURATION_TOPIC)
+    group.start_soon(_join, node)
+    group.start_soon(_keep_learned, node)
+    logger.info(
+        "node started",
+        incarnation=node.beliefs.incarnation,
+        service=settings.service,
+        failure_domain=settings.failure_domain,
+    )
+
+
+async def _listen(node: RelayNode) -> None:
+    settings = node.settings
+    clock = node.beliefs.clock
+    announcements = AnnouncementListener(
+        node.beliefs.server, read_announcement, node.note_server_change
+    )
+    metrics_address = Address(settings.peer_address.host, METRICS_PORT)
+    await _bind(node.inbound, settings.peer_address)
+    for handle, address in (
+        (announcements.handle, settings.announce_address),
+        (node.answer_ready, settings.ready_address),
+        (node.answer_metrics, metrics_address),
+    ):
+        listener = HttpListener(handle, clock)
+        node.listeners.append(listener)
+        await _bind(listener, address)
+    node.listeners.append(node.callers)
+    await _bind(node.callers, settings.caller_address)
+
+
+async def _bind(listener: HttpListener | Inbound, address: Address) -> None:
+    try:
+        await listener.start(address.host, address.port)
+    except OSError as error:
+        raise ListenError(str(address), str(error)) from error
+
+
+def _subscribe(node: RelayNode) -> None:
+    timers = node.timers
+    stalls = StallWatch(
+        LINK_PERIOD_S,
+        read_process_times,
+        timers.slowest.take,
+        node.metrics.stalls.inc,
+    )
+    timers.subscribe(LINK_PERIOD_S, stalls.check)
+    timers.subscribe(LINK_PERIOD_S, node.controllers.watch_links)
+    timers.subscribe(STEP_S, node.controllers.step)
+    timers.subscribe(STEP_S, node.gate.sweep)
+    timers.subscribe(INTERVAL_S, node.controllers.count_calls)
+    timers.subscribe(VECTOR_PERIOD_S, node.controllers.apply_vectors)
+    timers.subscribe(SWEEP_PERIOD_S, node.callers.sweep)
+    timers.subscribe(SWEEP_PERIOD_S, node.gate.pool.sweep)
+    timers.subscribe(SWEEP_PERIOD_S, node.inbound.expire)
+    timers.subscribe(SWEEP_PERIOD_S, node.decisions.tell_left_out)
+
+
+async def _follow(node: RelayNode, topic: str) -> None:
+    take = node.take_configuration
+    if topic == NODES_TOPIC:
+        take = node.take_nodes
+    follower = TopicFollower(node.store, topic, take, node.rng)
+    node.followers.append(follower)
+    await follower.run()
+
+
+async def _join(node: RelayNode) -> None:
+    """Write this node's record unless it stands there, then follow the others."""
+    settings = node.settings
+    record = ttypes.NodeRecord(
+        settings.name,
+        str(settings.peer_address),
+        settings.failure_domain,
+        settings.service,
+    )
+    value = encode_struct(record)
+    while True:
+        snapshot = await node.store.read_newest(NODES_TOPIC)
+        if not isinstance(snapshot, StoreFailure):
+            node.take_nodes(snapshot.records)
+            if any(one.value == value for one in snapshot.records):
+                break
+            offset = await node.store.append(NODES_TOPIC, settings.name, value)
+            if not isinstance(offset, StoreFailure):
+                break
+        await anyio.sleep(RECORD_RETRY_S * node.rng.uniform(0.5, 1.5))
+    # nodes that start together are read together
+    await anyio.sleep(RECORD_RETRY_S)
+    await _follow(node, NODES_TOPIC)
+
+
+async def _keep_learned(node: RelayNode) -> None:
+    """Write what all nodes have learned when it has changed for good."""
+    while True:
+        await anyio.sleep(PERIOD_S)
+        value = node.learned.find_record()
+        if value is None:
+            continue
+        offset = await node.store.append(NODES_TOPIC, LEARNED_KEY, value)
+        if isinstance(offset, StoreFailure):
+            # it is written later by the same chance, here or elsewhere
+            logger.warning("learned calls not kept", kind=offset.kind)
+        else:
+            node.learned.take(value)
+            logger.info("learned calls kept", offset=offset)
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -9,7 +9,8 @@
 import anyio
 from attrs import define, field
 
-from eelgrassmount.compose.relay import RelayNode, build_relay, start_relay
+from eelgrassmount.compose.relay import RelayNode, build_relay
+from eelgrassmount.compose.relay_run import start_relay
 from eelgrassmount.http1.client import (
     Break,
     ClientAnswer,
--- a/tests/relay/test_deployment.py
+++ b/tests/relay/test_deployment.py
@@ -8,7 +8,8 @@
 import anyio
 import pytest
 
-from eelgrassmount.compose.relay import build_relay, start_relay, stop_relay
+from eelgrassmount.compose.relay import build_relay
+from eelgrassmount.compose.relay_run import start_relay, stop_relay
 from eelgrassmount.gen import ttypes
 from eelgrassmount.http1.client import Break
 from eelgrassmount.platform.topics import LEARNED_KEY
