--- a/eelgrassmount/http1/exchange.py
+++ b/eelgrassmount/http1/exchange.py
@@ -54,11 +54,14 @@
         closing = not self.keep_alive or self.connection.ending
         if closing:
             self.keep_alive = False
-        self.answer = b"HTTP/1.1 %d %s\r\n%scontent-length: %d\r\n%s\r\n%s" % (
+        # the length of a body that only the server knows is left out
+        unknown = self.method == "HEAD" and not body
+        length = b"" if unknown else b"content-length: %d\r\n" % len(body)
+        self.answer = b"HTTP/1.1 %d %s\r\n%s%s%s\r\n%s" % (
             status,
             reason,
             head,
-            len(body),
+            length,
             b"connection: close\r\n" if closing else b"",
             b"" if self.method == "HEAD" else body,
         )
--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -43,6 +43,7 @@
     done: Callable[[ClientAnswer | Break], None]
     connection: ClientConnection | None = None
     ended: bool = False
+    head_only: bool = False
 
     def cancel(self) -> None:
         """Give up the request; ``done`` is called if it has not been."""
@@ -78,9 +79,14 @@
         fresh: bool,
         accepts: Callable[[ClientAnswer], bool],
         done: Callable[[ClientAnswer | Break], None],
+        head_only: bool = False,
     ) -> Sending:
-        """Send a whole request; ``fresh`` asks for a connection in recent use."""
-        sending = Sending(done)
+        """Send a whole request; ``fresh`` asks for a connection in recent use.
+
+        The answer to a request for the head alone (``head_only``) has no body,
+        whatever length it announces.
+        """
+        sending = Sending(done, head_only=head_only)
         connection = self._take(fresh)
         if connection is not None:
             self._send_on(connection, sending, data, accepts)
@@ -148,7 +154,7 @@
                     connection.idle_limit_s = limit_s
             sending.tell(outcome)
 
-        connection.send(data, note, accepts)
+        connection.send(data, note, accepts, sending.head_only)
 
     async def _connect_and_send(
         self,
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -301,6 +301,7 @@
             not call.route.idempotent,
             accepts,
             lambda outcome: self._end(job, outcome),
+            call.method == "HEAD",
         )
 
     def _end(self, job: Job, outcome: ClientAnswer | Break) -> None:
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -167,7 +167,8 @@
 async def send(connection: ClientConnection, data: bytes) -> ClientAnswer | Break:
     """Send a request and return what became of it."""
     future = asyncio.get_running_loop().create_future()
-    connection.send(data, future.set_result)
+    head_only = data.startswith(b"HEAD ")
+    connection.send(data, future.set_result, head_only=head_only)
     with anyio.fail_after(WAIT_S):
         return await future
 
--- a/tests/relay/test_deployment.py
+++ b/tests/relay/test_deployment.py
@@ -66,6 +66,24 @@
     run(scenario, LIST)
 
 
+def test_request_for_the_head_alone_is_answered_without_a_body():
+    # Its answer announces a length and has no body. The node waited for that body
+    # until the deadline and answered 504, though the server had run the request.
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        back = await deployment.add("list")
+        await deployment.settle()
+        answer = await ask(front, "/list/1", "HEAD", request_id="h1")
+        assert answer.status == 200
+        assert b"content-length" not in dict(answer.headers)
+        assert answer.body == b""
+        assert back.server.runs == ["h1"]
+        # the next request is not given what belongs to the one before
+        assert (await ask(front, "/list/2")).body
+
+    run(scenario, LIST)
+
+
 def test_unknown_route_and_no_configuration_are_told_apart():
     async def scenario(deployment: Deployment) -> None:
         vm = await deployment.add("list")
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -47,7 +47,7 @@
         self.sent: list[bytes] = []
         self.fresh: list[bool] = []
 
-    def send(self, address, data, fresh, accepts, done):
+    def send(self, address, data, fresh, accepts, done, head_only=False):
         sending = FakeSending(self, done)
         self.open.append(sending)
         self.sent.append(data)
