Show that a read is given up when the peer of its link falls silent

Two tests on a virtual network fail on the code as it is, each with 502 where the server's answer is due: a peer that stands still for 1 s, and a connection that goes silent for good (or is reset) while both nodes live. The third, of a node that is gone, passes and is to go on doing so. The loop's time jumps to the next timer, so that no wall time is involved.

Cause: the link drops a connection after 0.5 s without a byte and tells idempotent calls as lost; without a retry budget the entry ends them. Ruled out: the sender's own stop, as the first read of the first test is asked for before it.

--- /dev/null
+++ b/tests/relay/test_silent_peer.py
@@ -0,0 +1,135 @@
+"""Requests whose node beside the server falls silent, on a virtual network."""
+
+from __future__ import annotations
+
+import asyncio
+
+import anyio
+
+from eelgrassmount.compose.relay import stop_relay
+from eelgrassmount.relay.link import CONNECT_LIMIT_S, SILENCE_LIMIT_S
+from tests.relay.deployment import (
+    Deployment,
+    Vm,
+    connect,
+    make_request,
+    make_rule,
+)
+from tests.relay.virtual import Network, Place, run_virtually
+
+LIST = make_rule("/list/", "list", action={"timeoutMs": 5000})
+RUN_S = 0.2
+STALL_S = 1.0
+# what the steps of a request and of the node's timers take at most
+SLACK_S = 0.3
+
+
+class Scene:
+    """A node without a retry budget, and the only server of a service elsewhere."""
+
+    def __init__(self, network: Network, deployment: Deployment):
+        self.network = network
+        self.deployment = deployment
+
+    async def build(self) -> None:
+        add = self.deployment.add
+        self.front: Vm = await add("front", retry_ratio=0.0, retry_slack=0.0)
+        self.back: Vm = await add("list")
+        await self.deployment.settle()
+        self.back.server.work_s = RUN_S
+        address = self.back.settings.peer_address
+        self.place: Place = (address.host, address.port)
+
+    async def ask(self, request_id: str = "a1") -> asyncio.Future:
+        """Send a read and return when the server is at work on it."""
+        connection = await connect(self.front.settings.caller_address)
+        future = asyncio.get_running_loop().create_future()
+        data = make_request("GET", "/list/1", request_id=request_id)
+        connection.send(data, future.set_result)
+        runs = self.back.server.runs
+        with anyio.fail_after(1):
+            while request_id not in runs:
+                await anyio.sleep(0.001)
+        return future
+
+    async def stall(self) -> None:
+        """Let the node beside the server stand still for a second."""
+        self.network.stand_still(self.place)
+        await anyio.sleep(STALL_S)
+        self.network.go_on(self.place)
+
+
+def play(scenario) -> None:
+    async def main(network: Network) -> None:
+        async with anyio.create_task_group() as group:
+            deployment = Deployment(group)
+            await deployment.start(LIST)
+            scene = Scene(network, deployment)
+            try:
+                await scene.build()
+                with anyio.fail_after(20):
+                    await scenario(scene)
+            finally:
+                await deployment.end()
+                group.cancel_scope.cancel()
+
+    run_virtually(main)
+
+
+def test_read_is_answered_by_a_peer_that_stood_still():
+    """A stopping node sent a read to a peer whose event loop then stood still.
+
+    The peer's server ran the read. The stopping node dropped the connection after
+    half a second without a byte ("link silent", ``silent_s`` 0.514) and, as its retry
+    budget allowed no repeat, answered 502 ("failed", ``peer-lost``) while the server
+    was at work and seconds were left.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        first = await scene.ask("a1")
+        scene.deployment.group.start_soon(scene.stall)
+        await anyio.sleep(STALL_S + SLACK_S)
+        assert (await first).status == 200
+        second = await scene.ask("a2")
+        scene.deployment.group.start_soon(stop_relay, scene.front.node)
+        await scene.stall()
+        answer = await asyncio.wait_for(second, SLACK_S)
+        assert answer.status == 200
+        assert scene.back.server.runs == ["a1", "a2"]
+
+    play(scenario)
+
+
+def test_read_is_joined_over_a_new_connection():
+    """Connections may go silent for good, or be reset, while both nodes live.
+
+    A read at which a server was at work ended with 502 then, without a try over a
+    new connection.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        scene.back.server.work_s = 2.0
+        for fault, request_id in (("mute", "a1"), ("reset", "a2")):
+            future = await scene.ask(request_id)
+            getattr(scene.network, fault)(scene.place)
+            answer = await asyncio.wait_for(future, 3)
+            assert answer.status == 200
+        assert scene.back.server.runs == ["a1", "a2"]
+
+    play(scenario)
+
+
+def test_read_at_a_node_that_is_gone_ends_soon():
+    async def scenario(scene: Scene) -> None:
+        future = await scene.ask()
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        scene.network.mute(scene.place)
+        scene.network.listeners[scene.place].close()
+        answer = await asyncio.wait_for(future, 5)
+        assert answer.status == 502
+        passed_s = loop.time() - begun_s
+        assert passed_s > SILENCE_LIMIT_S
+        assert passed_s < SILENCE_LIMIT_S + CONNECT_LIMIT_S + SLACK_S
+
+    play(scenario)
