--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from eelgrassmount.compose.relay import stop_relay
+from eelgrassmount.compose.relay_run import stop_relay
 from eelgrassmount.relay.link import CONNECT_LIMIT_S, SILENCE_LIMIT_S
 from tests.relay.deployment import (
     Deployment,
