Show that the work of the learner grows with every route that ever ran

Cause: a route gets a place in all states at its first run and keeps it for good; a solution goes through all states times the places squared. Ruled out: more states alone; the three busy routes had theirs before.

--- a/tests/relay/test_vectors.py
+++ b/tests/relay/test_vectors.py
@@ -136,3 +136,70 @@
     for _ in range(500):
         update_counts(counts, {"book": 5})
     assert counts["book"] == pytest.approx(5 / (1 - COUNT_FADE), abs=1)
+
+
+class Counted(float):
+    """A number that counts the operations on it and on what comes of it."""
+
+    operations = 0
+
+    @classmethod
+    def wrap(cls, name: str):
+        plain = getattr(float, name)
+
+        def operate(self, *others):
+            cls.operations += 1
+            result = plain(self, *others)
+            return result if result is NotImplemented else cls(result)
+
+        return operate
+
+
+for _name in ("add", "radd", "sub", "rsub", "mul", "rmul", "truediv", "rtruediv"):
+    setattr(Counted, f"__{_name}__", Counted.wrap(f"__{_name}__"))
+
+
+class CountedLoad(Load):
+    """Runs on a clock whose seconds count the work that is done with them."""
+
+    def __init__(self, seed: int = 5):
+        super().__init__(seed)
+        self.learner = VectorLearner(lambda: Counted(self.now_s))
+
+    def run_once(self, route: str) -> None:
+        self.learner.begin(route)
+        self.at(self.now_s + 0.05, lambda: self.learner.end(route))
+
+    def count_work(self, seconds: int, inner: set[str]) -> int:
+        """Return the operations of the last solution of so many, one a second."""
+        for _ in range(seconds):
+            self.run(1.0)
+            Counted.operations = 0
+            self.learner.solve(inner)
+        return Counted.operations
+
+
+def add_busy_routes(load: Load) -> None:
+    load.add("book", 8.0, 0.1, ["list"])
+    load.add("ledger", 10.0, 0.05, [])
+    load.add("status", 6.0, 0.05, [])
+
+
+def test_work_does_not_grow_with_routes_that_ran_once():
+    """Each route that had ever run took part in all later solutions.
+
+    A deployment added a route every few seconds, most of which ran once or twice.
+    After a minute and a half, four nodes spent about a second of each second on
+    their solutions and answered nobody meanwhile.
+    """
+    load = CountedLoad()
+    add_busy_routes(load)
+    before = load.count_work(20, {"list"})
+    for number in range(30):
+        for times in range(1 + number % 2):
+            load.at(
+                load.now_s + 0.4 * number + times,
+                lambda number=number: load.run_once(f"once-{number}"),
+            )
+    assert load.count_work(13, {"list"}) < 2.0 * before
+    assert load.count_work(60, {"list"}) < 1.5 * before
