Keep calls on a silent link, and move them when only a new connection is heard

Cause: a link dropped its connection after 0.5 s without a byte and told idempotent calls as lost, though the node may only stand still; without a retry budget that was a 502. Idempotent runs were cut at once when a connection broke.

Now a silent connection stays and a second is opened beside it. The node takes none: it is gone, its calls are lost as before. It takes one and says nothing: both are waited for, the node gets no new calls. It is heard on the first: the second is dropped. It is heard on the second only: all open calls are sent there, marked as resumed. Idempotent calls are known at the receiving end while they are open, and their runs wait 0.3 s for a new connection. A call that never arrived is told from one that has ended by the highest sequence of its sender, so that it runs; one that has ended is told as one that may have run, as replies to reads aren't kept.

Ruled out: to close the first connection later than the move (the receiving end waits for the calls anyway); to move at the first word on the second (a node that goes on after a pause reads both within milliseconds, and nothing need move).

--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -24,17 +24,20 @@
 
 # replies to calls that must not run twice are kept for a sender that asks again
 KEEP_REPLY_S = 6.0
+# runs whose link broke go on so long for a sender that comes again over a new one,
+# well within the half second in which those that nobody waits for are to end
+JOIN_WAIT_S = 0.3
 # a sender that has been quiet for longer gets no more reports
 ACTIVE_S = 3.0
 
 
 @define(eq=False)
 class Kept:
-    """A call that must not run twice, and its reply once there is one."""
+    """A call of another node, and its reply where that is kept."""
 
-    job: Job | None
+    key: tuple[str, int]
     connection: InboundConnection
-    sequence: int
+    job: Job | None = None
     reply: Reply | None = None
     ended_s: float = 0.0
 
@@ -43,9 +46,10 @@
 class Inbound:
     """Takes links of other nodes.
 
-    A call that must not run twice is known by its sender's incarnation and
-    sequence, so that one that comes again, over whichever connection and in
-    whichever order, is joined to the first.
+    A call is known by its sender's incarnation and sequence, so that one that comes
+    again, over whichever connection and in whichever order, is joined to the first.
+    Replies are kept for calls that must not run twice, and for those that had no
+    connection when they ended. ``latest`` holds the highest sequence of each sender.
     """
 
     incarnation: str
@@ -58,6 +62,7 @@
     accepting: bool = True
     connections: set[InboundConnection] = field(factory=set)
     kept: dict[tuple[str, int], Kept] = field(factory=dict)
+    latest: dict[str, int] = field(factory=dict)
     _server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -121,11 +126,17 @@
         self.send(FrameKind.HELLO, self.inbound.make_hello())
 
     def note_lost(self) -> None:
-        """Give up what nobody waits for any more."""
+        """Give up soon what the sender doesn't ask for again."""
+        if self.jobs:
+            asyncio.get_running_loop().call_later(JOIN_WAIT_S, self._drop)
+        else:
+            self._drop()
+
+    def _drop(self) -> None:
         self.inbound.connections.discard(self)
-        for job in list(self.jobs.values()):
+        for sequence, job in list(self.jobs.items()):
             if job.call.route.idempotent:
-                self.inbound.gate.cancel(job)
+                self._cancel(sequence)
         self.jobs.clear()
 
     def note_bad(self, error: BadFrameError) -> None:
@@ -149,15 +160,15 @@
             self.inbound.take_frame(kind, struct, self.send)
 
     def _take_call(self, frame: ttypes.RelayCall) -> None:
-        sequence = frame.sequence
-        if not frame.idempotent and self._join(frame):
+        if self._join(frame):
             return
-        call = self._read_call(frame)
-        job = Job(call, lambda reply: self._end(sequence, reply))
-        if not frame.idempotent:
-            kept = Kept(job, self, sequence)
-            self.inbound.kept[self.sender, sequence] = kept
-            job.done = lambda reply: self._end_kept(kept, reply)
+        sequence = frame.sequence
+        kept = Kept((self.sender, sequence), self)
+        job = Job(self._read_call(frame), lambda reply: self._end(kept, reply))
+        kept.job = job
+        self.inbound.kept[kept.key] = kept
+        latest = self.inbound.latest
+        latest[self.sender] = max(sequence, latest.get(self.sender, 0))
         self.jobs[sequence] = job
         if self.inbound.accepting:
             self.inbound.gate.offer(job)
@@ -169,18 +180,33 @@
         """Join a call that has come before; tell whether that settles it."""
         kept = self.inbound.kept.get((self.sender, frame.sequence))
         if kept is not None:
-            kept.connection = self
-            if kept.reply is not None:
-                self._send_reply(frame.sequence, kept.reply)
-            else:
-                self.jobs[frame.sequence] = kept.job
+            self._move(kept, frame)
             return True
-        if frame.resumed and frame.incarnation != self.inbound.incarnation:
+        if self._may_have_run(frame):
             reply = Reply(Fate.MAY_HAVE_RUN, Reason.PEER_LOST)
             self._send_reply(frame.sequence, reply)
             return True
         return False
 
+    def _move(self, kept: Kept, frame: ttypes.RelayCall) -> None:
+        if kept.reply is not None:
+            self._send_reply(frame.sequence, kept.reply)
+        elif frame.resumed:
+            # one that is not marked comes late from a connection that is given up
+            kept.connection.jobs.pop(frame.sequence, None)
+            kept.connection = self
+            self.jobs[frame.sequence] = kept.job
+
+    def _may_have_run(self, frame: ttypes.RelayCall) -> bool:
+        """Tell whether a call that is not known has come before, here or elsewhere.
+
+        A sender numbers its calls in the order in which it sends them.
+        """
+        if frame.resumed and frame.incarnation != self.inbound.incarnation:
+            return True
+        latest = self.inbound.latest.get(self.sender, 0)
+        return frame.idempotent and frame.sequence <= latest
+
     def _read_call(self, frame: ttypes.RelayCall) -> Call:
         now_s = self.inbound.clock()
         return Call(
@@ -197,23 +223,31 @@
             frame.rank,
         )
 
-    def _end(self, sequence: int, reply: Reply) -> None:
-        if self.jobs.pop(sequence, None) is not None:
-            self._send_reply(sequence, reply)
-
-    def _end_kept(self, kept: Kept, reply: Reply) -> None:
-        kept.reply = reply
+    def _end(self, kept: Kept, reply: Reply) -> None:
+        idempotent = kept.job.call.route.idempotent
         # only the reply is asked for again
         kept.job = None
-        kept.ended_s = self.inbound.clock()
+        sequence = kept.key[1]
         connection = kept.connection
-        connection.jobs.pop(kept.sequence, None)
-        connection._send_reply(kept.sequence, reply)
+        wanted = connection.jobs.pop(sequence, None) is not None
+        if idempotent and not (wanted and connection.closed):
+            self.inbound.kept.pop(kept.key, None)
+        else:
+            kept.reply = reply
+            kept.ended_s = self.inbound.clock()
+        if wanted:
+            connection._send_reply(sequence, reply)
 
     def _cancel(self, sequence: int) -> None:
         job = self.jobs.pop(sequence, None)
-        if job is not None:
-            self.inbound.gate.cancel(job)
+        if job is None:
+            return
+        self.inbound.gate.cancel(job)
+        kept = self.inbound.kept.get((self.sender, sequence))
+        if kept is not None and kept.job is job and job.ended:
+            # it waited at the gate, which tells of it no more
+            kept.job = None
+            del self.inbound.kept[kept.key]
 
     def _send_reply(self, sequence: int, reply: Reply) -> None:
         gate = self.inbound.gate
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -24,13 +24,19 @@
 # within a region a connection takes a few milliseconds
 CONNECT_LIMIT_S = 0.4
 # a link with open calls is asked for a sign of life after so long, gets no further
-# calls when it stays silent, and is given up in the end: a node that lost power kept
-# calls with an objective of 0.2 s for 0.8 s before
+# calls when it stays silent, and in the end a second connection shows whether the node
+# still lives: one without power kept calls with an objective of 0.2 s for 0.8 s before
 PING_AFTER_S = 0.15
 SUSPECT_AFTER_S = 0.3
 SILENCE_LIMIT_S = 0.5
-# calls that must not run twice are asked for again over a new connection
+# a node that goes on after a pause reads both connections within milliseconds; calls
+# move only if the first stays silent for this long after a word on the second
+MOVE_AFTER_S = 0.1
+# calls are asked for again over new connections at most so often
 MAX_RESUMES = 2
+# a node that stands still each second is told of once in this time: twelve others
+# wrote 31 to 45 lines a second together
+SILENT_LINE_S = 5.0
 
 
 @define(eq=False)
@@ -58,9 +64,11 @@
 class PeerLink:
     """Calls that go to one other node, over one connection at a time.
 
-    A connection that breaks is replaced. Calls that may be repeated are told as
-    *may have run*, and their sender decides. The others are sent again, marked as
-    resumed: the same incarnation of the node knows whether it has them already.
+    A connection that breaks is replaced. One that falls silent is kept, as the node
+    may only stand still, while a second is opened beside it: whichever is heard first
+    goes on. Calls without a reply are sent over the new one, marked as resumed: the
+    same incarnation of the node knows whether it has them already. They are given up
+    when the node takes no connection.
     """
 
     member: Member
@@ -72,8 +80,10 @@
     pinged: bool = False
     closed: bool = False
     _connection: LinkConnection | None = None
+    _second: LinkConnection | None = None
     _connecting: asyncio.Task[None] | None = None
     _sequence: int = 0
+    _line_s: float = -SILENT_LINE_S
 
     def call(self, call: Call, done: Callable[[Reply], None]) -> int:
         """Send a call; ``done`` is called once with its reply."""
@@ -96,7 +106,7 @@
         )
         opened = OpenCall(frame, call, done)
         self.open_calls[sequence] = opened
-        if len(self.open_calls) == 1:
+        if len(self.open_calls) == 1 and self._second is None:
             self.heard_s = self.clock()
         if self._connection is not None:
             self._write(opened)
@@ -116,7 +126,9 @@
 
     def is_suspect(self, now_s: float) -> bool:
         """Tell whether calls wait and the other node does not even answer a ping."""
-        return bool(self.open_calls) and now_s - self.heard_s > SUSPECT_AFTER_S
+        if not self.open_calls and self._second is None:
+            return False
+        return now_s - self.heard_s > SUSPECT_AFTER_S
 
     def send(self, kind: FrameKind, struct: Any) -> None:
         """Send a frame that needs no reply, if there is a connection."""
@@ -125,31 +137,52 @@
 
     def connect(self) -> None:
         """Open the connection unless there is one."""
-        if self._connection is None and self._connecting is None and not self.closed:
+        if self._connection is None:
+            self._begin_connecting()
+
+    def _begin_connecting(self) -> None:
+        if self._connecting is None and not self.closed:
             loop = asyncio.get_running_loop()
             self._connecting = loop.create_task(self._connect())
 
     def close(self) -> None:
         """Drop the link and fail its calls."""
         self.closed = True
-        if self._connection is not None:
-            self._connection.abort()
+        self._drop_connections()
         self._fail_all()
 
     def check_silence(self, now_s: float) -> None:
-        """Give up a connection on which calls wait and nothing is heard."""
-        connection = self._connection
-        if connection is None or not self.open_calls:
+        """Try a second connection when calls wait and nothing is heard."""
+        if self._connection is None:
+            return
+        second = self._second
+        if second is not None:
+            if second.heard_s is not None and now_s - second.heard_s > MOVE_AFTER_S:
+                self._move()
+            return
+        if not self.open_calls:
             return
         silent_s = now_s - self.heard_s
         if silent_s > SILENCE_LIMIT_S:
-            logger.warning("link silent", peer=self.member.name, silent_s=silent_s)
-            connection.abort()
-            self._connection = None
-            self._note_lost(connection)
+            self._note_silent(now_s)
+            self._begin_connecting()
         elif silent_s > PING_AFTER_S and not self.pinged:
             self.pinged = True
-            connection.send(FrameKind.PING, ttypes.RelayConfigRequest(0))
+            self._connection.send(FrameKind.PING, ttypes.RelayConfigRequest(0))
+
+    def _note_silent(self, now_s: float) -> None:
+        if self._connecting is None and now_s - self._line_s > SILENT_LINE_S:
+            self._line_s = now_s
+            self._tell_silence("waits", now_s)
+
+    def _tell_silence(self, action: str, now_s: float) -> None:
+        logger.warning(
+            "link silent",
+            peer=self.member.name,
+            action=action,
+            silent_s=round(now_s - self.heard_s, 3),
+            open=len(self.open_calls),
+        )
 
     async def _connect(self) -> None:
         loop = asyncio.get_running_loop()
@@ -161,23 +194,69 @@
                 )
         except (OSError, TimeoutError) as error:
             self._connecting = None
-            if self.member.failures == 0:
-                logger.warning(
-                    "node unreachable", peer=self.member.name, cause=repr(error)
-                )
-            self.member.note_unreachable(self.clock())
-            self._fail_all()
+            self._note_refused(error)
             return
         self._connecting = None
-        if connection.closed or self.closed:
+        self._note_accepted(connection)
+
+    def _note_refused(self, error: OSError) -> None:
+        """Give up the node, unless it was heard on the first connection meanwhile."""
+        now_s = self.clock()
+        if self._connection is not None:
+            if now_s - self.heard_s <= SILENCE_LIMIT_S:
+                logger.info(
+                    "second connection failed",
+                    peer=self.member.name,
+                    cause=repr(error),
+                )
+                return
+            self._tell_silence("lost", now_s)
+            self._drop_connections()
+        if self.member.failures == 0:
+            logger.warning("node unreachable", peer=self.member.name, cause=repr(error))
+        self.member.note_unreachable(now_s)
+        self._fail_all()
+
+    def _note_accepted(self, connection: LinkConnection) -> None:
+        if self.closed:
+            connection.abort()
             self._fail_all()
-            return
+        elif self._connection is None:
+            if connection.closed:
+                self._fail_all()
+                return
+            connection.send(FrameKind.HELLO, self.events.make_hello())
+            self._use(connection)
+        elif self.clock() - self.heard_s <= SILENCE_LIMIT_S:
+            connection.abort()
+        elif not connection.closed:
+            connection.send(FrameKind.HELLO, self.events.make_hello())
+            self._second = connection
+
+    def _use(self, connection: LinkConnection) -> None:
+        """Send all open calls over a connection, and what follows."""
         self._connection = connection
         self.heard_s = self.clock()
-        connection.send(FrameKind.HELLO, self.events.make_hello())
+        self.pinged = False
         for opened in list(self.open_calls.values()):
             self._write(opened)
 
+    def _move(self) -> None:
+        """Go on with the second connection in place of the first."""
+        self._tell_silence("moved", self.clock())
+        second = self._second
+        self._second = None
+        self._drop_connections()
+        self._mark_resumed()
+        self._use(second)
+
+    def _drop_connections(self) -> None:
+        for connection in (self._connection, self._second):
+            if connection is not None:
+                connection.abort()
+        self._connection = None
+        self._second = None
+
     def _write(self, opened: OpenCall) -> None:
         frame = opened.frame
         frame.remaining_ms = max(0, int((opened.call.deadline_s - self.clock()) * 1000))
@@ -186,24 +265,30 @@
         opened.written = True
         self._connection.send(FrameKind.CALL, frame)
 
-    def _note_lost(self, connection: LinkConnection) -> None:
-        if self._connection is connection:
-            self._connection = None
+    def note_lost(self, connection: LinkConnection) -> None:
+        """Replace a connection that has ended."""
+        if connection is self._second:
+            self._second = None
+        if connection is not self._connection:
+            return
+        self._connection = None
         if self.closed:
             return
-        for sequence, opened in list(self.open_calls.items()):
-            if not self._resume(opened):
-                del self.open_calls[sequence]
-                opened.done(Reply(Fate.MAY_HAVE_RUN, Reason.PEER_LOST))
-        if self.open_calls:
+        self._mark_resumed()
+        second = self._second
+        if second is not None:
+            self._second = None
+            self._use(second)
+        elif self.open_calls:
             self.connect()
 
-    def _resume(self, opened: OpenCall) -> bool:
-        if opened.call.route.idempotent or opened.resumes >= MAX_RESUMES:
-            return False
-        opened.resumes += 1
-        opened.frame.resumed = True
-        return True
+    def _mark_resumed(self) -> None:
+        for sequence, opened in list(self.open_calls.items()):
+            if opened.resumes < MAX_RESUMES:
+                opened.resumes += 1
+                opened.frame.resumed = True
+            elif self.open_calls.pop(sequence, None) is not None:
+                opened.done(Reply(Fate.MAY_HAVE_RUN, Reason.PEER_LOST))
 
     def _fail_all(self) -> None:
         calls = list(self.open_calls.values())
@@ -213,9 +298,22 @@
             opened.done(Reply(fate, Reason.PEER_LOST))
 
     def note_frame(self, kind: FrameKind, struct: Any) -> None:
-        """Handle a frame of the other node."""
+        """Handle a frame of the other node, which shows that it goes on."""
         self.heard_s = self.clock()
         self.pinged = False
+        second = self._second
+        if second is not None:
+            self._second = None
+            second.abort()
+        self._take(kind, struct)
+
+    def note_second(self, second: LinkConnection, kind: FrameKind, struct: Any) -> None:
+        """Handle a frame that came over the second connection."""
+        if second.heard_s is None:
+            second.heard_s = self.clock()
+        self._take(kind, struct)
+
+    def _take(self, kind: FrameKind, struct: Any) -> None:
         if kind is FrameKind.REPLY:
             self._note_reply(struct)
         elif kind is FrameKind.REPORT:
@@ -252,10 +350,14 @@
     def __init__(self, link: PeerLink):
         super().__init__()
         self.link = link
+        self.heard_s: float | None = None
 
     def note_frame(self, kind: FrameKind, struct: Any) -> None:
         """Hand a frame to the link."""
-        self.link.note_frame(kind, struct)
+        if self is self.link._second:
+            self.link.note_second(self, kind, struct)
+        else:
+            self.link.note_frame(kind, struct)
 
     def note_bad(self, error: BadFrameError) -> None:
         """Hand the error to the link."""
@@ -263,5 +365,4 @@
 
     def note_lost(self) -> None:
         """Let the link replace the connection."""
-        if self.link._connection is self:
-            self.link._note_lost(self)
+        self.link.note_lost(self)
