Name a timer's action without writing out its object

Cause: the name was taken by getattr with repr(action) as the default, which Python makes each time. For a method that is the representation of its whole object: each node used 3 s of processor time a second, and the new line said so of an idle node.

--- a/eelgrassmount/timers.py
+++ b/eelgrassmount/timers.py
@@ -74,6 +74,15 @@
         self.active = False
 
 
+def name_action(action: Callable[[], None]) -> str:
+    """Return the name of an action.
+
+    Its representation will not do: that of a method holds the state of its object,
+    and to write out a node's took 3 s of processor time each second.
+    """
+    return getattr(action, "__qualname__", type(action).__name__)
+
+
 @define(eq=False)
 class SlowestAction:
     """Keeps the action of a timer that took longest since it was last asked for.
@@ -88,7 +97,7 @@
     def note(self, action: Callable[[], None], seconds: float) -> None:
         """Take up how long an action took."""
         if seconds > self.seconds:
-            self.name = getattr(action, "__qualname__", repr(action))
+            self.name = name_action(action)
             self.seconds = seconds
 
     def take(self) -> tuple[str, float]:
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -16,6 +16,7 @@
     MonotonicClock,
     SlowestAction,
     TimerService,
+    name_action,
     round_wait,
 )
 
@@ -149,3 +150,19 @@
     name, seconds = timers.slowest.take()
     assert name.endswith("work")
     assert seconds == pytest.approx(0.4)
+
+
+def test_naming_an_action_does_not_write_out_its_object() -> None:
+    # The name was looked up with the representation as the default, which was
+    # made each time: that of a node's parts took 3 s of processor time a second.
+    class Part:
+        def __repr__(self) -> str:
+            raise AssertionError("written out")
+
+        def act(self) -> None:
+            pass
+
+        __call__ = act
+
+    assert name_action(Part().act).endswith("Part.act")
+    assert name_action(Part()) == "Part"
