Name an incarnation of a server by its identity and its start

Cause: a server may start again under the identity that it had; what it says of itself now has when it was started. An identity alone named the incarnation. Change: ServerIncarnation holds both; heartbeats and leaves carry it, and the server beside a node is known by it. Nothing is decided by the start yet. Ruled out: None for an unknown start, since every comparison would ask for it first.

--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -108,7 +108,7 @@
             before=beliefs.table.version,
             routes=table.count_routes(),
         )
-        if not beliefs.server.incarnation:
+        if beliefs.server.incarnation is None:
             self._identify_server(table)
         beliefs.table = table
         beliefs.table_since_s = beliefs.clock()
--- a/eelgrassmount/relay/announcements.py
+++ b/eelgrassmount/relay/announcements.py
@@ -45,7 +45,7 @@
         if self.server.note_heartbeat(heartbeat):
             logger.info(
                 "server changed",
-                incarnation=heartbeat.incarnation,
+                incarnation=str(heartbeat.incarnation),
                 sequence=heartbeat.sequence,
                 draining=self.server.draining,
                 left=self.server.left,
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -177,7 +177,7 @@
         def note(outcome: ClientAnswer | Break) -> None:
             if isinstance(outcome, ClientAnswer) and outcome.status == 200:
                 head = self.dialect.read_answer(outcome.headers)
-                if not self.server.incarnation:
+                if self.server.incarnation is None:
                     logger.info("server identified", incarnation=head.instance)
                     self.server.note_named(head.instance)
                     self.on_change()
@@ -287,7 +287,7 @@
             call.body,
             max(1, int((call.deadline_s - now_s) * 1000)),
             call.caller_service,
-            self.server.incarnation,
+            self.server.incarnation.identity,
         )
         request_id = call.request_id.encode("latin-1")
 
--- a/eelgrassmount/relay/heartbeats.py
+++ b/eelgrassmount/relay/heartbeats.py
@@ -4,6 +4,34 @@
 
 from attrs import frozen
 
+# the start of a server that was only named, as by its answers
+UNKNOWN_START = 0
+
+
+@frozen
+class ServerIncarnation:
+    """One start of a backend server.
+
+    A server may start again under the identity that it had, so that an identity
+    alone names no incarnation. ``started_ms`` is the Unix time of the start in
+    milliseconds, by the clock of the server.
+    """
+
+    identity: str
+    started_ms: int = UNKNOWN_START
+
+    def __str__(self) -> str:
+        """Return both parts, as lines and identifiers of crashes hold them."""
+        return f"{self.identity}/{self.started_ms}"
+
+    def is_after(self, other: ServerIncarnation) -> bool:
+        """Tell whether this is known to be a later start of the same identity."""
+        return (
+            self.identity == other.identity
+            and UNKNOWN_START not in (self.started_ms, other.started_ms)
+            and self.started_ms > other.started_ms
+        )
+
 
 @frozen
 class Heartbeat:
@@ -13,7 +41,7 @@
     much longer the server stays slow after its start.
     """
 
-    incarnation: str
+    incarnation: ServerIncarnation
     service: str = ""
     address: str = ""
     slots: int = 0
--- a/eelgrassmount/relay/news.py
+++ b/eelgrassmount/relay/news.py
@@ -122,7 +122,7 @@
         digests = [job.call.find_digest() for job in jobs]
         logger.warning(
             "server crashed",
-            incarnation=beliefs.server.incarnation,
+            incarnation=str(beliefs.server.incarnation),
             running=len(jobs),
             requests=[job.call.request_id for job in jobs[:4]],
         )
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from eelgrassmount.relay.heartbeats import ServerIncarnation
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
@@ -31,7 +32,7 @@
 
     service: str
     address: Address
-    incarnation: str = ""
+    incarnation: ServerIncarnation | None = None
     slots: int = DEFAULT_SLOTS
     draining: bool = False
     left: bool = False
@@ -41,11 +42,11 @@
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Take up a heartbeat or a leave; tell whether anything has changed."""
-        if heartbeat.incarnation in self._ended:
+        if heartbeat.incarnation.identity in self._ended:
             return False
         if heartbeat.leaving:
             return self._note_leave(heartbeat)
-        if heartbeat.incarnation != self.incarnation:
+        if not self._is_present(heartbeat.incarnation):
             self._replace(heartbeat)
             return True
         if heartbeat.sequence <= self.sequence:
@@ -58,12 +59,14 @@
         self.unreachable_until_s = 0.0
         return changed
 
-    def note_named(self, incarnation: str) -> None:
-        """Take up the incarnation that answered in place of the expected one."""
-        if incarnation and incarnation != self.incarnation:
-            self._ended.add(self.incarnation)
-            self._ended.discard(incarnation)
-            self.incarnation = incarnation
+    def note_named(self, identity: str) -> None:
+        """Take up the identity that answered in place of the expected one."""
+        named = ServerIncarnation(identity)
+        if identity and not self._is_present(named):
+            if self.incarnation is not None:
+                self._ended.add(self.incarnation.identity)
+            self._ended.discard(identity)
+            self.incarnation = named
             self.sequence = -1
             self.draining = False
             self.left = False
@@ -74,7 +77,7 @@
 
     def find_refusal(self, now_s: float) -> Reason | None:
         """Return why the server can't be given work, ``None`` when it can."""
-        if not self.incarnation:
+        if self.incarnation is None:
             return Reason.SERVER_STARTING
         if self.left or now_s < self.unreachable_until_s:
             return Reason.NO_SERVER
@@ -86,10 +89,14 @@
         """Return how many calls the server is given at once."""
         return max(1, int(self.slots * SLOT_SHARE))
 
+    def _is_present(self, incarnation: ServerIncarnation) -> bool:
+        present = self.incarnation
+        return present is not None and present.identity == incarnation.identity
+
     def _note_leave(self, heartbeat: Heartbeat) -> bool:
-        if heartbeat.incarnation != self.incarnation:
-            if self.incarnation:
-                self._ended.add(heartbeat.incarnation)
+        if not self._is_present(heartbeat.incarnation):
+            if self.incarnation is not None:
+                self._ended.add(heartbeat.incarnation.identity)
                 return False
             self.incarnation = heartbeat.incarnation
         changed = not self.left
@@ -97,8 +104,8 @@
         return changed
 
     def _replace(self, heartbeat: Heartbeat) -> None:
-        if self.incarnation:
-            self._ended.add(self.incarnation)
+        if self.incarnation is not None:
+            self._ended.add(self.incarnation.identity)
         self.incarnation = heartbeat.incarnation
         self.sequence = heartbeat.sequence
         self.draining = heartbeat.draining
--- a/eelgrassmount/relay/state.py
+++ b/eelgrassmount/relay/state.py
@@ -128,7 +128,7 @@
     server = node.beliefs.server
     gate = node.gate
     return ServerState(
-        server.incarnation,
+        "" if server.incarnation is None else server.incarnation.identity,
         str(server.find_refusal(now_s) or ""),
         server.slots,
         server.compute_limit(),
