Begin anew with a server that starts again under its identity

Cause: an identity that had drained or left stayed so, and its heartbeats were dropped until their sequence overtook that of the earlier start. Change: starts of one identity are compared. A later one replaces the earlier and calls on_restart; an earlier one is late; one that names no start counts for the present. What has ended is kept by identity with its last start, 50 identities at most; before, the set grew without bound and barred an identity for good. Ruled out: telling a server whose clock was set back from a late heartbeat. Nothing in a heartbeat tells them apart, so it is listed as open. A second leave of the same server now changes its start if that was unknown. Nothing subscribes to on_restart yet.

--- a/eelgrassmount/relay/heartbeats.py
+++ b/eelgrassmount/relay/heartbeats.py
@@ -6,6 +6,8 @@
 
 # the start of a server that was only named, as by its answers
 UNKNOWN_START = 0
+# before the first heartbeat, and in a leave
+NO_SEQUENCE = -1
 
 
 @frozen
@@ -47,5 +49,5 @@
     slots: int = 0
     draining: bool = False
     leaving: bool = False
-    sequence: int = 0
+    sequence: int = NO_SEQUENCE
     cold_s: float = 0.0
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
-from eelgrassmount.relay.heartbeats import ServerIncarnation
+from eelgrassmount.relay.heartbeats import NO_SEQUENCE, UNKNOWN_START, ServerIncarnation
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from eelgrassmount.relay.heartbeats import Heartbeat
     from eelgrassmount.util.addresses import Address
 
@@ -19,57 +22,73 @@
 DEFAULT_SLOTS = 16
 # after a connection was refused, the next one is tried so much later
 RETRY_S = 0.25
+# identities that are kept as ended, the last ones: heartbeats come seconds late, and a
+# server that has crashed is back after some seconds, so that these are those of minutes
+MAX_ENDED = 50
+# all starts of an identity have ended whose last start is not known
+EVERY_START = math.inf
 
 
 @define(eq=False)
 class LocalServer:
     """The server of this VM: its incarnation, slots and whether it takes work.
 
-    Heartbeats may arrive late, also those of an incarnation that has ended: the
-    sequence tells them apart within one incarnation, and incarnations that were
-    replaced or named as wrong by the server itself are not taken up again.
+    What is heard of it is one of these:
+
+    - of a later start of the present identity: the earlier start has ended. All that
+      was believed of it goes, and ``on_restart`` is called with both;
+    - of an earlier start, or of the present one with an old sequence: it is late and
+      changes nothing;
+    - of the present identity without its start: it counts for the present start;
+    - of another identity: it takes the place of the present one, unless it is a leave
+      or that identity is known to have ended at this start or a later one.
+
+    An answer names an identity only. Another one than the present takes its place and
+    its start is learned from the next heartbeat.
     """
 
     service: str
     address: Address
+    on_restart: Callable[[ServerIncarnation, ServerIncarnation], None] = (
+        lambda ended, begun: None
+    )
     incarnation: ServerIncarnation | None = None
     slots: int = DEFAULT_SLOTS
     draining: bool = False
     left: bool = False
-    sequence: int = -1
+    sequence: int = NO_SEQUENCE
     unreachable_until_s: float = 0.0
-    _ended: set[str] = field(factory=set)
+    _ended: dict[str, float] = field(factory=dict)
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Take up a heartbeat or a leave; tell whether anything has changed."""
-        if heartbeat.incarnation.identity in self._ended:
+        told = heartbeat.incarnation
+        present = self.incarnation
+        if self._has_ended(told):
             return False
-        if heartbeat.leaving:
-            return self._note_leave(heartbeat)
-        if not self._is_present(heartbeat.incarnation):
-            self._replace(heartbeat)
-            return True
-        if heartbeat.sequence <= self.sequence:
+        if present is None or present.identity != told.identity:
+            return self._note_other(heartbeat)
+        if present.is_after(told):
             return False
-        self.sequence = heartbeat.sequence
-        changed = heartbeat.draining and not self.draining
-        self.draining = self.draining or heartbeat.draining
-        self.slots = heartbeat.slots or self.slots
-        # a server that is heard may be tried at once
-        self.unreachable_until_s = 0.0
-        return changed
+        if told.is_after(present):
+            self._begin(heartbeat)
+            self.on_restart(present, told)
+            return True
+        return self._note_present(heartbeat)
 
     def note_named(self, identity: str) -> None:
         """Take up the identity that answered in place of the expected one."""
-        named = ServerIncarnation(identity)
-        if identity and not self._is_present(named):
-            if self.incarnation is not None:
-                self._ended.add(self.incarnation.identity)
-            self._ended.discard(identity)
-            self.incarnation = named
-            self.sequence = -1
-            self.draining = False
-            self.left = False
+        present = self.incarnation
+        if not identity or (present is not None and present.identity == identity):
+            return
+        if present is not None:
+            self._end(present)
+        # the server itself is right, also about an identity that seemed to have ended
+        self._ended.pop(identity, None)
+        self.incarnation = ServerIncarnation(identity)
+        self.sequence = NO_SEQUENCE
+        self.draining = False
+        self.left = False
 
     def note_unreachable(self, now_s: float) -> None:
         """Note that the server does not accept connections."""
@@ -89,27 +108,62 @@
         """Return how many calls the server is given at once."""
         return max(1, int(self.slots * SLOT_SHARE))
 
-    def _is_present(self, incarnation: ServerIncarnation) -> bool:
+    def _note_present(self, heartbeat: Heartbeat) -> bool:
+        """Take up what the present start says, or what names no start."""
+        learned = self._learn_start(heartbeat.incarnation)
+        if heartbeat.leaving:
+            changed = not self.left
+            self.left = True
+            return changed
+        if heartbeat.sequence <= self.sequence:
+            return False
+        self.sequence = heartbeat.sequence
+        changed = heartbeat.draining and not self.draining
+        self.draining = self.draining or heartbeat.draining
+        self.slots = heartbeat.slots or self.slots
+        # a server that is heard may be tried at once
+        self.unreachable_until_s = 0.0
+        return changed or learned
+
+    def _learn_start(self, told: ServerIncarnation) -> bool:
+        """Take up the start of a server that only its answers have named."""
+        if self.incarnation.started_ms != UNKNOWN_START:
+            return False
+        self.incarnation = told
+        return told.started_ms != UNKNOWN_START
+
+    def _note_other(self, heartbeat: Heartbeat) -> bool:
+        """Take up what another identity says than the present one."""
         present = self.incarnation
-        return present is not None and present.identity == incarnation.identity
-
-    def _note_leave(self, heartbeat: Heartbeat) -> bool:
-        if not self._is_present(heartbeat.incarnation):
-            if self.incarnation is not None:
-                self._ended.add(heartbeat.incarnation.identity)
-                return False
-            self.incarnation = heartbeat.incarnation
-        changed = not self.left
-        self.left = True
-        return changed
-
-    def _replace(self, heartbeat: Heartbeat) -> None:
-        if self.incarnation is not None:
-            self._ended.add(self.incarnation.identity)
+        if present is not None and heartbeat.leaving:
+            self._end(heartbeat.incarnation)
+            return False
+        if present is not None:
+            self._end(present)
+        self._begin(heartbeat)
+        return True
+
+    def _begin(self, heartbeat: Heartbeat) -> None:
+        """Believe of an incarnation what it says now, and nothing from before."""
         self.incarnation = heartbeat.incarnation
+        # from here on, starts are compared with that of the present incarnation
+        self._ended.pop(heartbeat.incarnation.identity, None)
         self.sequence = heartbeat.sequence
         self.draining = heartbeat.draining
-        self.left = False
-        self.slots = heartbeat.slots or self.slots
+        self.left = heartbeat.leaving
+        self.slots = heartbeat.slots or DEFAULT_SLOTS
         self.service = heartbeat.service or self.service
         self.unreachable_until_s = 0.0
+
+    def _end(self, incarnation: ServerIncarnation) -> None:
+        started_ms = incarnation.started_ms
+        known = started_ms != UNKNOWN_START
+        self._ended.pop(incarnation.identity, None)
+        self._ended[incarnation.identity] = started_ms if known else EVERY_START
+        if len(self._ended) > MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
+
+    def _has_ended(self, incarnation: ServerIncarnation) -> bool:
+        """Tell whether this start, or a later one of the identity, has ended."""
+        ended_ms = self._ended.get(incarnation.identity)
+        return ended_ms is not None and incarnation.started_ms <= ended_ms
