--- /dev/null
+++ b/tests/cmd/test_status.py
@@ -0,0 +1,68 @@
+"""What `status` says of a node on the platform."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from attrs import asdict
+
+from eelgrassmount.cmd import status as module
+from eelgrassmount.cmd.action import ExitCode
+from eelgrassmount.cmd.main import main
+from eelgrassmount.compose.relay import build_relay
+from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
+from eelgrassmount.relay.settings import RelaySettings
+from eelgrassmount.relay.state import read_state
+from eelgrassmount.util.addresses import Address
+
+STARTED_MS = 1_700_000_000_123
+STARTED = "2023-11-14 22:13:20.123 UTC"
+
+
+@pytest.fixture
+def node():
+    host = "127.77.5.1"
+    return build_relay(
+        RelaySettings(
+            name="node-1",
+            failure_domain="a",
+            service="list",
+            caller_address=Address(host, 8304),
+            peer_address=Address(host, 7620),
+            ready_address=Address(host, 8302),
+            announce_address=Address(host, 8306),
+            server_address=Address(host, 8301),
+            log_address=Address(host, 8309),
+        )
+    )
+
+
+@pytest.fixture
+def show(node, monkeypatch, capsys):
+    def run(*words: str) -> str:
+        state = json.loads(json.dumps(asdict(read_state(node))))
+        monkeypatch.setattr(module, "read_admin", lambda address, path: state)
+        assert main(["status", "--relay", "127.77.5.1:9464", *words]) == ExitCode.DONE
+        return capsys.readouterr().out
+
+    return run
+
+
+# Two starts of a server under one identity looked the same in the status.
+
+
+def test_status_names_the_start_of_the_server(node, show):
+    node.beliefs.server.note_heartbeat(
+        Heartbeat(ServerIncarnation("i1", STARTED_MS), sequence=1)
+    )
+    assert f"i1, started {STARTED}, takes work" in show()
+    server = json.loads(show("--json"))["server"]
+    assert (server["incarnation"], server["started_ms"]) == ("i1", STARTED_MS)
+
+
+def test_status_says_when_the_start_or_the_server_is_not_known(node, show):
+    assert "server         not known, no work: server-starting" in show()
+    assert json.loads(show("--json"))["server"]["started_ms"] is None
+    node.beliefs.server.note_named("i1")
+    assert "i1, start not known, takes work" in show()
--- a/tests/relay/test_news.py
+++ b/tests/relay/test_news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from loguru import logger
 
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.gen import ttypes
@@ -68,3 +69,23 @@
     node.gate.failure_share = 0.5
     server.note_heartbeat(Heartbeat(ServerIncarnation("i1", STARTED_MS + 1)))
     assert node.gate.failure_share == 0.0
+
+
+# A restart under the same identity left no line: the heartbeat of the later start was
+# dropped like any late one.
+
+
+def test_restart_of_the_server_is_said_with_both_starts(node):
+    lines = []
+    handler = logger.add(lambda line: lines.append(line.record))
+    server = node.beliefs.server
+    for started_ms in (STARTED_MS, STARTED_MS + 1, STARTED_MS):
+        server.note_heartbeat(Heartbeat(ServerIncarnation("i1", started_ms)))
+    logger.remove(handler)
+    (line,) = [one for one in lines if one["message"] == "server restarted"]
+    assert line["extra"] == {
+        "ended": f"i1/{STARTED_MS}",
+        "incarnation": f"i1/{STARTED_MS + 1}",
+        "cut": 0,
+        "queued": 0,
+    }
