Say when the server was started, and that it has started again

Change: a line server restarted with both starts, the calls cut and those queued; status shows the start, in JSON as started_ms. Ruled out: null for a start that is not known.

--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import UTC, datetime, timedelta
 from typing import Any
 
 from eelgrassmount import __version__
@@ -18,6 +19,7 @@
 _MEMBER_COLUMNS = (
     *("address", "failure_domain", "state", "service", "server_state", "headroom"),
 )
+_EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
 _SUMMARY_COLUMNS = ("failure_domain", "service", "servers", "headroom")
 
 
@@ -99,7 +101,7 @@
         f"{', stopping' if state['stopping'] else ''}",
         f"configuration  version {state['version']}{age}, {state['routes']} routes",
         f"log            {f'lost: {lost}' if lost else 'reachable'}",
-        f"server         {server['incarnation'] or 'not known'}, {work}",
+        f"server         {_format_start(server)}, {work}",
         f"gate           {server['in_flight']} of {server['limit']} in flight "
         f"({server['slots']} slots), {server['queued']} queued",
         f"load           demand {server['demand']}, wait {server['wait']}, failures "
@@ -119,6 +121,19 @@
     return lines + format_table(_PEER_COLUMNS, state["members"])
 
 
+def _format_start(server: dict[str, Any]) -> str:
+    """Return the identity of a server, and when it was started."""
+    identity = server["incarnation"]
+    if not identity:
+        return "not known"
+    started_ms = server["started_ms"]
+    if not started_ms:
+        return f"{identity}, start not known"
+    started = _EPOCH + timedelta(milliseconds=started_ms)
+    moment = started.isoformat(" ", "milliseconds").removesuffix("+00:00")
+    return f"{identity}, started {moment} UTC"
+
+
 def _format_state(state: dict[str, Any]) -> list[str]:
     server = f"{state['service'] or 'no service'}, {state['server_state']}"
     reach = "reachable" if state["log_reachable"] else "not reachable"
--- a/eelgrassmount/platform/heartbeats.py
+++ b/eelgrassmount/platform/heartbeats.py
@@ -17,6 +17,8 @@
 _LEAVE = "/leave"
 _START = "born"
 _DRAINING = "draining"
+# the end of the last year that a calendar tells
+MAX_START_MS = 253_402_300_799_999
 # characters of a wrong value that an error shows
 MAX_SHOWN = 80
 
@@ -58,7 +60,7 @@
     if _START not in content:
         return UNKNOWN_START
     started_ms = content[_START]
-    if type(started_ms) is not int or started_ms <= 0:
+    if type(started_ms) is not int or not 0 < started_ms <= MAX_START_MS:
         raise PlatformDocumentError(_START, repr(started_ms)[:MAX_SHOWN])
     return started_ms
 
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -229,6 +229,13 @@
         running = [job for job in self.running if job.was_sent_before(begun_s)]
         broken = self._take_broken()
         suspects = running + [job for job in broken if job.started_s < begun_s]
+        logger.warning(
+            "server restarted",
+            ended=str(ended),
+            incarnation=str(self.server.incarnation),
+            cut=len(running),
+            queued=self.queued,
+        )
         if suspects:
             self.on_crash(ended, suspects)
         # before anything is sent to the new start, as the ends below do
--- a/eelgrassmount/relay/state.py
+++ b/eelgrassmount/relay/state.py
@@ -6,6 +6,8 @@
 
 from attrs import frozen
 
+from eelgrassmount.relay.heartbeats import ServerIncarnation
+
 if TYPE_CHECKING:
     from eelgrassmount.compose.relay_node import RelayNode
     from eelgrassmount.relay.budget import RetryBudget
@@ -16,11 +18,14 @@
 class ServerState:
     """The server beside a node, and its gate.
 
+    ``incarnation`` is its identity, empty before it is known, and ``started_ms`` the
+    Unix time of its start, 0 while at most an answer has named it.
     ``refusal`` says why it gets no work, and is empty when it does. ``demand`` and
     ``wait`` are parts of what is possible and allowed.
     """
 
     incarnation: str
+    started_ms: int
     refusal: str
     slots: int
     limit: int
@@ -127,8 +132,10 @@
 def _read_server(node: RelayNode, now_s: float) -> ServerState:
     server = node.beliefs.server
     gate = node.gate
+    known = server.incarnation or ServerIncarnation("")
     return ServerState(
-        "" if server.incarnation is None else server.incarnation.identity,
+        known.identity,
+        known.started_ms,
         str(server.find_refusal(now_s) or ""),
         server.slots,
         server.compute_limit(),
