--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -188,8 +188,9 @@
             if isinstance(outcome, ClientAnswer) and outcome.status == 200:
                 head = self.dialect.read_answer(outcome.headers)
                 if self.server.incarnation is None:
-                    logger.info("server identified", incarnation=head.instance)
                     self.server.note_named(head.instance)
+                    known = str(self.server.incarnation)
+                    logger.info("server identified", incarnation=known)
                     self.on_change()
 
         data = self.dialect.write_probe(health_path)
