--- a/tests/cmd/test_explain.py
+++ b/tests/cmd/test_explain.py
@@ -81,3 +81,42 @@
     assert main(["explain", "a1", "--json"]) == ExitCode.DONE
     content = json.loads(capsys.readouterr().out)
     assert [line["message"] for line in content["lines"]] == ["sent again", "failed"]
+
+
+# A call whose connection broke ends at once. That its server had crashed is found by the
+# next refused connection, and that it has started again by its next heartbeat, so that
+# the lines that said why a request failed came after its last one and were left out.
+
+
+def test_crash_that_the_request_ran_into_is_one_of_its_lines():
+    lines = [
+        write_line(2, "failed", request="a1", outcome="server-crashed", tried=[]),
+        write_line(2.4, "server crashed", node="vm-7", requests=["a0", "a1"]),
+        write_line(2.1, "server rejects calls", node="vm-7"),
+        write_line(2.2, "server crashed", node="vm-8", requests=["a2"]),
+    ]
+    story = tell_story("a1", lines)
+    assert [line.message for line in story.own] == ["failed", "server crashed"]
+    assert [line.message for line in story.around] == ["server rejects calls"]
+
+
+def test_what_is_found_out_after_a_request_failed_is_told():
+    lines = [
+        write_line(1, "server rejects calls", node="vm-7"),
+        write_line(2, "failed", request="a1", outcome="server-crashed", tried=["vm-7"]),
+        write_line(2.5, "server restarted", node="vm-8"),
+        write_line(
+            3, "server restarted", node="vm-7", ended="i1/1", incarnation="i1/9"
+        ),
+        write_line(3.5, "overload begins", node="vm-7", service="list"),
+        write_line(3.6, "stopped", node="vm-7", cut=2),
+        write_line(9, "server restarted", node="vm-7", ended="i1/9"),
+    ]
+    story = tell_story("a1", lines)
+    assert [line.message for line in story.around] == ["server rejects calls"]
+    assert [line.message for line in story.later] == ["server restarted", "stopped"]
+    told = story.describe()
+    assert "found out within 5 s after it\n" in told
+    assert "vm-7 server restarted  ended=i1/1 incarnation=i1/9" in told
+    later = story.encode()["later"]
+    assert [fields["message"] for fields in later] == ["server restarted", "stopped"]
