Tell in explain what was found out after a request had failed

Cause: a crash is known by the next refused connection and a restart by the next heartbeat, after the last line on the request, where explain stopped. Change: the 5 s after are looked through for crashes, restarts, unreachable nodes and ended stops of the nodes that it met; a crash that names the request is one of its own lines. Ruled out: all lines of these 5 s, which are mostly on what came of it.

--- a/eelgrassmount/cmd/explain.py
+++ b/eelgrassmount/cmd/explain.py
@@ -16,6 +16,13 @@
 
 # what happened to a node or service this long before a request may have caused its end
 BEFORE = timedelta(seconds=5)
+# why a call ended is found out so much later at most: by the next heartbeat, the next
+# connection or the end of the node's stop
+AFTER = timedelta(seconds=5)
+# lines that say why calls before them ended
+_LATER_MESSAGES = frozenset(
+    ("server crashed", "server restarted", "node unreachable", "stopped")
+)
 # lines on nodes and services that are shown at most, those nearest to the end
 MAX_AROUND = 20
 # fields that are told at the start of a line or not at all
@@ -32,6 +39,13 @@
     message: str
     fields: dict[str, Any]
 
+    def names_request(self, request_id: str) -> bool:
+        """Tell whether the line is on a request, or on several with it."""
+        if self.fields.get("request") == request_id:
+            return True
+        named = self.fields.get("requests")
+        return isinstance(named, list) and request_id in named
+
     def list_nodes(self) -> set[str]:
         """Return the nodes that the line is about."""
         names = {self.fields.get(name) for name in _NODE_FIELDS}
@@ -58,6 +72,7 @@
     request_id: str
     own: list[LogLine] = field(factory=list)
     around: list[LogLine] = field(factory=list)
+    later: list[LogLine] = field(factory=list)
     left_out: int = 0
     unread: int = 0
 
@@ -70,6 +85,9 @@
         if self.around:
             parts.append("on the nodes and services it met, shortly before")
             parts += [f"  {line.describe()}" for line in self.around]
+        if self.later:
+            parts.append(f"found out within {AFTER.seconds} s after it")
+            parts += [f"  {line.describe()}" for line in self.later]
         if self.left_out:
             parts.append(
                 f"{self.left_out} lines on requests were left out by the nodes"
@@ -84,6 +102,7 @@
             "request": self.request_id,
             "lines": [line.fields for line in self.own],
             "around": [line.fields for line in self.around],
+            "later": [line.fields for line in self.later],
             "left_out": self.left_out,
             "unread": self.unread,
         }
@@ -122,13 +141,15 @@
         else:
             lines.append(line)
     lines.sort(key=lambda line: line.time)
-    own = [line for line in lines if line.fields.get("request") == request_id]
+    own = [line for line in lines if line.names_request(request_id)]
     left_out = sum(
         line.fields.get("count", 0)
         for line in lines
         if line.message == "lines left out"
     )
-    return Story(request_id, own, _find_around(own, lines), left_out, unread)
+    around = _find_around(own, lines)
+    later = _find_later(own, lines)
+    return Story(request_id, own, around, later, left_out, unread)
 
 
 def _read_line(text: str) -> LogLine | None:
@@ -146,7 +167,7 @@
 def _find_around(own: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
     if not own:
         return []
-    nodes = {name for line in own for name in line.list_nodes()}
+    nodes = _list_met(own)
     services = {line.fields["service"] for line in own if "service" in line.fields}
     first = own[0].time - BEFORE
     last = own[-1].time
@@ -154,7 +175,28 @@
         line
         for line in lines
         if first <= line.time <= last
+        and line not in own
         and "request" not in line.fields
         and (line.list_nodes() & nodes or line.fields.get("service") in services)
     ]
     return found[-MAX_AROUND:]
+
+
+def _find_later(own: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
+    """Return what was found out about the nodes that a request met, after its end."""
+    if not own:
+        return []
+    nodes = _list_met(own)
+    last = own[-1].time
+    found = [
+        line
+        for line in lines
+        if last < line.time <= last + AFTER
+        and line.message in _LATER_MESSAGES
+        and line.list_nodes() & nodes
+    ]
+    return found[:MAX_AROUND]
+
+
+def _list_met(own: list[LogLine]) -> set[str]:
+    return {name for line in own for name in line.list_nodes()}
--- a/tests/cmd/test_explain.py
+++ b/tests/cmd/test_explain.py
@@ -83,9 +83,10 @@
     assert [line["message"] for line in content["lines"]] == ["sent again", "failed"]
 
 
-# A call whose connection broke ends at once. That its server had crashed is found by the
-# next refused connection, and that it has started again by its next heartbeat, so that
-# the lines that said why a request failed came after its last one and were left out.
+# A call whose connection broke ends at once. That its server had crashed is found by
+# the next refused connection, and that it has started again by its next heartbeat, so
+# that the lines that said why a request failed came after its last one and were left
+# out.
 
 
 def test_crash_that_the_request_ran_into_is_one_of_its_lines():
