Learn nothing from calls that a restart has cut

Cause: what was learned was reset after the cuts, so that calls which their ends brought to the gate were judged by the durations of the earlier start. Change: it is reset first, and calls that are cut count neither as failures nor as durations. With the first alone, the test that nothing is learned fails; with both, test_gate passes.

--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -241,14 +241,14 @@
             self.on_crash(ended, suspects)
         # before anything is sent to the new start, as the ends below do
         self.pool.forget()
+        self.routes.clear()
+        self.mean_run_s = DEFAULT_RUN_S
+        self.failure_share = 0.0
         for job in running:
             job.outlived = True
             # the end of one may have ended another
             if job.sending is not None:
                 job.sending.cancel()
-        self.routes.clear()
-        self.mean_run_s = DEFAULT_RUN_S
-        self.failure_share = 0.0
         self._fill()
 
     def update_load(self) -> None:
@@ -412,6 +412,8 @@
         return found
 
     def _learn(self, job: Job, reply: Reply, now_s: float) -> None:
+        if job.outlived:
+            return
         if reply.reason is Reason.SERVER_SHED:
             # it has slots left as far as is known, and yet runs nothing
             self._count_outcome(True)
