Hold two steps of the server's table by tests

Of 12 mutants of relay/server.py, each without one step, two passed all its tests: an identity that is back kept among the ended ones, and an unknown start taken for the first. Each fails now by the case added for it; test_server passes.

--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -267,3 +267,21 @@
     assert not first.is_after(unknown)
     assert not unknown.is_after(first)
     assert not ServerIncarnation("i2", SECOND_MS).is_after(first)
+
+
+def test_identity_that_has_started_again_leaves_without_saying_its_start(server):
+    server.note_heartbeat(beat("i1"))
+    server.note_heartbeat(beat("i2", started_ms=SECOND_MS))
+    server.note_heartbeat(beat("i1", started_ms=THIRD_MS))
+    assert server.note_heartbeat(leave("i1"))
+    assert server.find_refusal(NOW_S) is Reason.NO_SERVER
+
+
+def test_identity_that_ended_with_an_unknown_start_is_back_when_it_answers(server):
+    server.note_named("i1")
+    server.note_heartbeat(beat("i2", started_ms=SECOND_MS))
+    # nothing says whether this is late
+    assert not server.note_heartbeat(beat("i1", started_ms=THIRD_MS))
+    server.note_named("i1")
+    assert server.note_heartbeat(beat("i1", started_ms=THIRD_MS))
+    assert server.incarnation == ServerIncarnation("i1", THIRD_MS)
