--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -57,7 +57,7 @@
         self.connecting: set[FakeSending] = set()
         self.forgotten: list[int] = []
 
-    def send(self, address, data, fresh, accepts, done):
+    def send(self, address, data, fresh, accepts, done, head_only=False):
         sending = FakeSending(self, done)
         self.open.append(sending)
         self.sent.append(data)
