--- a/tests/cmd/test_status.py
+++ b/tests/relay/test_state.py
@@ -1,4 +1,4 @@
-"""What `status` says of a node on the platform."""
+"""What a node says of itself to people and programs that ask."""
 
 from __future__ import annotations
 
