--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -222,10 +222,10 @@
     def restart(self, ended: ServerIncarnation, begun_s: float) -> None:
         """Settle what ran on a server that has started again, and begin anew.
 
-        What was sent before ``begun_s`` may have run at the start that ``ended`` and
-        won't be answered. The new start can't have read it, so it is neither *not run*
-        nor sent again here. Later calls reached the new start and run on; those in the
-        queue go to it.
+        What was sent before ``begun_s`` may have run at the start that ``ended``, or at
+        the new one where that still reads it, since both have the identity that the
+        call names: so it is neither *not run* nor sent again here. Later calls reached
+        the new start and run on; those in the queue go to it.
         """
         running = [job for job in self.running if job.was_sent_before(begun_s)]
         broken = self._take_broken()
