Show false silence after a pause of one's own, and numbers used twice

Cause of the second: numbers are the link's own, while the receiving end knows them by the sender alone. Ruled out: a matter of kept reads only, as it is the POST that fails first.

--- a/tests/relay/test_link.py
+++ b/tests/relay/test_link.py
@@ -264,3 +264,28 @@
     assert len(setup.transport.written) > sent
     setup.link._note_reply(ttypes.RelayReply(sequence, 0, None, 200, b"", b"", 0, 0))
     assert setup.replies == []
+
+
+def test_own_pause_is_not_the_silence_of_the_other_node(setup):
+    """A node stood still itself, and then found all other nodes silent at once.
+
+    The lines "link silent" of a node came in the same millisecond for all its links,
+    with ``silent_s`` 0.5 to 1.4: its timers run before it reads what has come.
+    """
+    setup.call()
+    setup.wait(LOOK_S)
+    setup.wait(SILENCE_LIMIT_S * 2)
+    assert setup.member.can_take(setup.now_s)
+    assert setup.link.connects == 0
+    # if nothing has come, it is silent from there on
+    setup.wait(LOOK_S)
+    setup.wait(LOOK_S)
+    assert not setup.member.can_take(setup.now_s)
+    # nor does what has come over a second connection move the calls
+    setup.fall_silent()
+    setup.open_second().note_frame(FrameKind.HELLO, ttypes.RelayHello())
+    setup.wait(SILENCE_LIMIT_S * 2)
+    assert not setup.transport.closing
+    setup.wait(LOOK_S)
+    setup.wait(LOOK_S)
+    assert setup.transport.closing
--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -233,3 +233,26 @@
         assert scene.back.server.runs == ["a1"]
 
     play(scenario)
+
+
+def test_request_over_a_replaced_link_is_not_taken_for_an_earlier_one():
+    """A node forgot another and took it up again, and so began a new link to it.
+
+    The new link numbered its calls from one again. The other node knew these numbers
+    of the same sender, and answered with what it had kept for an earlier request.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        scene.back.server.work_s = 0.0
+        member = scene.front.node.beliefs.members.by_name["node-2"]
+        ids = []
+        for target in ("/book/1", "/list/1"):
+            for _ in range(2):
+                ids.append(f"a{len(ids)}")
+                future = await scene.send(ids[-1], target)
+                assert (await asyncio.wait_for(future, 3)).status == 200
+                assert scene.back.server.runs == ids
+                member.link.close()
+                member.link = None
+
+    play(scenario)
