Show that a read leaves its first server before another has taken it

The test fails with 502: the second server refuses the read, and the run at the first is cut by then. Same class as the silent link: silence is taken for an end.

--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -73,12 +73,12 @@
         self.network.go_on(self.place)
 
 
-def play(scenario) -> None:
+def play(scenario, make: type[Scene] = Scene) -> None:
     async def main(network: Network) -> None:
         async with anyio.create_task_group() as group:
             deployment = Deployment(group)
             await deployment.start(LIST, BOOK)
-            scene = Scene(network, deployment)
+            scene = make(network, deployment)
             try:
                 await scene.build()
                 with anyio.fail_after(20):
@@ -256,3 +256,38 @@
                 member.link = None
 
     play(scenario)
+
+
+class Pair(Scene):
+    """A node that may repeat, and two servers, of which the first is slow."""
+
+    async def build(self) -> None:
+        add = self.deployment.add
+        self.front: Vm = await add("front", retry_slack=100.0)
+        vms = [await add("list"), await add("list")]
+        await self.deployment.settle()
+        for vm in vms:
+            vm.server.work_s = 1.5
+        # whichever is asked is the first
+        self.future = await self.send()
+        while not any(vm.server.runs for vm in vms):
+            await anyio.sleep(0.001)
+        vms.sort(key=lambda vm: not vm.server.runs)
+        self.back, self.other = vms
+
+
+def test_read_is_answered_by_its_first_server_when_the_next_refuses_it():
+    """A read was taken from a silent server before another had taken it.
+
+    The other refused it, and the read ended with 502 while its first server, cut by
+    then, had been at work.
+    """
+
+    async def scenario(pair: Pair) -> None:
+        pair.other.node.inbound.accepting = False
+        answer = await asyncio.wait_for(pair.future, 3)
+        assert answer.status == 200
+        assert pair.back.server.runs == ["a1"]
+        assert pair.other.server.runs == []
+
+    play(scenario, Pair)
