Give the sending of requests a module apart from their answers

``relay/sender.py`` sends and sends again; ``relay/entry.py`` takes requests and answers them. Only form is changed.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -42,6 +42,7 @@
 from eelgrassmount.relay.news import News
 from eelgrassmount.relay.reload import WATCH_PERIOD_S, SettingsWatch
 from eelgrassmount.relay.routing import Router
+from eelgrassmount.relay.sender import Sender
 from eelgrassmount.relay.server import LocalServer
 from eelgrassmount.relay.stopping import Stopping
 from eelgrassmount.relay.store import StoreFailure
@@ -134,10 +135,8 @@
         admission.update,
     )
     decisions = DecisionLog.create(clock)
-    entry = Entry(
+    sender = Sender(
         settings.name,
-        lambda: server.service,
-        DIALECT,
         Router(members, settings.failure_domain, clock, rng, beliefs.find_allowance),
         gate,
         RetryBudget(
@@ -148,6 +147,16 @@
             lambda: len(members.by_name),
         ),
         admission,
+        decisions,
+        metrics,
+        clock,
+        controllers.open_link,
+    )
+    entry = Entry(
+        lambda: server.service,
+        DIALECT,
+        sender,
+        admission,
         quarantine,
         decisions,
         metrics,
@@ -155,8 +164,8 @@
         rng,
         graph.is_called,
         beliefs.note_call,
-        controllers.open_link,
     )
+    sender.answers = entry
     node = RelayNode(
         settings,
         beliefs,
--- /dev/null
+++ b/eelgrassmount/relay/sender.py
@@ -0,0 +1,244 @@
+"""The sending of requests to servers, and again where that is allowed."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING, Protocol
+
+from attrs import define, field
+
+from eelgrassmount.relay.gate import SILENT_SHARE, SILENT_TIMES, Job
+from eelgrassmount.relay.messages import Call, Fate, Reply
+from eelgrassmount.verdict import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.http1.exchange import Exchange
+    from eelgrassmount.relay.admission import Admission
+    from eelgrassmount.relay.budget import RetryBudget
+    from eelgrassmount.relay.decisions import DecisionLog
+    from eelgrassmount.relay.gate import Gate
+    from eelgrassmount.relay.members import Member
+    from eelgrassmount.relay.metrics import RelayMetrics
+    from eelgrassmount.relay.routing import Router
+
+# nodes that may refuse a call before it is given up
+MAX_REFUSALS = 4
+# time that a call must have left to be sent again
+REPEAT_ROOM_S = 0.02
+
+
+@define(eq=False)
+class Flow:
+    """One request while it has no answer.
+
+    ``last`` is the latest reply and ``server`` the node that gave it; ``attempts``
+    counts the sendings that may have reached a server, ``refusals`` those that have
+    not. ``sending`` numbers the sendings, of which only the latest is waited for.
+    """
+
+    exchange: Exchange
+    call: Call
+    timer: asyncio.TimerHandle | None = None
+    member: Member | None = None
+    job: Job | None = None
+    sequence: int = 0
+    sending: int = 0
+    attempts: int = 0
+    refusals: int = 0
+    may_have_run: bool = False
+    ended: bool = False
+    excluded: set[str] = field(factory=set)
+    last: Reply | None = None
+    server: str = ""
+
+
+class Answers(Protocol):
+    """Gives a request its one answer."""
+
+    def deliver(self, flow: Flow, reply: Reply) -> None:
+        """Hand the answer of a server on."""
+
+    def give_up(self, flow: Flow) -> None:
+        """Answer a request that no server answers."""
+
+    def time_out(self, flow: Flow) -> None:
+        """Answer a request at its deadline."""
+
+
+@define(eq=False)
+class Sender:
+    """Sends each request to a server until it has its answer.
+
+    A call is sent again when it has certainly not run, or when it may run twice
+    and the retry budget allows it.
+    """
+
+    own_name: str
+    router: Router
+    gate: Gate
+    budget: RetryBudget
+    admission: Admission
+    decisions: DecisionLog
+    metrics: RelayMetrics
+    clock: Callable[[], float]
+    open_link: Callable[[Member], None]
+    answers: Answers = field(init=False)
+
+    def begin(self, flow: Flow) -> None:
+        """Send a request to a server, and again where that is allowed."""
+        call = flow.call
+        if call.route.idempotent:
+            self._wake(flow, SILENT_SHARE * call.route.objective_s)
+        else:
+            self._wake(flow, math.inf)
+        self.budget.note_request(call.service)
+        self._send(flow)
+
+    def _wake(self, flow: Flow, patience_s: float) -> None:
+        """Look at a flow again after its patience, or at its deadline if sooner."""
+        remaining_s = max(0.0, flow.call.deadline_s - self.clock())
+        loop = asyncio.get_running_loop()
+        if patience_s < remaining_s:
+            flow.timer = loop.call_later(patience_s, self._leave_silent, flow)
+        else:
+            flow.timer = loop.call_later(remaining_s, self.answers.time_out, flow)
+
+    def _leave_silent(self, flow: Flow) -> None:
+        """Ask another server when the one that was asked stays silent.
+
+        Not under overload, when all are slow and each sending more makes it worse.
+        """
+        call = flow.call
+        usual_s = self.router.find_usual(call.service, call.route)
+        waited_s = self.clock() - call.arrived_s
+        missing_s = SILENT_TIMES * usual_s - waited_s
+        if missing_s > 0.0:
+            self._wake(flow, missing_s)
+            return
+        self._wake(flow, math.inf)
+        member = flow.member
+        if member is None or self.admission.find_level(call.service) < 1.0:
+            return
+        if not self.router.has_choice(call.service, {*flow.excluded, member.name}):
+            return
+        # the sending that is left counts, as it may have reached its server
+        attempts = flow.attempts + 1
+        if not self._may_send_again(call, attempts):
+            return
+        flow.attempts = attempts
+        flow.may_have_run = True
+        self.cancel(flow)
+        self._repeat(flow, member, Reason.SERVER_SILENT)
+
+    def _send(self, flow: Flow) -> None:
+        call = flow.call
+        member = self.router.choose(call.service, call.route, flow.excluded)
+        if member is None:
+            self.answers.give_up(flow)
+            return
+        flow.member = member
+        member.used_s = self.clock()
+        member.sent_since += 1
+        flow.sending += 1
+        number = flow.sending
+
+        def note(reply: Reply) -> None:
+            if not flow.ended and flow.sending == number:
+                self._note_reply(flow, member, reply)
+
+        if member.name == self.own_name:
+            flow.job = Job(call, note)
+            self.gate.offer(flow.job)
+        else:
+            if member.link is None:
+                self.open_link(member)
+            flow.sequence = member.link.call(call, note)
+
+    def _note_reply(self, flow: Flow, member: Member, reply: Reply) -> None:
+        flow.member = None
+        flow.job = None
+        flow.last = reply
+        flow.server = member.name
+        if reply.fate is Fate.ANSWERED:
+            self._note_answer(flow, member, reply)
+        elif reply.fate is Fate.NOT_RUN:
+            self._note_refusal(flow, member, reply)
+        else:
+            self._note_loss(flow, member, reply)
+
+    def _note_answer(self, flow: Flow, member: Member, reply: Reply) -> None:
+        flow.attempts += 1
+        if reply.status >= 500:
+            flow.may_have_run = True
+            if self._may_repeat(flow):
+                self._repeat(flow, member, f"status-{reply.status}")
+                return
+        self.answers.deliver(flow, reply)
+
+    def _note_refusal(self, flow: Flow, member: Member, reply: Reply) -> None:
+        flow.refusals += 1
+        flow.excluded.add(member.name)
+        if reply.reason in (Reason.DRAINING, Reason.NO_SERVER, Reason.SERVER_STARTING):
+            # until its next report says otherwise
+            member.load.accepting = False
+            member.load.reported_s = self.clock()
+        if reply.reason is Reason.SERVER_SHED:
+            # the server has seen it, which counts as an arrival
+            flow.attempts += 1
+            if not self._may_send_again(flow.call, flow.attempts):
+                self.answers.give_up(flow)
+                return
+        if flow.refusals >= MAX_REFUSALS or reply.reason is Reason.QUARANTINED:
+            self.answers.give_up(flow)
+            return
+        self.metrics.count_retry(reply.reason)
+        self._send(flow)
+
+    def _note_loss(self, flow: Flow, member: Member, reply: Reply) -> None:
+        flow.attempts += 1
+        flow.may_have_run = True
+        if self._may_repeat(flow):
+            self._repeat(flow, member, reply.reason)
+        else:
+            self.answers.give_up(flow)
+
+    def _may_repeat(self, flow: Flow) -> bool:
+        call = flow.call
+        return call.route.idempotent and self._may_send_again(call, flow.attempts)
+
+    def _may_send_again(self, call: Call, attempts: int) -> bool:
+        if attempts >= call.route.max_attempts:
+            return False
+        if call.deadline_s - self.clock() < REPEAT_ROOM_S:
+            return False
+        ends_chain = not self.admission.graph.vectors.get(call.route.name)
+        return self.budget.take(call.service, ends_chain)
+
+    def _repeat(self, flow: Flow, member: Member, reason: str) -> None:
+        flow.excluded.add(member.name)
+        self.metrics.count_retry(reason)
+        self.decisions.note(
+            "sent again",
+            flow.call.request_id,
+            str(reason),
+            route=flow.call.route.name,
+            after=member.name,
+            attempts=flow.attempts,
+        )
+        self._send(flow)
+
+    def cancel(self, flow: Flow) -> None:
+        """Give up what was sent."""
+        job = flow.job
+        member = flow.member
+        flow.job = None
+        flow.member = None
+        # what a cancelled sending still tells is not heard
+        flow.sending += 1
+        if job is not None:
+            self.gate.cancel(job)
+        elif member is not None and member.link is not None:
+            member.link.cancel(flow.sequence)
