Keep the first sending of a read until another server has answered it

Cause: a read whose server was silent was cut there before another had taken it; when that refused or failed it, the read ended with 502 and a run that would have answered was lost. The first sending now stays: the first answer counts and ends the other run, and when no other server is left the first is waited for. It still counts as one attempt and takes one repeat of the budget. Whether it has run is known once it tells: a read that all have refused is refused, not failed.

Ruled out: to cut the first when the other has taken the call, as links don't tell of that before the answer. What it costs: two runs side by side until one answers, as many arrivals at servers as before.

--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -146,8 +146,7 @@
         """Answer a request at its deadline."""
         if flow.ended:
             return
-        sent = flow.member is not None or flow.may_have_run
-        self.sender.cancel(flow)
+        sent = flow.current is not None or flow.spare is not None or flow.may_have_run
         self._end(flow)
         if sent:
             self._fail(flow, TIMEOUT, Reason.DEADLINE)
@@ -156,12 +155,12 @@
 
     def _abandon(self, flow: Flow) -> None:
         if not flow.ended:
-            self.sender.cancel(flow)
             self._end(flow)
             self.metrics.count_abandoned(flow.call.route.name)
 
     def _end(self, flow: Flow) -> None:
         flow.ended = True
+        self.sender.cancel(flow)
         self.open_flows -= 1
         flow.exchange.on_abandon = None
         if flow.timer is not None:
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -30,22 +30,30 @@
 REPEAT_ROOM_S = 0.02
 
 
+@define(eq=False)
+class Sending:
+    """One sending of a request, to a server beside this node or elsewhere."""
+
+    member: Member
+    job: Job | None = None
+    sequence: int = 0
+
+
 @define(eq=False)
 class Flow:
     """One request while it has no answer.
 
     ``last`` is the latest reply and ``server`` the node that gave it; ``attempts``
     counts the sendings that may have reached a server, ``refusals`` those that have
-    not. ``sending`` numbers the sendings, of which only the latest is waited for.
+    not. ``current`` is the latest sending. ``spare`` is one whose server was silent
+    when another was asked: its answer counts if it comes first.
     """
 
     exchange: Exchange
     call: Call
     timer: asyncio.TimerHandle | None = None
-    member: Member | None = None
-    job: Job | None = None
-    sequence: int = 0
-    sending: int = 0
+    current: Sending | None = None
+    spare: Sending | None = None
     attempts: int = 0
     refusals: int = 0
     may_have_run: bool = False
@@ -119,9 +127,10 @@
             self._wake(flow, missing_s)
             return
         self._wake(flow, math.inf)
-        member = flow.member
-        if member is None or self.admission.find_level(call.service) < 1.0:
+        current = flow.current
+        if current is None or self.admission.find_level(call.service) < 1.0:
             return
+        member = current.member
         if not self.router.has_choice(call.service, {*flow.excluded, member.name}):
             return
         # the sending that is left counts, as it may have reached its server
@@ -129,37 +138,56 @@
         if not self._may_send_again(call, attempts):
             return
         flow.attempts = attempts
-        flow.may_have_run = True
-        self.cancel(flow)
+        flow.spare = current
+        flow.current = None
         self._repeat(flow, member, Reason.SERVER_SILENT)
 
     def _send(self, flow: Flow) -> None:
         call = flow.call
         member = self.router.choose(call.service, call.route, flow.excluded)
         if member is None:
-            self.answers.give_up(flow)
+            self._give_up(flow)
             return
-        flow.member = member
         member.used_s = self.clock()
         member.sent_since += 1
-        flow.sending += 1
-        number = flow.sending
+        sending = flow.current = Sending(member)
 
         def note(reply: Reply) -> None:
-            if not flow.ended and flow.sending == number:
+            sending.job = None
+            if sending is flow.current:
                 self._note_reply(flow, member, reply)
+            elif sending is flow.spare:
+                self._note_spare(flow, member, reply)
 
         if member.name == self.own_name:
-            flow.job = Job(call, note)
-            self.gate.offer(flow.job)
+            job = sending.job = Job(call, note)
+            self.gate.offer(job)
         else:
             if member.link is None:
                 self.open_link(member)
-            flow.sequence = member.link.call(call, note)
+            sending.sequence = member.link.call(call, note)
+
+    def _give_up(self, flow: Flow) -> None:
+        """End a request that no further server takes, unless one is at work on it."""
+        if flow.spare is None:
+            self.answers.give_up(flow)
+
+    def _note_spare(self, flow: Flow, member: Member, reply: Reply) -> None:
+        """Take the answer of a server that was silent; the sending is counted."""
+        flow.spare = None
+        if reply.fate is not Fate.NOT_RUN:
+            flow.may_have_run = True
+        if reply.fate is Fate.ANSWERED and reply.status < 500:
+            flow.server = member.name
+            self.answers.deliver(flow, reply)
+        elif flow.current is None:
+            if flow.last is None or flow.last.fate is not Fate.ANSWERED:
+                flow.last = reply
+                flow.server = member.name
+            self.answers.give_up(flow)
 
     def _note_reply(self, flow: Flow, member: Member, reply: Reply) -> None:
-        flow.member = None
-        flow.job = None
+        flow.current = None
         flow.last = reply
         flow.server = member.name
         if reply.fate is Fate.ANSWERED:
@@ -175,7 +203,9 @@
             flow.may_have_run = True
             if self._may_repeat(flow):
                 self._repeat(flow, member, f"status-{reply.status}")
-                return
+            else:
+                self._give_up(flow)
+            return
         self.answers.deliver(flow, reply)
 
     def _note_refusal(self, flow: Flow, member: Member, reply: Reply) -> None:
@@ -189,10 +219,10 @@
             # the server has seen it, which counts as an arrival
             flow.attempts += 1
             if not self._may_send_again(flow.call, flow.attempts):
-                self.answers.give_up(flow)
+                self._give_up(flow)
                 return
         if flow.refusals >= MAX_REFUSALS or reply.reason is Reason.QUARANTINED:
-            self.answers.give_up(flow)
+            self._give_up(flow)
             return
         self.metrics.count_retry(reply.reason)
         self._send(flow)
@@ -203,7 +233,7 @@
         if self._may_repeat(flow):
             self._repeat(flow, member, reply.reason)
         else:
-            self.answers.give_up(flow)
+            self._give_up(flow)
 
     def _may_repeat(self, flow: Flow) -> bool:
         call = flow.call
@@ -231,14 +261,19 @@
         self._send(flow)
 
     def cancel(self, flow: Flow) -> None:
-        """Give up what was sent."""
-        job = flow.job
-        member = flow.member
-        flow.job = None
-        flow.member = None
-        # what a cancelled sending still tells is not heard
-        flow.sending += 1
+        """Give up what was sent and has no reply, which is not heard any more."""
+        sendings = (flow.current, flow.spare)
+        flow.current = None
+        flow.spare = None
+        for sending in sendings:
+            if sending is not None:
+                self._cancel(sending)
+
+    def _cancel(self, sending: Sending) -> None:
+        job = sending.job
+        link = sending.member.link
+        sending.job = None
         if job is not None:
             self.gate.cancel(job)
-        elif member is not None and member.link is not None:
-            member.link.cancel(flow.sequence)
+        elif link is not None:
+            link.cancel(sending.sequence)
--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -8,8 +8,10 @@
 import pytest
 
 from eelgrassmount.compose.relay import stop_relay
+from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.inbound import JOIN_WAIT_S
 from eelgrassmount.relay.link import CONNECT_LIMIT_S, SILENCE_LIMIT_S
+from eelgrassmount.relay.messages import Fate
 from tests.relay.deployment import (
     Deployment,
     Vm,
@@ -291,3 +293,101 @@
         assert pair.other.server.runs == []
 
     play(scenario, Pair)
+
+
+async def wait_for_both(pair: Pair) -> None:
+    """Wait until both servers are at work on the read."""
+    while not pair.other.server.runs:
+        await anyio.sleep(0.001)
+
+
+def count_repeats(pair: Pair) -> int:
+    budget = pair.front.node.entry.sender.budget
+    return sum(len(service.retries) for _, service in budget.list_services())
+
+
+def test_first_server_may_answer_first_and_the_other_is_cut():
+    async def scenario(pair: Pair) -> None:
+        await wait_for_both(pair)
+        answer = await asyncio.wait_for(pair.future, 3)
+        assert answer.status == 200
+        assert count_repeats(pair) == 1
+        await anyio.sleep(0.01)
+        assert pair.other.node.gate.in_flight == 0
+
+    play(scenario, Pair)
+
+
+def test_other_server_may_answer_first_and_the_first_is_cut():
+    async def scenario(pair: Pair) -> None:
+        pair.other.server.work_s = 0.1
+        await wait_for_both(pair)
+        assert pair.back.node.gate.in_flight == 1
+        answer = await asyncio.wait_for(pair.future, 0.2)
+        assert answer.status == 200
+        await anyio.sleep(0.01)
+        assert pair.back.node.gate.in_flight == 0
+
+    play(scenario, Pair)
+
+
+@pytest.mark.parametrize("failure", ["lost", "500"])
+def test_read_is_answered_by_its_first_server_when_the_next_fails_it(failure):
+    async def scenario(pair: Pair) -> None:
+        pair.other.server.work_s = 0.1
+        drop = pair.other.server.listener.end
+        if failure == "lost":
+            pair.other.server.answer = lambda exchange: drop()
+        else:
+            pair.other.server.answer = lambda exchange: exchange.respond(500)
+        answer = await asyncio.wait_for(pair.future, 3)
+        assert answer.status == 200
+        assert len(pair.back.server.runs + pair.other.server.runs) == 2
+        assert count_repeats(pair) == 1
+
+    play(scenario, Pair)
+
+
+def test_failure_of_one_server_is_answered_once_the_other_has_failed_too():
+    async def scenario(pair: Pair) -> None:
+        for vm in (pair.back, pair.other):
+            vm.server.answer = lambda exchange: exchange.respond(500)
+        pair.other.server.work_s = 0.1
+        await wait_for_both(pair)
+        await anyio.sleep(0.2)
+        assert not pair.future.done()
+        assert (await asyncio.wait_for(pair.future, 3)).status == 500
+        assert count_repeats(pair) == 1
+
+    play(scenario, Pair)
+
+
+@pytest.mark.parametrize(
+    ("fate", "status"), [(Fate.NOT_RUN, 503), (Fate.MAY_HAVE_RUN, 502)]
+)
+def test_read_that_all_refuse_has_run_only_if_its_first_server_says_so(fate, status):
+    async def scenario(pair: Pair) -> None:
+        pair.other.node.inbound.accepting = False
+        await anyio.sleep(0.5)
+        assert not pair.future.done()
+        name = pair.back.settings.name
+        link = pair.front.node.beliefs.members.by_name[name].link
+        (sequence,) = link.open_calls
+        link._note_reply(
+            ttypes.RelayReply(sequence, fate, "overload", 0, b"", b"", 0, 0)
+        )
+        assert (await asyncio.wait_for(pair.future, 3)).status == status
+
+    play(scenario, Pair)
+
+
+def test_read_that_waits_for_its_first_server_ends_at_its_deadline():
+    async def scenario(pair: Pair) -> None:
+        pair.other.node.inbound.accepting = False
+        pair.back.server.answer = lambda exchange: None
+        answer = await asyncio.wait_for(pair.future, 6)
+        assert answer.status == 504
+        await anyio.sleep(0.01)
+        assert pair.back.node.gate.in_flight == 0
+
+    play(scenario, Pair)
