--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from eelgrassmount.compose.relay import stop_relay
+from eelgrassmount.compose.relay_run import stop_relay
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.inbound import JOIN_WAIT_S
 from eelgrassmount.relay.link import CONNECT_LIMIT_S, SILENCE_LIMIT_S
