--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -98,7 +98,7 @@
             if getattr(settings, name) != getattr(self.settings, name)
         ]
         logger.info("settings reloaded", kept_until_restart=kept)
-        budget = self.entry.budget
+        budget = self.entry.sender.budget
         budget.ratio = settings.retry_ratio
         budget.window_s = settings.retry_window_s
         budget.slack = settings.retry_slack
@@ -126,7 +126,7 @@
             before=beliefs.table.version,
             routes=table.count_routes(),
         )
-        if not beliefs.server.incarnation:
+        if beliefs.server.incarnation is None:
             self._identify_server(table)
         beliefs.table = table
         beliefs.table_since_s = beliefs.clock()
--- a/eelgrassmount/platform/heartbeats.py
+++ b/eelgrassmount/platform/heartbeats.py
@@ -5,7 +5,11 @@
 from typing import TYPE_CHECKING, Any
 
 from eelgrassmount.errors import PlatformDocumentError
-from eelgrassmount.relay.heartbeats import Heartbeat
+from eelgrassmount.relay.heartbeats import (
+    UNKNOWN_START,
+    Heartbeat,
+    ServerIncarnation,
+)
 from eelgrassmount.util.fields import (
     MAX_NAME_LENGTH,
     is_identity,
@@ -37,14 +41,14 @@
 # from the first millisecond of Unix time to the end of the year 2099: a start far
 # ahead would make every later one look earlier
 STARTS_MS = (1, 4_102_444_799_999)
-UNKNOWN_START = 0
 
 
 def read_announcement(method: str, target: str, body: bytes) -> Heartbeat | None:
     """Return a heartbeat or a leave, ``None`` for any other call.
 
-    The path names the identity of a server and the body when it was started. Raises
-    `PlatformDocumentError`, which names the field that is missing or wrong.
+    The path names the identity of a server and the body when it was started, which
+    makes one incarnation. Raises `PlatformDocumentError`, which names the field that
+    is missing or wrong.
     """
     if method != "POST" or not target.startswith(_PREFIX):
         return None
@@ -69,14 +73,13 @@
         read_name(content, path, kind)
     state = read_choice(content, "status.state", (_READY, _DRAINING), kind)
     return Heartbeat(
-        identity,
+        ServerIncarnation(identity, _read_start(content, kind)),
         service=read_name(content, "info.service", kind),
         address=str(read_address(content, "address", kind)),
         slots=read_whole(content, "info.slots", SLOTS, kind),
         draining=state == _DRAINING,
         sequence=read_whole(content, "status.sequence", SEQUENCES, kind),
         cold_s=read_number(content, "status.coldRemainingMs", COLD_MS, kind) / 1000,
-        started_ms=_read_start(content, kind),
     )
 
 
@@ -84,7 +87,8 @@
     """Return a leave, whose body may be empty."""
     kind = "leave"
     content = read_object(body, kind) if body else {}
-    return Heartbeat(identity, leaving=True, started_ms=_read_start(content, kind))
+    incarnation = ServerIncarnation(identity, _read_start(content, kind))
+    return Heartbeat(incarnation, leaving=True)
 
 
 def _read_start(content: dict[str, Any], kind: str) -> int:
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -19,6 +19,7 @@
 
     from eelgrassmount.relay.backend import BackendPool, Sending
     from eelgrassmount.relay.dialect import Dialect
+    from eelgrassmount.relay.heartbeats import ServerIncarnation
     from eelgrassmount.relay.messages import Call
     from eelgrassmount.relay.routes import Route
     from eelgrassmount.relay.server import LocalServer
@@ -68,7 +69,10 @@
 
 @define(eq=False)
 class Job:
-    """A call at the gate; ``done`` is called once with its reply."""
+    """A call at the gate; ``done`` is called once with its reply.
+
+    It is ``outlived`` when the server has started again since it was sent.
+    """
 
     call: Call
     done: Callable[[Reply], None]
@@ -77,6 +81,12 @@
     ended: bool = False
     overdue: bool = False
     silent: bool = False
+    outlived: bool = False
+
+    def was_sent_before(self, now_s: float) -> bool:
+        """Tell whether the server could read the call before a time."""
+        written = self.sending is not None and self.sending.is_written()
+        return written and self.started_s < now_s
 
 
 @define(eq=False)
@@ -122,7 +132,7 @@
     find_allowance: Callable[[Route], float] = lambda route: route.objective_s
     on_begin: Callable[[str], None] = lambda route_name: None
     on_end: Callable[[str], None] = lambda route_name: None
-    on_crash: Callable[[list[Job]], None] = lambda jobs: None
+    on_crash: Callable[[ServerIncarnation, list[Job]], None] = lambda ended, jobs: None
     on_change: Callable[[], None] = lambda: None
     queued: int = 0
     mean_run_s: float = DEFAULT_RUN_S
@@ -177,9 +187,10 @@
         def note(outcome: ClientAnswer | Break) -> None:
             if isinstance(outcome, ClientAnswer) and outcome.status == 200:
                 head = self.dialect.read_answer(outcome.headers)
-                if not self.server.incarnation:
-                    logger.info("server identified", incarnation=head.instance)
+                if self.server.incarnation is None:
                     self.server.note_named(head.instance)
+                    known = str(self.server.incarnation)
+                    logger.info("server identified", incarnation=known)
                     self.on_change()
 
         data = self.dialect.write_probe(health_path)
@@ -208,6 +219,38 @@
                 job.sending.cancel()
         self._fill()
 
+    def restart(self, ended: ServerIncarnation, begun_s: float) -> None:
+        """Settle what ran on a server that has started again, and begin anew.
+
+        What was sent before ``begun_s`` may have run at the start that ``ended``, or at
+        the new one where that still reads it, since both have the identity that the
+        call names: so it is neither *not run* nor sent again here. Later calls reached
+        the new start and run on; those in the queue go to it.
+        """
+        running = [job for job in self.running if job.was_sent_before(begun_s)]
+        broken = self._take_broken()
+        suspects = running + [job for job in broken if job.started_s < begun_s]
+        logger.warning(
+            "server restarted",
+            ended=str(ended),
+            incarnation=str(self.server.incarnation),
+            cut=len(running),
+            queued=self.queued,
+        )
+        if suspects:
+            self.on_crash(ended, suspects)
+        # before anything is sent to the new start, as the ends below do
+        self.pool.forget()
+        self.routes.clear()
+        self.mean_run_s = DEFAULT_RUN_S
+        self.failure_share = 0.0
+        for job in running:
+            job.outlived = True
+            # the end of one may have ended another
+            if job.sending is not None:
+                job.sending.cancel()
+        self._fill()
+
     def update_load(self) -> None:
         """Take what arrived and waited since the last time into the mean load."""
         now_s = self.clock()
@@ -287,7 +330,7 @@
             call.body,
             max(1, int((call.deadline_s - now_s) * 1000)),
             call.caller_service,
-            self.server.incarnation,
+            self.server.incarnation.identity,
         )
         request_id = call.request_id.encode("latin-1")
 
@@ -301,6 +344,7 @@
             not call.route.idempotent,
             accepts,
             lambda outcome: self._end(job, outcome),
+            call.method == "HEAD",
         )
 
     def _end(self, job: Job, outcome: ClientAnswer | Break) -> None:
@@ -323,6 +367,8 @@
         fate, reason = _FATES[outcome]
         if job.overdue:
             reason = Reason.DEADLINE
+        elif job.outlived:
+            reason = Reason.SERVER_CRASHED
         if outcome is Break.REFUSED:
             self._note_unreachable(now_s)
         elif outcome is Break.CLOSED:
@@ -355,12 +401,20 @@
         """Suspect what ran when connections broke, now that the server is gone."""
         self.server.note_unreachable(now_s)
         self.on_change()
-        suspects = [job for at_s, job in self._broken if now_s - at_s < CRASH_SPAN_S]
-        self._broken.clear()
+        suspects = self._take_broken()
         if suspects:
-            self.on_crash(suspects)
+            self.on_crash(self.server.incarnation, suspects)
+
+    def _take_broken(self) -> list[Job]:
+        """Return what ran on connections that have just broken, once."""
+        now_s = self.clock()
+        found = [job for at_s, job in self._broken if now_s - at_s < CRASH_SPAN_S]
+        self._broken.clear()
+        return found
 
     def _learn(self, job: Job, reply: Reply, now_s: float) -> None:
+        if job.outlived:
+            return
         if reply.reason is Reason.SERVER_SHED:
             # it has slots left as far as is known, and yet runs nothing
             self._count_outcome(True)
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -69,7 +69,7 @@
     assert (heartbeat.slots, heartbeat.sequence) == (168, 4)
     assert heartbeat.cold_s == 0.5
     assert not heartbeat.draining
-    assert heartbeat.started_ms == 1_790_000_000_000
+    assert heartbeat.incarnation.started_ms == 1_790_000_000_000
 
 
 def test_fields_that_are_not_known_are_ignored():
@@ -79,9 +79,9 @@
 
 
 def test_start_may_be_left_out():
-    assert read(make_content("born")).started_ms == 0
-    assert read_leave(b"").started_ms == 0
-    assert read_leave(b'{"born":7}').started_ms == 7
+    assert read(make_content("born")).incarnation.started_ms == 0
+    assert read_leave(b"").incarnation.started_ms == 0
+    assert read_leave(b'{"born":7}').incarnation.started_ms == 7
 
 
 # Heartbeats of other writers arrived in which a number was a text, a fraction or true,
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import json
+import time
 from typing import TYPE_CHECKING, Any
 
 import anyio
 from attrs import define, field
 
-from eelgrassmount.compose.relay import RelayNode, build_relay, start_relay
+from eelgrassmount.compose.relay import RelayNode, build_relay
+from eelgrassmount.compose.relay_run import start_relay
 from eelgrassmount.http1.client import (
     Break,
     ClientAnswer,
@@ -29,6 +31,11 @@
 WAIT_S = 5.0
 
 
+def read_unix_ms() -> int:
+    """Return the time of now as servers give that of their start."""
+    return int(time.time() * 1000)
+
+
 def make_rule(prefix: str, service: str, **changes: Any) -> dict[str, Any]:
     rule = {
         "name": f"r-{service}",
@@ -63,6 +70,21 @@
     server: PlatformServer
     settings: RelaySettings
     sequence: int = 0
+    started_ms: int = field(factory=lambda: read_unix_ms())
+
+    async def restart_server(self) -> PlatformServer:
+        """Cut the server off and start one under its identity; return the earlier."""
+        earlier = self.server
+        earlier.listener.end()
+        self.server = PlatformServer(earlier.incarnation)
+        await self.server.start(self.settings.server_address.host, 8301)
+        self.note_restart()
+        return earlier
+
+    def note_restart(self) -> None:
+        """Announce a later start from now on, whatever the server does."""
+        self.sequence = 0
+        self.started_ms = max(self.started_ms + 1, read_unix_ms())
 
     async def announce(self, draining: bool = False) -> ClientAnswer | Break:
         """Send a heartbeat of the server."""
@@ -80,6 +102,7 @@
                 "sequence": self.sequence,
                 "coldRemainingMs": 0,
             },
+            "born": self.started_ms,
         }
         target = f"/instances/{self.server.incarnation}/heartbeat"
         address = self.settings.announce_address
@@ -166,7 +189,8 @@
 async def send(connection: ClientConnection, data: bytes) -> ClientAnswer | Break:
     """Send a request and return what became of it."""
     future = asyncio.get_running_loop().create_future()
-    connection.send(data, future.set_result)
+    head_only = data.startswith(b"HEAD ")
+    connection.send(data, future.set_result, head_only=head_only)
     with anyio.fail_after(WAIT_S):
         return await future
 
--- a/tests/relay/lone_node.py
+++ b/tests/relay/lone_node.py
@@ -9,7 +9,8 @@
 import anyio
 from attrs import define, evolve
 
-from eelgrassmount.compose.relay import build_relay, start_relay
+from eelgrassmount.compose.relay import build_relay
+from eelgrassmount.compose.relay_run import start_relay
 from eelgrassmount.relay.settings import RelaySettings
 from eelgrassmount.util.addresses import Address
 from tests.relay.deployment import request
--- a/tests/relay/test_announcements.py
+++ b/tests/relay/test_announcements.py
@@ -6,8 +6,8 @@
 
 from loguru import logger
 
-from eelgrassmount.compose.relay import METRICS_PORT
 from eelgrassmount.compose.relay_node import STATE_PATH
+from eelgrassmount.compose.relay_run import METRICS_PORT
 from eelgrassmount.util.addresses import Address
 from tests.relay.deployment import request
 from tests.relay.lone_node import SETTINGS, LoneNode, make_heartbeat, run
--- a/tests/relay/test_fuzz.py
+++ b/tests/relay/test_fuzz.py
@@ -106,7 +106,7 @@
     assert [type(one) for one in raw if one is not None] == [int] * (
         len(raw) - raw.count(None)
     )
-    assert [found.slots, found.sequence, found.started_ms or None] == raw
+    assert [found.slots, found.sequence, found.incarnation.started_ms or None] == raw
     assert all(one is None or 0 <= one < 2**53 for one in raw)
     cold_ms = find_field(content, "status.coldRemainingMs")
     assert type(cold_ms) in (int, float)
@@ -160,7 +160,7 @@
     assert found.leaving
     start = json.loads(body).get("born", 0) if body else 0
     assert type(start) is int
-    assert found.started_ms == start
+    assert found.incarnation.started_ms == start
 
 
 def coerce(convert: Callable[[Any], Any], wrong_path: str) -> Callable:
