Test frames whose handler fails, and a node's record under another key

Failing: the exception leaves the connection; a copy of a node's record under another key keeps it from writing its own.

--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -10,7 +10,14 @@
 
 from eelgrassmount.errors import BadFrameError
 from eelgrassmount.gen import ttypes
-from eelgrassmount.relay.frames import MAX_FRAME_BYTES, decode_struct, encode_struct
+from eelgrassmount.relay.frames import (
+    MAX_FRAME_BYTES,
+    FrameConnection,
+    FrameKind,
+    decode_struct,
+    encode_frame,
+    encode_struct,
+)
 
 HELLO = ttypes.RelayHello("n1", "ab", "desk", 3, "127.0.0.1:7620", "a")
 CALL = ttypes.RelayCall(
@@ -188,3 +195,43 @@
     body = bytes(17 * 1024 * 1024)
     assert len(body) < MAX_FRAME_BYTES
     assert decode(copy(ANSWER, body=body)).body == body
+
+
+class Failing(FrameConnection):
+    """A connection whose handler fails."""
+
+    def __init__(self):
+        super().__init__()
+        self.bad: list[str] = []
+        self.aborted = False
+
+    def note_frame(self, kind, struct):
+        raise ZeroDivisionError("handler")
+
+    def note_bad(self, error):
+        self.bad.append(error.detail)
+
+    def note_lost(self):
+        pass
+
+    def abort(self):
+        self.aborted = True
+
+
+# An exception in the handler of a frame left the protocol, without a line that told
+# which frame it was.
+def test_connection_is_dropped_when_its_handler_fails():
+    connection = Failing()
+    frame = encode_frame(FrameKind.PING, ttypes.RelayConfigRequest(0))
+    connection.data_received(frame)
+    assert connection.aborted
+    assert connection.bad == ["the handler of PING failed"]
+
+
+@pytest.mark.parametrize("payload", [b"", b"\x00", b"\xff\xff", b"{}"])
+def test_connection_is_dropped_behind_a_bad_frame(payload):
+    connection = Failing()
+    frame = bytes([FrameKind.REPORT]) + payload
+    connection.data_received(len(frame).to_bytes(4, "big") + frame)
+    assert connection.aborted
+    assert len(connection.bad) == 1
--- a/tests/relay/test_records.py
+++ b/tests/relay/test_records.py
@@ -8,6 +8,7 @@
 import anyio
 import pytest
 
+from eelgrassmount.compose import relay_run
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.gen import ttypes
 from eelgrassmount.platform.topics import CONFIGURATION_KEY, LEARNED_KEY
@@ -214,3 +215,45 @@
     anyio.run(main)
     assert taken == ["a", "b", "c"]
     assert follower.reachable
+
+
+class OwnRecordLog(ScriptedLog):
+    """A log in which the record of a node stands under the key of another."""
+
+    def __init__(self, record: StoredRecord):
+        super().__init__()
+        self.record = record
+        self.appended: list[tuple[str, bytes]] = []
+
+    async def read_newest(self, topic: str) -> Snapshot:
+        return Snapshot((self.record,), 1)
+
+    async def append(self, topic: str, key: str, value: bytes) -> int:
+        self.appended.append((key, value))
+        return 1
+
+
+# A copy of a node's record under another key kept the node from writing its own, and
+# the others from finding it.
+def test_node_writes_its_record_unless_it_stands_under_its_key(node):
+    own = make_record(
+        SETTINGS.name, address=str(SETTINGS.peer_address), service_name="desk"
+    )
+    log = OwnRecordLog(StoredRecord("n9", own.value))
+    node.store = log
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(relay_run._join, node)
+            with anyio.fail_after(10):
+                while not node.followers:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert log.appended == [(SETTINGS.name, own.value)]
+    log.record = own
+    log.appended.clear()
+    node.followers.clear()
+    anyio.run(main)
+    assert log.appended == []
