Drop a link whose frame can't be handled, and look for the own record by its key

Cause: an exception in a handler left the protocol to the event loop, which drops the connection without telling the frame; a node took a copy of its record under another key for its own and wrote none. Now the frame is named in the line of the exception and the link dropped as behind a bad frame.

--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -26,7 +26,7 @@
 from eelgrassmount.relay.reload import WATCH_PERIOD_S, SettingsWatch
 from eelgrassmount.relay.stalls import StallWatch, read_process_times
 from eelgrassmount.relay.stopping import Stopping
-from eelgrassmount.relay.store import StoreFailure
+from eelgrassmount.relay.store import StoredRecord, StoreFailure
 from eelgrassmount.relay.topics import TopicFollower
 from eelgrassmount.relay.vectors import INTERVAL_S
 from eelgrassmount.util.addresses import Address
@@ -173,7 +173,8 @@
         snapshot = await node.store.read_newest(NODES_TOPIC)
         if not isinstance(snapshot, StoreFailure):
             node.take_nodes(snapshot.records)
-            if any(one.value == value for one in snapshot.records):
+            # a copy under another key would not lead anybody here
+            if StoredRecord(settings.name, value) in snapshot.records:
                 break
             offset = await node.store.append(NODES_TOPIC, settings.name, value)
             if not isinstance(offset, StoreFailure):
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -8,6 +8,7 @@
 from enum import IntEnum
 from typing import Any
 
+from loguru import logger
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -152,8 +153,16 @@
     def _take(self, kind: int, payload: bytes) -> None:
         make = _STRUCTS.get(kind)
         # kinds of later releases are skipped
-        if make is not None:
-            self.note_frame(FrameKind(kind), decode_struct(make, payload))
+        if make is None:
+            return
+        struct = decode_struct(make, payload)
+        try:
+            self.note_frame(FrameKind(kind), struct)
+        except Exception as error:
+            # what this end believes of the link can't be trusted any more
+            name = FrameKind(kind).name
+            logger.exception("frame handler failed", kind=name)
+            raise BadFrameError(f"the handler of {name} failed") from error
 
     @abstractmethod
     def note_frame(self, kind: FrameKind, struct: Any) -> None:
