Gather no body of more than 1 MB where servers announce themselves

Before: a body of 2 MB was gathered, up to the 64 MB of the usual limits, and then refused with 400 (the new test failed so); after: 413 once 1 MB is passed.

--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -11,7 +11,7 @@
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.errors import ListenError
 from eelgrassmount.gen import ttypes
-from eelgrassmount.http1.server import SWEEP_PERIOD_S, HttpListener
+from eelgrassmount.http1.server import SWEEP_PERIOD_S, HttpListener, ServerLimits
 from eelgrassmount.platform.heartbeats import read_announcement
 from eelgrassmount.platform.settings import load_settings
 from eelgrassmount.platform.topics import (
@@ -38,6 +38,8 @@
     from eelgrassmount.relay.inbound import Inbound
 
 METRICS_PORT = 9464
+# an announcement has some hundred bytes, and other calls to these listeners none
+MAX_BODY_BYTES = 1024 * 1024
 LINK_PERIOD_S = 0.1
 VECTOR_PERIOD_S = 1.0
 RECORD_RETRY_S = 0.5
@@ -116,7 +118,8 @@
         (node.answer_ready, settings.ready_address),
         (node.answer_metrics, metrics_address),
     ):
-        listener = HttpListener(handle, clock)
+        limits = ServerLimits(max_body_bytes=MAX_BODY_BYTES)
+        listener = HttpListener(handle, clock, limits)
         node.listeners.append(listener)
         await _bind(listener, address)
     node.listeners.append(node.callers)
--- a/tests/relay/test_announcements.py
+++ b/tests/relay/test_announcements.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from eelgrassmount.compose.relay_node import STATE_PATH
-from eelgrassmount.compose.relay_run import METRICS_PORT
+from eelgrassmount.compose.relay_run import MAX_BODY_BYTES, METRICS_PORT
 from eelgrassmount.util.addresses import Address
 from tests.relay.deployment import request
 from tests.relay.lone_node import SETTINGS, LoneNode, make_heartbeat, run
@@ -140,3 +140,15 @@
     finally:
         logger.remove(sink)
     assert sum("not taken up" in line for line in lines) == 2
+
+
+# Bodies of up to 64 MB were gathered in memory before the first look at them.
+def test_very_long_body_is_refused_before_it_is_gathered():
+    async def scenario(lone: LoneNode) -> None:
+        await lone.announce()
+        before = lone.read_belief()
+        answer = await lone.post(HEARTBEAT, b" " * (2 * MAX_BODY_BYTES))
+        assert answer.status == 413
+        assert lone.read_belief() == before
+
+    run(scenario)
