Let runs of tests in several work trees use addresses of their own

Cause: two runs at once took 127.77.0.1:8309 from each other: 32 cases of test_deployment.py ended with 'address already in use'. Now the second number of the address follows the process.

--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -26,7 +27,9 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
-LOG = Address("127.77.0.1", 8309)
+# runs of several work trees at once don't take each other's addresses
+BLOCK = f"127.{64 + os.getpid() % 128}"
+LOG = Address(f"{BLOCK}.0.1", 8309)
 HOST = "shop.example"
 WAIT_S = 5.0
 
@@ -137,7 +140,7 @@
 
     async def add(self, service: str, domain: str = "a", **changes: Any) -> Vm:
         """Start a VM and let its server announce itself."""
-        host = f"127.77.1.{len(self.vms) + 1}"
+        host = f"{BLOCK}.1.{len(self.vms) + 1}"
         values = {
             "name": f"node-{len(self.vms) + 1}",
             "failure_domain": domain,
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -16,13 +16,20 @@
 from eelgrassmount.util.addresses import Address
 from standins.platform_log import PlatformLog
 from standins.platform_server import PlatformServer
-from tests.relay.deployment import connect, make_document, make_request, make_rule, send
+from tests.relay.deployment import (
+    BLOCK,
+    connect,
+    make_document,
+    make_request,
+    make_rule,
+    send,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 ROOT = Path(__file__).parent.parent.parent
-HOST = "127.77.3.1"
+HOST = f"{BLOCK}.3.1"
 SETTINGS = f"""
 nodeId = "vm-1"
 ip = "{HOST}"
