--- /dev/null
+++ b/benchmarks/vectors.py
@@ -0,0 +1,121 @@
+"""What one solution of the learner costs, beside routes that ran once.
+
+Run it with ``python -m benchmarks.vectors``. The runs are a walk of random starts and
+ends on a clock of its own; only the solution is timed, in processor time. The ratio
+to the solution without routes that ran once holds on a busy machine, the
+milliseconds are of this one.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+
+from attrs import define, field, frozen
+
+from eelgrassmount.relay.vectors import VectorLearner
+
+SEED = 11
+STEP_S = 0.001
+# starts and ends before the first solution, which give 700 states of three routes,
+# and before the second, which is measured
+MOVES = 12_000
+MOVES_PER_SOLUTION = 1000
+# those beside each route that runs once
+MOVES_BESIDE = 8
+# runs in flight that the walk is drawn to, changed so often
+MAX_IN_FLIGHT = 140
+MOVES_PER_AIM = 100
+CALL_CHANCE = 0.3
+SOLUTIONS = 3
+
+
+@frozen
+class Scenario:
+    """Numbers of routes that run all the time, that ran once, and that are called."""
+
+    busy: int
+    once: int
+    called: int
+
+
+SCENARIOS = (
+    Scenario(busy=3, once=0, called=1),
+    Scenario(busy=3, once=30, called=1),
+    Scenario(busy=3, once=100, called=1),
+    Scenario(busy=8, once=0, called=3),
+    Scenario(busy=8, once=100, called=3),
+)
+
+
+@define(eq=False)
+class Walk:
+    """Starts and ends of runs at random, beside a learner."""
+
+    scenario: Scenario
+    rng: random.Random
+    learner: VectorLearner = field(init=False)
+    now_s: float = 100.0
+    running: list[str] = field(factory=list)
+    wanted: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Begin to learn."""
+        self.learner = VectorLearner(lambda: self.now_s)
+
+    def run_once(self) -> None:
+        """Let each route run that runs once, beside the others."""
+        for number in range(self.scenario.once):
+            self.learner.begin(f"once-{number}")
+            self.move(MOVES_BESIDE)
+            self.learner.end(f"once-{number}")
+
+    def move(self, moves: int) -> None:
+        """Start and end runs of the busy routes, some of which make a call."""
+        for move in range(moves):
+            self.now_s += STEP_S
+            if move % MOVES_PER_AIM == 0:
+                self.wanted = self.rng.randrange(MAX_IN_FLIGHT)
+            self._move_once()
+            if self.rng.random() < CALL_CHANCE:
+                self.learner.note_call(f"called-{move % self.scenario.called}")
+
+    def _move_once(self) -> None:
+        running = self.running
+        up = self.rng.random() * 2 * self.wanted > len(running)
+        if up or not running:
+            running.append(f"busy-{self.rng.randrange(self.scenario.busy)}")
+            self.learner.begin(running[-1])
+        else:
+            self.learner.end(running.pop(self.rng.randrange(len(running))))
+
+
+def measure(scenario: Scenario, seed: int) -> float:
+    """Return the processor time of one solution in milliseconds."""
+    walk = Walk(scenario, random.Random(seed))
+    inner = {f"called-{number}" for number in range(scenario.called)}
+    walk.run_once()
+    walk.move(MOVES)
+    walk.learner.solve(inner)
+    walk.move(MOVES_PER_SOLUTION)
+    begun_s = time.process_time()
+    walk.learner.solve(inner)
+    return (time.process_time() - begun_s) * 1000
+
+
+def main() -> None:
+    """Print the cost of a solution by scenario."""
+    alone_ms = 0.0
+    print("busy once called      ms  ratio to none once")
+    for scenario in SCENARIOS:
+        costs_ms = [measure(scenario, SEED + number) for number in range(SOLUTIONS)]
+        cost_ms = statistics.median(costs_ms)
+        if not scenario.once:
+            alone_ms = cost_ms
+        counts = f"{scenario.busy:4} {scenario.once:4} {scenario.called:6}"
+        print(f"{counts} {cost_ms:7.1f}  {cost_ms / alone_ms:.2f}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
