Follow calls of routes one depth after the other

Cause: each way of calls was walked on its own. Runs at the same depth are now added up by route, whichever way led there; the sums are the same.

Ruled out as the cause of the silent nodes: all nodes have the vectors, and only those of one service were silent.

--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -111,7 +111,7 @@
             name: min(route.objective_s, route.timeout_s)
             for name, route in table.routes.items()
         }
-        sizes = {name: self._count_chain(name, MAX_CHAIN) for name in self.vectors}
+        sizes = self._count_chains()
         for _ in range(MAX_CHAIN):
             for name, calls in self.vectors.items():
                 if name not in allowances:
@@ -122,16 +122,20 @@
                     allowances[called] = min(allowances[called], divided)
         return allowances
 
-    def _count_chain(self, name: str, depth: int) -> float:
-        """Return how many runs a request of a route leads to, itself included."""
-        if depth == 0:
-            return 1.0
-        calls = self.vectors.get(name, {})
-        return 1.0 + sum(
-            count * self._count_chain(called, depth - 1)
-            for called, count in calls.items()
-            if called != name
-        )
+    def _count_chains(self) -> dict[str, float]:
+        """Return how many runs a request of each route leads to, itself included."""
+        sizes: dict[str, float] = {}
+        for _ in range(MAX_CHAIN):
+            sizes = {
+                name: 1.0
+                + sum(
+                    count * sizes.get(called, 1.0)
+                    for called, count in calls.items()
+                    if called != name
+                )
+                for name, calls in self.vectors.items()
+            }
+        return sizes
 
     def count_calls(self, route: Route, table: RouteTable) -> dict[str, float]:
         """Return how many calls a request of a route makes of each service.
@@ -141,29 +145,23 @@
         """
         found = self._reached.get(route.name)
         if found is None:
-            found = {}
-            self._walk(route, table, 1.0, MAX_CHAIN, found)
-            self._reached[route.name] = found
+            found = self._reached[route.name] = self._walk(route, table)
         return found
 
-    def _walk(
-        self,
-        route: Route,
-        table: RouteTable,
-        times: float,
-        depth: int,
-        found: dict[str, float],
-    ) -> None:
-        total = sum(target.weight for target in route.targets)
-        for target in route.targets:
-            part = times * target.weight / total if total else 0.0
-            found[target.service] = found.get(target.service, 0.0) + part
-        if depth == 0:
-            return
-        for name, per_run in self.vectors.get(route.name, {}).items():
-            called = table.routes.get(name)
-            if called is not None and name != route.name:
-                self._walk(called, table, times * per_run, depth - 1, found)
+    def _walk(self, route: Route, table: RouteTable) -> dict[str, float]:
+        found: dict[str, float] = {}
+        # the runs at one depth, whichever way led there: eight routes that call each
+        # other have 137,257 ways
+        runs = {route.name: 1.0}
+        for _ in range(MAX_CHAIN + 1):
+            below: dict[str, float] = {}
+            for name, times in runs.items():
+                _add_targets(table.routes.get(name, route), times, found)
+                for called, per_run in self.vectors.get(name, {}).items():
+                    if called in table.routes and called != name:
+                        below[called] = below.get(called, 0.0) + times * per_run
+            runs = below
+        return found
 
     def is_mature(self) -> bool:
         """Tell whether calls of servers can be told from requests of clients."""
@@ -176,6 +174,14 @@
         return route_name in self._called
 
 
+def _add_targets(route: Route, times: float, found: dict[str, float]) -> None:
+    """Add the runs of a route to those of the services that it leads to."""
+    total = sum(target.weight for target in route.targets)
+    for target in route.targets:
+        part = times * target.weight / total if total else 0.0
+        found[target.service] = found.get(target.service, 0.0) + part
+
+
 @define(eq=False)
 class Admission:
     """Decides at the entry whether a request of a client may begin.
