Show that a node reports each route that ever ran

Cause: the gate keeps the durations of each route that has run, and the counts of calls keep each route that was asked for; both go into the reports, and the least time of all of them binds the wait at the gate. 60 s after a route has left the configuration it is still reported and still binds.

--- /dev/null
+++ b/tests/relay/test_forgetting.py
@@ -0,0 +1,104 @@
+"""What a node keeps of routes that have left the configuration."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from eelgrassmount.compose.relay import _subscribe, build_relay
+from eelgrassmount.http1.client import ClientAnswer
+from eelgrassmount.relay.gate import MAX_MEAN_WAIT_S, Job
+from eelgrassmount.relay.heartbeats import Heartbeat
+from eelgrassmount.relay.messages import Reply
+from eelgrassmount.relay.settings import RelaySettings
+from eelgrassmount.timers import ManualClock, TimerService
+from eelgrassmount.util.addresses import Address
+from tests.relay.deployment import make_document, make_rule
+from tests.relay.samples import make_call
+from tests.relay.test_gate import SIGNED, FakePool
+
+LIST = make_rule("/list/", "list")
+# one call of it may take a tenth of the time of others
+PART = make_rule("/part/", "list", targetLatencyMs=30)
+
+
+class Setup:
+    """A node that is not started, on a clock that the test moves."""
+
+    def __init__(self):
+        settings = RelaySettings(
+            name="node-1",
+            failure_domain="a",
+            service="list",
+            caller_address=Address("127.77.2.1", 8304),
+            peer_address=Address("127.77.2.1", 7620),
+            ready_address=Address("127.77.2.1", 8302),
+            announce_address=Address("127.77.2.1", 8306),
+            server_address=Address("127.77.2.1", 8301),
+            log_address=Address("127.77.2.1", 8309),
+        )
+        self.node = build_relay(settings)
+        self.node.timers = TimerService(ManualClock(0.0), random.Random(3))
+        _subscribe(self.node)
+        self.pool = self.node.gate.pool = FakePool()
+        self.pool.sweep = lambda: None
+        server = self.node.beliefs.server
+        server.note_heartbeat(Heartbeat("i1", service="list", slots=8))
+        self.configure(1, LIST, PART)
+        names = {route.prefix: route.name for route in self.routes}
+        self.list_name = names["/list/"]
+        self.part_name = names["/part/"]
+
+    @property
+    def routes(self):
+        return self.node.beliefs.table.routes.values()
+
+    def configure(self, version: int, *rules) -> None:
+        self.node.apply_document(make_document(version, *rules))
+
+    def wait(self, seconds: float) -> None:
+        self.node.timers.advance(seconds)
+
+    def start(self, name: str) -> None:
+        """Let a request be sent from the VM and a run of it start."""
+        self.node.beliefs.note_call(name)
+        route = self.node.beliefs.find_route(name, True)
+        call = make_call(route, now_s=self.node.beliefs.clock())
+        self.node.gate.offer(Job(call, self.note_reply))
+
+    def note_reply(self, reply: Reply) -> None:
+        assert reply.status == 200
+
+    def run(self, name: str) -> None:
+        """Let one run start and end."""
+        self.start(name)
+        self.pool.open[-1].end(ClientAnswer(200, SIGNED, b""))
+
+
+@pytest.fixture
+def setup() -> Setup:
+    return Setup()
+
+
+def test_routes_that_left_are_not_reported_and_bind_nothing(setup):
+    """A node reported each route that had ever run there, at each step.
+
+    The one with the least time decided how long calls may wait at the gate, even
+    once nobody could ask for it any more.
+    """
+    setup.run(setup.list_name)
+    setup.run(setup.part_name)
+    setup.wait(1.0)
+    report = setup.node.controllers.make_report(True)
+    both = {setup.list_name, setup.part_name}
+    assert {time.route_name for time in report.times} == both
+    assert {count.route_name for count in report.counts} == both
+    tight_s = setup.node.gate.allow_mean_wait()
+    assert tight_s < MAX_MEAN_WAIT_S
+    setup.configure(2, LIST)
+    setup.wait(60.0)
+    report = setup.node.controllers.make_report(True)
+    assert [time.route_name for time in report.times] == [setup.list_name]
+    assert [count.route_name for count in report.counts] == [setup.list_name]
+    assert setup.node.gate.allow_mean_wait() > tight_s
