Forget routes that left the configuration at the gate and in the counts

Once a second, while there is a configuration, the gate drops the durations of routes that are not in it and don't run; counts of such routes go once they have faded to 0.01. A report that can't carry all counts carries the busiest.

Ruled out: forgetting at once when a configuration comes into force; a run that outlasts its route would be judged by the default duration.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -270,6 +270,7 @@
     timers.subscribe(SWEEP_PERIOD_S, node.gate.pool.sweep)
     timers.subscribe(SWEEP_PERIOD_S, node.inbound.expire)
     timers.subscribe(SWEEP_PERIOD_S, node.decisions.tell_left_out)
+    timers.subscribe(SWEEP_PERIOD_S, node.forget_routes)
 
 
 async def _follow(node: RelayNode, topic: str) -> None:
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -191,6 +191,16 @@
         state.labels("open_requests").set(self.entry.open_flows)
         state.labels("lines_left_out").set(self.decisions.failures.left_out)
 
+    def forget_routes(self) -> None:
+        """Forget what is known of routes that have left the configuration.
+
+        It is done from time to time: runs that had begun before end after it.
+        """
+        table = self.beliefs.table
+        # without a configuration, none is known to have left
+        if table.version:
+            self.gate.forget_routes(table.routes)
+
     def count_open(self) -> int:
         """Return how many requests and calls have no answer yet."""
         return self.callers.count_open() + self.inbound.count_open()
--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+from heapq import nlargest
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
@@ -189,10 +191,10 @@
         rows = []
         counts = []
         if with_rows:
-            counts = [
-                ttypes.RouteCount(name, count)
-                for name, count in beliefs.called_before.items()
-            ][:MAX_ROWS]
+            busiest = nlargest(
+                MAX_ROWS, beliefs.called_before.items(), key=itemgetter(1)
+            )
+            counts = [ttypes.RouteCount(name, count) for name, count in busiest]
             rows = write_rows(beliefs.own_vectors)
         return ttypes.RelayReport(
             self._accepts(),
@@ -278,7 +280,7 @@
     def count_calls(self) -> None:
         """Take up how often each route was asked for in the latest interval."""
         beliefs = self.beliefs
-        update_counts(beliefs.called_before, beliefs.called)
+        update_counts(beliefs.called_before, beliefs.called, beliefs.table.routes)
         beliefs.called = {}
 
     def _find_inner(self) -> set[str]:
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -15,7 +15,7 @@
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from eelgrassmount.relay.backend import BackendPool, Sending
     from eelgrassmount.relay.dialect import Dialect
@@ -233,6 +233,15 @@
         allowed_s = MEAN_WAIT_SHARE * min(allowances)
         return min(MAX_MEAN_WAIT_S, max(MIN_MEAN_WAIT_S, allowed_s))
 
+    def forget_routes(self, known: Collection[str]) -> None:
+        """Forget the routes that have left the configuration, once none runs."""
+        running = {job.call.route.name for job in self.running}
+        self.routes = {
+            name: stats
+            for name, stats in self.routes.items()
+            if name in known or name in running
+        }
+
     def _note_silence(self, job: Job, now_s: float) -> None:
         """Count a run as a failure once it takes far longer than usual."""
         route = job.call.route
--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -17,7 +17,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
 # counts of calls are taken over so long
 INTERVAL_S = 0.25
@@ -306,6 +306,9 @@
 
 # counts of calls fade with this factor at each interval: half is gone in 6 s
 COUNT_FADE = 0.972
+# count below which a route that has left the configuration is forgotten: it decides
+# nothing, the least that does is CLIENT_SHARE of MIN_CALLS
+LEAST_COUNT = 0.01
 # calls on one VM on the mean, below which a route is not judged: at 15, a route of
 # clients would be missed elsewhere by chance less than once in a million
 MIN_CALLS = 15.0
@@ -314,10 +317,19 @@
 CLIENT_SHARE = 0.05
 
 
-def update_counts(counts: dict[str, float], calls: dict[str, int]) -> None:
-    """Take up the calls of one interval into the fading counts."""
+def update_counts(
+    counts: dict[str, float], calls: dict[str, int], known: Collection[str] = ()
+) -> None:
+    """Take up the calls of one interval into the fading counts.
+
+    Routes that are not ``known`` are forgotten once their count has faded.
+    """
     for name in counts.keys() | calls.keys():
-        counts[name] = counts.get(name, 0.0) * COUNT_FADE + calls.get(name, 0)
+        count = counts.get(name, 0.0) * COUNT_FADE + calls.get(name, 0)
+        if count >= LEAST_COUNT or name in known:
+            counts[name] = count
+        else:
+            counts.pop(name, None)
 
 
 def find_inner_routes(counts: dict[str, list[dict[str, float]]]) -> set[str]:
--- a/tests/relay/test_forgetting.py
+++ b/tests/relay/test_forgetting.py
@@ -8,9 +8,11 @@
 
 from eelgrassmount.compose.relay import _subscribe, build_relay
 from eelgrassmount.http1.client import ClientAnswer
+from eelgrassmount.relay.controllers import MAX_ROWS
 from eelgrassmount.relay.gate import MAX_MEAN_WAIT_S, Job
 from eelgrassmount.relay.heartbeats import Heartbeat
 from eelgrassmount.relay.messages import Reply
+from eelgrassmount.relay.routes import RouteTable
 from eelgrassmount.relay.settings import RelaySettings
 from eelgrassmount.timers import ManualClock, TimerService
 from eelgrassmount.util.addresses import Address
@@ -102,3 +104,32 @@
     assert [time.route_name for time in report.times] == [setup.list_name]
     assert [count.route_name for count in report.counts] == [setup.list_name]
     assert setup.node.gate.allow_mean_wait() > tight_s
+
+
+def test_run_that_outlasts_its_route_is_judged_by_what_is_usual(setup):
+    setup.run(setup.part_name)
+    setup.start(setup.part_name)
+    setup.configure(2, LIST)
+    setup.wait(3.0)
+    assert setup.part_name in setup.node.gate.routes
+    setup.pool.open[-1].end(ClientAnswer(200, SIGNED, b""))
+    setup.wait(3.0)
+    assert setup.part_name not in setup.node.gate.routes
+
+
+def test_nothing_is_forgotten_without_a_configuration(setup):
+    setup.run(setup.part_name)
+    setup.node.beliefs.table = RouteTable()
+    setup.wait(3.0)
+    assert setup.part_name in setup.node.gate.routes
+
+
+def test_counts_of_the_busiest_routes_are_told_first(setup):
+    for number in range(MAX_ROWS):
+        setup.node.beliefs.note_call(f"shop/{number}/")
+    for _ in range(3):
+        setup.node.beliefs.note_call(setup.list_name)
+    setup.node.controllers.count_calls()
+    counts = setup.node.controllers.make_report(True).counts
+    assert len(counts) == MAX_ROWS
+    assert counts[0].route_name == setup.list_name
