Forget calls, requests and stand-ins of routes that left

Routes are known for 30 s after they left the configuration. The graph drops the vectors of all others once a second, and takes no others from the record on the log; without a configuration it takes all. Admission drops what was offered of routes that are not in the configuration at each step. A route that only another node knows is made anew when a call of it comes; it was kept for good.

Ruled out: dropping vectors at once; runs that had begun before make calls that would be taken for those of clients.

--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -196,10 +196,12 @@
 
         It is done from time to time: runs that had begun before end after it.
         """
-        table = self.beliefs.table
+        beliefs = self.beliefs
+        beliefs.note_routes()
+        beliefs.graph.keep_routes(beliefs.knows_route)
         # without a configuration, none is known to have left
-        if table.version:
-            self.gate.forget_routes(table.routes)
+        if beliefs.table.version:
+            self.gate.forget_routes(beliefs.table.routes)
 
     def count_open(self) -> int:
         """Return how many requests and calls have no answer yet."""
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -87,6 +87,15 @@
             logger.info("calls of a route learned", route=route_name, calls=rounded)
         self.vectors[route_name] = calls
 
+    def keep_routes(self, knows_route: Callable[[str], bool]) -> None:
+        """Forget the vectors of all other routes."""
+        left = [name for name in self.vectors if not knows_route(name)]
+        for name in left:
+            del self.vectors[name]
+        if left:
+            self._called = None
+            self.forget_routes()
+
     def forget_routes(self) -> None:
         """Follow the chains anew, after the routes have changed."""
         self._reached.clear()
@@ -221,8 +230,16 @@
                 level = self.find_level(service)
                 if level < 1.0:
                     self._limit(asked, level)
-        for name in self.offered:
-            self.offered[name] *= OFFERED_FADE
+        self.offered = {
+            name: count * OFFERED_FADE
+            for name, count in self.offered.items()
+            if name in table.routes
+        }
+        self._credits = {
+            name: credit
+            for name, credit in self._credits.items()
+            if name in table.routes
+        }
 
     def _pile(self, table: RouteTable) -> dict[str, list[tuple[Route, float]]]:
         """Return what the offered requests ask of each service, by route."""
--- a/eelgrassmount/relay/beliefs.py
+++ b/eelgrassmount/relay/beliefs.py
@@ -20,6 +20,9 @@
 
 # objective and time-out of a route that another node knows and this one doesn't
 UNKNOWN_ROUTE_S = 5.0
+# a route that has left the configuration is still known for so long: the time of the
+# longest request, whose run may make calls to its end
+KEEP_LEFT_S = 30.0
 
 
 @define(eq=False)
@@ -52,7 +55,7 @@
     own_vectors: dict[str, dict[str, float]] = field(factory=dict)
     stopping: bool = False
     closing: bool = False
-    _unknown_routes: dict[str, Route] = field(factory=dict)
+    _seen_s: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Begin to learn."""
@@ -73,26 +76,39 @@
         control = self.levels.get(service)
         return 1.0 if control is None else control.level
 
+    def note_routes(self) -> None:
+        """Note which routes there are now; it is done about once a second."""
+        now_s = self.clock()
+        self._seen_s.update(dict.fromkeys(self.table.routes, now_s))
+        oldest_s = now_s - KEEP_LEFT_S
+        self._seen_s = {
+            name: seen_s for name, seen_s in self._seen_s.items() if seen_s > oldest_s
+        }
+
+    def knows_route(self, name: str) -> bool:
+        """Tell whether a route is in the configuration, or was lately.
+
+        Without a configuration, none is known to have left.
+        """
+        table = self.table
+        return not table.version or name in table.routes or name in self._seen_s
+
     def find_route(self, name: str, idempotent: bool) -> Route:
         """Return a route by name, also one that only another node knows yet."""
         route = self.table.routes.get(name)
         if route is not None:
             return route
-        route = self._unknown_routes.get(name)
-        if route is None:
-            route = Route(
-                name,
-                "",
-                "/",
-                idempotent,
-                (Target(self.server.service, 1.0),),
-                UNKNOWN_ROUTE_S,
-                UNKNOWN_ROUTE_S,
-                1,
-                0,
-            )
-            self._unknown_routes[name] = route
-        return route
+        return Route(
+            name,
+            "",
+            "/",
+            idempotent,
+            (Target(self.server.service, 1.0),),
+            UNKNOWN_ROUTE_S,
+            UNKNOWN_ROUTE_S,
+            1,
+            0,
+        )
 
     def make_hello(self) -> ttypes.RelayHello:
         """Return what a node says of itself at the start of a link."""
--- a/eelgrassmount/relay/learned.py
+++ b/eelgrassmount/relay/learned.py
@@ -41,7 +41,7 @@
         self._kept = read_rows(record.calls)
         graph = self.beliefs.graph
         for name, calls in self._kept.items():
-            if name not in graph.vectors:
+            if name not in graph.vectors and self.beliefs.knows_route(name):
                 graph.put(name, calls)
 
     def find_record(self) -> bytes | None:
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -204,3 +204,13 @@
         return 7 * find_share(depth - 1, times / 2, False)
     back = find_share(depth - 1, times / 2, True)
     return back + 6 * find_share(depth - 1, times / 2, False)
+
+
+def test_requests_of_routes_that_left_are_forgotten():
+    admission = make_admission(0.5)
+    for route in (STATUS, PRICE):
+        admission.allows(route)
+    assert admission._credits.keys() == {STATUS.name, PRICE.name}
+    admission.update(make_table(BOOK, STATUS))
+    assert admission.offered.keys() == {BOOK.name, STATUS.name}
+    assert admission._credits.keys() == {STATUS.name}
--- a/tests/relay/test_forgetting.py
+++ b/tests/relay/test_forgetting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import weakref
 
 import pytest
 
@@ -162,3 +163,10 @@
     record = ttypes.LearnedRecord(write_rows(learned))
     setup.node.learned.take(encode_struct(record))
     assert graph.vectors == {}
+
+
+def test_routes_that_only_other_nodes_know_are_not_kept(setup):
+    beliefs = setup.node.beliefs
+    route = weakref.ref(beliefs.find_route("shop/new/", True))
+    assert route() is None
+    assert beliefs.find_route("shop/new/", False).name == "shop/new/"
