Show that the series of routes that left are kept for good

Cause: a counter and a histogram keep a child for each route that was ever asked for, and each reading of the metrics writes all of them.

--- a/tests/relay/test_forgetting.py
+++ b/tests/relay/test_forgetting.py
@@ -170,3 +170,29 @@
     route = weakref.ref(beliefs.find_route("shop/new/", True))
     assert route() is None
     assert beliefs.find_route("shop/new/", False).name == "shop/new/"
+
+
+def test_series_of_routes_that_left_are_not_kept(setup):
+    """Each route that had ever been asked for kept its series until a restart."""
+    metrics = setup.node.metrics
+    for name in (setup.list_name, setup.part_name):
+        metrics.count_answer(name, 200, 0.1)
+        metrics.count_refusal(name, "overload")
+        metrics.count_failure(name, "peer-lost")
+        metrics.count_abandoned(name)
+    metrics.count_refusal("", "no-route")
+    setup.wait(2.0)
+    setup.configure(2, LIST)
+    setup.wait(2.0)
+    # time for the last numbers to be read
+    assert setup.part_name in metrics.render().decode()
+    setup.wait(60.0)
+    text = metrics.render().decode()
+    assert setup.part_name not in text
+    assert text.count(f'route="{setup.list_name}"') > 20
+    assert 'reason="no-route",route=""' in text
+    # one that comes back begins anew
+    metrics.count_abandoned(setup.part_name)
+    assert (
+        f'abandoned_total{{route="{setup.part_name}"}} 1.0' in metrics.render().decode()
+    )
