--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
 from prometheus_client import (
@@ -15,6 +15,9 @@
 
 from eelgrassmount.metrics import CALL_BUCKETS_S, PREFIX
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 @define(eq=False)
 class RelayMetrics:
@@ -30,7 +33,7 @@
     connections: Counter = field(init=False)
     state: Gauge = field(init=False)
     levels: Gauge = field(init=False)
-    _children: dict[tuple[str, ...], Any] = field(factory=dict)
+    _children: dict[tuple[Any, ...], Any] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Register everything."""
@@ -93,24 +96,16 @@
 
     def count_answer(self, route: str, status: int, seconds: float) -> None:
         """Count an answer and its time."""
-        key = ("answer", route, str(status))
-        children = self._children.get(key)
-        if children is None:
-            children = (
-                self.answers.labels(route, str(status)),
-                self.seconds.labels(route),
-            )
-            self._children[key] = children
-        children[0].inc()
-        children[1].observe(seconds)
+        self._find(self.answers, route, str(status)).inc()
+        self._find(self.seconds, route).observe(seconds)
 
     def count_refusal(self, route: str, reason: str) -> None:
         """Count a request that has not run."""
-        self.refusals.labels(route, reason).inc()
+        self._find(self.refusals, route, reason).inc()
 
     def count_failure(self, route: str, reason: str) -> None:
         """Count a request without an answer that may have run."""
-        self.failures.labels(route, reason).inc()
+        self._find(self.failures, route, reason).inc()
 
     def count_retry(self, reason: object) -> None:
         """Count a call that is sent once more."""
@@ -118,7 +113,22 @@
 
     def count_abandoned(self, route: str) -> None:
         """Count a request whose client has left."""
-        self.abandoned.labels(route).inc()
+        self._find(self.abandoned, route).inc()
+
+    def keep_routes(self, knows_route: Callable[[str], bool]) -> None:
+        """Drop the series of all other routes, but for requests without one."""
+        left = [key for key in self._children if key[1] and not knows_route(key[1])]
+        for key in left:
+            del self._children[key]
+            metric, *labels = key
+            metric.remove(*labels)
+
+    def _find(self, metric: Any, route: str, *labels: str) -> Any:
+        key = (metric, route, *labels)
+        child = self._children.get(key)
+        if child is None:
+            child = self._children[key] = metric.labels(route, *labels)
+        return child
 
     def render(self) -> bytes:
         """Return all metrics as text."""
