--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -85,7 +85,7 @@
     settings = node.settings
     node.put_own()
     await _listen(node)
-    _subscribe(node)
+    subscribe_timers(node)
     group.start_soon(node.timers.run)
     group.start_soon(_follow, node, CONFIGURATION_TOPIC)
     group.start_soon(_join, node)
@@ -125,7 +125,8 @@
         raise ListenError(str(address), str(error)) from error
 
 
-def _subscribe(node: RelayNode) -> None:
+def subscribe_timers(node: RelayNode) -> None:
+    """Let a node's parts do what they do from time to time."""
     timers = node.timers
     stalls = StallWatch(
         LINK_PERIOD_S,
@@ -143,6 +144,7 @@
     timers.subscribe(SWEEP_PERIOD_S, node.gate.pool.sweep)
     timers.subscribe(SWEEP_PERIOD_S, node.inbound.expire)
     timers.subscribe(SWEEP_PERIOD_S, node.decisions.tell_left_out)
+    timers.subscribe(SWEEP_PERIOD_S, node.forget_routes)
 
 
 async def _follow(node: RelayNode, topic: str) -> None:
