--- a/tests/relay/virtual.py
+++ b/tests/relay/virtual.py
@@ -19,6 +19,11 @@
     from collections.abc import Awaitable, Callable
 
 LATENCY_S = 0.001
+# what one turn of a loop takes: without it, time would stand still for callbacks that
+# ask for the next turn again and again
+TURN_S = 0.00001
+# the system finds out so long after it that nothing comes through any more
+KEEP_ALIVE_S = 4.0
 CLOSED = b""
 
 Place = tuple[str, int]
@@ -33,7 +38,7 @@
         """Return what is ready now."""
         if timeout is None:
             raise RuntimeError("nothing will ever happen")
-        self.loop.now_s += max(0.0, timeout)
+        self.loop.now_s += max(TURN_S, timeout)
         return super().select(0)
 
 
@@ -130,12 +135,12 @@
         """Lose all that goes over the open connections, which are not reset."""
         for link in self.list_open(place):
             link.mute = True
+            self.loop.call_later(KEEP_ALIVE_S, link.break_off)
 
     def reset(self, place: Place) -> None:
         """Reset the open connections at both ends."""
         for link in self.list_open(place):
-            link.near.break_off()
-            link.far.break_off()
+            link.break_off()
 
 
 class Link:
@@ -159,6 +164,11 @@
             self.far.begin(listener.factory())
             self.far.drain()
 
+    def break_off(self) -> None:
+        """Let both systems reset the connection."""
+        self.near.break_off()
+        self.far.break_off()
+
     def is_held(self) -> bool:
         """Tell whether nothing is read now."""
         return self.place in self.network.standing
@@ -258,5 +268,11 @@
     async def start() -> None:
         await main(loops[0].network)
 
-    with mock.patch.object(time, "monotonic", lambda: loops[0].now_s):
+    def read_clock(clock: int = time.CLOCK_MONOTONIC) -> float:
+        return loops[0].now_s
+
+    with (
+        mock.patch.object(time, "monotonic", read_clock),
+        mock.patch.object(time, "clock_gettime", read_clock),
+    ):
         anyio.run(start, backend_options={"loop_factory": make_loop})
