--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -25,6 +25,7 @@
 from eelgrassmount.relay.members import MemberTable
 from eelgrassmount.relay.metrics import RelayMetrics
 from eelgrassmount.relay.news import News
+from eelgrassmount.relay.refused import RefusedMessages
 from eelgrassmount.relay.routing import Router
 from eelgrassmount.relay.sender import Sender
 from eelgrassmount.relay.server import LocalServer
@@ -161,5 +162,6 @@
         HttpListener(entry.handle, clock),
         LearnedCalls(beliefs),
         rng,
+        RefusedMessages(clock, metrics.count_refused),
     )
     return node
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -31,6 +31,7 @@
     retries: Counter = field(init=False)
     abandoned: Counter = field(init=False)
     connections: Counter = field(init=False)
+    refused: Counter = field(init=False)
     stalls: Counter = field(init=False)
     state: Gauge = field(init=False)
     levels: Gauge = field(init=False)
@@ -81,6 +82,12 @@
             "Connections opened to the server of this VM.",
             registry=registry,
         )
+        self.refused = Counter(
+            f"{PREFIX}_relay_refused",
+            "Messages of other writers that were not taken up, by kind.",
+            ["kind"],
+            registry=registry,
+        )
         self.stalls = Counter(
             f"{PREFIX}_relay_stall_seconds",
             "Seconds for which the event loop stood still, in stalls over 0.2 s.",
@@ -136,6 +143,10 @@
             child = self._children[key] = metric.labels(route, *labels)
         return child
 
+    def count_refused(self, kind: str, messages: int = 1) -> None:
+        """Count messages that were not taken up."""
+        self.refused.labels(kind).inc(messages)
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self.registry)
