--- /dev/null
+++ b/tests/tools/test_model_checker.py
@@ -0,0 +1,132 @@
+"""The set-up of the model's checker, and what its absence does to a run."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tools.model_checker import ABSENCE, describe_absence, set_up_checker
+from tools.reports import read_pytest
+from tools.results import Status, sum_up
+
+ROOT = Path(__file__).parents[2]
+MODEL_TESTS = "tests/model/test_model.py"
+# what the script itself calls
+PLAIN = ("sh", "mkdir", "tail", "touch", "chmod")
+
+
+@pytest.fixture
+def bare_path(tmp_path, monkeypatch):
+    """Return a directory that is the whole PATH, without spin, gcc and apt-get."""
+    directory = tmp_path / "bin"
+    directory.mkdir()
+    for name in PLAIN:
+        (directory / name).symlink_to(shutil.which(name))
+    monkeypatch.setenv("PATH", str(directory))
+    monkeypatch.delenv(ABSENCE, raising=False)
+    monkeypatch.delenv("CI", raising=False)
+    return directory
+
+
+def add_program(directory: Path, name: str, script: str = "") -> None:
+    program = directory / name
+    program.write_text(f"#!/bin/sh\n{script}\n")
+    program.chmod(0o755)
+
+
+def add_installer(directory: Path, calls: Path, brings: str) -> None:
+    """Add an apt-get that notes its arguments and brings programs by ``install``."""
+    lines = [f'echo "$*" >>{calls}', '[ "$1" = update ] && exit 0']
+    for name in brings.split():
+        lines.append(f"touch {directory}/{name}; chmod +x {directory}/{name}")
+    add_program(directory, "apt-get", "\n".join(lines))
+
+
+def test_nothing_to_do(bare_path, tmp_path):
+    calls = tmp_path / "calls"
+    add_installer(bare_path, calls, "")
+    add_program(bare_path, "spin")
+    add_program(bare_path, "gcc")
+    assert set_up_checker() == ""
+    assert not calls.exists()
+
+
+@pytest.mark.parametrize(
+    ("there", "packages"),
+    [("", "spin gcc libc6-dev"), ("gcc", "spin"), ("spin", "gcc libc6-dev")],
+)
+def test_installs_only_what_is_missing(bare_path, tmp_path, there, packages):
+    calls = tmp_path / "calls"
+    add_installer(bare_path, calls, "spin gcc")
+    if there:
+        add_program(bare_path, there)
+    assert set_up_checker() == ""
+    assert calls.read_text().splitlines()[-1].endswith(f"-y {packages}")
+
+
+def test_no_installer(bare_path):
+    reason = set_up_checker()
+    assert reason == "spin gcc libc6-dev missing, and no apt-get to install with"
+
+
+def test_installer_fails(bare_path):
+    script = "echo first >&2; echo E: are you root? >&2; exit 100"
+    add_program(bare_path, "apt-get", script)
+    reason = set_up_checker()
+    assert reason == "spin gcc libc6-dev not installed: E: are you root?"
+
+
+def test_installer_brings_nothing(bare_path, tmp_path):
+    add_installer(bare_path, tmp_path / "calls", "gcc")
+    assert set_up_checker() == "spin gcc libc6-dev installed, but no spin on the PATH"
+
+
+@pytest.mark.parametrize(
+    ("reason", "ci", "described"),
+    [
+        ("no spin", "", "no spin"),
+        ("no spin", "false", "no spin"),
+        ("no spin", "true", ""),
+        ("", "", ""),
+    ],
+)
+def test_describe_absence(reason, ci, described):
+    assert describe_absence({ABSENCE: reason, "CI": ci}) == described
+
+
+def run_model_tests(report: Path, **environment: str):
+    """Run the model's cases in a process of their own and sum up."""
+    command = (sys.executable, "-m", "pytest", f"--junitxml={report}", MODEL_TESTS)
+    subprocess.run(
+        command, cwd=ROOT, env={**os.environ, **environment}, capture_output=True
+    )
+    return sum_up(read_pytest(report), ())
+
+
+# A machine without the checker must not look as if the model had been checked, and
+# one where nobody tried to install it, or CI, must not pass it over.
+@pytest.mark.parametrize(
+    ("reason", "ci", "status"),
+    [
+        ("no spin to be had", "", Status.SKIPPED),
+        ("no spin to be had", "true", Status.FAILED),
+        ("", "", Status.FAILED),
+    ],
+)
+def test_model_without_checker(bare_path, tmp_path, monkeypatch, reason, ci, status):
+    monkeypatch.chdir(ROOT)
+    summary = run_model_tests(tmp_path / "report.xml", **{ABSENCE: reason, "CI": ci})
+    by_status = {Status.SKIPPED: summary.skipped, Status.FAILED: summary.failed}
+    cases = by_status.pop(status)
+    (others,) = by_status.values()
+    assert len(cases) > 20
+    assert not others
+    assert all(case.startswith(f"{MODEL_TESTS}::test_case[") for case in cases)
+    if status is Status.SKIPPED:
+        assert all(case.endswith(": no spin to be had") for case in cases)
+        assert summary.closing_line.endswith(f" 0 failed, {len(cases)} skipped")
--- a/tests/tools/test_reports.py
+++ b/tests/tools/test_reports.py
@@ -13,6 +13,8 @@
 <testcase classname="tests.tools.test_reports" name="test_a[x]" />
 <testcase classname="tests.tools.test_reports.TestB" name="run"><failure/></testcase>
 <testcase classname="tests.tools.test_reports" name="test_c"><skipped/></testcase>
+<testcase classname="tests.tools.test_reports" name="test_d"><skipped message="no x"/>
+</testcase>
 <testcase classname="" name="tests.broken"><error/></testcase>
 </testsuite></testsuites>"""
 BEHAVE = [
@@ -43,6 +45,7 @@
         Result(f"{OWN_FILE}::test_a[x]", Status.PASSED),
         Result(f"{OWN_FILE}::TestB::run", Status.FAILED),
         Result(f"{OWN_FILE}::test_c", Status.SKIPPED),
+        Result(f"{OWN_FILE}::test_d", Status.SKIPPED, "no x"),
         Result("collection::tests.broken", Status.FAILED),
     ]
 
--- a/tests/tools/test_results.py
+++ b/tests/tools/test_results.py
@@ -35,3 +35,8 @@
     text = "\ntests/test_a.py::test_b[x:y]: a cause: issue 4: more\n"
     entry = KnownRed("tests/test_a.py::test_b[x:y]", "a cause", "issue 4: more")
     assert parse_known_red(text) == (entry,)
+
+
+def test_skipped_with_reason():
+    skipped = Result("c", Status.SKIPPED, "no checker")
+    assert sum_up([skipped, SKIPPED], ()).skipped == ("c: no checker", "c")
