--- a/tools/reports.py
+++ b/tools/reports.py
@@ -17,7 +17,8 @@
     """Return the result of each test of a JUnit report, by pytest's node id."""
     for case in ElementTree.parse(path).iter("testcase"):
         place = _find_place(case.get("classname") or "")
-        yield Result(f"{place}::{case.get('name')}", _judge_case(case))
+        id = f"{place}::{case.get('name')}"
+        yield Result(id, _judge_case(case), _find_skip_reason(case))
 
 
 def _find_place(class_name: str) -> str:
@@ -38,6 +39,11 @@
     return Status.PASSED
 
 
+def _find_skip_reason(case: ElementTree.Element) -> str:
+    skipped = case.find("skipped")
+    return "" if skipped is None else skipped.get("message", "")
+
+
 def read_behave(path: Path) -> Iterator[Result]:
     """Return the result of each scenario of a behave report in JSON."""
     for feature in json.loads(path.read_text()):
--- a/tools/results.py
+++ b/tools/results.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
 MAX_KNOWN_RED = 3
 
@@ -23,7 +23,7 @@
 
 @frozen
 class Result:
-    """One check or test by its id; ``detail`` is printed when it failed."""
+    """One check or test by its id; ``detail`` says why it failed or was skipped."""
 
     id: str
     status: Status
@@ -43,6 +43,7 @@
 class Summary:
     """All results, with the known failures taken apart from the others.
 
+    ``skipped`` holds ids, each with its reason where one is known.
     ``complaints`` are faults of the list of known failures itself: these count
     as failures too.
     """
@@ -86,12 +87,18 @@
     return Summary(
         passed=sum(item.status is Status.PASSED for item in results),
         failed=tuple(id for id in failed if id not in known_ids),
-        skipped=tuple(item.id for item in results if item.status is Status.SKIPPED),
+        skipped=tuple(_list_skipped(results)),
         known_red=tuple(entry for entry in known if entry.id in failed),
         complaints=tuple(_check_known(known, failed)),
     )
 
 
+def _list_skipped(results: Iterable[Result]) -> Iterator[str]:
+    for item in results:
+        if item.status is Status.SKIPPED:
+            yield f"{item.id}: {item.detail}" if item.detail else item.id
+
+
 def _check_known(known: tuple[KnownRed, ...], failed: list[str]) -> Iterable[str]:
     if len(known) > MAX_KNOWN_RED:
         yield f"{len(known)} known failures are listed, at most {MAX_KNOWN_RED} may be"
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -9,6 +10,7 @@
 
 from attrs import frozen
 
+from tools.model_checker import ABSENCE, set_up_checker
 from tools.reports import read_behave, read_pytest
 from tools.results import Result, Status, Summary, parse_known_red, sum_up
 
@@ -56,6 +58,7 @@
 def main() -> int:
     """Run all checks and return the exit code."""
     OUT.mkdir(exist_ok=True)
+    announce_checker()
     results = [result for check in CHECKS for result in run_check(check)]
     known_text = KNOWN_RED.read_text() if KNOWN_RED.exists() else ""
     summary = sum_up(results, parse_known_red(known_text))
@@ -63,6 +66,14 @@
     return 0 if summary.green else 1
 
 
+def announce_checker() -> None:
+    """Set up the model's checker; say so and pass the reason on if it can't be."""
+    reason = set_up_checker()
+    os.environ[ABSENCE] = reason
+    if reason:
+        print(f"the model can't be checked here: {reason}", flush=True)
+
+
 def run_check(check: Check) -> list[Result]:
     """Run one check and return its results."""
     print(f"== {check.name}", flush=True)
@@ -92,8 +103,8 @@
 
 def _print_summary(summary: Summary) -> None:
     print("== summary")
-    for id in summary.skipped:
-        print(f"skipped: {id}")
+    for text in summary.skipped:
+        print(f"skipped: {text}")
     for entry in summary.known_red:
         print(f"known red: {entry.id}: {entry.cause}: {entry.issue}")
     for text in (*summary.failed, *summary.complaints):
