--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -43,6 +43,7 @@
     done: Callable[[ClientAnswer | Break], None]
     connection: ClientConnection | None = None
     ended: bool = False
+    head_only: bool = False
 
     def cancel(self) -> None:
         """Give up the request; ``done`` is called if it has not been."""
@@ -53,6 +54,10 @@
         else:
             self.tell(Break.CANCELLED)
 
+    def is_written(self) -> bool:
+        """Tell whether the request is on a connection, and may be read."""
+        return self.connection is not None
+
     def tell(self, outcome: ClientAnswer | Break) -> None:
         """Tell the outcome once."""
         if not self.ended:
@@ -78,9 +83,14 @@
         fresh: bool,
         accepts: Callable[[ClientAnswer], bool],
         done: Callable[[ClientAnswer | Break], None],
+        head_only: bool = False,
     ) -> Sending:
-        """Send a whole request; ``fresh`` asks for a connection in recent use."""
-        sending = Sending(done)
+        """Send a whole request; ``fresh`` asks for a connection in recent use.
+
+        The answer to a request for the head alone (``head_only``) has no body,
+        whatever length it announces.
+        """
+        sending = Sending(done, head_only=head_only)
         connection = self._take(fresh)
         if connection is not None:
             self._send_on(connection, sending, data, accepts)
@@ -98,6 +108,15 @@
             connection.close()
         self._idle.clear()
 
+    def forget(self) -> None:
+        """Begin anew with a server that has started again.
+
+        Connections that are idle lead to the earlier start, and so does what was
+        learned of how long it keeps them.
+        """
+        self.drop_idle()
+        self._trusted_idle_s = DEFAULT_IDLE_LIMIT_S
+
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
         grown_s = self._trusted_idle_s * TRUST_GROWTH
@@ -148,7 +167,7 @@
                     connection.idle_limit_s = limit_s
             sending.tell(outcome)
 
-        connection.send(data, note, accepts)
+        connection.send(data, note, accepts, sending.head_only)
 
     async def _connect_and_send(
         self,
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -14,7 +14,9 @@
     LOOP_TICK_S,
     ManualClock,
     MonotonicClock,
+    SlowestAction,
     TimerService,
+    name_action,
     round_wait,
 )
 
@@ -134,3 +136,33 @@
     anyio.run(main, backend_options={"use_uvloop": True})
     assert len(fired) >= 10
     assert len(looks) <= 3 * len(fired) + 5
+
+
+def test_slowest_action_is_noted() -> None:
+    timers = make_timers(slowest=SlowestAction())
+
+    def work() -> None:
+        timers.clock.now_s += 0.4
+
+    timers.schedule(1.0, work)
+    timers.schedule(1.0, lambda: None)
+    timers.advance(1.0)
+    name, seconds = timers.slowest.take()
+    assert name.endswith("work")
+    assert seconds == pytest.approx(0.4)
+
+
+def test_naming_an_action_does_not_write_out_its_object() -> None:
+    # The name was looked up with the representation as the default, which was
+    # made each time: that of a node's parts took 3 s of processor time a second.
+    class Part:
+        def __repr__(self) -> str:
+            raise AssertionError("written out")
+
+        def act(self) -> None:
+            pass
+
+        __call__ = act
+
+    assert name_action(Part().act).endswith("Part.act")
+    assert name_action(Part()) == "Part"
