--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -219,7 +219,7 @@
         state.labels("in_flight").set(self.gate.in_flight)
         state.labels("queued").set(self.gate.queued)
         state.labels("limit").set(self.beliefs.server.compute_limit())
-        state.labels("demand").set(self.gate.load.demand)
+        state.labels("demand").set(self.gate.measures.load.demand)
         for service, control in self.beliefs.levels.items():
             self.metrics.levels.labels(service).set(control.level)
         state.labels("members").set(len(self.beliefs.members.by_name))
--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -13,8 +13,8 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.admission import LevelControl
 from eelgrassmount.relay.frames import FrameKind
-from eelgrassmount.relay.gate import GateLoad
 from eelgrassmount.relay.link import PeerLink
+from eelgrassmount.relay.measures import GateLoad
 from eelgrassmount.relay.members import REPORT_LIMIT_S, Member, MemberLoad
 from eelgrassmount.relay.rows import write_rows
 from eelgrassmount.relay.vectors import (
@@ -201,16 +201,16 @@
             self.gate.in_flight,
             self.gate.queued,
             beliefs.server.compute_limit(),
-            round(self.gate.load.demand * SCALE),
+            round(self.gate.measures.load.demand * SCALE),
             beliefs.table.version,
             [
                 ttypes.RouteTime(name, stats.run_s * MS)
-                for name, stats in self.gate.routes.items()
+                for name, stats in self.gate.measures.routes.items()
             ],
             rows[:MAX_ROWS],
-            round(self.gate.failure_share * PPM),
+            round(self.gate.measures.failure_share * PPM),
             counts,
-            round(self.gate.load.wait * SCALE),
+            round(self.gate.measures.load.wait * SCALE),
         )
 
     def _accepts(self) -> bool:
@@ -227,10 +227,11 @@
         load.in_flight = self.gate.in_flight
         load.queued = self.gate.queued
         load.limit = self.beliefs.server.compute_limit()
-        load.demand = self.gate.load.demand
-        load.wait = self.gate.load.wait
-        load.failure_share = self.gate.failure_share
-        load.run_s = {name: one.run_s for name, one in self.gate.routes.items()}
+        load.demand = self.gate.measures.load.demand
+        load.wait = self.gate.measures.load.wait
+        load.failure_share = self.gate.measures.failure_share
+        routes = self.gate.measures.routes
+        load.run_s = {name: one.run_s for name, one in routes.items()}
         load.reported_s = self.beliefs.clock()
         own.sent_since = 0
 
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from eelgrassmount.http1.client import Break, ClientAnswer
+from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.messages import Fate, Reply
 from eelgrassmount.verdict import Reason
 
@@ -31,11 +32,6 @@
 # part of a route's objective that a call may be expected to wait at the gate
 WAIT_SHARE = 0.5
 INNER_WAIT_SHARE = 1.0
-# part of the least time that a call may take for the mean wait, and its bounds
-MEAN_WAIT_SHARE = 0.3
-MIN_MEAN_WAIT_S = 0.01
-MAX_MEAN_WAIT_S = 0.1
-MIN_SPAN_S = 0.01
 # a server that has less time than this left is not begun with
 MIN_REMAINING_S = 0.005
 # past its deadline, a call that has no answer is given up after so long
@@ -45,18 +41,6 @@
 CRASH_SPAN_S = 1.0
 # lines about rejected calls are at least so far apart
 SHED_LINE_S = 1.0
-# weight of a new sample in the mean of durations and failures
-SAMPLE_WEIGHT = 0.05
-# weight of the latest step in the mean demand
-LOAD_WEIGHT = 0.4
-# a run is taken for silent once it takes so many times its usual duration and this
-# part of its objective: most that wait for one end at their deadline, cancelled by
-# the caller, so that a server that answers nothing would seem to fail nothing. Callers
-# leave it after the same time
-SILENT_TIMES = 4.0
-SILENT_SHARE = 0.5
-# duration that is assumed before the first sample
-DEFAULT_RUN_S = 0.05
 
 _FATES = {
     Break.REFUSED: (Fate.NOT_RUN, Reason.NO_SERVER),
@@ -89,33 +73,6 @@
         return written and self.started_s < now_s
 
 
-@define(eq=False)
-class RouteStats:
-    """Mean duration of the runs of a route, and how many there were."""
-
-    run_s: float = DEFAULT_RUN_S
-    runs: int = 0
-    allowed_s: float = 0.0
-
-    def add(self, seconds: float) -> None:
-        """Take up the duration of a run."""
-        self.runs += 1
-        weight = max(SAMPLE_WEIGHT, 1.0 / self.runs)
-        self.run_s += weight * (seconds - self.run_s)
-
-
-@define
-class GateLoad:
-    """Mean load of a gate.
-
-    ``demand`` is the work that arrived as a part of what the server can do, and
-    ``wait`` the mean wait as a part of what is allowed.
-    """
-
-    demand: float = 0.0
-    wait: float = 0.0
-
-
 @define(eq=False)
 class Gate:
     """Gives the server no more calls than it has slots and queues the others.
@@ -135,17 +92,10 @@
     on_crash: Callable[[ServerIncarnation, list[Job]], None] = lambda ended, jobs: None
     on_change: Callable[[], None] = lambda: None
     queued: int = 0
-    mean_run_s: float = DEFAULT_RUN_S
-    failure_share: float = 0.0
-    load: GateLoad = field(factory=GateLoad)
-    routes: dict[str, RouteStats] = field(factory=dict)
+    measures: RunMeasures = field(factory=RunMeasures)
     running: set[Job] = field(factory=set)
     _queue: list[tuple[float, int, Job]] = field(factory=list)
     _numbers: itertools.count[int] = field(factory=itertools.count)
-    _arrivals: int = 0
-    _queued_area: float = 0.0
-    _area_s: float = 0.0
-    _since_s: float = 0.0
     _shed_s: float = -SHED_LINE_S
     _broken: list[tuple[float, Job]] = field(factory=list)
 
@@ -161,7 +111,7 @@
         if reason is not None:
             self._refuse(job, reason)
             return
-        self._arrivals += 1
+        self.measures.arrivals += 1
         if self.in_flight < self.server.compute_limit():
             self._start(job, now_s)
             return
@@ -241,9 +191,7 @@
             self.on_crash(ended, suspects)
         # before anything is sent to the new start, as the ends below do
         self.pool.forget()
-        self.routes.clear()
-        self.mean_run_s = DEFAULT_RUN_S
-        self.failure_share = 0.0
+        self.measures.begin_anew()
         for job in running:
             job.outlived = True
             # the end of one may have ended another
@@ -255,53 +203,22 @@
         """Take what arrived and waited since the last time into the mean load."""
         now_s = self.clock()
         self._integrate(now_s)
-        span_s = max(now_s - self._since_s, MIN_SPAN_S)
-        limit = self.server.compute_limit()
-        demand = self._arrivals * self.mean_run_s / span_s / limit
-        self.load.demand += LOAD_WEIGHT * (demand - self.load.demand)
-        wait_s = self._queued_area / span_s * self.mean_run_s / limit
-        self.load.wait = wait_s / self.allow_mean_wait()
-        self._since_s = now_s
-        self._arrivals = 0
-        self._queued_area = 0.0
-
-    def allow_mean_wait(self) -> float:
-        """Return the mean wait at which fewer requests should be admitted.
-
-        It follows the least time that a call of the routes that run here may take.
-        """
-        allowances = [stats.allowed_s for stats in self.routes.values()]
-        if not allowances:
-            return MAX_MEAN_WAIT_S
-        allowed_s = MEAN_WAIT_SHARE * min(allowances)
-        return min(MAX_MEAN_WAIT_S, max(MIN_MEAN_WAIT_S, allowed_s))
+        self.measures.update_load(self.server.compute_limit(), now_s)
 
     def forget_routes(self, known: Collection[str]) -> None:
         """Forget the routes that have left the configuration, once none runs."""
         running = {job.call.route.name for job in self.running}
-        self.routes = {
-            name: stats
-            for name, stats in self.routes.items()
-            if name in known or name in running
-        }
+        self.measures.keep_routes({*known, *running})
 
     def _note_silence(self, job: Job, now_s: float) -> None:
         """Count a run as a failure once it takes far longer than usual."""
-        route = job.call.route
-        stats = self.routes.get(route.name)
-        usual_s = DEFAULT_RUN_S if stats is None else stats.run_s
-        patience_s = max(SILENT_SHARE * route.objective_s, SILENT_TIMES * usual_s)
+        patience_s = self.measures.find_patience(job.call.route)
         if not job.silent and now_s - job.started_s > patience_s:
             job.silent = True
-            self._count_outcome(True)
-
-    def _count_outcome(self, failed: bool) -> None:
-        self.failure_share += SAMPLE_WEIGHT * (failed - self.failure_share)
+            self.measures.count_outcome(True)
 
     def _integrate(self, now_s: float) -> None:
-        span_s = now_s - self._area_s
-        self._queued_area += span_s * self.queued
-        self._area_s = now_s
+        self.measures.note_queue(self.queued, now_s)
 
     def _find_refusal(self, call: Call, now_s: float) -> Reason | None:
         if call.service != self.server.service:
@@ -316,7 +233,8 @@
         return None
 
     def _expect_wait(self) -> float:
-        return self.mean_run_s * (self.queued + 1) / self.server.compute_limit()
+        work_s = self.measures.mean_run_s * (self.queued + 1)
+        return work_s / self.server.compute_limit()
 
     def _allow_wait(self, call: Call) -> float:
         share = INNER_WAIT_SHARE if call.rank == INNER_RANK else WAIT_SHARE
@@ -426,24 +344,19 @@
             return
         if reply.reason is Reason.SERVER_SHED:
             # it has slots left as far as is known, and yet runs nothing
-            self._count_outcome(True)
+            self.measures.count_outcome(True)
         if reply.fate is Fate.NOT_RUN or reply.reason is Reason.CANCELLED:
             return
         if self.quarantine.suspects and reply.fate is Fate.ANSWERED:
             self.quarantine.note_success(job.call.find_digest(), now_s)
         failed = reply.fate is not Fate.ANSWERED or reply.status >= 500
         if not (failed and job.silent):
-            self._count_outcome(failed)
+            self.measures.count_outcome(failed)
         route_name = job.call.route.name
         if failed and not job.overdue:
             return
-        seconds = now_s - job.started_s
-        self.mean_run_s += SAMPLE_WEIGHT * (seconds - self.mean_run_s)
-        stats = self.routes.get(route_name)
-        if stats is None:
-            stats = self.routes[route_name] = RouteStats()
-        stats.allowed_s = self.find_allowance(job.call.route)
-        stats.add(seconds)
+        allowed_s = self.find_allowance(job.call.route)
+        self.measures.add_run(route_name, now_s - job.started_s, allowed_s)
 
     def _fill(self) -> None:
         """Start or refuse queued jobs now that there may be room."""
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -8,7 +8,8 @@
 
 from attrs import define, field
 
-from eelgrassmount.relay.gate import SILENT_SHARE, SILENT_TIMES, Job
+from eelgrassmount.relay.gate import Job
+from eelgrassmount.relay.measures import SILENT_SHARE, SILENT_TIMES
 from eelgrassmount.relay.messages import Call, Fate, Reply
 from eelgrassmount.verdict import Reason
 
--- a/eelgrassmount/relay/state.py
+++ b/eelgrassmount/relay/state.py
@@ -144,9 +144,9 @@
         server.compute_limit(),
         gate.in_flight,
         gate.queued,
-        round(gate.load.demand, 3),
-        round(gate.load.wait, 3),
-        round(gate.failure_share, 3),
+        round(gate.measures.load.demand, 3),
+        round(gate.measures.load.wait, 3),
+        round(gate.measures.failure_share, 3),
     )
 
 
--- a/tests/relay/test_forgetting.py
+++ b/tests/relay/test_forgetting.py
@@ -13,8 +13,9 @@
 from eelgrassmount.http1.client import ClientAnswer
 from eelgrassmount.relay.controllers import MAX_ROWS
 from eelgrassmount.relay.frames import encode_struct
-from eelgrassmount.relay.gate import MAX_MEAN_WAIT_S, Job
+from eelgrassmount.relay.gate import Job
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
+from eelgrassmount.relay.measures import MAX_MEAN_WAIT_S
 from eelgrassmount.relay.messages import Reply
 from eelgrassmount.relay.routes import RouteTable
 from eelgrassmount.relay.rows import write_rows
@@ -103,14 +104,14 @@
     both = {setup.list_name, setup.part_name}
     assert {time.route_name for time in report.times} == both
     assert {count.route_name for count in report.counts} == both
-    tight_s = setup.node.gate.allow_mean_wait()
+    tight_s = setup.node.gate.measures.allow_mean_wait()
     assert tight_s < MAX_MEAN_WAIT_S
     setup.configure(2, LIST)
     setup.wait(60.0)
     report = setup.node.controllers.make_report(True)
     assert [time.route_name for time in report.times] == [setup.list_name]
     assert [count.route_name for count in report.counts] == [setup.list_name]
-    assert setup.node.gate.allow_mean_wait() > tight_s
+    assert setup.node.gate.measures.allow_mean_wait() > tight_s
 
 
 def test_run_that_outlasts_its_route_is_judged_by_what_is_usual(setup):
@@ -118,17 +119,17 @@
     setup.start(setup.part_name)
     setup.configure(2, LIST)
     setup.wait(3.0)
-    assert setup.part_name in setup.node.gate.routes
+    assert setup.part_name in setup.node.gate.measures.routes
     setup.pool.open[-1].end(ClientAnswer(200, SIGNED, b""))
     setup.wait(3.0)
-    assert setup.part_name not in setup.node.gate.routes
+    assert setup.part_name not in setup.node.gate.measures.routes
 
 
 def test_nothing_is_forgotten_without_a_configuration(setup):
     setup.run(setup.part_name)
     setup.node.beliefs.table = RouteTable()
     setup.wait(3.0)
-    assert setup.part_name in setup.node.gate.routes
+    assert setup.part_name in setup.node.gate.measures.routes
 
 
 def test_counts_of_the_busiest_routes_are_told_first(setup):
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -9,17 +9,14 @@
 
 from eelgrassmount.http1.client import Break, ClientAnswer
 from eelgrassmount.platform.headers import DIALECT
-from eelgrassmount.relay.gate import (
-    CRASH_SPAN_S,
+from eelgrassmount.relay.gate import CRASH_SPAN_S, INNER_RANK, Gate, Job
+from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
+from eelgrassmount.relay.measures import (
     DEFAULT_RUN_S,
-    INNER_RANK,
     LOAD_WEIGHT,
     MAX_MEAN_WAIT_S,
-    Gate,
-    Job,
     RouteStats,
 )
-from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
 from eelgrassmount.relay.messages import Fate, Reply
 from eelgrassmount.relay.server import LocalServer
 from eelgrassmount.retry.quarantine import Quarantine
@@ -134,7 +131,7 @@
 
 def test_no_more_runs_than_slots_and_the_soonest_due_go_first():
     setup = Setup(slots=1)
-    setup.gate.mean_run_s = 0.001
+    setup.gate.measures.mean_run_s = 0.001
     setup.offer(request_id="first")
     for name, objective_s in (("late", 1.0), ("soon", 0.1), ("next", 0.3)):
         route = make_route(objective_s=objective_s)
@@ -150,7 +147,7 @@
 
 def test_call_of_a_long_chain_goes_before_one_with_a_tighter_objective():
     setup = Setup(slots=1)
-    setup.gate.mean_run_s = 0.001
+    setup.gate.measures.mean_run_s = 0.001
     allowances = {"shop/part/": 0.05}
     setup.gate.find_allowance = lambda route: allowances.get(
         route.name, route.objective_s
@@ -165,7 +162,7 @@
 
 def test_call_that_would_wait_too_long_is_refused_at_once():
     setup = Setup(slots=1)
-    setup.gate.mean_run_s = 1.0
+    setup.gate.measures.mean_run_s = 1.0
     setup.offer()
     setup.offer()
     assert setup.replies[0].fate is Fate.NOT_RUN
@@ -261,13 +258,13 @@
     setup.answer()
     setup.offer()
     setup.gate.sweep()
-    assert setup.gate.failure_share == 0.0
+    assert setup.gate.measures.failure_share == 0.0
     setup.now_s += 1.5
     setup.gate.sweep()
-    counted = setup.gate.failure_share
+    counted = setup.gate.measures.failure_share
     assert counted > 0.0
     setup.gate.sweep()
-    assert setup.gate.failure_share == counted
+    assert setup.gate.measures.failure_share == counted
 
 
 def test_run_of_a_slow_server_is_not_silent_before_several_times_its_usual(setup):
@@ -279,18 +276,18 @@
     setup.offer()
     setup.now_s += 2 * usual_s
     setup.gate.sweep()
-    assert setup.gate.failure_share == 0.0
+    assert setup.gate.measures.failure_share == 0.0
 
 
 def test_silent_run_that_is_cancelled_stays_counted(setup):
     job = setup.offer()
     setup.now_s += 1.5
     setup.gate.cancel(job)
-    assert setup.gate.failure_share > 0.0
+    assert setup.gate.measures.failure_share > 0.0
     quick = setup.offer()
-    counted = setup.gate.failure_share
+    counted = setup.gate.measures.failure_share
     setup.gate.cancel(quick)
-    assert setup.gate.failure_share == counted
+    assert setup.gate.measures.failure_share == counted
 
 
 def test_crash_is_told_once_the_server_refuses_connections(setup):
@@ -310,13 +307,13 @@
         setup.offer()
     setup.now_s += 1.0
     setup.gate.update_load()
-    run_s = setup.gate.mean_run_s
-    assert setup.gate.load.demand == pytest.approx(LOAD_WEIGHT * 3 * run_s / 2)
+    run_s = setup.gate.measures.mean_run_s
+    assert setup.gate.measures.load.demand == pytest.approx(LOAD_WEIGHT * 3 * run_s / 2)
     # two wait for one of two seconds; three tenths of the least time are allowed
-    setup.gate.routes["r"] = RouteStats(allowed_s=0.2)
-    setup.gate.routes["s"] = RouteStats(allowed_s=0.4)
-    assert setup.gate.allow_mean_wait() == pytest.approx(0.06)
-    assert setup.gate.load.wait == pytest.approx(run_s / MAX_MEAN_WAIT_S)
+    setup.gate.measures.routes["r"] = RouteStats(allowed_s=0.2)
+    setup.gate.measures.routes["s"] = RouteStats(allowed_s=0.4)
+    assert setup.gate.measures.allow_mean_wait() == pytest.approx(0.06)
+    assert setup.gate.measures.load.wait == pytest.approx(run_s / MAX_MEAN_WAIT_S)
 
 
 def test_server_that_runs_already_is_identified_by_its_health():
@@ -352,7 +349,7 @@
     setup.offer()
     setup.answer(503, headers)
     assert setup.replies[0].reason is Reason.SERVER_SHED
-    assert setup.gate.failure_share > 0.0
+    assert setup.gate.measures.failure_share > 0.0
 
 
 # A server that starts again under its identity kept the calls of its earlier start:
@@ -422,12 +419,12 @@
         setup.answer(status)
     setup.offer()
     setup.now_s += 0.5
-    assert setup.gate.failure_share > 0.0
-    assert setup.gate.routes
+    assert setup.gate.measures.failure_share > 0.0
+    assert setup.gate.measures.routes
     setup.restart()
-    assert setup.gate.routes == {}
-    assert setup.gate.mean_run_s == DEFAULT_RUN_S
-    assert setup.gate.failure_share == 0.0
+    assert setup.gate.measures.routes == {}
+    assert setup.gate.measures.mean_run_s == DEFAULT_RUN_S
+    assert setup.gate.measures.failure_share == 0.0
 
 
 def test_what_broke_shortly_before_the_new_start_is_suspected(setup):
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import ClassVar
-
 import pytest
 
 from eelgrassmount.relay.admission import CallGraph
@@ -15,7 +13,7 @@
     measure_load,
 )
 from eelgrassmount.relay.frames import FrameKind
-from eelgrassmount.relay.gate import GateLoad
+from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.members import MemberLoad, MemberTable
 from eelgrassmount.relay.rows import read_rows, write_rows
 from eelgrassmount.relay.server import LocalServer
@@ -72,9 +70,7 @@
 
 class FakeGate:
     in_flight = queued = 0
-    failure_share = 0.0
-    load = GateLoad()
-    routes: ClassVar[dict] = {}
+    measures = RunMeasures()
 
     def update_load(self):
         pass
--- a/tests/relay/test_news.py
+++ b/tests/relay/test_news.py
@@ -66,9 +66,9 @@
 def test_node_is_wired_to_begin_anew_with_its_server(node):
     server = node.beliefs.server
     server.note_heartbeat(Heartbeat(ServerIncarnation("i1", STARTED_MS), sequence=5))
-    node.gate.failure_share = 0.5
+    node.gate.measures.failure_share = 0.5
     server.note_heartbeat(Heartbeat(ServerIncarnation("i1", STARTED_MS + 1)))
-    assert node.gate.failure_share == 0.0
+    assert node.gate.measures.failure_share == 0.0
 
 
 # A restart under the same identity left no line: the heartbeat of the later start was
