--- a/tests/relay/test_link_faults.py
+++ b/tests/relay/test_link_faults.py
@@ -24,7 +24,7 @@
 REQUESTS_PER_S = 20.0
 FAULTS_PER_S = 2.0
 LEAVING_SHARE = 0.1
-# the least of 100 seeds was 85 in 100: both servers are out of reach for part of the time
+# the least of 100 seeds was 85 in 100: both servers are out of reach now and then
 SERVED_SHARE = 0.8
 
 
