--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -26,7 +26,7 @@
 from eelgrassmount.relay.reload import WATCH_PERIOD_S, SettingsWatch
 from eelgrassmount.relay.stalls import StallWatch, read_process_times
 from eelgrassmount.relay.stopping import Stopping
-from eelgrassmount.relay.store import StoreFailure
+from eelgrassmount.relay.store import StoredRecord, StoreFailure
 from eelgrassmount.relay.topics import TopicFollower
 from eelgrassmount.relay.vectors import INTERVAL_S
 from eelgrassmount.util.addresses import Address
@@ -53,6 +53,7 @@
     logger.configure(extra={"node": settings.name})
     node = build_relay(settings)
     watch = SettingsWatch(path, load_settings, node.apply_settings)
+    node.look_at_settings = watch.check
     async with anyio.create_task_group() as group:
         ends = (signal.SIGTERM, signal.SIGINT)
         with anyio.open_signal_receiver(*ends, signal.SIGHUP) as signals:
@@ -85,7 +86,7 @@
     settings = node.settings
     node.put_own()
     await _listen(node)
-    _subscribe(node)
+    subscribe_timers(node)
     group.start_soon(node.timers.run)
     group.start_soon(_follow, node, CONFIGURATION_TOPIC)
     group.start_soon(_join, node)
@@ -102,7 +103,11 @@
     settings = node.settings
     clock = node.beliefs.clock
     announcements = AnnouncementListener(
-        node.beliefs.server, read_announcement, node.note_server_change
+        node.beliefs.server,
+        read_announcement,
+        node.check_heartbeat,
+        node.note_server_change,
+        node.refused,
     )
     metrics_address = Address(settings.peer_address.host, METRICS_PORT)
     await _bind(node.inbound, settings.peer_address)
@@ -125,7 +130,8 @@
         raise ListenError(str(address), str(error)) from error
 
 
-def _subscribe(node: RelayNode) -> None:
+def subscribe_timers(node: RelayNode) -> None:
+    """Let a node's parts do what they do from time to time."""
     timers = node.timers
     stalls = StallWatch(
         LINK_PERIOD_S,
@@ -143,13 +149,14 @@
     timers.subscribe(SWEEP_PERIOD_S, node.gate.pool.sweep)
     timers.subscribe(SWEEP_PERIOD_S, node.inbound.expire)
     timers.subscribe(SWEEP_PERIOD_S, node.decisions.tell_left_out)
+    timers.subscribe(SWEEP_PERIOD_S, node.forget_routes)
 
 
 async def _follow(node: RelayNode, topic: str) -> None:
     take = node.take_configuration
     if topic == NODES_TOPIC:
         take = node.take_nodes
-    follower = TopicFollower(node.store, topic, take, node.rng)
+    follower = TopicFollower(node.store, topic, take, node.rng, node.note_unreadable)
     node.followers.append(follower)
     await follower.run()
 
@@ -168,7 +175,8 @@
         snapshot = await node.store.read_newest(NODES_TOPIC)
         if not isinstance(snapshot, StoreFailure):
             node.take_nodes(snapshot.records)
-            if any(one.value == value for one in snapshot.records):
+            # a copy under another key would not lead anybody here
+            if StoredRecord(settings.name, value) in snapshot.records:
                 break
             offset = await node.store.append(NODES_TOPIC, settings.name, value)
             if not isinstance(offset, StoreFailure):
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -8,16 +8,21 @@
 from enum import IntEnum
 from typing import Any
 
+from loguru import logger
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
 from eelgrassmount.errors import BadFrameError, OverlongFrameError
 from eelgrassmount.gen import ttypes
 from eelgrassmount.http1.client import watch_silence
+from eelgrassmount.relay.checks import check_struct
 
 LENGTH_BYTES = 4
 HEAD_BYTES = LENGTH_BYTES + 1
 MAX_FRAME_BYTES = 128 * 1024 * 1024
+# entries of one list; reports and records have some hundred. An entry may be written
+# as one byte and takes some hundred once it is decoded
+MAX_ENTRIES = 50_000
 
 
 class FrameKind(IntEnum):
@@ -48,7 +53,13 @@
 
 
 # used for all structs, one after the other: to make one takes longer than to encode
-_PROTOCOL = TBinaryProtocolAccelerated(TMemoryBuffer())
+_PROTOCOL = TBinaryProtocolAccelerated(
+    TMemoryBuffer(),
+    # a body may be as long as a frame; by the library's own limit, a longer one than
+    # 16 MB was taken for a bad frame and the link dropped
+    string_length_limit=MAX_FRAME_BYTES,
+    container_length_limit=MAX_ENTRIES,
+)
 
 
 # handles a frame; the function that it is given sends one back
@@ -63,7 +74,10 @@
 
 
 def decode_struct(make: Any, payload: bytes) -> Any:
-    """Return a thrift struct, raising `BadFrameError` if there is none."""
+    """Return a thrift struct, raising `BadFrameError` if there is none.
+
+    All its fields are there and within their range, see `check_struct`.
+    """
     struct = make()
     _PROTOCOL.trans = TMemoryBuffer(payload)
     try:
@@ -71,6 +85,7 @@
     # the accelerated decoder raises many types on malformed input
     except Exception as error:
         raise BadFrameError(f"not a {make.__name__}: {error!r}") from error
+    check_struct(struct)
     return struct
 
 
@@ -138,8 +153,16 @@
     def _take(self, kind: int, payload: bytes) -> None:
         make = _STRUCTS.get(kind)
         # kinds of later releases are skipped
-        if make is not None:
-            self.note_frame(FrameKind(kind), decode_struct(make, payload))
+        if make is None:
+            return
+        struct = decode_struct(make, payload)
+        try:
+            self.note_frame(FrameKind(kind), struct)
+        except Exception as error:
+            # what this end believes of the link can't be trusted any more
+            name = FrameKind(kind).name
+            logger.exception("frame handler failed", kind=name)
+            raise BadFrameError(f"the handler of {name} failed") from error
 
     @abstractmethod
     def note_frame(self, kind: FrameKind, struct: Any) -> None:
--- a/eelgrassmount/timers.py
+++ b/eelgrassmount/timers.py
@@ -129,7 +129,7 @@
     rng: random.Random
     note_error: Callable[[], None] = lambda: None
     grid_s: float = 0.0
-    slowest: SlowestAction | None = None
+    slowest: SlowestAction = field(factory=SlowestAction)
     # tuples, since comparing them is most of the work of an idle node
     _heap: list[tuple[float, int, Timer]] = field(factory=list)
     _order: itertools.count = field(factory=itertools.count)
@@ -208,8 +208,7 @@
             # one faulty action must not stop the others
             logger.exception("a timer's action failed")
             self.note_error()
-        if self.slowest is not None:
-            self.slowest.note(timer.action, self.read() - begun_s)
+        self.slowest.note(timer.action, self.read() - begun_s)
 
     def advance(self, seconds: float) -> None:
         """Move a `ManualClock` on, running all timers that fall due on the way."""
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -14,7 +14,6 @@
     LOOP_TICK_S,
     ManualClock,
     MonotonicClock,
-    SlowestAction,
     TimerService,
     name_action,
     round_wait,
@@ -139,7 +138,7 @@
 
 
 def test_slowest_action_is_noted() -> None:
-    timers = make_timers(slowest=SlowestAction())
+    timers = make_timers()
 
     def work() -> None:
         timers.clock.now_s += 0.4
