Play nine seeds of random link faults, with the share of successes asked for at first

The share had been lowered to 0.8 for seeds that the test does not play; on the nine that it plays, 0.9 holds, the four of the first form included.

--- a/tests/relay/test_link_faults.py
+++ b/tests/relay/test_link_faults.py
@@ -19,13 +19,13 @@
 
 LIST = make_rule("/list/", "list", action={"timeoutMs": 3000})
 BOOK = make_rule("/book/", "list", kind="non_idempotent", action={"timeoutMs": 3000})
-SEEDS = (6, 20, 21, 30, 34)
+SEEDS = (0, 1, 2, 3, 6, 20, 21, 30, 34)
 SPAN_S = 30.0
 REQUESTS_PER_S = 20.0
 FAULTS_PER_S = 2.0
 LEAVING_SHARE = 0.1
 # the least of 100 seeds was 85 in 100: both servers are out of reach now and then
-SERVED_SHARE = 0.8
+SERVED_SHARE = 0.9
 
 
 class Storm:
