Count no negative stall when a VM was suspended

Cause: by the steady clock, which leaves suspensions out, a look may come a little early; the counter refuses to go back and the check ended before its line. Seen first by the tests of links on a virtual network. The new test failed with -0.002 in place of 0.0, and passes.

--- a/eelgrassmount/relay/stalls.py
+++ b/eelgrassmount/relay/stalls.py
@@ -74,7 +74,7 @@
         before = self._before
         now = self._before = self.read_times()
         action, action_s = self.take_slowest()
-        stalled_s = now.steady_s - before.steady_s - self.period_s
+        stalled_s = max(0.0, now.steady_s - before.steady_s - self.period_s)
         suspended_s = now.boot_s - before.boot_s - (now.steady_s - before.steady_s)
         if max(stalled_s, suspended_s) < STALL_S:
             return
--- a/tests/relay/test_stalls.py
+++ b/tests/relay/test_stalls.py
@@ -75,6 +75,14 @@
     assert (lines[0]["stalled_s"], lines[0]["suspended_s"]) == (0.0, 3.0)
 
 
+def test_suspension_just_before_a_look_counts_no_time_of_its_own():
+    # The looks were 98 ms apart by the steady clock, and the counter, which can't go
+    # back, was told of -2 ms: the check ended with an exception and wrote no line.
+    process = Process()
+    process.pass_time(0.098, suspended_s=3.0)
+    assert process.counted == [0.0]
+
+
 def test_short_pauses_are_no_stalls(lines):
     process = Process()
     process.pass_time(0.25)
