--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -43,8 +43,8 @@
 # states that are told apart, the most frequent ones: calls a run of eight routes are
 # wrong by 0.22 on the mean, with 750 by 0.25, with 1500 by 0.18 at half more time
 MAX_STATES = 1000
-# called routes are looked at until so many terms were gone through, 5 ms; the next
-# have their turn after the node has answered others
+# called routes are looked at until so many terms were gone through, 6.5 ms; the
+# next have their turn after the node has answered others
 MAX_TERMS = 4000
 # fading runs or calls that are as good as none
 FORGET_COUNT = 0.5
