Forget the numbering of senders that are gone

Cause: the highest sequence of each incarnation that ever called was kept for good: one entry a restart of each of thousands of nodes.

--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -42,6 +42,14 @@
     ended_s: float = 0.0
 
 
+@define
+class Numbering:
+    """The highest sequence of a sender, and when it last had a connection."""
+
+    latest: int
+    seen_s: float
+
+
 @define(eq=False)
 class Inbound:
     """Takes links of other nodes.
@@ -49,7 +57,7 @@
     A call is known by its sender's incarnation and sequence, so that one that comes
     again, over whichever connection and in whichever order, is joined to the first.
     Replies are kept for calls that must not run twice, and for those that had no
-    connection when they ended. ``latest`` holds the highest sequence of each sender.
+    connection when they ended. ``senders`` holds the numbering of each sender.
     """
 
     incarnation: str
@@ -62,7 +70,7 @@
     accepting: bool = True
     connections: set[InboundConnection] = field(factory=set)
     kept: dict[tuple[str, int], Kept] = field(factory=dict)
-    latest: dict[str, int] = field(factory=dict)
+    senders: dict[str, Numbering] = field(factory=dict)
     _server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -93,9 +101,23 @@
         oldest_s = self.clock() - ACTIVE_S
         return [one for one in self.connections if one.heard_s > oldest_s]
 
+    def note_sequence(self, sender: str, sequence: int) -> None:
+        """Take up the number of a call that a sender has made."""
+        numbering = self.senders.get(sender)
+        if numbering is None:
+            self.senders[sender] = Numbering(sequence, self.clock())
+        else:
+            numbering.latest = max(sequence, numbering.latest)
+
+    def find_latest(self, sender: str) -> int:
+        """Return the highest sequence of a sender, 0 when it is not known."""
+        numbering = self.senders.get(sender)
+        return 0 if numbering is None else numbering.latest
+
     def expire(self) -> None:
-        """Forget replies that nobody will ask for any more."""
+        """Forget replies and senders that nobody will ask for any more."""
         now_s = self.clock()
+        self._expire_senders(now_s)
         old = [
             key
             for key, kept in self.kept.items()
@@ -104,6 +126,14 @@
         for key in old:
             del self.kept[key]
 
+    def _expire_senders(self, now_s: float) -> None:
+        present = {connection.sender for connection in self.connections}
+        for sender, numbering in list(self.senders.items()):
+            if sender in present:
+                numbering.seen_s = now_s
+            elif now_s - numbering.seen_s > KEEP_REPLY_S:
+                del self.senders[sender]
+
     def count_open(self) -> int:
         """Return how many calls of other nodes have no reply yet."""
         return sum(len(connection.jobs) for connection in self.connections)
@@ -167,8 +197,7 @@
         job = Job(self._read_call(frame), lambda reply: self._end(kept, reply))
         kept.job = job
         self.inbound.kept[kept.key] = kept
-        latest = self.inbound.latest
-        latest[self.sender] = max(sequence, latest.get(self.sender, 0))
+        self.inbound.note_sequence(self.sender, sequence)
         self.jobs[sequence] = job
         if self.inbound.accepting:
             self.inbound.gate.offer(job)
@@ -204,7 +233,7 @@
         """
         if frame.resumed and frame.incarnation != self.inbound.incarnation:
             return True
-        latest = self.inbound.latest.get(self.sender, 0)
+        latest = self.inbound.find_latest(self.sender)
         return frame.idempotent and frame.sequence <= latest
 
     def _read_call(self, frame: ttypes.RelayCall) -> Call:
--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -6,10 +6,11 @@
 
 import anyio
 import pytest
+from loguru import logger
 
 from eelgrassmount.compose.relay_run import stop_relay
 from eelgrassmount.gen import ttypes
-from eelgrassmount.relay.inbound import JOIN_WAIT_S
+from eelgrassmount.relay.inbound import JOIN_WAIT_S, KEEP_REPLY_S
 from eelgrassmount.relay.link import CONNECT_LIMIT_S, SILENCE_LIMIT_S
 from eelgrassmount.relay.messages import Fate
 from tests.relay.deployment import (
@@ -196,7 +197,7 @@
         inbound = scene.back.node.inbound
         inbound.incarnation = "next"
         inbound.kept.clear()
-        inbound.latest.clear()
+        inbound.senders.clear()
         scene.network.reset(scene.place)
         assert (await asyncio.wait_for(future, SLACK_S)).status == 502
         assert scene.back.server.runs == ["a1"]
@@ -391,3 +392,38 @@
         assert pair.back.node.gate.in_flight == 0
 
     play(scenario, Pair)
+
+
+def test_sender_that_is_gone_is_forgotten():
+    """The highest sequence of each node that ever called was kept for good."""
+
+    async def scenario(scene: Scene) -> None:
+        await (await scene.ask("a1"))
+        inbound = scene.back.node.inbound
+        assert len(inbound.senders) == 1
+        await anyio.sleep(KEEP_REPLY_S + 2.0)
+        assert len(inbound.senders) == 1
+        scene.front.node.end()
+        await anyio.sleep(KEEP_REPLY_S / 2)
+        assert len(inbound.senders) == 1
+        await anyio.sleep(KEEP_REPLY_S)
+        assert inbound.senders == {}
+
+    play(scenario)
+
+
+def test_line_of_a_lost_read_names_the_node_that_had_it():
+    """Lines said "tried": [] of reads that one node had had and lost."""
+    lines = []
+    handle = logger.add(lambda message: lines.append(message.record))
+
+    async def scenario(scene: Scene) -> None:
+        future = await scene.ask()
+        scene.network.mute(scene.place)
+        scene.network.listeners[scene.place].close()
+        await asyncio.wait_for(future, 5)
+
+    play(scenario)
+    logger.remove(handle)
+    failed = [one["extra"] for one in lines if one["message"] == "failed"]
+    assert [one["tried"] for one in failed] == [["node-2"]]
