--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -177,7 +177,7 @@
             route=call.route.name,
             status=status,
             attempts=flow.attempts,
-            tried=sorted(flow.excluded),
+            tried=flow.tried,
             seconds=round(self.clock() - call.arrived_s, 3),
         )
         flow.exchange.respond(status, self.dialect.write_refusal(call.request_id, 0.0))
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -46,7 +46,8 @@
 
     ``last`` is the latest reply and ``server`` the node that gave it; ``attempts``
     counts the sendings that may have reached a server, ``refusals`` those that have
-    not. ``current`` is the latest sending. ``spare`` is one whose server was silent
+    not. ``tried`` names the nodes that were asked, in their order, and ``excluded``
+    those that are not to be asked again. ``current`` is the latest sending. ``spare`` is one whose server was silent
     when another was asked: its answer counts if it comes first.
     """
 
@@ -60,6 +61,7 @@
     may_have_run: bool = False
     ended: bool = False
     excluded: set[str] = field(factory=set)
+    tried: list[str] = field(factory=list)
     last: Reply | None = None
     server: str = ""
 
@@ -149,6 +151,7 @@
         if member is None:
             self._give_up(flow)
             return
+        flow.tried.append(member.name)
         member.used_s = self.clock()
         member.sent_since += 1
         sending = flow.current = Sending(member)
