--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -47,8 +47,9 @@
     ``last`` is the latest reply and ``server`` the node that gave it; ``attempts``
     counts the sendings that may have reached a server, ``refusals`` those that have
     not. ``tried`` names the nodes that were asked, in their order, and ``excluded``
-    those that are not to be asked again. ``current`` is the latest sending. ``spare`` is one whose server was silent
-    when another was asked: its answer counts if it comes first.
+    those that are not to be asked again. ``current`` is the latest sending. ``spare``
+    is one whose server was silent when another was asked: its answer counts if it
+    comes first.
     """
 
     exchange: Exchange
