--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -30,7 +30,7 @@
 from eelgrassmount.relay.sender import Sender
 from eelgrassmount.relay.server import LocalServer
 from eelgrassmount.retry.quarantine import Quarantine
-from eelgrassmount.timers import MonotonicClock, SlowestAction, TimerService
+from eelgrassmount.timers import MonotonicClock, TimerService
 
 if TYPE_CHECKING:
     from eelgrassmount.relay.settings import RelaySettings
@@ -158,9 +158,7 @@
         decisions,
         metrics,
         StoreClient(settings.log_address),
-        TimerService(
-            MonotonicClock(), rng, grid_s=TIMER_GRID_S, slowest=SlowestAction()
-        ),
+        TimerService(MonotonicClock(), rng, grid_s=TIMER_GRID_S),
         HttpListener(entry.handle, clock),
         LearnedCalls(beliefs),
         rng,
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -87,6 +87,15 @@
             logger.info("calls of a route learned", route=route_name, calls=rounded)
         self.vectors[route_name] = calls
 
+    def keep_routes(self, knows_route: Callable[[str], bool]) -> None:
+        """Forget the vectors of all other routes."""
+        left = [name for name in self.vectors if not knows_route(name)]
+        for name in left:
+            del self.vectors[name]
+        if left:
+            self._called = None
+            self.forget_routes()
+
     def forget_routes(self) -> None:
         """Follow the chains anew, after the routes have changed."""
         self._reached.clear()
@@ -123,12 +132,8 @@
         return allowances
 
     def _count_chains(self) -> dict[str, float]:
-        """Return how many runs a request of each route leads to, itself included.
-
-        All routes go one step deeper together: to follow each chain on its own took
-        7.5 s for 11 routes that all call each other.
-        """
-        sizes = dict.fromkeys(self.vectors, 1.0)
+        """Return how many runs a request of each route leads to, itself included."""
+        sizes: dict[str, float] = {}
         for _ in range(MAX_CHAIN):
             sizes = {
                 name: 1.0
@@ -149,24 +154,23 @@
         """
         found = self._reached.get(route.name)
         if found is None:
-            found = {}
-            runs = {route.name: 1.0}
-            add_runs(found, route, 1.0)
-            for _ in range(MAX_CHAIN):
-                runs = self._follow(runs, table)
-                for name, times in runs.items():
-                    add_runs(found, table.routes[name], times)
-            self._reached[route.name] = found
+            found = self._reached[route.name] = self._walk(route, table)
         return found
 
-    def _follow(self, runs: dict[str, float], table: RouteTable) -> dict[str, float]:
-        """Return how often each route is called by so many runs of others."""
-        called: dict[str, float] = {}
-        for name, times in runs.items():
-            for other, per_run in self.vectors.get(name, {}).items():
-                if other in table.routes and other != name:
-                    called[other] = called.get(other, 0.0) + times * per_run
-        return called
+    def _walk(self, route: Route, table: RouteTable) -> dict[str, float]:
+        found: dict[str, float] = {}
+        # the runs at one depth, whichever way led there: eight routes that call each
+        # other have 137,257 ways
+        runs = {route.name: 1.0}
+        for _ in range(MAX_CHAIN + 1):
+            below: dict[str, float] = {}
+            for name, times in runs.items():
+                _add_targets(table.routes.get(name, route), times, found)
+                for called, per_run in self.vectors.get(name, {}).items():
+                    if called in table.routes and called != name:
+                        below[called] = below.get(called, 0.0) + times * per_run
+            runs = below
+        return found
 
     def is_mature(self) -> bool:
         """Tell whether calls of servers can be told from requests of clients."""
@@ -179,8 +183,8 @@
         return route_name in self._called
 
 
-def add_runs(found: dict[str, float], route: Route, times: float) -> None:
-    """Add so many runs of a route to those of the services that it goes to."""
+def _add_targets(route: Route, times: float, found: dict[str, float]) -> None:
+    """Add the runs of a route to those of the services that it leads to."""
     total = sum(target.weight for target in route.targets)
     for target in route.targets:
         part = times * target.weight / total if total else 0.0
@@ -226,8 +230,16 @@
                 level = self.find_level(service)
                 if level < 1.0:
                     self._limit(asked, level)
-        for name in self.offered:
-            self.offered[name] *= OFFERED_FADE
+        self.offered = {
+            name: count * OFFERED_FADE
+            for name, count in self.offered.items()
+            if name in table.routes
+        }
+        self._credits = {
+            name: credit
+            for name, credit in self._credits.items()
+            if name in table.routes
+        }
 
     def _pile(self, table: RouteTable) -> dict[str, list[tuple[Route, float]]]:
         """Return what the offered requests ask of each service, by route."""
--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+from heapq import nlargest
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
@@ -11,8 +13,8 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.admission import LevelControl
 from eelgrassmount.relay.frames import FrameKind
-from eelgrassmount.relay.gate import GateLoad
 from eelgrassmount.relay.link import PeerLink
+from eelgrassmount.relay.measures import GateLoad
 from eelgrassmount.relay.members import REPORT_LIMIT_S, Member, MemberLoad
 from eelgrassmount.relay.rows import write_rows
 from eelgrassmount.relay.vectors import (
@@ -162,6 +164,8 @@
         self._period = self._find_period()
         self._update_levels()
         self.update_shares(self.beliefs.table)
+        # a second's worth of it at once would keep the node from answering
+        self.beliefs.learner.solve_next()
         self._steps += 1
         if self._steps - self._told_step >= self._period:
             self._told_step = self._steps
@@ -187,26 +191,26 @@
         rows = []
         counts = []
         if with_rows:
-            counts = [
-                ttypes.RouteCount(name, count)
-                for name, count in beliefs.called_before.items()
-            ][:MAX_ROWS]
+            busiest = nlargest(
+                MAX_ROWS, beliefs.called_before.items(), key=itemgetter(1)
+            )
+            counts = [ttypes.RouteCount(name, count) for name, count in busiest]
             rows = write_rows(beliefs.own_vectors)
         return ttypes.RelayReport(
             self._accepts(),
             self.gate.in_flight,
             self.gate.queued,
             beliefs.server.compute_limit(),
-            round(self.gate.load.demand * SCALE),
+            round(self.gate.measures.load.demand * SCALE),
             beliefs.table.version,
             [
                 ttypes.RouteTime(name, stats.run_s * MS)
-                for name, stats in self.gate.routes.items()
+                for name, stats in self.gate.measures.routes.items()
             ],
             rows[:MAX_ROWS],
-            round(self.gate.failure_share * PPM),
+            round(self.gate.measures.failure_share * PPM),
             counts,
-            round(self.gate.load.wait * SCALE),
+            round(self.gate.measures.load.wait * SCALE),
         )
 
     def _accepts(self) -> bool:
@@ -223,10 +227,11 @@
         load.in_flight = self.gate.in_flight
         load.queued = self.gate.queued
         load.limit = self.beliefs.server.compute_limit()
-        load.demand = self.gate.load.demand
-        load.wait = self.gate.load.wait
-        load.failure_share = self.gate.failure_share
-        load.run_s = {name: one.run_s for name, one in self.gate.routes.items()}
+        load.demand = self.gate.measures.load.demand
+        load.wait = self.gate.measures.load.wait
+        load.failure_share = self.gate.measures.failure_share
+        routes = self.gate.measures.routes
+        load.run_s = {name: one.run_s for name, one in routes.items()}
         load.reported_s = self.beliefs.clock()
         own.sent_since = 0
 
@@ -276,7 +281,7 @@
     def count_calls(self) -> None:
         """Take up how often each route was asked for in the latest interval."""
         beliefs = self.beliefs
-        update_counts(beliefs.called_before, beliefs.called)
+        update_counts(beliefs.called_before, beliefs.called, beliefs.table.routes)
         beliefs.called = {}
 
     def _find_inner(self) -> set[str]:
--- a/eelgrassmount/relay/learned.py
+++ b/eelgrassmount/relay/learned.py
@@ -47,7 +47,9 @@
         self._kept = read_rows(record.calls)
         graph = self.beliefs.graph
         for name, calls in self._kept.items():
-            if name not in graph.vectors and len(graph.vectors) < MAX_ROUTES:
+            room = len(graph.vectors) < MAX_ROUTES
+            new = name not in graph.vectors
+            if new and room and self.beliefs.knows_route(name):
                 graph.put(name, calls)
 
     def find_record(self) -> bytes | None:
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -8,7 +8,8 @@
 
 from attrs import define, field
 
-from eelgrassmount.relay.gate import SILENT_SHARE, SILENT_TIMES, Job
+from eelgrassmount.relay.gate import Job
+from eelgrassmount.relay.measures import SILENT_SHARE, SILENT_TIMES
 from eelgrassmount.relay.messages import Call, Fate, Reply
 from eelgrassmount.verdict import Reason
 
@@ -45,8 +46,10 @@
 
     ``last`` is the latest reply and ``server`` the node that gave it; ``attempts``
     counts the sendings that may have reached a server, ``refusals`` those that have
-    not. ``current`` is the latest sending. ``spare`` is one whose server was silent
-    when another was asked: its answer counts if it comes first.
+    not. ``tried`` names the nodes that were asked, in their order, and ``excluded``
+    those that are not to be asked again. ``current`` is the latest sending. ``spare``
+    is one whose server was silent when another was asked: its answer counts if it
+    comes first.
     """
 
     exchange: Exchange
@@ -59,6 +62,7 @@
     may_have_run: bool = False
     ended: bool = False
     excluded: set[str] = field(factory=set)
+    tried: list[str] = field(factory=list)
     last: Reply | None = None
     server: str = ""
 
@@ -148,6 +152,7 @@
         if member is None:
             self._give_up(flow)
             return
+        flow.tried.append(member.name)
         member.used_s = self.clock()
         member.sent_since += 1
         sending = flow.current = Sending(member)
