Show four more ways to give up or repeat a call that a server has

A node's own pause while it connects, a record that changes, a reply that is no longer kept, and the end of a connection on which two requests wait: each was found by reading and fails on the virtual network or without a socket.

No change of logic yet.

The existing test that the first answer of an ending listener abandons the request behind it is left as it is.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -87,6 +87,45 @@
     assert gone == ["second"]
 
 
+def test_ending_listener_answers_all_that_it_has_read(setup):
+    """A client had sent two requests on one connection when the node was stopped.
+
+    Both had been passed on. The answer of the first closed the connection, and the
+    second was dropped while a server was at work on it.
+    """
+    abandoned = []
+    setup.receive(GET + GET)
+    for exchange in setup.taken:
+        exchange.on_abandon = lambda: abandoned.append("left")
+    setup.listener.ending = True
+    setup.taken[0].respond(200, b"", b"first")
+    assert abandoned == []
+    assert not setup.transport.closing
+    setup.taken[1].respond(200, b"", b"second")
+    assert setup.transport.written.count(b"connection: close") == 1
+    assert setup.transport.written.endswith(b"second")
+    assert setup.transport.closing
+
+
+def test_ending_listener_reads_nothing_behind_its_last_answer(setup):
+    setup.receive(GET + GET)
+    setup.listener.ending = True
+    setup.taken[1].respond(200, b"", b"second")
+    setup.receive(GET)
+    assert len(setup.taken) == 2
+    setup.taken[0].respond(200, b"", b"first")
+    assert setup.transport.written.endswith(b"second")
+    assert setup.transport.closing
+
+
+def test_answer_that_was_ready_before_the_end_is_sent(setup):
+    setup.receive(GET + GET)
+    setup.taken[1].respond(200, b"", b"second")
+    setup.listener.ending = True
+    setup.taken[0].respond(200, b"", b"first")
+    assert setup.transport.written.endswith(b"second")
+
+
 def test_idle_connections_are_closed_and_busy_ones_are_not(setup):
     setup.receive(GET)
     setup.listener.close_idle()
--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -9,7 +9,7 @@
 
 from eelgrassmount.compose.relay_run import stop_relay
 from eelgrassmount.gen import ttypes
-from eelgrassmount.relay.inbound import JOIN_WAIT_S
+from eelgrassmount.relay.inbound import JOIN_WAIT_S, KEEP_REPLY_S
 from eelgrassmount.relay.link import CONNECT_LIMIT_S, SILENCE_LIMIT_S
 from eelgrassmount.relay.messages import Fate
 from tests.relay.deployment import (
@@ -391,3 +391,79 @@
         assert pair.back.node.gate.in_flight == 0
 
     play(scenario, Pair)
+
+
+LONG = make_rule("/long/", "list", kind="non_idempotent", action={"timeoutMs": 30000})
+
+
+def test_work_that_must_not_run_twice_is_known_after_its_reply_is_forgotten():
+    """A node asked again for a call whose reply the other node no longer kept.
+
+    It had lost the connection on which the reply came, and got no word over the next
+    one for longer than replies are kept. The other node took the call for one that
+    had never arrived and ran it a second time.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        scene.deployment.configure(2, LIST, BOOK, LONG)
+        while scene.front.node.beliefs.table.version < 2:
+            await anyio.sleep(0.01)
+        future = await scene.ask(target="/long/1")
+        for link in scene.network.list_open(scene.place):
+            link.far.break_off()
+        await anyio.sleep(RUN_S + 0.02)
+        scene.network.stand_still(scene.place)
+        await anyio.sleep(KEEP_REPLY_S + 2.0)
+        assert not future.done()
+        assert not scene.back.node.inbound.kept
+        scene.network.go_on(scene.place)
+        assert (await asyncio.wait_for(future, 2)).status == 502
+        assert scene.back.server.runs == ["a1"]
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("target", ["/list/1", "/book/1"])
+def test_own_pause_while_connecting_is_not_taken_for_a_node_that_is_gone(target):
+    """A node stood still itself while it opened a connection in place of a lost one.
+
+    The other node had taken the connection within a millisecond, but the limit for
+    it had passed when the node went on, so that it gave up the other node and
+    answered 502 for a call that a server had not finished.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        scene.back.server.work_s = 2.0
+        future = await scene.ask(target=target)
+        # the other end learns of it after the pause, as if it had run all the while
+        for link in scene.network.list_open(scene.place):
+            link.near.break_off()
+        await anyio.sleep(LATENCY_S / 2)
+        assert not scene.front.node.beliefs.members.by_name["node-2"].is_connected()
+        asyncio.get_running_loop().now_s += CONNECT_LIMIT_S + 0.1
+        assert (await asyncio.wait_for(future, 3)).status == 200
+        assert scene.back.server.runs == ["a1"]
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("target", ["/list/1", "/book/1"])
+def test_call_is_answered_though_its_node_is_known_by_another_record(target):
+    """A node's record changed while a server was at work on a call sent there.
+
+    The member was replaced and its link closed, so that the call ended with 502
+    half a second before the server's answer.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        scene.back.server.work_s = 0.5
+        future = await scene.ask(target=target)
+        members = scene.front.node.beliefs.members
+        known = members.by_name["node-2"]
+        members.put(known.name, known.address, known.failure_domain, "other")
+        assert (await asyncio.wait_for(future, 1)).status == 200
+        assert scene.back.server.runs == ["a1"]
+        await anyio.sleep(0.01)
+        assert known.link.closed
+
+    play(scenario)
