Wait for a connection by looks that a pause of the node can't use up

Cause: the limit of 0.4 s for a connection passed while this node stood still. Its system had the connection after a millisecond, but the limit ended the wait before the node had looked, and all calls of the link were given up with 502 or sent again.

Ruled out: a longer limit, which a longer pause uses up all the same.

--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -25,6 +25,10 @@
 
 # within a region a connection takes a few milliseconds
 CONNECT_LIMIT_S = 0.4
+# it is waited out in so many looks, the last of them without a pause of this node: the
+# limit may have passed when a paused node goes on, whose system has the connection
+CONNECT_LOOKS = 4
+CONNECT_LOOK_S = CONNECT_LIMIT_S / CONNECT_LOOKS
 # a link with open calls is asked for a sign of life after so long, gets no further
 # calls when it stays silent, and in the end a second connection shows whether the node
 # still lives: one without power kept calls with an objective of 0.2 s for 0.8 s before
@@ -214,18 +218,32 @@
     async def _connect(self) -> None:
         loop = asyncio.get_running_loop()
         host, _, port = self.member.address.partition(":")
+        opening = loop.create_task(
+            loop.create_connection(lambda: LinkConnection(self), host, int(port))
+        )
         try:
-            async with asyncio.timeout(CONNECT_LIMIT_S):
-                _, connection = await loop.create_connection(
-                    lambda: LinkConnection(self), host, int(port)
-                )
-        except (OSError, TimeoutError) as error:
+            await self._wait_for(opening)
+            _, connection = opening.result()
+        except OSError as error:
             self._connecting = None
             self._note_refused(error)
             return
+        finally:
+            opening.cancel()
         self._connecting = None
         self._note_accepted(connection)
 
+    async def _wait_for(self, opening: asyncio.Task[Any]) -> None:
+        """Wait for a connection, raising `TimeoutError` when it takes too long."""
+        for look in itertools.count(1):
+            begun_s = self.clock()
+            await asyncio.wait({opening}, timeout=CONNECT_LOOK_S)
+            paused = self.clock() - begun_s > 2 * CONNECT_LOOK_S
+            if opening.done():
+                return
+            if look >= CONNECT_LOOKS and not paused:
+                raise TimeoutError(f"no connection in {CONNECT_LIMIT_S} s")
+
     def _note_refused(self, error: OSError) -> None:
         """Give up the node, unless it was heard on the first connection meanwhile."""
         now_s = self.clock()
