Take no number of a sender for a new call that is below its latest

Cause: only reads were compared with the latest number of their sender. A call that must not run twice and was asked for again after its reply had been forgotten (6 s) was taken for one that had never arrived, and ran a second time.

Ruled out: keeping replies for longer, since a route's time-out has no bound.

--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -200,12 +200,12 @@
     def _may_have_run(self, frame: ttypes.RelayCall) -> bool:
         """Tell whether a call that is not known has come before, here or elsewhere.
 
-        A sender numbers its calls in the order in which it sends them.
+        A sender numbers its calls in the order in which it sends them, also those whose
+        replies have been forgotten.
         """
         if frame.resumed and frame.incarnation != self.inbound.incarnation:
             return True
-        latest = self.inbound.latest.get(self.sender, 0)
-        return frame.idempotent and frame.sequence <= latest
+        return frame.sequence <= self.inbound.latest.get(self.sender, 0)
 
     def _read_call(self, frame: ttypes.RelayCall) -> Call:
         now_s = self.inbound.clock()
