Let calls end that are under way to a node whose record changes

Cause: a member that was replaced or forgotten (its record, its hello or its service had changed) had its link closed at once, and each call on it ended with 502 or was sent again, although its server was at work. The link now ends with the last of them, and is looked after until then; what had not gone out is sent elsewhere at once.

--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -80,6 +80,8 @@
         for member in list(self.beliefs.members.by_name.values()):
             if member.link is not None:
                 member.link.close()
+        for link in self.beliefs.members.list_retired():
+            link.close()
         self.store.end()
 
     def apply_settings(self, settings: RelaySettings) -> None:
--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -109,6 +109,8 @@
         for member in beliefs.members.by_name.values():
             if member.link is not None:
                 member.link.check_silence(now_s)
+        for link in beliefs.members.list_retired():
+            link.check_silence(now_s)
         for service in self._list_wanted():
             for member in self._choose_links(service):
                 if member.name != beliefs.name and now_s >= member.retry_s:
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -93,6 +93,7 @@
     incarnation: str = ""
     heard_s: float = 0.0
     pinged: bool = False
+    retired: bool = False
     closed: bool = False
     _connection: LinkConnection | None = None
     _second: LinkConnection | None = None
@@ -133,6 +134,7 @@
         opened = self.open_calls.pop(sequence, None)
         if opened is not None and opened.written and self._connection is not None:
             self._connection.send(FrameKind.CANCEL, ttypes.RelayCancel(sequence))
+        self._close_retired()
 
     def is_up(self) -> bool:
         """Tell whether there is a connection."""
@@ -161,6 +163,27 @@
             loop = asyncio.get_running_loop()
             self._connecting = loop.create_task(self._connect())
 
+    def retire(self) -> None:
+        """Close the link once the calls that have gone out have ended.
+
+        A server may be at work on them, whatever is now known of its node.
+        """
+        self.retired = True
+        waiting = [
+            sequence
+            for sequence, opened in self.open_calls.items()
+            if not opened.written
+        ]
+        for sequence in waiting:
+            opened = self.open_calls.pop(sequence, None)
+            if opened is not None:
+                opened.done(Reply(Fate.NOT_RUN, Reason.PEER_LOST))
+        self._close_retired()
+
+    def _close_retired(self) -> None:
+        if self.retired and not self.open_calls and not self.closed:
+            self.close()
+
     def close(self) -> None:
         """Drop the link and fail its calls."""
         self.closed = True
@@ -341,6 +364,7 @@
         for opened in calls:
             fate = Fate.MAY_HAVE_RUN if opened.written else Fate.NOT_RUN
             opened.done(Reply(fate, Reason.PEER_LOST))
+        self._close_retired()
 
     def note_frame(self, kind: FrameKind, struct: Any) -> None:
         """Handle a frame of the other node, which shows that it goes on."""
@@ -378,11 +402,13 @@
             reason = Reason(reply.reason) if reply.reason else None
             fate = Fate(reply.outcome)
             opened.done(Reply(fate, reason, reply.status, reply.head, reply.body))
+        self._close_retired()
 
     def _note_hello(self, hello: ttypes.RelayHello) -> None:
         self.member.note_reachable()
         self.incarnation = hello.incarnation
-        self.events.note_hello(self.member, hello)
+        if not self.retired:
+            self.events.note_hello(self.member, hello)
 
     def note_bad(self, error: BadFrameError) -> None:
         """Say that the other node sent what is no frame."""
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -94,12 +94,14 @@
 class MemberTable:
     """All known nodes, by name and by service.
 
-    ``changes`` counts how often a node was added, replaced or forgotten.
+    ``changes`` counts how often a node was added, replaced or forgotten; ``retired``
+    holds the links of such nodes that still have calls.
     """
 
     changes: int = 0
     by_name: dict[str, Member] = field(factory=dict)
     by_service: dict[str, dict[str, Member]] = field(factory=dict)
+    retired: list[PeerLink] = field(factory=list)
 
     def put(
         self, name: str, address: str, failure_domain: str, service: str
@@ -134,9 +136,15 @@
         found = self.by_service.get(member.service, {})
         found.pop(name, None)
         if member.link is not None:
-            member.link.close()
+            self.retired.append(member.link)
+            member.link.retire()
         return member
 
+    def list_retired(self) -> list[PeerLink]:
+        """Return the links of forgotten nodes that still have calls."""
+        self.retired = [link for link in self.retired if not link.closed]
+        return self.retired
+
     def list_service(self, service: str) -> Collection[Member]:
         """Return the nodes of a service."""
         return self.by_service.get(service, {}).values()
--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -467,3 +467,16 @@
         assert known.link.closed
 
     play(scenario)
+
+
+def test_call_to_a_forgotten_node_that_is_gone_ends_soon():
+    async def scenario(scene: Scene) -> None:
+        future = await scene.ask()
+        scene.front.node.beliefs.members.remove("node-2")
+        scene.network.mute(scene.place)
+        scene.network.listeners[scene.place].close()
+        answer = await asyncio.wait_for(future, SILENCE_LIMIT_S + 2 * SLACK_S)
+        assert answer.status == 502
+        assert scene.front.node.beliefs.members.list_retired() == []
+
+    play(scenario)
