--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -24,6 +24,9 @@
 
 # replies to calls that must not run twice are kept for a sender that asks again
 KEEP_REPLY_S = 6.0
+# the numbers of a sender without a connection are kept as long as one of its calls
+# could be asked for again: longer than the time-outs of routes, which are seconds
+KEEP_SENDER_S = 600.0
 # runs whose link broke go on so long for a sender that comes again over a new one,
 # well within the half second in which those that nobody waits for are to end
 JOIN_WAIT_S = 0.3
@@ -131,7 +134,7 @@
         for sender, numbering in list(self.senders.items()):
             if sender in present:
                 numbering.seen_s = now_s
-            elif now_s - numbering.seen_s > KEEP_REPLY_S:
+            elif now_s - numbering.seen_s > KEEP_SENDER_S:
                 del self.senders[sender]
 
     def count_open(self) -> int:
@@ -229,12 +232,12 @@
     def _may_have_run(self, frame: ttypes.RelayCall) -> bool:
         """Tell whether a call that is not known has come before, here or elsewhere.
 
-        A sender numbers its calls in the order in which it sends them.
+        A sender numbers its calls in the order in which it sends them, also those whose
+        replies have been forgotten.
         """
         if frame.resumed and frame.incarnation != self.inbound.incarnation:
             return True
-        latest = self.inbound.find_latest(self.sender)
-        return frame.idempotent and frame.sequence <= latest
+        return frame.sequence <= self.inbound.find_latest(self.sender)
 
     def _read_call(self, frame: ttypes.RelayCall) -> Call:
         now_s = self.inbound.clock()
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -25,6 +25,10 @@
 
 # within a region a connection takes a few milliseconds
 CONNECT_LIMIT_S = 0.4
+# it is waited out in so many looks, the last of them without a pause of this node: the
+# limit may have passed when a paused node goes on, whose system has the connection
+CONNECT_LOOKS = 4
+CONNECT_LOOK_S = CONNECT_LIMIT_S / CONNECT_LOOKS
 # a link with open calls is asked for a sign of life after so long, gets no further
 # calls when it stays silent, and in the end a second connection shows whether the node
 # still lives: one without power kept calls with an objective of 0.2 s for 0.8 s before
@@ -90,6 +94,7 @@
     incarnation: str = ""
     heard_s: float = 0.0
     pinged: bool = False
+    retired: bool = False
     closed: bool = False
     _connection: LinkConnection | None = None
     _second: LinkConnection | None = None
@@ -130,6 +135,7 @@
         opened = self.open_calls.pop(sequence, None)
         if opened is not None and opened.written and self._connection is not None:
             self._connection.send(FrameKind.CANCEL, ttypes.RelayCancel(sequence))
+        self._close_retired()
 
     def is_up(self) -> bool:
         """Tell whether there is a connection."""
@@ -158,6 +164,27 @@
             loop = asyncio.get_running_loop()
             self._connecting = loop.create_task(self._connect())
 
+    def retire(self) -> None:
+        """Close the link once the calls that have gone out have ended.
+
+        A server may be at work on them, whatever is now known of its node.
+        """
+        self.retired = True
+        waiting = [
+            sequence
+            for sequence, opened in self.open_calls.items()
+            if not opened.written
+        ]
+        for sequence in waiting:
+            opened = self.open_calls.pop(sequence, None)
+            if opened is not None:
+                opened.done(Reply(Fate.NOT_RUN, Reason.PEER_LOST))
+        self._close_retired()
+
+    def _close_retired(self) -> None:
+        if self.retired and not self.open_calls and not self.closed:
+            self.close()
+
     def close(self) -> None:
         """Drop the link and fail its calls."""
         self.closed = True
@@ -215,18 +242,32 @@
     async def _connect(self) -> None:
         loop = asyncio.get_running_loop()
         host, _, port = self.member.address.partition(":")
+        opening = loop.create_task(
+            loop.create_connection(lambda: LinkConnection(self), host, int(port))
+        )
         try:
-            async with asyncio.timeout(CONNECT_LIMIT_S):
-                _, connection = await loop.create_connection(
-                    lambda: LinkConnection(self), host, int(port)
-                )
-        except (OSError, TimeoutError) as error:
+            await self._wait_for(opening)
+            _, connection = opening.result()
+        except OSError as error:
             self._connecting = None
             self._note_refused(error)
             return
+        finally:
+            opening.cancel()
         self._connecting = None
         self._note_accepted(connection)
 
+    async def _wait_for(self, opening: asyncio.Task[Any]) -> None:
+        """Wait for a connection, raising `TimeoutError` when it takes too long."""
+        for look in itertools.count(1):
+            begun_s = self.clock()
+            await asyncio.wait({opening}, timeout=CONNECT_LOOK_S)
+            paused = self.clock() - begun_s > 2 * CONNECT_LOOK_S
+            if opening.done():
+                return
+            if look >= CONNECT_LOOKS and not paused:
+                raise TimeoutError(f"no connection in {CONNECT_LIMIT_S} s")
+
     def _note_refused(self, error: OSError) -> None:
         """Give up the node, unless it was heard on the first connection meanwhile."""
         now_s = self.clock()
@@ -324,6 +365,7 @@
         for opened in calls:
             fate = Fate.MAY_HAVE_RUN if opened.written else Fate.NOT_RUN
             opened.done(Reply(fate, Reason.PEER_LOST))
+        self._close_retired()
 
     def note_frame(self, kind: FrameKind, struct: Any) -> None:
         """Handle a frame of the other node, which shows that it goes on."""
@@ -361,11 +403,13 @@
             reason = Reason(reply.reason) if reply.reason else None
             fate = Fate(reply.outcome)
             opened.done(Reply(fate, reason, reply.status, reply.head, reply.body))
+        self._close_retired()
 
     def _note_hello(self, hello: ttypes.RelayHello) -> None:
         self.member.note_reachable()
         self.incarnation = hello.incarnation
-        self.events.note_hello(self.member, hello)
+        if not self.retired:
+            self.events.note_hello(self.member, hello)
 
     def note_bad(self, error: BadFrameError) -> None:
         """Say that the other node sent what is no frame."""
