Answer all that a stopping node has read on a connection

Cause: with the node's end, the first answer closed its connection, and requests behind it that had been passed on were abandoned with a server at work on them. Whether a connection closes is now decided when an answer goes out: behind the last one that was read. What arrives behind open requests after the end isn't read, and counts as such. Ruled out: to close at once and rely on the client's repeat, since a server had begun. One test is replaced: it demanded that the second of two requests is abandoned, which is the fault. In its place the same is asked of one request, with exactly one header that closes, and three tests ask that two are answered and a third isn't read.

--- a/eelgrassmount/http1/exchange.py
+++ b/eelgrassmount/http1/exchange.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define
+from attrs import define, frozen
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +27,15 @@
 }
 
 
+@frozen(eq=False)
+class Answer:
+    """An answer that waits for its turn; ``head`` holds whole header lines."""
+
+    status: int
+    head: bytes
+    body: bytes
+
+
 @define(eq=False)
 class Exchange:
     """One request of a connection.
@@ -43,32 +52,27 @@
     keep_alive: bool
     arrived_s: float
     on_abandon: Callable[[], None] | None = None
-    answer: bytes | None = None
-
-    def find_peer(self) -> str:
-        """Return the IP address that the request came from, if it is still known."""
-        transport = self.connection.transport
-        peer = None if transport is None else transport.get_extra_info("peername")
-        return str(peer[0]) if peer else ""
+    answer: Answer | None = None
 
     def respond(self, status: int, head: bytes = b"", body: bytes = b"") -> None:
         """Give the answer; ``head`` holds whole header lines."""
         if self.answer is not None:
             return
         self.on_abandon = None
-        reason = REASONS.get(status, b"-")
-        closing = not self.keep_alive or self.connection.ending
-        if closing:
-            self.keep_alive = False
+        self.answer = Answer(status, head, body)
+        self.connection.flush()
+
+    def write_answer(self, closing: bool) -> bytes:
+        """Return the answer as it goes out; ``closing`` says that it is the last."""
+        answer = self.answer
         # the length of a body that only the server knows is left out
-        unknown = self.method == "HEAD" and not body
-        length = b"" if unknown else b"content-length: %d\r\n" % len(body)
-        self.answer = b"HTTP/1.1 %d %s\r\n%s%s%s\r\n%s" % (
-            status,
-            reason,
-            head,
+        unknown = self.method == "HEAD" and not answer.body
+        length = b"" if unknown else b"content-length: %d\r\n" % len(answer.body)
+        return b"HTTP/1.1 %d %s\r\n%s%s%s\r\n%s" % (
+            answer.status,
+            REASONS.get(answer.status, b"-"),
+            answer.head,
             length,
             b"connection: close\r\n" if closing else b"",
-            b"" if self.method == "HEAD" else body,
+            b"" if self.method == "HEAD" else answer.body,
         )
-        self.connection.flush()
--- a/eelgrassmount/http1/server.py
+++ b/eelgrassmount/http1/server.py
@@ -35,8 +35,8 @@
 class HttpListener:
     """Takes connections and hands each complete request to ``handle``.
 
-    ``ending`` makes each connection close behind its next answer; connections
-    without an open request are closed by `close_idle`.
+    ``ending`` makes each connection close behind the answers to what it has read;
+    connections without an open request are closed by `close_idle`.
     """
 
     handle: Callable[[Exchange], None]
@@ -103,7 +103,7 @@
 
     @property
     def ending(self) -> bool:
-        """Tell whether the next answer is the last of this connection."""
+        """Tell whether the connection closes behind the answers that are open."""
         return self.listener.ending
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -163,9 +163,12 @@
             exchange = pending.popleft()
             if self.closed:
                 continue
-            self.transport.write(exchange.answer)
+            # what was read is answered, also behind the first answer of the end: of two
+            # requests on a connection, one was dropped with its server at work
+            closing = not exchange.keep_alive or (self.ending and not pending)
+            self.transport.write(exchange.write_answer(closing))
             self.last_s = self.listener.clock()
-            if not exchange.keep_alive:
+            if closing:
                 self._drop_behind()
                 self.close()
         if self._paused and len(pending) < MAX_PIPELINED:
@@ -222,6 +225,9 @@
     def on_message_complete(self) -> None:
         """Hand the complete request on."""
         self._reading = False
+        if self.ending and self.pending:
+            # the answers of those before close the connection: it counts as not read
+            self._last_taken = True
         if self._last_taken or self.closed:
             return
         parser = self._parser
