Follow the chains of all routes together

Ruled out: to keep chains while vectors change little, since they change a little each second and so all is cheap or nothing is.

--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -74,6 +74,7 @@
 
     vectors: dict[str, dict[str, float]] = field(factory=dict)
     _reached: dict[str, dict[str, float]] = field(factory=dict)
+    _steps: dict[tuple[str, int], dict[str, float]] = field(factory=dict)
     _allowances: dict[str, float] = field(factory=dict)
     _called: set[str] | None = None
 
@@ -99,6 +100,7 @@
     def forget_routes(self) -> None:
         """Follow the chains anew, after the routes have changed."""
         self._reached.clear()
+        self._steps.clear()
         self._allowances.clear()
 
     def find_allowance(self, route: Route, table: RouteTable) -> float:
@@ -157,19 +159,27 @@
             found = self._reached[route.name] = self._walk(route, table)
         return found
 
-    def _walk(self, route: Route, table: RouteTable) -> dict[str, float]:
+    def _walk(
+        self, route: Route, table: RouteTable, depth: int = MAX_CHAIN
+    ) -> dict[str, float]:
+        """Return the calls of a request, with its chain followed so deep.
+
+        Routes lead to the same others: what each adds at a depth is found once for
+        all. Followed from each route anew, 350 routes of which half call four of
+        one another took 155 ms each second, and 1,000 took 1.1 s.
+        """
+        known = self._steps.get((route.name, depth))
+        if known is not None:
+            return known
         found: dict[str, float] = {}
-        # the runs at one depth, whichever way led there: eight routes that call each
-        # other have 137,257 ways
-        runs = {route.name: 1.0}
-        for _ in range(MAX_CHAIN + 1):
-            below: dict[str, float] = {}
-            for name, times in runs.items():
-                _add_targets(table.routes.get(name, route), times, found)
-                for called, per_run in self.vectors.get(name, {}).items():
-                    if called in table.routes and called != name:
-                        below[called] = below.get(called, 0.0) + times * per_run
-            runs = below
+        _add_targets(table.routes.get(route.name, route), 1.0, found)
+        calls = self.vectors.get(route.name, {}) if depth else {}
+        for name, per_run in calls.items():
+            called = table.routes.get(name)
+            if called is not None and name != route.name:
+                for service, times in self._walk(called, table, depth - 1).items():
+                    found[service] = found.get(service, 0.0) + per_run * times
+        self._steps[route.name, depth] = found
         return found
 
     def is_mature(self) -> bool:
