--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -411,6 +411,8 @@
         inbound.expire()
         assert inbound.senders == {}
 
+    play(scenario)
+
 
 LONG = make_rule("/long/", "list", kind="non_idempotent", action={"timeoutMs": 30000})
 
