--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -126,6 +126,21 @@
     assert setup.transport.written.endswith(b"second")
 
 
+def test_answer_is_open_until_its_last_byte_is_sent(setup):
+    """A node ended as soon as each request had its answer.
+
+    An answer that was longer than its client had read was cut, since the node dropped
+    the connection with the bytes that still waited.
+    """
+    setup.receive(GET)
+    setup.listener.ending = True
+    setup.transport.unsent = 100_000
+    setup.taken[0].respond(200, b"", b"long")
+    assert setup.listener.count_open() == 1
+    setup.transport.unsent = 0
+    assert setup.listener.count_open() == 0
+
+
 def test_idle_connections_are_closed_and_busy_ones_are_not(setup):
     setup.receive(GET)
     setup.listener.close_idle()
--- a/tests/http1/transports.py
+++ b/tests/http1/transports.py
@@ -13,6 +13,7 @@
         self.written = b""
         self.closing = False
         self.reading = True
+        self.unsent = 0
 
     def write(self, data: bytes) -> None:
         if not self.closing:
@@ -32,3 +33,6 @@
 
     def get_extra_info(self, name: str) -> None:
         return None
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -480,3 +480,20 @@
         assert scene.front.node.beliefs.members.list_retired() == []
 
     play(scenario)
+
+
+def test_reply_to_another_node_is_open_until_its_last_byte_is_sent():
+    """A node ended as soon as each call of other nodes had its reply.
+
+    What still waited to be sent of a long reply was dropped with the link.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        assert (await (await scene.ask())).status == 200
+        (connection,) = scene.back.node.inbound.connections
+        connection.transport.get_write_buffer_size = lambda: 100_000
+        assert scene.back.node.count_open() == 1
+        connection.transport.get_write_buffer_size = lambda: 0
+        assert scene.back.node.count_open() == 0
+
+    play(scenario)
--- a/tests/relay/virtual.py
+++ b/tests/relay/virtual.py
@@ -256,6 +256,10 @@
     def get_extra_info(self, name: str) -> None:
         """Return nothing: there is no socket."""
 
+    def get_write_buffer_size(self) -> int:
+        """Return how many bytes wait to be sent: none."""
+        return 0
+
 
 def run_virtually(main: Callable[[Network], Awaitable[None]]) -> None:
     """Run a test on a loop and a network of its own."""
