Count an answer as open until its last byte is sent

Cause: an ending node waited until each request had its answer and each call its reply, and then dropped all connections, with the bytes that their ends had not read yet.

Ruled out: to close each connection in order instead, as the process ends at once.

--- a/eelgrassmount/http1/server.py
+++ b/eelgrassmount/http1/server.py
@@ -66,8 +66,11 @@
                 connection.transport.abort()
 
     def count_open(self) -> int:
-        """Return how many requests have no answer yet."""
-        return sum(len(connection.pending) for connection in self.connections)
+        """Return how many requests have no answer yet, or not all of it."""
+        return sum(
+            len(connection.pending) + connection.is_sending()
+            for connection in self.connections
+        )
 
     def close_idle(self) -> None:
         """Close the connections that have no open request."""
@@ -141,6 +144,11 @@
         """Tell whether no request is open or half read."""
         return not self.pending and not self._reading
 
+    def is_sending(self) -> bool:
+        """Tell whether bytes of an answer wait for the client to read."""
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def check_age(self, now_s: float) -> None:
         """Close the connection when its client takes too long."""
         limits = self.listener.limits
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -123,6 +123,12 @@
         if not self.closed and self.transport is not None:
             self.transport.write(frame)
 
+    def is_sending(self) -> bool:
+        """Tell whether bytes wait for the other end to read."""
+        if self.closed or self.transport is None:
+            return False
+        return self.transport.get_write_buffer_size() > 0
+
     def abort(self) -> None:
         """Drop the connection at once."""
         if self.transport is not None:
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -105,8 +105,11 @@
             del self.kept[key]
 
     def count_open(self) -> int:
-        """Return how many calls of other nodes have no reply yet."""
-        return sum(len(connection.jobs) for connection in self.connections)
+        """Return how many calls of other nodes have no reply yet, or not all of it."""
+        return sum(
+            len(connection.jobs) + connection.is_sending()
+            for connection in self.connections
+        )
 
 
 class InboundConnection(FrameConnection):
