--- a/tests/relay/test_silent_peer.py
+++ b/tests/relay/test_silent_peer.py
@@ -497,3 +497,23 @@
         assert scene.back.node.count_open() == 0
 
     play(scenario)
+
+
+@pytest.mark.parametrize("target", ["/list/1", "/book/1"])
+def test_run_is_joined_after_a_pause_of_its_own_node(target):
+    """A node stood still after it had lost a link over which reads had come.
+
+    When it went on, the time in which the sender may join its runs had passed, and
+    they were cut before the sender, which had connected at once, was heard.
+    """
+
+    async def scenario(scene: Scene) -> None:
+        scene.back.server.work_s = 2.0
+        future = await scene.ask(target=target)
+        scene.network.reset(scene.place)
+        await anyio.sleep(LATENCY_S / 2)
+        asyncio.get_running_loop().now_s += STALL_S
+        assert (await asyncio.wait_for(future, 3)).status == 200
+        assert scene.back.server.runs == ["a1"]
+
+    play(scenario)
