Let runs wait on for their sender after a pause of their own node

Cause: the 0.3 s in which a sender may join its runs passed while the node stood still; when it went on, the timer was due before the sender's new connection was read, and the runs of reads were cut, which the sender answers with 502.

--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -131,7 +131,19 @@
     def note_lost(self) -> None:
         """Give up soon what the sender doesn't ask for again."""
         if self.jobs:
-            asyncio.get_running_loop().call_later(JOIN_WAIT_S, self._drop)
+            self._wait_to_join(self.inbound.clock())
+        else:
+            self._drop()
+
+    def _wait_to_join(self, begun_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(JOIN_WAIT_S, self._end_wait, begun_s)
+
+    def _end_wait(self, begun_s: float) -> None:
+        """Drop what was not joined, unless this node paused and heard nobody."""
+        now_s = self.inbound.clock()
+        if now_s - begun_s > 2 * JOIN_WAIT_S:
+            self._wait_to_join(now_s)
         else:
             self._drop()
 
