--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -138,8 +138,11 @@
                 del self.senders[sender]
 
     def count_open(self) -> int:
-        """Return how many calls of other nodes have no reply yet."""
-        return sum(len(connection.jobs) for connection in self.connections)
+        """Return how many calls of other nodes have no reply yet, or not all of it."""
+        return sum(
+            len(connection.jobs) + connection.is_sending()
+            for connection in self.connections
+        )
 
 
 class InboundConnection(FrameConnection):
@@ -161,7 +164,19 @@
     def note_lost(self) -> None:
         """Give up soon what the sender doesn't ask for again."""
         if self.jobs:
-            asyncio.get_running_loop().call_later(JOIN_WAIT_S, self._drop)
+            self._wait_to_join(self.inbound.clock())
+        else:
+            self._drop()
+
+    def _wait_to_join(self, begun_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(JOIN_WAIT_S, self._end_wait, begun_s)
+
+    def _end_wait(self, begun_s: float) -> None:
+        """Drop what was not joined, unless this node paused and heard nobody."""
+        now_s = self.inbound.clock()
+        if now_s - begun_s > 2 * JOIN_WAIT_S:
+            self._wait_to_join(now_s)
         else:
             self._drop()
 
