--- a/eelgrassmount/http1/exchange.py
+++ b/eelgrassmount/http1/exchange.py
@@ -54,6 +54,12 @@
     on_abandon: Callable[[], None] | None = None
     answer: Answer | None = None
 
+    def find_peer(self) -> str:
+        """Return the IP address that the request came from, if it is still known."""
+        transport = self.connection.transport
+        peer = None if transport is None else transport.get_extra_info("peername")
+        return str(peer[0]) if peer else ""
+
     def respond(self, status: int, head: bytes = b"", body: bytes = b"") -> None:
         """Give the answer; ``head`` holds whole header lines."""
         if self.answer is not None:
