Take free ports of the tests from below those of outgoing connections

Once its settings are read a node of that path ends with 2 only when an address can't be bound (read in the code). Its ports were free ones of 32768 to 60999, from which Linux takes those of outgoing connections, and a node binds the callers' address seconds later. Suspected, not shown: the log of that run was gone.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,23 +21,36 @@
 _KILL_WAIT_S = 10.0
 _POLL_S = 0.05
 
+# below the range from which Linux takes ports for outgoing connections, 32768 on
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+_random = random.Random()
 _given: set[str] = set()
 
 
 def find_free_address(ip: str) -> str:
-    """Return ``ip:port`` with a port that the kernel says is free now.
+    """Return ``ip:port`` with a port that is free now.
 
-    None is returned twice in the life of this process.
+    None is returned twice in the life of this process, and none that the kernel gives
+    to outgoing connections: one of those could take it before its owner binds it.
     """
     while True:
-        with socket.socket() as probe:
-            probe.bind((ip, 0))
-            address = f"{ip}:{probe.getsockname()[1]}"
-        if address not in _given:
+        address = f"{ip}:{_random.randrange(FIRST_PORT, LAST_PORT)}"
+        if address not in _given and _is_free(address):
             _given.add(address)
             return address
 
 
+def _is_free(address: str) -> bool:
+    ip, _, port = address.partition(":")
+    with socket.socket() as probe:
+        try:
+            probe.bind((ip, int(port)))
+        except OSError:
+            return False
+    return True
+
+
 def make_flags(flags: Mapping[str, object]) -> tuple[str, ...]:
     """Return the settings as flags of a command line."""
     return tuple(f"--{name.replace('_', '-')}={value}" for name, value in flags.items())
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -13,6 +13,7 @@
 from standins.deploy import PYTHON, Deployment, DeploymentSpec, ServiceSpec
 from standins.faults import get_runs, get_stats, set_fault
 from standins.plans import Plan
+from standins.processes import find_free_address
 from standins.records import find_doubled, find_false_refusals
 
 DEPTH = 12
@@ -261,3 +262,12 @@
         client.close()
 
     asyncio.run(run())
+
+
+def test_free_addresses_are_not_those_of_outgoing_connections():
+    # A node that was to be stopped had ended by itself with the code of an address
+    # that can't be bound: its port was one that the system gives to others meanwhile.
+    found = [find_free_address("127.0.0.1") for _ in range(50)]
+    ports = [int(address.rpartition(":")[2]) for address in found]
+    assert len(set(ports)) == 50
+    assert max(ports) < 32768
