--- a/tests/relay/test_forgetting.py
+++ b/tests/relay/test_forgetting.py
@@ -6,6 +6,7 @@
 import weakref
 
 import pytest
+from attrs import evolve
 
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.compose.relay_run import subscribe_timers
@@ -19,10 +20,9 @@
 from eelgrassmount.relay.messages import Reply
 from eelgrassmount.relay.routes import RouteTable
 from eelgrassmount.relay.rows import write_rows
-from eelgrassmount.relay.settings import RelaySettings
 from eelgrassmount.timers import ManualClock, TimerService
-from eelgrassmount.util.addresses import Address
 from tests.relay.deployment import make_document, make_rule
+from tests.relay.lone_node import SETTINGS
 from tests.relay.samples import make_call
 from tests.relay.test_gate import SIGNED, FakePool
 
@@ -35,18 +35,7 @@
     """A node that is not started, on a clock that the test moves."""
 
     def __init__(self):
-        settings = RelaySettings(
-            name="node-1",
-            failure_domain="a",
-            service="list",
-            caller_address=Address("127.0.0.1", 8304),
-            peer_address=Address("127.0.0.1", 7620),
-            ready_address=Address("127.0.0.1", 8302),
-            announce_address=Address("127.0.0.1", 8306),
-            server_address=Address("127.0.0.1", 8301),
-            log_address=Address("127.0.0.1", 8309),
-        )
-        self.node = build_relay(settings)
+        self.node = build_relay(evolve(SETTINGS, service="list"))
         self.node.timers = TimerService(ManualClock(0.0), random.Random(3))
         self.node.beliefs.clock = self.node.timers.read
         subscribe_timers(self.node)
--- a/tests/relay/test_news.py
+++ b/tests/relay/test_news.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 from loguru import logger
 
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.gate import Job
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
-from eelgrassmount.relay.settings import RelaySettings
-from eelgrassmount.util.addresses import Address
+from tests.relay.lone_node import SETTINGS
 from tests.relay.samples import make_call
 
 STARTED_MS = 1_700_000_000_000
@@ -18,20 +18,7 @@
 
 @pytest.fixture
 def node():
-    host = "127.77.4.1"
-    return build_relay(
-        RelaySettings(
-            name="node-1",
-            failure_domain="a",
-            service="list",
-            caller_address=Address(host, 8304),
-            peer_address=Address(host, 7620),
-            ready_address=Address(host, 8302),
-            announce_address=Address(host, 8306),
-            server_address=Address(host, 8301),
-            log_address=Address(host, 8309),
-        )
-    )
+    return build_relay(evolve(SETTINGS, service="list"))
 
 
 # A crash was named by the identity of the server. The crash of one that had started
--- a/tests/relay/test_state.py
+++ b/tests/relay/test_state.py
@@ -5,16 +5,15 @@
 import json
 
 import pytest
-from attrs import asdict
+from attrs import asdict, evolve
 
 from eelgrassmount.cmd import status as module
 from eelgrassmount.cmd.action import ExitCode
 from eelgrassmount.cmd.main import main
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
-from eelgrassmount.relay.settings import RelaySettings
 from eelgrassmount.relay.state import read_state
-from eelgrassmount.util.addresses import Address
+from tests.relay.lone_node import SETTINGS
 
 STARTED_MS = 1_700_000_000_123
 STARTED = "2023-11-14 22:13:20.123 UTC"
@@ -22,20 +21,7 @@
 
 @pytest.fixture
 def node():
-    host = "127.77.5.1"
-    return build_relay(
-        RelaySettings(
-            name="node-1",
-            failure_domain="a",
-            service="list",
-            caller_address=Address(host, 8304),
-            peer_address=Address(host, 7620),
-            ready_address=Address(host, 8302),
-            announce_address=Address(host, 8306),
-            server_address=Address(host, 8301),
-            log_address=Address(host, 8309),
-        )
-    )
+    return build_relay(evolve(SETTINGS, service="list"))
 
 
 @pytest.fixture
