--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from eelgrassmount.http1.client import Break, ClientAnswer
+from eelgrassmount.policy.queues import find_patience
 from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.messages import Fate, Reply
 from eelgrassmount.verdict import Reason
@@ -75,9 +76,9 @@
 class Gate:
     """Gives the server no more calls than it has slots and queues the others.
 
-    The queue is ordered by the priority of the request that a call belongs to, and then
-    by the time at which it is due. A call that would wait too long is refused at once,
-    so that another server can have it.
+    The queue is ordered by the time at which each call is due, which comes sooner the
+    more urgent its request is. A call that would wait too long is refused at once, so
+    that another server can have it.
     """
 
     server: LocalServer
@@ -93,7 +94,7 @@
     queued: int = 0
     measures: RunMeasures = field(factory=RunMeasures)
     running: set[Job] = field(factory=set)
-    _queue: list[tuple[int, float, int, Job]] = field(factory=list)
+    _queue: list[tuple[float, int, Job]] = field(factory=list)
     _waiting: dict[int, int] = field(factory=dict)
     _numbers: itertools.count[int] = field(factory=itertools.count)
     _shed_s: float = -SHED_LINE_S
@@ -111,7 +112,10 @@
         if reason is not None:
             self._refuse(job, reason)
             return
-        self.measures.arrivals += 1
+        # what one server after the other refuses would count for several: demand for
+        # three short servers seemed up to three times what it was
+        if not job.call.asked_before:
+            self.measures.arrivals += 1
         if self.in_flight < self.server.compute_limit():
             self._start(job, now_s)
             return
@@ -123,9 +127,9 @@
         # booking in three failed by its time-out, by the second status checks that
         # take 36 ms had a median of 80 ms
         route = job.call.route
-        due_s = now_s + math.sqrt(route.objective_s * self.find_allowance(route))
-        rank = job.call.origin.rank
-        heapq.heappush(self._queue, (rank, due_s, next(self._numbers), job))
+        slack_s = math.sqrt(route.objective_s * self.find_allowance(route))
+        due_s = now_s + slack_s * find_patience(job.call.origin)
+        heapq.heappush(self._queue, (due_s, next(self._numbers), job))
         self._count_waiting(job, 1)
 
     def identify(self, health_path: str) -> None:
@@ -234,14 +238,14 @@
         return None
 
     def _count_waiting(self, job: Job, change: int) -> None:
-        rank = job.call.origin.rank
-        self._waiting[rank] = self._waiting.get(rank, 0) + change
+        priority = job.call.origin.priority
+        self._waiting[priority] = self._waiting.get(priority, 0) + change
         self.queued += change
 
     def _expect_wait(self, call: Call) -> float:
-        """Return the seconds until a call would start, behind those of its rank."""
-        own = call.origin.rank
-        ahead = sum(count for rank, count in self._waiting.items() if rank <= own)
+        """Return the seconds until a call would start, behind those of its priority."""
+        own = call.origin.priority
+        ahead = sum(count for one, count in self._waiting.items() if one <= own)
         return self.measures.mean_run_s * (ahead + 1) / self.server.compute_limit()
 
     def _allow_wait(self, call: Call) -> float:
