Weigh the bytes of a call in the choice of its server, and let clients' requests queue behind begun ones

Cause: any call avoided another failure domain by the same part of its time, so that bodies of 60 kB went to a faster server there as calls of 1 kB did. And a request straight from its client was due as one that needs a last run, for which nothing was done yet.

--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -237,6 +237,7 @@
         beliefs.note_routes()
         beliefs.graph.keep_routes(beliefs.knows_route)
         self.metrics.keep_routes(beliefs.knows_route)
+        self.entry.sender.router.keep_routes(beliefs.knows_route)
         # without a configuration, none is known to have left
         if beliefs.table.version:
             self.gate.forget_routes(beliefs.table.routes)
--- /dev/null
+++ b/eelgrassmount/policy/placement.py
@@ -0,0 +1,45 @@
+"""Which server a call is sent to, by what it would cost there.
+
+The load that this answers: servers of one service differ threefold in speed, each
+failure domain has few of them, and bodies differ a hundredfold in size. By time alone
+the fastest server gets all large bodies across failure domains.
+"""
+
+from __future__ import annotations
+
+# part of the time allowed that another failure domain has to be faster by, for a call
+# of a usual size: bytes between failure domains cost more than a few milliseconds
+FAR_SHARE = 0.12
+# bytes of a call with its answer for which this holds, and by how much it is less or
+# more for others. Uploads of 60 kB for which a server took 0.37 s instead of 0.16 s
+# went to the faster one in another failure domain, and were most of the bytes there
+USUAL_BYTES = 4000.0
+LEAST_TIMES = 0.5
+MOST_TIMES = 6.0
+# weight of a new sample in the mean size of a route's calls
+SIZE_WEIGHT = 0.1
+
+
+def measure_far(size_bytes: float) -> float:
+    """Return by which part of its time allowed a call avoids other failure domains.
+
+    >>> measure_far(4000.0)
+    0.12
+    """
+    times = min(MOST_TIMES, max(LEAST_TIMES, size_bytes / USUAL_BYTES))
+    return FAR_SHARE * times
+
+
+def measure_cost(
+    expected_s: float, allowed_s: float, failure_share: float, objective_s: float
+) -> float:
+    """Return what a call costs at a server, in seconds.
+
+    An objective is missed the sooner the nearer the mean comes to it, so that time far
+    below it weighs little against bytes between failure domains. A call that fails
+    fails its whole request.
+
+        >>> measure_cost(0.2, allowed_s=0.4, failure_share=0.0, objective_s=0.4)
+        0.1
+    """
+    return expected_s * expected_s / allowed_s + failure_share * objective_s
--- a/eelgrassmount/policy/queues.py
+++ b/eelgrassmount/policy/queues.py
@@ -20,8 +20,8 @@
 PATIENCE_STEP = 0.15
 MAX_PATIENCE = 2.0
 # runs that a request still needs at which a call has half of that. One that needs fewer
-# is due sooner: what was done for it would be lost, and it is over soon. Requests that
-# wait for one short service only earned 0.93 instead of 0.85 of what they are worth
+# is due sooner: what was done for it would be lost, and it is over soon. For a request
+# that comes straight from its client, nothing was done yet
 HALF_LEFT = 3.0
 # makes up for it: a request that needs seven runs is due after its whole slack
 LEFT_SCALE = 1.4
@@ -30,8 +30,10 @@
 def find_patience(origin: Origin) -> float:
     """Return after which part of its slack a call is due.
 
-    >>> round(find_patience(Origin(0, left=3)), 2)
+    >>> round(find_patience(Origin(0, inner=True, left=3)), 2)
     0.56
     """
     patience = min(MAX_PATIENCE, FIRST_PATIENCE + PATIENCE_STEP * origin.priority)
+    if not origin.inner:
+        return patience
     return patience * LEFT_SCALE * origin.left / (origin.left + HALF_LEFT)
--- a/eelgrassmount/relay/routing.py
+++ b/eelgrassmount/relay/routing.py
@@ -4,7 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define
+from attrs import define, field
+
+from eelgrassmount.policy.placement import (
+    SIZE_WEIGHT,
+    USUAL_BYTES,
+    measure_cost,
+    measure_far,
+)
 
 if TYPE_CHECKING:
     import random
@@ -13,9 +20,6 @@
     from eelgrassmount.relay.members import Member, MemberTable
     from eelgrassmount.relay.routes import Route
 
-# part of the objective that another failure domain has to be faster by: bytes
-# between failure domains cost more than a few milliseconds
-FAR_SHARE = 0.12
 # noise on the scores, so that nodes that know the same don't all choose the same
 NOISE = 0.05
 # every so many choices go to the node that has been unused for longest, so that
@@ -35,6 +39,18 @@
     rng: random.Random
     find_allowance: Callable[[Route], float] = lambda route: route.objective_s
     _choices: int = 0
+    _sizes: dict[str, float] = field(factory=dict)
+
+    def note_size(self, route_name: str, size_bytes: int) -> None:
+        """Take up the size of a call's body with that of its answer."""
+        known = self._sizes.get(route_name, float(size_bytes))
+        self._sizes[route_name] = known + SIZE_WEIGHT * (size_bytes - known)
+
+    def keep_routes(self, knows_route: Callable[[str], bool]) -> None:
+        """Forget the sizes of all other routes."""
+        self._sizes = {
+            name: size for name, size in self._sizes.items() if knows_route(name)
+        }
 
     def choose(
         self, service: str, route: Route, excluded: Container[str]
@@ -120,11 +136,9 @@
         expected_s = run_s
         if load.limit and waiting > 0:
             expected_s += run_s * waiting / load.limit
-        # an objective is missed the sooner the nearer the mean comes to it, so that
-        # time far below it weighs little against bytes between failure domains
-        score = expected_s * expected_s / allowed_s
-        # a call that fails fails its whole request
-        score += load.failure_share * route.objective_s
+        score = measure_cost(
+            expected_s, allowed_s, load.failure_share, route.objective_s
+        )
         if not self._is_near(member):
-            score += FAR_SHARE * allowed_s
+            score += measure_far(self._sizes.get(route.name, USUAL_BYTES)) * allowed_s
         return score * self.rng.uniform(1.0 - NOISE, 1.0 + NOISE)
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -223,6 +223,8 @@
             else:
                 self._give_up(flow)
             return
+        size_bytes = len(flow.call.body) + len(reply.body)
+        self.router.note_size(flow.call.route.name, size_bytes)
         self.answers.deliver(flow, reply)
 
     def _note_refusal(self, flow: Flow, member: Member, reply: Reply) -> None:
--- /dev/null
+++ b/tools/ablation.py
@@ -0,0 +1,162 @@
+"""A node with one mechanism left out, to see what the mechanism is worth.
+
+``python -m tools.ablation NAME`` runs a node as ``python -m eelgrassmount relay``
+does, without the mechanism NAME. It is for measurements only: put it into the command
+of a deploy file in a scratch copy, and compare plays with and without over equal seeds.
+"""
+
+from __future__ import annotations
+
+import math
+import sys
+from typing import TYPE_CHECKING
+
+from eelgrassmount.cmd.relay import run_relay
+from eelgrassmount.policy import levels
+from eelgrassmount.relay import budget, gate, routing, sender
+from eelgrassmount.relay.admission import Admission, CallGraph
+from eelgrassmount.relay.backend import BackendPool
+from eelgrassmount.relay.controllers import Controllers
+from eelgrassmount.relay.learned import LearnedCalls
+from eelgrassmount.relay.lineage import Lineage
+from eelgrassmount.relay.messages import Call
+from eelgrassmount.relay.sender import Sender
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+def admit_all() -> None:
+    """Let every request begin."""
+    Admission.allows = lambda self, route: True
+
+
+def ignore_calls() -> None:
+    """Count only the service that a route leads to, and not what its runs call."""
+    walk = CallGraph._walk
+    CallGraph._walk = lambda self, route, table, depth=0: walk(self, route, table, 0)
+
+
+def ignore_priority() -> None:
+    """Cut all routes that lead to a short service alike."""
+
+    def limit(self: Admission, asked: list, level: float) -> None:
+        for route, _ in asked:
+            known = self.shares.get(route.name, 1.0)
+            self.shares[route.name] = min(known, level)
+
+    Admission._limit = limit
+
+
+def ignore_allowance() -> None:
+    """Give each call its own objective, whatever its request has left."""
+    CallGraph.find_allowance = lambda self, route, table: route.objective_s
+
+
+def ignore_order() -> None:
+    """Queue by the due time alone."""
+    gate.find_patience = lambda origin: 1.0
+
+
+def ignore_lineage() -> None:
+    """Know no caller of any call."""
+    Lineage.find_caller = lambda self, connection, route_name, deadline_s: None
+
+
+def share_repeats_alike() -> None:
+    """Give repeats to whoever asks first."""
+    budget.find_kept = lambda left, priority: 0.0
+
+
+def spend_repeats_at_once() -> None:
+    """Let the repeats of a window be used at any time in it."""
+    budget.refill_tokens = lambda tokens, allowed, windows: math.inf
+
+
+def give_rejected_up() -> None:
+    """Send a rejected call once more at most."""
+    sender.MAX_REJECTIONS = 2
+
+
+def repeat_in_vain() -> None:
+    """Repeat runs that make calls also where all servers fail."""
+    Sender._is_in_vain = lambda self, call: False
+
+
+def wait_for_silent() -> None:
+    """Stay with a silent server until the deadline."""
+    sender.SILENT_SHARE = math.inf
+
+
+def forget_crashes() -> None:
+    """Run what has crashed servers again."""
+    Call.is_quarantined = lambda self, quarantine, now_s: False
+
+
+def choose_at_random() -> None:
+    """Send each call to any server that takes it."""
+    routing.Router._score = lambda self, member, *rest: self.rng.random()
+
+
+def ignore_failure_domain() -> None:
+    """Take all servers for equally near."""
+    routing.measure_far = lambda size_bytes: 0.0
+
+
+def keep_no_connections() -> None:
+    """Open a connection for each request to a server."""
+    BackendPool._take = lambda self, fresh: None
+
+
+def keep_nothing_learned() -> None:
+    """Let a node that starts learn all by itself."""
+    LearnedCalls.find_record = lambda self: None
+
+
+def ask_for_no_reports() -> None:
+    """Wait for the reports of a short service."""
+    Controllers._ask_for_reports = lambda self, members, oldest_s: None
+
+
+def tell_callers_only() -> None:
+    """Report only to nodes that have lately sent calls."""
+    Controllers._is_loaded = lambda self: False
+
+
+def forget_level() -> None:
+    """Seek a level as if the present one had always been in force."""
+
+    def update(
+        self: levels.LevelControl, demand: float, wait: float, age_steps: int = 0
+    ) -> float:
+        sought = levels.seek_level(self.level, demand, wait)
+        return self._move(self.level + levels.STEP_GAIN * (sought - self.level))
+
+    levels.LevelControl.update = update
+
+
+ABLATIONS: dict[str, Callable[[], None]] = {
+    "admission": admit_all,
+    "learned-calls": ignore_calls,
+    "priority": ignore_priority,
+    "allowance": ignore_allowance,
+    "order": ignore_order,
+    "lineage": ignore_lineage,
+    "kept-repeats": share_repeats_alike,
+    "spread-repeats": spend_repeats_at_once,
+    "rejected-again": give_rejected_up,
+    "vain-repeats": repeat_in_vain,
+    "silent": wait_for_silent,
+    "quarantine": forget_crashes,
+    "expected-time": choose_at_random,
+    "failure-domain": ignore_failure_domain,
+    "connections": keep_no_connections,
+    "learned-kept": keep_nothing_learned,
+    "asked-reports": ask_for_no_reports,
+    "reports-to-all": tell_callers_only,
+    "level-memory": forget_level,
+}
+
+if __name__ == "__main__":
+    ABLATIONS[sys.argv[1]]()
+    sys.exit(run_relay())
