--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -7,6 +7,8 @@
 from attrs import define, field
 from loguru import logger
 
+from eelgrassmount.policy.piles import divide_level
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -214,7 +216,7 @@
             for service, asked in self._pile(table).items():
                 level = self.find_level(service)
                 if level < 1.0:
-                    self._limit(asked, level)
+                    self._limit(divide_level(asked, level))
         self.offered = {
             name: count * OFFERED_FADE
             for name, count in self.offered.items()
@@ -237,14 +239,6 @@
                 piles.setdefault(service, []).append((route, count * calls))
         return piles
 
-    def _limit(self, asked: list[tuple[Route, float]], level: float) -> None:
-        total = sum(calls for _, calls in asked)
-        below = 0.0
-        for priority in sorted({route.priority for route, _ in asked}):
-            rank = [one for one in asked if one[0].priority == priority]
-            height = sum(calls for _, calls in rank)
-            share = max(0.0, min(1.0, (level * total - below) / height))
-            for route, _ in rank:
-                known = self.shares.get(route.name, 1.0)
-                self.shares[route.name] = min(known, share)
-            below += height
+    def _limit(self, shares: dict[str, float]) -> None:
+        for name, share in shares.items():
+            self.shares[name] = min(self.shares.get(name, 1.0), share)
--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -12,6 +12,7 @@
 
 from eelgrassmount.gen import ttypes
 from eelgrassmount.policy.levels import STEP_S, LevelControl
+from eelgrassmount.policy.loads import measure_load
 from eelgrassmount.relay.frames import FrameKind
 from eelgrassmount.relay.link import PeerLink
 from eelgrassmount.relay.measures import GateLoad
@@ -51,10 +52,6 @@
 # with so few services, links to all of them are opened before they are needed; with
 # more, a node would keep links to thousands of nodes that it never calls
 EAGER_SERVICES = 8
-# a server that fails half of its calls more than the best one has as good as no slots,
-# and at least this part of them
-FAILURE_WEIGHT = 2.0
-LEAST_HEALTH = 0.1
 # for so long after its start, a node goes by what others have learned or kept, if
 # there is any: from the calls of its first second, routes seemed to call nothing
 LEARNING_S = 4.0
@@ -64,27 +61,6 @@
 MS = 1000.0
 
 
-def measure_load(loads: list[MemberLoad]) -> GateLoad:
-    """Return the load of a service from that of its servers, by their slots.
-
-    The slots of a server that fails more than the best one count for less: routing
-    leaves them to the others, which are full while the mean says that half is free.
-    Where all fail alike, the cause is not the server.
-    """
-    least = min(load.failure_share for load in loads)
-    weights = [
-        load.limit
-        * max(LEAST_HEALTH, 1.0 - FAILURE_WEIGHT * (load.failure_share - least))
-        for load in loads
-    ]
-    total = sum(weights)
-    pairs = list(zip(loads, weights, strict=True))
-    return GateLoad(
-        sum(load.demand * load.limit for load in loads) / total,
-        sum(load.wait * weight for load, weight in pairs) / total,
-    )
-
-
 def tell_level_change(
     service: str, before: float, level: float, load: GateLoad
 ) -> None:
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from eelgrassmount.policy.loads import measure_load
 from eelgrassmount.relay.admission import CallGraph
 from eelgrassmount.relay.beliefs import Beliefs
 from eelgrassmount.relay.controllers import (
     LEARNING_S,
     MAX_LINKS,
     Controllers,
-    measure_load,
 )
 from eelgrassmount.relay.frames import FrameKind
 from eelgrassmount.relay.measures import RunMeasures
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -13,7 +13,7 @@
 
 from eelgrassmount.cmd.relay import run_relay
 from eelgrassmount.policy import levels
-from eelgrassmount.relay import budget, gate, routing, sender
+from eelgrassmount.relay import admission, budget, gate, routing, sender
 from eelgrassmount.relay.admission import Admission, CallGraph
 from eelgrassmount.relay.backend import BackendPool
 from eelgrassmount.relay.controllers import Controllers
@@ -39,13 +39,9 @@
 
 def ignore_priority() -> None:
     """Cut all routes that lead to a short service alike."""
-
-    def limit(self: Admission, asked: list, level: float) -> None:
-        for route, _ in asked:
-            known = self.shares.get(route.name, 1.0)
-            self.shares[route.name] = min(known, level)
-
-    Admission._limit = limit
+    admission.divide_level = lambda asked, level: {
+        route.name: level for route, _ in asked
+    }
 
 
 def ignore_allowance() -> None:
