--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -145,6 +145,32 @@
     assert setup.gate.in_flight == 0
 
 
+def test_call_whose_request_is_nearly_done_goes_before_others():
+    """Calls of one route for requests that begin, and one that needs no further run."""
+    setup = Setup(slots=1)
+    setup.gate.measures.mean_run_s = 0.001
+    setup.offer()
+    for name, origin in (
+        ("direct", Origin(2)),
+        ("begins", Origin(2, inner=True, left=11)),
+        ("urgent", Origin(0, inner=True, left=11)),
+        ("ends", Origin(2, inner=True, left=1)),
+    ):
+        setup.offer(make_call(now_s=setup.now_s, target=f"/{name}", origin=origin))
+    for _ in range(5):
+        setup.answer()
+    order = [data.split()[1] for data in setup.pool.sent[1:]]
+    assert order == [b"/ends", b"/urgent", b"/direct", b"/begins"]
+
+
+def test_call_is_counted_as_demand_by_the_first_gate_only():
+    setup = Setup(slots=2)
+    setup.offer(asked_before=True)
+    assert setup.gate.measures.arrivals == 0
+    setup.offer()
+    assert setup.gate.measures.arrivals == 1
+
+
 def test_call_of_a_long_chain_goes_before_one_with_a_tighter_objective():
     setup = Setup(slots=1)
     setup.gate.measures.mean_run_s = 0.001
