--- a/eelgrassmount/relay/lineage.py
+++ b/eelgrassmount/relay/lineage.py
@@ -71,18 +71,17 @@
 class Lineage:
     """Tells which run a call belongs to, since calls of servers name none.
 
-    ``count_runs`` returns how many runs a call of a route leads to, itself included.
-
     A run makes a call when it has the answer to the one before, mostly over the same
     connection; the first one comes some time after its start, and a call has no more
-    time than its run. ``may_call`` tells whether runs of a route call another::
+    time than its run. ``may_call`` tells whether runs of a route call another, and
+    ``count_runs`` how many runs a call of a route leads to, itself included::
 
         lineage.begin(job, call)
         made = lineage.find_caller(connection, "shop/part/", deadline_s)
         origin = made.make_origin()
         lineage.note_answer(made, well=True)
 
-    Of 8,986 calls three hops below their request, 84 in 100 were given the priority of
+    Of 8,986 calls three hops below their request, 83 in 100 were given the priority of
     the right request in a surge, and 99 in 100 of 2,300 two hops below.
     """
 
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -218,7 +218,7 @@
         flow.attempts += 1
         if reply.status >= 500:
             flow.may_have_run = True
-            if self._may_repeat(flow) and not self._is_in_vain(flow.call):
+            if not self._is_in_vain(flow.call) and self._may_repeat(flow):
                 self._repeat(flow, member, f"status-{reply.status}")
             else:
                 self._give_up(flow)
