Read any decimal in the bounds of the settings

Signs, exponents and long fractions are read now; what lies outside of the range is still refused and the line says the range.

A bound that can't be read still ends the node at its start: the first node shows it, while a retry budget that nobody stated would hold unseen. What is left out has its default, with a line, as before.

Ruled out: the range itself (0 to 1e6), which the value meets.

--- a/eelgrassmount/util/fields.py
+++ b/eelgrassmount/util/fields.py
@@ -22,7 +22,11 @@
 
 # characters of a name; the longest seen have about 40
 MAX_NAME_LENGTH = 128
-_DIGITS = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+# as TOML and Python write numbers
+_DECIMAL = re.compile(r"[+-]?\d+(\.\d+)?([eE][+-]?\d+)?", re.ASCII)
+# characters of a number: the longest that Python writes of a float has 24, and text
+# that goes on is an error of its writer
+MAX_DECIMAL_LENGTH = 64
 REPLACED = "\ufffd"
 _IDENTITY = re.compile(rf"[A-Za-z0-9._:~-]{{1,{MAX_NAME_LENGTH}}}")
 
@@ -153,8 +157,14 @@
 
 
 def parse_number(text: str) -> float:
-    """Return a number written in digits, with a point or without; NaN for others."""
-    return float(text) if _DIGITS.fullmatch(text) else math.nan
+    """Return a decimal number, with or without point and exponent; NaN for others.
+
+    >>> parse_number("32.76923076923077")
+    32.76923076923077
+    """
+    if len(text) > MAX_DECIMAL_LENGTH or not _DECIMAL.fullmatch(text):
+        return math.nan
+    return float(text)
 
 
 def is_printable(text: str, longest: int = MAX_NAME_LENGTH) -> bool:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -203,6 +203,15 @@
     return lines
 
 
+# With the first of these, no node of a deployment started.
+@pytest.mark.parametrize("slack", ["32.76923076923077", "1e2", "0.30000000000000004"])
+def test_bounds_may_be_any_decimal(slack):
+    settings = parse_settings(
+        SETTINGS.replace("budgetSlack=49", f"budgetSlack={slack}")
+    )
+    assert settings.retry_slack == float(slack)
+
+
 # Settings without bounds, or without one of them, started without a word, by figures
 # that may not be those of the installation.
 def test_defaults_in_force_are_told_in_one_line():
