Foresee demand by what is offered, and tell runs that failed by a call of their own

Two causes of the worst load, by lines of nodes:

Now a run that has lost a call, or waits for one, tells nothing of its server; it counts in a share of its own, by which repeats in vain are told. Calls that failed requests would have made never come. What clients offer to all nodes, times the calls learned, over what the servers can do is gone by while a service is busy.

Ruled out: leaving servers counted (measured before), failures by the best server only.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -331,6 +331,8 @@
   9: i32 failures_ppm
   10: list<RouteCount> counts
   11: i32 wait
+  // runs that failed as a call of theirs did, in parts of a million
+  12: i32 lost_ppm
 }
 
 struct RelaySuspects {
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -105,6 +105,7 @@
         find_allowance=beliefs.find_allowance,
         on_begin=note_begin,
         on_end=note_end,
+        is_lost_below=lineage.is_lost,
         on_crash=lambda ended, jobs: news.note_crash(ended, jobs),
         on_change=lambda: controllers.report_now(),
     )
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -3470,11 +3470,12 @@
      - failures_ppm
      - counts
      - wait
+     - lost_ppm
 
     """
 
 
-    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, demand=None, config_version=None, times=None, calls=None, failures_ppm=None, counts=None, wait=None,):
+    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, demand=None, config_version=None, times=None, calls=None, failures_ppm=None, counts=None, wait=None, lost_ppm=None,):
         self.accepting = accepting
         self.in_flight = in_flight
         self.queued = queued
@@ -3486,6 +3487,7 @@
         self.failures_ppm = failures_ppm
         self.counts = counts
         self.wait = wait
+        self.lost_ppm = lost_ppm
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3569,6 +3571,11 @@
                     self.wait = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.lost_ppm = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3632,6 +3639,10 @@
             oprot.writeFieldBegin('wait', TType.I32, 11)
             oprot.writeI32(self.wait)
             oprot.writeFieldEnd()
+        if self.lost_ppm is not None:
+            oprot.writeFieldBegin('lost_ppm', TType.I32, 12)
+            oprot.writeI32(self.lost_ppm)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4836,6 +4847,7 @@
     (9, TType.I32, 'failures_ppm', None, None, ),  # 9
     (10, TType.LIST, 'counts', (TType.STRUCT, [RouteCount, None], False), None, ),  # 10
     (11, TType.I32, 'wait', None, None, ),  # 11
+    (12, TType.I32, 'lost_ppm', None, None, ),  # 12
 )
 all_structs.append(RelaySuspects)
 RelaySuspects.thrift_spec = (
--- a/eelgrassmount/policy/levels.py
+++ b/eelgrassmount/policy/levels.py
@@ -13,6 +13,8 @@
 
 from attrs import define, field
 
+from eelgrassmount.policy.forecast import combine_offered
+
 # demand, as a part of what the servers can do, that admission aims at, and while
 # calls wait longer than allowed
 TARGET_DEMAND = 0.97
@@ -53,18 +55,24 @@
     return TARGET_WITH_WAIT, max(demand, by_wait)
 
 
-def seek_level(in_force: float, demand: float, wait: float) -> float:
+def seek_level(
+    in_force: float, demand: float, wait: float, foreseen: float = 0.0
+) -> float:
     """Return the level at which demand would meet its target.
 
     ``in_force`` is the mean level at which the demand was admitted: demand over it is
-    what was offered.
+    what was offered. ``foreseen`` is what clients offer by their requests, and more
+    where the calls of those that failed never came.
 
         >>> round(seek_level(in_force=0.5, demand=0.485, wait=0.0), 2)
         1.0
+        >>> round(seek_level(in_force=0.5, demand=0.97, wait=0.0, foreseen=4.0), 2)
+        0.24
     """
     target, demand = find_target(demand, wait)
-    sought = in_force * target / max(MIN_DEMAND, demand)
-    return min(1.0, max(MIN_LEVEL, sought))
+    counted = max(MIN_DEMAND, demand) / in_force
+    offered = combine_offered(counted, foreseen, demand)
+    return min(1.0, max(MIN_LEVEL, target / offered))
 
 
 @define
@@ -84,15 +92,18 @@
         steps = OLDEST_STEP + MAX_AGE_STEPS
         self._past = deque([self.level] * steps, maxlen=steps)
 
-    def update(self, demand: float, wait: float, age_steps: int = 0) -> float:
+    def update(
+        self, demand: float, wait: float, age_steps: int = 0, foreseen: float = 0.0
+    ) -> float:
         """Take up demand and wait, as parts of what is possible and allowed.
 
-        They were reported so many steps ago.
+        They were reported so many steps ago; ``foreseen`` is the demand that follows
+        from what clients offer now.
         """
         age = min(MAX_AGE_STEPS, age_steps)
         known = list(self._past)
         seen = known[-OLDEST_STEP - age : len(known) - NEWEST_STEP - age + 1]
-        sought = seek_level(sum(seen) / len(seen), demand, wait)
+        sought = seek_level(sum(seen) / len(seen), demand, wait, foreseen)
         missing = sought - self.level
         near = abs(missing) < NEAR
         return self._move(sought if near else self.level + STEP_GAIN * missing)
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -224,6 +224,7 @@
     "demand": MAX_LOAD,
     "wait": MAX_LOAD,
     "failures_ppm": MAX_PPM,
+    "lost_ppm": MAX_PPM,
     "config_version": MAX_VERSION,
 }
 # fields that may be missing: a reply with an answer has no reason
--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from eelgrassmount.gen import ttypes
+from eelgrassmount.policy.forecast import foresee_demand
 from eelgrassmount.policy.levels import STEP_S, LevelControl
 from eelgrassmount.policy.loads import measure_load
 from eelgrassmount.relay.frames import FrameKind
@@ -223,6 +224,7 @@
             round(self.gate.measures.failure_share * PPM),
             counts,
             round(self.gate.measures.load.wait * SCALE),
+            round(self.gate.measures.lost_share * PPM),
         )
 
     def _accepts(self) -> bool:
@@ -242,6 +244,7 @@
         load.demand = self.gate.measures.load.demand
         load.wait = self.gate.measures.load.wait
         load.failure_share = self.gate.measures.failure_share
+        load.lost_share = self.gate.measures.lost_share
         routes = self.gate.measures.routes
         load.run_s = {name: one.run_s for name, one in routes.items()}
         load.reported_s = self.beliefs.clock()
@@ -249,6 +252,7 @@
 
     def _update_levels(self) -> None:
         beliefs = self.beliefs
+        asked = self._list_asked()
         oldest_s = beliefs.clock() - REPORT_LIMIT_S
         for service, found in beliefs.members.by_service.items():
             fresh = [
@@ -264,13 +268,40 @@
             load = GateLoad()
             if fresh:
                 load = measure_load(fresh)
-                control.update(load.demand, load.wait, self._measure_age(fresh))
+                foreseen = foresee_demand(
+                    asked.get(service, {}), fresh, self._count_usable(found.values())
+                )
+                age = self._measure_age(fresh)
+                control.update(load.demand, load.wait, age, foreseen)
             else:
                 control.relax()
             tell_level_change(service, before, control.level, load)
             if beliefs.find_level(service) < 1.0:
                 self._ask_for_reports(found.values(), oldest_s)
 
+    def _list_asked(self) -> dict[str, dict[str, float]]:
+        """Return the runs a second that offered requests ask of each service, by route.
+
+        There is none before other nodes are heard of.
+        """
+        beliefs = self.beliefs
+        asked: dict[str, dict[str, float]] = {}
+        if beliefs.outlook.nodes < 2 or not beliefs.graph.is_mature():
+            return asked
+        routes = beliefs.table.routes
+        for name, rate in beliefs.outlook.offered.items():
+            route = routes.get(name)
+            if route is None or beliefs.graph.is_called(name):
+                continue
+            for run, times in beliefs.graph.list_runs(route, beliefs.table).items():
+                for service, part in routes[run].divide().items():
+                    runs = asked.setdefault(service, {})
+                    runs[run] = runs.get(run, 0.0) + rate * times * part
+        return asked
+
+    def _count_usable(self, members: Iterable[Member]) -> int:
+        return sum(1 for one in members if one.load.accepting and not one.failures)
+
     def _ask_for_reports(self, members: Iterable[Member], oldest_s: float) -> None:
         """Ask the nodes of a short service that no longer report to this one.
 
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -80,6 +80,7 @@
     The queue is ordered by the time at which each call is due, which comes sooner the
     more urgent its request is. A call that would wait too long is refused at once, so
     that another server can have it, and so is a repeat that the budget doesn't hold.
+    ``is_lost_below`` tells whether a call that a run has made failed, or is still open.
     """
 
     server: LocalServer
@@ -92,6 +93,7 @@
     find_allowance: Callable[[Route], float] = lambda route: route.objective_s
     on_begin: Callable[[Job], None] = lambda job: None
     on_end: Callable[[Job], None] = lambda job: None
+    is_lost_below: Callable[[Job], bool] = lambda job: False
     on_crash: Callable[[ServerIncarnation, list[Job]], None] = lambda ended, jobs: None
     on_change: Callable[[], None] = lambda: None
     queued: int = 0
@@ -239,7 +241,9 @@
     def _note_silence(self, job: Job, now_s: float) -> None:
         """Count a run as a failure once it takes far longer than usual."""
         patience_s = self.measures.find_patience(job.call.route)
-        if not job.silent and now_s - job.started_s > patience_s:
+        if job.silent or now_s - job.started_s <= patience_s:
+            return
+        if not self.is_lost_below(job):
             job.silent = True
             self.measures.count_outcome(True)
 
@@ -311,13 +315,14 @@
         now_s = self.clock()
         self._integrate(now_s)
         self.running.discard(job)
+        lost = self.is_lost_below(job)
         self.on_end(job)
         job.ended = True
         # the sending leads back to the job: without this, ended jobs and their bodies
         # stay until the collector runs
         job.sending = None
         reply = self._judge(job, outcome, now_s)
-        self._learn(job, reply, now_s)
+        self._learn(job, reply, now_s, lost)
         self._fill()
         job.done(reply)
 
@@ -372,7 +377,7 @@
         self._broken.clear()
         return found
 
-    def _learn(self, job: Job, reply: Reply, now_s: float) -> None:
+    def _learn(self, job: Job, reply: Reply, now_s: float, lost: bool) -> None:
         if job.outlived:
             return
         if reply.reason is Reason.SERVER_SHED:
@@ -383,7 +388,9 @@
         if self.quarantine.suspects and reply.fate is Fate.ANSWERED:
             self.quarantine.note_success(job.call.find_digest(), now_s)
         failed = reply.fate is not Fate.ANSWERED or reply.status >= 500
-        if not (failed and job.silent):
+        if failed and lost:
+            self.measures.count_lost()
+        elif not (failed and job.silent):
             self.measures.count_outcome(failed)
         route_name = job.call.route.name
         if failed and not job.overdue:
--- a/eelgrassmount/relay/lineage.py
+++ b/eelgrassmount/relay/lineage.py
@@ -41,7 +41,8 @@
 class Run:
     """A run of the server, and what is known of its calls.
 
-    ``made`` counts them and ``done`` the runs that those answered well have led to.
+    ``made`` counts them and ``done`` the runs that those answered well have led to; one
+    that failed has ``lost`` the run, as far as is known.
     """
 
     call: Call
@@ -49,6 +50,7 @@
     made: int = 0
     open_calls: int = 0
     done: int = 0
+    lost: bool = False
     answered_s: float = -math.inf
 
 
@@ -100,6 +102,11 @@
         """Note that a run has ended."""
         self.runs.pop(job, None)
 
+    def is_lost(self, job: object) -> bool:
+        """Tell whether a call of a run has failed, or has no answer yet."""
+        run = self.runs.get(job)
+        return run is not None and (run.lost or run.open_calls > 0)
+
     def find_caller(
         self, connection: object, route_name: str, deadline_s: float
     ) -> MadeCall | None:
@@ -119,6 +126,8 @@
         made.run.open_calls -= 1
         if well:
             made.run.done += made.size
+        else:
+            made.run.lost = True
         made.run.answered_s = self.clock()
         self._answered[made.connection] = (made.run, made.run.answered_s)
 
--- a/eelgrassmount/relay/measures.py
+++ b/eelgrassmount/relay/measures.py
@@ -62,12 +62,14 @@
     """Durations, failures, demand and waits at one server.
 
     ``mean_run_s`` is the mean duration of all runs and ``routes`` holds that of each
-    route; ``failure_share`` is the share of runs that failed or stayed silent.
+    route; ``failure_share`` is the share of runs that failed or stayed silent, and
+    ``lost_share`` that of those that failed as a call of theirs did.
     ``arrivals`` counts the calls that came since the load was last worked out.
     """
 
     mean_run_s: float = DEFAULT_RUN_S
     failure_share: float = 0.0
+    lost_share: float = 0.0
     load: GateLoad = field(factory=GateLoad)
     routes: dict[str, RouteStats] = field(factory=dict)
     arrivals: int = 0
@@ -87,6 +89,15 @@
     def count_outcome(self, failed: bool) -> None:
         """Take up whether a run failed."""
         self.failure_share += SAMPLE_WEIGHT * (failed - self.failure_share)
+        self.lost_share -= SAMPLE_WEIGHT * self.lost_share
+
+    def count_lost(self) -> None:
+        """Take up a run that failed as a call of its did, which is not the server's.
+
+        Taken for failures of the servers, those of the scarcest service made the ones
+        above it seem short: bookings were cut to a sixth for 16 s after it was over.
+        """
+        self.lost_share += SAMPLE_WEIGHT * (1.0 - self.lost_share)
 
     def find_patience(self, route: Route) -> float:
         """Return the seconds after which a run of a route is taken for silent."""
@@ -130,3 +141,4 @@
         self.routes.clear()
         self.mean_run_s = DEFAULT_RUN_S
         self.failure_share = 0.0
+        self.lost_share = 0.0
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -26,8 +26,9 @@
 
     ``run_s`` is the mean duration of the runs of each route; ``demand`` the work
     that arrives as a part of what it can do, ``wait`` the mean wait at its gate as
-    a part of what is allowed. ``called`` says how
-    often each route has lately been asked for on its VM, and ``vectors`` what the
+    a part of what is allowed. ``failure_share`` is the share of its runs that failed,
+    and ``lost_share`` that of those that failed with a call of theirs. ``called`` says
+    how often each route has lately been asked for on its VM, and ``vectors`` what the
     node has learned of the calls that runs of its server make.
     """
 
@@ -38,6 +39,7 @@
     demand: float = 0.0
     wait: float = 0.0
     failure_share: float = 0.0
+    lost_share: float = 0.0
     run_s: dict[str, float] = field(factory=dict)
     called: dict[str, float] = field(factory=dict)
     vectors: dict[str, dict[str, float]] = field(factory=dict)
--- a/eelgrassmount/relay/news.py
+++ b/eelgrassmount/relay/news.py
@@ -93,6 +93,7 @@
         load.demand = report.demand / SCALE
         load.wait = report.wait / SCALE
         load.failure_share = report.failures_ppm / PPM
+        load.lost_share = report.lost_ppm / PPM
         load.run_s = {time.route_name: time.run_ms / MS for time in report.times}
         load.reported_s = self.beliefs.clock()
         if report.counts:
--- a/eelgrassmount/relay/routing.py
+++ b/eelgrassmount/relay/routing.py
@@ -98,8 +98,11 @@
         return {member.name for member in known if member.name not in names}
 
     def list_failures(self, service: str) -> list[float]:
-        """Return the share of failed runs of each server of a service."""
-        return [one.load.failure_share for one in self.members.list_service(service)]
+        """Return the share of runs of each server of a service that ended badly."""
+        return [
+            one.load.failure_share + one.load.lost_share
+            for one in self.members.list_service(service)
+        ]
 
     def find_usual(self, service: str, route: Route) -> float:
         """Return the mean duration in seconds of a route's runs, 0 if none is known."""
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -29,7 +29,7 @@
 REPORT = ttypes.RelayReport(
     *(True, 3, 0, 9, 500, 3, [ttypes.RouteTime("shop/list/", 30.0)]),
     [ttypes.RouteCalls("shop/a/", "shop/b/", 2.0), ttypes.RouteCalls("c", "", 0.0)],
-    *(0, [ttypes.RouteCount("shop/list/", 4.5)], 20),
+    *(0, [ttypes.RouteCount("shop/list/", 4.5)], 20, 0),
 )
 SUSPECTS = ttypes.RelaySuspects("n1/i-1", ["d1"])
 NODE = ttypes.NodeRecord("n1", "127.0.0.1:7620", "a", "desk")
@@ -140,6 +140,7 @@
         (REPORT, {"config_version": -1}),
         (REPORT, {"failures_ppm": -1}),
         (REPORT, {"failures_ppm": 1_000_001}),
+        (REPORT, {"lost_ppm": -1}),
         (REPORT, {"times": [ttypes.RouteTime("r", math.nan)]}),
         (REPORT, {"times": [ttypes.RouteTime("r", -1.0)]}),
         (REPORT, {"times": [ttypes.RouteTime("", 1.0)]}),
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -520,3 +520,32 @@
     setup.offer(origin=Origin(0, inner=True, repeated=True))
     assert setup.gate.in_flight == 1
     assert setup.gate.budget.list_services() == [("list", 1, 1)]
+
+
+def test_run_that_failed_with_a_call_of_its_own_is_not_the_fault_of_its_server():
+    """Servers above one that rejected calls were taken for failing, and short.
+
+    Their services were cut to a sixth for 16 s after the rejections had ended: at such
+    a level each server had few runs by which to be found well again.
+    """
+    setup = Setup()
+    setup.gate.is_lost_below = lambda job: True
+    for _ in range(40):
+        setup.offer()
+        setup.answer(500)
+    assert setup.gate.measures.failure_share == 0.0
+    assert setup.gate.measures.lost_share > 0.8
+    setup.offer()
+    setup.answer()
+    assert setup.gate.measures.lost_share < 0.9
+
+
+def test_run_that_waits_for_a_call_is_not_silent(setup):
+    setup.gate.is_lost_below = lambda job: True
+    setup.offer()
+    setup.now_s += 1.5
+    setup.gate.sweep()
+    assert setup.gate.measures.failure_share == 0.0
+    setup.gate.is_lost_below = lambda job: False
+    setup.gate.sweep()
+    assert setup.gate.measures.failure_share > 0.0
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -234,3 +234,10 @@
 def test_servers_that_all_fail_alike_keep_their_slots():
     loads = [MemberLoad(limit=10, demand=0.6, failure_share=0.5) for _ in range(3)]
     assert measure_load(loads).demand == pytest.approx(0.6)
+
+
+def test_service_whose_runs_fail_by_their_calls_keeps_its_slots():
+    """One idle server made the others seem to have a tenth of their slots."""
+    idle = MemberLoad(limit=10, demand=0.5)
+    lost = [MemberLoad(limit=10, demand=0.5, lost_share=0.8) for _ in range(15)]
+    assert measure_load([idle, *lost]).demand == pytest.approx(0.5)
--- a/tests/relay/test_lineage.py
+++ b/tests/relay/test_lineage.py
@@ -158,3 +158,17 @@
             made[number] = found
             right += found.make_origin().priority == (0, 2)[number % 2]
     assert right / 2800 > 0.75
+
+
+def test_run_is_lost_with_a_call_of_its_own(setup):
+    setup.begin("j1", BOOK)
+    assert not setup.lineage.is_lost("j1")
+    made = setup.find()
+    # while it waits for its answer
+    assert setup.lineage.is_lost("j1")
+    setup.lineage.note_answer(made, well=True)
+    assert not setup.lineage.is_lost("j1")
+    setup.lineage.note_answer(setup.find(), well=False)
+    assert setup.lineage.is_lost("j1")
+    setup.lineage.end("j1")
+    assert not setup.lineage.is_lost("j1")
--- a/tests/relay/test_news.py
+++ b/tests/relay/test_news.py
@@ -37,16 +37,18 @@
 def test_report_replaces_what_was_told_of_an_earlier_start(node):
     member = node.beliefs.members.put("node-2", "127.77.4.2:7620", "a", "list")
     times = [ttypes.RouteTime("shop/list/", 900.0)]
-    report = ttypes.RelayReport(False, 7, 3, 90, 2000, 1, times, [], 500_000, [], 1000)
+    load = (False, 7, 3, 90, 2000, 1, times, [], 500_000, [], 1000, 250_000)
+    report = ttypes.RelayReport(*load)
     node.news.note_report(member, report)
     assert member.load.run_s == {"shop/list/": 0.9}
     node.news.note_report(
-        member, ttypes.RelayReport(True, 0, 0, 14, 0, 1, [], [], 0, [], 0)
+        member, ttypes.RelayReport(True, 0, 0, 14, 0, 1, [], [], 0, [], 0, 0)
     )
     load = member.load
     assert load.accepting
     assert (load.in_flight, load.queued, load.limit) == (0, 0, 14)
     assert (load.demand, load.wait, load.failure_share) == (0.0, 0.0, 0.0)
+    assert load.lost_share == 0.0
     assert load.run_s == {}
 
 
