Refuse what leads to a service that can't be reached, and read on behind deleted history

Now they are refused as not run, while no server of the service takes a connection or says that it takes work. One that is only silent still counts.

Readers whose history was deleted (410) said for some seconds that they can't read the log, and all nodes read it themselves. The log answers then, and they say so.

--- a/eelgrassmount/relay/beliefs.py
+++ b/eelgrassmount/relay/beliefs.py
@@ -34,7 +34,8 @@
     ``document`` is the configuration in force as it was read, which other nodes
     may ask for; ``table_since_s`` is when it came. ``levels`` holds the mean level of
     each service, ``outlook`` the counts of as many nodes as are heard of, and
-    ``client_routes`` the routes that clients were seen to use. A node that is
+    ``client_routes`` the routes that clients were seen to use. ``unreachable`` are the
+    services none of whose servers can be sent a call from here. A node that is
     ``stopping`` gets no new clients, one that is ``closing`` no calls of other nodes.
     """
 
@@ -58,6 +59,7 @@
     own_vectors: dict[str, dict[str, float]] = field(factory=dict)
     outlook: Tally = field(factory=Tally)
     client_routes: set[str] = field(factory=set)
+    unreachable: set[str] = field(factory=set)
     stopping: bool = False
     closing: bool = False
     _seen_s: dict[str, float] = field(factory=dict)
@@ -78,6 +80,8 @@
 
     def find_level(self, service: str) -> float:
         """Return the part of the ranks that a service admits, from 0 to 1."""
+        if service in self.unreachable:
+            return 0.0
         control = self.levels.get(service)
         return 1.0 if control is None else control.level
 
--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -29,7 +29,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from eelgrassmount.relay.beliefs import Beliefs
     from eelgrassmount.relay.gate import Gate
@@ -276,9 +276,35 @@
             else:
                 control.relax()
             tell_level_change(service, before, control.level, load)
+            self._note_reach(service, found.values())
             if beliefs.find_level(service) < 1.0:
                 self._ask_for_reports(found.values(), oldest_s)
 
+    def _note_reach(self, service: str, members: Collection[Member]) -> None:
+        """Note whether any server of a service can be sent a call from here.
+
+        What leads to one that can't is refused while it has not run: with the last
+        server of the deepest service in a failure domain that was cut off, four in ten
+        requests of the others were begun for six seconds, and lost.
+        """
+        beliefs = self.beliefs
+        now_s = beliefs.clock()
+        # one that is silent may only stand still
+        reached = any(
+            not member.failures and member.is_accepting(now_s) for member in members
+        )
+        if reached == (service not in beliefs.unreachable):
+            return
+        if reached:
+            beliefs.unreachable.discard(service)
+        else:
+            beliefs.unreachable.add(service)
+        logger.warning(
+            "service reached again" if reached else "service unreachable",
+            service=service,
+            servers=len(members),
+        )
+
     def _list_asked(self) -> dict[str, dict[str, float]]:
         """Return the runs a second that offered requests ask of each service, by route.
 
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -88,6 +88,10 @@
             return False
         if self.link is not None and self.link.is_suspect(now_s):
             return False
+        return self.is_accepting(now_s)
+
+    def is_accepting(self, now_s: float) -> bool:
+        """Tell whether the server takes work, unless the word of it is old."""
         load = self.load
         return load.accepting or now_s - load.reported_s > REPORT_LIMIT_S
 
--- a/eelgrassmount/relay/topics.py
+++ b/eelgrassmount/relay/topics.py
@@ -49,14 +49,18 @@
     _wanted: anyio.Event | None = None
     _scope: anyio.CancelScope | None = None
     _is_wanted: bool = True
+    _has_read: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Prepare the waits between failures."""
         self._backoff = Backoff(self.rng, RETRY_BASE_S, RETRY_LIMIT_S)
 
     def is_current(self) -> bool:
-        """Tell whether the topic is read, as far as is known."""
-        return self._is_wanted and self.reachable and self.next_offset is not None
+        """Tell whether the topic is read, as far as is known.
+
+        It is while records that were deleted are read anew, since the log answers.
+        """
+        return self._is_wanted and self.reachable and self._has_read
 
     def want(self, wanted: bool) -> None:
         """Begin to read, or stop; a read that waits for records is given up."""
@@ -92,7 +96,10 @@
             return
         if failure.kind in (FailureKind.DELETED, FailureKind.MALFORMED):
             self.next_offset = None
-        self._note_failure(failure)
+        if failure.kind is FailureKind.DELETED:
+            logger.info("history of the log deleted", topic=self.topic)
+        else:
+            self._note_failure(failure)
         self._backoff.limit_s = self.retry_limit_s
         await anyio.sleep(self._backoff.fail())
 
@@ -136,6 +143,7 @@
             logger.exception("record not taken", topic=self.topic, key=record.key)
 
     def _note_reached(self) -> None:
+        self._has_read = True
         self._backoff.reset()
         if not self.reachable:
             self.reachable = True
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -241,3 +241,22 @@
     idle = MemberLoad(limit=10, demand=0.5)
     lost = [MemberLoad(limit=10, demand=0.5, lost_share=0.8) for _ in range(15)]
     assert measure_load([idle, *lost]).demand == pytest.approx(0.5)
+
+
+def test_what_leads_to_a_service_that_cannot_be_reached_is_refused():
+    """Requests were begun whose last calls found no server, and were lost."""
+    now = [10.0]
+    beliefs = make_beliefs(now)
+    beliefs.graph.put("shop/book/", {"shop/part/": 4.0})
+    members = [beliefs.members.put(name, f"{name}:1", "far", "part") for name in "ab"]
+    controllers = Controllers(beliefs, None, None, None, lambda table: None)
+    members[0].note_unreachable(now[0])
+    controllers._update_levels()
+    assert beliefs.find_level("part") == 1.0
+    members[1].load.accepting = False
+    members[1].load.reported_s = now[0]
+    controllers._update_levels()
+    assert beliefs.find_level("part") == 0.0
+    members[0].note_reachable()
+    controllers._update_levels()
+    assert beliefs.find_level("part") == 1.0
