Part the levels, links and learning of a node, and let late requests wait as before

controllers.py held reports, levels, links and learned calls in 404 lines: levels.py, links.py and learning.py hold three of them now, and asked.py what tells routes of clients from those of servers, which stood in vectors.py. No change of behaviour; tests call the parts by their new names.

One that is late wherever it runs waits as long as before; that case has a test.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -22,8 +22,11 @@
 from eelgrassmount.relay.gate import Gate
 from eelgrassmount.relay.inbound import Inbound
 from eelgrassmount.relay.learned import LearnedCalls
+from eelgrassmount.relay.learning import make_tally
+from eelgrassmount.relay.levels import ServiceLevels
 from eelgrassmount.relay.lineage import Lineage
 from eelgrassmount.relay.link import LinkEvents
+from eelgrassmount.relay.links import LinkKeeper
 from eelgrassmount.relay.members import MemberTable
 from eelgrassmount.relay.metrics import RelayMetrics
 from eelgrassmount.relay.news import News
@@ -122,9 +125,9 @@
         beliefs,
         NODES_TOPIC,
         [],
-        lambda member: controllers.open_link(member),
+        lambda member: links.open_link(member),
         lambda records: node.take_nodes(records),
-        lambda: controllers.make_tally(),
+        lambda: make_tally(beliefs, admission.rates),
     )
     news = News(
         beliefs,
@@ -146,13 +149,9 @@
         news.note_report,
         news.take_frame,
     )
+    links = LinkKeeper(beliefs, events)
     controllers = Controllers(
-        beliefs,
-        gate,
-        inbound,
-        events,
-        admission.update,
-        admission.rates,
+        beliefs, gate, inbound, ServiceLevels(beliefs).update, admission.update
     )
     decisions = DecisionLog.create(clock)
     sender = Sender(
@@ -163,7 +162,7 @@
         decisions,
         metrics,
         clock,
-        controllers.open_link,
+        links.open_link,
     )
     entry = Entry(
         lambda: server.service,
@@ -188,6 +187,7 @@
         entry,
         admission,
         controllers,
+        links,
         news,
         decisions,
         metrics,
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -32,6 +32,7 @@
     from eelgrassmount.relay.heartbeats import Heartbeat
     from eelgrassmount.relay.inbound import Inbound
     from eelgrassmount.relay.learned import LearnedCalls
+    from eelgrassmount.relay.links import LinkKeeper
     from eelgrassmount.relay.metrics import RelayMetrics
     from eelgrassmount.relay.news import News
     from eelgrassmount.relay.readers import LogReaders
@@ -58,6 +59,7 @@
     entry: Entry
     admission: Admission
     controllers: Controllers
+    links: LinkKeeper
     news: News
     decisions: DecisionLog
     metrics: RelayMetrics
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -24,6 +24,7 @@
 from eelgrassmount.relay.announcements import AnnouncementListener
 from eelgrassmount.relay.frames import encode_struct
 from eelgrassmount.relay.learned import PERIOD_S
+from eelgrassmount.relay.learning import apply_vectors, count_calls
 from eelgrassmount.relay.reload import WATCH_PERIOD_S, SettingsWatch
 from eelgrassmount.relay.stalls import StallWatch, read_process_times
 from eelgrassmount.relay.stopping import Stopping
@@ -147,12 +148,12 @@
         node.metrics.stalls.inc,
     )
     timers.subscribe(LINK_PERIOD_S, stalls.check)
-    timers.subscribe(LINK_PERIOD_S, node.controllers.watch_links)
+    timers.subscribe(LINK_PERIOD_S, node.links.watch_links)
     timers.subscribe(STEP_S, node.readers.step)
     timers.subscribe(STEP_S, node.controllers.step)
     timers.subscribe(STEP_S, node.gate.sweep)
-    timers.subscribe(INTERVAL_S, node.controllers.count_calls)
-    timers.subscribe(VECTOR_PERIOD_S, node.controllers.apply_vectors)
+    timers.subscribe(INTERVAL_S, lambda: count_calls(node.beliefs))
+    timers.subscribe(VECTOR_PERIOD_S, lambda: apply_vectors(node.beliefs))
     timers.subscribe(SWEEP_PERIOD_S, node.callers.sweep)
     timers.subscribe(SWEEP_PERIOD_S, node.gate.pool.sweep)
     timers.subscribe(SWEEP_PERIOD_S, node.inbound.expire)
--- a/eelgrassmount/policy/queues.py
+++ b/eelgrassmount/policy/queues.py
@@ -32,9 +32,10 @@
 # a running server may wait longer, since to refuse it wastes its whole request
 WAIT_SHARE = 0.5
 INNER_WAIT_SHARE = 1.0
-# a request waits no longer than leaves it so many times its usual run, and at least a
-# tenth of its objective: one that would be late is better offered to another server
+# a request waits no longer than leaves it so many times its usual run: one that would
+# be late is better offered to another server
 RUN_MARGIN = 1.3
+# where less than this part of its objective is left, it will be late wherever it runs
 LEAST_WAIT_SHARE = 0.1
 # part of its slack that a call has at least, where a run takes nearly as long
 LEAST_SLACK_SHARE = 0.25
@@ -50,9 +51,12 @@
     """
     if inner:
         return INNER_WAIT_SHARE * objective_s
+    usual_s = WAIT_SHARE * objective_s
     left_s = round(objective_s - RUN_MARGIN * run_s, 6)
-    least_s = LEAST_WAIT_SHARE * objective_s
-    return min(WAIT_SHARE * objective_s, max(least_s, left_s))
+    # a late answer is worth more than none
+    if left_s < LEAST_WAIT_SHARE * objective_s:
+        return usual_s
+    return min(usual_s, left_s)
 
 
 def find_slack(objective_s: float, allowance_s: float, run_s: float) -> float:
--- /dev/null
+++ b/eelgrassmount/relay/learning.py
@@ -0,0 +1,80 @@
+"""What a node counts of requests and calls, and learns from the counts of all."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from eelgrassmount.relay.asked import (
+    find_client_routes,
+    find_inner_routes,
+    update_counts,
+)
+from eelgrassmount.relay.tallies import ServiceCounts, Tally, add_tallies
+from eelgrassmount.relay.vectors import merge_vectors, pool_vectors
+
+if TYPE_CHECKING:
+    from eelgrassmount.relay.beliefs import Beliefs
+
+# for so long after its start, a node goes by what others have learned or kept, if
+# there is any: from the calls of its first second, routes seemed to call nothing
+LEARNING_S = 4.0
+
+
+def count_calls(beliefs: Beliefs) -> None:
+    """Take up how often each route was asked for in the latest interval."""
+    update_counts(beliefs.called_before, beliefs.called, beliefs.table.routes)
+    beliefs.called = {}
+
+
+def _list_asked(beliefs: Beliefs) -> dict[str, ServiceCounts]:
+    """Return how often routes were asked for, by the counts of most nodes."""
+    heard = [
+        Tally(1, asked={service: ServiceCounts(1, one.load.called)})
+        for service, found in beliefs.members.by_service.items()
+        for one in found.values()
+        if one.load.called
+    ]
+    direct = add_tallies([_count_asked(beliefs), *heard])
+    known = max(direct, beliefs.outlook, key=lambda tally: tally.nodes)
+    return known.asked
+
+
+def _count_asked(beliefs: Beliefs) -> Tally:
+    counts = ServiceCounts(1, beliefs.called_before)
+    return Tally(1, asked={beliefs.server.service: counts})
+
+
+def make_tally(beliefs: Beliefs, rates: dict[str, float]) -> Tally:
+    """Return what this node counts, for those that add it up.
+
+    ``rates`` holds the requests a second that clients offer to it, by route.
+    """
+    tally = add_tallies([_count_asked(beliefs)])
+    tally.offered = dict(rates)
+    if not _is_young(beliefs):
+        tally.runs = beliefs.learner.list_runs()
+        tally.calls = beliefs.learner.list_calls()
+    return tally
+
+
+def _is_young(beliefs: Beliefs) -> bool:
+    """Tell whether the own runs show less than what others know."""
+    young = beliefs.clock() - beliefs.started_s < LEARNING_S
+    return young and bool(beliefs.graph.vectors)
+
+
+def apply_vectors(beliefs: Beliefs) -> None:
+    """Work out the own vectors anew and put them into the graph."""
+    asked = _list_asked(beliefs)
+    beliefs.client_routes |= find_client_routes(asked)
+    beliefs.client_routes &= beliefs.table.routes.keys()
+    vectors = beliefs.learner.solve(find_inner_routes(asked))
+    beliefs.own_vectors = {} if _is_young(beliefs) else vectors
+    learned = [beliefs.own_vectors]
+    learned += [one.load.vectors for one in beliefs.members.by_name.values()]
+    outlook = beliefs.outlook
+    merged = pool_vectors(outlook.runs, outlook.calls)
+    merged.update(merge_vectors(learned))
+    for name, calls in merged.items():
+        if name in beliefs.table.routes and (calls or name in beliefs.graph.vectors):
+            beliefs.graph.put(name, calls)
--- a/tests/policy/test_queues.py
+++ b/tests/policy/test_queues.py
@@ -5,7 +5,6 @@
 import pytest
 
 from eelgrassmount.policy.queues import (
-    LEAST_WAIT_SHARE,
     MAX_PATIENCE,
     allow_wait,
     find_patience,
@@ -42,12 +41,17 @@
     assert find_patience(Origin(2, left=1)) > find_patience(Origin(2, True, left=2))
 
 
-@pytest.mark.parametrize("run_s", [0.0, 0.1, 0.3, 0.5])
+@pytest.mark.parametrize("run_s", [0.0, 0.1, 0.3, 0.4])
 def test_request_waits_no_longer_than_leaves_time_for_its_run(run_s):
     """Requests with 0.6 s were let wait 0.3 s at servers where they ran for 0.36 s."""
     waits_s = allow_wait(0.6, run_s, inner=False)
     assert waits_s <= 0.3
-    assert waits_s + run_s <= max(0.6, LEAST_WAIT_SHARE * 0.6 + run_s)
+    assert waits_s + run_s <= 0.6
+
+
+def test_request_that_is_late_wherever_it_runs_is_not_refused_for_it():
+    """Of requests whose run takes their whole objective, 13 in 100 were refused."""
+    assert allow_wait(0.3, run_s=0.3, inner=False) == pytest.approx(0.15)
 
 
 def test_call_of_a_running_server_may_wait_as_long_as_its_objective():
--- a/tests/relay/test_forgetting.py
+++ b/tests/relay/test_forgetting.py
@@ -16,6 +16,7 @@
 from eelgrassmount.relay.frames import encode_struct
 from eelgrassmount.relay.gate import Job
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
+from eelgrassmount.relay.learning import count_calls
 from eelgrassmount.relay.measures import MAX_MEAN_WAIT_S
 from eelgrassmount.relay.messages import Reply
 from eelgrassmount.relay.routes import RouteTable
@@ -126,7 +127,7 @@
         setup.node.beliefs.note_call(f"shop/{number}/")
     for _ in range(3):
         setup.node.beliefs.note_call(setup.list_name)
-    setup.node.controllers.count_calls()
+    count_calls(setup.node.beliefs)
     counts = setup.node.controllers.make_report(True).counts
     assert len(counts) == MAX_ROWS
     assert counts[0].route_name == setup.list_name
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -7,12 +7,11 @@
 from eelgrassmount.policy.loads import measure_load
 from eelgrassmount.relay.admission import CallGraph
 from eelgrassmount.relay.beliefs import Beliefs
-from eelgrassmount.relay.controllers import (
-    LEARNING_S,
-    MAX_LINKS,
-    Controllers,
-)
+from eelgrassmount.relay.controllers import Controllers
 from eelgrassmount.relay.frames import FrameKind
+from eelgrassmount.relay.learning import LEARNING_S, apply_vectors, count_calls
+from eelgrassmount.relay.levels import ServiceLevels
+from eelgrassmount.relay.links import MAX_LINKS, LinkKeeper
 from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.members import MemberLoad, MemberTable
 from eelgrassmount.relay.rows import read_rows, write_rows
@@ -34,7 +33,6 @@
 def test_runs_and_calls_of_a_node_become_a_vector():
     now = [1.0]
     beliefs = make_beliefs(now)
-    controllers = Controllers(beliefs, None, None, None, lambda table: None)
     front = beliefs.members.put("front", "a:1", "near", "front")
     front.load.called = {"shop/book/": 20.0}
     for _ in range(40):
@@ -45,8 +43,8 @@
         beliefs.note_call("shop/part/")
         now[0] += 0.05
         beliefs.learner.end("shop/book/")
-        controllers.count_calls()
-    controllers.apply_vectors()
+        count_calls(beliefs)
+    apply_vectors(beliefs)
     calls = beliefs.graph.vectors["shop/book/"]
     assert calls["shop/part/"] == pytest.approx(2.0, abs=0.1)
     assert beliefs.graph.is_called("shop/part/")
@@ -60,12 +58,12 @@
     beliefs.table = make_table(*routes)
     for name in services:
         beliefs.members.put(f"node-{name}", "a:1", "near", name)
-    controllers = Controllers(beliefs, None, None, None, lambda table: None)
-    assert controllers._list_wanted() == set()
+    links = LinkKeeper(beliefs, None)
+    assert links._list_wanted() == set()
     beliefs.note_call("shop/s3/")
     beliefs.graph.put("shop/s3/", {"shop/s7/": 1.0})
-    controllers.count_calls()
-    assert controllers._list_wanted() == {"s3", "s7"}
+    count_calls(beliefs)
+    assert links._list_wanted() == {"s3", "s7"}
 
 
 class FakeGate:
@@ -89,12 +87,22 @@
         self.reports.append(report)
 
 
+def make_controllers(beliefs: Beliefs, inbound: FakeInbound) -> Controllers:
+    return Controllers(
+        beliefs,
+        FakeGate(),
+        inbound,
+        ServiceLevels(beliefs).update,
+        lambda table: None,
+    )
+
+
 @pytest.mark.parametrize(("callers", "reports"), [(0, 60), (16, 60), (64, 15)])
 def test_reports_to_many_callers_are_sent_less_often(callers, reports):
     inbound = FakeInbound(callers)
     beliefs = make_beliefs([1.0])
     beliefs.own_vectors = {"shop/book/": {"shop/part/": 2.0}}
-    controllers = Controllers(beliefs, FakeGate(), inbound, None, lambda table: None)
+    controllers = make_controllers(beliefs, inbound)
     for _ in range(60):
         controllers.step()
     assert len(inbound.reports) == reports
@@ -113,8 +121,7 @@
         member = beliefs.members.put(name, f"{name}:1", "near", "desk")
         member.load.vectors = {"shop/book/": calls}
     beliefs.graph.put("shop/book/", {"shop/part/": 4.0})
-    controllers = Controllers(beliefs, None, None, None, lambda table: None)
-    controllers.apply_vectors()
+    apply_vectors(beliefs)
     assert beliefs.graph.vectors["shop/book/"] == {}
 
 
@@ -122,13 +129,13 @@
     beliefs = make_beliefs([1.0])
     member = beliefs.members.put("a", "a:1", "near", "desk")
     inbound = FakeInbound(1)
-    controllers = Controllers(beliefs, FakeGate(), inbound, None, lambda table: None)
+    controllers = make_controllers(beliefs, inbound)
     member.load.vectors = {"shop/book/": {"shop/part/": 4.0}}
-    controllers.apply_vectors()
+    apply_vectors(beliefs)
     assert beliefs.graph.vectors["shop/book/"] == {"shop/part/": 4.0}
     assert controllers.make_report(True).calls == []
     member.load.vectors = {"shop/book/": {}}
-    controllers.apply_vectors()
+    apply_vectors(beliefs)
     assert beliefs.graph.vectors["shop/book/"] == {}
 
 
@@ -136,16 +143,15 @@
     now = [1.0]
     beliefs = make_beliefs(now)
     beliefs.graph.put("shop/book/", {"shop/part/": 2.0})
-    controllers = Controllers(beliefs, None, None, None, lambda table: None)
     for _ in range(40):
         beliefs.learner.begin("shop/book/")
         now[0] += 0.01
         beliefs.learner.end("shop/book/")
-    controllers.apply_vectors()
+    apply_vectors(beliefs)
     assert beliefs.graph.vectors["shop/book/"] == {"shop/part/": 2.0}
     assert beliefs.own_vectors == {}
     now[0] += LEARNING_S
-    controllers.apply_vectors()
+    apply_vectors(beliefs)
     assert beliefs.graph.vectors["shop/book/"] == {}
 
 
@@ -153,12 +159,12 @@
     beliefs = make_beliefs([1.0])
     for number in range(MAX_LINKS + 8):
         beliefs.members.put(f"n{number}", f"a:{number}", "near", "list")
-    controllers = Controllers(beliefs, None, None, None, lambda table: None)
-    chosen = controllers._choose_links("list")
+    links = LinkKeeper(beliefs, None)
+    chosen = links._choose_links("list")
     assert len(chosen) == MAX_LINKS
-    assert controllers._choose_links("list") is chosen
+    assert links._choose_links("list") is chosen
     beliefs.members.remove(chosen[0].name)
-    again = controllers._choose_links("list")
+    again = links._choose_links("list")
     assert len(again) == MAX_LINKS
     assert chosen[0] not in again
 
@@ -179,32 +185,32 @@
     member = beliefs.members.put("a", "a:1", "near", "list")
     member.link = FakeLink()
     member.load = MemberLoad(limit=10, demand=2.0, reported_s=now[0])
-    controllers = Controllers(beliefs, None, None, None, lambda table: None)
+    levels = ServiceLevels(beliefs)
     for _ in range(20):
-        controllers._update_levels()
+        levels.update()
     assert beliefs.find_level("list") < 0.5
     assert member.link.sent == []
-    return beliefs, member, controllers
+    return beliefs, member, levels
 
 
 def test_node_asks_for_reports_while_a_service_is_short():
     now = [1.0]
-    _, member, controllers = make_short_service(now)
+    _, member, levels = make_short_service(now)
     now[0] += 2.0
-    controllers._update_levels()
+    levels.update()
     assert member.link.sent == [FrameKind.PING]
     member.load.reported_s = now[0]
-    controllers._update_levels()
+    levels.update()
     assert member.link.sent == [FrameKind.PING]
 
 
 def test_level_rises_while_nothing_is_heard_of_a_service():
     now = [1.0]
-    beliefs, member, controllers = make_short_service(now)
+    beliefs, member, levels = make_short_service(now)
     member.link = None
     now[0] += 2.0
     for _ in range(40):
-        controllers._update_levels()
+        levels.update()
     assert beliefs.find_level("list") == 1.0
 
 
@@ -217,8 +223,8 @@
         member.load.reported_s = 1.0
         member.load.accepting = accepting
         member.load.demand = demand
-    controllers = Controllers(beliefs, None, None, None, lambda table: None)
-    controllers._update_levels()
+    levels = ServiceLevels(beliefs)
+    levels.update()
     assert beliefs.find_level("list") < 1.0
 
 
@@ -249,14 +255,14 @@
     beliefs = make_beliefs(now)
     beliefs.graph.put("shop/book/", {"shop/part/": 4.0})
     members = [beliefs.members.put(name, f"{name}:1", "far", "part") for name in "ab"]
-    controllers = Controllers(beliefs, None, None, None, lambda table: None)
+    levels = ServiceLevels(beliefs)
     members[0].note_unreachable(now[0])
-    controllers._update_levels()
+    levels.update()
     assert beliefs.find_level("part") == 1.0
     members[1].load.accepting = False
     members[1].load.reported_s = now[0]
-    controllers._update_levels()
+    levels.update()
     assert beliefs.find_level("part") == 0.0
     members[0].note_reachable()
-    controllers._update_levels()
+    levels.update()
     assert beliefs.find_level("part") == 1.0
--- a/tests/relay/test_readers.py
+++ b/tests/relay/test_readers.py
@@ -10,6 +10,7 @@
 
 from eelgrassmount.policy.readers import LISTENED
 from eelgrassmount.relay.readers import HEARD_S, LOST_S, READ_ON_S
+from eelgrassmount.relay.tallies import Tally
 from standins.platform_log import Trouble
 from tests.relay.deployment import Deployment, Vm, make_document, make_rule
 from tests.relay.virtual import run_virtually
@@ -275,9 +276,12 @@
 
 
 def test_all_nodes_hear_the_counts_of_all():
+    def make_tally() -> Tally:
+        return Tally(1, {"shop.example/list/": 2.0})
+
     async def scenario(fleet: Fleet) -> None:
         for vm in fleet.vms:
-            vm.node.controllers.rates = {"shop.example/list/": 2.0}
+            vm.node.readers.make_tally = make_tally
         await anyio.sleep(4.0)
         for vm in fleet.vms:
             outlook = vm.node.beliefs.outlook
--- a/tests/relay/test_vectors.py
+++ b/tests/relay/test_vectors.py
@@ -10,17 +10,19 @@
 import pytest
 
 from eelgrassmount.relay import vectors as vectors_module
+from eelgrassmount.relay.asked import (
+    COUNT_FADE,
+    find_client_routes,
+    find_inner_routes,
+    update_counts,
+)
 from eelgrassmount.relay.tallies import ServiceCounts
 from eelgrassmount.relay.vectors import (
-    COUNT_FADE,
     MAX_CALLED,
     MAX_PLACES,
     MAX_STATES,
     VectorLearner,
-    find_client_routes,
-    find_inner_routes,
     pool_vectors,
-    update_counts,
 )
 
 
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -18,6 +18,7 @@
 from eelgrassmount.relay.backend import BackendPool
 from eelgrassmount.relay.controllers import Controllers
 from eelgrassmount.relay.learned import LearnedCalls
+from eelgrassmount.relay.levels import ServiceLevels
 from eelgrassmount.relay.lineage import Lineage
 from eelgrassmount.relay.messages import Call
 from eelgrassmount.relay.sender import Sender
@@ -111,7 +112,7 @@
 
 def ask_for_no_reports() -> None:
     """Wait for the reports of a short service."""
-    Controllers._ask_for_reports = lambda self, members, oldest_s: None
+    ServiceLevels._ask_for_reports = lambda self, members, oldest_s: None
 
 
 def tell_callers_only() -> None:
