--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -194,7 +194,7 @@
         StoreClient(settings.log_address),
         TimerService(MonotonicClock(), rng, grid_s=TIMER_GRID_S),
         HttpListener(entry.handle, clock),
-        LearnedCalls(beliefs, readers.count_all),
+        LearnedCalls(beliefs, readers.ranking.count_readers),
         readers,
         rng,
         RefusedMessages(clock, metrics.count_refused),
--- /dev/null
+++ b/eelgrassmount/relay/ranking.py
@@ -0,0 +1,53 @@
+"""The order in which the nodes of a failure domain become readers of the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.policy.readers import choose_readers, count_readers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from eelgrassmount.relay.members import MemberTable
+    from eelgrassmount.relay.records import RecordBook
+
+
+@define(eq=False)
+class Ranking:
+    """Ranks the nodes of each failure domain by their records, once for each change."""
+
+    members: MemberTable
+    book: RecordBook
+    _ranked: dict[str, list[str]] = field(factory=dict)
+    _ranked_for: tuple[int, int] = (-1, -1)
+
+    def list_domains(self) -> dict[str, list[str]]:
+        """Return the nodes of each failure domain in their order."""
+        state = (self.members.changes, self.book.next_offset)
+        if state != self._ranked_for:
+            self._ranked_for = state
+            self._ranked = {}
+            for member in self.members.by_name.values():
+                self._ranked.setdefault(member.failure_domain, []).append(member.name)
+            for names in self._ranked.values():
+                names.sort(key=lambda name: (self.book.find_rank(name), name))
+        return self._ranked
+
+    def list_first(self, failure_domain: str) -> list[str]:
+        """Return the nodes that would be readers if all could be reached."""
+        ranked = self.list_domains().get(failure_domain, [])
+        return ranked[: count_readers(len(ranked))]
+
+    def list_readers(
+        self, failure_domain: str, is_usable: Callable[[str], bool]
+    ) -> list[str]:
+        """Return the readers of a failure domain, of the nodes that can be used."""
+        ranked = self.list_domains().get(failure_domain, [])
+        return choose_readers(ranked, is_usable, count_readers(len(ranked)))
+
+    def count_readers(self) -> int:
+        """Return how many nodes read the log in all failure domains."""
+        return sum(count_readers(len(one)) for one in self.list_domains().values())
--- a/eelgrassmount/relay/readers.py
+++ b/eelgrassmount/relay/readers.py
@@ -14,14 +14,12 @@
 from loguru import logger
 
 from eelgrassmount.gen import ttypes
-from eelgrassmount.policy.readers import (
-    choose_listened,
-    choose_readers,
-    count_readers,
-)
+from eelgrassmount.policy.readers import LISTENED, choose_listened
 from eelgrassmount.relay.frames import FrameKind
+from eelgrassmount.relay.ranking import Ranking
 from eelgrassmount.relay.records import RecordBook
 from eelgrassmount.relay.store import StoredRecord
+from eelgrassmount.relay.subscriptions import HEARD_S, Subscriber, Subscription, Sums
 from eelgrassmount.relay.tallies import Tally, add_tallies, read_tally, write_tally
 
 if TYPE_CHECKING:
@@ -38,8 +36,6 @@
 SILENT_S = 0.75
 # a reader that was silent is asked again after so long
 RETRY_SILENT_S = 3.0
-# what another node has said is believed for so long
-HEARD_S = 2.5
 # without a word of any reader, a node reads by itself: soon after its start, and else
 # once both readers that it listened to had time to be replaced
 START_WAIT_S = 0.4
@@ -56,37 +52,6 @@
 OWN_PAUSE_S = 0.7
 
 
-@define(eq=False)
-class Subscription:
-    """What a node hears from one reader.
-
-    ``waiting_s`` is since when an answer is missing. The reader ``reads`` the log
-    itself or ``hears`` from another that does.
-    """
-
-    waiting_s: float = math.inf
-    sent_s: float = -math.inf
-    heard_s: float = -math.inf
-    reads: bool = False
-    hears: bool = False
-    tally: Tally = field(factory=Tally)
-
-    def is_fresh(self, now_s: float) -> bool:
-        """Tell whether the reader was heard lately."""
-        return now_s - self.heard_s <= HEARD_S
-
-
-@define(eq=False)
-class Subscriber:
-    """A node that listens to this one; ``send`` takes a frame for it."""
-
-    send: Callable[[FrameKind, Any], None]
-    near: bool
-    heard_s: float
-    next_offset: int
-    tally: Tally
-
-
 @define(eq=False)
 class LogReaders:
     """Decides whether this node reads the log, and passes on what is new.
@@ -103,21 +68,23 @@
     take_records: Callable[[tuple[StoredRecord, ...]], None]
     make_tally: Callable[[], Tally]
     book: RecordBook = field(factory=RecordBook)
+    ranking: Ranking = field(init=False)
+    sums: Sums = field(factory=Sums)
     begun: bool = False
     reading: bool = False
     is_reader: bool = False
     subscriptions: dict[str, Subscription] = field(factory=dict)
     subscribers: dict[str, Subscriber] = field(factory=dict)
     _silent_until_s: dict[str, float] = field(factory=dict)
-    _ranked: dict[str, list[str]] = field(factory=dict)
-    _ranked_for: tuple[int, int] = (-1, -1)
     _stepped_s: float = -math.inf
     _alive_s: float = -math.inf
     _served_s: float = -math.inf
     _read_until_s: float = -math.inf
     _lost_wait_s: float = LOST_S[1]
-    _near: Tally = field(factory=Tally)
-    _total: Tally = field(factory=Tally)
+
+    def __attrs_post_init__(self) -> None:
+        """Rank by the records that the book holds."""
+        self.ranking = Ranking(self.beliefs.members, self.book)
 
     def begin(self) -> None:
         """Begin, with the other nodes known as far as the log or links tell of them."""
@@ -171,26 +138,11 @@
             if now_s - one.heard_s <= HEARD_S
         }
 
-    def _rank(self) -> dict[str, list[str]]:
-        """Return the nodes of each failure domain in the order of their records."""
-        members = self.beliefs.members
-        state = (members.changes, self.book.next_offset)
-        if state != self._ranked_for:
-            self._ranked_for = state
-            self._ranked = {}
-            for member in members.by_name.values():
-                self._ranked.setdefault(member.failure_domain, []).append(member.name)
-            for names in self._ranked.values():
-                names.sort(key=lambda name: (self.book.find_rank(name), name))
-        return self._ranked
-
     def _list_readers(self, failure_domain: str, now_s: float) -> list[str]:
-        ranked = self._rank().get(failure_domain, [])
-        count = count_readers(len(ranked))
         # the first ones are tried anew even while they can't be used
-        for name in ranked[:count]:
+        for name in self.ranking.list_first(failure_domain):
             self._connect(name, now_s)
-        return choose_readers(ranked, self._is_usable, count)
+        return self.ranking.list_readers(failure_domain, self._is_usable)
 
     def _is_usable(self, name: str) -> bool:
         if name == self.beliefs.name:
@@ -207,7 +159,7 @@
         own = self.beliefs.failure_domain
         return [
             name
-            for domain in sorted(self._rank())
+            for domain in sorted(self.ranking.list_domains())
             if domain != own
             for name in choose_listened(
                 self.beliefs.name, self._list_readers(domain, now_s), 1
@@ -273,10 +225,6 @@
             unheard_s=None if math.isinf(silent_s) else round(silent_s, 3),
         )
 
-    def count_all(self) -> int:
-        """Return how many nodes read the log, as far as is known."""
-        return sum(count_readers(len(names)) for names in self._rank().values())
-
     def reads(self) -> bool:
         """Tell whether this node reads the log itself, and can."""
         return bool(self.followers) and all(one.is_current() for one in self.followers)
@@ -332,7 +280,7 @@
             self.beliefs.table.version,
             self.book.next_offset,
             records,
-            write_tally(self._total if subscriber.near else self._near),
+            write_tally(self.sums.total if subscriber.near else self.sums.near),
         )
         subscriber.send(FrameKind.NEWS, news)
 
@@ -370,35 +318,24 @@
 
     def _add_near(self) -> Tally:
         """Return the counts of this failure domain, as this node hears of them."""
-        tally = add_tallies(
-            [
-                self.make_tally(),
-                *(one.tally for one in self.subscribers.values() if one.near),
-            ]
-        )
-        names = self._rank().get(self.beliefs.failure_domain, [])
-        if count_readers(len(names)) > count_readers(1):
+        heard = [one.tally for one in self.subscribers.values() if one.near]
+        tally = add_tallies([self.make_tally(), *heard])
+        domain = self.beliefs.failure_domain
+        nodes = len(self.ranking.list_domains().get(domain, []))
+        if len(self.ranking.list_first(domain)) > LISTENED:
             # with more readers than a node listens to, each hears only of a part
-            tally.scale(len(names) / max(1, tally.nodes))
+            tally.scale(nodes / max(1, tally.nodes))
         return tally
 
     def _update_outlook(self, now_s: float) -> None:
-        """Add up what this node hears of, and choose the sum that covers most nodes.
-
-        What it tells others is its own sum: sums that were heard would go round.
-        """
+        """Add up what this node hears of, and choose the sum that covers most nodes."""
         members = self.beliefs.members.by_name
-        own_domain = self.beliefs.failure_domain
-        heard = [
-            (members[name].failure_domain == own_domain, one.tally)
-            for name, one in self.subscriptions.items()
-            if one.is_fresh(now_s)
-        ]
-        self._near = self._add_near()
-        self._total = add_tallies(
-            [self._near, *(one for near, one in heard if not near)]
-        )
-        sums = [self._total]
-        if not self.is_reader:
-            sums += [one for near, one in heard if near]
-        self.beliefs.outlook = max(sums, key=lambda tally: tally.nodes)
+        near, far = [], []
+        for name, one in self.subscriptions.items():
+            same = members[name].failure_domain == self.beliefs.failure_domain
+            if one.is_fresh(now_s):
+                (near if same else far).append(one.tally)
+        self.sums.update(self._add_near(), far)
+        heard = [] if self.is_reader else near
+        found = [self.sums.total, *heard]
+        self.beliefs.outlook = max(found, key=lambda tally: tally.nodes)
--- a/tests/relay/test_readers.py
+++ b/tests/relay/test_readers.py
@@ -9,7 +9,8 @@
 from attrs import define
 
 from eelgrassmount.policy.readers import LISTENED
-from eelgrassmount.relay.readers import HEARD_S, LOST_S, READ_ON_S
+from eelgrassmount.relay.readers import LOST_S, READ_ON_S
+from eelgrassmount.relay.subscriptions import HEARD_S
 from eelgrassmount.relay.tallies import Tally
 from standins.platform_log import Trouble
 from tests.relay.deployment import Deployment, Vm, make_document, make_rule
