--- a/eelgrassmount/relay/levels.py
+++ b/eelgrassmount/relay/levels.py
@@ -44,34 +44,43 @@
 
     def update(self) -> None:
         """Work out the levels of all services anew, once each `STEP_S`."""
-        beliefs = self.beliefs
         asked = self._list_asked()
+        for service, found in self.beliefs.members.by_service.items():
+            self._update_service(service, found.values(), asked.get(service, {}))
+
+    def _update_service(
+        self, service: str, members: Collection[Member], asked: dict[str, float]
+    ) -> None:
+        beliefs = self.beliefs
         oldest_s = beliefs.clock() - REPORT_LIMIT_S
-        for service, found in beliefs.members.by_service.items():
-            fresh = [
-                one.load
-                for one in found.values()
-                if one.load.reported_s > oldest_s
-                and one.load.limit
-                # what leaves has slots that nobody may use
-                and one.load.accepting
-            ]
-            control = beliefs.levels.setdefault(service, LevelControl())
-            before = control.level
-            load = GateLoad()
-            if fresh:
-                load = measure_load(fresh)
-                foreseen = foresee_demand(
-                    asked.get(service, {}), fresh, self._count_usable(found.values())
-                )
-                age = self._measure_age(fresh)
-                control.update(load.demand, load.wait, age, foreseen)
-            else:
-                control.relax()
-            tell_level_change(service, before, control.level, load)
-            self._note_reach(service, found.values())
-            if beliefs.find_level(service) < 1.0:
-                self._ask_for_reports(found.values(), oldest_s)
+        control = beliefs.levels.setdefault(service, LevelControl())
+        before = control.level
+        load = GateLoad()
+        fresh = self._list_fresh(members, oldest_s)
+        if fresh:
+            load = measure_load(fresh)
+            foreseen = foresee_demand(asked, fresh, self._count_usable(members))
+            age = self._measure_age(fresh)
+            control.update(load.demand, load.wait, age, foreseen)
+        else:
+            control.relax()
+        tell_level_change(service, before, control.level, load)
+        self._note_reach(service, members)
+        if beliefs.find_level(service) < 1.0:
+            self._ask_for_reports(members, oldest_s)
+
+    def _list_fresh(
+        self, members: Iterable[Member], oldest_s: float
+    ) -> list[MemberLoad]:
+        """Return the loads that were reported lately, of servers that take work."""
+        return [
+            one.load
+            for one in members
+            if one.load.reported_s > oldest_s
+            and one.load.limit
+            # what leaves has slots that nobody may use
+            and one.load.accepting
+        ]
 
     def _note_reach(self, service: str, members: Collection[Member]) -> None:
         """Note whether any server of a service can be sent a call from here.
