--- a/eelgrassmount/relay/readers.py
+++ b/eelgrassmount/relay/readers.py
@@ -29,13 +29,13 @@
     from eelgrassmount.relay.members import Member
     from eelgrassmount.relay.topics import TopicFollower
 
-# a node asks its readers so often, and one that has not answered for as long is replaced.
-# Together with the first read of the one that takes its place, that is below the 2 s in
-# which a configuration has to be in force
+# a node asks its readers so often, and one that has not answered for as long is
+# replaced. Together with the first read of the one that takes its place, that is below
+# the 2 s in which a configuration has to be in force
 PERIOD_S = 0.75
 SILENT_S = 0.75
-# counts go along with each question while a service is short or calls are not known, and
-# else so seldom: with each, 30 nodes sent and heard 80 kB a second instead of 34
+# counts go along with each question while a service is short or calls are not known,
+# and else so seldom: with each, 30 nodes sent and heard 80 kB a second instead of 34
 CALM_PERIOD_S = 3.0
 # a reader that was silent is asked again after so long
 RETRY_SILENT_S = 3.0
