Let each ablation be wired in a test, and add those of the new mechanisms

The tool's node without the memory of its level ended at its first step, as the step passes a forecast now; found by reading, shown by the new test on the tool as it was.

--- /dev/null
+++ b/tests/tools/test_ablation.py
@@ -0,0 +1,33 @@
+"""Nodes with one mechanism left out can still be wired and do their steps."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+from tools.ablation import ABLATIONS
+
+PROGRAM = """
+from tools.ablation import ABLATIONS
+from eelgrassmount.compose.relay import build_relay
+from eelgrassmount.relay.members import MemberLoad
+from tests.relay.lone_node import SETTINGS
+
+ABLATIONS[{name!r}]()
+node = build_relay(SETTINGS)
+node.put_own()
+member = node.beliefs.members.put("node-2", "127.0.0.1:7620", "a", "list")
+member.load = MemberLoad(limit=4, demand=2.0, reported_s=node.beliefs.clock())
+node.controllers.step()
+print("done")
+"""
+
+
+@pytest.mark.parametrize("name", sorted(ABLATIONS))
+def test_node_without_a_mechanism_does_its_steps(name):
+    """A changed signature let a node end with an exception at its first step."""
+    command = [sys.executable, "-c", PROGRAM.format(name=name)]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert done.stdout.strip().endswith("done"), done.stderr[-2000:]
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -21,6 +21,7 @@
 from eelgrassmount.relay.levels import ServiceLevels
 from eelgrassmount.relay.lineage import Lineage
 from eelgrassmount.relay.messages import Call
+from eelgrassmount.relay.readers import LogReaders
 from eelgrassmount.relay.sender import Sender
 
 if TYPE_CHECKING:
@@ -124,14 +125,33 @@
     """Seek a level as if the present one had always been in force."""
 
     def update(
-        self: levels.LevelControl, demand: float, wait: float, age_steps: int = 0
+        self: levels.LevelControl,
+        demand: float,
+        wait: float,
+        age_steps: int = 0,
+        foreseen: float = 0.0,
     ) -> float:
-        sought = levels.seek_level(self.level, demand, wait)
+        sought = levels.seek_level(self.level, demand, wait, foreseen)
         return self._move(self.level + levels.STEP_GAIN * (sought - self.level))
 
     levels.LevelControl.update = update
 
 
+def count_alone() -> None:
+    """Go by the counts of this node and of those that report to it."""
+    LogReaders._update_outlook = lambda self, now_s: None
+
+
+def foresee_nothing() -> None:
+    """Go by the demand that arrives."""
+    levels.combine_offered = lambda counted, foreseen, arriving: counted
+
+
+def blame_servers() -> None:
+    """Take runs that failed with a call of theirs for failures of their servers."""
+    Lineage.is_lost = lambda self, job: False
+
+
 ABLATIONS: dict[str, Callable[[], None]] = {
     "admission": admit_all,
     "learned-calls": ignore_calls,
@@ -152,6 +172,9 @@
     "asked-reports": ask_for_no_reports,
     "reports-to-all": tell_callers_only,
     "level-memory": forget_level,
+    "counts-of-all": count_alone,
+    "forecast": foresee_nothing,
+    "lost-below": blame_servers,
 }
 
 if __name__ == "__main__":
