Call no service unreachable before a configuration is known

Each node wrote a warning on its own service as it started, since its server had not been identified yet. Without a configuration all requests are refused anyway.

--- a/eelgrassmount/relay/levels.py
+++ b/eelgrassmount/relay/levels.py
@@ -91,6 +91,9 @@
         """
         beliefs = self.beliefs
         now_s = beliefs.clock()
+        if not beliefs.table.version:
+            # a node that has just started knows few others, and refuses all
+            return
         # one that is silent may only stand still
         reached = any(
             not member.failures and member.is_accepting(now_s) for member in members
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -14,6 +14,7 @@
 from eelgrassmount.relay.links import MAX_LINKS, LinkKeeper
 from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.members import MemberLoad, MemberTable
+from eelgrassmount.relay.routes import RouteTable
 from eelgrassmount.relay.rows import read_rows, write_rows
 from eelgrassmount.relay.server import LocalServer
 from eelgrassmount.util.addresses import Address
@@ -266,3 +267,14 @@
     members[0].note_reachable()
     levels.update()
     assert beliefs.find_level("part") == 1.0
+
+
+def test_node_without_a_configuration_calls_no_service_unreachable():
+    """Each node wrote a warning on its own service at its start."""
+    beliefs = make_beliefs([10.0])
+    beliefs.table = RouteTable()
+    member = beliefs.members.put("own", "a:1", "near", "desk")
+    member.load.accepting = False
+    member.load.reported_s = 10.0
+    ServiceLevels(beliefs).update()
+    assert beliefs.unreachable == set()
