--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -198,8 +198,8 @@
     the scarcest decides. ``find_offered`` returns the requests a second that
     are offered to all nodes, if they are known: by the few of one node in its last
     second, 42 in 100 of those that all should refuse were let in on 195 nodes.
-    ``rates`` holds those that are offered to this node. Only routes are cut that
-    clients are seen to use.
+    ``rates`` holds those that are offered to this node, and ``offered`` its fading
+    counts, by which it goes alone. Only routes are cut that clients are seen to use.
     """
 
     graph: CallGraph
