Judge where a route is asked for in one place

Whether a route is one of clients and whether only servers call it were worked out by two functions that each found its highest share, what is due on the VMs of a service, and whether enough is due to judge by. _judge does so for both: a route is inner if one judged service lacks it, and of clients if more than one was judged and none lacks it. Also a wrapped line in a docstring. No change of behaviour and none of any bound.

Checked: ruff; tests of policy, vectors, learning, learned calls and forgetting passed.

--- a/eelgrassmount/policy/readers.py
+++ b/eelgrassmount/policy/readers.py
@@ -2,9 +2,9 @@
 
 The load that this answers: each record of the log wakes all that wait for it. When
 every node reads the log itself, its calls are nodes times events: 195 nodes made 34
-calls each in 37 s. A failure domain that is
-cut off needs readers of its own, and a reader that fails has to be replaced by what
-each node sees for itself, without an election.
+calls each in 37 s. A failure domain that is cut off needs readers of its own, and a
+reader that fails has to be replaced by what each node sees for itself, without an
+election.
 """
 
 from __future__ import annotations
--- a/eelgrassmount/relay/asked.py
+++ b/eelgrassmount/relay/asked.py
@@ -65,12 +65,8 @@
 
 
 def _is_of_clients(name: str, known: list[ServiceCounts]) -> bool:
-    highest = max(one.counts.get(name, 0.0) / one.nodes for one in known)
-    judged = [one for one in known if highest * one.nodes >= MIN_CALLS]
-    return len(judged) > 1 and all(
-        one.counts.get(name, 0.0) >= CLIENT_SHARE * highest * one.nodes
-        for one in judged
-    )
+    seen = _judge(name, known)
+    return len(seen) > 1 and all(seen)
 
 
 def _is_inner(name: str, known: list[ServiceCounts]) -> bool:
@@ -78,12 +74,17 @@
 
     It is if there should be many requests on them by what there are elsewhere.
     """
+    return not all(_judge(name, known))
+
+
+def _judge(name: str, known: list[ServiceCounts]) -> list[bool]:
+    """Tell of each service whether a route is asked for there as clients would.
+
+    Services are left out where too few requests of it are due to judge by.
+    """
     highest = max(one.counts.get(name, 0.0) / one.nodes for one in known)
-    for one in known:
-        expected = highest * one.nodes
-        if (
-            expected >= MIN_CALLS
-            and one.counts.get(name, 0.0) < CLIENT_SHARE * expected
-        ):
-            return True
-    return False
+    return [
+        one.counts.get(name, 0.0) >= CLIENT_SHARE * highest * one.nodes
+        for one in known
+        if highest * one.nodes >= MIN_CALLS
+    ]
