Decide on each request by the API key of its team

Cause: no source file decoded the teams of a configuration.

Change: package teams. TeamDirectory finds a team by a digest of the key under a secret of each node, judge_key decides for each request anew, also on an open connection. A node without word of the log answers 503 to a key that it does not know, since it may be new, and 401 otherwise. The key and any team that a client names are dropped, the team of the key is named to the server. A request's rank is that of its team, then that of its route; it goes through admission (demand by route and rank, also between nodes), queue and repeats.

Tests: teams, keys at whole nodes (swapped keys, quick successions, all keys lost, open connections, a log that turns nodes away or is gone), decoders field by field.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -356,12 +356,19 @@
   3: list<RouteCount> counts
 }
 
+// Requests a second of one route and rank that clients offer.
+struct OfferedRate {
+  1: string route_name
+  2: i32 rank
+  3: double rate
+}
+
 // Counts of one or more nodes, added up. ``offered`` holds requests of clients a
 // second, ``runs`` the runs of servers by route, and ``calls`` all calls of those runs,
 // not those of one.
 struct RelayTally {
   1: i32 nodes
-  2: list<RouteCount> offered
+  2: list<OfferedRate> offered
   3: list<ServiceCounts> asked
   4: list<RouteCount> runs
   5: list<RouteCalls> calls
--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -115,8 +115,10 @@
     for name, level in state["levels"].items():
         if level < 1.0:
             lines.append(f"short          {name}: {level} of what is offered admitted")
-    for name, share in state["shares"].items():
-        lines.append(f"refused partly {name}: {share} admitted")
+    lines += [
+        f"refused partly {one['route']} of rank {one['rank']}: {one['share']} admitted"
+        for one in state["shares"]
+    ]
     for name, calls in state["vectors"].items():
         made = ", ".join(f"{count} {called}" for called, count in calls.items())
         lines.append(f"calls          {name}: {made or 'none'}")
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -13,6 +13,7 @@
 from eelgrassmount.platform.store import StoreClient
 from eelgrassmount.platform.topics import NODES_TOPIC
 from eelgrassmount.relay.admission import Admission, CallGraph
+from eelgrassmount.relay.answers import Answering
 from eelgrassmount.relay.backend import BackendPool
 from eelgrassmount.relay.beliefs import Beliefs
 from eelgrassmount.relay.budget import RetryBudget
@@ -164,21 +165,23 @@
         clock,
         links.open_link,
     )
+    answers = Answering(
+        DIALECT, sender, admission, decisions, metrics, clock, rng, lineage
+    )
+    sender.answers = answers
     entry = Entry(
         lambda: server.service,
         DIALECT,
-        sender,
+        answers,
         admission,
         quarantine,
-        decisions,
-        metrics,
         clock,
         rng,
         graph.is_called,
         beliefs.note_call,
         lineage,
+        readers.is_current,
     )
-    sender.answers = entry
     node = RelayNode(
         settings,
         beliefs,
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -238,7 +238,7 @@
         state.labels("log_subscribers").set(len(self.readers.subscribers))
         state.labels("log_next_offset").set(self.readers.book.next_offset)
         state.labels("counted_nodes").set(self.beliefs.outlook.nodes)
-        state.labels("open_requests").set(self.entry.open_flows)
+        state.labels("open_requests").set(self.entry.answers.open_flows)
         state.labels("lines_left_out").set(self.decisions.failures.left_out)
 
     def forget_routes(self) -> None:
@@ -250,7 +250,7 @@
         beliefs.note_routes()
         beliefs.graph.keep_routes(beliefs.knows_route)
         self.metrics.keep_routes(beliefs.knows_route)
-        self.entry.sender.router.keep_routes(beliefs.knows_route)
+        self.entry.answers.sender.router.keep_routes(beliefs.knows_route)
         # without a configuration, none is known to have left
         if beliefs.table.version:
             self.gate.forget_routes(beliefs.table.routes)
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -3950,6 +3950,85 @@
         return not (self == other)
 
 
+class OfferedRate(object):
+    """
+    Attributes:
+     - route_name
+     - rank
+     - rate
+
+    """
+
+
+    def __init__(self, route_name=None, rank=None, rate=None,):
+        self.route_name = route_name
+        self.rank = rank
+        self.rate = rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OfferedRate')
+        if self.route_name is not None:
+            oprot.writeFieldBegin('route_name', TType.STRING, 1)
+            oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 2)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RelayTally(object):
     """
     Attributes:
@@ -3988,7 +4067,7 @@
                     self.offered = []
                     (_etype138, _size135) = iprot.readListBegin()
                     for _i139 in range(_size135):
-                        _elem140 = RouteCount()
+                        _elem140 = OfferedRate()
                         _elem140.read(iprot)
                         self.offered.append(_elem140)
                     iprot.readListEnd()
@@ -4884,11 +4963,18 @@
     (2, TType.I32, 'nodes', None, None, ),  # 2
     (3, TType.LIST, 'counts', (TType.STRUCT, [RouteCount, None], False), None, ),  # 3
 )
+all_structs.append(OfferedRate)
+OfferedRate.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'rank', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+)
 all_structs.append(RelayTally)
 RelayTally.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'nodes', None, None, ),  # 1
-    (2, TType.LIST, 'offered', (TType.STRUCT, [RouteCount, None], False), None, ),  # 2
+    (2, TType.LIST, 'offered', (TType.STRUCT, [OfferedRate, None], False), None, ),  # 2
     (3, TType.LIST, 'asked', (TType.STRUCT, [ServiceCounts, None], False), None, ),  # 3
     (4, TType.LIST, 'runs', (TType.STRUCT, [RouteCount, None], False), None, ),  # 4
     (5, TType.LIST, 'calls', (TType.STRUCT, [RouteCalls, None], False), None, ),  # 5
--- a/eelgrassmount/http1/exchange.py
+++ b/eelgrassmount/http1/exchange.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,6 +14,7 @@
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
@@ -40,15 +41,15 @@
 class Exchange:
     """One request of a connection.
 
-    ``headers`` are pairs of lower-case name and value. ``on_abandon`` is called
-    when the client closes its connection before the answer.
+    ``headers`` are pairs of lower-case name and value, which may be secret.
+    ``on_abandon`` is called when the client closes its connection before the answer.
     """
 
     connection: ServerConnection
     method: str
     target: str
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
+    headers: list[tuple[bytes, bytes]] = field(repr=False)
+    body: bytes = field(repr=False)
     keep_alive: bool
     arrived_s: float
     on_abandon: Callable[[], None] | None = None
--- a/eelgrassmount/platform/client.py
+++ b/eelgrassmount/log_client.py
@@ -1,4 +1,4 @@
-"""A client of the platform's log service over HTTP."""
+"""A client of the log service over HTTP."""
 
 from __future__ import annotations
 
--- a/eelgrassmount/platform/configuration.py
+++ b/eelgrassmount/platform/configuration.py
@@ -7,8 +7,12 @@
 from eelgrassmount.errors import PlatformDocumentError
 from eelgrassmount.http1.server import ServerLimits
 from eelgrassmount.relay.routes import Route, RouteTable, Service, Target
+from eelgrassmount.teams.directory import Team, TeamDirectory, TeamKeys
 from eelgrassmount.util.fields import (
+    MAX_NAME_LENGTH,
     find_field,
+    is_printable,
+    read_flag,
     read_list,
     read_name,
     read_number,
@@ -33,6 +37,8 @@
 TIMES_MS = (0, 86_400_000)
 COUNTS = (0, 2**31 - 1)
 WEIGHTS = (0.0, 1e9)
+# requests a second, or at once
+RATES = (0.0, 1e9)
 
 
 def read_version(text: Any) -> int:
@@ -64,6 +70,7 @@
         ],
         [_read_service(one) for one in read_list(content, "clusters", _KIND)],
         _read_limits(content.get("limits")),
+        _read_teams(content),
     )
 
 
@@ -84,6 +91,7 @@
         objective_s=objective_ms / 1000,
         max_attempts=attempts,
         priority=_read_count(rule, "priority") or DEFAULT_PRIORITY,
+        needs_key=not ("anonymous" in rule and read_flag(rule, "anonymous", _KIND)),
     )
 
 
@@ -112,6 +120,52 @@
     return Service(read_name(cluster, "name", _KIND), path, connections)
 
 
+def _read_teams(content: dict[str, Any]) -> TeamDirectory:
+    """Return the teams, if the configuration is on teams at all."""
+    if content.get("tenants") is None:
+        return TeamDirectory()
+    found = [_read_team(one) for one in read_list(content, "tenants", _KIND)]
+    names = [one.team.name for one in found]
+    if len(set(names)) < len(names):
+        refuse_field(_KIND, "tenants.name", "each name once")
+    keys = [key for one in found for key in one.keys]
+    # a key of two teams would let one of them use the quota of the other
+    if len(set(keys)) < len(keys):
+        refuse_field(_KIND, "tenants.apiKeys", "each key once")
+    return TeamDirectory.build(found)
+
+
+def _read_team(tenant: dict[str, Any]) -> TeamKeys:
+    name = read_name(tenant, "name", _KIND)
+    # it stands in a header
+    if not name.isascii():
+        refuse_field(_KIND, "tenants.name", "a text of plain ASCII characters")
+    team = Team(
+        name,
+        priority=_read_count(tenant, "priority"),
+        rate=float(read_number(tenant, "ratePerS", RATES, _KIND, missing=0)),
+        burst=float(read_number(tenant, "burst", RATES, _KIND, missing=0)),
+    )
+    return TeamKeys(team, _read_keys(tenant))
+
+
+def _read_keys(tenant: dict[str, Any]) -> tuple[str, ...]:
+    """Return the keys of a team, which may have lost all of them."""
+    keys = tenant.get("apiKeys")
+    if keys is None:
+        return ()
+    if not isinstance(keys, list) or not all(map(_is_key, keys)):
+        allowed = f"a list of texts of 1 to {MAX_NAME_LENGTH} visible characters"
+        refuse_field(_KIND, "tenants.apiKeys", allowed)
+    return tuple(keys)
+
+
+def _is_key(value: Any) -> bool:
+    """Tell whether a value can stand in a header and be told from none."""
+    plain = isinstance(value, str) and value.isascii() and is_printable(value)
+    return plain and " " not in value
+
+
 def _read_limits(limits: Any) -> ServerLimits:
     usual = ServerLimits()
     if limits is None:
--- a/eelgrassmount/platform/headers.py
+++ b/eelgrassmount/platform/headers.py
@@ -9,6 +9,8 @@
 REMAINING_MS = b"eelgrassmount-deadline-ms"
 EXPECTED_INSTANCE = b"eelgrassmount-expect-instance"
 CALLER_SERVICE = b"eelgrassmount-caller-service"
+API_KEY = b"x-api-key"
+TEAM = b"eelgrassmount-tenant"
 SIGNATURE = b"eelgrassmount-response-signature"
 NOT_RUN = b"eelgrassmount-not-executed"
 INSTANCE = b"eelgrassmount-instance-id"
@@ -27,9 +29,12 @@
         b"expect",
     )
 )
-_SET_BY_NODE = frozenset((REMAINING_MS, EXPECTED_INSTANCE, CALLER_SERVICE))
-_DROPPED_FROM_REQUEST = _OF_ONE_CONNECTION | _SET_BY_NODE
+_SET_BY_NODE = frozenset((REMAINING_MS, EXPECTED_INSTANCE, CALLER_SERVICE, TEAM))
+# a key is for the nodes alone
+_DROPPED_FROM_REQUEST = _OF_ONE_CONNECTION | _SET_BY_NODE | {API_KEY}
 
+# stands for keys that contradict each other, and belongs to no team
+NO_KEY = b""
 MAX_REMAINING_MS = 3_600_000
 # digits of a number that is looked at
 MAX_DIGITS = 9
@@ -47,6 +52,9 @@
             head.request_id = value.decode("latin-1")
         elif name == REMAINING_MS:
             head.remaining_ms = _read_remaining(value)
+        elif name == API_KEY:
+            # of two keys, none can be gone by
+            head.api_key = value.strip() if head.api_key is None else NO_KEY
         elif name == b"connection" and value.lower() not in (b"close", b"keep-alive"):
             named = {one.strip() for one in value.lower().split(b",")}
             dropped = dropped | named
@@ -66,6 +74,11 @@
     return min(int(digits), MAX_REMAINING_MS)
 
 
+def write_team(name: str) -> bytes:
+    """Return the header line that names a request's team to the server."""
+    return b"%s: %s\r\n" % (TEAM, name.encode("latin-1"))
+
+
 def write_request(
     method: str,
     target: str,
@@ -160,6 +173,7 @@
 
 DIALECT = Dialect(
     read_request,
+    write_team,
     write_request,
     write_probe,
     read_answer,
--- a/eelgrassmount/policy/piles.py
+++ b/eelgrassmount/policy/piles.py
@@ -1,4 +1,4 @@
-"""Which routes are cut when a service that they lead to is short.
+"""Which requests are cut when a service that they lead to is short.
 
 The load that this answers: several routes ask more of one service than it can do, of
 which some are more urgent, and their requests make different numbers of calls.
@@ -6,28 +6,49 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
+
+from attrs import frozen
 
 if TYPE_CHECKING:
-    from eelgrassmount.relay.routes import Route
+    from collections.abc import Iterable
+
+
+class Demand(NamedTuple):
+    """Requests of one route and rank; 0 is refused last."""
+
+    route_name: str
+    rank: int
+
+
+@frozen
+class AskedCalls:
+    """The calls that the offered requests of one demand ask of a service."""
+
+    demand: Demand
+    calls: float
 
 
-def divide_level(asked: list[tuple[Route, float]], level: float) -> dict[str, float]:
-    """Return the part of each route's requests that a service has room for.
+def divide_level(asked: Iterable[AskedCalls], level: float) -> dict[Demand, float]:
+    """Return the part of each demand that a service has room for.
 
-    ``asked`` holds, by route, the calls that the offered requests ask of the service,
-    and ``level`` the part of all of them that it can do. Routes stand one above the
-    other, the most urgent at the bottom; those at the level are cut in proportion::
+    ``level`` is the part of all calls asked of it that it can do. Demands stand one
+    above the other, the most urgent at the bottom; those at the level are cut in
+    proportion::
 
-        divide_level([(book, 20.0), (price, 20.0)], 0.75)
-        # {"shop/book/": 1.0, "shop/price/": 0.5}
+        book = Demand("shop/book/", 0)
+        price = Demand("shop/price/", 2)
+        divide_level([AskedCalls(book, 20.0), AskedCalls(price, 20.0)], 0.75)
+        # {book: 1.0, price: 0.5}
     """
-    room = level * sum(calls for _, calls in asked)
-    shares = {}
-    for priority in sorted({route.priority for route, _ in asked}):
-        rank = [one for one in asked if one[0].priority == priority]
-        height = sum(calls for _, calls in rank)
-        share = max(0.0, min(1.0, room / height))
-        shares.update({route.name: share for route, _ in rank})
-        room -= height
+    by_rank: dict[int, list[AskedCalls]] = {}
+    for one in asked:
+        by_rank.setdefault(one.demand.rank, []).append(one)
+    heights = {rank: sum(one.calls for one in by_rank[rank]) for rank in by_rank}
+    room = level * sum(heights.values())
+    shares: dict[Demand, float] = {}
+    for rank in sorted(by_rank):
+        share = max(0.0, min(1.0, room / heights[rank]))
+        shares.update({one.demand: share for one in by_rank[rank]})
+        room -= heights[rank]
     return shares
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from eelgrassmount.policy.levels import STEP_S
-from eelgrassmount.policy.piles import divide_level
+from eelgrassmount.policy.piles import AskedCalls, Demand, divide_level
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -191,45 +191,44 @@
 class Admission:
     """Decides at the entry whether a request of a client may begin.
 
-    The routes that lead to a service stand one above the other, the most urgent
+    The demands that lead to a service stand one above the other, the most urgent
     at the bottom, each as high as the calls that its requests ask of the service.
-    The level says up to which part of this pile requests are admitted. A route at
+    The level says up to which part of this pile requests are admitted. A demand at
     the level is admitted in proportion, and of all services that a request needs
     the scarcest decides. ``find_offered`` returns the requests a second that
-    are offered to all nodes, if they are known: by the few of one node in its last
-    second, 42 in 100 of those that all should refuse were let in on 195 nodes.
-    ``rates`` holds those that are offered to this node, and ``offered`` its fading
-    counts, by which it goes alone. Only routes are cut that clients are seen to use.
+    are offered to all nodes, if they are known: the few of one node in its last second
+    say little on a large fleet. ``rates`` holds those that are offered to this node,
+    and ``offered`` its fading counts, by which it goes alone. Only routes are cut that
+    clients are seen to use.
     """
 
     graph: CallGraph
     find_level: Callable[[str], float]
-    find_offered: Callable[[], dict[str, float]] = dict
+    find_offered: Callable[[], dict[Demand, float]] = dict
     is_of_clients: Callable[[str], bool] = lambda name: True
     rng: random.Random = field(factory=random.Random)
-    offered: dict[str, float] = field(factory=dict)
-    rates: dict[str, float] = field(factory=dict)
-    shares: dict[str, float] = field(factory=dict)
-    _credits: dict[str, float] = field(factory=dict)
-    _counted: dict[str, int] = field(factory=dict)
+    offered: dict[Demand, float] = field(factory=dict)
+    rates: dict[Demand, float] = field(factory=dict)
+    shares: dict[Demand, float] = field(factory=dict)
+    _credits: dict[Demand, float] = field(factory=dict)
+    _counted: dict[Demand, int] = field(factory=dict)
 
-    def allows(self, route: Route) -> bool:
+    def allows(self, demand: Demand) -> bool:
         """Decide on one request, dividing evenly over time."""
-        name = route.name
-        self.offered[name] = self.offered.get(name, 0.0) + 1.0
-        self._counted[name] = self._counted.get(name, 0) + 1
-        share = self.shares.get(name, 1.0)
+        self.offered[demand] = self.offered.get(demand, 0.0) + 1.0
+        self._counted[demand] = self._counted.get(demand, 0) + 1
+        share = self.shares.get(demand, 1.0)
         # a call of a server that isn't known as one yet would be refused, as in the
         # first seconds of a surge, and what was done for its request lost
-        if share >= 1.0 or not self.is_of_clients(name):
+        if share >= 1.0 or not self.is_of_clients(demand.route_name):
             return True
         # nodes that begin alike would all refuse their first request, or none
-        credit = self._credits.get(name)
+        credit = self._credits.get(demand)
         credit = share + (self.rng.random() if credit is None else credit)
         if credit >= 1.0:
-            self._credits[name] = credit - 1.0
+            self._credits[demand] = credit - 1.0
             return True
-        self._credits[name] = credit
+        self._credits[demand] = credit
         return False
 
     def update(self, table: RouteTable) -> None:
@@ -246,42 +245,46 @@
                 if service in short:
                     self._limit(divide_level(asked, short[service]))
         self.offered = {
-            name: count * OFFERED_FADE
-            for name, count in self.offered.items()
-            if name in table.routes
+            demand: count * OFFERED_FADE
+            for demand, count in self.offered.items()
+            if demand.route_name in table.routes
         }
         self._credits = {
-            name: credit
-            for name, credit in self._credits.items()
-            if name in table.routes
+            demand: credit
+            for demand, credit in self._credits.items()
+            if demand.route_name in table.routes
         }
 
     def _update_rates(self, table: RouteTable) -> None:
-        for name in self.rates.keys() | self._counted.keys():
-            rate = self.rates.get(name, 0.0)
-            counted = self._counted.get(name, 0) / STEP_S
-            self.rates[name] = rate + RATE_WEIGHT * (counted - rate)
-            if self.rates[name] < LEAST_RATE or name not in table.routes:
-                del self.rates[name]
+        for demand in self.rates.keys() | self._counted.keys():
+            rate = self.rates.get(demand, 0.0)
+            counted = self._counted.get(demand, 0) / STEP_S
+            rate += RATE_WEIGHT * (counted - rate)
+            self.rates[demand] = rate
+            if rate < LEAST_RATE or demand.route_name not in table.routes:
+                del self.rates[demand]
         self._counted.clear()
 
-    def _list_offered(self) -> dict[str, float]:
-        """Return what is offered of each route, for how much one is of all."""
+    def _list_offered(self) -> dict[Demand, float]:
+        """Return what is offered of each demand, for how much one is of all."""
         return self.find_offered() or {
-            name: count for name, count in self.offered.items() if count >= MIN_OFFERED
+            demand: count
+            for demand, count in self.offered.items()
+            if count >= MIN_OFFERED
         }
 
-    def _pile(self, table: RouteTable) -> dict[str, list[tuple[Route, float]]]:
-        """Return what the offered requests ask of each service, by route."""
-        piles: dict[str, list[tuple[Route, float]]] = {}
-        for name, count in self._list_offered().items():
-            route = table.routes.get(name)
-            if route is None or self.graph.is_called(name):
+    def _pile(self, table: RouteTable) -> dict[str, list[AskedCalls]]:
+        """Return what the offered requests ask of each service, by demand."""
+        piles: dict[str, list[AskedCalls]] = {}
+        for demand, count in self._list_offered().items():
+            route = table.routes.get(demand.route_name)
+            if route is None or self.graph.is_called(demand.route_name):
                 continue
             for service, calls in self.graph.count_calls(route, table).items():
-                piles.setdefault(service, []).append((route, count * calls))
+                asked = AskedCalls(demand, count * calls)
+                piles.setdefault(service, []).append(asked)
         return piles
 
-    def _limit(self, shares: dict[str, float]) -> None:
-        for name, share in shares.items():
-            self.shares[name] = min(self.shares.get(name, 1.0), share)
+    def _limit(self, shares: dict[Demand, float]) -> None:
+        for demand, share in shares.items():
+            self.shares[demand] = min(self.shares.get(demand, 1.0), share)
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -12,6 +12,7 @@
 from eelgrassmount.errors import AddressError, BadFrameError
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.messages import Fate
+from eelgrassmount.relay.routes import MAX_RANK
 from eelgrassmount.util.addresses import parse_address
 from eelgrassmount.util.fields import MAX_NAME_LENGTH, is_printable
 from eelgrassmount.verdict import Reason
@@ -31,8 +32,6 @@
 # load as a part of what is possible, in thousandths
 MAX_LOAD = 1_000_000_000
 MAX_PPM = 1_000_000
-# ranks of routes; an operator names a few
-MAX_PRIORITY = 1_000_000
 MAX_VERSION = 2**62
 # calls that one run makes, and requests or milliseconds of one route
 MAX_COUNT = 1e9
@@ -165,7 +164,10 @@
 
 def _check_tally(tally: ttypes.RelayTally) -> None:
     _check_ranges(tally, {"nodes": MAX_CALLS})
-    _check_counts(tally.offered)
+    for row in tally.offered:
+        _require_all(row)
+        _check_row(row, ("route_name",), "rate")
+        _check_ranges(row, {"rank": MAX_RANK})
     _check_counts(tally.runs)
     for service in tally.asked:
         _require_all(service)
@@ -213,7 +215,7 @@
 _CALL_RANGES = {
     "remaining_ms": MAX_REMAINING_MS,
     "sequence": MAX_VERSION,
-    "priority": MAX_PRIORITY,
+    "priority": MAX_RANK,
     "left": MAX_CALLS,
 }
 _REPLY_RANGES = {"in_flight": MAX_CALLS, "queued": MAX_CALLS}
--- a/eelgrassmount/relay/dialect.py
+++ b/eelgrassmount/relay/dialect.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,12 +15,14 @@
     """What a node needs from the headers of a request.
 
     ``remaining_ms`` is how long the client will wait, ``None`` when it doesn't
-    say; ``passed_on`` are the header lines that go on to the server.
+    say; ``passed_on`` are the header lines that go on to the server. ``api_key`` is
+    ``None`` without a key, and empty if there are several.
     """
 
     host: str = ""
     request_id: str = ""
     remaining_ms: int | None = None
+    api_key: bytes | None = field(default=None, repr=False)
     passed_on: bytes = b""
 
 
@@ -43,6 +45,7 @@
     """The functions that read and write headers, which an adapter supplies."""
 
     read_request: Callable[[list[tuple[bytes, bytes]]], RequestHead]
+    write_team: Callable[[str], bytes]
     write_request: Callable[[str, str, bytes, bytes, int, str, str], bytes]
     write_probe: Callable[[str], bytes]
     read_answer: Callable[[list[tuple[bytes, bytes]]], AnswerHead]
--- a/eelgrassmount/relay/levels.py
+++ b/eelgrassmount/relay/levels.py
@@ -120,9 +120,9 @@
         if beliefs.outlook.nodes < 2 or not beliefs.graph.is_mature():
             return asked
         routes = beliefs.table.routes
-        for name, rate in beliefs.outlook.offered.items():
-            route = routes.get(name)
-            if route is None or beliefs.graph.is_called(name):
+        for demand, rate in beliefs.outlook.offered.items():
+            route = routes.get(demand.route_name)
+            if route is None or beliefs.graph.is_called(demand.route_name):
                 continue
             for run, times in beliefs.graph.list_runs(route, beliefs.table).items():
                 for service, part in routes[run].divide().items():
--- a/eelgrassmount/relay/messages.py
+++ b/eelgrassmount/relay/messages.py
@@ -8,6 +8,7 @@
 from attrs import define, frozen
 
 from eelgrassmount.context import compute_digest
+from eelgrassmount.policy.piles import Demand
 
 if TYPE_CHECKING:
     from eelgrassmount.relay.routes import Route
@@ -27,7 +28,7 @@
 class Origin:
     """The request of a client that a call belongs to, as far as it is known.
 
-    ``priority`` is that of the request's route, of which 0 is refused last. A call is
+    ``priority`` is the request's rank, of which 0 is refused last. A call is
     ``inner`` if a running server made it, and ``repeated`` if a run that leads to it
     was a repeat. ``left`` counts the runs that the request still needs, as far as is
     known, this one included.
@@ -79,6 +80,11 @@
     again: bool = False
     _digest: str = ""
 
+    @property
+    def demand(self) -> Demand:
+        """Return the demand that a request of a client belongs to."""
+        return Demand(self.route.name, self.origin.priority)
+
     def is_quarantined(self, quarantine: Quarantine, now_s: float) -> bool:
         """Tell whether servers may not be given this content, which crashed others."""
         # without suspects, the digest is not worked out
--- a/eelgrassmount/relay/readers.py
+++ b/eelgrassmount/relay/readers.py
@@ -260,6 +260,10 @@
             one.reads and one.is_fresh(now_s) for one in self.subscriptions.values()
         )
 
+    def is_current(self) -> bool:
+        """Tell whether this node knows what stands on the log now."""
+        return self.reads() or self.hears()
+
     def note_read(self, records: tuple[StoredRecord, ...], next_offset: int) -> None:
         """Take up records that this node has read, and pass them on."""
         before = self.book.next_offset
--- a/eelgrassmount/relay/routes.py
+++ b/eelgrassmount/relay/routes.py
@@ -7,10 +7,16 @@
 from attrs import define, field, frozen
 
 from eelgrassmount.http1.server import ServerLimits
+from eelgrassmount.teams.directory import TeamDirectory
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from eelgrassmount.teams.directory import Team
+
+# ranks of requests, the least urgent one
+MAX_RANK = 1_000_000
+
 
 @frozen
 class Target:
@@ -27,7 +33,8 @@
     ``name`` stays the same for a host and prefix in all versions.
     ``objective_s`` is the latency objective, ``timeout_s`` the longest time that
     a request is kept waiting, and ``priority`` its rank, of which 0 is refused
-    last. ``max_attempts`` counts the backend servers that may get one request.
+    last. ``max_attempts`` counts the backend servers that may get one request. Where
+    there are teams, a request of the route ``needs_key`` of one of them, or not.
     """
 
     name: str
@@ -39,6 +46,7 @@
     objective_s: float
     max_attempts: int
     priority: int
+    needs_key: bool = False
 
     def divide(self) -> dict[str, float]:
         """Return the part of its requests that goes to each service."""
@@ -74,6 +82,8 @@
     routes: dict[str, Route] = field(factory=dict)
     services: dict[str, Service] = field(factory=dict)
     limits: ServerLimits = field(factory=ServerLimits)
+    teams: TeamDirectory = field(factory=TeamDirectory)
+    _least_urgent: int = 0
     _by_host: dict[str, dict[str, Route]] = field(factory=dict)
     _lengths: dict[str, list[int]] = field(factory=dict)
 
@@ -84,11 +94,13 @@
         routes: Iterable[Route],
         services: Iterable[Service],
         limits: ServerLimits,
+        teams: TeamDirectory | None = None,
     ) -> RouteTable:
         """Return a table with its routes ready for look-ups."""
-        table = cls(version, limits=limits)
+        table = cls(version, limits=limits, teams=teams or TeamDirectory())
         for route in routes:
             table.routes[route.name] = route
+            table._least_urgent = max(table._least_urgent, route.priority)
             table._by_host.setdefault(route.host, {}).setdefault(route.prefix, route)
         for service in services:
             table.services[service.name] = service
@@ -108,6 +120,20 @@
                 return route
         return None
 
+    def find_rank(self, route: Route, team: Team | None) -> int:
+        """Return the rank of a request, of which 0 is refused last.
+
+        The team's priority goes before the route's, which orders the requests of teams
+        with the same one::
+
+            # routes of the priorities 0 to 2
+            table.find_rank(booking, Team("press", priority=1))  # 3
+        """
+        if team is None:
+            return route.priority
+        ranks = self._least_urgent + 1
+        return min(MAX_RANK, team.priority * ranks + route.priority)
+
     def count_routes(self) -> int:
         """Return how many routes there are."""
         return len(self.routes)
--- a/eelgrassmount/relay/state.py
+++ b/eelgrassmount/relay/state.py
@@ -54,6 +54,15 @@
     age_s: float | None
 
 
+@frozen
+class ShareState:
+    """The part of a route's requests of one rank that is admitted."""
+
+    route: str
+    rank: int
+    share: float
+
+
 @frozen
 class BudgetState:
     """Requests and repeated calls of a service in the window of the retry budget."""
@@ -100,8 +109,8 @@
     """All that a node believes.
 
     ``levels`` holds the part of what is offered that is admitted, by service;
-    ``shares`` the same by route, where it is below 1; ``vectors`` the calls that one
-    run makes and ``allowances`` the seconds that one may take, by route.
+    ``shares`` the same by route and rank, where it is below 1; ``vectors`` the calls
+    that one run makes and ``allowances`` the seconds that one may take, by route.
     ``lost_topics`` are the topics of the log that can't be read now, and ``refused``
     counts messages that were not taken up, by kind.
     """
@@ -120,7 +129,7 @@
     refused: dict[str, int]
     server: ServerState
     levels: dict[str, float]
-    shares: dict[str, float]
+    shares: list[ShareState]
     vectors: dict[str, dict[str, float]]
     allowances: dict[str, float]
     budgets: list[BudgetState]
@@ -150,7 +159,10 @@
         dict(node.refused.totals),
         _read_server(node, now_s),
         {name: round(one.level, 3) for name, one in beliefs.levels.items()},
-        {name: round(one, 3) for name, one in node.admission.shares.items()},
+        [
+            ShareState(demand.route_name, demand.rank, round(share, 3))
+            for demand, share in sorted(node.admission.shares.items())
+        ],
         {
             name: {called: round(count, 2) for called, count in calls.items()}
             for name, calls in beliefs.graph.vectors.items()
--- a/eelgrassmount/relay/tallies.py
+++ b/eelgrassmount/relay/tallies.py
@@ -14,6 +14,7 @@
 from attrs import define, field
 
 from eelgrassmount.gen import ttypes
+from eelgrassmount.policy.piles import Demand
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -34,14 +35,14 @@
 class Tally:
     """Counts of some nodes.
 
-    ``offered`` holds the requests a second that clients make, by route, and ``asked``
-    how often routes were asked for, by the service of the VM. Of the runs of servers,
-    ``runs`` counts those of each route and ``calls`` what they have called, by run
-    route and called route.
+    ``offered`` holds the requests a second that clients make, and ``asked`` how often
+    routes were asked for, by the service of the VM. Of the runs of servers, ``runs``
+    counts those of each route and ``calls`` what they have called, by run route and
+    called route.
     """
 
     nodes: int = 0
-    offered: dict[str, float] = field(factory=dict)
+    offered: dict[Demand, float] = field(factory=dict)
     asked: dict[str, ServiceCounts] = field(factory=dict)
     runs: dict[str, float] = field(factory=dict)
     calls: dict[tuple[str, str], float] = field(factory=dict)
@@ -85,7 +86,10 @@
     """Return a tally as it travels."""
     return ttypes.RelayTally(
         tally.nodes,
-        _write_counts(tally.offered),
+        [
+            ttypes.OfferedRate(demand.route_name, demand.rank, rate)
+            for demand, rate in _list_largest(tally.offered)
+        ],
         [
             ttypes.ServiceCounts(service, one.nodes, _write_counts(one.counts))
             for service, one in tally.asked.items()
@@ -112,7 +116,7 @@
     """Return the tally that another node has sent."""
     return Tally(
         struct.nodes,
-        _read_counts(struct.offered),
+        {Demand(row.route_name, row.rank): row.rate for row in struct.offered},
         {
             one.service_name: ServiceCounts(one.nodes, _read_counts(one.counts))
             for one in struct.asked
--- a/eelgrassmount/verdict.py
+++ b/eelgrassmount/verdict.py
@@ -22,6 +22,11 @@
     TOO_LARGE = "too-large"
     NO_ROUTE = "no-route"
     NO_CONFIGURATION = "no-configuration"
+    # API keys and quotas of teams
+    API_KEY_MISSING = "api-key-missing"
+    API_KEY_UNKNOWN = "api-key-unknown"
+    API_KEY_UNJUDGED = "api-key-unjudged"
+    QUOTA_SPENT = "quota-spent"
     # capacity
     OVERLOAD = "overload"
     QUEUE_FULL = "queue-full"
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -12,7 +12,8 @@
 from eelgrassmount.platform.heartbeats import read_announcement
 from eelgrassmount.platform.settings import load_settings, parse_settings
 from eelgrassmount.relay.heartbeats import UNKNOWN_START, ServerIncarnation
-from eelgrassmount.relay.routes import Target
+from eelgrassmount.relay.routes import MAX_RANK, Target
+from eelgrassmount.teams.directory import Team
 
 CONFIGURATION = {
     "version": "r12",
@@ -282,3 +283,93 @@
         parse_settings(SETTINGS.replace(before, after))
     assert caught.value.name == name
     assert "\n" not in str(caught.value)
+
+
+TEAM = {"name": "press", "apiKeys": ["k-1", "k-2"], "priority": 1}
+
+
+def read_teams(*teams, **rule_changes):
+    content = json.loads(json.dumps(CONFIGURATION))
+    content["tenants"] = list(teams)
+    for rule in content["listeners"][0]["routeRules"]:
+        rule.update(rule_changes)
+    return read_configuration(json.dumps(content).encode())
+
+
+def test_teams_are_read():
+    table = read_teams({**TEAM, "ratePerS": 12.5, "burst": 30})
+    assert table.teams.is_required
+    team = table.teams.find(b"k-2")
+    assert team == Team("press", priority=1, rate=12.5, burst=30.0)
+    assert table.teams.find(b"k-3") is None
+
+
+def test_team_without_a_rate_has_no_quota():
+    table = read_teams({**TEAM, "ratePerS": 0}, {"name": "other"})
+    assert not table.teams.teams["press"].has_quota()
+    assert not table.teams.teams["other"].has_quota()
+
+
+def test_keys_are_required_by_an_empty_list_of_teams_and_not_without_one():
+    assert read_teams().teams.is_required
+    assert not read_configuration(json.dumps(CONFIGURATION).encode()).teams.is_required
+
+
+def test_route_says_whether_it_needs_a_key():
+    assert read_teams(TEAM).find("shop.example", "/a/1").needs_key
+    assert read_teams(TEAM, anonymous=False).find("shop.example", "/a/1").needs_key
+    assert not read_teams(TEAM, anonymous=True).find("shop.example", "/a/1").needs_key
+
+
+@pytest.mark.parametrize(
+    ("teams", "part"),
+    [
+        ([{**TEAM, "name": ""}], "name"),
+        ([{**TEAM, "name": "pr\nss"}], "name"),
+        ([{**TEAM, "name": "pr\u00e9ss"}], "tenants.name"),
+        ([{**TEAM, "name": None}], "name"),
+        ([TEAM, {**TEAM, "apiKeys": []}], "tenants.name"),
+        ([TEAM, {**TEAM, "name": "other"}], "tenants.apiKeys"),
+        ([{**TEAM, "apiKeys": ["k-1", "k-1"]}], "tenants.apiKeys"),
+        ([{**TEAM, "apiKeys": "k-1"}], "tenants.apiKeys"),
+        ([{**TEAM, "apiKeys": [7]}], "tenants.apiKeys"),
+        ([{**TEAM, "apiKeys": [""]}], "tenants.apiKeys"),
+        ([{**TEAM, "apiKeys": ["k 1"]}], "tenants.apiKeys"),
+        ([{**TEAM, "apiKeys": ["k\r\n1"]}], "tenants.apiKeys"),
+        ([{**TEAM, "apiKeys": ["\u2603"]}], "tenants.apiKeys"),
+        ([{**TEAM, "priority": -1}], "priority"),
+        ([{**TEAM, "priority": "1"}], "priority"),
+        ([{**TEAM, "priority": True}], "priority"),
+        ([{**TEAM, "ratePerS": -1}], "ratePerS"),
+        ([{**TEAM, "ratePerS": "9"}], "ratePerS"),
+        ([{**TEAM, "ratePerS": True}], "ratePerS"),
+        ([{**TEAM, "burst": -0.5}], "burst"),
+        ([{**TEAM, "burst": [1]}], "burst"),
+        (["press"], "tenants"),
+    ],
+)
+def test_wrong_field_of_a_team_is_named(teams, part):
+    with pytest.raises(PlatformDocumentError) as caught:
+        read_teams(*teams)
+    assert caught.value.part == part
+    assert "k-1" not in str(caught.value)
+
+
+@pytest.mark.parametrize("value", [None, 0, 1, "true", []])
+def test_route_that_may_need_a_key_is_not_opened_by_another_type(value):
+    with pytest.raises(PlatformDocumentError) as caught:
+        read_teams(TEAM, anonymous=value)
+    assert caught.value.part == "anonymous"
+
+
+def test_least_urgent_route_of_an_urgent_team_goes_before_all_others():
+    table = read_teams(TEAM)
+    booking, listing = (table.find("shop.example", path) for path in ("/a/1", "/b/1"))
+    ranks = [
+        table.find_rank(route, Team("t", priority))
+        for priority in (0, 1)
+        for route in (listing, booking)
+    ]
+    assert ranks == sorted(set(ranks))
+    assert table.find_rank(booking, None) == booking.priority
+    assert table.find_rank(booking, Team("t", 2**31 - 1)) == MAX_RANK
--- a/tests/platform/test_folder.py
+++ b/tests/platform/test_folder.py
@@ -20,7 +20,8 @@
     r"|healthPath|maxConnections|headerTimeoutMs|idleTimeoutMs|maxHeaderBytes"
     r"|maxBodyBytes|coldRemainingMs|heartbeatAddr|nodeId|appAddr|portRange"
     r"|log-append|log-read|log-newest|log-trim|keyed\.op|/instances/"
-    r"|EELGRASSMOUNT_NODE_FILE|\bsidecar\b|\btenant\b"
+    r"|EELGRASSMOUNT_NODE_FILE|\bsidecar\b|\btenants?\b|apiKeys|ratePerS"
+    r"|[Xx]-[Aa]pi-[Kk]ey|\banonymous\b"
 )
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -34,6 +34,26 @@
     assert head.remaining_ms is None
 
 
+@pytest.mark.parametrize("name", [b"eelgrassmount-tenant", b"x-api-key"])
+def test_team_and_key_of_a_client_go_no_further(name):
+    lines = [(name, b"one"), (b"accept", b"a"), (name, b"two")]
+    assert headers.read_request(lines).passed_on == b"accept: a\r\n"
+
+
+@pytest.mark.parametrize(
+    ("values", "key"),
+    [([], None), ([b""], b""), ([b" k-1 "], b"k-1"), ([b"k-1", b"k-1"], b"")],
+)
+def test_key_is_read_if_there_is_one(values, key):
+    head = headers.read_request([(b"x-api-key", value) for value in values])
+    assert head.api_key == key
+    assert "k-1" not in repr(head)
+
+
+def test_team_is_named_to_the_server():
+    assert headers.write_team("press-1") == b"eelgrassmount-tenant: press-1\r\n"
+
+
 def test_request_to_the_server():
     data = headers.write_request(
         "POST", "/p", b"host: x\r\n", b"body", 250, "desk", "i1"
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -53,16 +53,23 @@
     return {**rule, **changes}
 
 
-def make_document(version: int, *rules: dict[str, Any]) -> bytes:
+def make_team(name: str, *keys: str, **changes: Any) -> dict[str, Any]:
+    return {"name": name, "apiKeys": list(keys), "priority": 1, **changes}
+
+
+def make_document(
+    version: int, *rules: dict[str, Any], teams: list[dict[str, Any]] | None = None
+) -> bytes:
     services = sorted({rule["action"]["service"] for rule in rules})
-    return json.dumps(
-        {
-            "version": f"r{version}",
-            "limits": {},
-            "listeners": [{"host": HOST, "routeRules": list(rules)}],
-            "clusters": [{"name": name, "healthPath": "/h"} for name in services],
-        }
-    ).encode()
+    content = {
+        "version": f"r{version}",
+        "limits": {},
+        "listeners": [{"host": HOST, "routeRules": list(rules)}],
+        "clusters": [{"name": name, "healthPath": "/h"} for name in services],
+    }
+    if teams is not None:
+        content["tenants"] = teams
+    return json.dumps(content).encode()
 
 
 @define(eq=False)
@@ -134,9 +141,15 @@
         self.log.listener.end()
         await anyio.sleep(0.01)
 
-    def configure(self, version: int, *rules: dict[str, Any]) -> None:
+    def configure(
+        self,
+        version: int,
+        *rules: dict[str, Any],
+        teams: list[dict[str, Any]] | None = None,
+    ) -> None:
         """Publish a configuration."""
-        self.log.put("keyed.op", "config", make_document(version, *rules))
+        document = make_document(version, *rules, teams=teams)
+        self.log.put("keyed.op", "config", document)
 
     async def add(self, service: str, domain: str = "a", **changes: Any) -> Vm:
         """Start a VM and let its server announce itself."""
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -6,12 +6,14 @@
 
 import pytest
 
+from eelgrassmount.policy.piles import Demand
 from eelgrassmount.relay.admission import (
     MAX_CHAIN,
     Admission,
     CallGraph,
 )
-from eelgrassmount.relay.routes import RouteTable
+from eelgrassmount.relay.routes import Route, RouteTable
+from eelgrassmount.teams.directory import Team
 from tests.relay.samples import make_route, make_table
 
 BOOK = make_route("shop/book/", ("desk",), idempotent=False, priority=0)
@@ -21,6 +23,10 @@
 TABLE = make_table(BOOK, STATUS, PRICE, PART)
 
 
+def demand(route: Route) -> Demand:
+    return Demand(route.name, route.priority)
+
+
 def make_admission(level: float, book: int = 10, status: int = 10, price: int = 20):
     graph = CallGraph()
     graph.put(BOOK.name, {PART.name: 2.0})
@@ -29,7 +35,7 @@
     admission = Admission(graph, lambda service: levels.get(service, 1.0))
     for route, count in ((BOOK, book), (STATUS, status), (PRICE, price)):
         for _ in range(count):
-            admission.allows(route)
+            admission.allows(demand(route))
     # 20 calls of bookings, then 10 of status checks, then 20 of price lists
     admission.update(TABLE)
     return admission
@@ -37,7 +43,7 @@
 
 def test_everything_is_admitted_while_nothing_is_short():
     admission = make_admission(1.0)
-    assert all(admission.allows(route) for route in (BOOK, STATUS, PRICE))
+    assert all(admission.allows(demand(route)) for route in (BOOK, STATUS, PRICE))
 
 
 @pytest.mark.parametrize(
@@ -51,28 +57,28 @@
 )
 def test_least_urgent_calls_of_the_short_service_go_first(level, book, status, price):
     shares = make_admission(level).shares
-    assert shares[BOOK.name] == pytest.approx(book)
-    assert shares[STATUS.name] == pytest.approx(status)
-    assert shares[PRICE.name] == pytest.approx(price)
+    assert shares[demand(BOOK)] == pytest.approx(book)
+    assert shares[demand(STATUS)] == pytest.approx(status)
+    assert shares[demand(PRICE)] == pytest.approx(price)
 
 
 def test_share_is_divided_evenly():
     admission = make_admission(0.8)
-    assert sum(admission.allows(PRICE) for _ in range(100)) == 50
+    assert sum(admission.allows(demand(PRICE)) for _ in range(100)) == 50
 
 
 def test_scarcest_service_decides():
     admission = make_admission(0.8)
     admission.find_level = {"proof": 0.8, "rate": 0.25, "desk": 1.0}.__getitem__
     admission.update(TABLE)
-    assert admission.shares[PRICE.name] == pytest.approx(0.25)
+    assert admission.shares[demand(PRICE)] == pytest.approx(0.25)
 
 
 def test_nothing_is_refused_before_calls_of_servers_are_known():
     admission = Admission(CallGraph(), lambda service: 0.1)
-    admission.allows(PRICE)
+    admission.allows(demand(PRICE))
     admission.update(TABLE)
-    assert admission.allows(PRICE)
+    assert admission.allows(demand(PRICE))
 
 
 def test_calls_are_counted_along_the_whole_chain():
@@ -185,11 +191,11 @@
 def test_requests_of_routes_that_left_are_forgotten():
     admission = make_admission(0.5)
     for route in (STATUS, PRICE):
-        admission.allows(route)
-    assert admission._credits.keys() == {STATUS.name, PRICE.name}
+        admission.allows(demand(route))
+    assert admission._credits.keys() == {demand(STATUS), demand(PRICE)}
     admission.update(make_table(BOOK, STATUS))
-    assert admission.offered.keys() == {BOOK.name, STATUS.name}
-    assert admission._credits.keys() == {STATUS.name}
+    assert admission.offered.keys() == {demand(BOOK), demand(STATUS)}
+    assert admission._credits.keys() == {demand(STATUS)}
 
 
 # A record of learned calls by another writer may name routes that all call each other.
@@ -224,22 +230,40 @@
     """Calls of servers were cut as if they were requests, in the first seconds."""
     admission = make_admission(0.6)
     admission.is_of_clients = lambda name: name == STATUS.name
-    assert not all(make_admission(0.6).allows(PRICE) for _ in range(10))
-    assert all(admission.allows(PRICE) for _ in range(10))
+    assert not all(make_admission(0.6).allows(demand(PRICE)) for _ in range(10))
+    assert all(admission.allows(demand(PRICE)) for _ in range(10))
 
 
 def test_shares_follow_what_is_offered_to_all_nodes():
     """One node of 195 sees a few requests a second, and not the mix of all."""
     admission = make_admission(0.6, book=1, status=0, price=3)
     admission.find_offered = lambda: {
-        BOOK.name: 10.0,
-        STATUS.name: 10.0,
-        PRICE.name: 20.0,
+        demand(BOOK): 10.0,
+        demand(STATUS): 10.0,
+        demand(PRICE): 20.0,
+    }
+    admission.update(TABLE)
+    assert admission.shares[demand(BOOK)] == 1.0
+    assert admission.shares[demand(STATUS)] == pytest.approx(1.0)
+    assert admission.shares[demand(PRICE)] == 0.0
+
+
+def test_requests_of_a_more_urgent_team_are_cut_after_all_others():
+    """Its price lists stay while the bookings of others are cut."""
+    admission = make_admission(1.0)
+    first = Team("first", priority=0)
+    second = Team("second", priority=1)
+    offered = {
+        Demand(route.name, TABLE.find_rank(route, team)): 10.0
+        for route in (BOOK, PRICE)
+        for team in (first, second)
     }
+    admission.find_offered = lambda: offered
+    admission.find_level = lambda service: 0.75 if service == "proof" else 1.0
     admission.update(TABLE)
-    assert admission.shares[BOOK.name] == 1.0
-    assert admission.shares[STATUS.name] == pytest.approx(1.0)
-    assert admission.shares[PRICE.name] == 0.0
+    shares = [admission.shares[one] for one in sorted(offered, key=lambda d: d.rank)]
+    # of 60 calls, 30 are of the first team, 20 of the second's bookings
+    assert shares == pytest.approx([1.0, 1.0, 0.75, 0.0])
 
 
 def test_first_requests_of_many_nodes_are_cut_in_proportion():
@@ -248,9 +272,9 @@
     for seed in range(1000):
         admission = make_admission(0.8, price=0)
         admission.rng = random.Random(seed)
-        admission.find_offered = lambda: {BOOK.name: 10.0, PRICE.name: 20.0}
+        admission.find_offered = lambda: {demand(BOOK): 10.0, demand(PRICE): 20.0}
         admission.find_level = lambda service: 0.7 if service == "proof" else 1.0
         admission.update(TABLE)
-        admitted += admission.allows(PRICE)
+        admitted += admission.allows(demand(PRICE))
     # bookings take half of the pile and price lists the other half
     assert 0.9 * 400 < admitted < 1.1 * 400
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -36,7 +36,8 @@
 LEARNED = ttypes.LearnedRecord([ttypes.RouteCalls("shop/a/", "shop/b/", 2.0)])
 COUNTS = [ttypes.RouteCount("shop/list/", 4.5)]
 TALLY = ttypes.RelayTally(
-    *(3, COUNTS, [ttypes.ServiceCounts("desk", 2, COUNTS)], COUNTS),
+    *(3, [ttypes.OfferedRate("shop/list/", 2, 4.5)]),
+    *([ttypes.ServiceCounts("desk", 2, COUNTS)], COUNTS),
     [ttypes.RouteCalls("shop/a/", "shop/b/", 2.0)],
 )
 SUBSCRIBE = ttypes.RelaySubscribe("n1", "a", 4, TALLY, True)
@@ -160,7 +161,9 @@
         (SUBSCRIBE, {"next_offset": -1}),
         (SUBSCRIBE, {"tally": ttypes.RelayTally()}),
         (SUBSCRIBE, {"tally": copy(TALLY, nodes=-1)}),
-        (SUBSCRIBE, {"tally": copy(TALLY, offered=[ttypes.RouteCount("r", -1.0)])}),
+        (SUBSCRIBE, {"tally": copy(TALLY, offered=[ttypes.OfferedRate("r", 0, -1.0)])}),
+        (SUBSCRIBE, {"tally": copy(TALLY, offered=[ttypes.OfferedRate("r", -1, 1.0)])}),
+        (SUBSCRIBE, {"tally": copy(TALLY, offered=[ttypes.OfferedRate("r", None, 1)])}),
         (SUBSCRIBE, {"tally": copy(TALLY, runs=[ttypes.RouteCount("r", math.nan)])}),
         (SUBSCRIBE, {"tally": copy(TALLY, asked=[ttypes.ServiceCounts("d", 1)])}),
         (SUBSCRIBE, {"tally": copy(TALLY, asked=[ttypes.ServiceCounts("", 1, [])])}),
--- a/tests/relay/test_link_faults.py
+++ b/tests/relay/test_link_faults.py
@@ -136,7 +136,7 @@
             assert not inbound.kept
             assert len(inbound.connections) <= len(self.deployment.vms)
         for vm in self.fronts:
-            assert vm.node.entry.open_flows == 0
+            assert vm.node.entry.answers.open_flows == 0
             for member in vm.node.beliefs.members.by_name.values():
                 assert member.link is None or not member.link.open_calls
 
--- a/tests/relay/test_readers.py
+++ b/tests/relay/test_readers.py
@@ -9,6 +9,7 @@
 import pytest
 from attrs import define
 
+from eelgrassmount.policy.piles import Demand
 from eelgrassmount.policy.readers import LISTENED
 from eelgrassmount.relay.readers import (
     CALM_PERIOD_S,
@@ -29,6 +30,7 @@
     from tests.relay.virtual import Network, Place
 
 LIST = make_rule("/list/", "list")
+DEMAND = Demand("shop.example/list/", 0)
 DOMAINS = ("a", "b", "c")
 NODES = 6
 # the bound of the smallest deployments for a configuration to be in force
@@ -285,7 +287,7 @@
 
 def test_all_nodes_hear_the_counts_of_all():
     def make_tally() -> Tally:
-        return Tally(1, {"shop.example/list/": 2.0})
+        return Tally(1, {DEMAND: 2.0})
 
     async def scenario(fleet: Fleet) -> None:
         for vm in fleet.vms:
@@ -294,9 +296,7 @@
         for vm in fleet.vms:
             outlook = vm.node.beliefs.outlook
             assert outlook.nodes == len(fleet.vms)
-            assert outlook.offered["shop.example/list/"] == pytest.approx(
-                2.0 * len(fleet.vms)
-            )
+            assert outlook.offered[DEMAND] == pytest.approx(2.0 * len(fleet.vms))
 
     play(scenario)
 
