--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -405,6 +405,57 @@
   7: RelayTally tally
 }
 
+// Requests of one team that a node has let begin without asking, less those that it
+// gives back, and those that it asks for.
+struct QuotaUse {
+  1: string team_name
+  2: i32 used
+  3: i32 wanted
+}
+
+// A node's question to a holder of quotas, also without any use: the sender lends its
+// part of all quotas to ``holders``, which are none where it lends it elsewhere.
+struct RelayQuotaAsk {
+  1: string node_name
+  2: i64 number
+  3: list<string> holders
+  4: list<QuotaUse> uses
+}
+
+// What a holder answers on one team: how many of the ``wanted`` requests may begin, and
+// after how many seconds another may, and each further one. While it is ``free``, the
+// node needs not ask.
+struct QuotaGrant {
+  1: string team_name
+  2: i32 wanted
+  3: i32 granted
+  4: bool free
+  5: double wait_s
+  6: double gap_s
+}
+
+// The answer to the question of this number; 0 where there was none.
+struct RelayQuotaGrants {
+  1: string node_name
+  2: i64 number
+  3: list<QuotaGrant> grants
+}
+
+// Asks another holder for requests of a team's quota, also for parts of one.
+struct RelayQuotaBorrow {
+  1: string node_name
+  2: i64 number
+  3: string team_name
+  4: double wanted
+}
+
+// Hands requests over to another holder, which are the sender's no longer.
+struct RelayQuotaLoan {
+  1: string node_name
+  2: i64 number
+  3: double amount
+}
+
 // The record of a node in the deployment's topic.
 struct NodeRecord {
   1: string node_name
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -37,6 +37,7 @@
 from eelgrassmount.relay.sender import Sender
 from eelgrassmount.relay.server import LocalServer
 from eelgrassmount.retry.quarantine import Quarantine
+from eelgrassmount.teams.exchange import QuotaExchange
 from eelgrassmount.timers import MonotonicClock, TimerService
 
 if TYPE_CHECKING:
@@ -136,6 +137,13 @@
         lambda document: node.apply_document(document),
         inbound.tell_all,
         readers,
+        lambda kind, struct, send: quotas.take_frame(kind, struct, send),
+    )
+    quotas = QuotaExchange(
+        beliefs,
+        readers,
+        settings.find_quota_bounds(),
+        lambda member: links.open_link(member),
     )
     admission = Admission(
         graph,
@@ -166,7 +174,15 @@
         links.open_link,
     )
     answers = Answering(
-        DIALECT, sender, admission, decisions, metrics, clock, rng, lineage
+        DIALECT,
+        sender,
+        admission,
+        decisions,
+        metrics,
+        clock,
+        rng,
+        lineage,
+        quotas.taker.give_back,
     )
     sender.answers = answers
     entry = Entry(
@@ -181,6 +197,7 @@
         beliefs.note_call,
         lineage,
         readers.is_current,
+        quotas.taker,
     )
     node = RelayNode(
         settings,
@@ -199,6 +216,7 @@
         HttpListener(entry.handle, clock),
         LearnedCalls(beliefs, readers.ranking.count_readers),
         readers,
+        quotas,
         rng,
         RefusedMessages(clock, metrics.count_refused),
     )
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -41,6 +41,7 @@
     from eelgrassmount.relay.settings import RelaySettings
     from eelgrassmount.relay.store import StoredRecord
     from eelgrassmount.relay.topics import TopicFollower
+    from eelgrassmount.teams.exchange import QuotaExchange
     from eelgrassmount.timers import TimerService
 
 STATE_PATH = "/state"
@@ -68,6 +69,7 @@
     callers: HttpListener
     learned: LearnedCalls
     readers: LogReaders
+    quotas: QuotaExchange
     rng: random.Random
     refused: RefusedMessages
     look_at_settings: Callable[[], None] = lambda: None
@@ -112,11 +114,15 @@
         budget.ratio = settings.retry_ratio
         budget.window_s = settings.retry_window_s
         budget.slack = settings.retry_slack
+        self.quotas.holder.bounds = settings.find_quota_bounds()
         self.settings = evolve(
             self.settings,
             service=settings.service,
             grace_s=settings.grace_s,
             retry_ratio=settings.retry_ratio,
+            quota_window_s=settings.quota_window_s,
+            quota_overage=settings.quota_overage,
+            quota_slack=settings.quota_slack,
         )
 
     def apply_document(self, document: bytes) -> None:
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -150,6 +150,7 @@
     timers.subscribe(LINK_PERIOD_S, stalls.check)
     timers.subscribe(LINK_PERIOD_S, node.links.watch_links)
     timers.subscribe(STEP_S, node.readers.step)
+    timers.subscribe(STEP_S, node.quotas.step)
     timers.subscribe(STEP_S, node.controllers.step)
     timers.subscribe(STEP_S, node.gate.sweep)
     timers.subscribe(INTERVAL_S, lambda: count_calls(node.beliefs))
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -4480,6 +4480,561 @@
         return not (self == other)
 
 
+class QuotaUse(object):
+    """
+    Attributes:
+     - team_name
+     - used
+     - wanted
+
+    """
+
+
+    def __init__(self, team_name=None, used=None, wanted=None,):
+        self.team_name = team_name
+        self.used = used
+        self.wanted = wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.team_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.used = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wanted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaUse')
+        if self.team_name is not None:
+            oprot.writeFieldBegin('team_name', TType.STRING, 1)
+            oprot.writeString(self.team_name.encode('utf-8') if sys.version_info[0] == 2 else self.team_name)
+            oprot.writeFieldEnd()
+        if self.used is not None:
+            oprot.writeFieldBegin('used', TType.I32, 2)
+            oprot.writeI32(self.used)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I32, 3)
+            oprot.writeI32(self.wanted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayQuotaAsk(object):
+    """
+    Attributes:
+     - node_name
+     - number
+     - holders
+     - uses
+
+    """
+
+
+    def __init__(self, node_name=None, number=None, holders=None, uses=None,):
+        self.node_name = node_name
+        self.number = number
+        self.holders = holders
+        self.uses = uses
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.holders = []
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.holders.append(_elem175)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.uses = []
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = QuotaUse()
+                        _elem181.read(iprot)
+                        self.uses.append(_elem181)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayQuotaAsk')
+        if self.node_name is not None:
+            oprot.writeFieldBegin('node_name', TType.STRING, 1)
+            oprot.writeString(self.node_name.encode('utf-8') if sys.version_info[0] == 2 else self.node_name)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.holders is not None:
+            oprot.writeFieldBegin('holders', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.holders))
+            for iter182 in self.holders:
+                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.uses))
+            for iter183 in self.uses:
+                iter183.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaGrant(object):
+    """
+    Attributes:
+     - team_name
+     - wanted
+     - granted
+     - free
+     - wait_s
+     - gap_s
+
+    """
+
+
+    def __init__(self, team_name=None, wanted=None, granted=None, free=None, wait_s=None, gap_s=None,):
+        self.team_name = team_name
+        self.wanted = wanted
+        self.granted = granted
+        self.free = free
+        self.wait_s = wait_s
+        self.gap_s = gap_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.team_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wanted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.granted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.free = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.wait_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.gap_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaGrant')
+        if self.team_name is not None:
+            oprot.writeFieldBegin('team_name', TType.STRING, 1)
+            oprot.writeString(self.team_name.encode('utf-8') if sys.version_info[0] == 2 else self.team_name)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I32, 2)
+            oprot.writeI32(self.wanted)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.I32, 3)
+            oprot.writeI32(self.granted)
+            oprot.writeFieldEnd()
+        if self.free is not None:
+            oprot.writeFieldBegin('free', TType.BOOL, 4)
+            oprot.writeBool(self.free)
+            oprot.writeFieldEnd()
+        if self.wait_s is not None:
+            oprot.writeFieldBegin('wait_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.wait_s)
+            oprot.writeFieldEnd()
+        if self.gap_s is not None:
+            oprot.writeFieldBegin('gap_s', TType.DOUBLE, 6)
+            oprot.writeDouble(self.gap_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayQuotaGrants(object):
+    """
+    Attributes:
+     - node_name
+     - number
+     - grants
+
+    """
+
+
+    def __init__(self, node_name=None, number=None, grants=None,):
+        self.node_name = node_name
+        self.number = number
+        self.grants = grants
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.grants = []
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = QuotaGrant()
+                        _elem189.read(iprot)
+                        self.grants.append(_elem189)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayQuotaGrants')
+        if self.node_name is not None:
+            oprot.writeFieldBegin('node_name', TType.STRING, 1)
+            oprot.writeString(self.node_name.encode('utf-8') if sys.version_info[0] == 2 else self.node_name)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
+            for iter190 in self.grants:
+                iter190.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayQuotaBorrow(object):
+    """
+    Attributes:
+     - node_name
+     - number
+     - team_name
+     - wanted
+
+    """
+
+
+    def __init__(self, node_name=None, number=None, team_name=None, wanted=None,):
+        self.node_name = node_name
+        self.number = number
+        self.team_name = team_name
+        self.wanted = wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.team_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.wanted = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayQuotaBorrow')
+        if self.node_name is not None:
+            oprot.writeFieldBegin('node_name', TType.STRING, 1)
+            oprot.writeString(self.node_name.encode('utf-8') if sys.version_info[0] == 2 else self.node_name)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.team_name is not None:
+            oprot.writeFieldBegin('team_name', TType.STRING, 3)
+            oprot.writeString(self.team_name.encode('utf-8') if sys.version_info[0] == 2 else self.team_name)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.DOUBLE, 4)
+            oprot.writeDouble(self.wanted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayQuotaLoan(object):
+    """
+    Attributes:
+     - node_name
+     - number
+     - amount
+
+    """
+
+
+    def __init__(self, node_name=None, number=None, amount=None,):
+        self.node_name = node_name
+        self.number = number
+        self.amount = amount
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.amount = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayQuotaLoan')
+        if self.node_name is not None:
+            oprot.writeFieldBegin('node_name', TType.STRING, 1)
+            oprot.writeString(self.node_name.encode('utf-8') if sys.version_info[0] == 2 else self.node_name)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.amount is not None:
+            oprot.writeFieldBegin('amount', TType.DOUBLE, 3)
+            oprot.writeDouble(self.amount)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class NodeRecord(object):
     """
     Attributes:
@@ -4593,11 +5148,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.calls = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = RouteCalls()
-                        _elem175.read(iprot)
-                        self.calls.append(_elem175)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = RouteCalls()
+                        _elem196.read(iprot)
+                        self.calls.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4614,8 +5169,8 @@
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter176 in self.calls:
-                iter176.write(oprot)
+            for iter197 in self.calls:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5006,6 +5561,53 @@
     (6, TType.LIST, 'records', (TType.STRUCT, [RelayRecord, None], False), None, ),  # 6
     (7, TType.STRUCT, 'tally', [RelayTally, None], None, ),  # 7
 )
+all_structs.append(QuotaUse)
+QuotaUse.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'team_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'used', None, None, ),  # 2
+    (3, TType.I32, 'wanted', None, None, ),  # 3
+)
+all_structs.append(RelayQuotaAsk)
+RelayQuotaAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'holders', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'uses', (TType.STRUCT, [QuotaUse, None], False), None, ),  # 4
+)
+all_structs.append(QuotaGrant)
+QuotaGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'team_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'wanted', None, None, ),  # 2
+    (3, TType.I32, 'granted', None, None, ),  # 3
+    (4, TType.BOOL, 'free', None, None, ),  # 4
+    (5, TType.DOUBLE, 'wait_s', None, None, ),  # 5
+    (6, TType.DOUBLE, 'gap_s', None, None, ),  # 6
+)
+all_structs.append(RelayQuotaGrants)
+RelayQuotaGrants.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'grants', (TType.STRUCT, [QuotaGrant, None], False), None, ),  # 3
+)
+all_structs.append(RelayQuotaBorrow)
+RelayQuotaBorrow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.STRING, 'team_name', 'UTF8', None, ),  # 3
+    (4, TType.DOUBLE, 'wanted', None, None, ),  # 4
+)
+all_structs.append(RelayQuotaLoan)
+RelayQuotaLoan.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.DOUBLE, 'amount', None, None, ),  # 3
+)
 all_structs.append(NodeRecord)
 NodeRecord.thrift_spec = (
     None,  # 0
--- a/eelgrassmount/platform/settings.py
+++ b/eelgrassmount/platform/settings.py
@@ -26,6 +26,9 @@
     "budgetWindowS": "retry_window_s",
     "budgetSlack": "retry_slack",
     "graceS": "grace_s",
+    "quotaWindowS": "quota_window_s",
+    "quotaOverage": "quota_overage",
+    "quotaSlack": "quota_slack",
 }
 
 
--- a/eelgrassmount/relay/answers.py
+++ b/eelgrassmount/relay/answers.py
@@ -21,6 +21,8 @@
     from eelgrassmount.relay.messages import Reply
     from eelgrassmount.relay.metrics import RelayMetrics
     from eelgrassmount.relay.sender import Flow, Sender
+    from eelgrassmount.teams.directory import Team
+    from eelgrassmount.teams.taker import QuotaVerdict
 
 # parts of the objective after which a refused client is to come back: soon enough
 # for the objective to hold, and spread so that they don't all come at once
@@ -28,6 +30,8 @@
 COME_BACK_MAX = 0.6
 # a client is told to come back after so long to a node that knows too little to judge
 UNINFORMED_S = 0.5
+# clients that wait for the same quota come back over a time up to so many times as long
+MOST_LATER = 1.2
 
 UNAUTHORIZED = 401
 NOT_FOUND = 404
@@ -41,7 +45,8 @@
 class Answering:
     """Gives each request its answer, counts it and writes a line on what went wrong.
 
-    ``open_flows`` counts the requests that were begun and have no answer.
+    ``give_back`` hears of requests that count for a quota and have not run, and
+    ``open_flows`` counts those that were begun and have no answer.
     """
 
     dialect: Dialect
@@ -52,6 +57,7 @@
     clock: Callable[[], float]
     rng: random.Random
     lineage: Lineage
+    give_back: Callable[[Team], None] = lambda team: None
     open_flows: int = field(default=0, init=False)
 
     def begin(self, flow: Flow) -> None:
@@ -105,6 +111,8 @@
     def refuse(self, flow: Flow, reason: Reason | None) -> None:
         """Say that a request has not run, and when to come back."""
         call = flow.call
+        if flow.team is not None:
+            self.give_back(flow.team)
         delay_s = call.route.objective_s * self.rng.uniform(
             COME_BACK_MIN, COME_BACK_MAX
         )
@@ -126,7 +134,9 @@
         self, exchange: Exchange, head: RequestHead, route_name: str, reason: Reason
     ) -> None:
         """Refuse what this node knows too little to judge."""
-        self._answer_early(exchange, head, route_name, reason, UNAVAILABLE)
+        self._answer_early(
+            exchange, head, route_name, reason, UNAVAILABLE, UNINFORMED_S
+        )
 
     def refuse_access(
         self, exchange: Exchange, head: RequestHead, route_name: str, reason: Reason
@@ -134,6 +144,20 @@
         """Refuse a request whose key is missing or wrong, for good."""
         self._answer_early(exchange, head, route_name, reason, UNAUTHORIZED)
 
+    def refuse_quota(
+        self,
+        exchange: Exchange,
+        head: RequestHead,
+        route_name: str,
+        verdict: QuotaVerdict,
+    ) -> None:
+        """Refuse a request for the quota of its team, until some of it is there."""
+        status = UNAVAILABLE
+        if verdict.refusal is Reason.QUOTA_SPENT:
+            status = TOO_MANY
+        delay_s = verdict.wait_s * self.rng.uniform(1.0, MOST_LATER)
+        self._answer_early(exchange, head, route_name, verdict.refusal, status, delay_s)
+
     def answer_unknown(self, exchange: Exchange, head: RequestHead) -> None:
         """Say that there is no such route."""
         self._answer_early(exchange, head, "", Reason.NO_ROUTE, NOT_FOUND)
@@ -145,12 +169,19 @@
         route_name: str,
         reason: Reason,
         status: int,
+        delay_s: float = 0.0,
     ) -> None:
         """Answer a request of which nothing was begun."""
         self.metrics.count_refusal(route_name, reason)
         inputs = {"route": route_name} if route_name else {"host": head.host}
-        self.decisions.note("refused", head.request_id, reason, status=status, **inputs)
-        delay_s = UNINFORMED_S if status == UNAVAILABLE else 0.0
+        self.decisions.note(
+            "refused",
+            head.request_id,
+            reason,
+            status=status,
+            retry_after_s=round(delay_s, 3),
+            **inputs,
+        )
         exchange.respond(status, self.dialect.write_refusal(head.request_id, delay_s))
 
     def _abandon(self, flow: Flow) -> None:
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -200,6 +200,41 @@
         _check_ranges(record, {"offset": MAX_VERSION})
 
 
+def _check_quota_ask(ask: ttypes.RelayQuotaAsk) -> None:
+    _check_texts(ask, ("node_name",), MAX_NAME_LENGTH)
+    _check_ranges(ask, {"number": MAX_VERSION})
+    for name in ask.holders:
+        if not is_printable(name, MAX_NAME_LENGTH):
+            _refuse(ask, "holders", "not a list of names")
+    for use in ask.uses:
+        _require_all(use)
+        _check_texts(use, ("team_name",), MAX_NAME_LENGTH)
+        _check_ranges(use, {"wanted": MAX_CALLS})
+        if abs(use.used) > MAX_CALLS:
+            _refuse(use, "used", f"not from {-MAX_CALLS} to {MAX_CALLS}")
+
+
+def _check_quota_grants(struct: ttypes.RelayQuotaGrants) -> None:
+    _check_texts(struct, ("node_name",), MAX_NAME_LENGTH)
+    _check_ranges(struct, {"number": MAX_VERSION})
+    for grant in struct.grants:
+        _require_all(grant)
+        _check_texts(grant, ("team_name",), MAX_NAME_LENGTH)
+        _check_ranges(grant, _GRANT_RANGES)
+        if grant.granted > grant.wanted:
+            _refuse(grant, "granted", "more than what was asked for")
+
+
+def _check_quota_borrow(borrow: ttypes.RelayQuotaBorrow) -> None:
+    _check_texts(borrow, ("node_name", "team_name"), MAX_NAME_LENGTH)
+    _check_ranges(borrow, {"number": MAX_VERSION, "wanted": MAX_CALLS})
+
+
+def _check_quota_loan(loan: ttypes.RelayQuotaLoan) -> None:
+    _check_texts(loan, ("node_name",), MAX_NAME_LENGTH)
+    _check_ranges(loan, {"number": MAX_VERSION, "amount": MAX_CALLS})
+
+
 def _check_suspects(suspects: ttypes.RelaySuspects) -> None:
     _check_texts(suspects, ("crash_id",), MAX_ID_LENGTH)
     for digest in suspects.digests:
@@ -219,6 +254,12 @@
     "left": MAX_CALLS,
 }
 _REPLY_RANGES = {"in_flight": MAX_CALLS, "queued": MAX_CALLS}
+_GRANT_RANGES = {
+    "wanted": MAX_CALLS,
+    "granted": MAX_CALLS,
+    "wait_s": MAX_COUNT,
+    "gap_s": MAX_COUNT,
+}
 _REPORT_RANGES = {
     "in_flight": MAX_CALLS,
     "queued": MAX_CALLS,
@@ -242,4 +283,8 @@
     ttypes.LearnedRecord: _check_learned,
     ttypes.RelaySubscribe: _check_subscribe,
     ttypes.RelayNews: _check_news,
+    ttypes.RelayQuotaAsk: _check_quota_ask,
+    ttypes.RelayQuotaGrants: _check_quota_grants,
+    ttypes.RelayQuotaBorrow: _check_quota_borrow,
+    ttypes.RelayQuotaLoan: _check_quota_loan,
 }
--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -24,6 +24,7 @@
     from eelgrassmount.relay.routes import Route
     from eelgrassmount.retry.quarantine import Quarantine
     from eelgrassmount.teams.directory import Team
+    from eelgrassmount.teams.taker import QuotaTaker, QuotaVerdict
 
 # without a deadline of the client, a request is kept this long at most
 DEFAULT_REMAINING_MS = 60_000
@@ -49,6 +50,7 @@
     note_called: Callable[[str], None]
     lineage: Lineage
     is_current: Callable[[], bool]
+    quotas: QuotaTaker
     table: RouteTable = field(factory=RouteTable)
     chooser: TargetChooser = field(factory=TargetChooser)
 
@@ -66,14 +68,37 @@
             self.answers.answer_unknown(exchange, head)
             return
         access = judge_key(table.teams, route.needs_key, head.api_key, self.is_current)
-        if access.refusal is None:
-            self._admit(exchange, head, route, access.team)
+        team = access.team
+        if team is not None and team.has_quota():
+            self._take_quota(exchange, head, route, team)
+        elif access.refusal is None:
+            self._admit(exchange, head, route, team)
         elif access.refusal is Reason.API_KEY_UNJUDGED:
             reason = access.refusal
             self.answers.refuse_uninformed(exchange, head, route.name, reason)
         else:
             self.answers.refuse_access(exchange, head, route.name, access.refusal)
 
+    def _take_quota(
+        self, exchange: Exchange, head: RequestHead, route: Route, team: Team
+    ) -> None:
+        """Begin a request if its team's quota allows it.
+
+        It is asked before all else: what a team may not use must not count as offered,
+        nor keep anything of others waiting.
+        """
+
+        def decide(verdict: QuotaVerdict) -> None:
+            exchange.on_abandon = None
+            if verdict.refusal is None:
+                self._admit(exchange, head, route, team)
+            else:
+                self.answers.refuse_quota(exchange, head, route.name, verdict)
+
+        waiting = self.quotas.take(team, decide)
+        if not waiting.ended:
+            exchange.on_abandon = lambda: self.quotas.cancel(waiting)
+
     def _admit(
         self, exchange: Exchange, head: RequestHead, route: Route, team: Team | None
     ) -> None:
@@ -86,7 +111,8 @@
             made = self.lineage.find_caller(exchange.connection, route.name, deadline_s)
         origin = self._find_origin(route, team, made)
         call = self._make_call(exchange, head, route, team, deadline_s, origin)
-        flow = Flow(exchange, call, made)
+        counted = team if team is not None and team.has_quota() else None
+        flow = Flow(exchange, call, made, counted)
         if not origin.inner and not self.admission.allows(call.demand):
             self.answers.refuse(flow, Reason.OVERLOAD)
             return
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -39,8 +39,20 @@
     PING = 9
     SUBSCRIBE = 10
     NEWS = 11
-
-
+    QUOTA_ASK = 12
+    QUOTA_GRANTS = 13
+    QUOTA_BORROW = 14
+    QUOTA_LOAN = 15
+
+
+QUOTA_KINDS = frozenset(
+    (
+        FrameKind.QUOTA_ASK,
+        FrameKind.QUOTA_GRANTS,
+        FrameKind.QUOTA_BORROW,
+        FrameKind.QUOTA_LOAN,
+    )
+)
 _STRUCTS = {
     FrameKind.HELLO: ttypes.RelayHello,
     FrameKind.CALL: ttypes.RelayCall,
@@ -53,6 +65,10 @@
     FrameKind.PING: ttypes.RelayConfigRequest,
     FrameKind.SUBSCRIBE: ttypes.RelaySubscribe,
     FrameKind.NEWS: ttypes.RelayNews,
+    FrameKind.QUOTA_ASK: ttypes.RelayQuotaAsk,
+    FrameKind.QUOTA_GRANTS: ttypes.RelayQuotaGrants,
+    FrameKind.QUOTA_BORROW: ttypes.RelayQuotaBorrow,
+    FrameKind.QUOTA_LOAN: ttypes.RelayQuotaLoan,
 }
 
 
--- a/eelgrassmount/relay/news.py
+++ b/eelgrassmount/relay/news.py
@@ -10,7 +10,7 @@
 
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.controllers import MS, PPM, SCALE
-from eelgrassmount.relay.frames import FrameKind
+from eelgrassmount.relay.frames import QUOTA_KINDS, FrameKind
 from eelgrassmount.relay.rows import read_rows
 from eelgrassmount.retry.quarantine import QUARANTINE_S, Suspect
 
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from eelgrassmount.relay.beliefs import Beliefs
+    from eelgrassmount.relay.frames import FrameTaker
     from eelgrassmount.relay.gate import Job
     from eelgrassmount.relay.heartbeats import ServerIncarnation
     from eelgrassmount.relay.members import Member
@@ -39,6 +40,7 @@
     apply_document: Callable[[bytes], None]
     tell_all: Callable[[FrameKind, object], None]
     readers: LogReaders
+    take_quota_frame: FrameTaker
     _asked_version: int = 0
     _asked_s: float = -math.inf
 
@@ -127,7 +129,9 @@
         self, kind: FrameKind, struct: Any, send: Callable[[FrameKind, Any], None]
     ) -> None:
         """Handle a frame that either end of a link may send; ``send`` answers it."""
-        if kind is FrameKind.SUSPECTS:
+        if kind in QUOTA_KINDS:
+            self.take_quota_frame(kind, struct, send)
+        elif kind is FrameKind.SUSPECTS:
             self.note_suspects(struct)
         elif kind is FrameKind.SUBSCRIBE:
             self.readers.note_subscribe(struct, send)
--- a/eelgrassmount/relay/readers.py
+++ b/eelgrassmount/relay/readers.py
@@ -107,7 +107,7 @@
             self._forgive_pause(now_s)
         self._stepped_s = now_s
         self._expire(now_s)
-        readers = self._list_readers(self.beliefs.failure_domain, now_s)
+        readers = self.list_readers(self.beliefs.failure_domain, now_s)
         self.is_reader = self.beliefs.name in readers
         listened = choose_listened(self.beliefs.name, readers)
         if self._hears_far(readers):
@@ -141,7 +141,8 @@
             if now_s - one.heard_s <= HEARD_S
         }
 
-    def _list_readers(self, failure_domain: str, now_s: float) -> list[str]:
+    def list_readers(self, failure_domain: str, now_s: float) -> list[str]:
+        """Return the readers of a failure domain as this node sees them."""
         # the first ones are tried anew even while they can't be used
         for name in self.ranking.list_first(failure_domain):
             self._connect(name, now_s)
@@ -175,7 +176,7 @@
             for domain in sorted(self.ranking.list_domains())
             if domain != own
             for name in choose_listened(
-                self.beliefs.name, self._list_readers(domain, now_s), 1
+                self.beliefs.name, self.list_readers(domain, now_s), 1
             )
         ]
 
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -25,6 +25,7 @@
     from eelgrassmount.relay.members import Member
     from eelgrassmount.relay.metrics import RelayMetrics
     from eelgrassmount.relay.routing import Router
+    from eelgrassmount.teams.directory import Team
 
 # nodes that may refuse a call before it is given up
 MAX_REFUSALS = 4
@@ -51,7 +52,8 @@
 class Flow:
     """One request while it has no answer.
 
-    ``made`` names the run that has made it, if it is a call of the server here.
+    ``made`` names the run that has made it, if it is a call of the server here, and
+    ``team`` is that of its client, if it counts for a quota.
     ``last`` is the latest reply and ``server`` the node that gave it; ``attempts``
     counts the sendings that may have reached a server, ``refusals`` those that have
     not, of which servers gave ``rejections``, and ``budget_refusals`` the gates that
@@ -65,6 +67,7 @@
     exchange: Exchange
     call: Call
     made: MadeCall | None = None
+    team: Team | None = None
     timer: asyncio.TimerHandle | None = None
     current: Sending | None = None
     spare: Sending | None = None
--- a/eelgrassmount/relay/settings.py
+++ b/eelgrassmount/relay/settings.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 from loguru import logger
 
+from eelgrassmount.policy.quotas import QuotaBounds
 from eelgrassmount.util.addresses import Address
 
 # settings that may be left out, and their ranges: times of up to a day
@@ -15,6 +16,9 @@
     "retry_window_s": (0.1, 86400.0),
     "retry_slack": (0.0, 1e6),
     "grace_s": (0.0, 86400.0),
+    "quota_window_s": (0.1, 86400.0),
+    "quota_overage": (0.0, 100.0),
+    "quota_slack": (0.0, 1e6),
 }
 
 
@@ -24,7 +28,9 @@
 
     The retry budget allows ``retry_ratio`` of a service's requests in
     ``retry_window_s`` plus ``retry_slack``, over all nodes together. A node is
-    killed ``grace_s`` after it was told to stop.
+    killed ``grace_s`` after it was told to stop. In any ``quota_window_s``, all nodes
+    together may run ``quota_overage`` of a team's quota more than that, and
+    ``quota_slack`` requests.
     """
 
     name: str
@@ -40,10 +46,24 @@
     retry_window_s: float = 10.0
     retry_slack: float = 10.0
     grace_s: float = 6.0
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.1
+    quota_slack: float = 10.0
+
+    def find_quota_bounds(self) -> QuotaBounds:
+        """Return how far teams may exceed their quotas."""
+        return QuotaBounds(self.quota_window_s, self.quota_overage, self.quota_slack)
 
     def tell_defaults(self, given: Container[str]) -> None:
-        """Write down which defaults are in force for what was not given."""
-        defaults = {name: getattr(self, name) for name in RANGES if name not in given}
+        """Write down which defaults are in force for what was not given.
+
+        Those of quotas are told once a configuration has some.
+        """
+        defaults = {
+            name: getattr(self, name)
+            for name in RANGES
+            if name not in given and not name.startswith("quota_")
+        }
         if defaults:
             logger.warning(
                 "settings left out, defaults in force",
--- a/eelgrassmount/verdict.py
+++ b/eelgrassmount/verdict.py
@@ -27,6 +27,7 @@
     API_KEY_UNKNOWN = "api-key-unknown"
     API_KEY_UNJUDGED = "api-key-unjudged"
     QUOTA_SPENT = "quota-spent"
+    QUOTA_UNJUDGED = "quota-unjudged"
     # capacity
     OVERLOAD = "overload"
     QUEUE_FULL = "queue-full"
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -43,9 +43,14 @@
 SUBSCRIBE = ttypes.RelaySubscribe("n1", "a", 4, TALLY, True)
 RECORDS = [ttypes.RelayRecord("n2", b"value", 3)]
 NEWS = ttypes.RelayNews("n1", True, False, 3, 4, RECORDS, TALLY)
+ASK = ttypes.RelayQuotaAsk("n1", 7, ["n1", "n2"], [ttypes.QuotaUse("press", -2, 3)])
+GRANT = ttypes.QuotaGrant("press", 3, 2, False, 0.5, 0.1)
+GRANTS = ttypes.RelayQuotaGrants("n1", 7, [GRANT])
+BORROW = ttypes.RelayQuotaBorrow("n1", 7, "press", 2.5)
+LOAN = ttypes.RelayQuotaLoan("n1", 7, 1.5)
 STRUCTS = (
     *(HELLO, CALL, ANSWER, REFUSAL, REPORT, SUSPECTS, NODE, LEARNED),
-    *(SUBSCRIBE, NEWS),
+    *(SUBSCRIBE, NEWS, ASK, GRANTS, BORROW, LOAN),
     *(ttypes.RelayCancel(1), ttypes.RelayConfigRequest(0)),
     ttypes.RelayConfig(3, b"{}"),
 )
@@ -168,6 +173,25 @@
         (SUBSCRIBE, {"tally": copy(TALLY, asked=[ttypes.ServiceCounts("d", 1)])}),
         (SUBSCRIBE, {"tally": copy(TALLY, asked=[ttypes.ServiceCounts("", 1, [])])}),
         (SUBSCRIBE, {"tally": copy(TALLY, calls=[ttypes.RouteCalls("r", "", 1.0)])}),
+        (ASK, {"node_name": ""}),
+        (ASK, {"number": -1}),
+        (ASK, {"holders": ["n1", ""]}),
+        (ASK, {"uses": [ttypes.QuotaUse("", 0, 0)]}),
+        (ASK, {"uses": [ttypes.QuotaUse("press", None, 0)]}),
+        (ASK, {"uses": [ttypes.QuotaUse("press", 2_000_000, 0)]}),
+        (ASK, {"uses": [ttypes.QuotaUse("press", -2_000_000, 0)]}),
+        (ASK, {"uses": [ttypes.QuotaUse("press", 0, -1)]}),
+        (GRANTS, {"number": -1}),
+        (GRANTS, {"grants": [copy(GRANT, granted=4)]}),
+        (GRANTS, {"grants": [copy(GRANT, granted=-1)]}),
+        (GRANTS, {"grants": [copy(GRANT, wait_s=math.nan)]}),
+        (GRANTS, {"grants": [copy(GRANT, gap_s=-1.0)]}),
+        (GRANTS, {"grants": [copy(GRANT, free=None)]}),
+        (BORROW, {"team_name": ""}),
+        (BORROW, {"wanted": math.inf}),
+        (BORROW, {"wanted": -0.5}),
+        (LOAN, {"amount": -0.5}),
+        (LOAN, {"amount": math.nan}),
         (NEWS, {"node_name": LONG}),
         (NEWS, {"config_version": -1}),
         (NEWS, {"next_offset": -1}),
--- /dev/null
+++ b/tests/teams/fleet.py
@@ -0,0 +1,316 @@
+"""Nodes that hand out quotas to each other, on a time and a network of their own.
+
+They are the real ones but for their links, which carry frames as they are, and for the
+order in which they become holders, which is that of their names.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+from attrs import define, evolve, field
+
+from eelgrassmount.policy.quotas import QuotaBounds
+from eelgrassmount.relay.members import Member
+from eelgrassmount.relay.routes import RouteTable
+from eelgrassmount.teams.directory import Team, TeamDirectory, TeamKeys
+from eelgrassmount.teams.exchange import QuotaExchange
+from tests.relay.virtual import VirtualLoop
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from eelgrassmount.relay.frames import FrameKind
+
+BOUNDS = QuotaBounds(window_s=5.0, overage=0.1, slack=20.0)
+NEAR_S = 0.0004
+FAR_S = 0.001
+STEP_S = 0.2
+# other nodes find out so late that one is silent
+SILENT_S = 0.75
+READERS = 2
+
+
+@define(eq=False)
+class Link:
+    """The link from one node to another."""
+
+    fleet: Fleet
+    owner: Node
+    target: str
+
+    def is_up(self) -> bool:
+        other = self.fleet.nodes.get(self.target)
+        return other is not None and not self.fleet.is_noticed(self.owner, other)
+
+    def send(self, kind: FrameKind, struct: Any) -> None:
+        self.fleet.carry(self.owner, self.target, kind, struct)
+
+
+class Members:
+    """The members that a node knows: all that were ever started."""
+
+    def __init__(self, fleet: Fleet, owner: Node):
+        self.fleet = fleet
+        self.owner = owner
+        self.by_name: dict[str, Member] = {}
+
+    def refresh(self) -> None:
+        for name, node in self.fleet.nodes.items():
+            if name not in self.by_name:
+                member = Member(name, "127.0.0.1:1", node.failure_domain, "list")
+                member.link = Link(self.fleet, self.owner, name)
+                self.by_name[name] = member
+
+
+@define(eq=False)
+class Node:
+    """One node; it knows the table of the fleet."""
+
+    fleet: Fleet
+    name: str
+    failure_domain: str
+    alive: bool = True
+    paused: bool = False
+    members: Members = field(init=False)
+    exchange: QuotaExchange = field(init=False)
+    inbox: list[Callable[[], None]] = field(factory=list)
+    started: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.begin()
+
+    def begin(self) -> None:
+        """Start anew, knowing nothing of before."""
+        self.started += 1
+        self.alive = True
+        self.members = Members(self.fleet, self)
+        self.members.refresh()
+        self.exchange = QuotaExchange(self, self, BOUNDS, lambda member: None)
+
+    @property
+    def table(self) -> RouteTable:
+        return self.fleet.table
+
+    def clock(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    # what the readers of the log know
+
+    @property
+    def ranking(self) -> Node:
+        return self
+
+    def list_domains(self) -> dict[str, list[str]]:
+        domains: dict[str, list[str]] = {}
+        for name, node in sorted(self.fleet.nodes.items()):
+            domains.setdefault(node.failure_domain, []).append(name)
+        return domains
+
+    def list_readers(self, domain: str, now_s: float) -> list[str]:
+        usable = [
+            name
+            for name in self.list_domains()[domain]
+            if name == self.name
+            or not self.fleet.is_noticed(self, self.fleet.nodes[name])
+        ]
+        return usable[:READERS]
+
+    def step(self) -> None:
+        if self.alive and not self.paused:
+            self.members.refresh()
+            self.exchange.step()
+
+    def take(self, team: Team) -> None:
+        """Let a client of a team send a request."""
+        self.fleet.asked.append((self.clock(), team.name))
+        if not self.alive or self.paused:
+            return
+        begun = self.started
+
+        def decide(verdict: Any) -> None:
+            if begun != self.started:
+                return
+            if verdict.refusal is None:
+                self.fleet.ran.append((self.clock(), team.name))
+            else:
+                self.fleet.refused.append((self.clock(), team.name, verdict.wait_s))
+
+        self.exchange.taker.take(team, decide)
+
+
+@define(eq=False)
+class Fleet:
+    """All nodes, and what became of the requests."""
+
+    rng: random.Random
+    nodes: dict[str, Node] = field(factory=dict)
+    table: RouteTable = field(factory=RouteTable)
+    asked: list[tuple[float, str]] = field(factory=list)
+    ran: list[tuple[float, str]] = field(factory=list)
+    refused: list[tuple[float, str, float]] = field(factory=list)
+    cut: set[str] = field(factory=set)
+    silent_since_s: dict[tuple[str, str], float] = field(factory=dict)
+    far_frames: int = 0
+    frames: int = 0
+    lose: Callable[[FrameKind], bool] = lambda kind: False
+
+    def build(self, domains: int, nodes: int) -> None:
+        for number in range(nodes):
+            domain = "abcdefgh"[number % domains]
+            name = f"{domain}-{number:03}"
+            self.nodes[name] = Node(self, name, domain)
+
+    def configure(self, *teams: Team) -> None:
+        keys = [TeamKeys(team, ()) for team in teams]
+        table = RouteTable(self.table.version + 1, teams=TeamDirectory.build(keys))
+        self.table = table
+
+    def find_team(self, name: str) -> Team:
+        return self.table.teams.teams[name]
+
+    def change(self, name: str, **changes: float) -> None:
+        teams = {**self.table.teams.teams}
+        teams[name] = evolve(teams[name], **changes)
+        self.configure(*teams.values())
+
+    def is_apart(self, one: Node, other: Node) -> bool:
+        """Tell whether nothing comes through between two nodes."""
+        if not (one.alive and other.alive) or one.paused or other.paused:
+            return True
+        if one.failure_domain == other.failure_domain:
+            return False
+        return bool(self.cut & {one.failure_domain, other.failure_domain})
+
+    def is_noticed(self, one: Node, other: Node) -> bool:
+        """Tell whether one node knows that it can't reach another."""
+        if one is other:
+            return False
+        if not other.alive:
+            return True
+        key = (one.name, other.name)
+        if not self.is_apart(one, other):
+            self.silent_since_s.pop(key, None)
+            return False
+        now_s = one.clock()
+        return now_s - self.silent_since_s.setdefault(key, now_s) >= SILENT_S
+
+    def carry(self, one: Node, target: str, kind: FrameKind, struct: Any) -> None:
+        other = self.nodes[target]
+        self.frames += 1
+        far = one.failure_domain != other.failure_domain
+        self.far_frames += far
+        if not one.alive or not other.alive or self.lose(kind):
+            return
+        if self.cut & {one.failure_domain, other.failure_domain} and far:
+            return
+        begun = (one.started, other.started)
+
+        def answer(kind: FrameKind, struct: Any) -> None:
+            self.carry(other, one.name, kind, struct)
+
+        def arrive() -> None:
+            if begun != (one.started, other.started) or not other.alive:
+                return
+            if other.paused:
+                other.inbox.append(arrive)
+            else:
+                other.exchange.take_frame(kind, struct, answer)
+
+        delay_s = (FAR_S if far else NEAR_S) * self.rng.uniform(1.0, 3.0)
+        asyncio.get_running_loop().call_later(delay_s, arrive)
+
+    # faults
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            self.nodes[name].alive = False
+            self.nodes[name].started += 1
+
+    def restart(self, *names: str) -> None:
+        for name in names:
+            self.nodes[name].begin()
+
+    def pause(self, name: str) -> None:
+        self.nodes[name].paused = True
+
+    def go_on(self, name: str) -> None:
+        node = self.nodes[name]
+        node.paused = False
+        inbox, node.inbox = node.inbox, []
+        for arrive in inbox:
+            arrive()
+
+    # what is judged
+
+    def find_most(
+        self, team_name: str, since_s: float = 0.0, window_s: float = BOUNDS.window_s
+    ) -> int:
+        """Return the most requests of a team that ran in any window after a time."""
+        times = [at for at, name in self.ran if name == team_name and at >= since_s]
+        most = first = 0
+        for last, at in enumerate(times):
+            while at - times[first] > window_s:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+    def count(self, events: list, team_name: str, since_s: float = 0.0) -> int:
+        return sum(1 for one in events if one[1] == team_name and one[0] >= since_s)
+
+
+def find_bound(team: Team) -> float:
+    """Return the most requests of a team that may run in a window."""
+    quota = team.rate * BOUNDS.window_s + team.burst
+    return quota * (1.0 + BOUNDS.overage) + BOUNDS.slack
+
+
+async def step_nodes(fleet: Fleet) -> None:
+    while True:
+        for node in list(fleet.nodes.values()):
+            node.step()
+        await asyncio.sleep(STEP_S)
+
+
+async def send_load(
+    fleet: Fleet,
+    team_name: str,
+    names: list[str],
+    rate: Callable[[float], float],
+    until_s: float,
+) -> None:
+    """Send requests at random times to some nodes, at a rate that changes."""
+    loop = asyncio.get_running_loop()
+    begun_s = loop.time()
+    while loop.time() - begun_s < until_s:
+        now = rate(loop.time() - begun_s)
+        if now <= 0.0:
+            await asyncio.sleep(0.05)
+            continue
+        await asyncio.sleep(fleet.rng.expovariate(now))
+        fleet.nodes[fleet.rng.choice(names)].take(fleet.find_team(team_name))
+
+
+def play(
+    scenario: Callable[[Fleet], Awaitable[None]],
+    domains: int = 4,
+    nodes: int = 20,
+    seed: int = 0,
+) -> Fleet:
+    """Run a scenario on nodes that have known each other for some seconds."""
+    fleet = Fleet(random.Random(seed))
+    loop = VirtualLoop()
+
+    async def main() -> None:
+        fleet.build(domains, nodes)
+        stepping = asyncio.create_task(step_nodes(fleet))
+        await scenario(fleet)
+        stepping.cancel()
+
+    try:
+        loop.run_until_complete(main())
+    finally:
+        loop.close()
+    return fleet
