Read the log anew when it comes back from an older copy

Cause: offsets were taken to mean the same for good. After a drill in which the store comes back from a copy some seconds old, a reader would go on behind records that were given its offsets anew and never see them, and own records would be gone for good.

Change: topics/era knows the era that answers name. An answer of a later era, or word of it from any node (it travels with the offsets between readers and the others), makes a reader read the newest records again; a late answer of an era before is none; an era that is missing, no number or falling is told once and changes nothing. The first read after any failure does not wait for records, since its answer tells the era. A node whose record is missing writes it again at a random time in a second, or more for more than 200 nodes; learned calls are written again by the usual chance. Nodes whose records stay missing 5 s beyond that, and which can't be reached, are forgotten. Configurations never went back, and do not now: versions only rise. A node whose server has left for good drops its record, as quotas are divided by the nodes that have one.

The parts that read, pass on and keep topics of the log are a package of their own (topics, seven modules of relay before). Status, metrics and log lines tell the era.

--- a/benchmarks/readers.py
+++ b/benchmarks/readers.py
@@ -19,9 +19,9 @@
     encode_frame,
     encode_struct,
 )
-from eelgrassmount.relay.readers import PERIOD_S
 from eelgrassmount.relay.settings import RelaySettings
 from eelgrassmount.relay.tallies import ServiceCounts, Tally, write_tally
+from eelgrassmount.topics.readers import PERIOD_S
 from eelgrassmount.util.addresses import Address
 
 LISTENERS = (16, 32, 64, 128)
--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -390,6 +390,8 @@
   4: RelayTally tally
   // whether the sender asks for counts; its own go along then
   5: bool with_counts
+  // of the log, in which the offset counts; -1 if it is not known
+  6: i64 era
 }
 
 // What a node that reads the log knows: whether it can read it, or hears from one
@@ -403,6 +405,7 @@
   5: i64 next_offset
   6: list<RelayRecord> records
   7: RelayTally tally
+  8: i64 era
 }
 
 // Requests of one team that a node has let begin without asking, less those that it
--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -130,15 +130,16 @@
 
 def _format_log(log: dict[str, Any], lost: str) -> str:
     """Return how the log is known: by own reads, or from which nodes."""
+    era = "" if log["era"] < 0 else f", era {log['era']}"
     if log["reading"]:
         reach = f"lost: {lost}" if lost else "reachable"
-        return f"{reach}, read for {log['subscribers']} nodes"
+        return f"{reach}, read for {log['subscribers']} nodes{era}"
     heard = [
         f"{one['name']} ({_format_age(one['age_s'])}"
         f"{'' if one['reads'] or one['hears'] else ', can not read it'})"
         for one in log["readers"]
     ]
-    return f"heard from {', '.join(heard) or 'nobody'}"
+    return f"heard from {', '.join(heard) or 'nobody'}{era}"
 
 
 def _format_age(age_s: float | None) -> str:
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -22,7 +22,6 @@
 from eelgrassmount.relay.entry import Entry
 from eelgrassmount.relay.gate import Gate
 from eelgrassmount.relay.inbound import Inbound
-from eelgrassmount.relay.learned import LearnedCalls
 from eelgrassmount.relay.learning import make_tally
 from eelgrassmount.relay.levels import ServiceLevels
 from eelgrassmount.relay.lineage import Lineage
@@ -31,7 +30,6 @@
 from eelgrassmount.relay.members import MemberTable
 from eelgrassmount.relay.metrics import RelayMetrics
 from eelgrassmount.relay.news import News
-from eelgrassmount.relay.readers import LogReaders
 from eelgrassmount.relay.refused import RefusedMessages
 from eelgrassmount.relay.routing import Router
 from eelgrassmount.relay.sender import Sender
@@ -39,6 +37,8 @@
 from eelgrassmount.retry.quarantine import Quarantine
 from eelgrassmount.teams.exchange import QuotaExchange
 from eelgrassmount.timers import MonotonicClock, TimerService
+from eelgrassmount.topics.learned import LearnedCalls
+from eelgrassmount.topics.readers import LogReaders
 
 if TYPE_CHECKING:
     from eelgrassmount.relay.gate import Job
@@ -199,6 +199,8 @@
         readers.is_current,
         quotas.taker,
     )
+    learned = LearnedCalls(beliefs, readers.ranking.count_readers)
+    readers.eras.on_rise.append(learned.forget_kept)
     node = RelayNode(
         settings,
         beliefs,
@@ -211,10 +213,10 @@
         news,
         decisions,
         metrics,
-        StoreClient(settings.log_address),
+        StoreClient(settings.log_address, readers.eras),
         TimerService(MonotonicClock(), rng, grid_s=TIMER_GRID_S),
         HttpListener(entry.handle, clock),
-        LearnedCalls(beliefs, readers.ranking.count_readers),
+        learned,
         readers,
         quotas,
         rng,
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -31,18 +31,18 @@
     from eelgrassmount.relay.gate import Gate
     from eelgrassmount.relay.heartbeats import Heartbeat
     from eelgrassmount.relay.inbound import Inbound
-    from eelgrassmount.relay.learned import LearnedCalls
     from eelgrassmount.relay.links import LinkKeeper
     from eelgrassmount.relay.metrics import RelayMetrics
     from eelgrassmount.relay.news import News
-    from eelgrassmount.relay.readers import LogReaders
     from eelgrassmount.relay.refused import RefusedMessages
     from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
-    from eelgrassmount.relay.store import StoredRecord
-    from eelgrassmount.relay.topics import TopicFollower
     from eelgrassmount.teams.exchange import QuotaExchange
     from eelgrassmount.timers import TimerService
+    from eelgrassmount.topics.follower import TopicFollower
+    from eelgrassmount.topics.learned import LearnedCalls
+    from eelgrassmount.topics.readers import LogReaders
+    from eelgrassmount.topics.store import StoredRecord
 
 STATE_PATH = "/state"
 JSON_TYPE = b"content-type: application/json\r\n"
@@ -242,6 +242,7 @@
         state.labels("members").set(len(self.beliefs.members.by_name))
         state.labels("reads_log").set(self.readers.reading)
         state.labels("log_subscribers").set(len(self.readers.subscribers))
+        state.labels("log_era").set(self.readers.eras.current)
         state.labels("log_next_offset").set(self.readers.book.next_offset)
         state.labels("counted_nodes").set(self.beliefs.outlook.nodes)
         state.labels("open_requests").set(self.entry.answers.open_flows)
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -23,14 +23,15 @@
 from eelgrassmount.policy.levels import STEP_S
 from eelgrassmount.relay.announcements import AnnouncementListener
 from eelgrassmount.relay.frames import encode_struct
-from eelgrassmount.relay.learned import PERIOD_S
 from eelgrassmount.relay.learning import apply_vectors, count_calls
 from eelgrassmount.relay.reload import WATCH_PERIOD_S, SettingsWatch
 from eelgrassmount.relay.stalls import StallWatch, read_process_times
 from eelgrassmount.relay.stopping import Stopping
-from eelgrassmount.relay.store import StoredRecord, StoreFailure
-from eelgrassmount.relay.topics import TopicFollower
 from eelgrassmount.relay.vectors import INTERVAL_S
+from eelgrassmount.topics.follower import TopicFollower
+from eelgrassmount.topics.learned import PERIOD_S
+from eelgrassmount.topics.own import OwnRecord
+from eelgrassmount.topics.store import StoredRecord, StoreFailure
 from eelgrassmount.util.addresses import Address
 from eelgrassmount.util.backoff import Backoff
 
@@ -76,18 +77,36 @@
 
 async def stop_relay(node: RelayNode) -> None:
     """End a node in order: clients go first, then calls of other nodes."""
-    await Stopping(
+    stopping = Stopping(
         node.beliefs,
         node.callers,
         node.inbound,
         node.settings.grace_s,
         node.controllers.report_now,
         node.count_open,
-    ).run()
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(_drop_own, node)
+        await stopping.run()
+        group.cancel_scope.cancel()
     node.decisions.tell_left_out()
     node.end()
 
 
+async def _drop_own(node: RelayNode) -> None:
+    """Drop the record of a node whose server has left for good.
+
+    The others would go on counting it, and keep its part of the quotas for it.
+    """
+    if not node.beliefs.server.left:
+        return
+    offset = await node.store.append(NODES_TOPIC, node.settings.name, b"")
+    if isinstance(offset, StoreFailure):
+        logger.warning("own record not dropped", kind=offset.kind)
+    else:
+        logger.info("own record dropped", offset=offset)
+
+
 async def start_relay(node: RelayNode, group: TaskGroup) -> None:
     """Start all parts of a node, the listener for clients last."""
     settings = node.settings
@@ -97,7 +116,7 @@
     group.start_soon(node.timers.run)
     group.start_soon(_follow, node, CONFIGURATION_TOPIC)
     group.start_soon(_join, node)
-    group.start_soon(_keep_learned, node)
+    group.start_soon(_keep_records, node)
     logger.info(
         "node started",
         incarnation=node.beliefs.incarnation,
@@ -183,14 +202,7 @@
     Without the log, a node goes by what those say that open links to it, and its record
     may be known to them.
     """
-    settings = node.settings
-    record = ttypes.NodeRecord(
-        settings.name,
-        str(settings.peer_address),
-        settings.failure_domain,
-        settings.service,
-    )
-    own = StoredRecord(settings.name, encode_struct(record))
+    own = make_own_record(node)
     backoff = Backoff(node.rng, RECORD_RETRY_S, RECORD_RETRY_LIMIT_S)
     while not await _put_record(node, own):
         node.readers.begin()
@@ -202,6 +214,18 @@
     await _follow(node, NODES_TOPIC)
 
 
+def make_own_record(node: RelayNode) -> StoredRecord:
+    """Return the record by which other nodes find this one."""
+    settings = node.settings
+    record = ttypes.NodeRecord(
+        settings.name,
+        str(settings.peer_address),
+        settings.failure_domain,
+        settings.service,
+    )
+    return StoredRecord(settings.name, encode_struct(record))
+
+
 async def _put_record(node: RelayNode, own: StoredRecord) -> bool:
     """Read the records of all nodes, and append this node's unless it stands there.
 
@@ -222,17 +246,41 @@
     return True
 
 
-async def _keep_learned(node: RelayNode) -> None:
-    """Write what all nodes have learned when it has changed for good."""
+async def _keep_records(node: RelayNode) -> None:
+    """Write what has to stand on the log, again if it is gone."""
+    beliefs = node.beliefs
+    own = OwnRecord(
+        make_own_record(node),
+        node.readers.book,
+        lambda: len(beliefs.members.by_name),
+        beliefs.clock,
+        node.rng,
+    )
     while True:
         await anyio.sleep(PERIOD_S)
-        value = node.learned.find_record() if node.readers.is_reader else None
-        if value is None:
-            continue
-        offset = await node.store.append(NODES_TOPIC, LEARNED_KEY, value)
-        if isinstance(offset, StoreFailure):
-            # it is written later by the same chance, here or elsewhere
-            logger.warning("learned calls not kept", kind=offset.kind)
-        else:
-            node.learned.take(value)
-            logger.info("learned calls kept", offset=offset)
+        await _keep_learned(node)
+        if node.readers.begun and not beliefs.stopping and own.is_due():
+            await _write_own(node, own.record)
+
+
+async def _write_own(node: RelayNode, record: StoredRecord) -> None:
+    offset = await node.store.append(NODES_TOPIC, record.key, record.value)
+    if isinstance(offset, StoreFailure):
+        logger.warning("own record not written", kind=offset.kind)
+        return
+    logger.info("own record written again", offset=offset)
+    node.readers.book.put(evolve(record, offset=offset))
+
+
+async def _keep_learned(node: RelayNode) -> None:
+    """Write what all nodes have learned when it has changed for good."""
+    value = node.learned.find_record() if node.readers.is_reader else None
+    if value is None:
+        return
+    offset = await node.store.append(NODES_TOPIC, LEARNED_KEY, value)
+    if isinstance(offset, StoreFailure):
+        # it is written later by the same chance, here or elsewhere
+        logger.warning("learned calls not kept", kind=offset.kind)
+    else:
+        node.learned.take(value)
+        logger.info("learned calls kept", offset=offset)
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -4253,16 +4253,18 @@
      - next_offset
      - tally
      - with_counts
+     - era
 
     """
 
 
-    def __init__(self, node_name=None, failure_domain=None, next_offset=None, tally=None, with_counts=None,):
+    def __init__(self, node_name=None, failure_domain=None, next_offset=None, tally=None, with_counts=None, era=None,):
         self.node_name = node_name
         self.failure_domain = failure_domain
         self.next_offset = next_offset
         self.tally = tally
         self.with_counts = with_counts
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4299,6 +4301,11 @@
                     self.with_counts = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4329,6 +4336,10 @@
             oprot.writeFieldBegin('with_counts', TType.BOOL, 5)
             oprot.writeBool(self.with_counts)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 6)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4357,11 +4368,12 @@
      - next_offset
      - records
      - tally
+     - era
 
     """
 
 
-    def __init__(self, node_name=None, reads=None, hears=None, config_version=None, next_offset=None, records=None, tally=None,):
+    def __init__(self, node_name=None, reads=None, hears=None, config_version=None, next_offset=None, records=None, tally=None, era=None,):
         self.node_name = node_name
         self.reads = reads
         self.hears = hears
@@ -4369,6 +4381,7 @@
         self.next_offset = next_offset
         self.records = records
         self.tally = tally
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4421,6 +4434,11 @@
                     self.tally.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4462,6 +4480,10 @@
             oprot.writeFieldBegin('tally', TType.STRUCT, 7)
             self.tally.write(oprot)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 8)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5549,6 +5571,7 @@
     (3, TType.I64, 'next_offset', None, None, ),  # 3
     (4, TType.STRUCT, 'tally', [RelayTally, None], None, ),  # 4
     (5, TType.BOOL, 'with_counts', None, None, ),  # 5
+    (6, TType.I64, 'era', None, None, ),  # 6
 )
 all_structs.append(RelayNews)
 RelayNews.thrift_spec = (
@@ -5560,6 +5583,7 @@
     (5, TType.I64, 'next_offset', None, None, ),  # 5
     (6, TType.LIST, 'records', (TType.STRUCT, [RelayRecord, None], False), None, ),  # 6
     (7, TType.STRUCT, 'tally', [RelayTally, None], None, ),  # 7
+    (8, TType.I64, 'era', None, None, ),  # 8
 )
 all_structs.append(QuotaUse)
 QuotaUse.thrift_spec = (
--- a/eelgrassmount/platform/store.py
+++ b/eelgrassmount/platform/store.py
@@ -10,7 +10,8 @@
 
 from eelgrassmount.errors import PlatformDocumentError
 from eelgrassmount.relay.calls import KeptConnections
-from eelgrassmount.relay.store import (
+from eelgrassmount.topics.era import UNKNOWN_ERA, EraWatch
+from eelgrassmount.topics.store import (
     Batch,
     FailureKind,
     Snapshot,
@@ -35,6 +36,8 @@
 # what a read may return at once, in kilobytes
 MAX_READ_KB = 1024
 OFFSETS = (0, 2**62)
+ERA = b"store-era"
+MAX_ERA_DIGITS = 18
 _APPENDED = "answer to an append"
 _PAGE = "page of the newest records"
 
@@ -50,9 +53,13 @@
 
 @define(eq=False)
 class StoreClient:
-    """Speaks to the log at ``address``; one connection for each kind of call."""
+    """Speaks to the log at ``address``; one connection for each kind of call.
+
+    An answer of an era that is over is none.
+    """
 
     address: Address
+    eras: EraWatch = field(factory=EraWatch)
     _connections: KeptConnections = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -138,15 +145,28 @@
             f"content-length: {len(body)}\r\n\r\n"
         )
         data = head.encode("latin-1") + body
+        asked_in = self.eras.current
         answer = await self._connections.call(connection_name, data, limit_s)
         if isinstance(answer, StoreFailure):
             return answer
+        era = _read_era(answer.headers)
+        if not self.eras.note_answer(era, asked_in):
+            return StoreFailure(FailureKind.OUTDATED, f"era {era}")
         if answer.status != 200:
             kind = _KINDS.get(answer.status, FailureKind.MALFORMED)
             return StoreFailure(kind, f"status {answer.status}")
         return answer.body
 
 
+def _read_era(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return the era that an answer names."""
+    for name, value in headers:
+        digits = value.strip()
+        if name == ERA and digits.isdigit() and len(digits) <= MAX_ERA_DIGITS:
+            return int(digits)
+    return UNKNOWN_ERA
+
+
 def _cut_records(content: bytes, offset: int) -> Batch | StoreFailure:
     """Cut the answer to a read; it begins with the end and the first offset."""
     if len(content) < HEAD_BYTES:
--- a/eelgrassmount/relay/calls.py
+++ b/eelgrassmount/relay/calls.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from eelgrassmount.http1.client import Break, ClientAnswer, open_connection
-from eelgrassmount.relay.store import FailureKind, StoreFailure
+from eelgrassmount.topics.store import FailureKind, StoreFailure
 
 if TYPE_CHECKING:
     from eelgrassmount.http1.client import ClientConnection
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -13,6 +13,7 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.messages import Fate
 from eelgrassmount.relay.routes import MAX_RANK
+from eelgrassmount.topics.era import UNKNOWN_ERA
 from eelgrassmount.util.addresses import parse_address
 from eelgrassmount.util.fields import MAX_NAME_LENGTH, is_printable
 from eelgrassmount.verdict import Reason
@@ -186,13 +187,20 @@
 def _check_subscribe(struct: ttypes.RelaySubscribe) -> None:
     _check_texts(struct, ("node_name", "failure_domain"), MAX_NAME_LENGTH)
     _check_ranges(struct, {"next_offset": MAX_VERSION})
+    _check_era(struct)
     _require_all(struct.tally)
     _check_tally(struct.tally)
 
 
+def _check_era(struct: ttypes.RelaySubscribe | ttypes.RelayNews) -> None:
+    if not UNKNOWN_ERA <= struct.era <= MAX_VERSION:
+        _refuse(struct, "era", f"not from {UNKNOWN_ERA} to {MAX_VERSION}")
+
+
 def _check_news(news: ttypes.RelayNews) -> None:
     _check_texts(news, ("node_name",), MAX_NAME_LENGTH)
     _check_ranges(news, {"config_version": MAX_VERSION, "next_offset": MAX_VERSION})
+    _check_era(news)
     _require_all(news.tally)
     _check_tally(news.tally)
     for record in news.records:
--- a/eelgrassmount/relay/news.py
+++ b/eelgrassmount/relay/news.py
@@ -22,8 +22,8 @@
     from eelgrassmount.relay.gate import Job
     from eelgrassmount.relay.heartbeats import ServerIncarnation
     from eelgrassmount.relay.members import Member
-    from eelgrassmount.relay.readers import LogReaders
     from eelgrassmount.retry.quarantine import Quarantine
+    from eelgrassmount.topics.readers import LogReaders
 
 
 # a node that was asked for a configuration and does not send it is given so long: one
--- a/eelgrassmount/relay/state.py
+++ b/eelgrassmount/relay/state.py
@@ -13,7 +13,7 @@
     from eelgrassmount.compose.relay_node import RelayNode
     from eelgrassmount.relay.budget import RetryBudget
     from eelgrassmount.relay.members import Member
-    from eelgrassmount.relay.readers import LogReaders
+    from eelgrassmount.topics.readers import LogReaders
 
 
 @frozen
@@ -91,14 +91,16 @@
     """How the news of the log reach a node.
 
     It reads the log itself while it is ``reading``, and is ``chosen`` as one of the
-    readers of its failure domain or listened to by ``subscribers``. ``next_offset``
-    is where the records that it knows end, and ``counted_nodes`` says how many nodes'
-    requests it knows of.
+    readers of its failure domain or listened to by ``subscribers``. ``era`` counts how
+    often the log has come back from an older copy, -1 if it doesn't say; in it,
+    ``next_offset`` is where the records that the node knows end. ``counted_nodes`` says
+    how many nodes' requests it knows of.
     """
 
     reading: bool
     chosen: bool
     subscribers: int
+    era: int
     next_offset: int
     counted_nodes: int
     readers: list[ReaderState]
@@ -185,6 +187,7 @@
         readers.reading,
         readers.is_reader,
         len(readers.subscribers),
+        readers.eras.current,
         readers.book.next_offset,
         readers.beliefs.outlook.nodes,
         [
--- a/eelgrassmount/teams/exchange.py
+++ b/eelgrassmount/teams/exchange.py
@@ -21,8 +21,8 @@
     from eelgrassmount.policy.quotas import QuotaBounds
     from eelgrassmount.relay.beliefs import Beliefs
     from eelgrassmount.relay.members import Member
-    from eelgrassmount.relay.readers import LogReaders
     from eelgrassmount.teams.directory import Team
+    from eelgrassmount.topics.readers import LogReaders
 
 # a node tells the holders of its failure domain so often that it lends them its part
 LEND_PERIOD_S = 0.5
--- a/eelgrassmount/relay/topics.py
+++ b/eelgrassmount/topics/follower.py
@@ -8,14 +8,14 @@
 from attrs import define, field
 from loguru import logger
 
-from eelgrassmount.relay.store import FailureKind, StoreFailure
+from eelgrassmount.topics.store import FailureKind, StoreFailure
 from eelgrassmount.util.backoff import Backoff
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from eelgrassmount.relay.store import Batch, Snapshot, Store, StoredRecord
+    from eelgrassmount.topics.store import Batch, Snapshot, Store, StoredRecord
 
 # a read waits this long for news; connections that fell silent are found by the
 # system's probes, so that a long wait costs nothing but saves calls
@@ -33,7 +33,8 @@
     It reads while it is wanted. ``take`` gets the records of a batch and ``on_read``
     then the same with the offset behind them; ``on_unreadable`` is told how many were
     left out of it. A log that can't be reached is asked again for as long as it takes,
-    with waits of up to ``retry_limit_s``.
+    with waits of up to ``retry_limit_s``. Its first answer is not waited for, since it
+    may tell that the log has come back from an older copy.
     """
 
     store: Store
@@ -50,6 +51,7 @@
     _scope: anyio.CancelScope | None = None
     _is_wanted: bool = True
     _has_read: bool = False
+    _is_back: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Prepare the waits between failures."""
@@ -80,6 +82,12 @@
         if self.next_offset is None or offset > self.next_offset:
             self.next_offset = offset
 
+    def begin_anew(self) -> None:
+        """Read the newest records again, as offsets mean something else now."""
+        self.next_offset = None
+        if self._scope is not None:
+            self._scope.cancel()
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
@@ -94,6 +102,9 @@
         if failure is None:
             self._note_reached()
             return
+        self._is_back = True
+        if failure.kind is FailureKind.OUTDATED:
+            return
         if failure.kind in (FailureKind.DELETED, FailureKind.MALFORMED):
             self.next_offset = None
         if failure.kind is FailureKind.DELETED:
@@ -112,9 +123,11 @@
             self._hand_on(snapshot)
             self.on_read(snapshot.records, snapshot.end)
             return None
-        batch = await self.store.read(self.topic, self.next_offset, WAIT_S)
+        wait_s = 0.0 if self._is_back else WAIT_S
+        batch = await self.store.read(self.topic, self.next_offset, wait_s)
         if isinstance(batch, StoreFailure):
             return batch
+        self._is_back = False
         self.next_offset = max(self.next_offset, batch.next_offset)
         if batch.records or batch.unreadable:
             self._hand_on(batch)
--- a/eelgrassmount/relay/learned.py
+++ b/eelgrassmount/topics/learned.py
@@ -56,6 +56,10 @@
             if new and room and self.beliefs.knows_route(name):
                 graph.put(name, calls)
 
+    def forget_kept(self) -> None:
+        """Suppose that nothing is kept, until a record is found."""
+        self._kept = {}
+
     def find_record(self) -> bytes | None:
         """Return the record to write now, ``None`` if there is nothing to say."""
         beliefs = self.beliefs
--- a/eelgrassmount/relay/ranking.py
+++ b/eelgrassmount/topics/ranking.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from eelgrassmount.relay.members import MemberTable
-    from eelgrassmount.relay.records import RecordBook
+    from eelgrassmount.topics.records import RecordBook
 
 
 @define(eq=False)
@@ -22,11 +22,11 @@
     members: MemberTable
     book: RecordBook
     _ranked: dict[str, list[str]] = field(factory=dict)
-    _ranked_for: tuple[int, int] = (-1, -1)
+    _ranked_for: tuple[int, int, int] = (-1, -1, -1)
 
     def list_domains(self) -> dict[str, list[str]]:
         """Return the nodes of each failure domain in their order."""
-        state = (self.members.changes, self.book.next_offset)
+        state = (self.members.changes, self.book.next_offset, self.book.begun)
         if state != self._ranked_for:
             self._ranked_for = state
             self._ranked = {}
--- a/eelgrassmount/relay/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -16,18 +16,20 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.policy.readers import LISTENED, choose_listened
 from eelgrassmount.relay.frames import FrameKind
-from eelgrassmount.relay.ranking import Ranking
-from eelgrassmount.relay.records import RecordBook
-from eelgrassmount.relay.store import StoredRecord
-from eelgrassmount.relay.subscriptions import HEARD_S, Subscriber, Subscription, Sums
 from eelgrassmount.relay.tallies import Tally, add_tallies, read_tally, write_tally
+from eelgrassmount.topics.era import EraWatch
+from eelgrassmount.topics.own import find_spread
+from eelgrassmount.topics.ranking import Ranking
+from eelgrassmount.topics.records import RecordBook
+from eelgrassmount.topics.store import StoredRecord
+from eelgrassmount.topics.subscriptions import HEARD_S, Subscriber, Subscription, Sums
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from eelgrassmount.relay.beliefs import Beliefs
     from eelgrassmount.relay.members import Member
-    from eelgrassmount.relay.topics import TopicFollower
+    from eelgrassmount.topics.follower import TopicFollower
 
 # a node asks its readers so often, and one that has not answered for as long is
 # replaced. Together with the first read of the one that takes its place, that is below
@@ -51,6 +53,8 @@
 READER_RETRY_LIMIT_S = 1.5
 # a node that others listen to, or that was a reader, reads on for so long
 READ_ON_S = 3.0
+# a record that is gone is waited for so much longer than the nodes take to write it
+CONFIRM_S = 5.0
 # after a longer pause of this node itself, the others had no chance to be heard
 OWN_PAUSE_S = 0.7
 
@@ -70,6 +74,7 @@
     open_link: Callable[[Member], None]
     take_records: Callable[[tuple[StoredRecord, ...]], None]
     make_tally: Callable[[], Tally]
+    eras: EraWatch = field(factory=EraWatch)
     book: RecordBook = field(factory=RecordBook)
     ranking: Ranking = field(init=False)
     sums: Sums = field(factory=Sums)
@@ -84,10 +89,44 @@
     _served_s: float = -math.inf
     _read_until_s: float = -math.inf
     _lost_wait_s: float = LOST_S[1]
+    _confirm_s: float = math.inf
 
     def __attrs_post_init__(self) -> None:
         """Rank by the records that the book holds."""
         self.ranking = Ranking(self.beliefs.members, self.book)
+        self.eras.on_rise.append(self.begin_anew)
+
+    def begin_anew(self) -> None:
+        """Read all records again, since the log has come back from an older copy.
+
+        The other nodes are told at once. Nodes whose records are gone have some time to
+        write them again.
+        """
+        self.book.begin_anew()
+        nodes = len(self.beliefs.members.by_name)
+        self._confirm_s = self.beliefs.clock() + find_spread(nodes) + CONFIRM_S
+        for follower in self.followers:
+            follower.begin_anew()
+        for subscriber in self.subscribers.values():
+            subscriber.next_offset = 0
+        self.publish()
+
+    def _forget_unconfirmed(self, now_s: float) -> None:
+        """Forget the nodes whose records are gone for good."""
+        if now_s < self._confirm_s or not self.book.next_offset:
+            return
+        self._confirm_s = math.inf
+        members = self.beliefs.members
+        gone = [
+            name
+            for name in self.book.list_unconfirmed()
+            if name in members.by_name and not members.by_name[name].is_connected()
+        ]
+        self.book.forget_before()
+        for name in gone:
+            if name != self.beliefs.name:
+                members.remove(name)
+        logger.info("records of before forgotten", gone=len(gone))
 
     def begin(self) -> None:
         """Begin, with the other nodes known as far as the log or links tell of them."""
@@ -107,6 +146,7 @@
             self._forgive_pause(now_s)
         self._stepped_s = now_s
         self._expire(now_s)
+        self._forget_unconfirmed(now_s)
         readers = self.list_readers(self.beliefs.failure_domain, now_s)
         self.is_reader = self.beliefs.name in readers
         listened = choose_listened(self.beliefs.name, readers)
@@ -209,6 +249,7 @@
             self.book.next_offset,
             write_tally(self.make_tally() if near and with_counts else Tally()),
             with_counts,
+            self.eras.current,
         )
         subscription.sent_s = now_s
         subscription.waiting_s = min(subscription.waiting_s, now_s)
@@ -281,6 +322,7 @@
         self, struct: ttypes.RelaySubscribe, send: Callable[[FrameKind, Any], None]
     ) -> None:
         """Take up that another node listens to this one, and answer it."""
+        self.eras.note_heard(struct.era)
         known = self.subscribers.get(struct.node_name)
         tally = read_tally(struct.tally)
         if known is not None and not tally.nodes:
@@ -289,7 +331,8 @@
             send,
             struct.failure_domain == self.beliefs.failure_domain,
             self.beliefs.clock(),
-            struct.next_offset,
+            # an offset of another era says nothing of what is known
+            struct.next_offset if struct.era == self.eras.current else 0,
             tally,
         )
         is_first = not self.subscribers
@@ -317,16 +360,19 @@
             self.book.next_offset,
             records,
             write_tally(counts),
+            self.eras.current,
         )
         subscriber.send(FrameKind.NEWS, news)
 
     def note_news(self, news: ttypes.RelayNews) -> None:
         """Take up what a reader tells; its version is asked for elsewhere."""
         now_s = self.beliefs.clock()
+        self.eras.note_heard(news.era)
         subscription = self.subscriptions.get(news.node_name)
         if subscription is not None:
             self._note_heard(news, subscription, now_s)
-        if news.next_offset <= self.book.next_offset:
+        is_later = news.next_offset > self.book.next_offset
+        if news.era != self.eras.current or not is_later:
             return
         records = tuple(
             StoredRecord(one.key, one.value, one.offset) for one in news.records
--- a/eelgrassmount/relay/records.py
+++ b/eelgrassmount/topics/records.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from eelgrassmount.relay.store import StoredRecord
+    from eelgrassmount.topics.store import StoredRecord
 
 # keys that are kept at most: as many as nodes that are known, and some of other kinds
 MAX_KEYS = 10_100
@@ -26,10 +26,14 @@
 
         book.take(records, 7)
         book.list_since(5)
+
+    ``begun`` counts how often it was begun anew, with all offsets given out again.
     """
 
     next_offset: int = 0
+    begun: int = 0
     _newest: dict[str, StoredRecord] = field(factory=dict)
+    _ranks: dict[str, int] = field(factory=dict)
 
     def take(self, records: Iterable[StoredRecord], next_offset: int) -> None:
         """Take up records that end before an offset, in their order."""
@@ -38,6 +42,21 @@
                 self._newest[record.key] = record
         self.next_offset = max(self.next_offset, next_offset)
 
+    def begin_anew(self) -> None:
+        """Forget all records, and keep only the order in which they stood."""
+        self.begun += 1
+        self._ranks.update({one.key: one.offset for one in self._newest.values()})
+        self._newest.clear()
+        self.next_offset = 0
+
+    def list_unconfirmed(self) -> list[str]:
+        """Return the keys that stood here before and don't yet stand here again."""
+        return [key for key in self._ranks if self.find(key) is None]
+
+    def forget_before(self) -> None:
+        """Forget the order of before."""
+        self._ranks.clear()
+
     def put(self, record: StoredRecord) -> None:
         """Take up a record alone, while others before it may not be known."""
         self._newest[record.key] = record
@@ -54,7 +73,8 @@
         the first part of the topic rank the keys in it as all do.
         """
         found = self.find(key)
-        return math.inf if found is None or found.offset < 0 else found.offset
+        offset = self._ranks.get(key, -1) if found is None else found.offset
+        return math.inf if offset < 0 else offset
 
     def list_since(self, offset: int) -> list[StoredRecord]:
         """Return the newest records from an offset on, in their order.
--- a/eelgrassmount/relay/store.py
+++ b/eelgrassmount/topics/store.py
@@ -17,6 +17,7 @@
     LIMITED = "limited"  # too many calls
     CONFLICT = "conflict"  # the condition does not hold
     DELETED = "deleted"  # the records are gone
+    OUTDATED = "outdated"  # the answer is of a copy that the log has replaced
     FULL = "full"
     UNANSWERED = "unanswered"  # may have been done, or be done later
     MALFORMED = "malformed"
--- a/standins/platform_log.py
+++ b/standins/platform_log.py
@@ -19,6 +19,7 @@
     from eelgrassmount.http1.exchange import Exchange
 
 MAX_PAGE = 500
+OPERATOR_TOPIC = "keyed.op"
 JSON = b"content-type: application/json\r\n"
 
 
@@ -44,11 +45,15 @@
 
 @define(eq=False)
 class PlatformLog:
-    """Keeps keyed topics in memory and serves them over HTTP."""
+    """Keeps keyed topics in memory and serves them over HTTP.
+
+    Its answers name its ``era`` unless that is ``None``.
+    """
 
     trouble: Trouble = Trouble.NONE
     delay_s: float = 0.0
     calls: int = 0
+    era: int | None = None
     topics: dict[str, Topic] = field(factory=dict)
     listener: HttpListener = field(init=False)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
@@ -73,6 +78,29 @@
         """Return a topic, made on first use."""
         return self.topics.setdefault(name, Topic())
 
+    def copy(self) -> dict[str, Topic]:
+        """Return a copy of all topics, from which the log may come back."""
+        return {
+            name: Topic(list(topic.records), topic.first)
+            for name, topic in self.topics.items()
+        }
+
+    def come_back(self, copy: dict[str, Topic], rewrite: bool = True) -> None:
+        """Go on from a copy, in a new era.
+
+        With ``rewrite``, the operator writes what it wrote since then once more.
+        """
+        before = self.topics
+        self.era = (self.era or 0) + 1
+        self.topics = copy
+        for topic in before.values():
+            # reads that wait are answered by the copy
+            topic.news.set()
+        if not rewrite:
+            return
+        for key, value in before.get(OPERATOR_TOPIC, Topic()).records:
+            self.put(OPERATOR_TOPIC, key, value)
+
     def forget_history(self, name: str) -> None:
         """Delete all records but the newest of each key."""
         topic = self.find(name)
@@ -88,14 +116,21 @@
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.trouble is Trouble.TURNED_AWAY:
-            exchange.respond(503)
+            self._respond(exchange, 503)
         elif self.trouble is Trouble.LIMITED:
-            exchange.respond(429)
+            self._respond(exchange, 429)
         elif self.trouble is Trouble.RESET:
             exchange.connection.transport.abort()
         elif self.trouble is not Trouble.SILENT:
             await self._serve(exchange)
 
+    def _respond(
+        self, exchange: Exchange, status: int, head: bytes = b"", body: bytes = b""
+    ) -> None:
+        if self.era is not None:
+            head += b"store-era: %d\r\n" % self.era
+        exchange.respond(status, head, body)
+
     async def _serve(self, exchange: Exchange) -> None:
         parts = urlsplit(exchange.target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
@@ -105,9 +140,9 @@
         elif parts.path == "/log-newest":
             self._serve_newest(exchange, topic, query.get("after", ""))
         elif parts.path == "/log-read":
-            await self._serve_read(exchange, topic, query)
+            await self._serve_read(exchange, query)
         else:
-            exchange.respond(404)
+            self._respond(exchange, 404)
 
     def _append(self, exchange: Exchange, name: str) -> None:
         content = exchange.body[4:]
@@ -117,7 +152,7 @@
             exchange.connection.transport.abort()
             return
         body = json.dumps({"offset": offset, "end": offset + 1}).encode()
-        exchange.respond(200, JSON, body)
+        self._respond(exchange, 200, JSON, body)
 
     def _serve_newest(self, exchange: Exchange, topic: Topic, after: str) -> None:
         newest: dict[str, tuple[int, bytes]] = {}
@@ -139,23 +174,23 @@
             "more": len(keys) > MAX_PAGE,
             "end": len(topic.records),
         }
-        exchange.respond(200, JSON, json.dumps(content).encode())
+        self._respond(exchange, 200, JSON, json.dumps(content).encode())
 
-    async def _serve_read(
-        self, exchange: Exchange, topic: Topic, query: dict[str, str]
-    ) -> None:
+    async def _serve_read(self, exchange: Exchange, query: dict[str, str]) -> None:
         start = int(query["from"])
-        if start < topic.first:
-            body = json.dumps({"first": topic.first}).encode()
-            exchange.respond(410, JSON, body)
-            return
+        topic = self.find(query["topic"])
         wait_s = int(query.get("waitMs", "0")) / 1000
-        if start >= len(topic.records) and wait_s:
+        if topic.first <= start == len(topic.records) and wait_s:
             # without news the answer has no records
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(topic.news.wait(), wait_s)
+            topic = self.find(query["topic"])
+        if not topic.first <= start <= len(topic.records):
+            body = json.dumps({"first": topic.first}).encode()
+            self._respond(exchange, 410, JSON, body)
+            return
         body = len(topic.records).to_bytes(8, "big") + topic.first.to_bytes(8, "big")
         for key, value in topic.records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             body += len(content).to_bytes(4, "big") + content
-        exchange.respond(200, b"", body)
+        self._respond(exchange, 200, b"", body)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,8 +11,8 @@
 import pytest
 
 from eelgrassmount.platform.store import StoreClient
-from eelgrassmount.relay.store import Batch, FailureKind, Snapshot, StoredRecord
-from eelgrassmount.relay.topics import TopicFollower
+from eelgrassmount.topics.follower import TopicFollower
+from eelgrassmount.topics.store import Batch, FailureKind, Snapshot, StoredRecord
 from eelgrassmount.util.addresses import Address
 
 GOOD = StoredRecord("n2", b"value")
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -40,9 +40,9 @@
     *([ttypes.ServiceCounts("desk", 2, COUNTS)], COUNTS),
     [ttypes.RouteCalls("shop/a/", "shop/b/", 2.0)],
 )
-SUBSCRIBE = ttypes.RelaySubscribe("n1", "a", 4, TALLY, True)
+SUBSCRIBE = ttypes.RelaySubscribe("n1", "a", 4, TALLY, True, 2)
 RECORDS = [ttypes.RelayRecord("n2", b"value", 3)]
-NEWS = ttypes.RelayNews("n1", True, False, 3, 4, RECORDS, TALLY)
+NEWS = ttypes.RelayNews("n1", True, False, 3, 4, RECORDS, TALLY, -1)
 ASK = ttypes.RelayQuotaAsk("n1", 7, ["n1", "n2"], [ttypes.QuotaUse("press", -2, 3)])
 GRANT = ttypes.QuotaGrant("press", 3, 2, False, 0.5, 0.1)
 GRANTS = ttypes.RelayQuotaGrants("n1", 7, [GRANT])
@@ -192,6 +192,8 @@
         (BORROW, {"wanted": -0.5}),
         (LOAN, {"amount": -0.5}),
         (LOAN, {"amount": math.nan}),
+        (SUBSCRIBE, {"era": -2}),
+        (NEWS, {"era": 2**62 + 1}),
         (NEWS, {"node_name": LONG}),
         (NEWS, {"config_version": -1}),
         (NEWS, {"next_offset": -1}),
--- a/tests/relay/test_state.py
+++ b/tests/relay/test_state.py
@@ -13,7 +13,7 @@
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
 from eelgrassmount.relay.state import read_state
-from eelgrassmount.relay.subscriptions import Subscription
+from eelgrassmount.topics.subscriptions import Subscription
 from tests.relay.lone_node import SETTINGS
 
 STARTED_MS = 1_700_000_000_123
--- a/tests/relay/test_learned.py
+++ b/tests/topics/test_learned.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from eelgrassmount.relay.learned import SETTLED_S, LearnedCalls, is_same
+from eelgrassmount.topics.learned import SETTLED_S, LearnedCalls, is_same
 from tests.relay.test_learning import make_beliefs
 
 CALLS = {"shop/book/": {"shop/part/": 2.0}}
--- a/tests/relay/test_readers.py
+++ b/tests/topics/test_readers.py
@@ -11,15 +11,15 @@
 
 from eelgrassmount.policy.piles import Demand
 from eelgrassmount.policy.readers import LISTENED
-from eelgrassmount.relay.readers import (
+from eelgrassmount.relay.tallies import Tally
+from eelgrassmount.topics.readers import (
     CALM_PERIOD_S,
     LOST_S,
     PERIOD_S,
     READ_ON_S,
     LogReaders,
 )
-from eelgrassmount.relay.subscriptions import HEARD_S
-from eelgrassmount.relay.tallies import Tally
+from eelgrassmount.topics.subscriptions import HEARD_S
 from standins.platform_log import Trouble
 from tests.relay.deployment import Deployment, Vm, make_document, make_rule
 from tests.relay.virtual import run_virtually
--- a/tests/relay/test_records.py
+++ b/tests/topics/test_records.py
@@ -12,10 +12,11 @@
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.gen import ttypes
 from eelgrassmount.platform.topics import CONFIGURATION_KEY, LEARNED_KEY
-from eelgrassmount.relay import learned, members
+from eelgrassmount.relay import members
 from eelgrassmount.relay.frames import encode_struct
-from eelgrassmount.relay.store import Batch, Snapshot, StoredRecord
-from eelgrassmount.relay.topics import TopicFollower
+from eelgrassmount.topics import learned
+from eelgrassmount.topics.follower import TopicFollower
+from eelgrassmount.topics.store import Batch, Snapshot, StoredRecord
 from tests.relay.deployment import make_document, make_rule
 from tests.relay.lone_node import SETTINGS
 
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -17,12 +17,12 @@
 from eelgrassmount.relay.admission import Admission, CallGraph
 from eelgrassmount.relay.backend import BackendPool
 from eelgrassmount.relay.controllers import Controllers
-from eelgrassmount.relay.learned import LearnedCalls
 from eelgrassmount.relay.levels import ServiceLevels
 from eelgrassmount.relay.lineage import Lineage
 from eelgrassmount.relay.messages import Call
-from eelgrassmount.relay.readers import LogReaders
 from eelgrassmount.relay.sender import Sender
+from eelgrassmount.topics.learned import LearnedCalls
+from eelgrassmount.topics.readers import LogReaders
 
 if TYPE_CHECKING:
     from collections.abc import Callable
