Tell the run of a call by its deadline, and give runs less time than their calls

Change: a run is given 0.85 of what its calls may take at most, by the time-outs of their routes, unless it usually takes more than a part in 2.5 of that. Its calls then have its deadline, in whole milliseconds as the server was told; it is looked for within 1.5 ms before and 0.7 ms behind, one that waits for nothing first. What follows over a connection has to fit as well.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -81,7 +81,7 @@
 
     def note_begin(job: Job) -> None:
         beliefs.learner.begin(job.call.route.name)
-        lineage.begin(job, job.call)
+        lineage.begin(job, job.call, job.given_s)
 
     def note_end(job: Job) -> None:
         beliefs.learner.end(job.call.route.name)
@@ -108,6 +108,7 @@
         ),
         ends_chain=lambda name: not graph.vectors.get(name),
         find_allowance=beliefs.find_allowance,
+        find_call_limit=beliefs.find_call_limit,
         on_begin=note_begin,
         on_end=note_end,
         is_lost_below=lineage.is_lost,
--- a/eelgrassmount/policy/queues.py
+++ b/eelgrassmount/policy/queues.py
@@ -37,6 +37,10 @@
 RUN_MARGIN = 1.3
 # where less than this part of its objective is left, it will be late wherever it runs
 LEAST_WAIT_SHARE = 0.1
+# a run is given so much of the time that its calls may take, and only if it usually
+# takes so much less than that
+CALL_LIMIT_SHARE = 0.85
+USUAL_TIMES = 2.5
 # part of its slack that a call has at least, where a run takes nearly as long
 LEAST_SLACK_SHARE = 0.25
 
@@ -59,6 +63,24 @@
     return min(usual_s, left_s)
 
 
+def limit_run(left_s: float, call_limit_s: float, usual_s: float) -> float:
+    """Return the seconds that a run is given, of those that its request has left.
+
+    ``call_limit_s`` is the longest that calls of such runs may take. A run that has a
+    little less makes calls with its own deadline, which tells whose they are. One that
+    usually takes more than a part of it is left alone.
+
+        >>> limit_run(1.0, call_limit_s=0.8, usual_s=0.2)
+        0.68
+        >>> limit_run(1.0, call_limit_s=0.8, usual_s=0.3)
+        1.0
+    """
+    limited_s = CALL_LIMIT_SHARE * call_limit_s
+    if USUAL_TIMES * usual_s > limited_s:
+        return left_s
+    return min(left_s, limited_s)
+
+
 def find_slack(objective_s: float, allowance_s: float, run_s: float) -> float:
     """Return the seconds within which a call should start.
 
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -99,6 +100,11 @@
                     allowances[called] = min(allowances[called], divided)
         return allowances
 
+    def find_call_limit(self, route_name: str, table: RouteTable) -> float:
+        """Return the longest that the calls of a run may take, by their routes."""
+        called = self.vectors.get(route_name, {}).keys() & table.routes.keys()
+        return min((table.routes[name].timeout_s for name in called), default=math.inf)
+
     def count_runs(self, route_name: str) -> int:
         """Return how many runs a request of a route leads to, itself included."""
         return round(self._find_sizes().get(route_name, 1.0))
--- a/eelgrassmount/relay/beliefs.py
+++ b/eelgrassmount/relay/beliefs.py
@@ -73,6 +73,10 @@
         """Return the seconds that a call of a route may take."""
         return self.graph.find_allowance(route, self.table)
 
+    def find_call_limit(self, route_name: str) -> float:
+        """Return the longest that the calls of a run of a route may take."""
+        return self.graph.find_call_limit(route_name, self.table)
+
     def note_call(self, route_name: str) -> None:
         """Note that a request was sent from this VM."""
         self.called[route_name] = self.called.get(route_name, 0) + 1
--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -108,7 +108,7 @@
         made = None
         # calls of servers have no key
         if team is None and self.is_inner(route.name):
-            made = self._find_caller(exchange, head, route.name)
+            made = self._find_caller(exchange, head, route)
         origin = self._find_origin(route, team, made)
         call = self._make_call(exchange, head, route, team, deadline_s, origin)
         counted = team if team is not None and team.has_quota() else None
@@ -134,14 +134,16 @@
         return Origin(self.table.find_rank(route, team), left=left)
 
     def _find_caller(
-        self, exchange: Exchange, head: RequestHead, route_name: str
+        self, exchange: Exchange, head: RequestHead, route: Route
     ) -> MadeCall | None:
         """Return the run that a call belongs to, as far as it can be told."""
         remaining_ms = head.remaining_ms
         if remaining_ms is None:
             remaining_ms = DEFAULT_REMAINING_MS
         deadline_s = exchange.arrived_s + remaining_ms / 1000
-        return self.lineage.find_caller(exchange.connection, route_name, deadline_s)
+        return self.lineage.find_caller(
+            exchange.connection, route.name, deadline_s, route.timeout_s
+        )
 
     def _find_deadline(
         self, exchange: Exchange, head: RequestHead, route: Route
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -4,13 +4,14 @@
 
 import heapq
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 from loguru import logger
 
 from eelgrassmount.http1.client import Break, ClientAnswer
-from eelgrassmount.policy.queues import allow_wait, find_patience, find_slack
+from eelgrassmount.policy.queues import allow_wait, find_patience, find_slack, limit_run
 from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.messages import Fate, Reply
 from eelgrassmount.verdict import Reason
@@ -51,12 +52,14 @@
     """A call at the gate; ``done`` is called once with its reply.
 
     It is ``outlived`` when the server has started again since it was sent.
+    ``given_s`` is the time that the server was given for it.
     """
 
     call: Call
     done: Callable[[Reply], None]
     sending: Sending | None = None
     started_s: float = 0.0
+    given_s: float = 0.0
     ended: bool = False
     overdue: bool = False
     silent: bool = False
@@ -87,6 +90,7 @@
     budget: RetryBudget
     ends_chain: Callable[[str], bool] = lambda route_name: True
     find_allowance: Callable[[Route], float] = lambda route: route.objective_s
+    find_call_limit: Callable[[str], float] = lambda route_name: math.inf
     on_begin: Callable[[Job], None] = lambda job: None
     on_end: Callable[[Job], None] = lambda job: None
     is_lost_below: Callable[[Job], bool] = lambda job: False
@@ -284,13 +288,20 @@
         self.running.add(job)
         job.started_s = now_s
         call = job.call
+        left_s = limit_run(
+            call.deadline_s - now_s,
+            self.find_call_limit(call.route.name),
+            self.measures.find_usual(call.route.name),
+        )
+        given_ms = max(1, int(left_s * 1000))
+        job.given_s = given_ms / 1000
         self.on_begin(job)
         data = self.dialect.write_request(
             call.method,
             call.target,
             call.head,
             call.body,
-            max(1, int((call.deadline_s - now_s) * 1000)),
+            given_ms,
             call.caller_service,
             self.server.incarnation.identity,
         )
--- a/eelgrassmount/relay/lineage.py
+++ b/eelgrassmount/relay/lineage.py
@@ -12,7 +12,7 @@
 from eelgrassmount.relay.messages import Origin
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from eelgrassmount.relay.messages import Call
 
@@ -20,8 +20,12 @@
 # there was for: runs make the next call at once
 CONTINUES_S = 0.0005
 # a call's deadline is that of its run where the run has less time than calls of the
-# route get, but for the rounding to milliseconds at each hop
-SAME_DEADLINE_S = 0.004
+# route get: it lies before it by the rounding to milliseconds at each hop, and behind
+# it by the time that the call took to come here
+EARLIER_S = 0.0015
+LATER_S = 0.0007
+# where most lie
+USUALLY_EARLIER_S = 0.0003
 # a call with nearly the most time that calls of its route get may have it from its
 # route, so that it tells nothing of its run. The most fades by a part with each call
 OWN_LIMIT_S = 0.008
@@ -59,6 +63,7 @@
 
     call: Call
     started_s: float
+    deadline_s: float
     made: int = 0
     open_calls: int = 0
     done: int = 0
@@ -119,8 +124,8 @@
     another, and ``count_runs`` how many runs a call of a route leads to, itself
     included::
 
-        lineage.begin(job, call)
-        made = lineage.find_caller(connection, "shop/part/", deadline_s)
+        lineage.begin(job, call, given_s=0.69)
+        made = lineage.find_caller(connection, "shop/part/", deadline_s, 0.7)
         origin = made.make_origin()
         lineage.note_answer(made, well=True)
     """
@@ -137,10 +142,11 @@
     _lead_s: dict[str, float] = field(factory=dict)
     _longest_s: dict[str, float] = field(factory=dict)
 
-    def begin(self, job: object, call: Call) -> None:
-        """Note that a run starts."""
-        run = self.runs[job] = Run(call, self.clock())
-        self._by_deadline.setdefault(_round(call.deadline_s), {})[job] = run
+    def begin(self, job: object, call: Call, given_s: float) -> None:
+        """Note that a run starts, which is given so many seconds."""
+        now_s = self.clock()
+        run = self.runs[job] = Run(call, now_s, now_s + given_s)
+        self._by_deadline.setdefault(_round(run.deadline_s), {})[job] = run
         self._repeated += call.origin.repeated
 
     def end(self, job: object) -> None:
@@ -149,7 +155,7 @@
         if run is None:
             return
         self._repeated -= run.call.origin.repeated
-        deadline = _round(run.call.deadline_s)
+        deadline = _round(run.deadline_s)
         found = self._by_deadline[deadline]
         del found[job]
         if not found:
@@ -178,24 +184,26 @@
         return self.unknown.claim_failure(self.clock())
 
     def find_caller(
-        self, connection: object, route_name: str, deadline_s: float
+        self, connection: object, route_name: str, deadline_s: float, timeout_s: float
     ) -> MadeCall | None:
         """Return the run that has most likely made a call, ``None`` if none can.
 
-        ``deadline_s`` is as the call says, before the time-out of its route.
+        ``deadline_s`` is as the call says, and ``timeout_s`` the longest that one of
+        its route is kept waiting.
         """
         size = self.count_runs(route_name)
-        run = self._find_continued(connection)
+        left_s = min(timeout_s, deadline_s - self.clock())
+        is_own = self._may_be_own(route_name, left_s)
+        run = self._find_continued(connection, deadline_s, is_own)
+        if run is None and not is_own:
+            run = self._find_by_deadline(route_name, deadline_s)
+        if run is None and len(self.runs) > MAX_COMPARED:
+            return self._note_unknown(connection, size)
         if run is None:
-            is_own = self._may_be_own(route_name, deadline_s)
-            if len(self.runs) > MAX_COMPARED:
-                run = self._find_by_deadline(route_name, deadline_s, is_own)
-                if run is None:
-                    return self._note_unknown(connection, size)
-            else:
-                run = self._find_likeliest(route_name, deadline_s, is_own)
+            run = self._find_likeliest(route_name, deadline_s)
         if run is None:
             return None
+        self._note_first(run, route_name)
         run.made += 1
         run.open_calls += 1
         run.answered_s = -math.inf
@@ -237,73 +245,70 @@
         repeated = self.rng.random() * len(self.runs) < self._repeated
         return MadeCall(None, connection, size, repeated)
 
-    def _may_be_own(self, route_name: str, deadline_s: float) -> bool:
+    def _may_be_own(self, route_name: str, left_s: float) -> bool:
         """Tell whether a call's deadline may be its own, and not that of its run."""
-        left_s = deadline_s - self.clock()
         longest_s = (1.0 - LONGEST_FADE) * self._longest_s.get(route_name, 0.0)
         self._longest_s[route_name] = max(left_s, longest_s)
         return left_s > longest_s - OWN_LIMIT_S
 
-    def _find_continued(self, connection: object) -> Run | None:
+    def _find_continued(
+        self, connection: object, deadline_s: float, is_own: bool
+    ) -> Run | None:
+        """Return the run that had an answer on a connection just now, if it can be."""
         run, answered_s = self._answered.pop(connection, (None, -math.inf))
         if run is None or self.clock() - answered_s > CONTINUES_S:
             return None
+        earlier_s = run.deadline_s - deadline_s
+        if earlier_s < -LATER_S or (earlier_s > EARLIER_S and not is_own):
+            return None
         return run
 
-    def _find_by_deadline(
-        self, route_name: str, deadline_s: float, is_own: bool
-    ) -> Run | None:
-        """Return the likeliest run with the deadline of a call."""
-        if is_own:
-            return None
-        first = _round(deadline_s - SAME_DEADLINE_S)
-        last = _round(deadline_s + SAME_DEADLINE_S)
+    def _find_by_deadline(self, route_name: str, deadline_s: float) -> Run | None:
+        """Return the run whose deadline a call has, one that waits for no other first.
+
+        Of several, it is the one from whose deadline the call's differs as usual.
+        """
+        first = _round(deadline_s - LATER_S)
+        last = _round(deadline_s + EARLIER_S)
         found = [
             run
             for deadline in range(first, last + 1)
             for run in self._by_deadline.get(deadline, {}).values()
-            if self.may_call(run.call.route.name, route_name)
+            if -LATER_S <= run.deadline_s - deadline_s <= EARLIER_S
+            and self.may_call(run.call.route.name, route_name)
         ]
-        return self._choose(found, route_name)
-
-    def _find_likeliest(
-        self, route_name: str, deadline_s: float, is_own: bool
-    ) -> Run | None:
-        idle = [run for run in self.runs.values() if not run.open_calls]
-        found = self._match(idle, route_name, deadline_s, is_own)
-        if found is None:
-            found = self._match(self.runs.values(), route_name, deadline_s, is_own)
-        return found
-
-    def _match(
-        self, runs: Iterable[Run], route_name: str, deadline_s: float, is_own: bool
-    ) -> Run | None:
+        usual_s = deadline_s + USUALLY_EARLIER_S
+        return min(
+            found,
+            key=lambda run: (run.open_calls > 0, abs(run.deadline_s - usual_s)),
+            default=None,
+        )
+
+    def _find_likeliest(self, route_name: str, deadline_s: float) -> Run | None:
+        """Return the likeliest run by its time, one that waits for nothing first."""
         possible = [
             run
-            for run in runs
-            if run.call.deadline_s > deadline_s - SAME_DEADLINE_S
+            for run in self.runs.values()
+            if run.deadline_s > deadline_s - LATER_S
             and self.may_call(run.call.route.name, route_name)
         ]
-        exact = []
-        if not is_own:
-            exact = [
-                run
-                for run in possible
-                if run.call.deadline_s < deadline_s + SAME_DEADLINE_S
-            ]
-        return self._choose(exact or possible, route_name)
-
-    def _choose(self, runs: list[Run], route_name: str) -> Run | None:
-        if not runs:
-            return None
+        idle = [run for run in possible if not run.open_calls]
         now_s = self.clock()
         lead_s = self._lead_s.get(route_name, DEFAULT_LEAD_S)
-        chosen = min(runs, key=lambda run: measure_distance(run, now_s, lead_s))
-        if not chosen.made:
-            older = now_s - chosen.started_s > lead_s
-            lead_s *= 1.0 + LEAD_STEP if older else 1.0 - LEAD_STEP
-            self._lead_s[route_name] = lead_s
-        return chosen
+        return min(
+            idle or possible,
+            key=lambda run: measure_distance(run, now_s, lead_s),
+            default=None,
+        )
+
+    def _note_first(self, run: Run, route_name: str) -> None:
+        """Learn after which time runs make their first calls."""
+        if run.made:
+            return
+        lead_s = self._lead_s.get(route_name, DEFAULT_LEAD_S)
+        older = self.clock() - run.started_s > lead_s
+        lead_s *= 1.0 + LEAD_STEP if older else 1.0 - LEAD_STEP
+        self._lead_s[route_name] = lead_s
 
 
 def _round(deadline_s: float) -> int:
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -278,3 +279,12 @@
         admitted += admission.allows(demand(PRICE))
     # bookings take half of the pile and price lists the other half
     assert 0.9 * 400 < admitted < 1.1 * 400
+
+
+def test_limit_of_calls_is_the_least_of_their_routes():
+    graph = CallGraph()
+    table = make_table(BOOK, make_route("shop/part/", timeout_s=0.7), PRICE)
+    assert graph.find_call_limit(BOOK.name, table) == math.inf
+    graph.put(BOOK.name, {"shop/part/": 2.0, PRICE.name: 1.0, "shop/gone/": 1.0})
+    assert graph.find_call_limit(BOOK.name, table) == 0.7
+    assert graph.find_call_limit(PRICE.name, table) == math.inf
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -549,3 +549,29 @@
     setup.gate.is_lost_below = lambda job: False
     setup.gate.sweep()
     assert setup.gate.measures.failure_share > 0.0
+
+
+def read_given_ms(setup: Setup) -> int:
+    lines = setup.pool.sent[-1].split(b"\r\n")
+    name = b"eelgrassmount-deadline-ms: "
+    return next(int(line[len(name) :]) for line in lines if line.startswith(name))
+
+
+# Of 60 runs in flight that had up to 1 s, calls with 0.7 s of their own told nothing.
+def test_run_has_a_little_less_time_than_its_calls_may_take(setup):
+    setup.gate.find_call_limit = lambda route_name: 0.7
+    setup.offer()
+    assert 590 <= read_given_ms(setup) <= 595
+    setup.answer()
+    setup.offer(deadline_s=setup.now_s + 0.5)
+    assert 495 <= read_given_ms(setup) <= 500
+
+
+def test_run_that_usually_takes_long_keeps_its_time(setup):
+    setup.gate.find_call_limit = lambda route_name: 0.7
+    for _ in range(30):
+        setup.offer()
+        setup.now_s += 0.4
+        setup.answer()
+    setup.offer()
+    assert read_given_ms(setup) > 1900
--- a/tests/relay/test_lineage.py
+++ b/tests/relay/test_lineage.py
@@ -38,11 +38,11 @@
             deadline_s=self.now_s + remaining_s,
             origin=origin or Origin(route.priority, left=9),
         )
-        self.lineage.begin(job, call)
+        self.lineage.begin(job, call, remaining_s)
 
     def find(self, connection="c1", remaining_s=0.7):
         deadline_s = self.now_s + remaining_s
-        return self.lineage.find_caller(connection, PART.name, deadline_s)
+        return self.lineage.find_caller(connection, PART.name, deadline_s, 0.7)
 
 
 @pytest.fixture
@@ -249,3 +249,10 @@
     setup.lineage.note_answer(setup.find(), well=False)
     assert not setup.lineage.claim_loss("leaf")
     assert setup.lineage.claim_loss("m1")
+
+
+def test_one_call_with_much_time_does_not_hide_what_the_others_have(setup):
+    begin_many(setup)
+    setup.begin("j1", BROWSE, 0.6)
+    setup.find(remaining_s=60.0)
+    assert setup.find(remaining_s=0.7).run is None
