Cut by rank before calls are known, learn them sooner, and refuse what waits to its end

Change: a request with a key is one of a client, from the first on, and no call of a run. Where keys tell them, routes whose calls are not known are taken to lead to each short service, so that the least urgent requests go first. While no calls are known and requests come, counts go round each 0.25 s and are worked out as often. A call that still waits at a gate 12 ms before its deadline is refused as not run, and that is handed on as such.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -35,7 +35,7 @@
 from eelgrassmount.relay.sender import Sender
 from eelgrassmount.relay.server import LocalServer
 from eelgrassmount.retry.quarantine import Quarantine
-from eelgrassmount.teams.exchange import QuotaExchange
+from eelgrassmount.teams.exchange import QuotaExchange, call_later
 from eelgrassmount.timers import MonotonicClock, TimerService
 from eelgrassmount.topics.learned import LearnedCalls
 from eelgrassmount.topics.readers import LogReaders
@@ -115,6 +115,7 @@
         claim_loss=lineage.claim_loss,
         on_crash=lambda ended, jobs: news.note_crash(ended, jobs),
         on_change=lambda: controllers.report_now(),
+        call_later=call_later,
     )
     inbound = Inbound(
         incarnation,
@@ -197,6 +198,7 @@
         rng,
         graph.is_called,
         beliefs.note_call,
+        beliefs.note_client,
         lineage,
         readers.is_current,
         quotas.taker,
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 from typing import TYPE_CHECKING
 
@@ -36,6 +37,8 @@
 from eelgrassmount.util.backoff import Backoff
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import TaskGroup
 
     from eelgrassmount.compose.relay_node import RelayNode
@@ -45,7 +48,8 @@
 # an announcement has some hundred bytes, and other calls to these listeners none
 MAX_BODY_BYTES = 1024 * 1024
 LINK_PERIOD_S = 0.1
-VECTOR_PERIOD_S = 1.0
+# learned calls are taken up each so many intervals of counting
+VECTOR_STEPS = 4
 # a node that can't write its record tries again after so long, doubled each time
 RECORD_RETRY_S = 0.5
 RECORD_RETRY_LIMIT_S = 3.0
@@ -173,7 +177,7 @@
     timers.subscribe(STEP_S, node.controllers.step)
     timers.subscribe(STEP_S, node.gate.sweep)
     timers.subscribe(INTERVAL_S, lambda: count_calls(node.beliefs))
-    timers.subscribe(VECTOR_PERIOD_S, lambda: apply_vectors(node.beliefs))
+    timers.subscribe(INTERVAL_S, make_learning_step(node))
     timers.subscribe(SWEEP_PERIOD_S, node.callers.sweep)
     timers.subscribe(SWEEP_PERIOD_S, node.gate.pool.sweep)
     timers.subscribe(SWEEP_PERIOD_S, node.inbound.expire)
@@ -182,6 +186,18 @@
     timers.subscribe(SWEEP_PERIOD_S, node.entry.lineage.forget_answers)
 
 
+def make_learning_step(node: RelayNode) -> Callable[[], None]:
+    """Return what takes up learned calls: often while none are known, as in a surge."""
+    steps = itertools.count(1)
+
+    def step() -> None:
+        graph = node.beliefs.graph
+        if not graph.is_mature() or next(steps) % VECTOR_STEPS == 0:
+            apply_vectors(node.beliefs)
+
+    return step
+
+
 async def _follow(node: RelayNode, topic: str) -> None:
     take = node.take_configuration
     if topic == NODES_TOPIC:
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -35,9 +35,11 @@
 
     ``vectors`` holds, by route, the calls that one run of it makes. It is mature
     once any vector is known: before, calls of servers can't be told from requests.
+    ``settled`` are the routes whose calls are known, also if there are none.
     """
 
     vectors: dict[str, dict[str, float]] = field(factory=dict)
+    settled: set[str] = field(factory=set)
     _reached: dict[str, dict[str, float]] = field(factory=dict)
     _steps: dict[tuple[str, int], dict[str, float]] = field(factory=dict)
     _allowances: dict[str, float] = field(factory=dict)
@@ -56,6 +58,7 @@
 
     def keep_routes(self, knows_route: Callable[[str], bool]) -> None:
         """Forget the vectors of all other routes."""
+        self.settled = {name for name in self.settled if knows_route(name)}
         left = [name for name in self.vectors if not knows_route(name)]
         for name in left:
             del self.vectors[name]
@@ -205,7 +208,9 @@
     are offered to all nodes, if they are known: the few of one node in its last second
     say little on a large fleet. ``rates`` holds those that are offered to this node,
     and ``offered`` its fading counts, by which it goes alone. Only routes are cut that
-    clients are seen to use.
+    clients are seen to use. Where keys tell clients from servers, one whose calls are
+    not known yet may lead to any service, so that the least urgent requests go first
+    also in the first seconds of a surge.
     """
 
     graph: CallGraph
@@ -246,8 +251,8 @@
         self.shares = {}
         levels = {name: self.find_level(name) for name in table.services}
         short = {name: level for name, level in levels.items() if level < 1.0}
-        if short and self.graph.is_mature():
-            for service, asked in self._pile(table).items():
+        if short and (self.graph.is_mature() or table.teams.is_required):
+            for service, asked in self._pile(table, short).items():
                 if service in short:
                     self._limit(divide_level(asked, short[service]))
         self.offered = {
@@ -279,18 +284,28 @@
             if count >= MIN_OFFERED
         }
 
-    def _pile(self, table: RouteTable) -> dict[str, list[AskedCalls]]:
+    def _pile(
+        self, table: RouteTable, short: dict[str, float]
+    ) -> dict[str, list[AskedCalls]]:
         """Return what the offered requests ask of each service, by demand."""
         piles: dict[str, list[AskedCalls]] = {}
         for demand, count in self._list_offered().items():
             route = table.routes.get(demand.route_name)
             if route is None or self.graph.is_called(demand.route_name):
                 continue
-            for service, calls in self.graph.count_calls(route, table).items():
+            reached = self.graph.count_calls(route, table)
+            if self._may_lead_anywhere(route, table):
+                reached = {**dict.fromkeys(short, 1.0), **reached}
+            for service, calls in reached.items():
                 asked = AskedCalls(demand, count * calls)
                 piles.setdefault(service, []).append(asked)
         return piles
 
+    def _may_lead_anywhere(self, route: Route, table: RouteTable) -> bool:
+        """Tell whether the calls of a client's route are not known yet."""
+        known = route.name in self.graph.vectors or route.name in self.graph.settled
+        return table.teams.is_required and route.needs_key and not known
+
     def _limit(self, shares: dict[Demand, float]) -> None:
         for demand, share in shares.items():
             self.shares[demand] = min(self.shares.get(demand, 1.0), share)
--- a/eelgrassmount/relay/beliefs.py
+++ b/eelgrassmount/relay/beliefs.py
@@ -82,6 +82,14 @@
         self.called[route_name] = self.called.get(route_name, 0) + 1
         self.learner.note_call(route_name)
 
+    def note_client(self, route_name: str) -> None:
+        """Note that a client has sent a request from this VM, by the key of its team.
+
+        It is no call of a run, and its route is one of clients from the first on.
+        """
+        self.called[route_name] = self.called.get(route_name, 0) + 1
+        self.client_routes.add(route_name)
+
     def find_level(self, service: str) -> float:
         """Return the part of the ranks that a service admits, from 0 to 1."""
         if service in self.unreachable:
--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -34,7 +34,8 @@
 class Entry:
     """Takes requests and decides whether each of them may begin.
 
-    ``note_called`` hears of each route that is asked for on this VM; ``is_inner``
+    ``note_called`` hears of each route that is asked for on this VM, and
+    ``note_client`` instead where a client must have done so; ``is_inner``
     tells whether running servers call a route, whose calls are not refused here.
     ``is_current`` tells whether this node knows what stands on the log now.
     """
@@ -48,6 +49,7 @@
     rng: random.Random
     is_inner: Callable[[str], bool]
     note_called: Callable[[str], None]
+    note_client: Callable[[str], None]
     lineage: Lineage
     is_current: Callable[[], bool]
     quotas: QuotaTaker
@@ -103,7 +105,10 @@
         self, exchange: Exchange, head: RequestHead, route: Route, team: Team | None
     ) -> None:
         """Begin a request unless what it leads to is short of room."""
-        self.note_called(route.name)
+        if team is None:
+            self.note_called(route.name)
+        else:
+            self.note_client(route.name)
         deadline_s = self._find_deadline(exchange, head, route)
         made = None
         # calls of servers have no key
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import math
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -17,7 +18,7 @@
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Collection
 
     from eelgrassmount.relay.backend import BackendPool, Sending
     from eelgrassmount.relay.budget import RetryBudget
@@ -28,8 +29,12 @@
     from eelgrassmount.relay.server import LocalServer
     from eelgrassmount.retry.quarantine import Quarantine
 
+CallLater = Callable[[float, Callable[[], None]], object]
 # a server that has less time than this left is not begun with
 MIN_REMAINING_S = 0.005
+# a call that waits so shortly before its deadline is refused: two hops take a few
+# milliseconds
+EXPIRY_MARGIN_S = 0.012
 # past its deadline, a call that has no answer is given up after so long
 OVERDUE_S = 0.3
 # connections that break so shortly before the server refuses new ones were cut
@@ -97,6 +102,7 @@
     claim_loss: Callable[[Job], bool] = lambda job: False
     on_crash: Callable[[ServerIncarnation, list[Job]], None] = lambda ended, jobs: None
     on_change: Callable[[], None] = lambda: None
+    call_later: CallLater = lambda delay_s, action: None
     queued: int = 0
     measures: RunMeasures = field(factory=RunMeasures)
     running: set[Job] = field(factory=set)
@@ -143,6 +149,20 @@
         due_s = now_s + slack_s * find_patience(job.call.origin)
         heapq.heappush(self._queue, (due_s, next(self._numbers), job))
         self._count_waiting(job, 1)
+        left_s = job.call.deadline_s - now_s - EXPIRY_MARGIN_S
+        self.call_later(max(0.0, left_s), lambda: self._expire(job))
+
+    def _expire(self, job: Job) -> None:
+        """Refuse a job that still waits shortly before its deadline.
+
+        Whoever waits for it can then say truly that it has not run, which lets clients
+        come back also with what must not run twice.
+        """
+        if job.ended or job.sending is not None or job in self.running:
+            return
+        self._integrate(self.clock())
+        self._count_waiting(job, -1)
+        self._refuse(job, Reason.DEADLINE)
 
     def _charge(self, call: Call) -> bool:
         """Take a repeat out of the retry budget; tell whether it holds one.
--- a/eelgrassmount/relay/learning.py
+++ b/eelgrassmount/relay/learning.py
@@ -19,6 +19,8 @@
 # for so long after its start, a node goes by what others have learned or kept, if
 # there is any: from the calls of its first second, routes seemed to call nothing
 LEARNING_S = 4.0
+# runs of all nodes together after which a route that was seen to call none makes none
+SETTLED_RUNS = 200.0
 
 
 def count_calls(beliefs: Beliefs) -> None:
@@ -74,6 +76,9 @@
     learned = [beliefs.own_vectors]
     learned += [one.load.vectors for one in beliefs.members.by_name.values()]
     outlook = beliefs.outlook
+    beliefs.graph.settled |= {
+        name for name, runs in outlook.runs.items() if runs >= SETTLED_RUNS
+    }
     merged = pool_vectors(outlook.runs, outlook.calls)
     merged.update(merge_vectors(learned))
     for name, calls in merged.items():
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -39,6 +39,10 @@
 REPEAT_ROOM_S = 0.02
 
 
+# reasons for which no other node would take a call either
+_FINAL = (Reason.QUARANTINED, Reason.DEADLINE)
+
+
 @define(eq=False)
 class Sending:
     """One sending of a request, to a server beside this node or elsewhere."""
@@ -243,7 +247,7 @@
         if reply.reason is Reason.SERVER_SHED:
             self._note_rejection(flow, member)
             return
-        if flow.refusals >= MAX_REFUSALS or reply.reason is Reason.QUARANTINED:
+        if flow.refusals >= MAX_REFUSALS or reply.reason in _FINAL:
             self._give_up(flow)
             return
         self.metrics.count_retry(reply.reason)
--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -39,6 +39,7 @@
 # counts go along with each question while a service is short or calls are not known,
 # and else so seldom: with each, 30 nodes sent and heard 80 kB a second instead of 34
 CALM_PERIOD_S = 3.0
+LEARNING_PERIOD_S = 0.25
 # a reader that was silent is asked again after so long
 RETRY_SILENT_S = 3.0
 # without a word of any reader, a node reads by itself: soon after its start, and else
@@ -233,7 +234,7 @@
             self._connect(name, now_s)
             subscription.waiting_s = min(subscription.waiting_s, now_s)
             subscription.sent_s = -math.inf
-        elif now_s - subscription.sent_s >= PERIOD_S:
+        elif now_s - subscription.sent_s >= self._find_period():
             self._send_request(member, subscription, now_s)
 
     def _send_request(
@@ -255,12 +256,22 @@
         subscription.waiting_s = min(subscription.waiting_s, now_s)
         member.link.send(FrameKind.SUBSCRIBE, request)
 
+    def _find_period(self) -> float:
+        """Return the seconds between two questions.
+
+        While requests come and no calls are known, counts are worth more than bytes: in
+        a surge, all that is begun meanwhile may be lost.
+        """
+        beliefs = self.beliefs
+        learning = beliefs.called_before and not beliefs.graph.is_mature()
+        return LEARNING_PERIOD_S if learning else PERIOD_S
+
     def _find_count_period(self) -> float:
         """Return the seconds between two exchanges of counts."""
         beliefs = self.beliefs
         known = beliefs.graph.is_mature()
         short = any(control.level < 1.0 for control in beliefs.levels.values())
-        return PERIOD_S if short or not known else CALM_PERIOD_S
+        return self._find_period() if short or not known else CALM_PERIOD_S
 
     def note_linked(self, member: Member) -> None:
         """Ask a reader at once whose link has come up."""
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from eelgrassmount.policy.piles import Demand
 from eelgrassmount.relay.admission import (
@@ -14,7 +15,7 @@
     CallGraph,
 )
 from eelgrassmount.relay.routes import Route, RouteTable
-from eelgrassmount.teams.directory import Team
+from eelgrassmount.teams.directory import Team, TeamDirectory
 from tests.relay.samples import make_route, make_table
 
 BOOK = make_route("shop/book/", ("desk",), idempotent=False, priority=0)
@@ -288,3 +289,41 @@
     graph.put(BOOK.name, {"shop/part/": 2.0, PRICE.name: 1.0, "shop/gone/": 1.0})
     assert graph.find_call_limit(BOOK.name, table) == 0.7
     assert graph.find_call_limit(PRICE.name, table) == math.inf
+
+
+def make_keyed_table() -> RouteTable:
+    keyed = [evolve(route, needs_key=True) for route in (BOOK, STATUS, PRICE)]
+    table = make_table(*keyed, PART)
+    table.teams = TeamDirectory.build([])
+    return table
+
+
+def offer_unknown(table: RouteTable) -> Admission:
+    admission = Admission(CallGraph(), lambda name: 0.5 if name == "proof" else 1.0)
+    for route, count in ((BOOK, 20), (STATUS, 10), (PRICE, 20)):
+        for _ in range(count):
+            admission.allows(demand(route))
+    admission.update(table)
+    return admission
+
+
+# In the first seconds of a surge no calls were known: a thousand bookings were begun
+# and lost at the scarce service while price lists were admitted that lead there too.
+def test_least_urgent_requests_are_cut_before_calls_are_known():
+    shares = offer_unknown(make_keyed_table()).shares
+    assert shares[demand(BOOK)] == 1.0
+    assert shares[demand(STATUS)] == pytest.approx(0.5)
+    assert shares[demand(PRICE)] == 0.0
+
+
+def test_route_that_is_known_to_make_no_calls_is_left_alone():
+    table = make_keyed_table()
+    admission = offer_unknown(table)
+    admission.graph.settled.add(PRICE.name)
+    admission.update(table)
+    assert demand(PRICE) not in admission.shares
+
+
+def test_without_keys_calls_can_not_be_told_from_requests():
+    table = make_table(BOOK, STATUS, PRICE, PART)
+    assert offer_unknown(table).shares == {}
--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -575,3 +575,37 @@
         setup.answer()
     setup.offer()
     assert read_given_ms(setup) > 1900
+
+
+# A request that waited at another node to its end was answered 504, which promises
+# nothing: clients could not send again what must not run twice.
+def test_call_that_waits_to_its_deadline_is_refused_as_not_run():
+    setup = Setup(slots=1)
+    timers = []
+    setup.gate.call_later = lambda delay_s, action: timers.append((delay_s, action))
+    setup.offer()
+    waiting = setup.offer(deadline_s=setup.now_s + 0.1)
+    (delay_s, expire) = timers[0]
+    assert 0.08 < delay_s < 0.1
+    setup.now_s += delay_s
+    expire()
+    (reply,) = setup.replies
+    assert (reply.fate, reply.reason) == (Fate.NOT_RUN, Reason.DEADLINE)
+    assert waiting.ended
+    assert setup.gate.queued == 0
+    # it is passed over, and does not run, once there is room
+    setup.answer()
+    assert len(setup.pool.sent) == 1
+
+
+def test_call_that_has_started_goes_on_to_its_deadline():
+    setup = Setup(slots=1)
+    timers = []
+    setup.gate.call_later = lambda delay_s, action: timers.append(action)
+    setup.offer()
+    setup.offer(deadline_s=setup.now_s + 0.1)
+    setup.answer()
+    timers[0]()
+    assert len(setup.replies) == 1
+    setup.answer()
+    assert setup.replies[-1].fate is Fate.ANSWERED
--- a/tests/relay/test_learning.py
+++ b/tests/relay/test_learning.py
@@ -9,7 +9,12 @@
 from eelgrassmount.relay.beliefs import Beliefs
 from eelgrassmount.relay.controllers import Controllers
 from eelgrassmount.relay.frames import FrameKind
-from eelgrassmount.relay.learning import LEARNING_S, apply_vectors, count_calls
+from eelgrassmount.relay.learning import (
+    LEARNING_S,
+    SETTLED_RUNS,
+    apply_vectors,
+    count_calls,
+)
 from eelgrassmount.relay.levels import ServiceLevels
 from eelgrassmount.relay.links import MAX_LINKS, LinkKeeper
 from eelgrassmount.relay.measures import RunMeasures
@@ -278,3 +283,20 @@
     member.load.reported_s = 10.0
     ServiceLevels(beliefs).update()
     assert beliefs.unreachable == set()
+
+
+def test_requests_with_keys_are_those_of_clients_from_the_first_on():
+    beliefs = make_beliefs([1.0])
+    beliefs.learner.begin("shop/part/")
+    beliefs.note_client("shop/book/")
+    assert "shop/book/" in beliefs.client_routes
+    assert beliefs.called == {"shop/book/": 1}
+    # they are taken for no calls of what runs here
+    assert not beliefs.learner._calls
+
+
+def test_route_that_ran_often_and_called_nothing_is_settled():
+    beliefs = make_beliefs([1.0])
+    beliefs.outlook.runs = {"shop/book/": SETTLED_RUNS, "shop/part/": SETTLED_RUNS - 1}
+    apply_vectors(beliefs)
+    assert beliefs.graph.settled == {"shop/book/"}
--- a/tests/topics/test_readers.py
+++ b/tests/topics/test_readers.py
@@ -14,6 +14,7 @@
 from eelgrassmount.relay.tallies import Tally
 from eelgrassmount.topics.readers import (
     CALM_PERIOD_S,
+    LEARNING_PERIOD_S,
     LOST_S,
     PERIOD_S,
     READ_ON_S,
@@ -347,3 +348,15 @@
         assert far == len(DOMAINS) * (len(DOMAINS) - 1)
 
     play(scenario)
+
+
+def test_counts_go_round_quickly_while_requests_come_and_no_calls_are_known():
+    async def scenario(fleet: Fleet) -> None:
+        readers = fleet.vms[0].node.readers
+        assert readers._find_period() == PERIOD_S
+        readers.beliefs.called_before["shop.example/list/"] = 3.0
+        assert readers._find_period() == LEARNING_PERIOD_S
+        readers.beliefs.graph.put("shop.example/list/", {"shop.example/part/": 1.0})
+        assert readers._find_period() == PERIOD_S
+
+    play(scenario, nodes=2)
