--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -45,8 +45,8 @@
     from eelgrassmount.relay.settings import RelaySettings
 
 INCARNATION_BYTES = 6
-# divides the periods of a node's timers: what is due at nearly the same time is done
-# on one wake-up, of which there are 12 a second instead of 20
+# divides the periods of a node's timers: what is due at nearly the same time is done on
+# one wake-up, which saves processor time
 TIMER_GRID_S = 0.05
 
 
--- a/eelgrassmount/policy/forecast.py
+++ b/eelgrassmount/policy/forecast.py
@@ -2,8 +2,8 @@
 
 The load that this answers: servers of the scarcest service leave while demand surges.
 Most requests that are begun then end at their first call there, so that the calls they
-would still have made never come. By what arrives, demand seemed a quarter of what was
-offered, and for ten seconds hardly a request was finished that made eight such calls.
+would still have made never come. By what arrives, demand then seems a small part of
+what is offered, and hardly a request with many such calls is finished.
 """
 
 from __future__ import annotations
@@ -17,8 +17,7 @@
 
 # demand that arrives, from which on a forecast is gone by, and from which on it counts
 # whole. A service that is less busy has room whatever was foreseen: calls per run are
-# learned and may be wrong, and a forecast that is too high by half must not keep a
-# service idle
+# learned and may be wrong, and a forecast that is too high must not keep it idle
 LEAST_BUSY = 0.6
 FULLY_BUSY = 0.9
 
--- a/eelgrassmount/policy/levels.py
+++ b/eelgrassmount/policy/levels.py
@@ -19,9 +19,8 @@
 # calls wait longer than allowed
 TARGET_DEMAND = 0.97
 TARGET_WITH_WAIT = 0.87
-# demand that waits above the allowed stand for, whatever was counted: servers that
-# slow down make the count too small, and with 0.73 counted at 1.5 times the allowed
-# wait the level rose to 1 while four in ten bookings failed
+# demand that waits above the allowed stand for, whatever was counted: servers that slow
+# down make the count too small, and the level would rise while requests fail
 LEAST_BY_WAIT = 0.95
 BY_WAIT = 0.05
 MOST_BY_WAIT = 1.1
@@ -29,8 +28,8 @@
 # less demand than this says nothing about how much was offered
 MIN_DEMAND = 0.02
 STEP_S = 0.2
-# what was admitted shows in the demand after 0.4 to 1.6 s: calls follow each other for
-# about a second, and the mean of the demand is 0.4 s old
+# steps after which what was admitted shows in the demand: calls follow each other for
+# about a second, and the mean of the demand is some steps old
 NEWEST_STEP = 2
 OLDEST_STEP = 8
 # part of the way to the level sought that one step takes: with all of it, the level
--- a/eelgrassmount/policy/placement.py
+++ b/eelgrassmount/policy/placement.py
@@ -11,8 +11,7 @@
 # of a usual size: bytes between failure domains cost more than a few milliseconds
 FAR_SHARE = 0.12
 # bytes of a call with its answer for which this holds, and by how much it is less or
-# more for others. Uploads of 60 kB for which a server took 0.37 s instead of 0.16 s
-# went to the faster one in another failure domain, and were most of the bytes there
+# more for others, so that long bodies stay where they are
 USUAL_BYTES = 4000.0
 LEAST_TIMES = 0.5
 MOST_TIMES = 6.0
--- a/eelgrassmount/policy/queues.py
+++ b/eelgrassmount/policy/queues.py
@@ -14,9 +14,8 @@
     from eelgrassmount.relay.messages import Origin
 
 # part of its slack after which a call is due, for the first priority, and more for each
-# further one. The step is small: with 0.5 for the first and 0.5 more for each, urgent
-# requests were served 0.91 instead of 0.84, but the least urgent ones 0.60 instead of
-# 0.79 (mean worth of 4 plays 0.520 instead of 0.552), as they were begun and lost
+# further one. The step is small, so that what was begun of the least urgent requests is
+# still finished
 FIRST_PATIENCE = 0.8
 PATIENCE_STEP = 0.15
 MAX_PATIENCE = 2.0
@@ -85,9 +84,8 @@
     """Return the seconds within which a call should start.
 
     They lie between its objective and what its request leaves it: by the first alone,
-    one booking in three failed by its time-out, by the second status checks that take
-    36 ms had a median of 80 ms. A run that takes long has to start the sooner: of
-    requests with 0.6 s for a run of 0.2 s, 32 in 100 were late, and 18 since.
+    requests with many calls fail by their time-out, by the second short requests wait
+    behind them. A run that takes long has to start the sooner.
 
         >>> find_slack(0.6, allowance_s=0.6, run_s=0.3)
         0.3
--- a/eelgrassmount/policy/readers.py
+++ b/eelgrassmount/policy/readers.py
@@ -1,10 +1,9 @@
 """Which nodes read the log for the others of their failure domain.
 
 The load that this answers: each record of the log wakes all that wait for it. When
-every node reads the log itself, its calls are nodes times events: 195 nodes made 34
-calls each in 37 s. A failure domain that is cut off needs readers of its own, and a
-reader that fails has to be replaced by what each node sees for itself, without an
-election.
+every node reads the log itself, its calls are nodes times events. A failure domain that
+is cut off needs readers of its own, and a reader that fails has to be replaced by what
+each node sees for itself, without an election.
 """
 
 from __future__ import annotations
@@ -18,8 +17,8 @@
 
 # readers that a node listens to: with two, the loss of one goes unnoticed
 LISTENED = 2
-# nodes of a failure domain for which there is one reader: each listens to two, so that
-# a reader answers 64 nodes, which takes it 3 ms of processor time a second
+# nodes of a failure domain for which there is one reader, so that it answers twice as
+# many, which takes it little of its processor time
 NODES_PER_READER = 32
 
 
--- a/eelgrassmount/policy/repeats.py
+++ b/eelgrassmount/policy/repeats.py
@@ -19,18 +19,15 @@
 SLACK_SHARE = 0.4
 # part of the repeats for now that is kept, for each run that a request still needs, for
 # requests that need fewer, and for requests of the first priority: one that needs one
-# more run is finished by one repeat, one that needs eight hardly ever. With 45 in 100
-# calls accepted and eight urgent calls a request in a simulation (8.5 s, 47 and 79
-# requests a second of eight and four calls), urgent requests are finished 17 in 100
-# times, without order 12 and without repeats none
+# more run is finished by one repeat, one that needs many hardly ever
 KEPT_PER_RUN = 0.03
 KEPT_FOR_FIRST = 0.15
 MAX_KEPT = 0.8
 
 
 # part of the repeats of a window that may be sent at once, beside the slack, and the
-# part that is earned over a window. Where servers reject for 8 s, all repeats of a
-# window were used up in the first 1.5 s, and what was begun later was lost
+# part that is earned over a window: where servers reject for seconds, the repeats of a
+# window would else be used up in its first moments, and what begins later be lost
 BURST_PART = 0.3
 EARNED_PART = 0.8
 # share of failed runs from which on, at the best server of a service, its calls fail
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -17,12 +17,12 @@
 
     from eelgrassmount.relay.routes import Route, RouteTable
 
-# what was offered fades with this factor at each step: half is gone in 1.3 s
+# what was offered fades with this factor at each step
 OFFERED_FADE = 0.9
 # routes with fewer requests are left out
 MIN_OFFERED = 0.5
-# weight of the latest step in the requests a second of a route, so that their mean is
-# 0.6 s old; a rate that has faded to the least is none
+# weight of the latest step in the requests a second of a route; a rate that has faded
+# to the least is none
 RATE_WEIGHT = 0.3
 LEAST_RATE = 0.01
 # how deep chains of calls are followed
@@ -155,8 +155,7 @@
         """Return the runs by route of a request, with its chain followed so deep.
 
         Routes lead to the same others: what each adds at a depth is found once for
-        all. Followed from each route anew, 350 routes of which half call four of
-        one another took 155 ms each second, and 1,000 took 1.1 s.
+        all, as many routes that call one another would else take too long.
         """
         known = self._steps.get((route.name, depth))
         if known is not None:
--- a/eelgrassmount/relay/asked.py
+++ b/eelgrassmount/relay/asked.py
@@ -9,14 +9,13 @@
 
     from eelgrassmount.relay.tallies import ServiceCounts
 
-# counts of calls fade with this factor at each interval: half is gone in 6 s
+# counts of calls fade with this factor at each interval
 COUNT_FADE = 0.972
 # count below which a route that has left the configuration is forgotten: it decides
 # nothing, the least that does is CLIENT_SHARE of MIN_CALLS
 LEAST_COUNT = 0.01
 # calls on the VMs of a service, below which a route is not judged by being missing
-# there: at 15, one of clients is missing by chance less than once in a million. On 195
-# nodes, with few requests each, no VM alone would ever have as many
+# there: with as many, one of clients is missing by chance less than once in a million
 MIN_CALLS = 15.0
 # on the VMs of some service, a route that clients use is asked for at least at
 # this part of its highest count on those of any
--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -23,8 +23,7 @@
 # taken off the server's own limit, since its clock started before ours
 IDLE_MARGIN_S = 1.0
 # work that must not run twice doesn't go out on a connection that was idle for
-# longer: when the server has dropped it, nobody could tell whether it ran; servers
-# that forget connections do so after 0.3 s
+# longer: when the server has dropped it, nobody could tell whether it ran
 FRESH_IDLE_S = 0.25
 # a connection that was idle for at least this long and breaks so soon after the next
 # request was forgotten by the server, and not cut by its crash
@@ -32,7 +31,7 @@
 FORGOTTEN_WITHIN_S = 0.05
 # part of that idle time which connections are trusted for from then on
 TRUSTED_SHARE = 0.6
-# growth of this trust at each sweep: from 0.1 s to the usual 4 s within 40 s
+# growth of this trust at each sweep
 TRUST_GROWTH = 1.1
 
 
--- a/eelgrassmount/relay/budget.py
+++ b/eelgrassmount/relay/budget.py
@@ -27,8 +27,7 @@
 # a window is compared with requests of this many windows back, in steps of a half one
 WINDOWS = 2
 # part of the requests of an earlier window that a node counts: the windows with most
-# differ from node to node, so that the sum over all nodes was above that of any window,
-# by 1 in 200 where load moves between ten nodes
+# differ from node to node, so that the sum over all nodes may be above that of any
 EARLIER_WEIGHT = 0.7
 
 
--- a/eelgrassmount/relay/controllers.py
+++ b/eelgrassmount/relay/controllers.py
@@ -25,12 +25,11 @@
 MAX_ROWS = 200
 # the rows go along with the reports of every so many steps
 ROWS_PERIOD = 5
-# reports that one step sends at most on average: with more callers, not every step
-# has one. 76 nodes that all reported to 64 at each step would send 1.5 million reports
-# in a minute
+# reports that one step sends at most on average: with more callers, not every step has
+# one, as reports would else grow with the square of the nodes
 REPORTS_PER_STEP = 16
 # the same while the own server is short: those who send it nothing themselves are told
-# as well, since their requests lead to it through others. 76 nodes are told each 0.4 s
+# as well, since their requests lead to it through others
 REPORTS_PER_STEP_LOADED = 40
 # demand and wait, as parts of what is possible and allowed, from which on they are told
 LOADED_DEMAND = 0.7
--- a/eelgrassmount/relay/estimates.py
+++ b/eelgrassmount/relay/estimates.py
@@ -13,13 +13,14 @@
 
 # steps of the first estimate; it changes little after that
 STEPS = 25
-# steps of each further one, which begins with the one before: with 4, routes taken for
-# callers that weren't were 8 of 960, else 2
+# steps of each further one, which begins with the one before: with fewer, more routes
+# are taken for callers that aren't
 FURTHER_STEPS = 5
 # power of the correction in all steps but the last, which nears the same rates in half
-# as many steps: with 1, 19 routes of 960 were taken for callers that weren't, else 2
+# as many steps
 RELAXATION = 1.8
-# terms that the steps of a first estimate go through, if there are so many: 15 ms
+# terms that the steps of a first estimate go through, if there are so many, so that the
+# node goes on answering meanwhile
 FIRST_TERMS = 100_000
 # a rate begins with at least this part of the mean, since none comes back from zero
 LEAST_START = 0.05
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -75,8 +75,8 @@
 # used for all structs, one after the other: to make one takes longer than to encode
 _PROTOCOL = TBinaryProtocolAccelerated(
     TMemoryBuffer(),
-    # a body may be as long as a frame; by the library's own limit, a longer one than
-    # 16 MB was taken for a bad frame and the link dropped
+    # a body may be as long as a frame; by the library's own limit, a longer one would
+    # be taken for a bad frame and the link dropped
     string_length_limit=MAX_FRAME_BYTES,
     container_length_limit=MAX_ENTRIES,
 )
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -167,7 +167,7 @@
     def _charge(self, call: Call) -> bool:
         """Take a repeat out of the retry budget; tell whether it holds one.
 
-        It is held here, where the calls of all nodes come together: of 195 nodes, each
+        It is held here, where the calls of all nodes come together: of many nodes, each
         has so few requests of a route that its part of a budget is less than a repeat.
         """
         if call.again:
--- a/eelgrassmount/relay/levels.py
+++ b/eelgrassmount/relay/levels.py
@@ -85,9 +85,8 @@
     def _note_reach(self, service: str, members: Collection[Member]) -> None:
         """Note whether any server of a service can be sent a call from here.
 
-        What leads to one that can't is refused while it has not run: with the last
-        server of the deepest service in a failure domain that was cut off, three in ten
-        requests were begun for six seconds, and lost.
+        What leads to one that can't is refused while it has not run, also where the
+        last server of the deepest service is in a failure domain that is cut off.
         """
         beliefs = self.beliefs
         now_s = beliefs.clock()
@@ -137,7 +136,7 @@
         """Ask the nodes of a short service that no longer report to this one.
 
         A node that refuses all that leads there sends it no calls, gets no reports
-        in turn, and would refuse for good: one did for 15 s after the shortage.
+        in turn, and would refuse for good.
         """
         for member in members:
             if member.is_connected() and member.load.reported_s <= oldest_s:
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -31,22 +31,21 @@
 CONNECT_LOOK_S = CONNECT_LIMIT_S / CONNECT_LOOKS
 # a link with open calls is asked for a sign of life after so long, gets no further
 # calls when it stays silent, and in the end a second connection shows whether the node
-# still lives: one without power kept calls with an objective of 0.2 s for 0.8 s before
+# still lives, so that a VM without power keeps no call for long
 PING_AFTER_S = 0.15
 SUSPECT_AFTER_S = 0.3
 SILENCE_LIMIT_S = 0.5
 # a node that goes on after a pause reads both connections within milliseconds; calls
 # move only if the first stays silent for this long after a word on the second
 MOVE_AFTER_S = 0.1
-# looks come 0.1 s apart: after a longer pause of this node, the others have had no
-# chance to be heard. Over half of the lines about silence came from nodes that stood
-# still themselves
+# after a longer pause between looks this node has stood still itself, and the others
+# have had no chance to be heard
 OWN_PAUSE_S = 0.25
-# calls are asked for again over new connections at most so often: with two, a reset of
-# both connections used up all, and reads were given up while a server was at work
+# calls are asked for again over new connections at most so often: a reset of several
+# connections in a row must not give up reads while a server is at work
 MAX_RESUMES = 5
-# a node that stands still each second is told of once in this time: twelve others
-# wrote 31 to 45 lines a second together
+# a node that stands still again and again is told of once in this time, since many
+# others tell of it
 SILENT_LINE_S = 5.0
 
 
--- a/eelgrassmount/relay/measures.py
+++ b/eelgrassmount/relay/measures.py
@@ -94,8 +94,8 @@
     def count_lost(self) -> None:
         """Take up a run that failed as a call of its did, which is not the server's.
 
-        Taken for failures of the servers, those of the scarcest service made the ones
-        above it seem short: bookings were cut to a sixth for 16 s after it was over.
+        Taken for failures of the servers, those of the scarcest service would make the
+        ones above it seem short, long after they are over.
         """
         self.lost_share += SAMPLE_WEIGHT * (1.0 - self.lost_share)
 
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -14,7 +14,7 @@
 # a node that can't be reached is tried again after so long, doubled each time
 RETRY_BASE_S = 0.25
 RETRY_LIMIT_S = 3.0
-# nodes that are known at most: an installation has 300, and a thousand in tests of size
+# nodes that are known at most
 MAX_MEMBERS = 10_000
 # a report that is older says nothing about the load of now
 REPORT_LIMIT_S = 1.5
--- a/eelgrassmount/relay/news.py
+++ b/eelgrassmount/relay/news.py
@@ -26,8 +26,7 @@
     from eelgrassmount.topics.readers import LogReaders
 
 
-# a node that was asked for a configuration and does not send it is given so long: one
-# with a thousand routes takes some 50 ms to be sent
+# a node that was asked for a configuration and does not send it is given so long
 ASK_AGAIN_S = 0.3
 
 
--- a/eelgrassmount/relay/routes.py
+++ b/eelgrassmount/relay/routes.py
@@ -113,7 +113,7 @@
         found = self._by_host.get(host)
         if found is None:
             return None
-        # of 40 routes of a host, the prefixes have a few lengths only
+        # of many routes of a host, the prefixes have a few lengths only
         for length in self._lengths[host]:
             route = found.get(path[:length])
             if route is not None:
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -32,8 +32,8 @@
 # gates that may refuse a call as the retry budget holds no repeat: each holds a part,
 # and where the one that was chosen first has none left, the next mostly has
 MAX_BUDGET_REFUSALS = 2
-# times that servers may reject a call, which then has not run: of servers that reject
-# 55 in 100, fewer than 1 in 100 calls is rejected so often
+# times that servers may reject a call, which then has not run: where half of all calls
+# are rejected, hardly one is so often
 MAX_REJECTIONS = 8
 # time that a call must have left to be sent again
 REPEAT_ROOM_S = 0.02
@@ -269,8 +269,8 @@
         """Send a call again that its server has read and not run, if it may be.
 
         The most servers that one request may be sent to holds, but those that have
-        rejected it may be asked again: while all reject half of their calls, 2 in 100
-        requests with eight calls were finished with two sendings each, with more 14.
+        rejected it may be asked again: while all reject many of their calls, a request
+        with several would else hardly ever be finished.
         """
         flow.rejections += 1
         flow.reached.add(member.name)
--- a/eelgrassmount/relay/stalls.py
+++ b/eelgrassmount/relay/stalls.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# other nodes send no more calls to one that is silent for 0.3 s: a line before that
-# comes in time to explain it
+# other nodes soon send no more calls to one that is silent: a line before that comes in
+# time to explain it
 STALL_S = 0.2
 # lines are at least so far apart; the counter has all stalls
 LINE_S = 1.0
--- a/eelgrassmount/relay/tallies.py
+++ b/eelgrassmount/relay/tallies.py
@@ -1,8 +1,8 @@
 """What nodes count of requests, runs and calls, added up over many nodes.
 
 On a large fleet, each node has so few requests of a route that its own counts say
-little: in a surge, 195 nodes that judged by their own last second admitted 23 in 100
-more work than there was room for, and learned for 25 s what a booking leads to.
+little: nodes that judged by their own last second would admit too much in a surge, and
+learn too late what a request leads to.
 """
 
 from __future__ import annotations
--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -32,8 +32,8 @@
 MIN_SIGNIFICANCE = 4.0
 # runs that a route must have had before its vector is believed
 MIN_RUNS = 20.0
-# routes that are told apart: a solution takes time with their square. Each server runs
-# four routes or fewer in the deployments that were measured
+# routes that are told apart: a solution takes time with their square, and a server runs
+# few
 MAX_PLACES = 16
 # fading runs with which a route is told apart from then on, and below which no longer:
 # a route with a third of MIN_RUNS may still make calls that others would be blamed for
@@ -41,11 +41,11 @@
 LEAVE_RUNS = 2.0
 # of more routes, one has to have so many times the runs of another to take its place
 DISPLACING_TIMES = 2.0
-# states that are told apart, the most frequent ones: calls a run of eight routes are
-# wrong by 0.22 on the mean, with 750 by 0.25, with 1500 by 0.18 at half more time
+# states that are told apart, the most frequent ones: more of them make calls per run
+# more exact, and take time
 MAX_STATES = 1000
-# called routes are looked at until so many terms were gone through, 6.5 ms; the
-# next have their turn after the node has answered others
+# called routes are looked at until so many terms were gone through; the next have their
+# turn after the node has answered others
 MAX_TERMS = 4000
 # fading runs or calls that are as good as none
 FORGET_COUNT = 0.5
@@ -345,8 +345,8 @@
 ) -> dict[str, dict[str, float]]:
     """Return the calls per run from the runs and calls of many nodes together.
 
-    It knows a route after some runs anywhere: on 195 nodes, no server had the runs of a
-    booking that it would be judged by alone within 25 s.
+    It knows a route after some runs anywhere: on a large fleet, no server soon has the
+    runs of a route that it would be judged by alone.
     """
     vectors: dict[str, dict[str, float]] = {
         name: {} for name, count in runs.items() if count >= MIN_RUNS
--- a/eelgrassmount/timers.py
+++ b/eelgrassmount/timers.py
@@ -18,8 +18,7 @@
 
 
 # an event loop's clock counts whole milliseconds, and a wait that ends between two is
-# looked at anew, without a pause, until it has ended: 4,900 times a second in a node
-# under load
+# looked at anew, without a pause, until it has ended
 LOOP_TICK_S = 0.001
 # taken off a wait of whole ticks, so that its end is not missed by a rounding error
 TICK_MARGIN_S = LOOP_TICK_S / 100
@@ -78,7 +77,7 @@
     """Return the name of an action.
 
     Its representation will not do: that of a method holds the state of its object,
-    and to write out a node's took 3 s of processor time each second.
+    which takes long to write out.
     """
     return getattr(action, "__qualname__", type(action).__name__)
 
--- a/eelgrassmount/topics/learned.py
+++ b/eelgrassmount/topics/learned.py
@@ -31,9 +31,9 @@
     """Decides when the calls of routes are written, and takes up what was.
 
     After a restart of everything, no node has runs to learn from, and nobody to ask:
-    for two seconds requests were admitted and routed as if none led to others. Any of
-    the nodes that ``count_writers`` counts may write, by a chance that makes it one a
-    second among all.
+    requests would be admitted and routed as if none led to others. Any of the nodes
+    that ``count_writers`` counts may write, by a chance that makes it one a second
+    among all.
     """
 
     beliefs: Beliefs
--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -32,13 +32,14 @@
     from eelgrassmount.topics.follower import TopicFollower
 
 # a node asks its readers so often, and one that has not answered for as long is
-# replaced. Together with the first read of the one that takes its place, that is below
-# the 2 s in which a configuration has to be in force
+# replaced. Together with the first read of the one that takes its place, that is less
+# than a configuration may take to be in force
 PERIOD_S = 0.75
 SILENT_S = 0.75
 # counts go along with each question while a service is short or calls are not known,
-# and else so seldom: with each, 30 nodes sent and heard 80 kB a second instead of 34
+# and else so seldom, since they are most of what is said
 CALM_PERIOD_S = 3.0
+# while requests come and no calls are known, it asks so often
 LEARNING_PERIOD_S = 0.25
 # a reader that was silent is asked again after so long
 RETRY_SILENT_S = 3.0
@@ -47,8 +48,8 @@
 START_WAIT_S = 0.4
 ALONE_S = 1.2
 # where readers live but can't read the log, it is mostly away for all: a node tries by
-# itself only after this time, drawn anew each time, and then seldom. While every node
-# tried, 76 made 2,859 calls on a day with an outage of 9 s for a third of them; now 833
+# itself only after this time, drawn anew each time, and then seldom, so that an outage
+# doesn't make every node call
 LOST_S = (3.0, 6.0)
 LOST_RETRY_LIMIT_S = 8.0
 READER_RETRY_LIMIT_S = 1.5
--- a/tests/model/catalogue.py
+++ b/tests/model/catalogue.py
@@ -4,5 +4,6 @@
 
 from tests.model.cases import CASES
 from tests.model.keys_cases import KEYS_CASES
+from tests.model.quotas_cases import QUOTAS_CASES
 
-ALL_CASES = (*CASES, *KEYS_CASES)
+ALL_CASES = (*CASES, *KEYS_CASES, *QUOTAS_CASES)
--- a/tests/teams/fleet.py
+++ b/tests/teams/fleet.py
@@ -280,8 +280,12 @@
     names: list[str],
     rate: Callable[[float], float],
     until_s: float,
+    take: Callable[[str, Team], None] | None = None,
 ) -> None:
-    """Send requests at random times to some nodes, at a rate that changes."""
+    """Send requests at random times to some nodes, at a rate that changes.
+
+    ``take`` stands in for the nodes.
+    """
     loop = asyncio.get_running_loop()
     begun_s = loop.time()
     while loop.time() - begun_s < until_s:
@@ -290,7 +294,12 @@
             await asyncio.sleep(0.05)
             continue
         await asyncio.sleep(fleet.rng.expovariate(now))
-        fleet.nodes[fleet.rng.choice(names)].take(fleet.find_team(team_name))
+        name = fleet.rng.choice(names)
+        team = fleet.find_team(team_name)
+        if take is None:
+            fleet.nodes[name].take(team)
+        else:
+            take(name, team)
 
 
 def play(
