--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -28,6 +28,7 @@
     *("in_flight", "queued", "limit", "failure_share", "age_s"),
 )
 _BUDGET_COLUMNS = ("service", "requests", "retries")
+_QUOTA_COLUMNS = ("team", "rate", "burst", "held_rate", "level", "asked_per_s")
 
 
 def status(admin: str = "", json: bool = False, relay: str = "") -> Action:
@@ -108,6 +109,10 @@
         f"load           demand {server['demand']}, wait {server['wait']}, failures "
         f"{server['failure_share']}",
     ]
+    teams = state["teams"]
+    if teams["teams"]:
+        holders = ", ".join(teams["holders"]) or "nobody"
+        lines.append(f"teams          {teams['teams']}, quotas held by {holders}")
     refused = state["refused"]
     if refused:
         counts = ", ".join(f"{count} {kind}" for kind, count in refused.items())
@@ -122,6 +127,9 @@
     for name, calls in state["vectors"].items():
         made = ", ".join(f"{count} {called}" for called, count in calls.items())
         lines.append(f"calls          {name}: {made or 'none'}")
+    if teams["held"]:
+        lines += ["", "parts of quotas held here, in requests (a second):"]
+        lines += format_table(_QUOTA_COLUMNS, teams["held"])
     lines += ["", "retry budget, requests and retries in the window:"]
     lines += format_table(_BUDGET_COLUMNS, state["budgets"])
     lines += ["", f"other nodes: {len(state['members'])}"]
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -147,6 +147,7 @@
         readers,
         settings.find_quota_bounds(),
         lambda member: links.open_link(member),
+        metrics.count_quota,
     )
     admission = Admission(
         graph,
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -32,6 +32,7 @@
     abandoned: Counter = field(init=False)
     connections: Counter = field(init=False)
     refused: Counter = field(init=False)
+    quotas: Counter = field(init=False)
     stalls: Counter = field(init=False)
     state: Gauge = field(init=False)
     levels: Gauge = field(init=False)
@@ -88,6 +89,12 @@
             ["kind"],
             registry=registry,
         )
+        self.quotas = Counter(
+            f"{PREFIX}_relay_quota_requests",
+            "Requests of quotas at this node as a holder, by what became of them.",
+            ["event"],
+            registry=registry,
+        )
         self.stalls = Counter(
             f"{PREFIX}_relay_stall_seconds",
             "Seconds for which the event loop stood still, in stalls over 0.2 s.",
@@ -147,6 +154,10 @@
         """Count messages that were not taken up."""
         self.refused.labels(kind).inc(messages)
 
+    def count_quota(self, event: str, requests: float) -> None:
+        """Count requests of a quota at this node as its holder."""
+        self.quotas.labels(event).inc(requests)
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self.registry)
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -35,6 +35,8 @@
 # times that servers may reject a call, which then has not run: where half of all calls
 # are rejected, hardly one is so often
 MAX_REJECTIONS = 8
+# status of a server's answer at the end of the time that it was given
+TIMED_OUT = 504
 # time that a call must have left to be sent again
 REPEAT_ROOM_S = 0.02
 
@@ -228,7 +230,9 @@
         flow.attempts += 1
         if reply.status >= 500:
             flow.may_have_run = True
-            if not self._is_in_vain(flow.call) and self._may_repeat(flow):
+            # a server that has used up the time it was given would do so again
+            hopeless = reply.status == TIMED_OUT or self._is_in_vain(flow.call)
+            if not hopeless and self._may_repeat(flow):
                 self._repeat(flow, member, f"status-{reply.status}")
             else:
                 self._give_up(flow)
--- a/eelgrassmount/relay/state.py
+++ b/eelgrassmount/relay/state.py
@@ -72,6 +72,31 @@
     retries: int
 
 
+@frozen
+class QuotaState:
+    """A node's part of a team's quota, in requests and requests a second.
+
+    Of the team's ``rate`` and ``burst`` it hands out ``held_rate`` and has ``level`` of
+    them now, below zero where it has handed out in advance; ``asked_per_s`` come to it.
+    """
+
+    team: str
+    rate: float
+    burst: float
+    held_rate: float
+    level: float
+    asked_per_s: float
+
+
+@frozen
+class TeamState:
+    """The teams of the configuration, and who holds their quotas for this node."""
+
+    teams: int
+    holders: list[str]
+    held: list[QuotaState]
+
+
 @frozen
 class ReaderState:
     """A node that this one hears the log from.
@@ -129,6 +154,7 @@
     lost_topics: list[str]
     log: LogState
     refused: dict[str, int]
+    teams: TeamState
     server: ServerState
     levels: dict[str, float]
     shares: list[ShareState]
@@ -159,6 +185,7 @@
         [one.topic for one in node.followers if not one.reachable],
         _read_log(node.readers, now_s),
         dict(node.refused.totals),
+        _read_teams(node, now_s),
         _read_server(node, now_s),
         {name: round(one.level, 3) for name, one in beliefs.levels.items()},
         [
@@ -202,6 +229,25 @@
     )
 
 
+def _read_teams(node: RelayNode, now_s: float) -> TeamState:
+    teams = node.beliefs.table.teams.teams
+    held = []
+    for name, one in sorted(node.quotas.holder.held.items()):
+        one.bucket.refill(now_s)
+        if name in teams and one.bucket.rate:
+            held.append(
+                QuotaState(
+                    name,
+                    teams[name].rate,
+                    teams[name].burst,
+                    round(one.bucket.rate, 2),
+                    round(one.bucket.level, 2),
+                    round(one.asked_per_s, 2),
+                )
+            )
+    return TeamState(len(teams), list(node.quotas.near), held)
+
+
 def _read_server(node: RelayNode, now_s: float) -> ServerState:
     server = node.beliefs.server
     gate = node.gate
--- a/eelgrassmount/teams/exchange.py
+++ b/eelgrassmount/teams/exchange.py
@@ -22,6 +22,7 @@
     from eelgrassmount.relay.beliefs import Beliefs
     from eelgrassmount.relay.members import Member
     from eelgrassmount.teams.directory import Team
+    from eelgrassmount.teams.holder import QuotaEvent
     from eelgrassmount.topics.readers import LogReaders
 
 # a node tells the holders of its failure domain so often that it lends them its part
@@ -49,6 +50,7 @@
     readers: LogReaders
     bounds: QuotaBounds
     open_link: Callable[[Member], None]
+    count: Callable[[QuotaEvent, float], None] = lambda event, requests: None
     taker: QuotaTaker = field(init=False)
     holder: QuotaHolder = field(init=False)
     near: tuple[str, ...] = ()
@@ -71,6 +73,7 @@
             self.list_lenders,
             self._borrow,
             self._tell_node,
+            self.count,
         )
 
     def step(self) -> None:
--- a/eelgrassmount/teams/holder.py
+++ b/eelgrassmount/teams/holder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -35,6 +36,15 @@
 RATE_S = 1.0
 
 
+class QuotaEvent(StrEnum):
+    """What became of requests of a quota at a holder."""
+
+    GRANTED = "granted"
+    REFUSED = "refused"
+    BORROWED = "borrowed"
+    LENT = "lent"
+
+
 @define(eq=False)
 class Ask:
     """A question of one node for requests of a team."""
@@ -105,7 +115,8 @@
     answer: whatever gets lost on the way, no request is handed out twice.
     ``list_lenders`` returns the holders of the other failure domains for a team,
     ``borrow`` asks one of them and returns whether it can be reached, ``tell_node``
-    tells a node that it must ask, and ``call_later`` is a timer.
+    tells a node that it must ask, ``call_later`` is a timer, and ``count`` hears of
+    requests that were granted, refused, borrowed and lent.
     """
 
     name: str
@@ -116,6 +127,7 @@
     list_lenders: Callable[[str], list[str]]
     borrow: Callable[[str, int, str, float], bool]
     tell_node: Callable[[str, Grant], None]
+    count: Callable[[QuotaEvent, float], None] = lambda event, requests: None
     held: dict[str, HeldQuota] = field(factory=dict)
     lent: dict[str, tuple[tuple[str, ...], float]] = field(factory=dict)
     _numbers: int = 0
@@ -187,6 +199,7 @@
         spare = find_spare(held.bucket.find_there(now_s), held.asked_per_s)
         lent = min(wanted, spare)
         held.bucket.charge(lent, now_s)
+        self.count(QuotaEvent.LENT, lent)
         self._call_in(team.name, held)
         return lent
 
@@ -198,6 +211,7 @@
             return
         held.bucket.refill(self.clock())
         held.bucket.level += amount
+        self.count(QuotaEvent.BORROWED, amount)
         held.borrowing.borrowed += amount
         held.borrowing.open_numbers.discard(number)
         if not held.borrowing.open_numbers:
@@ -274,7 +288,9 @@
 
     def _answer(self, team: Team, held: HeldQuota, ask: Ask, now_s: float) -> None:
         grant = Grant(team.name, ask.wanted, held.bucket.take(ask.wanted, now_s))
+        self.count(QuotaEvent.GRANTED, grant.granted)
         if grant.granted < ask.wanted:
+            self.count(QuotaEvent.REFUSED, ask.wanted - grant.granted)
             grant.wait_s = held.bucket.find_wait(held.promised, now_s)
             grant.gap_s = held.bucket.find_gap()
             promised = held.promised + ask.wanted - grant.granted
--- a/tests/teams/test_quotas_at_nodes.py
+++ b/tests/teams/test_quotas_at_nodes.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING, Any
 
 import anyio
 import pytest
+from attrs import asdict
 
+from eelgrassmount.relay.state import read_state
 from standins.platform_log import Trouble
 from tests.relay.deployment import Deployment, Vm, ask, make_rule, make_team
 from tests.relay.virtual import run_virtually
@@ -170,3 +173,21 @@
             assert second.count(200) < len(second)
 
     play(scenario)
+
+
+def test_state_shows_teams_by_their_use_and_no_key():
+    async def scenario(deployment: Deployment) -> None:
+        await ask_everywhere(deployment, "k-1", 10)
+        texts = []
+        for vm in deployment.vms:
+            state = read_state(vm.node)
+            assert (state.teams.teams, len(state.teams.holders)) == (2, 2)
+            texts.append(json.dumps(asdict(state)))
+            texts.append(vm.node.metrics.render().decode())
+        held = [one for vm in deployment.vms for one in read_state(vm.node).teams.held]
+        assert {one.team for one in held} == {"press"}
+        assert sum(one.held_rate for one in held) == pytest.approx(10.0)
+        assert 'relay_quota_requests_total{event="refused"}' in "".join(texts)
+        assert not any("k-1" in text or "k-2" in text for text in texts)
+
+    play(scenario)
