Count the calls of runs that have ended well, where keys tell clients

Cause: in the first seconds of a surge, runs have begun and not yet made their calls. Counted by what was in flight, a booking seemed to make 1.85 of its 4 calls at 0.75 s and 3.1 at 4 s, and the demand foreseen was 0.92 to 1.05 at 2.8 to 4.8 s where 1.6 was right; the level came down to 0.46 at 7.8 s only. With keys, a request without one is a call, and lineage tells its run: the calls of runs that ended well are counted, all of them made. Calls of unknown runs are taken to be spread as the known ones. Ruled out: correcting the old count by the mean age of what runs (it holds at a steady rate only). Where no route needs a key, the old way stays.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -77,15 +77,22 @@
         clock,
         rng,
     )
-    lineage = Lineage(clock, graph.may_call, graph.count_runs, rng)
+    lineage = Lineage(clock, graph.may_call, graph.count_runs, rng, beliefs.completed)
+
+    learned_jobs: set[Job] = set()
 
     def note_begin(job: Job) -> None:
-        beliefs.learner.begin(job.call.route.name)
+        # with keys, calls are counted by their runs
+        if not beliefs.knows_clients():
+            learned_jobs.add(job)
+            beliefs.learner.begin(job.call.route.name)
         lineage.begin(job, job.call, job.given_s)
 
-    def note_end(job: Job) -> None:
-        beliefs.learner.end(job.call.route.name)
-        lineage.end(job)
+    def note_end(job: Job, well: bool) -> None:
+        if job in learned_jobs:
+            learned_jobs.remove(job)
+            beliefs.learner.end(job.call.route.name)
+        lineage.end(job, well)
 
     pool = BackendPool(
         clock,
@@ -198,6 +205,7 @@
         clock,
         rng,
         graph.is_called,
+        lambda name: name in beliefs.client_routes,
         beliefs.note_call,
         beliefs.note_client,
         lineage,
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -184,6 +184,7 @@
     timers.subscribe(SWEEP_PERIOD_S, node.decisions.tell_left_out)
     timers.subscribe(SWEEP_PERIOD_S, node.forget_routes)
     timers.subscribe(SWEEP_PERIOD_S, node.entry.lineage.forget_answers)
+    timers.subscribe(SWEEP_PERIOD_S, node.beliefs.completed.fade)
 
 
 def make_learning_step(node: RelayNode) -> Callable[[], None]:
--- a/eelgrassmount/relay/beliefs.py
+++ b/eelgrassmount/relay/beliefs.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from eelgrassmount.gen import ttypes
+from eelgrassmount.relay.completed import CompletedRuns
 from eelgrassmount.relay.routes import Route, RouteTable, Target
 from eelgrassmount.relay.tallies import Tally
 from eelgrassmount.relay.vectors import VectorLearner
@@ -52,6 +53,7 @@
     table_since_s: float = 0.0
     document: bytes = b""
     learner: VectorLearner = field(init=False)
+    completed: CompletedRuns = field(factory=CompletedRuns)
     started_s: float = field(init=False)
     called: dict[str, int] = field(factory=dict)
     levels: dict[str, LevelControl] = field(factory=dict)
@@ -77,10 +79,15 @@
         """Return the longest that the calls of a run of a route may take."""
         return self.graph.find_call_limit(route_name, self.table)
 
+    def knows_clients(self) -> bool:
+        """Tell whether keys tell requests of clients from calls of servers."""
+        return self.table.teams.is_required
+
     def note_call(self, route_name: str) -> None:
         """Note that a request was sent from this VM."""
         self.called[route_name] = self.called.get(route_name, 0) + 1
-        self.learner.note_call(route_name)
+        if not self.knows_clients():
+            self.learner.note_call(route_name)
 
     def note_client(self, route_name: str) -> None:
         """Note that a client has sent a request from this VM, by the key of its team.
--- a/eelgrassmount/relay/entry.py
+++ b/eelgrassmount/relay/entry.py
@@ -37,6 +37,7 @@
     ``note_called`` hears of each route that is asked for on this VM, and
     ``note_client`` instead where a client must have done so; ``is_inner``
     tells whether running servers call a route, whose calls are not refused here.
+    ``is_of_clients`` tells whether clients are seen to use a route.
     ``is_current`` tells whether this node knows what stands on the log now.
     """
 
@@ -48,6 +49,7 @@
     clock: Callable[[], float]
     rng: random.Random
     is_inner: Callable[[str], bool]
+    is_of_clients: Callable[[str], bool]
     note_called: Callable[[str], None]
     note_client: Callable[[str], None]
     lineage: Lineage
@@ -112,7 +114,7 @@
         deadline_s = self._find_deadline(exchange, head, route)
         made = None
         # calls of servers have no key
-        if team is None and self.is_inner(route.name):
+        if team is None and self._may_be_call(route):
             made = self._find_caller(exchange, head, route)
         origin = self._find_origin(route, team, made)
         call = self._make_call(exchange, head, route, team, deadline_s, origin)
@@ -138,6 +140,13 @@
             return Origin(0, inner=True, left=left)
         return Origin(self.table.find_rank(route, team), left=left)
 
+    def _may_be_call(self, route: Route) -> bool:
+        """Tell whether a request without a key may be a call of a server."""
+        if self.is_inner(route.name):
+            return True
+        keyed = self.table.teams.is_required and not route.needs_key
+        return keyed and not self.is_of_clients(route.name)
+
     def _find_caller(
         self, exchange: Exchange, head: RequestHead, route: Route
     ) -> MadeCall | None:
--- a/eelgrassmount/relay/gate.py
+++ b/eelgrassmount/relay/gate.py
@@ -97,7 +97,7 @@
     find_allowance: Callable[[Route], float] = lambda route: route.objective_s
     find_call_limit: Callable[[str], float] = lambda route_name: math.inf
     on_begin: Callable[[Job], None] = lambda job: None
-    on_end: Callable[[Job], None] = lambda job: None
+    on_end: Callable[[Job, bool], None] = lambda job, well: None
     is_lost_below: Callable[[Job], bool] = lambda job: False
     claim_loss: Callable[[Job], bool] = lambda job: False
     on_crash: Callable[[ServerIncarnation, list[Job]], None] = lambda ended, jobs: None
@@ -347,7 +347,7 @@
         reply = self._judge(job, outcome, now_s)
         failed = reply.fate is not Fate.ANSWERED or reply.status >= 500
         lost = failed and self.claim_loss(job)
-        self.on_end(job)
+        self.on_end(job, not failed)
         job.ended = True
         # the sending leads back to the job: without this, ended jobs and their bodies
         # stay until the collector runs
--- a/eelgrassmount/relay/learning.py
+++ b/eelgrassmount/relay/learning.py
@@ -54,7 +54,10 @@
     """
     tally = add_tallies([_count_asked(beliefs)])
     tally.offered = dict(rates)
-    if not _is_young(beliefs):
+    if beliefs.knows_clients():
+        tally.runs = dict(beliefs.completed.runs)
+        tally.calls = beliefs.completed.list_calls()
+    elif not _is_young(beliefs):
         tally.runs = beliefs.learner.list_runs()
         tally.calls = beliefs.learner.list_calls()
     return tally
@@ -67,20 +70,32 @@
 
 
 def apply_vectors(beliefs: Beliefs) -> None:
-    """Work out the own vectors anew and put them into the graph."""
+    """Work out the calls of routes anew and put them into the graph."""
     asked = _list_asked(beliefs)
     beliefs.client_routes |= find_client_routes(asked)
     beliefs.client_routes &= beliefs.table.routes.keys()
-    vectors = beliefs.learner.solve(find_inner_routes(asked))
-    beliefs.own_vectors = {} if _is_young(beliefs) else vectors
-    learned = [beliefs.own_vectors]
-    learned += [one.load.vectors for one in beliefs.members.by_name.values()]
     outlook = beliefs.outlook
     beliefs.graph.settled |= {
         name for name, runs in outlook.runs.items() if runs >= SETTLED_RUNS
     }
     merged = pool_vectors(outlook.runs, outlook.calls)
-    merged.update(merge_vectors(learned))
+    if not beliefs.knows_clients():
+        merged.update(_learn_from_states(beliefs, find_inner_routes(asked)))
     for name, calls in merged.items():
         if name in beliefs.table.routes and (calls or name in beliefs.graph.vectors):
             beliefs.graph.put(name, calls)
+
+
+def _learn_from_states(
+    beliefs: Beliefs, inner_routes: set[str]
+) -> dict[str, dict[str, float]]:
+    """Return the calls of routes by what is in flight when a call is made.
+
+    Where requests of clients can't be told from calls, the runs that make calls are
+    told neither before some calls are known.
+    """
+    vectors = beliefs.learner.solve(inner_routes)
+    beliefs.own_vectors = {} if _is_young(beliefs) else vectors
+    learned = [beliefs.own_vectors]
+    learned += [one.load.vectors for one in beliefs.members.by_name.values()]
+    return merge_vectors(learned)
--- a/eelgrassmount/relay/lineage.py
+++ b/eelgrassmount/relay/lineage.py
@@ -9,6 +9,7 @@
 
 from attrs import define, field
 
+from eelgrassmount.relay.completed import CompletedRuns
 from eelgrassmount.relay.messages import Origin
 
 if TYPE_CHECKING:
@@ -57,8 +58,9 @@
 class Run:
     """A run of the server, and what is known of its calls.
 
-    ``made`` counts them and ``done`` the runs that those answered well have led to; one
-    that failed has ``lost`` the run, as far as is known.
+    ``made`` counts them and ``calls`` the same by route; ``done`` counts the runs that
+    those answered well have led to. One that failed has ``lost`` the run, as far as is
+    known.
     """
 
     call: Call
@@ -68,6 +70,7 @@
     open_calls: int = 0
     done: int = 0
     lost: bool = False
+    calls: dict[str, int] = field(factory=dict)
     answered_s: float = -math.inf
 
 
@@ -134,6 +137,7 @@
     may_call: Callable[[str, str], bool]
     count_runs: Callable[[str], int]
     rng: random.Random = field(factory=random.Random)
+    completed: CompletedRuns = field(factory=CompletedRuns)
     runs: dict[object, Run] = field(factory=dict)
     unknown: UnknownCalls = field(factory=UnknownCalls)
     _by_deadline: dict[int, dict[object, Run]] = field(factory=dict)
@@ -149,11 +153,13 @@
         self._by_deadline.setdefault(_round(run.deadline_s), {})[job] = run
         self._repeated += call.origin.repeated
 
-    def end(self, job: object) -> None:
-        """Note that a run has ended."""
+    def end(self, job: object, well: bool = False) -> None:
+        """Note that a run has ended, well or not."""
         run = self.runs.pop(job, None)
         if run is None:
             return
+        if well:
+            self.completed.note_run(run.call.route.name, run.calls)
         self._repeated -= run.call.origin.repeated
         deadline = _round(run.deadline_s)
         found = self._by_deadline[deadline]
@@ -198,12 +204,15 @@
         if run is None and not is_own:
             run = self._find_by_deadline(route_name, deadline_s)
         if run is None and len(self.runs) > MAX_COMPARED:
+            self.completed.note_call(route_name, known=False)
             return self._note_unknown(connection, size)
         if run is None:
             run = self._find_likeliest(route_name, deadline_s)
         if run is None:
             return None
         self._note_first(run, route_name)
+        self.completed.note_call(route_name, known=True)
+        run.calls[route_name] = run.calls.get(route_name, 0) + 1
         run.made += 1
         run.open_calls += 1
         run.answered_s = -math.inf
