--- a/tests/relay/test_gate.py
+++ b/tests/relay/test_gate.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import random
-
 import gc
+import random
 import weakref
 
 import pytest
@@ -543,10 +542,10 @@
 
 
 def test_few_failures_among_runs_that_are_lost_do_not_make_a_server_seem_short():
-    """Of the runs of a server whose calls were mostly refused, some are always blamed
-    on it: their own calls were taken for those of others.
+    """A server whose calls were mostly refused was taken for failing itself.
 
-    Those few were most of what was seen to end, and its service was cut to two thirds.
+    Some lost runs are always blamed on the server, as their calls were taken for those
+    of others. They were most of what was seen to end, and its service was cut.
     """
     setup = Setup()
     rng = random.Random(7)
