Show the rate limit that a server names, and the calls that it gets

Callers saw nothing; a server that names in its answers how many requests a second it takes got two to three times as many. Lines and counters could not tell whether nodes don't know the limit or keep it each by itself.

A node now reads the limit (and the announcement of a stop) from answers, logs when a limit begins and ends, shows it in its state, its metrics and the status command, and counts the calls that it hands to its server as first ones and retries. Headers that can't be parsed are counted and logged like other rejected messages. No decision uses the limit yet.

--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -88,6 +88,12 @@
     return Action(start)
 
 
+def _format_rate_limit(rate_limit: float | None) -> list[str]:
+    if rate_limit is None:
+        return []
+    return [f"rate limit     {rate_limit:g} requests a second, named by the server"]
+
+
 def _format_relay(state: dict[str, Any]) -> list[str]:
     server = state["server"]
     work = f"no work: {server['refusal']}" if server["refusal"] else "takes work"
@@ -103,6 +109,7 @@
         f"server         {_format_start(server)}, {work}",
         f"dispatcher     {server['in_flight']} of {server['limit']} in flight "
         f"({server['slots']} slots), {server['queued']} queued",
+        *_format_rate_limit(server["rate_limit"]),
         f"counts         requests of {state['log']['counted_nodes']} nodes",
         f"load           demand {server['demand']}, wait {server['wait']}, failures "
         f"{server['failure_share']}",
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -28,7 +28,7 @@
 from eelgrassmount.relay.members import MemberTable
 from eelgrassmount.relay.metrics import RelayMetrics
 from eelgrassmount.relay.peer_updates import PeerUpdates
-from eelgrassmount.relay.rejected_messages import RejectedMessages
+from eelgrassmount.relay.rejected_messages import MessageKind, RejectedMessages
 from eelgrassmount.relay.responder import Responder
 from eelgrassmount.relay.routing import Router
 from eelgrassmount.relay.sender import Sender
@@ -56,6 +56,7 @@
     clock = time.monotonic
     incarnation = secrets.token_hex(INCARNATION_BYTES)
     metrics = RelayMetrics()
+    rejected_messages = RejectedMessages(clock, metrics.count_rejected)
     quarantine = Quarantine()
     server = LocalServer(
         settings.service,
@@ -84,6 +85,7 @@
     learned_jobs: set[Job] = set()
 
     def handle_run_start(job: Job) -> None:
+        metrics.count_run(job.call.is_retry)
         # with client keys, calls are counted per run by the call attributor
         if not state.identifies_clients():
             learned_jobs.add(job)
@@ -124,6 +126,9 @@
         claim_lost_call=call_attributor.claim_lost_call,
         on_crash=lambda ended, jobs: peer_updates.handle_crash(ended, jobs),
         on_change=lambda: control_loop.report_now(),
+        on_invalid_header=lambda server, name, text: rejected_messages.record(
+            MessageKind.ANSWER, server, name, f"{name}: {text!r}"
+        ),
         call_later=call_later,
     )
     inbound = InboundLinks(
@@ -239,6 +244,6 @@
         readers,
         quotas,
         rng,
-        RejectedMessages(clock, metrics.count_rejected),
+        rejected_messages,
     )
     return node
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING
 
 from attrs import asdict, define, evolve, field
@@ -238,6 +239,11 @@
         gauges.labels("in_flight").set(self.dispatcher.in_flight)
         gauges.labels("queued").set(self.dispatcher.queued)
         gauges.labels("limit").set(self.state.server.compute_concurrency_limit())
+        # Without a rate limit, the gauge is infinite.
+        rate_limit = self.state.server.rate_limit.per_s
+        gauges.labels("server_rate_limit").set(
+            math.inf if rate_limit is None else rate_limit
+        )
         gauges.labels("demand").set(self.dispatcher.measures.load.demand)
         for service, control in self.state.admission_controllers.items():
             self.metrics.admitted_fractions.labels(service).set(
--- a/eelgrassmount/platform/headers.py
+++ b/eelgrassmount/platform/headers.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
+
 from eelgrassmount.relay.header_codec import AnswerHead, HeaderCodec, RequestHead
-from eelgrassmount.util.fields import is_identity
+from eelgrassmount.util.fields import is_identity, parse_number
 
 REQUEST_ID = b"eelgrassmount-attempt-id"
 REMAINING_MS = b"eelgrassmount-deadline-ms"
@@ -14,6 +16,8 @@
 SIGNATURE = b"eelgrassmount-response-signature"
 NOT_RUN = b"eelgrassmount-not-executed"
 INSTANCE = b"eelgrassmount-instance-id"
+RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 
 # headers that apply to one connection only and are not forwarded
 _HOP_BY_HOP = frozenset(
@@ -138,12 +142,26 @@
             identity = value.decode("latin-1")
             # an invalid identity must not reach the headers of later requests
             head.instance = identity if is_identity(identity) else ""
+        elif name in (RATE_LIMIT, LEAVING):
+            _read_statement(head, name, value)
         if name not in _HOP_BY_HOP:
             lines.append(b"%s: %s\r\n" % (name, value))
     head.forwarded_headers = b"".join(lines)
     return head
 
 
+def _read_statement(head: AnswerHead, name: bytes, value: bytes) -> None:
+    """Read a header by which a server limits its rate or announces its stop."""
+    number = parse_number(value.strip().decode("latin-1"))
+    if not 0 <= number < math.inf:
+        head.invalid_headers.append((name, value))
+    elif name == LEAVING:
+        head.leaving = head.leaving or number > 0
+    elif head.rate_limit_per_s is None or number < head.rate_limit_per_s:
+        # of several limits, the lowest one satisfies all
+        head.rate_limit_per_s = number
+
+
 def find_request_id(headers: list[tuple[bytes, bytes]]) -> bytes:
     """Return the id of the request that an answer names, empty if none."""
     for name, value in headers:
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -27,7 +27,7 @@
 
     from eelgrassmount.relay.backend import BackendPool, ServerExchange
     from eelgrassmount.relay.budget import RetryBudget
-    from eelgrassmount.relay.header_codec import HeaderCodec
+    from eelgrassmount.relay.header_codec import AnswerHead, HeaderCodec
     from eelgrassmount.relay.heartbeats import ServerIncarnation
     from eelgrassmount.relay.messages import Call
     from eelgrassmount.relay.routes import Route
@@ -61,7 +61,8 @@
     """A call at the dispatcher; ``done`` is called once with its reply.
 
     ``timeout_s`` is the time that the server was given for the call.
-    ``server_restarted`` is set if the server has restarted since the call was sent.
+    ``incarnation`` is the server that the call was sent to. ``server_restarted`` is set
+    if that server has restarted since.
     """
 
     call: Call
@@ -69,6 +70,7 @@
     exchange: ServerExchange | None = None
     started_s: float = 0.0
     timeout_s: float = 0.0
+    incarnation: ServerIncarnation | None = None
     ended: bool = False
     overdue: bool = False
     silent: bool = False
@@ -106,6 +108,7 @@
     claim_lost_call: Callable[[Job], bool] = lambda job: False
     on_crash: Callable[[ServerIncarnation, list[Job]], None] = lambda ended, jobs: None
     on_change: Callable[[], None] = lambda: None
+    on_invalid_header: Callable[[str, str, str], None] = lambda server, name, text: None
     call_later: CallLater = lambda delay_s, action: None
     queued: int = 0
     measures: RunMeasures = field(factory=RunMeasures)
@@ -321,6 +324,7 @@
         self._update_queue_time(now_s)
         self.running.add(job)
         job.started_s = now_s
+        job.incarnation = self.server.incarnation
         call = job.call
         remaining_s = compute_run_timeout_s(
             call.deadline_s - now_s,
@@ -373,7 +377,7 @@
         self, job: Job, result: ClientAnswer | ExchangeFailure, now_s: float
     ) -> Reply:
         if isinstance(result, ClientAnswer):
-            return self._create_answer_reply(result)
+            return self._create_answer_reply(job, result, now_s)
         outcome, reason = _OUTCOMES[result]
         if job.overdue:
             reason = Reason.DEADLINE
@@ -385,11 +389,14 @@
             self._broken_connections.append((now_s, job))
         return Reply(outcome, reason)
 
-    def _create_answer_reply(self, answer: ClientAnswer) -> Reply:
+    def _create_answer_reply(
+        self, job: Job, answer: ClientAnswer, now_s: float
+    ) -> Reply:
         head = self.header_codec.read_answer(answer.headers)
         if answer.status == 421:
             self.server.apply_answer_identity(head.instance)
             return Reply(Outcome.NOT_RUN, Reason.NO_SERVER)
+        self._apply_statements(job, head, now_s)
         if head.not_run:
             self._log_rejection()
             return Reply(Outcome.NOT_RUN, Reason.SERVER_SHED)
@@ -399,6 +406,29 @@
             Outcome.ANSWERED, None, answer.status, head.forwarded_headers, answer.body
         )
 
+    def _apply_statements(self, job: Job, head: AnswerHead, now_s: float) -> None:
+        """Apply what an answer says about its server, unless that has been replaced."""
+        current = self.server.incarnation
+        if job.server_restarted or current.identity != job.incarnation.identity:
+            return
+        for name, value in head.invalid_headers:
+            self.on_invalid_header(
+                current.identity, name.decode("latin-1"), value.decode("latin-1")
+            )
+        # Answers of a proxy or of a failing server may lack the header.
+        names_none = head.signed and not head.not_run and not head.invalid_headers
+        if head.rate_limit_per_s is None and not names_none:
+            return
+        limit = self.server.rate_limit
+        if limit.apply_answer(head.rate_limit_per_s, job.started_s, now_s):
+            logger.info(
+                "server limits its rate"
+                if limit.per_s is not None
+                else "server no longer limits its rate",
+                incarnation=str(current),
+                per_s=limit.per_s,
+            )
+
     def _log_rejection(self) -> None:
         now_s = self.clock()
         if now_s - self._rejection_logged_s > REJECTION_LOG_INTERVAL_S:
--- a/eelgrassmount/relay/header_codec.py
+++ b/eelgrassmount/relay/header_codec.py
@@ -32,12 +32,18 @@
 
     ``signed`` is set if the answer carries the server's signature, ``not_run`` if the
     server did not run the request. ``instance`` is the identity of the server.
+    ``rate_limit_per_s`` is the number of requests per second that the server takes from
+    all nodes together, ``None`` if it names no valid limit. ``leaving`` is set if the
+    server will stop. ``invalid_headers`` are headers whose value could not be parsed.
     ``forwarded_headers`` are the header lines that the client receives.
     """
 
     signed: bool = False
     not_run: bool = False
     instance: str = ""
+    rate_limit_per_s: float | None = None
+    leaving: bool = False
+    invalid_headers: list[tuple[bytes, bytes]] = field(factory=list)
     forwarded_headers: bytes = b""
 
 
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -31,6 +31,7 @@
     retries: Counter = field(init=False)
     abandoned: Counter = field(init=False)
     connections: Counter = field(init=False)
+    runs: Counter = field(init=False)
     rejected_messages: Counter = field(init=False)
     quotas: Counter = field(init=False)
     stalls: Counter = field(init=False)
@@ -83,6 +84,12 @@
             "Connections opened to the backend server of this VM.",
             registry=registry,
         )
+        self.runs = Counter(
+            f"{PREFIX}_relay_server_runs",
+            "Calls of all nodes sent to the backend server of this VM, by kind.",
+            ["kind"],
+            registry=registry,
+        )
         self.rejected_messages = Counter(
             f"{PREFIX}_relay_refused",
             "Received messages that were rejected, by kind.",
@@ -131,6 +138,10 @@
         """Count a retry of a call."""
         self.retries.labels(str(reason)).inc()
 
+    def count_run(self, is_retry: bool) -> None:
+        """Count a call that is sent to the local backend server."""
+        self.runs.labels("retry" if is_retry else "first").inc()
+
     def count_abandoned(self, route: str) -> None:
         """Count a request whose client has disconnected."""
         self._get_child(self.abandoned, route).inc()
--- a/eelgrassmount/relay/rejected_messages.py
+++ b/eelgrassmount/relay/rejected_messages.py
@@ -23,6 +23,7 @@
     """Kind of a rejected message; also the label of its metric."""
 
     ANNOUNCEMENT = "announcement"
+    ANSWER = "answer"
     CONFIGURATION = "configuration"
     LEARNED = "learned-calls"
     NODE = "node-record"
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from eelgrassmount.relay.heartbeats import NO_SEQUENCE, UNKNOWN_START, ServerIncarnation
+from eelgrassmount.relay.server_rate_limit import ServerRateLimit
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
@@ -55,6 +56,7 @@
     draining: bool = False
     has_left: bool = False
     sequence: int = NO_SEQUENCE
+    rate_limit: ServerRateLimit = field(factory=ServerRateLimit)
     unreachable_until_s: float = 0.0
     _ended: dict[str, float] = field(factory=dict)
 
@@ -87,6 +89,7 @@
         self.sequence = NO_SEQUENCE
         self.draining = False
         self.has_left = False
+        self.rate_limit.clear()
 
     def mark_unreachable(self, now_s: float) -> None:
         """Record that the server refused a connection."""
@@ -151,6 +154,7 @@
         self.has_left = heartbeat.leaving
         self.slots = heartbeat.slots or DEFAULT_SLOTS
         self.service = heartbeat.service or self.service
+        self.rate_limit.clear()
         self.unreachable_until_s = 0.0
 
     def _mark_ended(self, incarnation: ServerIncarnation) -> None:
--- a/eelgrassmount/relay/status.py
+++ b/eelgrassmount/relay/status.py
@@ -22,8 +22,10 @@
 
     ``incarnation`` is the server's identity, empty while unknown. ``started_ms`` is the
     Unix time of its start, 0 until a heartbeat has reported it. ``refusal`` is the
-    reason why the server gets no calls, empty when it gets them. ``demand`` is a
-    fraction of the server's capacity, ``wait`` a fraction of the maximum mean wait.
+    reason why the server gets no calls, empty when it gets them. ``rate_limit`` is the
+    number of requests per second that the server takes, ``None`` without a limit.
+    ``demand`` is a fraction of the server's capacity, ``wait`` a fraction of the
+    maximum mean wait.
     """
 
     incarnation: str
@@ -31,6 +33,7 @@
     refusal: str
     slots: int
     limit: int
+    rate_limit: float | None
     in_flight: int
     queued: int
     demand: float
@@ -268,6 +271,7 @@
         str(server.find_refusal_reason(now_s) or ""),
         server.slots,
         server.compute_concurrency_limit(),
+        server.rate_limit.per_s,
         dispatcher.in_flight,
         dispatcher.queued,
         round(dispatcher.measures.load.demand, 3),
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -118,3 +118,44 @@
     assert headers.read_idle_limit([(b"keep-alive", b"timeout=" + digits)]) is None
     assert headers.read_idle_limit([(b"keep-alive", b"timeout=" + b"9" * 400)]) is None
     assert headers.read_idle_limit([(b"keep-alive", b"timeout=86400")]) == 86400.0
+
+
+@pytest.mark.parametrize(
+    ("values", "limit"),
+    [
+        ([], None),
+        ([b"8.9"], 8.9),
+        ([b" 24 "], 24.0),
+        ([b"0"], 0.0),
+        ([b"5e-1"], 0.5),
+        ([b"9", b"4.5"], 4.5),
+    ],
+)
+def test_rate_limit_of_a_server_is_read(values, limit):
+    head = headers.read_answer([(b"server-limit", value) for value in values])
+    assert head.rate_limit_per_s == limit
+    assert head.invalid_headers == []
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"-1", b"nan", b"inf", b"1e999", b"1_0", b"4, 5", b"many", b"1" * 80]
+)
+def test_malformed_rate_limit_is_reported_and_ignored(value):
+    head = headers.read_answer([(b"server-limit", value), (b"server-limit", b"7")])
+    assert head.rate_limit_per_s == 7.0
+    assert head.invalid_headers == [(b"server-limit", value)]
+
+
+@pytest.mark.parametrize(
+    ("value", "leaving", "invalid"),
+    [(b"1", True, 0), (b" 1 ", True, 0), (b"0", False, 0), (b"soon", False, 1)],
+)
+def test_leaving_server_is_recognized(value, leaving, invalid):
+    head = headers.read_answer([(b"server-leaving", value)])
+    assert head.leaving is leaving
+    assert len(head.invalid_headers) == invalid
+
+
+def test_clients_receive_what_a_server_says_about_itself():
+    head = headers.read_answer([(b"server-limit", b"7"), (b"server-leaving", b"1")])
+    assert head.forwarded_headers == b"server-limit: 7\r\nserver-leaving: 1\r\n"
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -386,6 +386,55 @@
     assert setup.dispatcher.measures.failure_share > 0.0
 
 
+LIMITED = [*SIGNED, (b"server-limit", b"8")]
+
+
+def test_rate_limit_is_read_from_each_answer_of_the_current_server():
+    setup = Setup(slots=4)
+    setup.submit()
+    setup.answer(503, [*LIMITED, (b"eelgrassmount-not-executed", b"1")])
+    assert setup.server.rate_limit.per_s == 8.0
+    setup.now_s += 1.0
+    setup.submit()
+    setup.now_s += 0.1
+    setup.answer()
+    assert setup.server.rate_limit.per_s is None
+
+
+def test_invalid_rate_limit_is_reported_and_changes_nothing():
+    setup = Setup()
+    invalid = []
+    setup.dispatcher.on_invalid_header = lambda *header: invalid.append(header)
+    setup.server.rate_limit.apply_answer(8.0, sent_s=0.0, now_s=0.0)
+    setup.now_s += 1.0
+    setup.submit()
+    setup.answer(200, [*SIGNED, (b"server-limit", b"many")])
+    assert setup.server.rate_limit.per_s == 8.0
+    assert invalid == [("i1", "server-limit", "many")]
+
+
+def test_rate_limit_of_an_earlier_server_is_ignored():
+    setup = Setup(slots=4)
+    setup.submit()
+    setup.server.apply_heartbeat(Heartbeat(ServerIncarnation("i2", 1), service="list"))
+    setup.answer(200, LIMITED)
+    assert setup.server.rate_limit.per_s is None
+
+
+def test_rate_limit_of_another_server_at_the_address_is_ignored(setup):
+    setup.submit()
+    setup.answer(421, [*LIMITED, (b"eelgrassmount-instance-id", b"i1")])
+    assert setup.server.rate_limit.per_s is None
+
+
+def test_rate_limit_ends_with_a_restart_of_the_server():
+    setup = Setup(slots=4)
+    setup.submit()
+    setup.answer(200, LIMITED)
+    setup.restart()
+    assert setup.server.rate_limit.per_s is None
+
+
 # The following tests guard against the state of a previous incarnation that affects
 # the new one: occupied slots, run durations and failures.
 
