Show that a server gets more than the rate limit that it names

Three tests on a network with virtual time: clients on three VMs send 20, 6 and 2 requests a second to a service of two servers, one of which names a limit of 0.5, 2 or 6 a second.

The busiest VM alone hands it some 10 a second, more than the largest of the limits, and nothing is refused: no node keeps the limit, not each one by itself.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -18,19 +18,25 @@
 SIGNATURE = b"eelgrassmount-response-signature"
 REQUEST_ID = b"eelgrassmount-attempt-id"
 EXPECTED = b"eelgrassmount-expect-instance"
+RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 
 
 @define(eq=False)
 class PlatformServer:
     """Runs each request for ``work_s`` seconds and signs the answer.
 
-    ``runs`` holds the ids of the requests that started to run. ``answer``, when
-    set, replaces the correct answer.
+    ``runs`` holds the ids of the requests that started to run, and ``run_times_s`` when
+    they did. ``answer``, when set, replaces the correct answer. ``rate_limit`` and
+    ``leaving`` are named in all answers.
     """
 
     incarnation: str
     work_s: float = 0.0
     runs: list[str] = field(factory=list)
+    run_times_s: list[float] = field(factory=list)
+    rate_limit: str | None = None
+    leaving: bool = False
     seen: list[dict[bytes, bytes]] = field(factory=list)
     answer: Callable[[Exchange], None] | None = None
     listener: HttpListener = field(init=False)
@@ -53,9 +59,12 @@
         if REQUEST_ID not in names:
             # Only health checks have no request id.
             instance = self.incarnation.encode()
-            exchange.respond(200, b"eelgrassmount-instance-id: %s\r\n" % instance)
+            head = b"eelgrassmount-instance-id: %s\r\n" % instance
+            status = 503 if self.leaving else 200
+            exchange.respond(status, head + self._make_statements())
             return
         self.runs.append(names.get(REQUEST_ID, b"").decode())
+        self.run_times_s.append(time.monotonic())
         self.seen.append(names)
         task = asyncio.get_running_loop().create_task(self._run(exchange))
         self._tasks.add(task)
@@ -73,4 +82,14 @@
             REQUEST_ID,
             names.get(REQUEST_ID, b""),
         )
+        head += self._make_statements()
         exchange.respond(200, head, b"%s by %s" % (exchange.target.encode(), head[:5]))
+
+    def _make_statements(self) -> bytes:
+        """Return the header lines in which the server describes itself."""
+        lines = b""
+        if self.rate_limit is not None:
+            lines += b"%s: %s\r\n" % (RATE_LIMIT, self.rate_limit.encode())
+        if self.leaving:
+            lines += b"%s: 1\r\n" % LEAVING
+        return lines
--- /dev/null
+++ b/tests/relay/rate_limits.py
@@ -0,0 +1,117 @@
+"""A service whose servers name rate limits, and clients on several VMs."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from attrs import define, field
+
+from tests.relay.deployment import Deployment, Vm, make_rule, send_as_client
+from tests.relay.virtual import Network, run_virtually
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from eelgrassmount.http1.client import ClientAnswer
+    from standins.platform_server import PlatformServer
+
+RUN_S = 0.05
+# Clients of the VMs send at unequal rates, in requests per second.
+CLIENT_RATES_PER_S = (20.0, 6.0, 2.0)
+# A server may get these requests in a window, beyond a multiple of its limit.
+WINDOW_S = 4.0
+ALLOWED_FACTOR = 1.5
+ALLOWED_SLACK = 5
+# Nodes that have known of the limit for less than this may still exceed it.
+NOTICE_S = 0.5
+
+
+@define(eq=False)
+class RateLimitScenario:
+    """Clients on three VMs, and a service with some servers.
+
+    ``answers`` holds the answers of the clients, and ``latencies_s`` when they came.
+    """
+
+    network: Network
+    deployment: Deployment
+    entry_vms: list[Vm] = field(factory=list)
+    server_vms: list[Vm] = field(factory=list)
+    answers: list[ClientAnswer] = field(factory=list)
+    latencies_s: list[float] = field(factory=list)
+    _numbers: itertools.count[int] = field(factory=lambda: itertools.count(1))
+
+    async def build(self, servers: int) -> None:
+        """Start the VMs and connect them."""
+        add = self.deployment.add
+        self.entry_vms = [await add("front") for _ in CLIENT_RATES_PER_S]
+        self.server_vms = [await add("list") for _ in range(servers)]
+        for vm in self.server_vms:
+            vm.server.work_s = RUN_S
+        await self.deployment.wait_until_connected()
+
+    @property
+    def servers(self) -> list[PlatformServer]:
+        """Return the servers of the service."""
+        return [vm.server for vm in self.server_vms]
+
+    async def send_for(self, duration_s: float, factor: float = 1.0) -> None:
+        """Let all clients send requests, and wait for the answers."""
+        async with anyio.create_task_group() as group:
+            for vm, rate in zip(self.entry_vms, CLIENT_RATES_PER_S, strict=True):
+                group.start_soon(self._send_steadily, vm, rate * factor, duration_s)
+
+    async def _send_steadily(self, vm: Vm, rate: float, duration_s: float) -> None:
+        async with anyio.create_task_group() as group:
+            for _ in range(int(rate * duration_s)):
+                group.start_soon(self._send, vm)
+                await anyio.sleep(1.0 / rate)
+
+    async def _send(self, vm: Vm) -> None:
+        request_id = f"a{next(self._numbers)}"
+        started_s = time.monotonic()
+        answer = await send_as_client(vm, "/list/1", request_id=request_id)
+        self.answers.append(answer)
+        self.latencies_s.append(time.monotonic() - started_s)
+
+    def count_answers(self, status: int) -> int:
+        """Return the number of answers with a status."""
+        return sum(answer.status == status for answer in self.answers)
+
+
+def find_max_runs(server: PlatformServer, since_s: float) -> int:
+    """Return the most runs of a server in any window after a time."""
+    times_s = [one for one in server.run_times_s if one >= since_s]
+    return max(
+        (sum(start <= one < start + WINDOW_S for one in times_s) for start in times_s),
+        default=0,
+    )
+
+
+def compute_allowed_runs(limit_per_s: float) -> float:
+    """Return how many requests a server may get in one window."""
+    return ALLOWED_FACTOR * WINDOW_S * limit_per_s + ALLOWED_SLACK
+
+
+def run_scenario(
+    scenario: Callable[[RateLimitScenario], Awaitable[None]], servers: int = 2
+) -> None:
+    """Run a scenario in virtual time."""
+
+    async def main(network: Network) -> None:
+        async with anyio.create_task_group() as group:
+            deployment = Deployment(group)
+            await deployment.start(make_rule("/list/", "list"))
+            setup = RateLimitScenario(network, deployment)
+            try:
+                await setup.build(servers)
+                with anyio.fail_after(120):
+                    await scenario(setup)
+            finally:
+                await deployment.end()
+                group.cancel_scope.cancel()
+
+    run_virtually(main)
