--- /dev/null
+++ b/eelgrassmount/relay/call_queue.py
@@ -0,0 +1,50 @@
+"""Queue of the calls that wait for the local backend server."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from eelgrassmount.relay.dispatcher import Job
+
+
+@define(eq=False)
+class CallQueue:
+    """Jobs in the order of their due times; ``waiting`` is their number."""
+
+    waiting: int = 0
+    _heap: list[tuple[float, int, Job]] = field(factory=list)
+    _by_priority: dict[int, int] = field(factory=dict)
+    _numbers: itertools.count[int] = field(factory=itertools.count)
+
+    def push(self, job: Job, due_s: float) -> None:
+        """Add a job that is due at a time."""
+        heapq.heappush(self._heap, (due_s, next(self._numbers), job))
+        self._count(job, 1)
+
+    def pop(self) -> Job | None:
+        """Remove the job that is due first and return it, ``None`` if there is none."""
+        while self._heap:
+            job = heapq.heappop(self._heap)[-1]
+            # Removed jobs stay in the heap until they come first.
+            if not job.ended:
+                self._count(job, -1)
+                return job
+        return None
+
+    def remove(self, job: Job) -> None:
+        """Remove a waiting job, which the caller marks as ended."""
+        self._count(job, -1)
+
+    def count_ahead(self, priority: int) -> int:
+        """Return the number of waiting jobs of this priority or a more urgent one."""
+        return sum(count for one, count in self._by_priority.items() if one <= priority)
+
+    def _count(self, job: Job, change: int) -> None:
+        priority = job.call.origin.priority
+        self._by_priority[priority] = self._by_priority.get(priority, 0) + change
+        self.waiting += change
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -18,6 +16,7 @@
     compute_run_timeout_s,
     compute_slack_s,
 )
+from eelgrassmount.relay.call_queue import CallQueue
 from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.messages import Outcome, Reply
 from eelgrassmount.verdict import Reason
@@ -110,12 +109,9 @@
     on_change: Callable[[], None] = lambda: None
     on_invalid_header: Callable[[str, str, str], None] = lambda server, name, text: None
     call_later: CallLater = lambda delay_s, action: None
-    queued: int = 0
     measures: RunMeasures = field(factory=RunMeasures)
     running: set[Job] = field(factory=set)
-    _queue: list[tuple[float, int, Job]] = field(factory=list)
-    _waiting: dict[int, int] = field(factory=dict)
-    _numbers: itertools.count[int] = field(factory=itertools.count)
+    _queue: CallQueue = field(factory=CallQueue)
     _rejection_logged_s: float = -REJECTION_LOG_INTERVAL_S
     _broken_connections: list[tuple[float, Job]] = field(factory=list)
 
@@ -124,6 +120,11 @@
         """Return the number of calls running at the server."""
         return len(self.running)
 
+    @property
+    def queued(self) -> int:
+        """Return the number of calls waiting for the server."""
+        return self._queue.waiting
+
     def submit(self, job: Job) -> None:
         """Run, queue or refuse a job."""
         now_s = self.clock()
@@ -155,8 +156,7 @@
             self.measures.get_mean_run_s(route.name),
         )
         due_s = now_s + slack_s * compute_due_factor(job.call.origin)
-        heapq.heappush(self._queue, (due_s, next(self._numbers), job))
-        self._change_waiting(job, 1)
+        self._queue.push(job, due_s)
         remaining_s = job.call.deadline_s - now_s - EXPIRY_MARGIN_S
         self.call_later(max(0.0, remaining_s), lambda: self._expire(job))
 
@@ -169,7 +169,7 @@
         if job.ended or job.exchange is not None or job in self.running:
             return
         self._update_queue_time(self.clock())
-        self._change_waiting(job, -1)
+        self._queue.remove(job)
         self._refuse(job, Reason.DEADLINE)
 
     def _take_retry(self, call: Call) -> bool:
@@ -211,7 +211,7 @@
         if job.exchange is None:
             self._update_queue_time(self.clock())
             job.ended = True
-            self._change_waiting(job, -1)
+            self._queue.remove(job)
         elif job.call.route.idempotent:
             self._count_if_silent(job, self.clock())
             job.exchange.cancel()
@@ -297,15 +297,9 @@
             return Reason.QUARANTINED
         return None
 
-    def _change_waiting(self, job: Job, change: int) -> None:
-        priority = job.call.origin.priority
-        self._waiting[priority] = self._waiting.get(priority, 0) + change
-        self.queued += change
-
     def _estimate_wait(self, call: Call) -> float:
         """Return the expected wait in seconds behind calls as urgent or more so."""
-        priority = call.origin.priority
-        ahead = sum(count for one, count in self._waiting.items() if one <= priority)
+        ahead = self._queue.count_ahead(call.origin.priority)
         return (
             self.measures.mean_run_s
             * (ahead + 1)
@@ -484,12 +478,11 @@
         """Start or refuse queued jobs while slots are free."""
         now_s = self.clock()
         limit = self.server.compute_concurrency_limit()
-        while self._queue and self.in_flight < limit:
-            job = heapq.heappop(self._queue)[-1]
-            if job.ended:
-                continue
-            self._update_queue_time(now_s)
-            self._change_waiting(job, -1)
+        self._update_queue_time(now_s)
+        while self.in_flight < limit:
+            job = self._queue.pop()
+            if job is None:
+                break
             reason = self._find_queued_refusal(job.call, now_s)
             if reason is None:
                 self._start(job, now_s)
