Count a rate limit as the capacity of its server

Admission control, which compares the work offered with that capacity, did not notice that a service whose servers all name limits is short.

A rate limit now counts as the slots that it can keep busy (rate times mean run time, by Little's law) in the demand and wait of the server and in its load reports, which go out at once when a limit begins or ends. Routing, forecast and admission use it as they use slots. The report has one more field, which is absent without a limit, so that the reports of other servers are as long as before.

tests/relay/test_checks.py lists the new field among those that may be missing, as a reply's reason is; reports with and without it are decoded, and its range is checked.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -333,6 +333,8 @@
   11: i32 wait
   // runs that failed as a call of theirs did, in parts of a million
   12: i32 lost_ppm
+  // the part of ``limit`` that a rate limit of the server leaves; absent without one
+  13: optional double usable_slots
 }
 
 struct RelaySuspects {
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -3471,11 +3471,12 @@
      - counts
      - wait
      - lost_ppm
+     - usable_slots
 
     """
 
 
-    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, demand=None, config_version=None, times=None, calls=None, failures_ppm=None, counts=None, wait=None, lost_ppm=None,):
+    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, demand=None, config_version=None, times=None, calls=None, failures_ppm=None, counts=None, wait=None, lost_ppm=None, usable_slots=None,):
         self.accepting = accepting
         self.in_flight = in_flight
         self.queued = queued
@@ -3488,6 +3489,7 @@
         self.counts = counts
         self.wait = wait
         self.lost_ppm = lost_ppm
+        self.usable_slots = usable_slots
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3576,6 +3578,11 @@
                     self.lost_ppm = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.DOUBLE:
+                    self.usable_slots = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3643,6 +3650,10 @@
             oprot.writeFieldBegin('lost_ppm', TType.I32, 12)
             oprot.writeI32(self.lost_ppm)
             oprot.writeFieldEnd()
+        if self.usable_slots is not None:
+            oprot.writeFieldBegin('usable_slots', TType.DOUBLE, 13)
+            oprot.writeDouble(self.usable_slots)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5515,6 +5526,7 @@
     (10, TType.LIST, 'counts', (TType.STRUCT, [RouteCount, None], False), None, ),  # 10
     (11, TType.I32, 'wait', None, None, ),  # 11
     (12, TType.I32, 'lost_ppm', None, None, ),  # 12
+    (13, TType.DOUBLE, 'usable_slots', None, None, ),  # 13
 )
 all_structs.append(RelaySuspects)
 RelaySuspects.thrift_spec = (
--- a/eelgrassmount/policy/placement.py
+++ b/eelgrassmount/policy/placement.py
@@ -29,7 +29,7 @@
     return CROSS_DOMAIN_SHARE * size_factor
 
 
-def estimate_completion_s(run_s: float, ahead: int, slots: int) -> float:
+def estimate_completion_s(run_s: float, ahead: int, slots: float) -> float:
     """Return the seconds until a call completes behind ``ahead`` other calls.
 
     >>> estimate_completion_s(0.1, ahead=14, slots=10)
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -50,9 +50,9 @@
 
 
 def _require_all(struct: Any) -> None:
-    optional = _OPTIONAL_FIELDS.get(type(struct))
+    optional = _OPTIONAL_FIELDS.get(type(struct), ())
     for name, value in vars(struct).items():
-        if value is None and name != optional:
+        if value is None and name not in optional:
             _raise_invalid(struct, name, "missing or of another type")
 
 
@@ -134,6 +134,10 @@
 
 def _check_report(report: ttypes.RelayReport) -> None:
     _check_ranges(report, _REPORT_RANGES)
+    slots = report.usable_slots
+    # The comparison is also false for NaN.
+    if slots is not None and not 0 < slots <= report.limit:
+        _raise_invalid(report, "usable_slots", "not between 0 and the limit")
     for time in report.times:
         _check_row(time, ("route_name",), "run_ms")
     _check_counts(report.counts)
@@ -279,7 +283,10 @@
     "config_version": MAX_COUNTER,
 }
 # Fields that may be missing. A reply with an answer has no reason.
-_OPTIONAL_FIELDS = {ttypes.RelayReply: "reason"}
+_OPTIONAL_FIELDS = {
+    ttypes.RelayReply: ("reason",),
+    ttypes.RelayReport: ("usable_slots",),
+}
 _CHECKS: dict[type, Callable[[Any], None]] = {
     ttypes.RelayHello: _check_hello,
     ttypes.RelayCall: _check_call,
--- a/eelgrassmount/relay/control_loop.py
+++ b/eelgrassmount/relay/control_loop.py
@@ -119,8 +119,15 @@
             counts,
             round(self.dispatcher.measures.load.wait * PER_MILLE),
             round(self.dispatcher.measures.lost_share * PPM),
+            self._find_usable_slots(),
         )
 
+    def _find_usable_slots(self) -> float | None:
+        """Return the slots that a rate limit leaves, ``None`` without a limit."""
+        if self.state.server.rate_limit.per_s is None:
+            return None
+        return self.dispatcher.compute_usable_slots()
+
     def _is_accepting(self) -> bool:
         state = self.state
         refusal = state.server.find_refusal_reason(state.clock())
@@ -134,7 +141,7 @@
         load.accepting = self._is_accepting()
         load.in_flight = self.dispatcher.in_flight
         load.queued = self.dispatcher.queued
-        load.limit = self.state.server.compute_concurrency_limit()
+        load.limit = self.dispatcher.compute_usable_slots()
         load.demand = self.dispatcher.measures.load.demand
         load.wait = self.dispatcher.measures.load.wait
         load.failure_share = self.dispatcher.measures.failure_share
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from eelgrassmount.http1.client import ClientAnswer, ExchangeFailure
+from eelgrassmount.policy.rate_limits import compute_usable_slots
 from eelgrassmount.policy.scheduling import (
     compute_due_factor,
     compute_max_wait_s,
@@ -131,6 +132,14 @@
         """Return the number of calls waiting for the server."""
         return self._queue.waiting
 
+    def compute_usable_slots(self) -> float:
+        """Return how many calls can run at once on average, under any rate limit."""
+        return compute_usable_slots(
+            self.server.compute_concurrency_limit(),
+            self.server.rate_limit.per_s,
+            self.measures.mean_run_s,
+        )
+
     def submit(self, job: Job) -> None:
         """Run, queue or refuse a job."""
         now_s = self.clock()
@@ -275,7 +284,7 @@
         """Update the mean load with the arrivals and waits since the last update."""
         now_s = self.clock()
         self._update_queue_time(now_s)
-        self.measures.update_load(self.server.compute_concurrency_limit(), now_s)
+        self.measures.update_load(self.compute_usable_slots(), now_s)
 
     def keep_routes(self, known: Collection[str]) -> None:
         """Remove the measures of routes that are neither ``known`` nor running."""
@@ -437,8 +446,10 @@
         limit.apply_answer(head.rate_limit_per_s, job.started_s, now_s)
         if limit.per_s == previous:
             return
-        log_limit_change(str(current), previous, limit.per_s)
         self._refuse_excess(now_s)
+        if (previous is None) != (limit.per_s is None):
+            log_limit_change(str(current), limit.per_s)
+            self.on_change()
 
     def _refuse_excess(self, now_s: float) -> None:
         """Refuse waiting calls that would wait too long under a changed rate limit."""
--- a/eelgrassmount/relay/measures.py
+++ b/eelgrassmount/relay/measures.py
@@ -120,8 +120,11 @@
         self._queued_call_seconds += (now_s - self._last_queue_sample_s) * queued
         self._last_queue_sample_s = now_s
 
-    def update_load(self, limit: int, now_s: float) -> None:
-        """Update the load from the arrivals and waits since the last update."""
+    def update_load(self, limit: float, now_s: float) -> None:
+        """Update the load from the arrivals and waits since the last update.
+
+        ``limit`` is the number of calls that can run at once.
+        """
         span_s = max(now_s - self._last_update_s, MIN_LOAD_SPAN_S)
         demand = self.arrivals * self.mean_run_s / span_s / limit
         self.load.demand += DEMAND_SMOOTHING * (demand - self.load.demand)
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -23,6 +23,8 @@
 class MemberLoad:
     """Load of a backend server as reported by its node.
 
+    ``limit`` is the number of calls that run at once at most, or on average if the
+    server names a rate limit.
     ``run_s`` is the mean duration of the runs of each route. ``demand`` is the arriving
     work as a fraction of capacity, ``wait`` the mean wait at the dispatcher as a
     fraction of the maximum mean wait. ``failure_share`` is the share of runs that
@@ -34,7 +36,7 @@
     accepting: bool = True
     in_flight: int = 0
     queued: int = 0
-    limit: int = 0
+    limit: float = 0
     demand: float = 0.0
     wait: float = 0.0
     failure_share: float = 0.0
--- a/eelgrassmount/relay/peer_updates.py
+++ b/eelgrassmount/relay/peer_updates.py
@@ -90,6 +90,8 @@
         load.in_flight = report.in_flight
         load.queued = report.queued
         load.limit = report.limit
+        if report.usable_slots is not None:
+            load.limit = report.usable_slots
         load.demand = report.demand / PER_MILLE
         load.wait = report.wait / PER_MILLE
         load.failure_share = report.failures_ppm / PPM
--- a/eelgrassmount/relay/server_rate_limit.py
+++ b/eelgrassmount/relay/server_rate_limit.py
@@ -63,12 +63,8 @@
         self._bucket.resize(rate_per_s, compute_burst(rate_per_s), 0.0, 0.0, now_s)
 
 
-def log_limit_change(
-    incarnation: str, previous: float | None, per_s: float | None
-) -> None:
-    """Log when the rate limit of a server begins or ends."""
-    if (previous is None) == (per_s is None):
-        return
+def log_limit_change(incarnation: str, per_s: float | None) -> None:
+    """Log that the rate limit of a server begins, or ends if it is ``None``."""
     logger.info(
         "server no longer limits its rate"
         if per_s is None
--- a/eelgrassmount/relay/status.py
+++ b/eelgrassmount/relay/status.py
@@ -52,7 +52,7 @@
     accepting: bool
     in_flight: int
     queued: int
-    limit: int
+    limit: float
     failure_share: float
     age_s: float | None
 
@@ -291,7 +291,7 @@
         load.accepting,
         load.in_flight,
         load.queued,
-        load.limit,
+        round(load.limit, 2),
         round(load.failure_share, 3),
         age_s,
     )
--- a/tests/relay/rate_limits.py
+++ b/tests/relay/rate_limits.py
@@ -9,6 +9,7 @@
 import anyio
 from attrs import define, field
 
+from eelgrassmount.verdict import Reason
 from tests.relay.deployment import Deployment, Vm, make_rule, send_as_client
 from tests.relay.virtual import Network, run_virtually
 
@@ -81,6 +82,13 @@
         """Return the number of answers with a status."""
         return sum(answer.status == status for answer in self.answers)
 
+    def count_refused_attempts(self) -> float:
+        """Return how many calls were sent to a server beyond its rate limit."""
+        return sum(
+            vm.node.metrics.retries.labels(Reason.RATE_LIMIT)._value.get()
+            for vm in self.entry_vms
+        )
+
 
 def find_max_runs(server: PlatformServer, since_s: float) -> int:
     """Return the most runs of a server in any window after a time."""
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -55,6 +55,7 @@
     *(SUBSCRIBE, NEWS, QUOTA_REQUEST, QUOTA_GRANTS, QUOTA_BORROW, QUOTA_LOAN),
     *(ttypes.RelayCancel(1), ttypes.RelayConfigRequest(0)),
     ttypes.RelayConfig(3, b"{}"),
+    ttypes.RelayReport(*list(vars(REPORT).values())[:-1], 0.5),
 )
 LONG_TEXT = "x" * 70_000
 
@@ -73,6 +74,7 @@
         for one in STRUCTS
         for name in vars(one)
         if not (one in (REPLY, REFUSAL) and name == "reason")
+        if not (isinstance(one, ttypes.RelayReport) and name == "usable_slots")
     ]
 
 
@@ -140,6 +142,9 @@
         (REPORT, {"in_flight": -1}),
         (REPORT, {"queued": -1}),
         (REPORT, {"limit": -1}),
+        (REPORT, {"usable_slots": 0.0}),
+        (REPORT, {"usable_slots": math.nan}),
+        (REPORT, {"usable_slots": 9.5}),
         (REPORT, {"limit": 2**31 - 1}),
         (REPORT, {"demand": -1}),
         (REPORT, {"wait": -1}),
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -421,6 +421,18 @@
     assert started_s == pytest.approx([0.25, 0.5, 0.75, 1.0], abs=0.02)
 
 
+def test_demand_is_relative_to_the_rate_limit_of_the_server():
+    setup = Setup(slots=16)
+    setup.dispatcher.update_load()
+    setup.server.rate_limit.apply_answer(10.0, sent_s=0.0, now_s=setup.now_s)
+    for _ in range(30):
+        setup.submit()
+    setup.now_s += 1.0
+    setup.dispatcher.update_load()
+    load = setup.dispatcher.measures.load
+    assert load.demand == pytest.approx(DEMAND_SMOOTHING * 30 / 10)
+
+
 def test_calls_beyond_the_rate_limit_are_refused_as_not_run():
     setup = Setup(slots=16)
     setup.server.rate_limit.apply_answer(4.0, sent_s=0.0, now_s=setup.now_s)
--- a/tests/relay/test_peer_updates.py
+++ b/tests/relay/test_peer_updates.py
@@ -72,3 +72,16 @@
         "cut": 0,
         "queued": 0,
     }
+
+
+def test_reported_capacity_follows_the_rate_limit_of_the_server(node):
+    node.state.members.put("n2", "127.0.0.1:7620", "b", "list")
+    member = node.state.members.by_name["n2"]
+    server = node.state.server
+    server.rate_limit.apply_answer(10.0, sent_s=0.0, now_s=0.0)
+    node.dispatcher.measures.mean_run_s = 0.1
+    node.peer_updates.handle_report(member, node.control_loop.make_report(False))
+    assert member.load.limit == pytest.approx(1.0)
+    server.rate_limit.clear()
+    node.peer_updates.handle_report(member, node.control_loop.make_report(False))
+    assert member.load.limit == server.compute_concurrency_limit()
--- a/tests/relay/test_rate_limited_servers.py
+++ b/tests/relay/test_rate_limited_servers.py
@@ -29,3 +29,78 @@
         assert setup.count_answers(200) == len(setup.answers)
 
     run_scenario(scenario)
+
+
+def test_room_of_limited_servers_is_used_and_refusals_are_true():
+    """All servers of the service take less than the clients send."""
+    limits_per_s = (4.0, 2.0, 0.4)
+
+    async def scenario(setup: RateLimitScenario) -> None:
+        await setup.send_for(1.0)
+        setup.answers.clear()
+        for server, limit in zip(setup.servers, limits_per_s, strict=True):
+            server.rate_limit = str(limit)
+            server.run_times_s.clear()
+        named_s = time.monotonic()
+        await setup.send_for(20.0)
+        for server, limit in zip(setup.servers, limits_per_s, strict=True):
+            runs = find_max_runs(server, named_s + NOTICE_S)
+            assert runs <= compute_allowed_runs(limit)
+        served = setup.count_answers(200)
+        assert served >= 0.9 * 20.0 * sum(limits_per_s)
+        # Each request runs once, or is refused and runs nowhere.
+        assert setup.count_answers(503) == len(setup.answers) - served
+        assert served == sum(len(server.run_times_s) for server in setup.servers)
+
+    run_scenario(scenario, servers=3)
+
+
+def test_others_take_the_requests_beyond_a_rate_limit_without_detours():
+    """Nodes know of the limit, and don't find out by a refusal of each request."""
+
+    async def scenario(setup: RateLimitScenario) -> None:
+        setup.servers[0].rate_limit = "2"
+        await setup.send_for(2.0)
+        refused_before = setup.count_refused_attempts()
+        setup.answers.clear()
+        await setup.send_for(10.0)
+        refused = setup.count_refused_attempts() - refused_before
+        assert setup.count_answers(200) == len(setup.answers)
+        assert refused <= 0.05 * len(setup.answers)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("change", [None, "40", "many"])
+def test_limit_holds_until_it_is_raised_or_no_longer_named(change):
+    """A value that can't be parsed leaves the limit as it is."""
+
+    async def scenario(setup: RateLimitScenario) -> None:
+        limited = setup.servers[0]
+        limited.rate_limit = "2"
+        await setup.send_for(4.0)
+        limited.rate_limit = change
+        await setup.send_for(2.0)
+        limited.run_times_s.clear()
+        await setup.send_for(8.0)
+        if change == "many":
+            assert len(limited.run_times_s) <= 8.0 * 2 + 2
+        else:
+            assert len(limited.run_times_s) >= 8.0 * 2 * 2
+        assert setup.count_answers(200) == len(setup.answers)
+
+    run_scenario(scenario)
+
+
+def test_limit_holds_while_the_log_is_away():
+    async def scenario(setup: RateLimitScenario) -> None:
+        await setup.send_for(1.0)
+        setup.deployment.log.listener.end()
+        limited = setup.servers[0]
+        limited.rate_limit = "2"
+        named_s = time.monotonic()
+        await setup.send_for(10.0)
+        assert find_max_runs(limited, named_s + NOTICE_S) <= compute_allowed_runs(2.0)
+        assert setup.count_answers(200) == len(setup.answers)
+
+    run_scenario(scenario)
--- a/tests/relay/test_routing.py
+++ b/tests/relay/test_routing.py
@@ -52,6 +52,12 @@
     assert setup.count()["a"] == 99
 
 
+def test_server_with_a_spent_rate_limit_is_avoided_for_another_failure_domain(setup):
+    setup.add("a", limit=0.05, in_flight=1)
+    setup.add("b", "remote")
+    assert setup.count()["b"] == 99
+
+
 def test_full_server_is_avoided_for_another_failure_domain(setup):
     setup.add("a", in_flight=10, queued=10)
     setup.add("b", "remote")
