Send nothing to a server that announces its stop in an answer

Found while looking for other statements in answers that no node reads: a server that leaves says so in all its answers. Nodes passed that on to clients, yet only a heartbeat ended new calls; it may be seconds late, or the server may first be heard of by its leave message.

The node beside the server now stops new calls with the first such answer and tells all nodes before it passes the answer on. Calls that wait there were sent before, and still run, as with a heartbeat.

--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -437,6 +437,12 @@
             self.on_invalid_header(
                 current.identity, name.decode("latin-1"), value.decode("latin-1")
             )
+        if head.leaving and self.server.apply_announced_stop():
+            logger.info("server announces its stop", incarnation=str(current))
+            self.on_change()
+        self._apply_rate_limit(job, head, now_s)
+
+    def _apply_rate_limit(self, job: Job, head: AnswerHead, now_s: float) -> None:
         # Answers of a proxy or of a failing server may lack the header.
         names_none = head.signed and not head.not_run and not head.invalid_headers
         if head.rate_limit_per_s is None and not names_none:
@@ -448,7 +454,7 @@
             return
         self._refuse_excess(now_s)
         if (previous is None) != (limit.per_s is None):
-            log_limit_change(str(current), limit.per_s)
+            log_limit_change(str(self.server.incarnation), limit.per_s)
             self.on_change()
 
     def _refuse_excess(self, now_s: float) -> None:
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -91,6 +91,15 @@
         self.has_left = False
         self.rate_limit.clear()
 
+    def apply_announced_stop(self) -> bool:
+        """Apply that an answer announces the server's stop; return whether it is new.
+
+        The heartbeat that says so may be late, or never come.
+        """
+        changed = not self.draining
+        self.draining = True
+        return changed
+
     def mark_unreachable(self, now_s: float) -> None:
         """Record that the server refused a connection."""
         self.unreachable_until_s = now_s + RECONNECT_DELAY_S
--- a/tests/relay/rate_limits.py
+++ b/tests/relay/service_scenario.py
@@ -1,4 +1,4 @@
-"""A service whose servers name rate limits, and clients on several VMs."""
+"""A service whose servers name limits in answers, and clients on several VMs."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 @define(eq=False)
-class RateLimitScenario:
+class ServiceScenario:
     """Clients on three VMs, and a service with some servers.
 
     ``answers`` holds the answers of the clients, and ``latencies_s`` when they came.
@@ -105,7 +105,7 @@
 
 
 def run_scenario(
-    scenario: Callable[[RateLimitScenario], Awaitable[None]], servers: int = 2
+    scenario: Callable[[ServiceScenario], Awaitable[None]], servers: int = 2
 ) -> None:
     """Run a scenario in virtual time."""
 
@@ -113,7 +113,7 @@
         async with anyio.create_task_group() as group:
             deployment = Deployment(group)
             await deployment.start(make_rule("/list/", "list"))
-            setup = RateLimitScenario(network, deployment)
+            setup = ServiceScenario(network, deployment)
             try:
                 await setup.build(servers)
                 with anyio.fail_after(120):
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -467,6 +467,23 @@
     assert invalid == [("i1", "server-limit", "many")]
 
 
+def test_announced_stop_refuses_new_calls_and_is_reported_at_once():
+    setup = Setup(slots=1)
+    changes = []
+    setup.dispatcher.on_change = lambda: changes.append(list(setup.replies))
+    setup.submit()
+    setup.submit()
+    setup.answer(200, [*SIGNED, (b"server-leaving", b"1")])
+    # Other nodes hear of it before the answer is passed on.
+    assert changes == [[]]
+    setup.submit()
+    assert setup.replies[-1].reason is Reason.DRAINING
+    # A call that waited before still runs.
+    setup.answer(200, [*SIGNED, (b"server-leaving", b"1")])
+    assert [reply.outcome for reply in setup.replies].count(Outcome.ANSWERED) == 2
+    assert len(changes) == 1
+
+
 def test_rate_limit_of_an_earlier_server_is_ignored():
     setup = Setup(slots=4)
     setup.submit()
--- a/tests/relay/test_rate_limited_servers.py
+++ b/tests/relay/test_rate_limited_servers.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tests.relay.rate_limits import (
+from tests.relay.service_scenario import (
     NOTICE_S,
-    RateLimitScenario,
+    ServiceScenario,
     compute_allowed_runs,
     find_max_runs,
     run_scenario,
@@ -17,7 +17,7 @@
 
 @pytest.mark.parametrize("limit_per_s", [0.5, 2.0, 6.0])
 def test_server_gets_its_rate_limit_at_most_from_all_nodes_together(limit_per_s):
-    async def scenario(setup: RateLimitScenario) -> None:
+    async def scenario(setup: ServiceScenario) -> None:
         await setup.send_for(2.0)
         limited = setup.servers[0]
         limited.rate_limit = str(limit_per_s)
@@ -35,7 +35,7 @@
     """All servers of the service take less than the clients send."""
     limits_per_s = (4.0, 2.0, 0.4)
 
-    async def scenario(setup: RateLimitScenario) -> None:
+    async def scenario(setup: ServiceScenario) -> None:
         await setup.send_for(1.0)
         setup.answers.clear()
         for server, limit in zip(setup.servers, limits_per_s, strict=True):
@@ -58,7 +58,7 @@
 def test_others_take_the_requests_beyond_a_rate_limit_without_detours():
     """Nodes know of the limit, and don't find out by a refusal of each request."""
 
-    async def scenario(setup: RateLimitScenario) -> None:
+    async def scenario(setup: ServiceScenario) -> None:
         setup.servers[0].rate_limit = "2"
         await setup.send_for(2.0)
         refused_before = setup.count_refused_attempts()
@@ -75,7 +75,7 @@
 def test_limit_holds_until_it_is_raised_or_no_longer_named(change):
     """A value that can't be parsed leaves the limit as it is."""
 
-    async def scenario(setup: RateLimitScenario) -> None:
+    async def scenario(setup: ServiceScenario) -> None:
         limited = setup.servers[0]
         limited.rate_limit = "2"
         await setup.send_for(4.0)
@@ -93,7 +93,7 @@
 
 
 def test_limit_holds_while_the_log_is_away():
-    async def scenario(setup: RateLimitScenario) -> None:
+    async def scenario(setup: ServiceScenario) -> None:
         await setup.send_for(1.0)
         setup.deployment.log.listener.end()
         limited = setup.servers[0]
