Tell a restarted node what its server has said in answers

Found while looking for the same cause elsewhere: what a server says of its rate limit and its stop binds all nodes that have passed it on, yet only the node beside it knows, and forgets it in a restart. With the node restarted three times within 4.5 s, a server with a limit of 0.5 a second got 27 requests in 4 s (8 allowed), and one that had announced its stop 30 (none allowed) from nodes that had told it to their clients.

Reports now carry what a server has said, as long as it says something, and a node that opens a link repeats it in the first frame, ahead of its calls. It applies to that incarnation of the server only; a limit holds until the first answer, an announced stop for good.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -235,7 +235,17 @@
 // Frames between the nodes of a deployment that runs beside its backend servers.
 // Each travels behind a length and a byte that names its kind.
 
-// The first frame of a link, in both directions.
+// What a server has said about itself. ``started_ms`` is 0 if it is not known, and
+// ``rate_limit``, in requests a second, is absent without a limit.
+struct ServerNotice {
+  1: string identity
+  2: i64 started_ms
+  3: bool leaving
+  4: optional double rate_limit
+}
+
+// The first frame of a link, in both directions. ``notice`` is about the server of the
+// node that accepts the link, which may have forgotten it in a restart.
 struct RelayHello {
   1: string node_name
   2: string incarnation
@@ -243,6 +253,7 @@
   4: i64 config_version
   5: string address
   6: string failure_domain
+  7: optional ServerNotice notice
 }
 
 // A call to run on the receiver's backend server. ``head`` is the block of headers
@@ -335,6 +346,7 @@
   12: i32 lost_ppm
   // the part of ``limit`` that a rate limit of the server leaves; absent without one
   13: optional double usable_slots
+  14: optional ServerNotice notice
 }
 
 struct RelaySuspects {
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -2683,6 +2683,96 @@
         return not (self == other)
 
 
+class ServerNotice(object):
+    """
+    Attributes:
+     - identity
+     - started_ms
+     - leaving
+     - rate_limit
+
+    """
+
+
+    def __init__(self, identity=None, started_ms=None, leaving=None, rate_limit=None,):
+        self.identity = identity
+        self.started_ms = started_ms
+        self.leaving = leaving
+        self.rate_limit = rate_limit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.rate_limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerNotice')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 2)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.rate_limit is not None:
+            oprot.writeFieldBegin('rate_limit', TType.DOUBLE, 4)
+            oprot.writeDouble(self.rate_limit)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RelayHello(object):
     """
     Attributes:
@@ -2692,17 +2782,19 @@
      - config_version
      - address
      - failure_domain
+     - notice
 
     """
 
 
-    def __init__(self, node_name=None, incarnation=None, service_name=None, config_version=None, address=None, failure_domain=None,):
+    def __init__(self, node_name=None, incarnation=None, service_name=None, config_version=None, address=None, failure_domain=None, notice=None,):
         self.node_name = node_name
         self.incarnation = incarnation
         self.service_name = service_name
         self.config_version = config_version
         self.address = address
         self.failure_domain = failure_domain
+        self.notice = notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2743,6 +2835,12 @@
                     self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.notice = ServerNotice()
+                    self.notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2777,6 +2875,10 @@
             oprot.writeFieldBegin('failure_domain', TType.STRING, 6)
             oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
+        if self.notice is not None:
+            oprot.writeFieldBegin('notice', TType.STRUCT, 7)
+            self.notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3472,11 +3574,12 @@
      - wait
      - lost_ppm
      - usable_slots
+     - notice
 
     """
 
 
-    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, demand=None, config_version=None, times=None, calls=None, failures_ppm=None, counts=None, wait=None, lost_ppm=None, usable_slots=None,):
+    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, demand=None, config_version=None, times=None, calls=None, failures_ppm=None, counts=None, wait=None, lost_ppm=None, usable_slots=None, notice=None,):
         self.accepting = accepting
         self.in_flight = in_flight
         self.queued = queued
@@ -3490,6 +3593,7 @@
         self.wait = wait
         self.lost_ppm = lost_ppm
         self.usable_slots = usable_slots
+        self.notice = notice
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3583,6 +3687,12 @@
                     self.usable_slots = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.notice = ServerNotice()
+                    self.notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3654,6 +3764,10 @@
             oprot.writeFieldBegin('usable_slots', TType.DOUBLE, 13)
             oprot.writeDouble(self.usable_slots)
             oprot.writeFieldEnd()
+        if self.notice is not None:
+            oprot.writeFieldBegin('notice', TType.STRUCT, 14)
+            self.notice.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5441,6 +5555,14 @@
     (16, TType.STRUCT, 'slot_question', [SlotQuestion, None], None, ),  # 16
     (17, TType.STRUCT, 'slot_answer', [SlotAnswer, None], None, ),  # 17
 )
+all_structs.append(ServerNotice)
+ServerNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'leaving', None, None, ),  # 3
+    (4, TType.DOUBLE, 'rate_limit', None, None, ),  # 4
+)
 all_structs.append(RelayHello)
 RelayHello.thrift_spec = (
     None,  # 0
@@ -5450,6 +5572,7 @@
     (4, TType.I64, 'config_version', None, None, ),  # 4
     (5, TType.STRING, 'address', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 6
+    (7, TType.STRUCT, 'notice', [ServerNotice, None], None, ),  # 7
 )
 all_structs.append(RelayCall)
 RelayCall.thrift_spec = (
@@ -5527,6 +5650,7 @@
     (11, TType.I32, 'wait', None, None, ),  # 11
     (12, TType.I32, 'lost_ppm', None, None, ),  # 12
     (13, TType.DOUBLE, 'usable_slots', None, None, ),  # 13
+    (14, TType.STRUCT, 'notice', [ServerNotice, None], None, ),  # 14
 )
 all_structs.append(RelaySuspects)
 RelaySuspects.thrift_spec = (
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -14,7 +14,7 @@
 from eelgrassmount.relay.routes import MAX_RANK
 from eelgrassmount.topics.log_epoch import UNKNOWN_EPOCH
 from eelgrassmount.util.addresses import parse_address
-from eelgrassmount.util.fields import MAX_NAME_LENGTH, is_printable
+from eelgrassmount.util.fields import MAX_NAME_LENGTH, is_identity, is_printable
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
@@ -34,6 +34,8 @@
 MAX_COUNTER = 2**62
 # Calls per run, and requests, rates or durations of one route.
 MAX_COUNT = 1e9
+# Requests per second of a server; higher limits have no effect.
+MAX_RATE_PER_S = 1e9
 
 _REASONS = frozenset(str(reason) for reason in Reason)
 _OUTCOMES = frozenset(int(outcome) for outcome in Outcome)
@@ -87,6 +89,20 @@
     _check_node(hello)
     _check_ranges(hello, {"config_version": MAX_COUNTER})
     _check_texts(hello, ("incarnation",), MAX_ID_LENGTH)
+    _check_notice(hello.notice)
+
+
+def _check_notice(notice: ttypes.ServerNotice | None) -> None:
+    if notice is None:
+        return
+    _require_all(notice)
+    if not is_identity(notice.identity):
+        _raise_invalid(notice, "identity", "not the identity of a server")
+    _check_ranges(notice, {"started_ms": MAX_COUNTER})
+    limit = notice.rate_limit
+    # The comparison is also false for NaN and infinity.
+    if limit is not None and not 0 <= limit <= MAX_RATE_PER_S:
+        _raise_invalid(notice, "rate_limit", f"not between 0 and {MAX_RATE_PER_S:g}")
 
 
 def _check_node(node: ttypes.RelayHello | ttypes.NodeRecord) -> None:
@@ -138,6 +154,7 @@
     # The comparison is also false for NaN.
     if slots is not None and not 0 < slots <= report.limit:
         _raise_invalid(report, "usable_slots", "not between 0 and the limit")
+    _check_notice(report.notice)
     for time in report.times:
         _check_row(time, ("route_name",), "run_ms")
     _check_counts(report.counts)
@@ -285,7 +302,9 @@
 # Fields that may be missing. A reply with an answer has no reason.
 _OPTIONAL_FIELDS = {
     ttypes.RelayReply: ("reason",),
-    ttypes.RelayReport: ("usable_slots",),
+    ttypes.RelayReport: ("usable_slots", "notice"),
+    ttypes.RelayHello: ("notice",),
+    ttypes.ServerNotice: ("rate_limit",),
 }
 _CHECKS: dict[type, Callable[[Any], None]] = {
     ttypes.RelayHello: _check_hello,
--- a/eelgrassmount/relay/control_loop.py
+++ b/eelgrassmount/relay/control_loop.py
@@ -12,6 +12,7 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.frames import FrameKind
 from eelgrassmount.relay.rows import write_rows
+from eelgrassmount.relay.server_notices import make_notice, write_notice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -120,6 +121,7 @@
             round(self.dispatcher.measures.load.wait * PER_MILLE),
             round(self.dispatcher.measures.lost_share * PPM),
             self._find_usable_slots(),
+            write_notice(make_notice(state.server)),
         )
 
     def _find_usable_slots(self) -> float | None:
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -22,6 +22,7 @@
     from eelgrassmount.relay.frames import FrameHandler
     from eelgrassmount.relay.members import Member
     from eelgrassmount.relay.messages import Call
+    from eelgrassmount.relay.server_notices import ServerNotice
 
 CONNECT_TIMEOUT_S = 0.4
 # The wait for a connection is split into polls, so that a pause of this process is not
@@ -64,7 +65,7 @@
     its sender and sequence number, whichever link carries it.
     """
 
-    make_hello: Callable[[], ttypes.RelayHello]
+    make_hello: Callable[[ServerNotice | None], ttypes.RelayHello]
     handle_hello: Callable[[Member, ttypes.RelayHello], None]
     handle_report: Callable[[Member, ttypes.RelayReport], None]
     handle_frame: FrameHandler
@@ -311,14 +312,18 @@
             if connection.closed:
                 self._fail_all()
                 return
-            connection.send(FrameKind.HELLO, self.handlers.make_hello())
+            self._send_hello(connection)
             self._activate(connection)
         elif self.clock() - self.last_received_s <= SILENCE_TIMEOUT_S:
             connection.abort()
         elif not connection.closed:
-            connection.send(FrameKind.HELLO, self.handlers.make_hello())
+            self._send_hello(connection)
             self._second_connection = connection
 
+    def _send_hello(self, connection: LinkConnection) -> None:
+        hello = self.handlers.make_hello(self.member.notice)
+        connection.send(FrameKind.HELLO, hello)
+
     def _activate(self, connection: LinkConnection) -> None:
         """Make a connection the current one and send all pending calls over it."""
         self._connection = connection
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -10,6 +10,7 @@
     from collections.abc import Collection
 
     from eelgrassmount.relay.link import PeerLink
+    from eelgrassmount.relay.server_notices import ServerNotice
 
 # Delay before the next connection to an unreachable node; doubles with each failure.
 MIN_RETRY_DELAY_S = 0.25
@@ -51,7 +52,9 @@
 class Member:
     """A node: its link address, service, load and the state of its link.
 
-    ``sent_since_report`` counts the calls sent since the last report of its load.
+    ``notice`` is what its server has last said about itself, ``None`` if nothing
+    restricts calls to it. ``sent_since_report`` counts the calls sent since the last
+    report of its load.
     """
 
     name: str
@@ -60,6 +63,7 @@
     service: str
     load: MemberLoad = field(factory=MemberLoad)
     link: PeerLink | None = None
+    notice: ServerNotice | None = None
     sent_since_report: int = 0
     last_used_s: float = 0.0
     connect_failures: int = 0
--- a/eelgrassmount/relay/peer_updates.py
+++ b/eelgrassmount/relay/peer_updates.py
@@ -12,6 +12,7 @@
 from eelgrassmount.relay.control_loop import MS_PER_S, PER_MILLE, PPM
 from eelgrassmount.relay.frames import QUOTA_KINDS, FrameKind
 from eelgrassmount.relay.rows import read_rows
+from eelgrassmount.relay.server_notices import read_notice
 from eelgrassmount.retry.quarantine import QUARANTINE_S, Suspect
 
 if TYPE_CHECKING:
@@ -69,6 +70,9 @@
         This is how a node that starts while the log is unavailable finds its peers.
         """
         state = self.state
+        notice = read_notice(hello.notice)
+        if notice is not None:
+            state.server.apply_notice(notice)
         if hello.address and hello.node_name != state.name:
             state.members.put(
                 hello.node_name,
@@ -90,6 +94,10 @@
         load.in_flight = report.in_flight
         load.queued = report.queued
         load.limit = report.limit
+        notice = read_notice(report.notice)
+        # A node that has just started may not know its server yet.
+        if notice is not None or report.accepting:
+            member.notice = notice
         if report.usable_slots is not None:
             load.limit = report.usable_slots
         load.demand = report.demand / PER_MILLE
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from eelgrassmount.relay.heartbeats import NO_SEQUENCE, UNKNOWN_START, ServerIncarnation
 from eelgrassmount.relay.server_rate_limit import ServerRateLimit
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from eelgrassmount.relay.heartbeats import Heartbeat
+    from eelgrassmount.relay.server_notices import ServerNotice
     from eelgrassmount.util.addresses import Address
 
 # Share of the server's slots that the node fills: a nearly full server slows down.
@@ -24,6 +25,8 @@
 RECONNECT_DELAY_S = 0.25
 # Ended identities whose late heartbeats are still recognized; the oldest are dropped.
 MAX_ENDED_IDENTITIES = 50
+# Identities of which notices of other nodes are kept.
+MAX_NOTICES = 8
 # Later than any start: marks all starts of an identity as ended.
 ANY_START = math.inf
 
@@ -42,6 +45,9 @@
     - another identity: that incarnation replaces the current one, unless the message is
       a leave or the identity is known to have ended at this start or a later one.
 
+    Other nodes may send a notice on what the server has said to an earlier process of
+    this node. It applies as long as it concerns the current incarnation.
+
     An answer names an identity only. If it differs from the current one, it replaces
     that, and the next heartbeat supplies its start.
     """
@@ -57,6 +63,7 @@
     has_left: bool = False
     sequence: int = NO_SEQUENCE
     rate_limit: ServerRateLimit = field(factory=ServerRateLimit)
+    notices: dict[str, ServerNotice] = field(factory=dict)
     unreachable_until_s: float = 0.0
     _ended: dict[str, float] = field(factory=dict)
 
@@ -71,6 +78,7 @@
         if current.is_after(reported):
             return False
         if reported.is_after(current):
+            self.notices.pop(current.identity, None)
             self._start_incarnation(heartbeat)
             self.on_restart(current, reported)
             return True
@@ -90,13 +98,46 @@
         self.draining = False
         self.has_left = False
         self.rate_limit.clear()
+        self._restore_rate_limit()
+
+    def apply_notice(self, notice: ServerNotice) -> None:
+        """Apply what another node remembers of this server or an earlier one."""
+        identity = notice.incarnation.identity
+        known = self.notices.get(identity)
+        if known is not None and known.leaving and known.concerns(notice.incarnation):
+            # A stop that was announced is never taken back.
+            notice = evolve(notice, leaving=True)
+        elif known is None and len(self.notices) >= MAX_NOTICES:
+            return
+        self.notices[identity] = notice
+        self._restore_rate_limit()
+
+    def is_leaving(self) -> bool:
+        """Return whether the server has announced its stop or has left."""
+        notice = self._find_notice()
+        noticed = notice is not None and notice.leaving
+        return self.draining or self.has_left or noticed
+
+    def _find_notice(self) -> ServerNotice | None:
+        """Return what other nodes remember of the current incarnation."""
+        if self.incarnation is None:
+            return None
+        notice = self.notices.get(self.incarnation.identity)
+        if notice is None or not notice.concerns(self.incarnation):
+            return None
+        return notice
+
+    def _restore_rate_limit(self) -> None:
+        notice = self._find_notice()
+        if notice is not None and notice.rate_limit_per_s is not None:
+            self.rate_limit.restore(notice.rate_limit_per_s)
 
     def apply_announced_stop(self) -> bool:
         """Apply that an answer announces the server's stop; return whether it is new.
 
         The heartbeat that says so may be late, or never come.
         """
-        changed = not self.draining
+        changed = not self.is_leaving()
         self.draining = True
         return changed
 
@@ -110,7 +151,7 @@
             return Reason.SERVER_STARTING
         if self.has_left or now_s < self.unreachable_until_s:
             return Reason.NO_SERVER
-        if self.draining:
+        if self.is_leaving():
             return Reason.DRAINING
         return None
 
@@ -164,6 +205,7 @@
         self.slots = heartbeat.slots or DEFAULT_SLOTS
         self.service = heartbeat.service or self.service
         self.rate_limit.clear()
+        self._restore_rate_limit()
         self.unreachable_until_s = 0.0
 
     def _mark_ended(self, incarnation: ServerIncarnation) -> None:
--- a/eelgrassmount/relay/server_rate_limit.py
+++ b/eelgrassmount/relay/server_rate_limit.py
@@ -20,9 +20,18 @@
     """
 
     per_s: float | None = None
+    _answered: bool = False
     _named_s: float = -math.inf
     _bucket: TokenBucket | None = None
 
+    def restore(self, per_s: float) -> None:
+        """Apply a limit that was named before this node started.
+
+        It holds until the first answer, which names the current limit or none.
+        """
+        if not self._answered:
+            self.per_s = per_s
+
     def apply_answer(self, per_s: float | None, sent_s: float, now_s: float) -> None:
         """Apply the limit that an answer names, or that it names none.
 
@@ -30,37 +39,41 @@
         ends the current one only if its request was sent after the limit was last
         named, because answers to earlier requests may arrive late.
         """
+        self._answered = True
         if per_s is not None:
             self._named_s = now_s
-            self._set_limit(per_s, now_s)
+            self.per_s = per_s
+            self._find_bucket(now_s)
         elif sent_s > self._named_s:
-            self.clear()
+            self.per_s = None
+            self._bucket = None
 
     def clear(self) -> None:
         """Forget the limit, as when the server is replaced."""
         self.per_s = None
+        self._answered = False
         self._bucket = None
 
     def take(self, now_s: float) -> None:
         """Count a call that starts."""
-        if self._bucket is not None:
-            self._bucket.take(1, now_s)
+        if self.per_s is not None:
+            self._find_bucket(now_s).take(1, now_s)
 
     def compute_wait_s(self, now_s: float, ahead: int = 0) -> float:
         """Return the seconds until a call may start behind ``ahead`` others."""
-        if self._bucket is None:
+        if self.per_s is None:
             return 0.0
-        return self._bucket.compute_wait_s(ahead, now_s)
+        return self._find_bucket(now_s).compute_wait_s(ahead, now_s)
 
-    def _set_limit(self, per_s: float, now_s: float) -> None:
-        if per_s == self.per_s:
-            return
+    def _find_bucket(self, now_s: float) -> TokenBucket:
+        """Return the bucket of the current limit."""
+        rate_per_s = max(MIN_RATE_PER_S, self.per_s)
         if self._bucket is None:
             # Empty, because the server has just run calls at a higher rate.
             self._bucket = TokenBucket(now_s)
-        self.per_s = per_s
-        rate_per_s = max(MIN_RATE_PER_S, per_s)
-        self._bucket.resize(rate_per_s, compute_burst(rate_per_s), 0.0, 0.0, now_s)
+        if self._bucket.rate != rate_per_s:
+            self._bucket.resize(rate_per_s, compute_burst(rate_per_s), 0.0, 0.0, now_s)
+        return self._bucket
 
 
 def log_limit_change(incarnation: str, per_s: float | None) -> None:
--- a/eelgrassmount/relay/shared_state.py
+++ b/eelgrassmount/relay/shared_state.py
@@ -9,6 +9,7 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.completed import CompletedRuns
 from eelgrassmount.relay.routes import Route, RouteTable, Target
+from eelgrassmount.relay.server_notices import write_notice
 from eelgrassmount.relay.tallies import Tally
 from eelgrassmount.relay.vectors import VectorLearner
 
@@ -20,6 +21,7 @@
     from eelgrassmount.relay.admission import CallGraph
     from eelgrassmount.relay.members import MemberTable
     from eelgrassmount.relay.server import LocalServer
+    from eelgrassmount.relay.server_notices import ServerNotice
 
 # Objective and timeout of a route that only another node has in its configuration.
 UNKNOWN_ROUTE_TIMEOUT_S = 5.0
@@ -144,8 +146,11 @@
             0,
         )
 
-    def make_hello(self) -> ttypes.RelayHello:
-        """Return the message that introduces this node on a new link."""
+    def make_hello(self, notice: ServerNotice | None = None) -> ttypes.RelayHello:
+        """Return the message that introduces this node on a new link.
+
+        ``notice`` is what this node knows about the server of the other one.
+        """
         return ttypes.RelayHello(
             self.name,
             self.incarnation,
@@ -153,4 +158,5 @@
             self.table.version,
             self.address,
             self.failure_domain,
+            write_notice(notice),
         )
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -28,7 +28,7 @@
 
     ``runs`` holds the ids of the requests that started to run, and ``run_times_s`` when
     they did. ``answer``, when set, replaces the correct answer. ``rate_limit`` and
-    ``leaving`` are named in all answers.
+    ``leaving`` are named in all answers, or in none to health checks.
     """
 
     incarnation: str
@@ -37,6 +37,7 @@
     run_times_s: list[float] = field(factory=list)
     rate_limit: str | None = None
     leaving: bool = False
+    names_in_health: bool = True
     seen: list[dict[bytes, bytes]] = field(factory=list)
     answer: Callable[[Exchange], None] | None = None
     listener: HttpListener = field(init=False)
@@ -60,8 +61,9 @@
             # Only health checks have no request id.
             instance = self.incarnation.encode()
             head = b"eelgrassmount-instance-id: %s\r\n" % instance
-            status = 503 if self.leaving else 200
-            exchange.respond(status, head + self._make_statements())
+            if self.names_in_health:
+                head += self._make_statements()
+            exchange.respond(503 if self.leaving else 200, head)
             return
         self.runs.append(names.get(REQUEST_ID, b"").decode())
         self.run_times_s.append(time.monotonic())
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -25,7 +25,7 @@
 from standins.platform_server import PlatformServer
 
 if TYPE_CHECKING:
-    from anyio.abc import TaskGroup
+    from anyio.abc import TaskGroup, TaskStatus
 
 # Depends on the process, so that concurrent test runs use different addresses.
 LOOPBACK_PREFIX = f"127.{64 + os.getpid() % 128}"
@@ -79,6 +79,7 @@
     node: RelayNode
     server: PlatformServer
     settings: RelaySettings
+    scope: anyio.CancelScope
     sequence: int = 0
     started_ms: int = field(factory=lambda: read_unix_ms())
 
@@ -169,12 +170,21 @@
         server = PlatformServer(f"i-{len(self.vms) + 1}")
         await server.start(host, 8301)
         node = build_relay(settings)
-        await start_relay(node, self.group)
-        vm = Vm(node, server, settings)
+        vm = Vm(node, server, settings, await self._start_node(node))
         self.vms.append(vm)
         await vm.announce()
         return vm
 
+    async def restart_node(self, vm: Vm) -> None:
+        """Kill the node of a VM and start it again beside the same server."""
+        vm.scope.cancel()
+        vm.node.end()
+        vm.node = build_relay(vm.settings)
+        vm.scope = await self._start_node(vm.node)
+
+    async def _start_node(self, node: RelayNode) -> anyio.CancelScope:
+        return await self.group.start(_run_node, node)
+
     async def wait_until_connected(self) -> None:
         """Wait until all nodes have the configuration and the links that it needs."""
         with anyio.fail_after(TIMEOUT_S):
@@ -197,6 +207,15 @@
         return vm.node.is_ready() and all_known and linked
 
 
+async def _run_node(
+    node: RelayNode, *, task_status: TaskStatus[anyio.CancelScope]
+) -> None:
+    """Run a node until the scope that is returned as its status is cancelled."""
+    async with anyio.create_task_group() as group:
+        await start_relay(node, group)
+        task_status.started(group.cancel_scope)
+
+
 async def connect(address: Address) -> ClientConnection:
     """Open a connection."""
     return await open_connection(address, TIMEOUT_S)
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -20,6 +20,7 @@
 )
 
 HELLO = ttypes.RelayHello("n1", "ab", "desk", 3, "127.0.0.1:7620", "a")
+NOTICE = ttypes.ServerNotice("i-1", 1_790_000_000_000, True, 8.5)
 CALL = ttypes.RelayCall(
     *(1, "r1", "shop/list/", "desk", "front", 900, 1, True, False),
     *("GET", "/list/1", b"host: shop\r\n", b"", "", False, False, 0, False, False),
@@ -55,8 +56,14 @@
     *(SUBSCRIBE, NEWS, QUOTA_REQUEST, QUOTA_GRANTS, QUOTA_BORROW, QUOTA_LOAN),
     *(ttypes.RelayCancel(1), ttypes.RelayConfigRequest(0)),
     ttypes.RelayConfig(3, b"{}"),
-    ttypes.RelayReport(*list(vars(REPORT).values())[:-1], 0.5),
+    ttypes.RelayReport(**{**vars(REPORT), "usable_slots": 0.5, "notice": NOTICE}),
+    ttypes.RelayHello(**{**vars(HELLO), "notice": NOTICE}),
 )
+# Fields that are absent for servers without limits.
+OPTIONAL_FIELDS = {
+    ttypes.RelayReport: ("usable_slots", "notice"),
+    ttypes.RelayHello: ("notice",),
+}
 LONG_TEXT = "x" * 70_000
 
 
@@ -74,7 +81,7 @@
         for one in STRUCTS
         for name in vars(one)
         if not (one in (REPLY, REFUSAL) and name == "reason")
-        if not (isinstance(one, ttypes.RelayReport) and name == "usable_slots")
+        if name not in OPTIONAL_FIELDS.get(type(one), ())
     ]
 
 
@@ -143,6 +150,12 @@
         (REPORT, {"queued": -1}),
         (REPORT, {"limit": -1}),
         (REPORT, {"usable_slots": 0.0}),
+        (REPORT, {"notice": ttypes.ServerNotice("i 1", 0, False)}),
+        (REPORT, {"notice": ttypes.ServerNotice("i1", 0, None)}),
+        (HELLO, {"notice": ttypes.ServerNotice("i1", -1, False)}),
+        (HELLO, {"notice": ttypes.ServerNotice("i1", 0, False, -1.0)}),
+        (HELLO, {"notice": ttypes.ServerNotice("i1", 0, False, math.nan)}),
+        (HELLO, {"notice": ttypes.ServerNotice("i1", 0, False, math.inf)}),
         (REPORT, {"usable_slots": math.nan}),
         (REPORT, {"usable_slots": 9.5}),
         (REPORT, {"limit": 2**31 - 1}),
--- a/tests/relay/test_leaving_servers.py
+++ b/tests/relay/test_leaving_servers.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import anyio
+import pytest
 
 from eelgrassmount.verdict import Reason
-from tests.relay.service_scenario import ServiceScenario, run_scenario
+from tests.relay.service_scenario import (
+    ServiceScenario,
+    compute_allowed_runs,
+    find_max_runs,
+    run_scenario,
+)
 
 # Time after which a server that announced its stop must get no new requests.
 DRAIN_S = 2.0
@@ -43,3 +49,31 @@
         assert setup.count_answers(200) == len(setup.answers)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("statement", ["leaving", "rate limit"])
+def test_node_of_a_server_knows_its_statements_after_a_restart(statement):
+    """Other nodes have passed them on, so that they bind the calls of these.
+
+    Health checks and heartbeats of this server say nothing.
+    """
+
+    async def scenario(setup: ServiceScenario) -> None:
+        vm = setup.server_vms[0]
+        server = vm.server
+        server.names_in_health = False
+        server.work_s = 0.3
+        server.leaving = statement == "leaving"
+        server.rate_limit = "0.5" if statement == "rate limit" else None
+        await setup.send_for(1.0)
+        await anyio.sleep(3.0)
+        server.run_times_s.clear()
+        for _ in range(3):
+            await setup.deployment.restart_node(vm)
+            await setup.send_for(1.0)
+            await vm.announce()
+            await setup.send_for(0.5)
+        allowed = 0 if server.leaving else compute_allowed_runs(0.5)
+        assert find_max_runs(server, 0.0) <= allowed
+
+    run_scenario(scenario, servers=1)
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -9,7 +9,13 @@
     Heartbeat,
     ServerIncarnation,
 )
-from eelgrassmount.relay.server import DEFAULT_SLOTS, MAX_ENDED_IDENTITIES, LocalServer
+from eelgrassmount.relay.server import (
+    DEFAULT_SLOTS,
+    MAX_ENDED_IDENTITIES,
+    MAX_NOTICES,
+    LocalServer,
+)
+from eelgrassmount.relay.server_notices import ServerNotice
 from eelgrassmount.util.addresses import Address
 from eelgrassmount.verdict import Reason
 
@@ -283,3 +289,79 @@
     server.apply_answer_identity("i1")
     assert server.apply_heartbeat(make_heartbeat("i1", started_ms=THIRD_MS))
     assert server.incarnation == ServerIncarnation("i1", THIRD_MS)
+
+
+# The following tests guard against a node that restarts and forgets what its server has
+# said in answers, which bind the nodes that have passed them on.
+
+
+def make_notice(
+    identity: str = "i1",
+    started_ms: int = FIRST_MS,
+    leaving: bool = True,
+    rate_limit_per_s: float | None = 2.0,
+) -> ServerNotice:
+    incarnation = ServerIncarnation(identity, started_ms)
+    return ServerNotice(incarnation, leaving, rate_limit_per_s)
+
+
+@pytest.mark.parametrize("notice_first", [True, False])
+@pytest.mark.parametrize("started_ms", [FIRST_MS, UNKNOWN_START])
+def test_notice_applies_to_its_incarnation(server, notice_first, started_ms):
+    notice = make_notice(started_ms=started_ms)
+    if notice_first:
+        server.apply_notice(notice)
+        server.apply_heartbeat(make_heartbeat())
+    else:
+        server.apply_heartbeat(make_heartbeat())
+        server.apply_notice(notice)
+    assert server.find_refusal_reason(NOW_S) is Reason.DRAINING
+    assert server.rate_limit.per_s == 2.0
+
+
+@pytest.mark.parametrize(
+    "notice", [make_notice("i2"), make_notice(started_ms=FIRST_MS - 1)]
+)
+def test_notice_on_another_incarnation_has_no_effect(server, notice):
+    server.apply_notice(notice)
+    server.apply_heartbeat(make_heartbeat())
+    server.apply_notice(notice)
+    assert server.find_refusal_reason(NOW_S) is None
+    assert server.rate_limit.per_s is None
+
+
+def test_notice_ends_with_its_incarnation(server):
+    server.apply_notice(make_notice(started_ms=UNKNOWN_START))
+    server.apply_heartbeat(make_heartbeat())
+    server.apply_heartbeat(make_heartbeat(started_ms=SECOND_MS))
+    assert server.find_refusal_reason(NOW_S) is None
+    assert server.rate_limit.per_s is None
+
+
+def test_notice_of_an_earlier_start_ends_when_the_start_becomes_known(server):
+    server.apply_notice(make_notice(started_ms=FIRST_MS))
+    server.apply_answer_identity("i1")
+    assert server.find_refusal_reason(NOW_S) is Reason.DRAINING
+    server.apply_heartbeat(make_heartbeat(started_ms=SECOND_MS))
+    assert server.find_refusal_reason(NOW_S) is None
+
+
+def test_answers_of_the_server_replace_the_limit_of_a_notice(server):
+    server.apply_heartbeat(make_heartbeat())
+    server.apply_notice(make_notice(leaving=False))
+    server.rate_limit.apply_answer(None, sent_s=NOW_S, now_s=NOW_S + 1)
+    server.apply_notice(make_notice(leaving=False))
+    assert server.rate_limit.per_s is None
+
+
+def test_announced_stop_is_not_taken_back_by_another_notice(server):
+    server.apply_notice(make_notice())
+    server.apply_notice(make_notice(leaving=False))
+    server.apply_heartbeat(make_heartbeat())
+    assert server.find_refusal_reason(NOW_S) is Reason.DRAINING
+
+
+def test_number_of_notices_is_bounded(server):
+    for number in range(3 * MAX_NOTICES):
+        server.apply_notice(make_notice(f"x{number}"))
+    assert len(server.notices) == MAX_NOTICES
