Tell clients when the rate limit of a server allows their request

A refusal by a rate limit now names the wait that the node beside the server expects. The node of the client takes the shortest of the servers that it asked, spread by up to half of it, if it is above the usual delay.

The reply between nodes has one more field, absent on other replies.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -302,6 +302,8 @@
   6: binary body
   7: i32 in_flight
   8: i32 queued
+  // of a call refused by a rate limit: when it could start; absent on other replies
+  9: optional i32 wait_ms
 }
 
 struct RelayCancel {
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -3163,11 +3163,12 @@
      - body
      - in_flight
      - queued
+     - wait_ms
 
     """
 
 
-    def __init__(self, sequence=None, outcome=None, reason=None, status=None, head=None, body=None, in_flight=None, queued=None,):
+    def __init__(self, sequence=None, outcome=None, reason=None, status=None, head=None, body=None, in_flight=None, queued=None, wait_ms=None,):
         self.sequence = sequence
         self.outcome = outcome
         self.reason = reason
@@ -3176,6 +3177,7 @@
         self.body = body
         self.in_flight = in_flight
         self.queued = queued
+        self.wait_ms = wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3226,6 +3228,11 @@
                     self.queued = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3268,6 +3275,10 @@
             oprot.writeFieldBegin('queued', TType.I32, 8)
             oprot.writeI32(self.queued)
             oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 9)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5609,6 +5620,7 @@
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
     (7, TType.I32, 'in_flight', None, None, ),  # 7
     (8, TType.I32, 'queued', None, None, ),  # 8
+    (9, TType.I32, 'wait_ms', None, None, ),  # 9
 )
 all_structs.append(RelayCancel)
 RelayCancel.thrift_spec = (
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -145,6 +145,8 @@
     if reply.outcome == Outcome.ANSWERED and not 100 <= reply.status <= 999:
         _raise_invalid(reply, "status", "not an HTTP status")
     _check_ranges(reply, _REPLY_RANGES)
+    if reply.wait_ms is not None:
+        _check_ranges(reply, {"wait_ms": MAX_REMAINING_MS})
     _check_head(reply)
 
 
@@ -301,7 +303,7 @@
 }
 # Fields that may be missing. A reply with an answer has no reason.
 _OPTIONAL_FIELDS = {
-    ttypes.RelayReply: ("reason",),
+    ttypes.RelayReply: ("reason", "wait_ms"),
     ttypes.RelayReport: ("usable_slots", "notice"),
     ttypes.RelayHello: ("notice",),
     ttypes.ServerNotice: ("rate_limit",),
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -49,6 +49,8 @@
 REJECTION_LOG_INTERVAL_S = 1.0
 # Shortest time between two attempts to start calls held back by the rate limit.
 MIN_START_DELAY_S = 0.001
+# Longest wait that a refusal names.
+MAX_WAIT_S = 600.0
 
 _OUTCOMES = {
     ExchangeFailure.REFUSED: (Outcome.NOT_RUN, Reason.NO_SERVER),
@@ -326,7 +328,7 @@
         """Return why a call would wait too long behind calls as urgent or more so."""
         ahead = self._queue.count_ahead(call.origin.priority)
         max_wait_s = self._find_max_wait(call)
-        if self.server.rate_limit.compute_wait_s(now_s, ahead) > max_wait_s:
+        if self._compute_rate_wait_s(call, now_s) > max_wait_s:
             return Reason.RATE_LIMIT
         slots = self.server.compute_concurrency_limit()
         if self.measures.mean_run_s * (ahead + 1) / slots > max_wait_s:
@@ -339,7 +341,16 @@
 
     def _refuse(self, job: Job, reason: Reason) -> None:
         job.ended = True
-        job.done(Reply(Outcome.NOT_RUN, reason))
+        reply = Reply(Outcome.NOT_RUN, reason)
+        if reason is Reason.RATE_LIMIT:
+            reply.wait_s = self._compute_rate_wait_s(job.call, self.clock())
+        job.done(reply)
+
+    def _compute_rate_wait_s(self, call: Call, now_s: float) -> float:
+        """Return when the rate limit allows a call behind calls as urgent or more."""
+        ahead = self._queue.count_ahead(call.origin.priority)
+        wait_s = self.server.rate_limit.compute_wait_s(now_s, ahead)
+        return min(MAX_WAIT_S, wait_s)
 
     def _start(self, job: Job, now_s: float) -> None:
         self._update_queue_time(now_s)
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -11,6 +11,7 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.dispatcher import Job
 from eelgrassmount.relay.frames import FrameConnection, FrameKind, encode_frame
+from eelgrassmount.relay.heartbeats import MS_PER_S
 from eelgrassmount.relay.messages import Call, Origin, Outcome, Reply
 from eelgrassmount.verdict import Reason
 
@@ -315,5 +316,6 @@
                 reply.body,
                 dispatcher.in_flight,
                 dispatcher.queued,
+                round(reply.wait_s * MS_PER_S) if reply.wait_s else None,
             ),
         )
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -12,6 +12,7 @@
 
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.frames import FrameConnection, FrameKind
+from eelgrassmount.relay.heartbeats import MS_PER_S
 from eelgrassmount.relay.messages import Outcome, Reply
 from eelgrassmount.verdict import Reason
 
@@ -428,7 +429,10 @@
         if pending is not None:
             reason = Reason(reply.reason) if reply.reason else None
             outcome = Outcome(reply.outcome)
-            pending.done(Reply(outcome, reason, reply.status, reply.head, reply.body))
+            wait_s = (reply.wait_ms or 0) / MS_PER_S
+            pending.done(
+                Reply(outcome, reason, reply.status, reply.head, reply.body, wait_s)
+            )
         self._close_retired()
 
     def _handle_hello(self, hello: ttypes.RelayHello) -> None:
--- a/eelgrassmount/relay/messages.py
+++ b/eelgrassmount/relay/messages.py
@@ -45,7 +45,8 @@
     """The result of one attempt of a call.
 
     ``head`` holds whole header lines of the server's answer. ``reason`` is set if there
-    is no answer.
+    is no answer. ``wait_s`` is the time in seconds until a call that was refused by a
+    rate limit could start, 0 for other replies.
     """
 
     outcome: Outcome
@@ -53,6 +54,7 @@
     status: int = 0
     head: bytes = b""
     body: bytes = b""
+    wait_s: float = 0.0
 
 
 @define(eq=False)
--- a/eelgrassmount/relay/responder.py
+++ b/eelgrassmount/relay/responder.py
@@ -32,6 +32,8 @@
 UNINFORMED_RETRY_AFTER_S = 0.5
 # Upper end of the random factor that spreads the retries of clients refused by quota.
 MAX_QUOTA_RETRY_FACTOR = 1.2
+# The same for clients refused by the rate limits of servers.
+MAX_RATE_RETRY_FACTOR = 1.5
 
 UNAUTHORIZED = 401
 NOT_FOUND = 404
@@ -117,9 +119,7 @@
         call = pending.call
         if pending.team is not None:
             self.return_quota(pending.team)
-        delay_s = call.route.objective_s * self.rng.uniform(
-            MIN_RETRY_AFTER_SHARE, MAX_RETRY_AFTER_SHARE
-        )
+        delay_s = self._choose_retry_delay(pending, reason)
         self.metrics.count_refusal(call.route.name, str(reason))
         share = self.admission.admitted_fractions.get(call.request_class, 1.0)
         self.decisions.record(
@@ -134,6 +134,21 @@
         head = self.header_codec.write_refusal(call.request_id, delay_s)
         self._respond(pending, SERVICE_UNAVAILABLE, head)
 
+    def _choose_retry_delay(
+        self, pending: PendingRequest, reason: Reason | None
+    ) -> float:
+        """Return the Retry-After of a refused request in seconds.
+
+        Until a rate limit allows another call, a retry would be refused too.
+        """
+        delay_s = pending.call.route.objective_s * self.rng.uniform(
+            MIN_RETRY_AFTER_SHARE, MAX_RETRY_AFTER_SHARE
+        )
+        if reason is not Reason.RATE_LIMIT:
+            return delay_s
+        factor = self.rng.uniform(1.0, MAX_RATE_RETRY_FACTOR)
+        return max(delay_s, pending.rate_wait_s * factor)
+
     def refuse_uninformed(
         self, exchange: Exchange, head: RequestHead, route_name: str, reason: Reason
     ) -> None:
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -61,9 +61,10 @@
 
     ``attempts`` counts attempts that may have run at a server, ``refusals`` those that
     have not, ``rejections`` the refusals by backend servers, and ``budget_refusals``
-    those for lack of retry budget. ``rejecting_nodes`` are the nodes whose servers have
-    read and rejected the call. ``tried`` lists all nodes in the order of the attempts;
-    nodes in ``excluded`` get no further attempt.
+    those for lack of retry budget. ``rate_wait_s`` is the shortest wait until the rate
+    limit of a server allows the call. ``rejecting_nodes`` are the nodes whose servers
+    have read and rejected the call. ``tried`` lists all nodes in the order of the
+    attempts; nodes in ``excluded`` get no further attempt.
 
     ``silent_attempt`` is an earlier attempt without a reply while ``current_attempt``
     is sent elsewhere; the first answer of the two counts.
@@ -80,6 +81,7 @@
     refusals: int = 0
     rejections: int = 0
     budget_refusals: int = 0
+    rate_wait_s: float = math.inf
     may_have_run: bool = False
     ended: bool = False
     excluded: set[str] = field(factory=set)
@@ -266,6 +268,8 @@
             # Until the next load report of the node.
             member.load.accepting = False
             member.load.reported_s = self.clock()
+        if reply.reason is Reason.RATE_LIMIT:
+            pending.rate_wait_s = min(pending.rate_wait_s, reply.wait_s)
         if reply.reason is Reason.SERVER_SHED:
             self._handle_rejection(pending, member)
             return
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -58,9 +58,11 @@
     ttypes.RelayConfig(3, b"{}"),
     ttypes.RelayReport(**{**vars(REPORT), "usable_slots": 0.5, "notice": NOTICE}),
     ttypes.RelayHello(**{**vars(HELLO), "notice": NOTICE}),
+    ttypes.RelayReply(**{**vars(REFUSAL), "wait_ms": 250}),
 )
-# Fields that are absent for servers without limits.
+# Fields that are absent for answers and for servers without limits.
 OPTIONAL_FIELDS = {
+    ttypes.RelayReply: ("reason", "wait_ms"),
     ttypes.RelayReport: ("usable_slots", "notice"),
     ttypes.RelayHello: ("notice",),
 }
@@ -80,7 +82,6 @@
         (one, name)
         for one in STRUCTS
         for name in vars(one)
-        if not (one in (REPLY, REFUSAL) and name == "reason")
         if name not in OPTIONAL_FIELDS.get(type(one), ())
     ]
 
@@ -149,6 +150,7 @@
         (REPORT, {"in_flight": -1}),
         (REPORT, {"queued": -1}),
         (REPORT, {"limit": -1}),
+        (REFUSAL, {"wait_ms": -1}),
         (REPORT, {"usable_slots": 0.0}),
         (REPORT, {"notice": ttypes.ServerNotice("i 1", 0, False)}),
         (REPORT, {"notice": ttypes.ServerNotice("i1", 0, None)}),
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -439,6 +439,7 @@
     setup.submit()
     assert setup.replies[0].outcome is Outcome.NOT_RUN
     assert setup.replies[0].reason is Reason.RATE_LIMIT
+    assert setup.replies[0].wait_s == pytest.approx(0.25)
     assert setup.pool.sent == []
 
 
--- a/tests/relay/test_rate_limited_servers.py
+++ b/tests/relay/test_rate_limited_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import statistics
 import time
 
 import pytest
@@ -104,3 +105,20 @@
         assert setup.count_answers(200) == len(setup.answers)
 
     run_scenario(scenario)
+
+
+def test_client_is_told_to_come_back_when_the_rate_limit_allows_a_call():
+    """Clients that come back sooner are refused again."""
+
+    async def scenario(setup: ServiceScenario) -> None:
+        setup.servers[0].rate_limit = "0.5"
+        await setup.send_for(3.0)
+        setup.answers.clear()
+        await setup.send_for(1.0)
+        refusals = [one for one in setup.answers if one.status == 503]
+        assert len(refusals) >= len(setup.answers) - 1
+        delays_s = [float(dict(one.headers)[b"retry-after"]) for one in refusals]
+        # Calls may start every 2 s.
+        assert statistics.mean(delays_s) > 0.5
+
+    run_scenario(scenario, servers=1)
