Read what a health check says of a server, and end limits after a pause

A node that starts beside a running server asks its health before it sends calls; a limit or an announced stop in that answer now holds from the first call on, also where no other node can tell of it.

A server that names its limit in some answers only made it begin and end with each of them; each change is reported to all nodes. A limit now ends with an answer to a request that was sent half a second after the limit was last named.

--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -217,6 +217,7 @@
                 head = self.header_codec.read_answer(answer.headers)
                 if self.server.incarnation is None:
                     self.server.apply_answer_identity(head.instance)
+                    self._apply_health_statements(head)
                     incarnation = str(self.server.incarnation)
                     logger.info("server identified", incarnation=incarnation)
                     self.on_change()
@@ -224,6 +225,13 @@
         data = self.header_codec.write_probe(health_path)
         self.pool.send(self.server.address, data, True, lambda answer: True, on_answer)
 
+    def _apply_health_statements(self, head: AnswerHead) -> None:
+        """Apply what a server says about itself when it is identified."""
+        if head.leaving:
+            self.server.apply_announced_stop()
+        if head.rate_limit_per_s is not None:
+            self.server.rate_limit.restore(head.rate_limit_per_s)
+
     def cancel(self, job: Job) -> None:
         """Cancel a job; calls that have started run on if not idempotent."""
         if job.ended:
@@ -465,7 +473,9 @@
             return
         self._refuse_excess(now_s)
         if (previous is None) != (limit.per_s is None):
-            log_limit_change(str(self.server.incarnation), limit.per_s)
+            log_limit_change(
+                self.server.service, str(self.server.incarnation), limit.per_s
+            )
             self.on_change()
 
     def _refuse_excess(self, now_s: float) -> None:
--- a/eelgrassmount/relay/server_rate_limit.py
+++ b/eelgrassmount/relay/server_rate_limit.py
@@ -10,6 +10,10 @@
 from eelgrassmount.policy.quotas import TokenBucket
 from eelgrassmount.policy.rate_limits import MIN_RATE_PER_S, compute_burst
 
+# Time without the limit in answers after which it ends. Each end and new beginning is
+# reported to all nodes.
+END_DELAY_S = 0.5
+
 
 @define(eq=False)
 class ServerRateLimit:
@@ -36,15 +40,16 @@
         """Apply the limit that an answer names, or that it names none.
 
         ``sent_s`` is the time at which the request was sent. An answer without a limit
-        ends the current one only if its request was sent after the limit was last
-        named, because answers to earlier requests may arrive late.
+        ends the current one only if its request was sent some time after the limit was
+        last named: answers to earlier requests may arrive late, and a server may name
+        its limit in some answers only.
         """
         self._answered = True
         if per_s is not None:
             self._named_s = now_s
             self.per_s = per_s
             self._find_bucket(now_s)
-        elif sent_s > self._named_s:
+        elif sent_s > self._named_s + END_DELAY_S:
             self.per_s = None
             self._bucket = None
 
@@ -76,12 +81,13 @@
         return self._bucket
 
 
-def log_limit_change(incarnation: str, per_s: float | None) -> None:
+def log_limit_change(service: str, incarnation: str, per_s: float | None) -> None:
     """Log that the rate limit of a server begins, or ends if it is ``None``."""
     logger.info(
         "server no longer limits its rate"
         if per_s is None
         else "server limits its rate",
+        service=service,
         incarnation=incarnation,
         per_s=per_s,
     )
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -360,6 +360,17 @@
     assert setup.dispatcher.in_flight == 0
 
 
+def test_health_of_a_server_names_its_rate_limit_and_its_stop():
+    setup = Setup()
+    setup.server.incarnation = None
+    setup.dispatcher.identify("/health")
+    instance = (b"eelgrassmount-instance-id", b"i7")
+    headers = [instance, (b"server-limit", b"3"), (b"server-leaving", b"1")]
+    setup.answer(200, headers)
+    assert setup.server.rate_limit.per_s == 3.0
+    assert setup.server.find_refusal_reason(setup.now_s) is Reason.DRAINING
+
+
 def test_unhealthy_server_is_not_identified_by_its_health():
     setup = Setup()
     setup.server.incarnation = None
