Refuse calls that still wait a second after their server announced its stop

Calls that wait at the dispatcher when a server announces its stop were sent before and run to the end of the queue. Under a rate limit the queue moves slowly, and calls that more urgent ones overtake may wait to their deadline, seconds later, when the server must get nothing. They are now refused as not run a second after the announcement and go elsewhere.

What answers say of a server is applied in a module of its own.

--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -20,7 +20,10 @@
 from eelgrassmount.relay.call_queue import CallQueue
 from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.messages import Outcome, Reply
-from eelgrassmount.relay.server_rate_limit import log_limit_change
+from eelgrassmount.relay.server_statements import (
+    apply_health_statements,
+    apply_statements,
+)
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
@@ -49,6 +52,8 @@
 REJECTION_LOG_INTERVAL_S = 1.0
 # Shortest time between two attempts to start calls held back by the rate limit.
 MIN_START_DELAY_S = 0.001
+# How long calls may wait for a server that has announced its stop.
+MAX_LAST_WAIT_S = 1.0
 # Longest wait that a refusal names.
 MAX_WAIT_S = 600.0
 
@@ -121,6 +126,7 @@
     running: set[Job] = field(factory=set)
     _queue: CallQueue = field(factory=CallQueue)
     _start_scheduled: bool = False
+    _leaving_since_s: float | None = None
     _rejection_logged_s: float = -REJECTION_LOG_INTERVAL_S
     _broken_connections: list[tuple[float, Job]] = field(factory=list)
 
@@ -217,7 +223,7 @@
                 head = self.header_codec.read_answer(answer.headers)
                 if self.server.incarnation is None:
                     self.server.apply_answer_identity(head.instance)
-                    self._apply_health_statements(head)
+                    apply_health_statements(self.server, head)
                     incarnation = str(self.server.incarnation)
                     logger.info("server identified", incarnation=incarnation)
                     self.on_change()
@@ -225,13 +231,6 @@
         data = self.header_codec.write_probe(health_path)
         self.pool.send(self.server.address, data, True, lambda answer: True, on_answer)
 
-    def _apply_health_statements(self, head: AnswerHead) -> None:
-        """Apply what a server says about itself when it is identified."""
-        if head.leaving:
-            self.server.apply_announced_stop()
-        if head.rate_limit_per_s is not None:
-            self.server.rate_limit.restore(head.rate_limit_per_s)
-
     def cancel(self, job: Job) -> None:
         """Cancel a job; calls that have started run on if not idempotent."""
         if job.ended:
@@ -258,8 +257,27 @@
             ):
                 job.overdue = True
                 job.exchange.cancel()
+        self._refuse_late_for_stop(now_s)
         self._start_queued()
 
+    def _refuse_late_for_stop(self, now_s: float) -> None:
+        """Refuse calls that still wait some time after the server announced its stop.
+
+        A rate limit may keep calls waiting beyond the time that the server allows for
+        its last ones.
+        """
+        if not self.server.is_leaving():
+            self._leaving_since_s = None
+            return
+        if self._leaving_since_s is None:
+            self._leaving_since_s = now_s
+        if now_s - self._leaving_since_s < MAX_LAST_WAIT_S:
+            return
+        self._update_queue_time(now_s)
+        for job in self._queue.list_jobs():
+            self._queue.remove(job)
+            self._refuse(job, Reason.DRAINING)
+
     def handle_restart(self, ended: ServerIncarnation, restarted_s: float) -> None:
         """Finish the calls that were lost in a restart of the server.
 
@@ -456,27 +474,11 @@
             self.on_invalid_header(
                 current.identity, name.decode("latin-1"), value.decode("latin-1")
             )
-        if head.leaving and self.server.apply_announced_stop():
-            logger.info("server announces its stop", incarnation=str(current))
-            self.on_change()
-        self._apply_rate_limit(job, head, now_s)
-
-    def _apply_rate_limit(self, job: Job, head: AnswerHead, now_s: float) -> None:
-        # Answers of a proxy or of a failing server may lack the header.
-        names_none = head.signed and not head.not_run and not head.invalid_headers
-        if head.rate_limit_per_s is None and not names_none:
-            return
-        limit = self.server.rate_limit
-        previous = limit.per_s
-        limit.apply_answer(head.rate_limit_per_s, job.started_s, now_s)
-        if limit.per_s == previous:
-            return
-        self._refuse_excess(now_s)
-        if (previous is None) != (limit.per_s is None):
-            log_limit_change(
-                self.server.service, str(self.server.incarnation), limit.per_s
-            )
+        previous_limit = self.server.rate_limit.per_s
+        if apply_statements(self.server, head, job.started_s, now_s):
             self.on_change()
+        if self.server.rate_limit.per_s != previous_limit:
+            self._refuse_excess(now_s)
 
     def _refuse_excess(self, now_s: float) -> None:
         """Refuse waiting calls that would wait too long under a changed rate limit."""
--- a/eelgrassmount/relay/server_rate_limit.py
+++ b/eelgrassmount/relay/server_rate_limit.py
@@ -5,7 +5,6 @@
 import math
 
 from attrs import define
-from loguru import logger
 
 from eelgrassmount.policy.quotas import TokenBucket
 from eelgrassmount.policy.rate_limits import MIN_RATE_PER_S, compute_burst
@@ -79,15 +78,3 @@
         if self._bucket.rate != rate_per_s:
             self._bucket.resize(rate_per_s, compute_burst(rate_per_s), 0.0, 0.0, now_s)
         return self._bucket
-
-
-def log_limit_change(service: str, incarnation: str, per_s: float | None) -> None:
-    """Log that the rate limit of a server begins, or ends if it is ``None``."""
-    logger.info(
-        "server no longer limits its rate"
-        if per_s is None
-        else "server limits its rate",
-        service=service,
-        incarnation=incarnation,
-        per_s=per_s,
-    )
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -11,7 +11,12 @@
 from eelgrassmount.http1.client import ClientAnswer, ExchangeFailure
 from eelgrassmount.platform.headers import HEADER_CODEC
 from eelgrassmount.relay.budget import RetryBudget
-from eelgrassmount.relay.dispatcher import CRASH_WINDOW_S, Dispatcher, Job
+from eelgrassmount.relay.dispatcher import (
+    CRASH_WINDOW_S,
+    MAX_LAST_WAIT_S,
+    Dispatcher,
+    Job,
+)
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
 from eelgrassmount.relay.measures import (
     DEFAULT_RUN_S,
@@ -496,6 +501,23 @@
     assert len(changes) == 1
 
 
+def test_calls_do_not_wait_for_the_rate_limit_of_a_leaving_server():
+    setup = Setup(slots=1)
+    route = make_route(objective_s=8.0, timeout_s=8.0)
+    setup.server.rate_limit.apply_answer(0.5, sent_s=0.0, now_s=setup.now_s)
+    setup.submit(make_call(route, setup.now_s))
+    setup.server.apply_heartbeat(
+        Heartbeat(I1, service="list", slots=1, sequence=2, draining=True)
+    )
+    setup.dispatcher.sweep()
+    assert setup.dispatcher.queued == 1
+    setup.now_s += MAX_LAST_WAIT_S
+    setup.dispatcher.sweep()
+    (reply,) = setup.replies
+    assert (reply.outcome, reply.reason) == (Outcome.NOT_RUN, Reason.DRAINING)
+    assert setup.pool.sent == []
+
+
 def test_rate_limit_of_an_earlier_server_is_ignored():
     setup = Setup(slots=4)
     setup.submit()
