--- a/eelgrassmount/policy/rate_limits.py
+++ b/eelgrassmount/policy/rate_limits.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
-# Calls that may start at once, as the calls that the limit allows in this period.
-BURST_PERIOD_S = 0.2
+# Calls that may start at once after an idle time: those that the limit allows in this
+# period, and a minimum. With smaller bursts, uneven arrivals leave the limit unused.
+BURST_PERIOD_S = 0.5
+MIN_BURST = 2.0
 # Calls per second to a server that takes none, so that it can raise its limit.
 MIN_RATE_PER_S = 0.25
 # Lower bound for mean run times in divisions.
@@ -18,11 +20,11 @@
     """Return how many calls may start at once under a rate limit.
 
     >>> compute_burst(30.0)
-    6.0
+    15.0
     >>> compute_burst(0.5)
-    1.0
+    2.0
     """
-    return max(1.0, BURST_PERIOD_S * rate_per_s)
+    return max(MIN_BURST, BURST_PERIOD_S * rate_per_s)
 
 
 def compute_usable_slots(
