Split the dispatcher further, and test limits over many nodes

The test scenario takes the rates of its clients, which no longer start at the same moment; a new test has 24 nodes with half a request a second each.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -41,7 +41,7 @@
 from eelgrassmount.topics.readers import LogReaders
 
 if TYPE_CHECKING:
-    from eelgrassmount.relay.dispatcher import Job
+    from eelgrassmount.relay.job import Job
     from eelgrassmount.relay.settings import RelaySettings
 
 INCARNATION_BYTES = 6
--- a/eelgrassmount/relay/call_queue.py
+++ b/eelgrassmount/relay/call_queue.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 if TYPE_CHECKING:
-    from eelgrassmount.relay.dispatcher import Job
+    from eelgrassmount.relay.job import Job
 
 
 @define(eq=False)
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -17,6 +17,7 @@
     compute_run_timeout_s,
     compute_slack_s,
 )
+from eelgrassmount.relay.broken_connections import BrokenConnections
 from eelgrassmount.relay.call_queue import CallQueue
 from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.messages import Outcome, Reply
@@ -29,10 +30,11 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from eelgrassmount.relay.backend import BackendPool, ServerExchange
+    from eelgrassmount.relay.backend import BackendPool
     from eelgrassmount.relay.budget import RetryBudget
     from eelgrassmount.relay.header_codec import AnswerHead, HeaderCodec
     from eelgrassmount.relay.heartbeats import ServerIncarnation
+    from eelgrassmount.relay.job import Job
     from eelgrassmount.relay.messages import Call
     from eelgrassmount.relay.routes import Route
     from eelgrassmount.relay.server import LocalServer
@@ -46,9 +48,6 @@
 EXPIRY_MARGIN_S = 0.012
 # Overdue calls are cancelled this long after their deadline.
 DEADLINE_GRACE_S = 0.3
-# Calls on connections that break this long before the server becomes unreachable are
-# suspected of crashing it.
-CRASH_WINDOW_S = 1.0
 REJECTION_LOG_INTERVAL_S = 1.0
 # Shortest time between two attempts to start calls held back by the rate limit.
 MIN_START_DELAY_S = 0.001
@@ -66,32 +65,6 @@
 }
 
 
-@define(eq=False)
-class Job:
-    """A call at the dispatcher; ``done`` is called once with its reply.
-
-    ``timeout_s`` is the time that the server was given for the call.
-    ``incarnation`` is the server that the call was sent to. ``server_restarted`` is set
-    if that server has restarted since.
-    """
-
-    call: Call
-    done: Callable[[Reply], None]
-    exchange: ServerExchange | None = None
-    started_s: float = 0.0
-    timeout_s: float = 0.0
-    incarnation: ServerIncarnation | None = None
-    ended: bool = False
-    overdue: bool = False
-    silent: bool = False
-    server_restarted: bool = False
-
-    def was_sent_before(self, now_s: float) -> bool:
-        """Return whether the server could have read the call before a time."""
-        written = self.exchange is not None and self.exchange.is_written()
-        return written and self.started_s < now_s
-
-
 @define(eq=False)
 class Dispatcher:
     """Runs as many calls at the server as it has slots, and queues the others.
@@ -128,7 +101,7 @@
     _start_scheduled: bool = False
     _leaving_since_s: float | None = None
     _rejection_logged_s: float = -REJECTION_LOG_INTERVAL_S
-    _broken_connections: list[tuple[float, Job]] = field(factory=list)
+    _broken_connections: BrokenConnections = field(factory=BrokenConnections)
 
     @property
     def in_flight(self) -> int:
@@ -246,9 +219,7 @@
     def sweep(self) -> None:
         """Cancel overdue jobs, and count silent ones as failures."""
         now_s = self.clock()
-        self._broken_connections = [
-            one for one in self._broken_connections if now_s - one[0] < CRASH_WINDOW_S
-        ]
+        self._broken_connections.discard_old(now_s)
         for job in list(self.running):
             self._count_if_silent(job, now_s)
             if (
@@ -287,7 +258,7 @@
         to it.
         """
         running = [job for job in self.running if job.was_sent_before(restarted_s)]
-        broken = self._pop_broken()
+        broken = self._broken_connections.pop_all(self.clock())
         suspects = running + [job for job in broken if job.started_s < restarted_s]
         logger.warning(
             "server restarted",
@@ -445,7 +416,7 @@
         if result is ExchangeFailure.REFUSED:
             self._handle_unreachable(now_s)
         elif result is ExchangeFailure.CLOSED:
-            self._broken_connections.append((now_s, job))
+            self._broken_connections.add(job, now_s)
         return Reply(outcome, reason)
 
     def _create_answer_reply(
@@ -506,21 +477,10 @@
         """Report the calls on recently broken connections as suspects of a crash."""
         self.server.mark_unreachable(now_s)
         self.on_change()
-        suspects = self._pop_broken()
+        suspects = self._broken_connections.pop_all(now_s)
         if suspects:
             self.on_crash(self.server.incarnation, suspects)
 
-    def _pop_broken(self) -> list[Job]:
-        """Return the calls on recently broken connections, and forget them."""
-        now_s = self.clock()
-        found = [
-            job
-            for at_s, job in self._broken_connections
-            if now_s - at_s < CRASH_WINDOW_S
-        ]
-        self._broken_connections.clear()
-        return found
-
     def _update_measures(
         self, job: Job, reply: Reply, now_s: float, failed: bool, lost: bool
     ) -> None:
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -9,9 +9,9 @@
 from loguru import logger
 
 from eelgrassmount.gen import ttypes
-from eelgrassmount.relay.dispatcher import Job
 from eelgrassmount.relay.frames import FrameConnection, FrameKind, encode_frame
 from eelgrassmount.relay.heartbeats import MS_PER_S
+from eelgrassmount.relay.job import Job
 from eelgrassmount.relay.messages import Call, Origin, Outcome, Reply
 from eelgrassmount.verdict import Reason
 
--- a/eelgrassmount/relay/peer_updates.py
+++ b/eelgrassmount/relay/peer_updates.py
@@ -18,9 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from eelgrassmount.relay.dispatcher import Job
     from eelgrassmount.relay.frames import FrameHandler
     from eelgrassmount.relay.heartbeats import ServerIncarnation
+    from eelgrassmount.relay.job import Job
     from eelgrassmount.relay.members import Member
     from eelgrassmount.relay.shared_state import SharedState
     from eelgrassmount.retry.quarantine import Quarantine
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -9,7 +9,7 @@
 from attrs import define, evolve, field
 
 from eelgrassmount.policy.retries import is_retry_futile
-from eelgrassmount.relay.dispatcher import Job
+from eelgrassmount.relay.job import Job
 from eelgrassmount.relay.measures import SILENCE_OBJECTIVE_SHARE, SILENCE_RUN_FACTOR
 from eelgrassmount.relay.messages import Call, Outcome, Reply
 from eelgrassmount.verdict import Reason
--- a/tests/relay/service_scenario.py
+++ b/tests/relay/service_scenario.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-import time
 from typing import TYPE_CHECKING
 
 import anyio
@@ -32,23 +31,24 @@
 
 @define(eq=False)
 class ServiceScenario:
-    """Clients on three VMs, and a service with some servers.
+    """Clients on some VMs, and a service with some servers.
 
-    ``answers`` holds the answers of the clients, and ``latencies_s`` when they came.
+    ``rates_per_s`` are the requests that the clients of each VM send.
+    ``answers`` holds the answers of the clients.
     """
 
     network: Network
     deployment: Deployment
+    rates_per_s: tuple[float, ...] = CLIENT_RATES_PER_S
     entry_vms: list[Vm] = field(factory=list)
     server_vms: list[Vm] = field(factory=list)
     answers: list[ClientAnswer] = field(factory=list)
-    latencies_s: list[float] = field(factory=list)
     _numbers: itertools.count[int] = field(factory=lambda: itertools.count(1))
 
     async def build(self, servers: int) -> None:
         """Start the VMs and connect them."""
         add = self.deployment.add
-        self.entry_vms = [await add("front") for _ in CLIENT_RATES_PER_S]
+        self.entry_vms = [await add("front") for _ in self.rates_per_s]
         self.server_vms = [await add("list") for _ in range(servers)]
         for vm in self.server_vms:
             vm.server.work_s = RUN_S
@@ -59,13 +59,19 @@
         """Return the servers of the service."""
         return [vm.server for vm in self.server_vms]
 
-    async def send_for(self, duration_s: float, factor: float = 1.0) -> None:
+    async def send_for(self, duration_s: float) -> None:
         """Let all clients send requests, and wait for the answers."""
         async with anyio.create_task_group() as group:
-            for vm, rate in zip(self.entry_vms, CLIENT_RATES_PER_S, strict=True):
-                group.start_soon(self._send_steadily, vm, rate * factor, duration_s)
-
-    async def _send_steadily(self, vm: Vm, rate: float, duration_s: float) -> None:
+            for position, vm in enumerate(self.entry_vms):
+                rate = self.rates_per_s[position]
+                # Clients don't send at the same moments.
+                delay_s = position / len(self.entry_vms) / rate
+                group.start_soon(self._send_steadily, vm, rate, duration_s, delay_s)
+
+    async def _send_steadily(
+        self, vm: Vm, rate: float, duration_s: float, delay_s: float
+    ) -> None:
+        await anyio.sleep(delay_s)
         async with anyio.create_task_group() as group:
             for _ in range(int(rate * duration_s)):
                 group.start_soon(self._send, vm)
@@ -73,10 +79,8 @@
 
     async def _send(self, vm: Vm) -> None:
         request_id = f"a{next(self._numbers)}"
-        started_s = time.monotonic()
         answer = await send_as_client(vm, "/list/1", request_id=request_id)
         self.answers.append(answer)
-        self.latencies_s.append(time.monotonic() - started_s)
 
     def count_answers(self, status: int) -> int:
         """Return the number of answers with a status."""
@@ -105,7 +109,9 @@
 
 
 def run_scenario(
-    scenario: Callable[[ServiceScenario], Awaitable[None]], servers: int = 2
+    scenario: Callable[[ServiceScenario], Awaitable[None]],
+    servers: int = 2,
+    rates_per_s: tuple[float, ...] = CLIENT_RATES_PER_S,
 ) -> None:
     """Run a scenario in virtual time."""
 
@@ -113,7 +119,7 @@
         async with anyio.create_task_group() as group:
             deployment = Deployment(group)
             await deployment.start(make_rule("/list/", "list"))
-            setup = ServiceScenario(network, deployment)
+            setup = ServiceScenario(network, deployment, rates_per_s)
             try:
                 await setup.build(servers)
                 with anyio.fail_after(120):
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -10,14 +10,11 @@
 
 from eelgrassmount.http1.client import ClientAnswer, ExchangeFailure
 from eelgrassmount.platform.headers import HEADER_CODEC
+from eelgrassmount.relay.broken_connections import CRASH_WINDOW_S
 from eelgrassmount.relay.budget import RetryBudget
-from eelgrassmount.relay.dispatcher import (
-    CRASH_WINDOW_S,
-    MAX_LAST_WAIT_S,
-    Dispatcher,
-    Job,
-)
+from eelgrassmount.relay.dispatcher import MAX_LAST_WAIT_S, Dispatcher
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
+from eelgrassmount.relay.job import Job
 from eelgrassmount.relay.measures import (
     DEFAULT_RUN_S,
     DEMAND_SMOOTHING,
--- a/tests/relay/test_forgetting.py
+++ b/tests/relay/test_forgetting.py
@@ -13,9 +13,9 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.http1.client import ClientAnswer
 from eelgrassmount.relay.control_loop import MAX_ROWS
-from eelgrassmount.relay.dispatcher import Job
 from eelgrassmount.relay.frames import encode_struct
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
+from eelgrassmount.relay.job import Job
 from eelgrassmount.relay.learning import update_request_counts
 from eelgrassmount.relay.measures import MAX_MEAN_WAIT_S
 from eelgrassmount.relay.messages import Reply
--- a/tests/relay/test_peer_updates.py
+++ b/tests/relay/test_peer_updates.py
@@ -8,8 +8,8 @@
 
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.gen import ttypes
-from eelgrassmount.relay.dispatcher import Job
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
+from eelgrassmount.relay.job import Job
 from tests.relay.lone_node import SETTINGS
 from tests.relay.samples import make_call
 
--- a/tests/relay/test_rate_limited_servers.py
+++ b/tests/relay/test_rate_limited_servers.py
@@ -9,6 +9,7 @@
 
 from tests.relay.service_scenario import (
     NOTICE_S,
+    WINDOW_S,
     ServiceScenario,
     compute_allowed_runs,
     find_max_runs,
@@ -56,6 +57,24 @@
     run_scenario(scenario, servers=3)
 
 
+def test_limit_holds_over_many_nodes_with_less_than_one_request_per_second_each():
+    limits_per_s = (0.5, 1.5)
+
+    async def scenario(setup: ServiceScenario) -> None:
+        await setup.send_for(4.0)
+        for server, limit in zip(setup.servers, limits_per_s, strict=True):
+            server.rate_limit = str(limit)
+        # A limit is noticed with the next answer.
+        await setup.send_for(2.0)
+        named_s = time.monotonic()
+        await setup.send_for(16.0)
+        for server, limit in zip(setup.servers, limits_per_s, strict=True):
+            runs = find_max_runs(server, named_s)
+            assert 0.8 * limit * WINDOW_S <= runs <= compute_allowed_runs(limit)
+
+    run_scenario(scenario, rates_per_s=(0.5,) * 24)
+
+
 def test_others_take_the_requests_beyond_a_rate_limit_without_detours():
     """Nodes know of the limit, and don't find out by a refusal of each request."""
 
