Let a call leave the queue of the dispatcher once

A refusal is handled at once, and may lead to another call at the same dispatcher, which starts waiting ones. A loop that refuses waiting calls could then meet one that runs by now and say that it has not run. Not seen; possible since a changed rate limit refuses waiting calls in a loop. The queue now knows which jobs wait, and each of its removals says whether the job was among them.

--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -111,7 +111,7 @@
     @property
     def queued(self) -> int:
         """Return the number of calls waiting for the server."""
-        return self._queue.waiting
+        return len(self._queue)
 
     def compute_usable_slots(self) -> float:
         """Return how many calls can run at once on average, under any rate limit."""
@@ -165,11 +165,9 @@
         The caller then learns in time that the call has not run, and may retry it even
         if it is not idempotent.
         """
-        if job.ended or job.exchange is not None or job in self.running:
-            return
         self._update_queue_time(self.clock())
-        self._queue.remove(job)
-        self._refuse(job, Reason.DEADLINE)
+        if self._queue.remove(job):
+            self._refuse(job, Reason.DEADLINE)
 
     def _take_retry(self, call: Call) -> bool:
         """Return whether the retry budget allows a call, and charge it to the budget.
@@ -246,8 +244,8 @@
             return
         self._update_queue_time(now_s)
         for job in self._queue.list_jobs():
-            self._queue.remove(job)
-            self._refuse(job, Reason.DRAINING)
+            if self._queue.remove(job):
+                self._refuse(job, Reason.DRAINING)
 
     def handle_restart(self, ended: ServerIncarnation, restarted_s: float) -> None:
         """Finish the calls that were lost in a restart of the server.
@@ -460,8 +458,9 @@
                 ahead += 1
                 continue
             self._update_queue_time(now_s)
-            self._queue.remove(job)
-            self._refuse(job, Reason.RATE_LIMIT)
+            # A refusal may lead to another call, which may start waiting ones.
+            if self._queue.remove(job):
+                self._refuse(job, Reason.RATE_LIMIT)
 
     def _log_rejection(self) -> None:
         now_s = self.clock()
