--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -25,7 +25,7 @@
 RECONNECT_DELAY_S = 0.25
 # Ended identities whose late heartbeats are still recognized; the oldest are dropped.
 MAX_ENDED_IDENTITIES = 50
-# Identities of which notices of other nodes are kept.
+# Identities of which notices of other nodes are kept; the oldest are dropped.
 MAX_NOTICES = 8
 # Later than any start: marks all starts of an identity as ended.
 ANY_START = math.inf
@@ -107,9 +107,10 @@
         if known is not None and known.leaving and known.concerns(notice.incarnation):
             # A stop that was announced is never taken back.
             notice = evolve(notice, leaving=True)
-        elif known is None and len(self.notices) >= MAX_NOTICES:
-            return
+        self.notices.pop(identity, None)
         self.notices[identity] = notice
+        if len(self.notices) > MAX_NOTICES:
+            del self.notices[next(iter(self.notices))]
         self._restore_rate_limit()
 
     def is_leaving(self) -> bool:
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -361,7 +361,10 @@
     assert server.find_refusal_reason(NOW_S) is Reason.DRAINING
 
 
-def test_number_of_notices_is_bounded(server):
+def test_latest_notices_are_kept(server):
     for number in range(3 * MAX_NOTICES):
         server.apply_notice(make_notice(f"x{number}"))
+    server.apply_notice(make_notice())
     assert len(server.notices) == MAX_NOTICES
+    server.apply_heartbeat(make_heartbeat())
+    assert server.find_refusal_reason(NOW_S) is Reason.DRAINING
