Let downloads run more than once

The kind ``download`` of a route was read as one that must not run twice, since only ``idempotent`` was known. Unknown kinds still must not run twice.

--- a/eelgrassmount/platform/configuration.py
+++ b/eelgrassmount/platform/configuration.py
@@ -22,7 +22,8 @@
     refuse_field,
 )
 
-IDEMPOTENT_KIND = "idempotent"
+# kinds of requests that may run more than once
+IDEMPOTENT_KINDS = frozenset(("idempotent", "download"))
 DEFAULT_TIMEOUT_MS = 5000
 DEFAULT_OBJECTIVE_MS = 1000
 DEFAULT_ATTEMPTS = 1
@@ -92,7 +93,7 @@
         host=host,
         prefix=prefix,
         # requests of an unknown kind must not run twice
-        idempotent=read_name(rule, "kind", _DOCUMENT) == IDEMPOTENT_KIND,
+        idempotent=read_name(rule, "kind", _DOCUMENT) in IDEMPOTENT_KINDS,
         targets=_read_targets(rule),
         timeout_s=timeout_ms / 1000,
         objective_s=objective_ms / 1000,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -79,6 +79,18 @@
     assert table.services["desk"].health_path == "/h"
 
 
+@pytest.mark.parametrize(
+    ("kind", "idempotent"),
+    [("idempotent", True), ("download", True), ("upload", False), ("Download", False)],
+)
+def test_only_known_repeatable_kinds_may_run_again(kind, idempotent):
+    rule = {**CONFIGURATION["listeners"][0]["routeRules"][0], "kind": kind}
+    listener = {"host": "shop.example", "routeRules": [rule]}
+    document = {**CONFIGURATION, "listeners": [listener]}
+    table = read_configuration(json.dumps(document).encode())
+    assert table.find("shop.example", "/a/1").idempotent is idempotent
+
+
 def test_route_keeps_its_name_when_the_rule_is_renamed():
     first = read_configuration(json.dumps(CONFIGURATION).encode())
     renamed = json.dumps(CONFIGURATION).replace("r-1", "r-9").encode()
--- a/tests/relay/test_deployment.py
+++ b/tests/relay/test_deployment.py
@@ -228,7 +228,8 @@
     run(scenario, LIST)
 
 
-def test_failed_idempotent_request_is_retried_on_another_server():
+@pytest.mark.parametrize("kind", ["idempotent", "download"])
+def test_failed_repeatable_request_is_retried_on_another_server(kind):
     async def scenario(deployment: Deployment) -> None:
         front = await deployment.add("front")
         servers = [await deployment.add("list", retry_slack=100.0) for _ in range(2)]
@@ -237,7 +238,7 @@
         answers = [await send_as_client(front, "/list/1") for _ in range(4)]
         assert {answer.status for answer in answers} == {200}
 
-    run(scenario, LIST)
+    run(scenario, make_rule("/list/", "list", kind=kind))
 
 
 @pytest.mark.parametrize(
