Derive the optional features of a node from the configuration

Deployments with hard load need decisions that earlier ones are to be served without. The kind ``download`` marks routes with large responses; a configuration that has one mixes bulk and interactive work and turns the features on. No feature exists yet, so that nothing changes. Weighed: a switch in the settings, which the platform does not let an operator set for one deployment, and a condition for each feature alone, which would change how earlier deployments are served.

--- /dev/null
+++ b/eelgrassmount/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of client requests at the node that they arrive at."""
--- a/eelgrassmount/platform/configuration.py
+++ b/eelgrassmount/platform/configuration.py
@@ -24,6 +24,7 @@
 
 # kinds of requests that may run more than once
 IDEMPOTENT_KINDS = frozenset(("idempotent", "download"))
+BULK_KIND = "download"
 DEFAULT_TIMEOUT_MS = 5000
 DEFAULT_OBJECTIVE_MS = 1000
 DEFAULT_ATTEMPTS = 1
@@ -87,19 +88,21 @@
     timeout_ms = _read_duration_ms(rule, "action.timeoutMs") or DEFAULT_TIMEOUT_MS
     objective_ms = _read_duration_ms(rule, "targetLatencyMs") or DEFAULT_OBJECTIVE_MS
     attempts = _read_count(rule, "action.maxAttempts") or DEFAULT_ATTEMPTS
+    kind = read_name(rule, "kind", _DOCUMENT)
     return Route(
         # not the name of the rule, which may change with the configuration version
         name=f"{host}{prefix}",
         host=host,
         prefix=prefix,
         # requests of an unknown kind must not run twice
-        idempotent=read_name(rule, "kind", _DOCUMENT) in IDEMPOTENT_KINDS,
+        idempotent=kind in IDEMPOTENT_KINDS,
         targets=_read_targets(rule),
         timeout_s=timeout_ms / 1000,
         objective_s=objective_ms / 1000,
         max_attempts=attempts,
         priority=_read_count(rule, "priority") or DEFAULT_PRIORITY,
         needs_key=not ("anonymous" in rule and read_flag(rule, "anonymous", _DOCUMENT)),
+        is_bulk=kind == BULK_KIND,
     )
 
 
--- a/eelgrassmount/relay/routes.py
+++ b/eelgrassmount/relay/routes.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from eelgrassmount.http1.server import ServerLimits
+from eelgrassmount.policy.features import Features, choose_features
 from eelgrassmount.teams.directory import TeamDirectory
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
     latency objective, ``timeout_s`` the longest time that a request may take. Routes of
     ``priority`` 0 are refused last. ``max_attempts`` limits the backend servers that
     may get one request. If teams are configured, ``needs_key`` is set if requests
-    need an API key of a team.
+    need an API key of a team. ``is_bulk`` is set for routes with large responses.
     """
 
     name: str
@@ -47,6 +48,7 @@
     max_attempts: int
     priority: int
     needs_key: bool = False
+    is_bulk: bool = False
 
     def compute_shares(self) -> dict[str, float]:
         """Return the share of the requests that goes to each service."""
@@ -82,6 +84,7 @@
     services: dict[str, Service] = field(factory=dict)
     limits: ServerLimits = field(factory=ServerLimits)
     teams: TeamDirectory = field(factory=TeamDirectory)
+    features: Features = field(factory=Features)
     _max_priority: int = 0
     _by_host: dict[str, dict[str, Route]] = field(factory=dict)
     _lengths: dict[str, list[int]] = field(factory=dict)
@@ -105,6 +108,7 @@
             table.services[service.name] = service
         for host, found in table._by_host.items():
             table._lengths[host] = sorted({len(prefix) for prefix in found})[::-1]
+        table.features = choose_features(table.routes.values())
         return table
 
     def find(self, host: str, path: str) -> Route | None:
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission of client requests."""
