Start a node without collections and unused representations

Apart from loading bytecode, a start spent most of its time on imports of libraries, on attrs, which compiles the methods of each of its 120 classes, and on the garbage collector.

The state classes of a node, which have no equality, now have no generated __repr__ either; nothing printed it. The collector is off while the modules are imported, and the full collection before freezing them is left out.

--- a/eelgrassmount/__main__.py
+++ b/eelgrassmount/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 
 RELAY_COMMAND = "relay"
@@ -11,6 +12,8 @@
     """Run the command that the arguments name."""
     # a node must not import the modules of the other commands, which slow its start
     if sys.argv[1:] == [RELAY_COMMAND]:
+        # collections during the imports find little; `run_relay` enables them
+        gc.disable()
         from eelgrassmount.cmd.relay import run_relay
 
         return run_relay()
--- a/eelgrassmount/cmd/relay.py
+++ b/eelgrassmount/cmd/relay.py
@@ -25,9 +25,9 @@
     # ignore reload signals until the settings file is watched
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     configure_logging("info", sys.stdout)
-    gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
     try:
         anyio.run(
             _serve_and_exit,
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -50,7 +50,7 @@
 METRICS_CONTENT_TYPE = b"content-type: text/plain; version=0.0.4\r\n"
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RelayNode:
     """All parts of a node beside its backend server."""
 
--- a/eelgrassmount/http1/client.py
+++ b/eelgrassmount/http1/client.py
@@ -33,7 +33,7 @@
     CANCELLED = "cancelled"  # The client cancelled the request.
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ClientAnswer:
     """A complete answer; header names are in lower case."""
 
--- a/eelgrassmount/http1/exchange.py
+++ b/eelgrassmount/http1/exchange.py
@@ -37,7 +37,7 @@
     body: bytes
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Exchange:
     """One request on a connection, and its answer.
 
--- a/eelgrassmount/http1/server.py
+++ b/eelgrassmount/http1/server.py
@@ -31,7 +31,7 @@
     idle_timeout_s: float = 60.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class HttpListener:
     """Accepts connections and passes each complete request to ``handle``.
 
--- a/eelgrassmount/platform/store_client.py
+++ b/eelgrassmount/platform/store_client.py
@@ -49,7 +49,7 @@
 }
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class StoreClient:
     """Sends calls to the log at ``address``, on one connection for each kind of call.
 
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -31,7 +31,7 @@
 MAX_CHAIN_DEPTH = 6
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class CallGraph:
     """Which services each route leads to, as learned by all nodes.
 
@@ -208,7 +208,7 @@
         found[service] = found.get(service, 0.0) + runs * share
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Admission:
     """Decides which client requests a node admits while services are overloaded.
 
--- a/eelgrassmount/relay/admitted_fractions.py
+++ b/eelgrassmount/relay/admitted_fractions.py
@@ -39,7 +39,7 @@
     )
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class AdmittedFractions:
     """Updates the admitted fraction and the reachability of each service."""
 
--- a/eelgrassmount/relay/announcements.py
+++ b/eelgrassmount/relay/announcements.py
@@ -21,7 +21,7 @@
 ACCEPTED = b"content-type: application/json\r\n"
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class AnnouncementListener:
     """Applies heartbeats and leave messages of the server, then acknowledges them.
 
--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -34,7 +34,7 @@
 TRUSTED_IDLE_GROWTH = 1.1
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ServerExchange:
     """A request to the server and its answer or failure, which is reported once."""
 
@@ -63,7 +63,7 @@
             self.on_done(outcome)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class BackendPool:
     """Sends requests over pooled connections, the most recently used one first."""
 
--- a/eelgrassmount/relay/broken_connections.py
+++ b/eelgrassmount/relay/broken_connections.py
@@ -14,7 +14,7 @@
 CRASH_WINDOW_S = 1.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class BrokenConnections:
     """The calls whose connections broke within the last `CRASH_WINDOW_S`."""
 
--- a/eelgrassmount/relay/budget.py
+++ b/eelgrassmount/relay/budget.py
@@ -114,7 +114,7 @@
         return self.retries.count(now_s, 0, BUCKETS_PER_WINDOW + 1)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RetryBudget:
     """Limits the retries of a service over all of its nodes.
 
--- a/eelgrassmount/relay/call_attribution.py
+++ b/eelgrassmount/relay/call_attribution.py
@@ -49,7 +49,7 @@
 MS_PER_S = 1000.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Run:
     """A run of the server with the calls that are attributed to it.
 
@@ -68,7 +68,7 @@
     last_answer_s: float = -math.inf
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class DownstreamCall:
     """An open call of the server and the run to which it is attributed.
 
@@ -127,7 +127,7 @@
         return True
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class CallAttributor:
     """Attributes the calls of the local server to its runs.
 
--- a/eelgrassmount/relay/call_queue.py
+++ b/eelgrassmount/relay/call_queue.py
@@ -12,7 +12,7 @@
     from eelgrassmount.relay.job import Job
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class CallQueue:
     """Jobs in the order of their due times."""
 
--- a/eelgrassmount/relay/completed.py
+++ b/eelgrassmount/relay/completed.py
@@ -15,7 +15,7 @@
 MIN_COUNT = 0.5
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class CompletedRuns:
     """Decaying counts of successful runs and of the calls that they made.
 
--- a/eelgrassmount/relay/control_loop.py
+++ b/eelgrassmount/relay/control_loop.py
@@ -42,7 +42,7 @@
 MS_PER_S = 1000.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ControlLoop:
     """Updates the admitted fractions at each step and reports to other nodes."""
 
--- a/eelgrassmount/relay/decisions.py
+++ b/eelgrassmount/relay/decisions.py
@@ -17,7 +17,7 @@
 MAX_SAMPLES_PER_S = 0.2
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LineRateLimiter:
     """Token bucket for log lines; counts the lines dropped."""
 
@@ -38,7 +38,7 @@
         return True
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class DecisionLog:
     """Logs one line per decision within the rate limits."""
 
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -65,7 +65,7 @@
 }
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Dispatcher:
     """Runs as many calls at the server as it has slots, and queues the others.
 
--- a/eelgrassmount/relay/header_codec.py
+++ b/eelgrassmount/relay/header_codec.py
@@ -10,7 +10,7 @@
     from collections.abc import Callable
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RequestHead:
     """The parsed headers of a request.
 
@@ -26,7 +26,7 @@
     forwarded_headers: bytes = b""
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class AnswerHead:
     """The parsed headers of a server's answer.
 
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -34,7 +34,7 @@
 ACTIVE_WINDOW_S = 3.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ReceivedCall:
     """A call from another node: its running job, or its stored reply."""
 
@@ -53,7 +53,7 @@
     last_connected_s: float
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class InboundLinks:
     """Accepts links from other nodes.
 
--- a/eelgrassmount/relay/ingress.py
+++ b/eelgrassmount/relay/ingress.py
@@ -30,7 +30,7 @@
 DEFAULT_REMAINING_MS = 60_000
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Ingress:
     """Receives requests and decides whether to admit them.
 
--- a/eelgrassmount/relay/job.py
+++ b/eelgrassmount/relay/job.py
@@ -14,7 +14,7 @@
     from eelgrassmount.relay.messages import Call, Reply
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Job:
     """A call at the dispatcher; ``done`` is called once with its reply.
 
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -47,7 +47,7 @@
 SILENCE_LOG_INTERVAL_S = 5.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PendingCall:
     """A call that has no reply yet, and the frame that carries it."""
 
@@ -58,7 +58,7 @@
     resumes: int = 0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LinkHandlers:
     """Handlers for the frames of a link that are not replies.
 
@@ -73,7 +73,7 @@
     sequence_numbers: Iterator[int] = field(factory=lambda: itertools.count(1))
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PeerLink:
     """Sends calls to one other node, over one connection at a time.
 
--- a/eelgrassmount/relay/links.py
+++ b/eelgrassmount/relay/links.py
@@ -26,7 +26,7 @@
     members: list[Member]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LinkManager:
     """Opens links to the nodes of the services in use and checks them for silence."""
 
--- a/eelgrassmount/relay/measures.py
+++ b/eelgrassmount/relay/measures.py
@@ -32,7 +32,7 @@
 DEFAULT_RUN_S = 0.05
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RouteStats:
     """Mean duration and number of a route's runs, and its time allowance."""
 
@@ -59,7 +59,7 @@
     wait: float = 0.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RunMeasures:
     """Durations, failures, demand and waits at one server.
 
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -20,7 +20,7 @@
 MAX_REPORT_AGE_S = 1.5
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class MemberLoad:
     """Load of a backend server as reported by its node.
 
@@ -48,7 +48,7 @@
     reported_s: float = 0.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Member:
     """A node: its link address, service, load and the state of its link.
 
@@ -101,7 +101,7 @@
         return load.accepting or now_s - load.reported_s > MAX_REPORT_AGE_S
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class MemberTable:
     """All known nodes, by name and by service.
 
--- a/eelgrassmount/relay/messages.py
+++ b/eelgrassmount/relay/messages.py
@@ -40,7 +40,7 @@
     remaining_runs: int = 1
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Reply:
     """The result of one attempt of a call.
 
@@ -57,7 +57,7 @@
     wait_s: float = 0.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Call:
     """A request that is forwarded to a backend server.
 
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RelayMetrics:
     """The metrics of a node; children by label values are cached."""
 
--- a/eelgrassmount/relay/peer_updates.py
+++ b/eelgrassmount/relay/peer_updates.py
@@ -31,7 +31,7 @@
 CONFIG_REQUEST_TIMEOUT_S = 0.3
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PeerUpdates:
     """Applies updates from other nodes, and reports crashes to them."""
 
--- a/eelgrassmount/relay/persistent_connections.py
+++ b/eelgrassmount/relay/persistent_connections.py
@@ -17,7 +17,7 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PersistentConnections:
     """Persistent connections to one address, one for each kind of call.
 
--- a/eelgrassmount/relay/rejected_messages.py
+++ b/eelgrassmount/relay/rejected_messages.py
@@ -30,7 +30,7 @@
     RECORD = "record"
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RejectedMessages:
     """Counts rejected messages by kind and logs them at a limited rate.
 
--- a/eelgrassmount/relay/reload.py
+++ b/eelgrassmount/relay/reload.py
@@ -19,7 +19,7 @@
 RELOAD_CHECK_INTERVAL_S = 2.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class SettingsWatch:
     """Reloads the settings file when it has changed or on request.
 
--- a/eelgrassmount/relay/responder.py
+++ b/eelgrassmount/relay/responder.py
@@ -43,7 +43,7 @@
 GATEWAY_TIMEOUT = 504
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Responder:
     """Sends each request its final answer, counts it and logs refusals and failures.
 
--- a/eelgrassmount/relay/routes.py
+++ b/eelgrassmount/relay/routes.py
@@ -69,7 +69,7 @@
     max_connections: int
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RouteTable:
     """A complete configuration; version 0 means none.
 
--- a/eelgrassmount/relay/routing.py
+++ b/eelgrassmount/relay/routing.py
@@ -31,7 +31,7 @@
 MAX_CANDIDATES = 12
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Router:
     """Selects nodes by the expected duration of a call."""
 
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -42,7 +42,7 @@
 _FINAL_REASONS = (Reason.QUARANTINED, Reason.DEADLINE)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Attempt:
     """One attempt of a call, at the local server or at another node."""
 
@@ -51,7 +51,7 @@
     sequence: int = 0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PendingRequest:
     """A request that has not been answered yet.
 
@@ -104,7 +104,7 @@
         """Answer a request at its deadline."""
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Sender:
     """Sends each request to a server until it is answered.
 
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -31,7 +31,7 @@
 ANY_START = math.inf
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LocalServer:
     """The backend server of this VM: its incarnation, slots and availability.
 
--- a/eelgrassmount/relay/server_rate_limit.py
+++ b/eelgrassmount/relay/server_rate_limit.py
@@ -14,7 +14,7 @@
 END_DELAY_S = 0.5
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ServerRateLimit:
     """Keeps the rate limit of a server, in requests per second of all nodes together.
 
--- a/eelgrassmount/relay/shared_state.py
+++ b/eelgrassmount/relay/shared_state.py
@@ -29,7 +29,7 @@
 REMOVED_ROUTE_RETENTION_S = 30.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class SharedState:
     """State that the components of a node share.
 
--- a/eelgrassmount/relay/shutdown.py
+++ b/eelgrassmount/relay/shutdown.py
@@ -25,7 +25,7 @@
 POLL_INTERVAL_S = 0.05
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Shutdown:
     """Drains clients, then peers, and waits for open requests, within ``grace_s``."""
 
--- a/eelgrassmount/relay/stalls.py
+++ b/eelgrassmount/relay/stalls.py
@@ -45,7 +45,7 @@
     )
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class StallWatch:
     """Logs and counts stalls of the event loop.
 
--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -60,7 +60,7 @@
 MIN_POOLED_CALLS = 16.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class VectorLearner:
     """Estimates calls per run from the runs in flight when calls are made.
 
--- a/eelgrassmount/teams/directory.py
+++ b/eelgrassmount/teams/directory.py
@@ -42,7 +42,7 @@
     keys: tuple[str, ...]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class TeamDirectory:
     """Finds teams by their API keys.
 
--- a/eelgrassmount/teams/exchange.py
+++ b/eelgrassmount/teams/exchange.py
@@ -41,7 +41,7 @@
     return loop.call_later(delay_s, action) if delay_s else loop.call_soon(action)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class QuotaExchange:
     """Connects the quota client and the quota allocator of a node with those of others.
 
--- a/eelgrassmount/teams/quota_allocator.py
+++ b/eelgrassmount/teams/quota_allocator.py
@@ -43,7 +43,7 @@
     LENT = "lent"
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class QuotaRequest:
     """A node's request for quota of a team; ``answer`` sends the reply."""
 
@@ -70,7 +70,7 @@
     interval_s: float = 0.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class PendingLoans:
     """Requests for loans that are unanswered, by number, and the tokens ``loaned``."""
 
@@ -78,7 +78,7 @@
     loaned: float = 0.0
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class AllocatedQuota:
     """The share of a team's quota that this node allocates.
 
@@ -109,7 +109,7 @@
         self.deferred = max(0.0, self.deferred - self.bucket.rate * elapsed_s)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class QuotaAllocator:
     """Allocates a share of each quota to the nodes that request it.
 
--- a/eelgrassmount/teams/quota_client.py
+++ b/eelgrassmount/teams/quota_client.py
@@ -47,7 +47,7 @@
 ALLOWED = QuotaVerdict()
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class WaitingRequest:
     """A request that waits for quota; ``decide`` is called once."""
 
@@ -56,7 +56,7 @@
     finished: bool = False
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class TeamQuota:
     """The state of one team's quota at this node.
 
@@ -87,7 +87,7 @@
         self.updated_s = now_s
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class OpenRequest:
     """A quota request without an answer, and the requests that wait for it."""
 
@@ -96,7 +96,7 @@
     waiting: list[WaitingRequest]
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class QuotaClient:
     """Requests quota from the allocator of a team for each request of its clients.
 
--- a/eelgrassmount/timers.py
+++ b/eelgrassmount/timers.py
@@ -58,7 +58,7 @@
         return self.now_s
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Timer:
     """A scheduled action; a period of 0 runs it only once."""
 
@@ -82,7 +82,7 @@
     return getattr(action, "__qualname__", type(action).__name__)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class SlowestAction:
     """Records the timer action that took longest since the last `pop`.
 
--- a/eelgrassmount/topics/follower.py
+++ b/eelgrassmount/topics/follower.py
@@ -26,7 +26,7 @@
 MAX_RETRY_DELAY_S = 1.5
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class TopicFollower:
     """Reads the newest record of each key of a topic, then the records appended to it.
 
--- a/eelgrassmount/topics/learned.py
+++ b/eelgrassmount/topics/learned.py
@@ -25,7 +25,7 @@
 MAX_ROUTES = 10_000
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LearnedCalls:
     """Decides when to write the learned calls of routes, and applies written ones.
 
--- a/eelgrassmount/topics/local_record.py
+++ b/eelgrassmount/topics/local_record.py
@@ -31,7 +31,7 @@
     return max(MIN_SPREAD_S, nodes / MAX_WRITES_PER_S)
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LocalRecord:
     """Determines when the record of the local node has to be written again.
 
--- a/eelgrassmount/topics/log_epoch.py
+++ b/eelgrassmount/topics/log_epoch.py
@@ -13,7 +13,7 @@
 UNKNOWN_EPOCH = -1
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class EpochTracker:
     """Tracks the epoch of the log: the number of restorations from an older copy.
 
--- a/eelgrassmount/topics/ranking.py
+++ b/eelgrassmount/topics/ranking.py
@@ -15,7 +15,7 @@
     from eelgrassmount.topics.records import RecordTable
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class ReaderRanking:
     """Ranks the nodes of each failure domain by the offsets of their records."""
 
--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -65,7 +65,7 @@
 MAX_STEP_PAUSE_S = 0.7
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class LogReaders:
     """Decides whether this node reads the log, and relays new records.
 
--- a/eelgrassmount/topics/records.py
+++ b/eelgrassmount/topics/records.py
@@ -16,7 +16,7 @@
 MAX_KEYS = 10_100
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class RecordTable:
     """The records of a topic up to an offset.
 
--- a/eelgrassmount/topics/subscriptions.py
+++ b/eelgrassmount/topics/subscriptions.py
@@ -18,7 +18,7 @@
 MAX_NEWS_AGE_S = 2.5
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Subscription:
     """A subscription of this node to a reader.
 
@@ -41,7 +41,7 @@
         return now_s - self.received_s <= MAX_NEWS_AGE_S
 
 
-@define(eq=False)
+@define(eq=False, repr=False)
 class Subscriber:
     """A node that subscribes to this one; ``send`` sends it a frame."""
 
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -161,6 +161,33 @@
     assert errors.decode().strip().splitlines()[-1].startswith("zone: ")
 
 
+def run_code(code: str) -> str:
+    command = [sys.executable, "-c", code]
+    return subprocess.run(
+        command, cwd=ROOT, capture_output=True, timeout=20, check=True, text=True
+    ).stdout
+
+
+def test_start_imports_no_module_that_a_node_does_not_need():
+    found = run_code("import sys, eelgrassmount.cmd.relay; print(*sys.modules)")
+    unneeded = {"fire", "httpcore", "uvicorn", "eelgrassmount.cmd.main"}
+    assert not unneeded & set(found.split())
+
+
+def test_collector_runs_only_after_the_imports():
+    found = run_code(
+        "import gc, sys, anyio, eelgrassmount.__main__ as program\n"
+        "sys.argv[1:] = ['relay']\n"
+        "anyio.run = lambda *names, **options: print(gc.isenabled())\n"
+        "class Finder:\n"
+        "    def find_spec(self, name, *rest):\n"
+        "        if name == 'eelgrassmount.cmd.relay': print(gc.isenabled())\n"
+        "sys.meta_path.insert(0, Finder())\n"
+        "program.main()"
+    )
+    assert found.split() == ["False", "True"]
+
+
 def test_main_function_knows_the_relay_command(tmp_path):
     code = "import sys; from eelgrassmount.cmd.main import main; sys.exit(main())"
     environment = {**os.environ, "EELGRASSMOUNT_NODE_FILE": str(tmp_path / "none")}
