Call the accelerated codec of frames directly

Cause: each frame went through the write or read method of its struct and a new buffer, and the checks of a call and a reply looped over tables of ranges.

Changed: the codec is called with prepared arguments, the header of a frame is packed and unpacked at once, the ranges of calls and replies are compared directly, and only the fields that must be present are looked at. All checks are kept.

--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from operator import itemgetter
 from typing import TYPE_CHECKING, Any
 
 from eelgrassmount.errors import AddressError, BadFrameError
@@ -43,10 +44,12 @@
 
 def check_struct(struct: Any) -> None:
     """Raise `BadFrameError`, naming the field, if a struct is incomplete or invalid."""
+    struct_type = type(struct)
+    get_required = _REQUIRED_GETTERS.get(struct_type)
     values = struct.__dict__
-    if None in values.values():
+    if None in (values.values() if get_required is None else get_required(values)):
         _require_all(struct)
-    check = _CHECKS.get(type(struct))
+    check = _CHECKS.get(struct_type)
     if check is not None:
         check(struct)
 
@@ -112,7 +115,14 @@
 
 
 def _check_call(call: ttypes.RelayCall) -> None:
-    _check_ranges(call, _CALL_RANGES)
+    # One comparison each, as this runs for each call.
+    if not (
+        0 <= call.remaining_ms <= MAX_REMAINING_MS
+        and 0 <= call.sequence <= MAX_COUNTER
+        and 0 <= call.priority <= MAX_RANK
+        and 0 <= call.left <= MAX_CALLS
+    ):
+        _check_ranges(call, _CALL_RANGES)
     if not (call.method and call.target and call.route_name):
         _raise_invalid(call, "method, target or route_name", "empty")
     _check_request_lines(call)
@@ -124,6 +134,8 @@
     line = f"{call.method}{call.target}{call.request_id}{call.caller_service}"
     if "\r" in line or "\n" in line:
         _raise_invalid(call, "method, target or a header", "more than one line")
+    if line.isascii():
+        return
     try:
         line.encode("latin-1")
     except UnicodeEncodeError as error:
@@ -133,7 +145,11 @@
 def _check_head(struct: ttypes.RelayCall | ttypes.RelayReply) -> None:
     """Reject a header block that is not terminated or contains an empty line."""
     head = struct.head
-    if head and (not head.endswith(b"\r\n") or b"\r\n\r\n" in b"\r\n" + head):
+    if head and (
+        not head.endswith(b"\r\n")
+        or head.startswith(b"\r\n")
+        or b"\r\n\r\n" in head
+    ):
         _raise_invalid(struct, "head", "not a block of complete header lines")
 
 
@@ -144,7 +160,8 @@
         _raise_invalid(reply, "reason", "unknown")
     if reply.outcome == Outcome.ANSWERED and not 100 <= reply.status <= 999:
         _raise_invalid(reply, "status", "not an HTTP status")
-    _check_ranges(reply, _REPLY_RANGES)
+    if not (0 <= reply.in_flight <= MAX_CALLS and 0 <= reply.queued <= MAX_CALLS):
+        _check_ranges(reply, _REPLY_RANGES)
     if reply.wait_ms is not None:
         _check_ranges(reply, {"wait_ms": MAX_REMAINING_MS})
     _check_head(reply)
@@ -308,6 +325,14 @@
     ttypes.RelayHello: ("notice",),
     ttypes.ServerNotice: ("rate_limit",),
 }
+# Read all fields that must be present at once. A type that is missing here has no
+# optional fields.
+_REQUIRED_GETTERS = {
+    struct_type: itemgetter(
+        *(name for name in vars(struct_type()) if name not in optional)
+    )
+    for struct_type, optional in _OPTIONAL_FIELDS.items()
+}
 _CHECKS: dict[type, Callable[[Any], None]] = {
     ttypes.RelayHello: _check_hello,
     ttypes.RelayCall: _check_call,
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -6,9 +6,11 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from enum import IntEnum
+from struct import Struct
 from typing import Any
 
 from loguru import logger
+from thrift.protocol import fastbinary
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -18,7 +20,8 @@
 from eelgrassmount.relay.checks import check_struct
 
 LENGTH_BYTES = 4
-HEADER_BYTES = LENGTH_BYTES + 1
+_HEADER = Struct(">IB")
+HEADER_BYTES = _HEADER.size
 MAX_FRAME_BYTES = 128 * 1024 * 1024
 # Limits the memory for a decoded list, whose entries may be encoded in one byte each.
 MAX_LIST_ENTRIES = 50_000
@@ -71,6 +74,17 @@
 }
 
 
+_KINDS_AND_TYPES = {
+    int(kind): (kind, struct_type) for kind, struct_type in _STRUCT_TYPES.items()
+}
+
+
+# The accelerated codec is called directly, without the methods of the structs.
+_CODEC_ARGUMENTS = {
+    struct_type: [struct_type, struct_type.thrift_spec]
+    for struct_type in vars(ttypes).values()
+    if hasattr(struct_type, "thrift_spec")
+}
 # Shared by all structs, as creating a protocol takes longer than encoding a struct.
 _PROTOCOL = TBinaryProtocolAccelerated(
     TMemoryBuffer(),
@@ -86,9 +100,7 @@
 
 def encode_struct(struct: Any) -> bytes:
     """Encode a thrift struct."""
-    buffer = _PROTOCOL.trans = TMemoryBuffer()
-    struct.write(_PROTOCOL)
-    return buffer.getvalue()
+    return fastbinary.encode_binary(struct, _CODEC_ARGUMENTS[type(struct)])
 
 
 def decode_struct(struct_type: Any, payload: bytes) -> Any:
@@ -99,7 +111,7 @@
     struct = struct_type()
     _PROTOCOL.trans = TMemoryBuffer(payload)
     try:
-        struct.read(_PROTOCOL)
+        fastbinary.decode_binary(struct, _PROTOCOL, _CODEC_ARGUMENTS[struct_type])
     # The accelerated decoder raises exceptions of many types on malformed input.
     except Exception as error:
         raise BadFrameError(
@@ -112,7 +124,7 @@
 def encode_frame(kind: FrameKind, struct: Any) -> bytes:
     """Encode a frame with its length and kind."""
     payload = encode_struct(struct)
-    return (len(payload) + 1).to_bytes(LENGTH_BYTES, "big") + bytes((kind,)) + payload
+    return _HEADER.pack(len(payload) + 1, kind) + payload
 
 
 class FrameConnection(asyncio.Protocol, ABC):
@@ -161,13 +173,12 @@
         size = len(buffer)
         try:
             while size - position >= HEADER_BYTES:
-                length = int.from_bytes(buffer[position : position + 4], "big")
+                length, kind = _HEADER.unpack_from(buffer, position)
                 if not 1 <= length <= MAX_FRAME_BYTES:
                     raise OverlongFrameError(f"frame length {length} is out of range")
                 end = position + LENGTH_BYTES + length
                 if end > size:
                     break
-                kind = buffer[position + LENGTH_BYTES]
                 self._dispatch_frame(kind, buffer[position + HEADER_BYTES : end])
                 position = end
         except BadFrameError as error:
@@ -177,16 +188,17 @@
         self._buffer = buffer[position:] if position else buffer
 
     def _dispatch_frame(self, kind: int, payload: bytes) -> None:
-        struct_type = _STRUCT_TYPES.get(kind)
+        known = _KINDS_AND_TYPES.get(kind)
         # Skip kinds that only later releases know.
-        if struct_type is None:
+        if known is None:
             return
+        frame_kind, struct_type = known
         struct = decode_struct(struct_type, payload)
         try:
-            self.handle_frame(FrameKind(kind), struct)
+            self.handle_frame(frame_kind, struct)
         except Exception as error:
             # The state of the link may be inconsistent, so the connection is dropped.
-            name = FrameKind(kind).name
+            name = frame_kind.name
             logger.exception("frame handler failed", kind=name)
             raise BadFrameError(f"the handler of {name} failed") from error
 
