Divide overloaded classes fairly among the groups of callers

All requests of a class that is admitted in part had the same odds, so that a team that sends several times its usual load took most of the service from the others.

Groups (teams, or failure domains of the entry nodes) now divide a class by max-min fairness. Heavy groups have credits of their own, so that their admissions are spread evenly. The division keeps the total of the class. With the flag ``shares_fairly`` off no group is counted or told, and messages are as before.

Smoothing of rates is shared by classes and groups, in a module of its own.

Ruled out: fair queuing at each gate alone, since a gate sees few requests of each team; a level per rank told by the nodes beside scarce servers, which know no teams.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -379,15 +379,24 @@
   3: double rate
 }
 
+// Requests a second of one route and rank that a group of callers offers.
+struct GroupRate {
+  1: string route_name
+  2: i32 rank
+  3: string group
+  4: double rate
+}
+
 // Counts of one or more nodes, added up. ``offered`` holds requests of clients a
 // second, ``runs`` the runs of servers by route, and ``calls`` all calls of those runs,
-// not those of one.
+// not those of one. ``groups`` holds the heaviest groups of callers; absent without any.
 struct RelayTally {
   1: i32 nodes
   2: list<OfferedRate> offered
   3: list<ServiceCounts> asked
   4: list<RouteCount> runs
   5: list<RouteCalls> calls
+  6: optional list<GroupRate> groups
 }
 
 // A record of the nodes' topic of the log; one without a value drops its key.
--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -131,6 +131,11 @@
         f"refused partly {one['route']} of rank {one['rank']}: {one['share']} admitted"
         for one in state["shares"]
     ]
+    lines += [
+        f"limited        {one['group']} on {one['route']} of rank {one['rank']}: "
+        f"{one['share']} of {one['rate']} requests a second admitted"
+        for one in state["groups"]
+    ]
     for name, calls in state["vectors"].items():
         made = ", ".join(f"{count} {called}" for called, count in calls.items())
         lines.append(f"calls          {name}: {made or 'none'}")
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 from eelgrassmount.compose.relay_node import RelayNode
+from eelgrassmount.entry.fair_shares import FairShares
+from eelgrassmount.entry.group_metrics import GroupMetrics
 from eelgrassmount.http1.server import HttpListener
 from eelgrassmount.platform.headers import HEADER_CODEC
 from eelgrassmount.platform.store_client import StoreClient
@@ -56,6 +58,7 @@
     clock = time.monotonic
     incarnation = secrets.token_hex(INCARNATION_BYTES)
     metrics = RelayMetrics()
+    group_metrics = GroupMetrics(metrics.registry)
     rejected_messages = RejectedMessages(clock, metrics.count_rejected)
     quarantine = Quarantine()
     server = LocalServer(
@@ -146,7 +149,7 @@
         [],
         lambda member: links.open_link(member),
         lambda records: node.apply_node_records(records),
-        lambda: make_tally(state, admission.request_rates),
+        lambda: make_tally(state, admission.request_rates, fair_shares.list_told()),
     )
     peer_updates = PeerUpdates(
         state,
@@ -163,12 +166,18 @@
         lambda member: links.open_link(member),
         metrics.count_quota,
     )
+    fair_shares = FairShares(
+        settings.failure_domain,
+        lambda: state.cluster_counts,
+        group_metrics.count_decision,
+    )
     admission = Admission(
         graph,
         state.get_admitted_fraction,
         lambda: state.cluster_counts.offered,
         lambda name: name in state.client_routes,
         rng,
+        fair_shares,
     )
     events = LinkHandlers(
         state.make_hello,
@@ -245,5 +254,6 @@
         quotas,
         rng,
         rejected_messages,
+        group_metrics,
     )
     return node
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -21,6 +21,7 @@
     import random
     from collections.abc import Callable
 
+    from eelgrassmount.entry.group_metrics import GroupMetrics
     from eelgrassmount.http1.exchange import Exchange
     from eelgrassmount.http1.server import HttpListener
     from eelgrassmount.platform.store_client import StoreClient
@@ -73,6 +74,7 @@
     quotas: QuotaExchange
     rng: random.Random
     rejected_messages: RejectedMessages
+    group_metrics: GroupMetrics
     check_settings: Callable[[], None] = lambda: None
     listeners: list[HttpListener] = field(factory=list)
     has_node_records: bool = False
@@ -249,6 +251,7 @@
             self.metrics.admitted_fractions.labels(service).set(
                 control.admitted_fraction
             )
+        self.group_metrics.show_limited(self.admission.fair_shares.list_limited())
         gauges.labels("members").set(len(self.state.members.by_name))
         gauges.labels("reads_log").set(self.readers.reading)
         gauges.labels("log_subscribers").set(len(self.readers.subscribers))
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -4165,6 +4165,96 @@
         return not (self == other)
 
 
+class GroupRate(object):
+    """
+    Attributes:
+     - route_name
+     - rank
+     - group
+     - rate
+
+    """
+
+
+    def __init__(self, route_name=None, rank=None, group=None, rate=None,):
+        self.route_name = route_name
+        self.rank = rank
+        self.group = group
+        self.rate = rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GroupRate')
+        if self.route_name is not None:
+            oprot.writeFieldBegin('route_name', TType.STRING, 1)
+            oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 2)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 3)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 4)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RelayTally(object):
     """
     Attributes:
@@ -4173,16 +4263,18 @@
      - asked
      - runs
      - calls
+     - groups
 
     """
 
 
-    def __init__(self, nodes=None, offered=None, asked=None, runs=None, calls=None,):
+    def __init__(self, nodes=None, offered=None, asked=None, runs=None, calls=None, groups=None,):
         self.nodes = nodes
         self.offered = offered
         self.asked = asked
         self.runs = runs
         self.calls = calls
+        self.groups = groups
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4242,6 +4334,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.groups = []
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = GroupRate()
+                        _elem164.read(iprot)
+                        self.groups.append(_elem164)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4259,29 +4362,36 @@
         if self.offered is not None:
             oprot.writeFieldBegin('offered', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.offered))
-            for iter159 in self.offered:
-                iter159.write(oprot)
+            for iter165 in self.offered:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.asked is not None:
             oprot.writeFieldBegin('asked', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asked))
-            for iter160 in self.asked:
-                iter160.write(oprot)
+            for iter166 in self.asked:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter161 in self.runs:
-                iter161.write(oprot)
+            for iter167 in self.runs:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter162 in self.calls:
-                iter162.write(oprot)
+            for iter168 in self.calls:
+                iter168.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.groups is not None:
+            oprot.writeFieldBegin('groups', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.groups))
+            for iter169 in self.groups:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4556,11 +4666,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = RelayRecord()
-                        _elem168.read(iprot)
-                        self.records.append(_elem168)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = RelayRecord()
+                        _elem175.read(iprot)
+                        self.records.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4608,8 +4718,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter169 in self.records:
-                iter169.write(oprot)
+            for iter176 in self.records:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tally is not None:
@@ -4756,21 +4866,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.holders = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.holders.append(_elem175)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.holders.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = QuotaUse()
-                        _elem181.read(iprot)
-                        self.uses.append(_elem181)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = QuotaUse()
+                        _elem188.read(iprot)
+                        self.uses.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4795,15 +4905,15 @@
         if self.holders is not None:
             oprot.writeFieldBegin('holders', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.holders))
-            for iter182 in self.holders:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter189 in self.holders:
+                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter183 in self.uses:
-                iter183.write(oprot)
+            for iter190 in self.uses:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4973,11 +5083,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype187, _size184) = iprot.readListBegin()
-                    for _i188 in range(_size184):
-                        _elem189 = QuotaGrant()
-                        _elem189.read(iprot)
-                        self.grants.append(_elem189)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = QuotaGrant()
+                        _elem196.read(iprot)
+                        self.grants.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5002,8 +5112,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter190 in self.grants:
-                iter190.write(oprot)
+            for iter197 in self.grants:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5306,11 +5416,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.calls = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = RouteCalls()
-                        _elem196.read(iprot)
-                        self.calls.append(_elem196)
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = RouteCalls()
+                        _elem203.read(iprot)
+                        self.calls.append(_elem203)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5327,8 +5437,8 @@
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter197 in self.calls:
-                iter197.write(oprot)
+            for iter204 in self.calls:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5695,6 +5805,14 @@
     (2, TType.I32, 'rank', None, None, ),  # 2
     (3, TType.DOUBLE, 'rate', None, None, ),  # 3
 )
+all_structs.append(GroupRate)
+GroupRate.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'rank', None, None, ),  # 2
+    (3, TType.STRING, 'group', 'UTF8', None, ),  # 3
+    (4, TType.DOUBLE, 'rate', None, None, ),  # 4
+)
 all_structs.append(RelayTally)
 RelayTally.thrift_spec = (
     None,  # 0
@@ -5703,6 +5821,7 @@
     (3, TType.LIST, 'asked', (TType.STRUCT, [ServiceCounts, None], False), None, ),  # 3
     (4, TType.LIST, 'runs', (TType.STRUCT, [RouteCount, None], False), None, ),  # 4
     (5, TType.LIST, 'calls', (TType.STRUCT, [RouteCalls, None], False), None, ),  # 5
+    (6, TType.LIST, 'groups', (TType.STRUCT, [GroupRate, None], False), None, ),  # 6
 )
 all_structs.append(RelayRecord)
 RelayRecord.thrift_spec = (
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -9,7 +9,8 @@
 from attrs import define, field
 from loguru import logger
 
-from eelgrassmount.policy.admission_controller import CONTROL_INTERVAL_S
+from eelgrassmount.entry.fair_shares import FairShares
+from eelgrassmount.entry.request_rates import smooth_rates
 from eelgrassmount.policy.shedding import (
     RequestClass,
     RequiredCalls,
@@ -19,15 +20,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from eelgrassmount.policy.fair_shares import GroupKey
     from eelgrassmount.relay.routes import Route, RouteTable
 
 # Decay factor of request counts per control step.
 REQUEST_COUNT_DECAY_FACTOR = 0.9
 # Request classes with fewer requests are ignored.
 MIN_REQUEST_COUNT = 0.5
-# Smoothing factor of request rates. Lower rates are removed.
-RATE_SMOOTHING = 0.3
-MIN_RATE_PER_S = 0.01
 MAX_CHAIN_DEPTH = 6
 
 
@@ -224,6 +223,8 @@
     that clients are known to use are limited. Where API keys separate clients from
     servers, a route whose calls are not known yet counts as a user of every overloaded
     service, so that urgent requests have precedence from the first seconds of a surge.
+
+    ``fair_shares`` divides a class that is admitted in part among groups of callers.
     """
 
     graph: CallGraph
@@ -231,31 +232,46 @@
     find_offered_rates: Callable[[], dict[RequestClass, float]] = dict
     is_client_route: Callable[[str], bool] = lambda name: True
     rng: random.Random = field(factory=random.Random)
+    fair_shares: FairShares = field(factory=FairShares)
     request_counts: dict[RequestClass, float] = field(factory=dict)
     request_rates: dict[RequestClass, float] = field(factory=dict)
     admitted_fractions: dict[RequestClass, float] = field(factory=dict)
     _credits: dict[RequestClass, float] = field(factory=dict)
+    _group_credits: dict[GroupKey, float] = field(factory=dict)
     _new_requests: dict[RequestClass, int] = field(factory=dict)
 
-    def try_admit(self, request_class: RequestClass) -> bool:
-        """Return whether to admit one request; admissions are spread evenly."""
+    def try_admit(self, request_class: RequestClass, group: str = "") -> bool:
+        """Return whether to admit one request; admissions are spread evenly.
+
+        ``group`` is the team of the request, empty for a request of no team.
+        """
         self.request_counts[request_class] = (
             self.request_counts.get(request_class, 0.0) + 1.0
         )
         self._new_requests[request_class] = self._new_requests.get(request_class, 0) + 1
+        self.fair_shares.record(request_class, group)
         fraction = self.admitted_fractions.get(request_class, 1.0)
         # Refusing an unrecognized downstream call would waste the work already done
         # for its request.
         if fraction >= 1.0 or not self.is_client_route(request_class.route_name):
             return True
+        fraction *= self.fair_shares.find_group_fraction(request_class, group)
+        key = self.fair_shares.find_listed_key(request_class, group)
+        if key is None:
+            admitted = self._take_credit(self._credits, request_class, fraction)
+        else:
+            admitted = self._take_credit(self._group_credits, key, fraction)
+        self.fair_shares.record_decision(request_class, group, admitted)
+        return admitted
+
+    def _take_credit(self, credits: dict, key: tuple, fraction: float) -> bool:
+        """Return whether the credit of earlier requests suffices for one more."""
         # A random start keeps nodes from all refusing their first request.
-        credit = self._credits.get(request_class)
+        credit = credits.get(key)
         credit = fraction + (self.rng.random() if credit is None else credit)
-        if credit >= 1.0:
-            self._credits[request_class] = credit - 1.0
-            return True
-        self._credits[request_class] = credit
-        return False
+        admitted = credit >= 1.0
+        credits[key] = credit - 1.0 if admitted else credit
+        return admitted
 
     def update(self, table: RouteTable) -> None:
         """Recompute the admitted fractions of all request classes.
@@ -276,6 +292,7 @@
                     self._apply_limits(
                         compute_admitted_fractions(required, overloaded[service])
                     )
+        self.fair_shares.update(table.features.shares_fairly, self.admitted_fractions)
         self.request_counts = {
             request_class: count * REQUEST_COUNT_DECAY_FACTOR
             for request_class, count in self.request_counts.items()
@@ -286,15 +303,19 @@
             for request_class, credit in self._credits.items()
             if request_class.route_name in table.routes
         }
+        self._group_credits = {
+            key: credit
+            for key, credit in self._group_credits.items()
+            if self.fair_shares.find_listed_key(*key) is not None
+        }
 
     def _update_rates(self, table: RouteTable) -> None:
-        for request_class in self.request_rates.keys() | self._new_requests.keys():
-            rate = self.request_rates.get(request_class, 0.0)
-            counted = self._new_requests.get(request_class, 0) / CONTROL_INTERVAL_S
-            rate += RATE_SMOOTHING * (counted - rate)
-            self.request_rates[request_class] = rate
-            if rate < MIN_RATE_PER_S or request_class.route_name not in table.routes:
-                del self.request_rates[request_class]
+        rates = smooth_rates(self.request_rates, self._new_requests)
+        self.request_rates = {
+            request_class: rate
+            for request_class, rate in rates.items()
+            if request_class.route_name in table.routes
+        }
         self._new_requests.clear()
 
     def _get_offered_load(self) -> dict[RequestClass, float]:
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -12,6 +12,7 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.messages import Outcome
 from eelgrassmount.relay.routes import MAX_RANK
+from eelgrassmount.relay.tallies import MAX_GROUPS
 from eelgrassmount.topics.log_epoch import UNKNOWN_EPOCH
 from eelgrassmount.util.addresses import parse_address
 from eelgrassmount.util.fields import MAX_NAME_LENGTH, is_identity, is_printable
@@ -200,6 +201,18 @@
         _check_counts(service.counts)
     for row in tally.calls:
         _check_row(row, _CALL_NAMES, "calls_per_run")
+    _check_groups(tally)
+
+
+def _check_groups(tally: ttypes.RelayTally) -> None:
+    groups = tally.groups or ()
+    if len(groups) > MAX_GROUPS:
+        _raise_invalid(tally, "groups", f"longer than {MAX_GROUPS}")
+    for row in groups:
+        _require_all(row)
+        _check_row(row, ("route_name",), "rate")
+        _check_ranges(row, {"rank": MAX_RANK})
+        _check_texts(row, ("group",), MAX_NAME_LENGTH)
 
 
 def _check_counts(counts: list[ttypes.RouteCount]) -> None:
@@ -306,6 +319,7 @@
     ttypes.RelayReply: ("reason", "wait_ms"),
     ttypes.RelayReport: ("usable_slots", "notice"),
     ttypes.RelayHello: ("notice",),
+    ttypes.RelayTally: ("groups",),
     ttypes.ServerNotice: ("rate_limit",),
 }
 _CHECKS: dict[type, Callable[[Any], None]] = {
--- a/eelgrassmount/relay/ingress.py
+++ b/eelgrassmount/relay/ingress.py
@@ -124,7 +124,10 @@
         call = self._create_call(exchange, head, route, team, deadline_s, origin)
         quota_team = team if team is not None and team.has_quota() else None
         pending = PendingRequest(exchange, call, downstream_call, quota_team)
-        if not origin.downstream and not self.admission.try_admit(call.request_class):
+        group = "" if team is None else team.name
+        if not origin.downstream and not self.admission.try_admit(
+            call.request_class, group
+        ):
             self.responder.refuse(pending, Reason.OVERLOAD)
             return
         if call.is_quarantined(self.quarantine, call.arrived_s):
--- a/eelgrassmount/relay/learning.py
+++ b/eelgrassmount/relay/learning.py
@@ -13,6 +13,7 @@
 from eelgrassmount.relay.vectors import merge_vectors, pool_vectors
 
 if TYPE_CHECKING:
+    from eelgrassmount.policy.fair_shares import GroupKey
     from eelgrassmount.policy.shedding import RequestClass
     from eelgrassmount.relay.shared_state import SharedState
 
@@ -47,13 +48,19 @@
     return Tally(1, requested={state.server.service: counts})
 
 
-def make_tally(state: SharedState, rates: dict[RequestClass, float]) -> Tally:
+def make_tally(
+    state: SharedState,
+    rates: dict[RequestClass, float],
+    groups: dict[GroupKey, float] | None = None,
+) -> Tally:
     """Return the counts of this node, to be summed with those of others.
 
-    ``rates`` holds the offered load of its clients in requests per second.
+    ``rates`` holds the offered load of its clients in requests per second, and
+    ``groups`` that of its heaviest groups of callers.
     """
     tally = add_tallies([_tally_local_requests(state)])
     tally.offered = dict(rates)
+    tally.groups = dict(groups or {})
     if state.identifies_clients():
         tally.runs = dict(state.completed.runs)
         tally.calls = state.completed.list_calls()
--- a/eelgrassmount/relay/status.py
+++ b/eelgrassmount/relay/status.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from eelgrassmount.compose.relay_node import RelayNode
+    from eelgrassmount.entry.fair_shares import FairShares
     from eelgrassmount.relay.budget import RetryBudget
     from eelgrassmount.relay.members import Member
     from eelgrassmount.topics.readers import LogReaders
@@ -66,6 +67,21 @@
     share: float
 
 
+@frozen
+class GroupStatus:
+    """A group of callers that gets less than other requests of its route and rank.
+
+    ``rate`` is its rate in requests per second over all nodes, ``share`` the fraction
+    of it that is admitted.
+    """
+
+    group: str
+    route: str
+    rank: int
+    rate: float
+    share: float
+
+
 @frozen
 class BudgetStatus:
     """Requests to a service, and their retries, in the window of the retry budget."""
@@ -142,7 +158,8 @@
     """The whole status of a node.
 
     ``levels`` maps services to the admitted fraction of the work offered to them;
-    ``shares`` lists the admitted fractions below 1 by route and rank. By route,
+    ``shares`` lists the admitted fractions below 1 by route and rank, and ``groups``
+    the groups of callers that get less than the others. By route,
     ``vectors`` gives the calls that one run makes and ``allowances`` the seconds that
     it may take. ``lost_topics`` are the topics of the log that can't be read now, and
     ``refused`` counts rejected messages by kind.
@@ -164,6 +181,7 @@
     server: ServerStatus
     levels: dict[str, float]
     shares: list[ShareStatus]
+    groups: list[GroupStatus]
     vectors: dict[str, dict[str, float]]
     allowances: dict[str, float]
     budgets: list[BudgetStatus]
@@ -203,6 +221,7 @@
                 node.admission.admitted_fractions.items()
             )
         ],
+        _collect_groups(node.admission.fair_shares),
         {
             name: {called: round(count, 2) for called, count in calls.items()}
             for name, calls in state.graph.calls_per_run.items()
@@ -242,6 +261,18 @@
     )
 
 
+def _collect_groups(fair_shares: FairShares) -> list[GroupStatus]:
+    return [
+        GroupStatus(
+            one.key.group,
+            *one.key.request_class,
+            round(one.rate, 1),
+            round(one.fraction, 3),
+        )
+        for one in fair_shares.list_limited()
+    ]
+
+
 def _collect_teams(node: RelayNode, now_s: float) -> TeamStatus:
     teams = node.state.table.teams.teams
     held = []
--- a/eelgrassmount/relay/tallies.py
+++ b/eelgrassmount/relay/tallies.py
@@ -13,6 +13,7 @@
 from attrs import define, field
 
 from eelgrassmount.gen import ttypes
+from eelgrassmount.policy.fair_shares import GroupKey, list_heaviest
 from eelgrassmount.policy.shedding import RequestClass
 
 if TYPE_CHECKING:
@@ -20,6 +21,8 @@
 
 # Rows of each kind in a message; the largest counts come first.
 MAX_ROWS = 200
+# Groups of callers in a sum and in a message, of all request classes together.
+MAX_GROUPS = 32
 
 
 @define
@@ -37,6 +40,8 @@
     ``offered`` holds the offered load of clients in requests per second, and
     ``requested`` the request counts by the service of the VM. ``runs`` counts the runs
     of each route, and ``calls`` the calls that they made by (run route, called route).
+    ``groups`` holds the requests per second of the heaviest groups of callers, in the
+    classes that are admitted in part.
     """
 
     nodes: int = 0
@@ -44,6 +49,7 @@
     requested: dict[str, ServiceCounts] = field(factory=dict)
     runs: dict[str, float] = field(factory=dict)
     calls: dict[tuple[str, str], float] = field(factory=dict)
+    groups: dict[GroupKey, float] = field(factory=dict)
 
     def add(self, other: Tally) -> None:
         """Add the counts of other nodes."""
@@ -51,6 +57,7 @@
         _add_counts(self.offered, other.offered)
         _add_counts(self.runs, other.runs)
         _add_counts(self.calls, other.calls)
+        _add_counts(self.groups, other.groups)
         for service, found in other.requested.items():
             known = self.requested.setdefault(service, ServiceCounts())
             known.nodes += found.nodes
@@ -59,7 +66,7 @@
     def scale(self, factor: float) -> None:
         """Extrapolate the rates and counts to ``factor`` times as many nodes."""
         self.nodes = round(self.nodes * factor)
-        tables = (self.offered, self.runs, self.calls)
+        tables = (self.offered, self.runs, self.calls, self.groups)
         for table in (*tables, *(one.counts for one in self.requested.values())):
             for key in table:
                 table[key] *= factor
@@ -77,6 +84,7 @@
     total = Tally()
     for one in tallies:
         total.add(one)
+    total.groups = list_heaviest(total.groups, MAX_GROUPS)
     return total
 
 
@@ -97,9 +105,17 @@
             ttypes.RouteCalls(run_route, called, count)
             for (run_route, called), count in _list_largest(tally.calls)
         ],
+        _write_groups(tally.groups) or None,
     )
 
 
+def _write_groups(groups: dict[GroupKey, float]) -> list[ttypes.GroupRate]:
+    return [
+        ttypes.GroupRate(*request_class, group, rate)
+        for (request_class, group), rate in list_heaviest(groups, MAX_GROUPS).items()
+    ]
+
+
 def _list_largest(counts: dict) -> list:
     if len(counts) <= MAX_ROWS:
         return list(counts.items())
@@ -121,6 +137,10 @@
         },
         _read_counts(struct.runs),
         {(one.run_route, one.called_route): one.calls_per_run for one in struct.calls},
+        {
+            GroupKey(RequestClass(row.route_name, row.rank), row.group): row.rate
+            for row in struct.groups or ()
+        },
     )
 
 
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -41,6 +41,8 @@
     *([ttypes.ServiceCounts("desk", 2, COUNTS)], COUNTS),
     [ttypes.RouteCalls("shop/a/", "shop/b/", 2.0)],
 )
+GROUP = ttypes.GroupRate("shop/list/", 2, "press", 4.5)
+GROUPS_TALLY = ttypes.RelayTally(**{**vars(TALLY), "groups": [GROUP] * 32})
 SUBSCRIBE = ttypes.RelaySubscribe("n1", "a", 4, TALLY, True, 2)
 RECORDS = [ttypes.RelayRecord("n2", b"value", 3)]
 NEWS = ttypes.RelayNews("n1", True, False, 3, 4, RECORDS, TALLY, -1)
@@ -59,6 +61,7 @@
     ttypes.RelayReport(**{**vars(REPORT), "usable_slots": 0.5, "notice": NOTICE}),
     ttypes.RelayHello(**{**vars(HELLO), "notice": NOTICE}),
     ttypes.RelayReply(**{**vars(REFUSAL), "wait_ms": 250}),
+    ttypes.RelaySubscribe(**{**vars(SUBSCRIBE), "tally": GROUPS_TALLY}),
 )
 # Fields that are absent for answers and for servers without limits.
 OPTIONAL_FIELDS = {
@@ -193,6 +196,15 @@
         (SUBSCRIBE, {"tally": copy(TALLY, asked=[ttypes.ServiceCounts("d", 1)])}),
         (SUBSCRIBE, {"tally": copy(TALLY, asked=[ttypes.ServiceCounts("", 1, [])])}),
         (SUBSCRIBE, {"tally": copy(TALLY, calls=[ttypes.RouteCalls("r", "", 1.0)])}),
+        (SUBSCRIBE, {"tally": copy(TALLY, groups=[GROUP] * 33)}),
+        *(
+            (NEWS, {"tally": copy(TALLY, groups=[copy(GROUP, **changes)])})
+            for changes in (
+                *({"rate": 1e300}, {"rate": math.nan}, {"rate": -1.0}, {"rate": None}),
+                *({"group": ""}, {"group": LONG_TEXT}, {"group": None}),
+                *({"route_name": ""}, {"rank": -1}, {"rank": None}),
+            )
+        ),
         (QUOTA_REQUEST, {"node_name": ""}),
         (QUOTA_REQUEST, {"number": -1}),
         (QUOTA_REQUEST, {"holders": ["n1", ""]}),
--- a/tests/relay/test_status.py
+++ b/tests/relay/test_status.py
@@ -11,8 +11,10 @@
 from eelgrassmount.cmd.action import ExitCode
 from eelgrassmount.cmd.main import main
 from eelgrassmount.compose.relay import build_relay
+from eelgrassmount.policy.shedding import RequestClass
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
 from eelgrassmount.relay.status import collect_status
+from eelgrassmount.relay.tallies import Tally
 from eelgrassmount.topics.subscriptions import Subscription
 from tests.relay.lone_node import SETTINGS
 
@@ -69,3 +71,16 @@
     assert "log            reachable, read for 0 nodes" in show()
     log = json.loads(show("--json"))["log"]
     assert (log["reading"], log["chosen"], log["next_offset"]) == (True, False, 0)
+
+
+def test_status_shows_the_groups_that_get_less_than_others(node, show):
+    request_class = RequestClass("shop/list/", 2)
+    fair_shares = node.admission.fair_shares
+    groups = {(request_class, "press"): 60.0, (request_class, "guild"): 5.0}
+    counts = Tally(2, {request_class: 100.0}, groups=groups)
+    fair_shares.find_cluster_counts = lambda: counts
+    fair_shares.update(True, {request_class: 0.7})
+    expected = "limited        press on shop/list/ of rank 2: 0.5 of 60.0 requests"
+    assert expected in show()
+    node.update_gauges()
+    assert b'relay_limited_group{group="press"} 0.5' in node.metrics.render()
--- a/tests/relay/test_tallies.py
+++ b/tests/relay/test_tallies.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from eelgrassmount.policy.fair_shares import GroupKey
 from eelgrassmount.policy.shedding import RequestClass
 from eelgrassmount.relay.frames import decode_struct, encode_struct
 from eelgrassmount.relay.tallies import (
+    MAX_GROUPS,
     MAX_ROWS,
     ServiceCounts,
     Tally,
@@ -21,6 +23,7 @@
         {service: ServiceCounts(1, {"shop/book/": 4.0})},
         {"shop/book/": 3.0},
         {("shop/book/", "shop/list/"): 6.0},
+        {GroupKey(RequestClass("shop/book/", 3), "press"): 0.5},
     )
 
 
@@ -36,6 +39,7 @@
     assert total.requested["desk"] == ServiceCounts(2, {"shop/book/": 8.0})
     assert total.requested["rate"] == ServiceCounts(1, {"shop/book/": 4.0})
     assert total.calls == {("shop/book/", "shop/list/"): 18.0}
+    assert total.groups == {GroupKey(RequestClass("shop/book/", 3), "press"): 1.5}
 
 
 def test_adding_does_not_change_the_added_tally():
@@ -61,3 +65,14 @@
     sent = send(Tally(1, rates)).offered
     assert len(sent) == MAX_ROWS
     assert min(sent.values()) == 2 * MAX_ROWS
+
+
+def test_sums_keep_only_the_heaviest_groups():
+    groups = {
+        GroupKey(RequestClass("shop/list/", 0), f"team-{number}"): 1.0 + number
+        for number in range(3 * MAX_GROUPS)
+    }
+    total = add_tallies([Tally(1, groups=groups)])
+    assert len(total.groups) == MAX_GROUPS
+    assert min(total.groups.values()) == 1.0 + 2 * MAX_GROUPS
+    assert send(Tally(1, groups=groups)) == total
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from eelgrassmount.cmd.relay import run_relay
+from eelgrassmount.entry.fair_shares import FairShares
 from eelgrassmount.policy import admission_controller
 from eelgrassmount.relay import admission, budget, dispatcher, routing, sender
 from eelgrassmount.relay.admission import Admission, CallGraph
@@ -31,7 +32,7 @@
 
 def admit_all() -> None:
     """Let every request begin."""
-    Admission.try_admit = lambda self, request_class: True
+    Admission.try_admit = lambda self, request_class, group="": True
 
 
 def ignore_calls() -> None:
@@ -163,6 +164,11 @@
     CallAttributor.has_lost_call = lambda self, job: False
 
 
+def divide_by_rate() -> None:
+    """Give all requests of a class the same odds, whoever sends them."""
+    FairShares.find_group_fraction = lambda self, request_class, group: 1.0
+
+
 ABLATIONS: dict[str, Callable[[], None]] = {
     "admission": admit_all,
     "learned-calls": ignore_calls,
@@ -186,6 +192,7 @@
     "counts-of-all": count_alone,
     "forecast": foresee_nothing,
     "lost-below": blame_servers,
+    "fair-shares": divide_by_rate,
 }
 
 if __name__ == "__main__":
