Document the fair shares and log limited groups without noise

Rates of a few requests vary by a third from moment to moment, so that groups near the level were logged as limited by turns.

Requests of no group are not told, so that a node without a failure domain sends no row that others would refuse.

--- a/eelgrassmount/entry/fair_shares.py
+++ b/eelgrassmount/entry/fair_shares.py
@@ -26,10 +26,11 @@
 # Control steps for which a class that is admitted whole again is still told. Nodes
 # notice the end of an overload at different times, and sums over some would be wrong.
 TOLD_STEPS = 15
-# Fraction relative to its class below which a group counts as limited in logs and
-# metrics, and the control steps after which it no longer does.
+# Fraction relative to its class below which a group counts as limited.
 MAX_LIMITED_FRACTION = 0.9
-LIMITED_STEPS = 25
+# Control steps for which a group is limited more than not before it is logged; rates of
+# a few requests vary.
+LOGGED_STEPS = 15
 
 
 @frozen
@@ -60,7 +61,8 @@
 class FairShares:
     """Divides the classes that are admitted in part by max-min fairness.
 
-    A group is a team, or the failure domain of the entry node for requests of no team.
+    A group is a team, or the failure domain of the entry node for requests of no team;
+    with an empty ``failure_domain`` they belong to no group.
     ``find_cluster_counts`` returns the counts of all nodes; while they contain no
     groups, the node uses its own ``rates``. Every node divides by the same counts, so
     that a group gets the same fraction wherever its requests arrive. ``on_decision`` is
@@ -76,11 +78,13 @@
     _new_requests: dict[GroupKey, int] = field(factory=dict)
     _told_steps: dict[RequestClass, int] = field(factory=dict)
     _limited_steps: dict[GroupKey, int] = field(factory=dict)
+    _logged: set[GroupKey] = field(factory=set)
 
     def record(self, request_class: RequestClass, group: str) -> None:
         """Count a request of a group; ``""`` stands for the failure domain."""
-        if self.is_enabled:
-            key = GroupKey(request_class, group or self.failure_domain)
+        name = group or self.failure_domain
+        if self.is_enabled and name:
+            key = GroupKey(request_class, name)
             self._new_requests[key] = self._new_requests.get(key, 0) + 1
 
     def find_group_fraction(self, request_class: RequestClass, group: str) -> float:
@@ -184,10 +188,19 @@
     def _log_limited(self) -> None:
         limited = {one.key: one for one in self.list_limited()}
         known = self._limited_steps
-        self._limited_steps = _count_down(known, dict.fromkeys(limited, LIMITED_STEPS))
-        for key in self._limited_steps.keys() - known.keys():
-            _log_change("group limited", key, limited[key])
-        for key in known.keys() - self._limited_steps.keys():
+        steps = {
+            key: known.get(key, 0) + (1 if key in limited else -1)
+            for key in known.keys() | limited.keys()
+        }
+        self._limited_steps = {
+            key: min(LOGGED_STEPS, count) for key, count in steps.items() if count > 0
+        }
+        for key, one in limited.items():
+            if steps[key] >= LOGGED_STEPS and key not in self._logged:
+                self._logged.add(key)
+                _log_change("group limited", key, one)
+        for key in sorted(self._logged - self._limited_steps.keys()):
+            self._logged.remove(key)
             _log_change("group no longer limited", key)
 
 
--- a/eelgrassmount/policy/fair_shares.py
+++ b/eelgrassmount/policy/fair_shares.py
@@ -30,9 +30,9 @@
 class FairDivision:
     """The admitted fractions of a class by group.
 
-    ``level`` is the rate per weight up to which groups are admitted whole.
-    ``group_fractions`` holds the fractions of the heavy groups, and
-    ``others_fraction`` applies to all other groups.
+    ``level`` is the rate per weight that no heavy group exceeds. ``group_fractions``
+    holds the fractions of the heavy groups, and ``others_fraction`` applies to all
+    other groups.
     """
 
     level: float
--- a/tests/entry/test_fair_shares.py
+++ b/tests/entry/test_fair_shares.py
@@ -122,6 +122,13 @@
     assert found["a"] == pytest.approx((0.7 * 56 - 16) / 40, abs=0.05)
 
 
+def test_requests_of_no_group_are_not_told():
+    nodes = Nodes([make_node("")])
+    found = nodes.run(lambda: nodes.send("", 40, nodes.nodes))
+    assert found[""] == pytest.approx(ADMITTED_FRACTION, abs=0.01)
+    assert nodes.nodes[0].fair_shares.rates == {}
+
+
 def test_partitioned_node_divides_what_arrives_there():
     found = Nodes([make_node()], partitioned=True).run_heavy_team(1)
     assert min(found[name] for name in SMALL_TEAMS) >= 0.99
