Plan retries while all servers of a service reject calls

While all servers of a service reject a share of their calls, about half of the retries that the budget allows were left unused, and the rest went to requests whose other calls were rejected too.

With the feature plans_retries, dispatchers of a leaf service use nearly the whole budget. They report the requests of each part of the last two windows while their server rejects calls, count their own requests in the window that is the largest for all of them together, and use a mean of the windows while they don't know the others. They also check the windows that follow, since the requests that allowed a retry may lie in different windows by then.

A retry has a price, the level of the token bucket, and each request a bid: its weight divided by the retries that it still needs. Nodes learn the rejected shares of services from reports and begin fewer requests of classes that would nearly all be lost.

The cases of test_checks list the new optional field of a report. Without the feature, nothing changes.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -332,6 +332,13 @@
 // What a node tells the nodes that send it calls. ``demand`` is the work that
 // arrives at its server as a part of what it can do, in thousandths, and ``wait`` the
 // mean wait at its gate as a part of what is allowed there, in thousandths.
+// The part of its calls that a server rejects, and the requests by which retries are
+// limited, in each part of the last two windows, the latest first.
+struct ServerRejections {
+  1: i32 rejected_ppm
+  2: list<i32> requests
+}
+
 struct RelayReport {
   1: bool accepting
   2: i32 in_flight
@@ -349,6 +356,8 @@
   // the part of ``limit`` that a rate limit of the server leaves; absent without one
   13: optional double usable_slots
   14: optional ServerNotice notice
+  // absent while the server rejects no calls
+  15: optional ServerRejections rejections
 }
 
 struct RelaySuspects {
--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -25,7 +25,7 @@
     *("name", "service", "failure_domain", "linked", "accepting"),
     *("in_flight", "queued", "limit", "failure_share", "age_s"),
 )
-_BUDGET_COLUMNS = ("service", "requests", "retries")
+_BUDGET_COLUMNS = ("service", "requests", "retries", "allowed")
 _QUOTA_COLUMNS = ("team", "rate", "burst", "held_rate", "level", "asked_per_s")
 
 
@@ -127,6 +127,10 @@
             lines.append(
                 f"overloaded     {name}: {fraction} of the offered load admitted"
             )
+    lines += [
+        f"rejecting      {name}: {share} of its calls"
+        for name, share in state["rejecting"].items()
+    ]
     lines += [
         f"refused partly {one['route']} of rank {one['rank']}: {one['share']} admitted"
         for one in state["shares"]
@@ -138,7 +142,7 @@
         lines += ["", "parts of quotas held here, in requests (a second):"]
         lines += format_table(_QUOTA_COLUMNS, teams["held"])
     lines += ["", "retry budget, requests and retries in the window:"]
-    lines += format_table(_BUDGET_COLUMNS, state["budgets"])
+    lines += format_table(_BUDGET_COLUMNS, map(_drop_unknown, state["budgets"]))
     lines += ["", f"other nodes: {len(state['members'])}"]
     return lines + format_table(_PEER_COLUMNS, state["members"])
 
@@ -157,6 +161,14 @@
     return f"heard from {', '.join(readers) or 'nobody'}{era}"
 
 
+def _drop_unknown(row: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: round(value, 1) if isinstance(value, float) else value
+        for name, value in row.items()
+        if value is not None
+    }
+
+
 def _format_age(age_s: float | None) -> str:
     return "not yet" if age_s is None else f"{age_s} s ago"
 
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -29,6 +29,7 @@
 from eelgrassmount.relay.metrics import RelayMetrics
 from eelgrassmount.relay.peer_updates import PeerUpdates
 from eelgrassmount.relay.rejected_messages import MessageKind, RejectedMessages
+from eelgrassmount.relay.rejections import RejectionMeter, ServiceRejections
 from eelgrassmount.relay.responder import Responder
 from eelgrassmount.relay.routing import Router
 from eelgrassmount.relay.sender import Sender
@@ -116,6 +117,10 @@
             settings.retry_slack,
             lambda: len(members.list_service(server.service)),
             rng,
+            lambda: state.table.features.plans_retries,
+            lambda service: rejections.find_other_requests(service),
+            lambda: rejections.meter.compute_share(),
+            metrics.count_retry_decision,
         ),
         is_leaf=lambda name: not graph.calls_per_run.get(name),
         find_time_allowance=state.find_time_allowance,
@@ -126,11 +131,13 @@
         claim_lost_call=call_attributor.claim_lost_call,
         on_crash=lambda ended, jobs: peer_updates.handle_crash(ended, jobs),
         on_change=lambda: control_loop.report_now(),
+        on_answer=lambda rejected: rejections.record_answer(rejected),
         on_invalid_header=lambda server, name, text: rejected_messages.record(
             MessageKind.ANSWER, server, name, f"{name}: {text!r}"
         ),
         call_later=call_later,
     )
+    rejections = ServiceRejections(state, RejectionMeter(clock), dispatcher.budget)
     inbound = InboundLinks(
         incarnation,
         dispatcher,
@@ -168,6 +175,7 @@
         state.get_admitted_fraction,
         lambda: state.cluster_counts.offered,
         lambda name: name in state.client_routes,
+        rejections.find_begin_fraction,
         rng,
     )
     events = LinkHandlers(
@@ -177,12 +185,19 @@
         peer_updates.handle_frame,
     )
     links = LinkManager(state, events)
+    service_fractions = AdmittedFractions(state)
+
+    def update_service_fractions() -> None:
+        service_fractions.update()
+        rejections.update()
+
     control_loop = ControlLoop(
         state,
         dispatcher,
         inbound,
-        AdmittedFractions(state).update,
+        update_service_fractions,
         admission.update,
+        rejections.measure_local,
     )
     decisions = DecisionLog.create(clock)
     sender = Sender(
@@ -194,6 +209,7 @@
         metrics,
         clock,
         links.open_link,
+        rejections.is_enabled,
     )
     answers = Responder(
         HEADER_CODEC,
@@ -245,5 +261,6 @@
         quotas,
         rng,
         rejected_messages,
+        rejections,
     )
     return node
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -35,6 +35,7 @@
     from eelgrassmount.relay.metrics import RelayMetrics
     from eelgrassmount.relay.peer_updates import PeerUpdates
     from eelgrassmount.relay.rejected_messages import RejectedMessages
+    from eelgrassmount.relay.rejections import ServiceRejections
     from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
     from eelgrassmount.relay.shared_state import SharedState
@@ -73,6 +74,7 @@
     quotas: QuotaExchange
     rng: random.Random
     rejected_messages: RejectedMessages
+    rejections: ServiceRejections
     check_settings: Callable[[], None] = lambda: None
     listeners: list[HttpListener] = field(factory=list)
     has_node_records: bool = False
@@ -249,6 +251,15 @@
             self.metrics.admitted_fractions.labels(service).set(
                 control.admitted_fraction
             )
+        for service in self.state.members.by_service:
+            self.metrics.rejected_shares.labels(service).set(
+                self.rejections.shares.get(service, 0.0)
+            )
+        budget = self.dispatcher.budget
+        for service, _, used in budget.list_services():
+            allowed = budget.find_allowed_retries(service)
+            if allowed is not None:
+                self.metrics.retry_use.labels(service).set(used / max(1.0, allowed))
         gauges.labels("members").set(len(self.state.members.by_name))
         gauges.labels("reads_log").set(self.readers.reading)
         gauges.labels("log_subscribers").set(len(self.readers.subscribers))
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -3569,6 +3569,82 @@
         return not (self == other)
 
 
+class ServerRejections(object):
+    """
+    Attributes:
+     - rejected_ppm
+     - requests
+
+    """
+
+
+    def __init__(self, rejected_ppm=None, requests=None,):
+        self.rejected_ppm = rejected_ppm
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.rejected_ppm = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = iprot.readI32()
+                        self.requests.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerRejections')
+        if self.rejected_ppm is not None:
+            oprot.writeFieldBegin('rejected_ppm', TType.I32, 1)
+            oprot.writeI32(self.rejected_ppm)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.requests))
+            for iter106 in self.requests:
+                oprot.writeI32(iter106)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RelayReport(object):
     """
     Attributes:
@@ -3586,11 +3662,12 @@
      - lost_ppm
      - usable_slots
      - notice
+     - rejections
 
     """
 
 
-    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, demand=None, config_version=None, times=None, calls=None, failures_ppm=None, counts=None, wait=None, lost_ppm=None, usable_slots=None, notice=None,):
+    def __init__(self, accepting=None, in_flight=None, queued=None, limit=None, demand=None, config_version=None, times=None, calls=None, failures_ppm=None, counts=None, wait=None, lost_ppm=None, usable_slots=None, notice=None, rejections=None,):
         self.accepting = accepting
         self.in_flight = in_flight
         self.queued = queued
@@ -3605,6 +3682,7 @@
         self.lost_ppm = lost_ppm
         self.usable_slots = usable_slots
         self.notice = notice
+        self.rejections = rejections
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3648,22 +3726,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.times = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = RouteTime()
-                        _elem105.read(iprot)
-                        self.times.append(_elem105)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = RouteTime()
+                        _elem112.read(iprot)
+                        self.times.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.calls = []
-                    (_etype109, _size106) = iprot.readListBegin()
-                    for _i110 in range(_size106):
-                        _elem111 = RouteCalls()
-                        _elem111.read(iprot)
-                        self.calls.append(_elem111)
+                    (_etype116, _size113) = iprot.readListBegin()
+                    for _i117 in range(_size113):
+                        _elem118 = RouteCalls()
+                        _elem118.read(iprot)
+                        self.calls.append(_elem118)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3675,11 +3753,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = RouteCount()
-                        _elem117.read(iprot)
-                        self.counts.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = RouteCount()
+                        _elem124.read(iprot)
+                        self.counts.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3704,6 +3782,12 @@
                     self.notice.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.rejections = ServerRejections()
+                    self.rejections.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3741,15 +3825,15 @@
         if self.times is not None:
             oprot.writeFieldBegin('times', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.times))
-            for iter118 in self.times:
-                iter118.write(oprot)
+            for iter125 in self.times:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter119 in self.calls:
-                iter119.write(oprot)
+            for iter126 in self.calls:
+                iter126.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failures_ppm is not None:
@@ -3759,8 +3843,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter120 in self.counts:
-                iter120.write(oprot)
+            for iter127 in self.counts:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wait is not None:
@@ -3779,6 +3863,10 @@
             oprot.writeFieldBegin('notice', TType.STRUCT, 14)
             self.notice.write(oprot)
             oprot.writeFieldEnd()
+        if self.rejections is not None:
+            oprot.writeFieldBegin('rejections', TType.STRUCT, 15)
+            self.rejections.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3827,10 +3915,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype124, _size121) = iprot.readListBegin()
-                    for _i125 in range(_size121):
-                        _elem126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digests.append(_elem126)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digests.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3851,8 +3939,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter127 in self.digests:
-                oprot.writeString(iter127.encode('utf-8') if sys.version_info[0] == 2 else iter127)
+            for iter134 in self.digests:
+                oprot.writeString(iter134.encode('utf-8') if sys.version_info[0] == 2 else iter134)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4035,11 +4123,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = RouteCount()
-                        _elem133.read(iprot)
-                        self.counts.append(_elem133)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = RouteCount()
+                        _elem140.read(iprot)
+                        self.counts.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4064,8 +4152,8 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter134 in self.counts:
-                iter134.write(oprot)
+            for iter141 in self.counts:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4201,44 +4289,44 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.offered = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = OfferedRate()
-                        _elem140.read(iprot)
-                        self.offered.append(_elem140)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = OfferedRate()
+                        _elem147.read(iprot)
+                        self.offered.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.asked = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = ServiceCounts()
-                        _elem146.read(iprot)
-                        self.asked.append(_elem146)
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = ServiceCounts()
+                        _elem153.read(iprot)
+                        self.asked.append(_elem153)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = RouteCount()
-                        _elem152.read(iprot)
-                        self.runs.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = RouteCount()
+                        _elem159.read(iprot)
+                        self.runs.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.calls = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = RouteCalls()
-                        _elem158.read(iprot)
-                        self.calls.append(_elem158)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = RouteCalls()
+                        _elem165.read(iprot)
+                        self.calls.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4259,29 +4347,29 @@
         if self.offered is not None:
             oprot.writeFieldBegin('offered', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.offered))
-            for iter159 in self.offered:
-                iter159.write(oprot)
+            for iter166 in self.offered:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.asked is not None:
             oprot.writeFieldBegin('asked', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asked))
-            for iter160 in self.asked:
-                iter160.write(oprot)
+            for iter167 in self.asked:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter161 in self.runs:
-                iter161.write(oprot)
+            for iter168 in self.runs:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter162 in self.calls:
-                iter162.write(oprot)
+            for iter169 in self.calls:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4556,11 +4644,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = RelayRecord()
-                        _elem168.read(iprot)
-                        self.records.append(_elem168)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = RelayRecord()
+                        _elem175.read(iprot)
+                        self.records.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4608,8 +4696,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter169 in self.records:
-                iter169.write(oprot)
+            for iter176 in self.records:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tally is not None:
@@ -4756,21 +4844,21 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.holders = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.holders.append(_elem175)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.holders.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.uses = []
-                    (_etype179, _size176) = iprot.readListBegin()
-                    for _i180 in range(_size176):
-                        _elem181 = QuotaUse()
-                        _elem181.read(iprot)
-                        self.uses.append(_elem181)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = QuotaUse()
+                        _elem188.read(iprot)
+                        self.uses.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4795,15 +4883,15 @@
         if self.holders is not None:
             oprot.writeFieldBegin('holders', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.holders))
-            for iter182 in self.holders:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter189 in self.holders:
+                oprot.writeString(iter189.encode('utf-8') if sys.version_info[0] == 2 else iter189)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.uses is not None:
             oprot.writeFieldBegin('uses', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter183 in self.uses:
-                iter183.write(oprot)
+            for iter190 in self.uses:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4973,11 +5061,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype187, _size184) = iprot.readListBegin()
-                    for _i188 in range(_size184):
-                        _elem189 = QuotaGrant()
-                        _elem189.read(iprot)
-                        self.grants.append(_elem189)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = QuotaGrant()
+                        _elem196.read(iprot)
+                        self.grants.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5002,8 +5090,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter190 in self.grants:
-                iter190.write(oprot)
+            for iter197 in self.grants:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5306,11 +5394,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.calls = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = RouteCalls()
-                        _elem196.read(iprot)
-                        self.calls.append(_elem196)
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = RouteCalls()
+                        _elem203.read(iprot)
+                        self.calls.append(_elem203)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5327,8 +5415,8 @@
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter197 in self.calls:
-                iter197.write(oprot)
+            for iter204 in self.calls:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5646,6 +5734,12 @@
     (1, TType.STRING, 'route_name', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'count', None, None, ),  # 2
 )
+all_structs.append(ServerRejections)
+ServerRejections.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'rejected_ppm', None, None, ),  # 1
+    (2, TType.LIST, 'requests', (TType.I32, None, False), None, ),  # 2
+)
 all_structs.append(RelayReport)
 RelayReport.thrift_spec = (
     None,  # 0
@@ -5663,6 +5757,7 @@
     (12, TType.I32, 'lost_ppm', None, None, ),  # 12
     (13, TType.DOUBLE, 'usable_slots', None, None, ),  # 13
     (14, TType.STRUCT, 'notice', [ServerNotice, None], None, ),  # 14
+    (15, TType.STRUCT, 'rejections', [ServerRejections, None], None, ),  # 15
 )
 all_structs.append(RelaySuspects)
 RelaySuspects.thrift_spec = (
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -224,12 +224,15 @@
     that clients are known to use are limited. Where API keys separate clients from
     servers, a route whose calls are not known yet counts as a user of every overloaded
     service, so that urgent requests have precedence from the first seconds of a surge.
+    ``find_begin_fraction`` returns the fraction of a class to begin while servers
+    reject calls whatever their load.
     """
 
     graph: CallGraph
     find_admitted_fraction: Callable[[str], float]
     find_offered_rates: Callable[[], dict[RequestClass, float]] = dict
     is_client_route: Callable[[str], bool] = lambda name: True
+    find_begin_fraction: Callable[[RequestClass], float] = lambda request_class: 1.0
     rng: random.Random = field(factory=random.Random)
     request_counts: dict[RequestClass, float] = field(factory=dict)
     request_rates: dict[RequestClass, float] = field(factory=dict)
@@ -276,6 +279,7 @@
                     self._apply_limits(
                         compute_admitted_fractions(required, overloaded[service])
                     )
+        self._limit_begun()
         self.request_counts = {
             request_class: count * REQUEST_COUNT_DECAY_FACTOR
             for request_class, count in self.request_counts.items()
@@ -335,6 +339,14 @@
         )
         return table.teams.is_required and route.needs_key and not known
 
+    def _limit_begun(self) -> None:
+        """Admit no more requests of a class than can be completed."""
+        fractions = {
+            request_class: self.find_begin_fraction(request_class)
+            for request_class in self._get_offered_load()
+        }
+        self._apply_limits({one: part for one, part in fractions.items() if part < 1.0})
+
     def _apply_limits(self, fractions: dict[RequestClass, float]) -> None:
         for request_class, fraction in fractions.items():
             self.admitted_fractions[request_class] = min(
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -10,6 +10,7 @@
 
 from eelgrassmount.errors import AddressError, BadFrameError
 from eelgrassmount.gen import ttypes
+from eelgrassmount.policy.retries import COUNTED_PARTS
 from eelgrassmount.relay.messages import Outcome
 from eelgrassmount.relay.routes import MAX_RANK
 from eelgrassmount.topics.log_epoch import UNKNOWN_EPOCH
@@ -157,12 +158,24 @@
     if slots is not None and not 0 < slots <= report.limit:
         _raise_invalid(report, "usable_slots", "not between 0 and the limit")
     _check_notice(report.notice)
+    _check_rejections(report.rejections)
     for time in report.times:
         _check_row(time, ("route_name",), "run_ms")
     _check_counts(report.counts)
     _check_calls(report.calls)
 
 
+def _check_rejections(found: ttypes.ServerRejections | None) -> None:
+    if found is None:
+        return
+    _require_all(found)
+    _check_ranges(found, {"rejected_ppm": MAX_PPM})
+    if len(found.requests) != COUNTED_PARTS:
+        _raise_invalid(found, "requests", f"not {COUNTED_PARTS} counts")
+    if not all(0 <= count <= MAX_COUNT for count in found.requests):
+        _raise_invalid(found, "requests", f"not between 0 and {MAX_COUNT:g}")
+
+
 def _check_learned(record: ttypes.LearnedRecord) -> None:
     _check_calls(record.calls)
 
@@ -304,7 +317,7 @@
 # Fields that may be missing. A reply with an answer has no reason.
 _OPTIONAL_FIELDS = {
     ttypes.RelayReply: ("reason", "wait_ms"),
-    ttypes.RelayReport: ("usable_slots", "notice"),
+    ttypes.RelayReport: ("usable_slots", "notice", "rejections"),
     ttypes.RelayHello: ("notice",),
     ttypes.ServerNotice: ("rate_limit",),
 }
--- a/eelgrassmount/relay/control_loop.py
+++ b/eelgrassmount/relay/control_loop.py
@@ -11,6 +11,7 @@
 
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.frames import FrameKind
+from eelgrassmount.relay.rejections import write_rejections
 from eelgrassmount.relay.rows import write_rows
 from eelgrassmount.relay.server_notices import make_notice, write_notice
 
@@ -19,6 +20,7 @@
 
     from eelgrassmount.relay.dispatcher import Dispatcher
     from eelgrassmount.relay.inbound import InboundLinks
+    from eelgrassmount.relay.rejections import Rejections
     from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.shared_state import SharedState
 
@@ -44,16 +46,21 @@
 
 @define(eq=False)
 class ControlLoop:
-    """Updates the admitted fractions at each step and reports to other nodes."""
+    """Updates the admitted fractions at each step and reports to other nodes.
+
+    ``measure_rejections`` returns the rejections of the local server, if any.
+    """
 
     state: SharedState
     dispatcher: Dispatcher
     inbound_links: InboundLinks
     update_service_fractions: Callable[[], None]
     update_class_fractions: Callable[[RouteTable], None]
+    measure_rejections: Callable[[], Rejections | None] = lambda: None
     _steps: int = 0
     _last_report_step: int = 0
     _last_rows_step: int = 0
+    _rejections: Rejections | None = None
 
     def step(self) -> None:
         """Update the admitted fractions, and send a report if one is due."""
@@ -85,7 +92,11 @@
 
     def _is_loaded(self) -> bool:
         load = self.dispatcher.measures.load
-        return load.demand > MIN_LOADED_DEMAND or load.wait > MIN_LOADED_WAIT
+        return (
+            load.demand > MIN_LOADED_DEMAND
+            or load.wait > MIN_LOADED_WAIT
+            or self._rejections is not None
+        )
 
     def report_now(self) -> None:
         """Report to all connected nodes at once, for example when the server stops."""
@@ -122,6 +133,7 @@
             round(self.dispatcher.measures.lost_share * PPM),
             self._find_usable_slots(),
             write_notice(make_notice(state.server)),
+            write_rejections(self._rejections),
         )
 
     def _find_usable_slots(self) -> float | None:
@@ -136,6 +148,7 @@
         return refusal is None and not state.closing
 
     def _update_local_load(self) -> None:
+        self._rejections = self.measure_rejections()
         local = self.state.members.by_name.get(self.state.name)
         if local is None:
             return
@@ -148,6 +161,7 @@
         load.wait = self.dispatcher.measures.load.wait
         load.failure_share = self.dispatcher.measures.failure_share
         load.lost_share = self.dispatcher.measures.lost_share
+        load.rejections = self._rejections
         routes = self.dispatcher.measures.routes
         load.run_s = {name: one.run_s for name, one in routes.items()}
         load.reported_s = self.state.clock()
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -74,7 +74,8 @@
     too long is refused at once, so that another server can run it; so is a retry beyond
     the retry budget. ``has_lost_call`` returns whether a downstream call of a run has
     failed or is still open, ``claim_lost_call`` whether a run failed because of such a
-    call. ``on_invalid_header`` is called with the server's identity and the name and
+    call. ``on_answer`` is called with whether the server has rejected a call.
+    ``on_invalid_header`` is called with the server's identity and the name and
     value of a header that can't be parsed.
     """
 
@@ -93,6 +94,7 @@
     claim_lost_call: Callable[[Job], bool] = lambda job: False
     on_crash: Callable[[ServerIncarnation, list[Job]], None] = lambda ended, jobs: None
     on_change: Callable[[], None] = lambda: None
+    on_answer: Callable[[bool], None] = lambda rejected: None
     on_invalid_header: Callable[[str, str, str], None] = lambda server, name, text: None
     call_later: CallLater = lambda delay_s, action: None
     measures: RunMeasures = field(factory=RunMeasures)
@@ -425,6 +427,7 @@
             self.server.apply_answer_identity(head.instance)
             return Reply(Outcome.NOT_RUN, Reason.NO_SERVER)
         self._apply_statements(job, head, now_s)
+        self.on_answer(head.not_run)
         if head.not_run:
             self._log_rejection()
             return Reply(Outcome.NOT_RUN, Reason.SERVER_SHED)
--- a/eelgrassmount/relay/members.py
+++ b/eelgrassmount/relay/members.py
@@ -10,6 +10,7 @@
     from collections.abc import Collection
 
     from eelgrassmount.relay.link import PeerLink
+    from eelgrassmount.relay.rejections import Rejections
     from eelgrassmount.relay.server_notices import ServerNotice
 
 # Delay before the next connection to an unreachable node; doubles with each failure.
@@ -31,7 +32,8 @@
     fraction of the maximum mean wait. ``failure_share`` is the share of runs that
     failed, ``lost_share`` that of runs that failed because a call of theirs failed.
     ``request_counts`` counts the recent requests on the VM by route, and ``vectors``
-    are the calls per run that the node has estimated.
+    are the calls per run that the node has estimated. ``rejections`` is set while the
+    server rejects calls.
     """
 
     accepting: bool = True
@@ -45,6 +47,7 @@
     run_s: dict[str, float] = field(factory=dict)
     request_counts: dict[str, float] = field(factory=dict)
     vectors: dict[str, dict[str, float]] = field(factory=dict)
+    rejections: Rejections | None = None
     reported_s: float = 0.0
 
 
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -29,6 +29,8 @@
     refusals: Counter = field(init=False)
     failures: Counter = field(init=False)
     retries: Counter = field(init=False)
+    retry_decisions: Counter = field(init=False)
+    lost_calls: Counter = field(init=False)
     abandoned: Counter = field(init=False)
     connections: Counter = field(init=False)
     runs: Counter = field(init=False)
@@ -37,6 +39,8 @@
     stalls: Counter = field(init=False)
     state: Gauge = field(init=False)
     admitted_fractions: Gauge = field(init=False)
+    rejected_shares: Gauge = field(init=False)
+    retry_use: Gauge = field(init=False)
     _children: dict[tuple[Any, ...], Any] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -73,6 +77,18 @@
             ["reason"],
             registry=registry,
         )
+        self.retry_decisions = Counter(
+            f"{PREFIX}_relay_retry_decisions",
+            "Retries by the decision of the dispatcher of this node.",
+            ["decision"],
+            registry=registry,
+        )
+        self.lost_calls = Counter(
+            f"{PREFIX}_relay_lost_calls",
+            "Calls of running servers given up after a rejection, by route.",
+            ["route"],
+            registry=registry,
+        )
         self.abandoned = Counter(
             f"{PREFIX}_relay_abandoned",
             "Requests whose client disconnected before the answer, by route.",
@@ -121,6 +137,20 @@
             registry=registry,
         )
 
+        self.rejected_shares = Gauge(
+            f"{PREFIX}_relay_rejected_share",
+            "Share of the calls that the servers of a service reject, by service.",
+            ["service"],
+            registry=registry,
+        )
+
+        self.retry_use = Gauge(
+            f"{PREFIX}_relay_retry_use",
+            "Used share of the retries that this node may send, by service.",
+            ["service"],
+            registry=registry,
+        )
+
     def count_answer(self, route: str, status: int, seconds: float) -> None:
         """Count an answer and observe its latency."""
         self._get_child(self.answers, route, str(status)).inc()
@@ -138,6 +168,14 @@
         """Count a retry of a call."""
         self.retries.labels(str(reason)).inc()
 
+    def count_retry_decision(self, decision: str) -> None:
+        """Count a decision on a retry of a call."""
+        self.retry_decisions.labels(decision).inc()
+
+    def count_lost_call(self, route: str) -> None:
+        """Count a call without which a begun request can't be completed."""
+        self._get_child(self.lost_calls, route).inc()
+
     def count_run(self, is_retry: bool) -> None:
         """Count a call that is sent to the local backend server."""
         self.runs.labels("retry" if is_retry else "first").inc()
--- a/eelgrassmount/relay/peer_updates.py
+++ b/eelgrassmount/relay/peer_updates.py
@@ -11,6 +11,7 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay.control_loop import MS_PER_S, PER_MILLE, PPM
 from eelgrassmount.relay.frames import QUOTA_KINDS, FrameKind
+from eelgrassmount.relay.rejections import read_rejections
 from eelgrassmount.relay.rows import read_rows
 from eelgrassmount.relay.server_notices import read_notice
 from eelgrassmount.retry.quarantine import QUARANTINE_S, Suspect
@@ -104,6 +105,7 @@
         load.wait = report.wait / PER_MILLE
         load.failure_share = report.failures_ppm / PPM
         load.lost_share = report.lost_ppm / PPM
+        load.rejections = read_rejections(report.rejections)
         load.run_s = {time.route_name: time.run_ms / MS_PER_S for time in report.times}
         load.reported_s = self.state.clock()
         if report.counts:
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -12,6 +12,7 @@
 from eelgrassmount.relay.job import Job
 from eelgrassmount.relay.measures import SILENCE_OBJECTIVE_SHARE, SILENCE_RUN_FACTOR
 from eelgrassmount.relay.messages import Call, Outcome, Reply
+from eelgrassmount.relay.remaining_calls import count_remaining_calls
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
@@ -31,8 +32,10 @@
 MAX_REFUSALS = 4
 # Refusals for lack of retry budget after which a call gets no further attempt.
 MAX_BUDGET_REFUSALS = 2
-# Rejections by servers and attempts after which a call gets no further attempt.
+# Rejections by servers and attempts after which a call gets no further attempt. Planned
+# retries end where they cost more than the request is worth.
 MAX_REJECTIONS = 8
+MAX_PLANNED_REJECTIONS = 16
 GATEWAY_TIMEOUT = 504
 # Calls with less time before their deadline are not retried.
 MIN_RETRY_TIME_S = 0.02
@@ -109,7 +112,8 @@
     """Sends each request to a server until it is answered.
 
     A call is retried if it has certainly not run, or if it is idempotent. The receiving
-    dispatcher refuses retries beyond the retry budget.
+    dispatcher refuses retries beyond the retry budget. If ``plans_retries()``, it is
+    told how many calls the request still needs.
     """
 
     local_name: str
@@ -120,6 +124,7 @@
     metrics: RelayMetrics
     clock: Callable[[], float]
     open_link: Callable[[Member], None]
+    plans_retries: Callable[[], bool] = lambda: False
     responder: Responder = field(init=False)
 
     def start(self, pending: PendingRequest) -> None:
@@ -289,7 +294,7 @@
         if pending.budget_refusals < MAX_BUDGET_REFUSALS:
             self._send(pending)
         else:
-            self._give_up(pending)
+            self._give_up_rejected(pending)
 
     def _handle_rejection(self, pending: PendingRequest, member: Member) -> None:
         """Retry a call that a server has read but not run.
@@ -300,9 +305,11 @@
         """
         pending.rejections += 1
         pending.rejecting_nodes.add(member.name)
-        limit_reached = pending.rejections + pending.attempts >= MAX_REJECTIONS
+        planned = self.plans_retries()
+        max_rejections = MAX_PLANNED_REJECTIONS if planned else MAX_REJECTIONS
+        limit_reached = pending.rejections + pending.attempts >= max_rejections
         if limit_reached or not self._has_time_to_retry(pending.call):
-            self._give_up(pending)
+            self._give_up_rejected(pending)
             return
         if (
             len(pending.rejecting_nodes) + pending.attempts
@@ -313,10 +320,27 @@
                 service, pending.rejecting_nodes
             )
         self._mark_retry(pending)
+        if planned:
+            self._update_remaining_calls(pending)
         pending.call.counted_as_demand = True
         self.metrics.count_retry(Reason.SERVER_SHED)
         self._send(pending)
 
+    def _update_remaining_calls(self, pending: PendingRequest) -> None:
+        """Tell the dispatcher how many calls to it the request still needs."""
+        caller = pending.downstream_call
+        if caller is None:
+            return
+        call = pending.call
+        remaining = count_remaining_calls(call.route.name, caller, self.admission.graph)
+        call.origin = evolve(call.origin, remaining_runs=remaining)
+
+    def _give_up_rejected(self, pending: PendingRequest) -> None:
+        """Finish a request after a rejection; a run that made it fails."""
+        if pending.rejections and pending.call.origin.downstream:
+            self.metrics.count_lost_call(pending.call.route.name)
+        self._give_up(pending)
+
     def _mark_retry(self, pending: PendingRequest) -> None:
         """Charge the next attempt, and the calls of its run, to the retry budget."""
         call = pending.call
--- a/eelgrassmount/relay/status.py
+++ b/eelgrassmount/relay/status.py
@@ -68,11 +68,16 @@
 
 @frozen
 class BudgetStatus:
-    """Requests to a service, and their retries, in the window of the retry budget."""
+    """Requests to a service, and their retries, in the window of the retry budget.
+
+    ``allowed`` is the number of retries that are planned for the window, ``None`` if
+    they are not planned.
+    """
 
     service: str
     requests: int
     retries: int
+    allowed: float | None
 
 
 @frozen
@@ -142,7 +147,8 @@
     """The whole status of a node.
 
     ``levels`` maps services to the admitted fraction of the work offered to them;
-    ``shares`` lists the admitted fractions below 1 by route and rank. By route,
+    ``shares`` lists the admitted fractions below 1 by route and rank, ``rejecting`` the
+    share of calls that the servers of a service reject. By route,
     ``vectors`` gives the calls that one run makes and ``allowances`` the seconds that
     it may take. ``lost_topics`` are the topics of the log that can't be read now, and
     ``refused`` counts rejected messages by kind.
@@ -164,6 +170,7 @@
     server: ServerStatus
     levels: dict[str, float]
     shares: list[ShareStatus]
+    rejecting: dict[str, float]
     vectors: dict[str, dict[str, float]]
     allowances: dict[str, float]
     budgets: list[BudgetStatus]
@@ -203,6 +210,10 @@
                 node.admission.admitted_fractions.items()
             )
         ],
+        {
+            name: round(share, 3)
+            for name, share in sorted(node.rejections.shares.items())
+        },
         {
             name: {called: round(count, 2) for called, count in calls.items()}
             for name, calls in state.graph.calls_per_run.items()
@@ -299,6 +310,6 @@
 
 def _collect_budgets(budget: RetryBudget) -> list[BudgetStatus]:
     return [
-        BudgetStatus(name, requests, retries)
+        BudgetStatus(name, requests, retries, budget.find_allowed_retries(name))
         for name, requests, retries in budget.list_services()
     ]
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -21,6 +21,7 @@
 
 HELLO = ttypes.RelayHello("n1", "ab", "desk", 3, "127.0.0.1:7620", "a")
 NOTICE = ttypes.ServerNotice("i-1", 1_790_000_000_000, True, 8.5)
+REJECTIONS = ttypes.ServerRejections(550_000, list(range(16)))
 CALL = ttypes.RelayCall(
     *(1, "r1", "shop/list/", "desk", "front", 900, 1, True, False),
     *("GET", "/list/1", b"host: shop\r\n", b"", "", False, False, 0, False, False),
@@ -57,13 +58,14 @@
     *(ttypes.RelayCancel(1), ttypes.RelayConfigRequest(0)),
     ttypes.RelayConfig(3, b"{}"),
     ttypes.RelayReport(**{**vars(REPORT), "usable_slots": 0.5, "notice": NOTICE}),
+    ttypes.RelayReport(**{**vars(REPORT), "rejections": REJECTIONS}),
     ttypes.RelayHello(**{**vars(HELLO), "notice": NOTICE}),
     ttypes.RelayReply(**{**vars(REFUSAL), "wait_ms": 250}),
 )
 # Fields that are absent for answers and for servers without limits.
 OPTIONAL_FIELDS = {
     ttypes.RelayReply: ("reason", "wait_ms"),
-    ttypes.RelayReport: ("usable_slots", "notice"),
+    ttypes.RelayReport: ("usable_slots", "notice", "rejections"),
     ttypes.RelayHello: ("notice",),
 }
 LONG_TEXT = "x" * 70_000
@@ -160,6 +162,13 @@
         (HELLO, {"notice": ttypes.ServerNotice("i1", 0, False, math.inf)}),
         (REPORT, {"usable_slots": math.nan}),
         (REPORT, {"usable_slots": 9.5}),
+        (REPORT, {"rejections": copy(REJECTIONS, rejected_ppm=1_000_001)}),
+        (REPORT, {"rejections": copy(REJECTIONS, rejected_ppm=-1)}),
+        (REPORT, {"rejections": copy(REJECTIONS, rejected_ppm=None)}),
+        (REPORT, {"rejections": copy(REJECTIONS, requests=None)}),
+        (REPORT, {"rejections": copy(REJECTIONS, requests=[1] * 15)}),
+        (REPORT, {"rejections": copy(REJECTIONS, requests=[-1] * 16)}),
+        (REPORT, {"rejections": copy(REJECTIONS, requests=[2**31 - 1] * 16)}),
         (REPORT, {"limit": 2**31 - 1}),
         (REPORT, {"demand": -1}),
         (REPORT, {"wait": -1}),
