--- a/eelgrassmount/policy/completion.py
+++ b/eelgrassmount/policy/completion.py
@@ -29,6 +29,8 @@
 PRICE_STEPS = 24
 # Accepted calls that are added to those counted.
 ASSUMED_ACCEPTED = 5
+# Requests with more remaining calls count as having this many.
+MAX_REMAINING_CALLS = 1000.0
 # Larger rejected shares count as this one, as no number of retries would suffice.
 MAX_REJECTED_SHARE = 0.95
 
@@ -99,7 +101,7 @@
     """
     remaining = max(1.0, run_calls - finished_calls)
     progress = remaining / max(1.0, run_calls)
-    return max(1, round(remaining + progress * other_calls))
+    return max(1, round(min(MAX_REMAINING_CALLS, remaining + progress * other_calls)))
 
 
 def compute_begin_fractions(
--- a/eelgrassmount/relay/budget.py
+++ b/eelgrassmount/relay/budget.py
@@ -180,8 +180,7 @@
     have a price, see `compute_retry_bid`. ``find_other_requests`` then returns the
     requests of all other dispatchers of the service by part of a window, ``None`` if
     some are unknown, and ``find_rejected_share`` the share of calls that the server
-    rejects.
-    ``on_decision`` is called with each decision.
+    rejects. ``on_decision`` is called with each decision.
     """
 
     clock: Callable[[], float]
--- a/tests/relay/test_planned_budget.py
+++ b/tests/relay/test_planned_budget.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from eelgrassmount.policy.retries import COUNTED_PARTS
-from eelgrassmount.relay.budget import RetryBudget, RetryDecision
+from eelgrassmount.relay.budget import RetryBudget
 from eelgrassmount.relay.messages import Origin
 
 RATIO = 0.2
@@ -41,7 +41,6 @@
     reports: list[list[int]] = field(factory=list)
     requests: list[float] = field(factory=list)
     retries: list[float] = field(factory=list)
-    decisions: list[RetryDecision] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         self.budgets = [self.start(index) for index in range(self.number)]
@@ -55,7 +54,6 @@
             plans_retries=lambda: True,
             find_other_requests=partial(self.find_other_requests, index),
             find_rejected_share=lambda: REJECTED_SHARE,
-            on_decision=self.decisions.append,
         )
 
     def find_other_requests(self, index: int, service: str):
@@ -63,10 +61,6 @@
             return None
         return self.reports[:index] + self.reports[index + 1 :]
 
-    def restart(self, index: int) -> None:
-        self.budgets[index] = self.start(index)
-        self.reports[index] = [0] * COUNTED_PARTS
-
     def step(self, rates: list[float], wanted: int, inherited: float = 0.0) -> None:
         """Receive requests, and ask for ``wanted`` retries at each dispatcher."""
         self.now_s += STEP_S
@@ -112,7 +106,9 @@
         if rng.random() < 0.01:
             dispatchers.is_cut = not dispatchers.is_cut
         if rng.random() < 0.004:
-            dispatchers.restart(rng.randrange(dispatchers.number))
+            index = rng.randrange(dispatchers.number)
+            dispatchers.budgets[index] = dispatchers.start(index)
+            dispatchers.reports[index] = [0] * COUNTED_PARTS
         dispatchers.step(rates, wanted, INHERITED_SHARE * RATIO * rng.random())
     for tenth in range(450):
         end_s = START_S + tenth / 10
