--- a/tests/relay/test_status.py
+++ b/tests/relay/test_status.py
@@ -69,3 +69,8 @@
     assert "log            reachable, read for 0 nodes" in show()
     log = json.loads(show("--json"))["log"]
     assert (log["reading"], log["chosen"], log["next_offset"]) == (True, False, 0)
+
+
+def test_status_shows_services_that_reject_calls(node, show):
+    node.rejections.shares["list"] = 0.55
+    assert "rejecting      list: 0.55 of its calls" in show()
