--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -36,6 +36,7 @@
     from eelgrassmount.relay.metrics import RelayMetrics
     from eelgrassmount.relay.peer_updates import PeerUpdates
     from eelgrassmount.relay.rejected_messages import RejectedMessages
+    from eelgrassmount.relay.rejections import ServiceRejections
     from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
     from eelgrassmount.relay.shared_state import SharedState
@@ -75,6 +76,7 @@
     rng: random.Random
     rejected_messages: RejectedMessages
     group_metrics: GroupMetrics
+    rejections: ServiceRejections
     check_settings: Callable[[], None] = lambda: None
     listeners: list[HttpListener] = field(factory=list)
     has_node_records: bool = False
@@ -252,6 +254,15 @@
                 control.admitted_fraction
             )
         self.group_metrics.show_limited(self.admission.fair_shares.list_limited())
+        for service in self.state.members.by_service:
+            self.metrics.rejected_shares.labels(service).set(
+                self.rejections.shares.get(service, 0.0)
+            )
+        budget = self.dispatcher.budget
+        for service, _, used in budget.list_services():
+            allowed = budget.find_allowed_retries(service)
+            if allowed is not None:
+                self.metrics.retry_use.labels(service).set(used / max(1.0, allowed))
         gauges.labels("members").set(len(self.state.members.by_name))
         gauges.labels("reads_log").set(self.readers.reading)
         gauges.labels("log_subscribers").set(len(self.readers.subscribers))
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -234,6 +234,8 @@
     that clients are known to use are limited. Where API keys separate clients from
     servers, a route whose calls are not known yet counts as a user of every overloaded
     service, so that urgent requests have precedence from the first seconds of a surge.
+    ``find_begin_fraction`` returns the fraction of a class to begin while servers
+    reject calls whatever their load.
 
     ``fair_shares`` divides a class that is admitted in part among groups of callers.
     """
@@ -242,6 +244,7 @@
     find_admitted_fraction: Callable[[str], float]
     find_offered_rates: Callable[[], dict[RequestClass, float]] = dict
     is_client_route: Callable[[str], bool] = lambda name: True
+    find_begin_fraction: Callable[[RequestClass], float] = lambda request_class: 1.0
     rng: random.Random = field(factory=random.Random)
     fair_shares: FairShares = field(factory=FairShares)
     request_counts: dict[RequestClass, float] = field(factory=dict)
@@ -303,6 +306,7 @@
                     self._apply_limits(
                         compute_admitted_fractions(required, overloaded[service])
                     )
+        self._limit_begun()
         self.fair_shares.update(table.features.shares_fairly, self.admitted_fractions)
         self.request_counts = {
             request_class: count * REQUEST_COUNT_DECAY_FACTOR
@@ -367,6 +371,14 @@
         )
         return table.teams.is_required and route.needs_key and not known
 
+    def _limit_begun(self) -> None:
+        """Admit no more requests of a class than can be completed."""
+        fractions = {
+            request_class: self.find_begin_fraction(request_class)
+            for request_class in self._get_offered_load()
+        }
+        self._apply_limits({one: part for one, part in fractions.items() if part < 1.0})
+
     def _apply_limits(self, fractions: dict[RequestClass, float]) -> None:
         for request_class, fraction in fractions.items():
             self.admitted_fractions[request_class] = min(
--- a/tests/relay/test_status.py
+++ b/tests/relay/test_status.py
@@ -84,3 +84,8 @@
     assert expected in show()
     node.update_gauges()
     assert b'relay_limited_group{group="press"} 0.5' in node.metrics.render()
+
+
+def test_status_shows_services_that_reject_calls(node, show):
+    node.rejections.shares["list"] = 0.55
+    assert "rejecting      list: 0.55 of its calls" in show()
