Recognize returning clients and give refused ones appointments

Refused clients came back after a random part of the objective, while the surge lasted, and then counted as new. Requests state how long their client will wait; one that states clearly less than nearly all others of its route has tried before. Where two kinds of deadlines, free ones or too few requests make that doubtful, nobody counts as returning. Returning clients precede new ones of their rank; those that repeat too early only get tokens that nobody waiting or expected needs. If more return than there are tokens for, a draw that is the same for all attempts of a client decides who precedes.

Ruled out: a decaying maximum of the stated times (one generous client would hide all others); the shortest delay told lately as the bound of early repeats (it differs between nodes); a precedence window for each client (it needs clocks that agree, and no appointment could follow the foreseen tokens).

--- /dev/null
+++ b/eelgrassmount/entry/returning.py
@@ -0,0 +1,258 @@
+"""Recognizes the returning clients of a node and gives refused ones appointments."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, deque
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from eelgrassmount.policy.returns import (
+    FURTHER_WEIGHT,
+    ReturnLimits,
+    StatedTime,
+    adjust_favored_share,
+    choose_return_delay_s,
+    classify_visit,
+    compute_elapsed_s,
+    draw_client,
+    find_bucket,
+)
+from eelgrassmount.policy.waiting import Visit
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from eelgrassmount.entry.path_times import PathTimes
+    from eelgrassmount.entry.waiting_room import CallBudget
+    from eelgrassmount.policy.shedding import RequestClass
+    from eelgrassmount.relay.routes import Route
+    from eelgrassmount.relay.sender import PendingRequest
+    from eelgrassmount.relay.shared_state import SharedState
+
+# Decay factor of the weights of stated times per step.
+STATED_DECAY_FACTOR = 0.95
+MIN_STATED_WEIGHT = 0.05
+# Increase of the favored share of returning clients per step.
+FAVORED_RECOVERY = 0.01
+# Limits of the memory of a node.
+MAX_STATED_BUCKETS = 128
+MAX_APPOINTMENTS = 64
+MAX_REPEATS = 1024
+# Requests of one client have the same deadline up to this error in seconds.
+DEADLINE_RESOLUTION_S = 0.01
+
+
+class AppointmentKind(StrEnum):
+    """What the Retry-After of a refused request is based on."""
+
+    FORESEEN = "foreseen"
+    LATEST = "latest"
+    LATE = "late"
+
+
+@define(eq=False)
+class StatedTimes:
+    """The times that the clients of one route stated, by bucket.
+
+    ``favored_share`` is the share of its returning clients that may precede new ones.
+    """
+
+    stated: dict[int, StatedTime] = field(factory=dict)
+    favored_share: float = 1.0
+
+    def record(self, seconds: float, weight: float) -> None:
+        """Add a stated time; only the heaviest buckets are kept."""
+        bucket = find_bucket(seconds)
+        known = self.stated.get(bucket)
+        if known is not None:
+            self.stated[bucket] = known.add(seconds, weight)
+            return
+        if len(self.stated) >= MAX_STATED_BUCKETS:
+            del self.stated[min(self.stated, key=lambda one: self.stated[one].weight)]
+        self.stated[bucket] = StatedTime(seconds, weight)
+
+    def decay(self) -> None:
+        """Reduce the weight of earlier requests and refusals."""
+        self.stated = {
+            bucket: StatedTime(one.seconds, one.weight * STATED_DECAY_FACTOR)
+            for bucket, one in self.stated.items()
+            if one.weight * STATED_DECAY_FACTOR >= MIN_STATED_WEIGHT
+        }
+        self.favored_share = min(1.0, self.favored_share + FAVORED_RECOVERY)
+
+
+@define(eq=False)
+class RepeatTable:
+    """The clients that repeated their requests too early, by target and deadline.
+
+    All attempts of a client have the same deadline. The oldest entries are dropped
+    beyond `MAX_REPEATS`.
+    """
+
+    _keys: dict[tuple[int, int], float] = field(factory=dict)
+
+    def add(self, target: str, deadline_s: float) -> None:
+        """Record a client."""
+        if len(self._keys) >= MAX_REPEATS:
+            del self._keys[next(iter(self._keys))]
+        self._keys[hash(target), _round_deadline(deadline_s)] = deadline_s
+
+    def has(self, target: str, deadline_s: float) -> bool:
+        """Return whether a client is recorded."""
+        found = hash(target)
+        tick = _round_deadline(deadline_s)
+        return any((found, one) in self._keys for one in range(tick - 1, tick + 2))
+
+    def expire(self, now_s: float) -> None:
+        """Remove the clients whose deadline has passed."""
+        self._keys = {key: one for key, one in self._keys.items() if one > now_s}
+
+
+def _round_deadline(deadline_s: float) -> int:
+    return round(deadline_s / DEADLINE_RESOLUTION_S)
+
+
+@define(eq=False)
+class ReturnTracker:
+    """Recognizes returning clients and chooses the Retry-After of refused requests.
+
+    No client is identified: a request states how long its client will wait, and one
+    that states clearly less than nearly all others of its route has tried before, at
+    this node or another one. ``list_waiting`` returns the classes of the requests that
+    wait at this node. ``wall_clock`` returns the Unix time in seconds.
+    """
+
+    budget: CallBudget
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    rng: random.Random
+    list_waiting: Callable[[], list[RequestClass]] = list
+    count_visit: Callable[[Visit], None] = lambda visit: None
+    count_appointment: Callable[[AppointmentKind], None] = lambda kind: None
+    visits: Counter[Visit] = field(factory=Counter)
+    _routes: dict[str, StatedTimes] = field(factory=dict)
+    _repeats: RepeatTable = field(factory=RepeatTable)
+    _appointments: deque[tuple[float, RequestClass]] = field(
+        factory=lambda: deque(maxlen=MAX_APPOINTMENTS)
+    )
+
+    def record_request(
+        self,
+        route: Route,
+        target: str,
+        path_s: float,
+        arrived_s: float,
+        remaining_s: float,
+    ) -> tuple[Visit, float]:
+        """Return the kind of a request and the seconds since the first attempt.
+
+        ``path_s`` is what requests of the route usually take.
+        """
+        known = self._routes.setdefault(route.name, StatedTimes())
+        elapsed_s = compute_elapsed_s(known.stated, remaining_s)
+        deadline_s = arrived_s + remaining_s
+        repeated = elapsed_s > 0 and self._repeats.has(target, deadline_s)
+        if not repeated:
+            # repeats must not outweigh the first attempts
+            known.record(remaining_s, FURTHER_WEIGHT if elapsed_s > 0 else 1.0)
+        full_s = remaining_s + elapsed_s
+        limits = ReturnLimits(route.objective_s, 0.0, path_s, full_s)
+        deadline_unix_s = deadline_s + self.wall_clock() - self.clock()
+        is_favored = draw_client(target, deadline_unix_s) < known.favored_share
+        visit = classify_visit(limits, elapsed_s, is_favored and not repeated)
+        if visit is Visit.EARLY:
+            self._repeats.add(target, deadline_s)
+        self.visits[visit] += 1
+        self.count_visit(visit)
+        return visit, elapsed_s
+
+    def record_outcome(self, route_name: str, succeeded: bool) -> None:
+        """Record whether a returning client was admitted."""
+        known = self._routes.setdefault(route_name, StatedTimes())
+        known.favored_share = adjust_favored_share(known.favored_share, succeeded)
+
+    def choose_delay_s(
+        self, request_class: RequestClass, limits: ReturnLimits, is_early: bool
+    ) -> float:
+        """Return the Retry-After of a refused request in seconds.
+
+        Clients that repeat too early (``is_early``) get no further appointment.
+        """
+        now_s = self.clock()
+        foreseen_s = self._foresee(request_class, now_s)
+        delay_s = choose_return_delay_s(limits, foreseen_s, self.rng.random())
+        if not is_early:
+            self._appointments.append((now_s + delay_s, request_class))
+            self.count_appointment(_find_kind(limits, foreseen_s))
+        return delay_s
+
+    def count_appointments(self) -> int:
+        """Return the number of refused clients that are expected back."""
+        return len(self.list_expected())
+
+    def list_expected(self) -> list[RequestClass]:
+        """Return the classes of the refused clients that are expected back."""
+        now_s = self.clock()
+        return [one for due_s, one in self._appointments if due_s > now_s]
+
+    def step(self) -> None:
+        """Forget old statements; to be called once a second."""
+        for known in self._routes.values():
+            known.decay()
+        self._repeats.expire(self.clock())
+
+    def keep_routes(self, knows_route: Callable[[str], bool]) -> None:
+        """Remove what is known of all other routes."""
+        self._routes = {
+            name: one for name, one in self._routes.items() if knows_route(name)
+        }
+
+    def _foresee(self, request_class: RequestClass, now_s: float) -> float:
+        """Return the seconds until tokens are foreseen for a client that returns.
+
+        Those that wait and those with appointments come first. Infinite if the budget
+        does not limit the class: something else has refused the request.
+        """
+        before = [*self.list_waiting(), *self.list_expected()]
+        wait_s = self.budget.estimate_wait_s(request_class, now_s, before)
+        return wait_s if wait_s > 0 else math.inf
+
+
+def _find_kind(limits: ReturnLimits, foreseen_s: float) -> AppointmentKind:
+    longest_s = limits.find_longest_delay_s()
+    if longest_s <= 0:
+        return AppointmentKind.LATE
+    return (
+        AppointmentKind.FORESEEN if foreseen_s <= longest_s else AppointmentKind.LATEST
+    )
+
+
+def make_delay_chooser(
+    state: SharedState, returns: ReturnTracker, path_times: PathTimes
+) -> Callable[[PendingRequest], float | None]:
+    """Return the function that chooses the Retry-After of requests.
+
+    It returns ``None`` where clients are not expected to return in time.
+    """
+
+    def choose(pending: PendingRequest) -> float | None:
+        call = pending.call
+        if call.origin.downstream or not state.table.features.expects_returns:
+            return None
+        if pending.visit is Visit.RETURNING:
+            returns.record_outcome(call.route.name, False)
+        now_s = state.clock()
+        limits = ReturnLimits(
+            call.route.objective_s,
+            pending.elapsed_s + now_s - call.arrived_s,
+            path_times.find(call.route),
+            pending.client_deadline_s - now_s,
+        )
+        is_early = pending.visit is Visit.EARLY
+        return returns.choose_delay_s(call.request_class, limits, is_early)
+
+    return choose
--- a/eelgrassmount/entry/waiting_room.py
+++ b/eelgrassmount/entry/waiting_room.py
@@ -12,7 +12,7 @@
 from attrs import define, field
 from loguru import logger
 
-from eelgrassmount.policy.waiting import choose_displaced
+from eelgrassmount.policy.waiting import Visit, choose_displaced, choose_place
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
@@ -114,8 +114,9 @@
 
     ``start`` and ``refuse`` are called when a wait ends, ``leave`` if the client has
     disconnected before. ``is_stopping`` returns whether the node stops; no request
-    waits from then on. ``count`` records each outcome with the seconds waited. There is
-    one timer for all requests, and none while no request waits.
+    waits from then on. ``list_expected`` returns the classes of the refused clients
+    that were told to return. ``count`` records each outcome with the seconds waited.
+    There is one timer for all requests, and none while no request waits.
     """
 
     budget: CallBudget
@@ -125,6 +126,7 @@
     refuse: Callable[[PendingRequest, Reason], None]
     leave: Callable[[PendingRequest], None]
     is_stopping: Callable[[], bool] = lambda: False
+    list_expected: Callable[[], list[RequestClass]] = list
     count: Callable[[WaitOutcome, float], None] = lambda outcome, seconds: None
     outcomes: Counter[WaitOutcome] = field(factory=Counter)
     waiting_bytes: int = 0
@@ -142,12 +144,15 @@
         """Return the classes of the waiting requests in their order."""
         return [entry.request_class for entry in self._entries]
 
-    def handle(self, pending: PendingRequest, times: RequestTimes, place: int) -> None:
+    def handle(self, pending: PendingRequest, times: RequestTimes) -> None:
         """Start a request, let it wait or refuse it."""
+        if pending.visit is Visit.EARLY:
+            self._handle_early(pending)
+            return
         now_s = self.clock()
         key = (
             pending.call.origin.priority,
-            place,
+            choose_place(pending.visit, times),
             times.find_latest_start_s(),
             next(self._numbers),
         )
@@ -164,6 +169,18 @@
             self._count(WaitOutcome.DISPLACED, 0.0)
             self.refuse(pending, Reason.OVERLOAD)
 
+    def _handle_early(self, pending: PendingRequest) -> None:
+        """Start a request that its client repeats too early, or refuse it.
+
+        It only gets tokens that neither the waiting nor the expected clients need, so
+        that it gains nothing over those that return when they were told to.
+        """
+        before = [*self.list_classes(), *self.list_expected()]
+        if self._try_take(pending.call.request_class, self.clock(), before):
+            self.start(pending)
+        else:
+            self.refuse(pending, Reason.OVERLOAD)
+
     def check(self) -> None:
         """Refuse the requests whose wait has ended and start those with tokens."""
         now_s = self.clock()
--- a/eelgrassmount/policy/waiting.py
+++ b/eelgrassmount/policy/waiting.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from enum import Enum, IntEnum
 from typing import TYPE_CHECKING
 
 from attrs import frozen
@@ -22,10 +23,20 @@
 MAX_WAITING_REQUESTS = 64
 MAX_WAITING_BYTES = 4 * 1024 * 1024
 
-# Places within a rank, the first one first.
-RETURNING_PLACE = 0
-NEW_PLACE = 1
-EARLY_PLACE = 2
+
+class Visit(Enum):
+    """Whether a client is new, returns as told, or repeats its request earlier."""
+
+    NEW = 0
+    RETURNING = 1
+    EARLY = 2
+
+
+class Place(IntEnum):
+    """Place of a request within its rank, the first one first."""
+
+    RETURNING = 0
+    NEW = 1
 
 
 @frozen
@@ -63,15 +74,14 @@
         return min(wait_end_s, self.find_latest_start_s())
 
 
-def choose_place(is_returning: bool, is_early: bool, in_time: bool) -> int:
+def choose_place(visit: Visit, times: RequestTimes) -> Place:
     """Return the place within its rank of a request.
 
     Clients that return when they were told to precede new ones, if they can be in time.
-    Those that repeat earlier follow the new ones.
     """
-    if is_early:
-        return EARLY_PLACE
-    return RETURNING_PLACE if is_returning and in_time else NEW_PLACE
+    if visit is Visit.RETURNING and times.can_be_in_time():
+        return Place.RETURNING
+    return Place.NEW
 
 
 def choose_displaced(
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve, field
 
 from eelgrassmount.policy.retries import is_retry_futile
+from eelgrassmount.policy.waiting import Visit
 from eelgrassmount.relay.job import Job
 from eelgrassmount.relay.measures import SILENCE_OBJECTIVE_SHARE, SILENCE_RUN_FACTOR
 from eelgrassmount.relay.messages import Call, Outcome, Reply
@@ -66,6 +67,10 @@
     have read and rejected the call. ``tried`` lists all nodes in the order of the
     attempts; nodes in ``excluded`` get no further attempt.
 
+    ``started_s`` is when the request was first sent. ``visit`` tells whether its client
+    has tried before; the first attempt was ``elapsed_s`` before its arrival, and the
+    client waits until ``client_deadline_s``.
+
     ``silent_attempt`` is an earlier attempt without a reply while ``current_attempt``
     is sent elsewhere; the first answer of the two counts.
     """
@@ -89,6 +94,10 @@
     tried: list[str] = field(factory=list)
     last_reply: Reply | None = None
     server: str = ""
+    started_s: float = 0.0
+    visit: Visit = Visit.NEW
+    elapsed_s: float = 0.0
+    client_deadline_s: float = math.inf
 
 
 class Responder(Protocol):
--- a/tests/entry/entry_scenario.py
+++ b/tests/entry/entry_scenario.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from eelgrassmount.entry.waiting_room import WaitingRoom
-from eelgrassmount.policy.waiting import NEW_PLACE, RequestTimes
+from eelgrassmount.policy.waiting import RequestTimes, Visit
 from eelgrassmount.relay.messages import Origin
 from eelgrassmount.relay.sender import PendingRequest
 from eelgrassmount.timers import ManualClock, TimerService
@@ -66,11 +66,12 @@
     refused: dict[str, tuple[float, str]] = field(factory=dict)
     left: list[str] = field(factory=list)
     stopping: bool = False
-    timers: TimerService = field(init=False)
+    timers: TimerService = field(
+        factory=lambda: TimerService(ManualClock(), random.Random(1))
+    )
     room: WaitingRoom = field(init=False)
 
     def __attrs_post_init__(self):
-        self.timers = TimerService(ManualClock(), random.Random(1))
         self.room = WaitingRoom(
             self.budget,
             self.timers.read,
@@ -89,9 +90,10 @@
         )
         return PendingRequest(SimpleNamespace(on_abandon=None), call)
 
-    def arrive(self, name, rank=1, place=NEW_PLACE, elapsed_s=0.0, **changes):
+    def arrive(self, name, rank=1, visit=Visit.NEW, elapsed_s=0.0, **changes):
         pending = self.make_pending(name, rank, **changes)
-        self.room.handle(pending, find_times(pending, elapsed_s), place)
+        pending.visit = visit
+        self.room.handle(pending, find_times(pending, elapsed_s))
         return pending
 
 
