Let client requests wait and return where the configuration turns it on

With budgets_calls, a node hands admitted client requests to its waiting room instead of starting them; with expects_returns, requests refused for overload get an appointment. The budget is unlimited until a budget of calls is wired, so that no request waits yet. Waiting requests are decided on at once when the node stops or the configuration changes.

The outcomes of returning clients are only learned from the room: refusals by the admitted fractions say nothing of its tokens.

--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -110,6 +110,7 @@
         f"dispatcher     {server['in_flight']} of {server['limit']} in flight "
         f"({server['slots']} slots), {server['queued']} queued",
         *_format_rate_limit(server["rate_limit"]),
+        f"entry          {_format_entry(state['entry'])}",
         f"counts         requests of {state['log']['counted_nodes']} nodes",
         f"load           demand {server['demand']}, wait {server['wait']}, failures "
         f"{server['failure_share']}",
@@ -143,6 +144,17 @@
     return lines + format_table(_PEER_COLUMNS, state["members"])
 
 
+def _format_entry(entry: dict[str, Any]) -> str:
+    """Describe the requests that wait at a node and the clients that return."""
+    outcomes = entry["outcomes"]
+    returned = entry["visits"].get("returning", 0)
+    ended = sum(outcomes.values())
+    return (
+        f"{entry['waiting']} waiting, {outcomes.get('started', 0)} of {ended} started "
+        f"after a wait, {returned} returned, {entry['expected_returns']} expected"
+    )
+
+
 def _format_log(log: dict[str, Any], lost: str) -> str:
     """Describe the source of log records: local reads, or other nodes."""
     era = "" if log["era"] < 0 else f", era {log['era']}"
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -8,6 +8,9 @@
 from typing import TYPE_CHECKING
 
 from eelgrassmount.compose.relay_node import RelayNode
+from eelgrassmount.entry.path_times import PathTimes
+from eelgrassmount.entry.returning import ReturnTracker, make_delay_chooser
+from eelgrassmount.entry.waiting_room import UnlimitedBudget, WaitingRoom
 from eelgrassmount.http1.server import HttpListener
 from eelgrassmount.platform.headers import HEADER_CODEC
 from eelgrassmount.platform.store_client import StoreClient
@@ -195,6 +198,28 @@
         clock,
         links.open_link,
     )
+    call_budget = UnlimitedBudget()
+    path_times = PathTimes()
+    waiting_room = WaitingRoom(
+        call_budget,
+        clock,
+        call_later,
+        lambda pending: ingress.start_waiting(pending),
+        lambda pending, reason: ingress.refuse_waiting(pending, reason),
+        lambda pending: answers.leave(pending),
+        lambda: state.stopping,
+        lambda: returns.list_expected(),
+        metrics.count_wait,
+    )
+    returns = ReturnTracker(
+        call_budget,
+        clock,
+        time.time,
+        rng,
+        waiting_room.list_classes,
+        metrics.count_visit,
+        metrics.count_appointment,
+    )
     answers = Responder(
         HEADER_CODEC,
         sender,
@@ -205,6 +230,8 @@
         rng,
         call_attributor,
         quotas.client.return_quota,
+        path_times.record,
+        make_delay_chooser(state, returns, path_times),
     )
     sender.responder = answers
     ingress = Ingress(
@@ -222,6 +249,9 @@
         call_attributor,
         readers.is_current,
         quotas.client,
+        waiting_room,
+        returns,
+        path_times,
     )
     learned = LearnedCalls(state, readers.ranking.count_readers)
     readers.epoch_tracker.on_advance.append(learned.forget_stored)
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -149,7 +149,7 @@
         state.table_since_s = state.clock()
         state.document = document
         state.graph.clear_caches()
-        self.ingress.table = table
+        self.ingress.apply_table(table)
         self.callers.limits = table.limits
         self.readers.publish()
 
@@ -256,6 +256,8 @@
         gauges.labels("log_next_offset").set(self.readers.record_table.next_offset)
         gauges.labels("counted_nodes").set(self.state.cluster_counts.nodes)
         gauges.labels("open_requests").set(self.ingress.responder.open_requests)
+        gauges.labels("waiting").set(len(self.ingress.waiting_room))
+        gauges.labels("expected_returns").set(self.ingress.returns.count_appointments())
         gauges.labels("lines_left_out").set(self.decisions.failures.dropped)
 
     def forget_routes(self) -> None:
@@ -268,6 +270,8 @@
         state.graph.keep_routes(state.knows_route)
         self.metrics.keep_routes(state.knows_route)
         self.ingress.responder.sender.router.keep_routes(state.knows_route)
+        self.ingress.returns.keep_routes(state.knows_route)
+        self.ingress.path_times.keep_routes(state.knows_route)
         # without a configuration, no route counts as removed
         if state.table.version:
             self.dispatcher.keep_routes(state.table.routes)
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -89,6 +89,8 @@
         node.control_loop.report_now,
         node.count_open,
     )
+    node.state.stopping = True
+    node.ingress.waiting_room.check()
     async with anyio.create_task_group() as group:
         group.start_soon(_delete_local_record, node)
         await stopping.run()
@@ -184,6 +186,8 @@
     timers.subscribe(SWEEP_INTERVAL_S, node.dispatcher.pool.sweep)
     timers.subscribe(SWEEP_INTERVAL_S, node.inbound.expire)
     timers.subscribe(SWEEP_INTERVAL_S, node.decisions.report_dropped_lines)
+    timers.subscribe(SWEEP_INTERVAL_S, node.ingress.waiting_room.report)
+    timers.subscribe(SWEEP_INTERVAL_S, node.ingress.returns.step)
     timers.subscribe(SWEEP_INTERVAL_S, node.forget_routes)
     timers.subscribe(SWEEP_INTERVAL_S, node.ingress.call_attributor.discard_old_answers)
     timers.subscribe(SWEEP_INTERVAL_S, node.state.completed.decay)
--- a/eelgrassmount/entry/returning.py
+++ b/eelgrassmount/entry/returning.py
@@ -34,7 +34,7 @@
     from eelgrassmount.relay.shared_state import SharedState
 
 # Decay factor of the weights of stated times per step.
-STATED_DECAY_FACTOR = 0.95
+STATED_DECAY_FACTOR = 0.99
 MIN_STATED_WEIGHT = 0.05
 # Increase of the favored share of returning clients per step.
 FAVORED_RECOVERY = 0.01
@@ -243,8 +243,6 @@
         call = pending.call
         if call.origin.downstream or not state.table.features.expects_returns:
             return None
-        if pending.visit is Visit.RETURNING:
-            returns.record_outcome(call.route.name, False)
         now_s = state.clock()
         limits = ReturnLimits(
             call.route.objective_s,
--- a/eelgrassmount/policy/returns.py
+++ b/eelgrassmount/policy/returns.py
@@ -28,7 +28,7 @@
 COMMON_PEAK_SHARE = 0.6
 PEAK_BUCKETS = 8
 # Recent requests, with decaying weights, without which no time counts as dominant.
-MIN_STATED_REQUESTS = 20.0
+MIN_STATED_REQUESTS = 10.0
 # A client whose first attempt was less than this long ago is new: this share of the
 # full time, and at least this many seconds, which a client may take to connect.
 MIN_ELAPSED_SHARE = 0.005
--- a/eelgrassmount/relay/ingress.py
+++ b/eelgrassmount/relay/ingress.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from eelgrassmount.policy.waiting import RequestTimes, Visit
 from eelgrassmount.relay.messages import Call, Origin
 from eelgrassmount.relay.routes import RouteTable, TargetChooser
 from eelgrassmount.relay.sender import PendingRequest
@@ -16,6 +17,9 @@
     import random
     from collections.abc import Callable
 
+    from eelgrassmount.entry.path_times import PathTimes
+    from eelgrassmount.entry.returning import ReturnTracker
+    from eelgrassmount.entry.waiting_room import WaitingRoom
     from eelgrassmount.http1.exchange import Exchange
     from eelgrassmount.relay.admission import Admission
     from eelgrassmount.relay.call_attribution import CallAttributor, DownstreamCall
@@ -55,6 +59,9 @@
     call_attributor: CallAttributor
     is_current: Callable[[], bool]
     quotas: QuotaClient
+    waiting_room: WaitingRoom
+    returns: ReturnTracker
+    path_times: PathTimes
     table: RouteTable = field(factory=RouteTable)
     chooser: TargetChooser = field(factory=TargetChooser)
 
@@ -87,6 +94,14 @@
                 exchange, head, route.name, access.refusal
             )
 
+    def apply_table(self, table: RouteTable) -> None:
+        """Replace the configuration, also for the requests that wait."""
+        self.table = table
+        if table.features.budgets_calls:
+            self.waiting_room.apply_routes(table.routes, self._change_route)
+        else:
+            self.waiting_room.start_all()
+
     def _request_quota(
         self, exchange: Exchange, head: RequestHead, route: Route, team: Team
     ) -> None:
@@ -124,13 +139,66 @@
         call = self._create_call(exchange, head, route, team, deadline_s, origin)
         quota_team = team if team is not None and team.has_quota() else None
         pending = PendingRequest(exchange, call, downstream_call, quota_team)
+        self._record_visit(pending, head)
         if not origin.downstream and not self.admission.try_admit(call.request_class):
             self.responder.refuse(pending, Reason.OVERLOAD)
             return
         if call.is_quarantined(self.quarantine, call.arrived_s):
             self.responder.refuse(pending, Reason.QUARANTINED)
+        elif origin.downstream or not self.table.features.budgets_calls:
+            self.responder.start(pending)
+        else:
+            self.waiting_room.handle(pending, self._find_times(pending))
+
+    def start_waiting(self, pending: PendingRequest) -> None:
+        """Start a request that has its tokens, unless it was quarantined meanwhile."""
+        self._record_outcome(pending, True)
+        if pending.call.is_quarantined(self.quarantine, self.clock()):
+            self.responder.refuse(pending, Reason.QUARANTINED)
+        else:
+            self.responder.start(pending)
+
+    def refuse_waiting(self, pending: PendingRequest, reason: Reason) -> None:
+        """Refuse a request that has not got its tokens."""
+        self._record_outcome(pending, False)
+        self.responder.refuse(pending, reason)
+
+    def _record_outcome(self, pending: PendingRequest, succeeded: bool) -> None:
+        if pending.visit is Visit.RETURNING:
+            self.returns.record_outcome(pending.call.route.name, succeeded)
+
+    def _record_visit(self, pending: PendingRequest, head: RequestHead) -> None:
+        """Record whether the client of a request has tried before."""
+        call = pending.call
+        if head.remaining_ms is None or call.origin.downstream:
             return
-        self.responder.start(pending)
+        if not self.table.features.expects_returns:
+            return
+        remaining_s = head.remaining_ms / 1000
+        pending.client_deadline_s = call.arrived_s + remaining_s
+        path_s = self.path_times.find(call.route)
+        pending.visit, pending.elapsed_s = self.returns.record_request(
+            call.route, call.target, path_s, call.arrived_s, remaining_s
+        )
+
+    def _find_times(self, pending: PendingRequest) -> RequestTimes:
+        call = pending.call
+        return RequestTimes(
+            call.arrived_s,
+            pending.elapsed_s,
+            call.deadline_s,
+            call.route.objective_s,
+            self.path_times.find(call.route),
+        )
+
+    def _change_route(self, pending: PendingRequest, route: Route) -> RequestTimes:
+        """Change a waiting request to the new version of its route."""
+        call = pending.call
+        call.route = route
+        if call.service not in route.compute_shares():
+            call.service = self.chooser.choose(route, self.rng.random())
+        call.deadline_s = min(call.deadline_s, call.arrived_s + route.timeout_s)
+        return self._find_times(pending)
 
     def _find_origin(
         self, route: Route, team: Team | None, downstream_call: DownstreamCall | None
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from eelgrassmount.policy.waiting import Visit
+
 
 @define(eq=False)
 class RelayMetrics:
@@ -35,6 +37,10 @@
     rejected_messages: Counter = field(init=False)
     quotas: Counter = field(init=False)
     stalls: Counter = field(init=False)
+    waits: Counter = field(init=False)
+    wait_seconds: Counter = field(init=False)
+    visits: Counter = field(init=False)
+    appointments: Counter = field(init=False)
     state: Gauge = field(init=False)
     admitted_fractions: Gauge = field(init=False)
     _children: dict[tuple[Any, ...], Any] = field(factory=dict)
@@ -107,6 +113,29 @@
             "Seconds for which the event loop was blocked, in stalls over 0.2 s.",
             registry=registry,
         )
+        self.waits = Counter(
+            f"{PREFIX}_relay_waits",
+            "Requests that waited at the entry, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.wait_seconds = Counter(
+            f"{PREFIX}_relay_wait_seconds",
+            "Seconds that requests waited at the entry.",
+            registry=registry,
+        )
+        self.visits = Counter(
+            f"{PREFIX}_relay_visits",
+            "Requests whose client states its deadline, by kind of attempt.",
+            ["kind"],
+            registry=registry,
+        )
+        self.appointments = Counter(
+            f"{PREFIX}_relay_appointments",
+            "Requests refused for overload, by what their Retry-After is based on.",
+            ["kind"],
+            registry=registry,
+        )
         self.state = Gauge(
             f"{PREFIX}_relay_state",
             "State of the node: version in force, calls, limit and demand.",
@@ -146,6 +175,19 @@
         """Count a request whose client has disconnected."""
         self._get_child(self.abandoned, route).inc()
 
+    def count_wait(self, outcome: str, seconds: float) -> None:
+        """Count a request that has waited at the entry."""
+        self.waits.labels(outcome).inc()
+        self.wait_seconds.inc(max(0.0, seconds))
+
+    def count_visit(self, visit: Visit) -> None:
+        """Count a request by whether its client has tried before."""
+        self.visits.labels(visit.name.lower()).inc()
+
+    def count_appointment(self, kind: str) -> None:
+        """Count a Retry-After of a request refused for overload."""
+        self.appointments.labels(kind).inc()
+
     def keep_routes(self, knows_route: Callable[[str], bool]) -> None:
         """Remove the series of unknown routes; keep those without a route."""
         removed = [key for key in self._children if key[1] and not knows_route(key[1])]
--- a/eelgrassmount/relay/responder.py
+++ b/eelgrassmount/relay/responder.py
@@ -48,7 +48,10 @@
     """Sends each request its final answer, counts it and logs refusals and failures.
 
     ``return_quota`` is called for requests that were charged to a quota and did not
-    run. ``open_requests`` counts the requests that were started and have no answer.
+    run. ``record_path_time`` is called with the route of each answered client request
+    and the seconds since its start. ``choose_return_delay`` returns when the client of
+    a request refused for overload should return, ``None`` if that is not foreseen here.
+    ``open_requests`` counts the requests that were started and have no answer.
     """
 
     header_codec: HeaderCodec
@@ -60,19 +63,31 @@
     rng: random.Random
     call_attributor: CallAttributor
     return_quota: Callable[[Team], None] = lambda team: None
+    record_path_time: Callable[[str, float], None] = lambda route_name, seconds: None
+    choose_return_delay: Callable[[PendingRequest], float | None] = lambda pending: None
     open_requests: int = field(default=0, init=False)
 
     def start(self, pending: PendingRequest) -> None:
         """Start sending a request to a backend server."""
         self.open_requests += 1
+        pending.started_s = self.clock()
         pending.exchange.on_abandon = lambda: self._abandon(pending)
         self.sender.start(pending)
 
+    def leave(self, pending: PendingRequest) -> None:
+        """Drop a request that was not started and whose client has disconnected."""
+        if pending.team is not None:
+            self.return_quota(pending.team)
+        self.metrics.count_abandoned(pending.call.route.name)
+
     def deliver(self, pending: PendingRequest, reply: Reply) -> None:
         """Forward the reply of a backend server to the client."""
         self._finish(pending)
         call = pending.call
-        seconds = self.clock() - call.arrived_s
+        now_s = self.clock()
+        seconds = now_s - call.arrived_s
+        if reply.status < 500 and not call.origin.downstream:
+            self.record_path_time(call.route.name, now_s - pending.started_s)
         self.metrics.count_answer(call.route.name, reply.status, seconds)
         inputs = {
             "route": call.route.name,
@@ -141,6 +156,10 @@
 
         Until a rate limit allows another call, a retry would be refused too.
         """
+        if reason is Reason.OVERLOAD:
+            return_delay_s = self.choose_return_delay(pending)
+            if return_delay_s is not None:
+                return return_delay_s
         delay_s = pending.call.route.objective_s * self.rng.uniform(
             MIN_RETRY_AFTER_SHARE, MAX_RETRY_AFTER_SHARE
         )
--- a/eelgrassmount/relay/status.py
+++ b/eelgrassmount/relay/status.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from eelgrassmount.compose.relay_node import RelayNode
     from eelgrassmount.relay.budget import RetryBudget
+    from eelgrassmount.relay.ingress import Ingress
     from eelgrassmount.relay.members import Member
     from eelgrassmount.topics.readers import LogReaders
 
@@ -137,6 +138,22 @@
     readers: list[ReaderStatus]
 
 
+@frozen
+class EntryStatus:
+    """The client requests that wait at this node, and the clients that return to it.
+
+    ``outcomes`` counts the ended waits by outcome, ``visits`` the requests by kind of
+    attempt. ``expected_returns`` is the number of refused clients whose Retry-After has
+    not passed.
+    """
+
+    waiting: int
+    waiting_bytes: int
+    outcomes: dict[str, int]
+    visits: dict[str, int]
+    expected_returns: int
+
+
 @frozen
 class NodeStatus:
     """The whole status of a node.
@@ -167,6 +184,7 @@
     vectors: dict[str, dict[str, float]]
     allowances: dict[str, float]
     budgets: list[BudgetStatus]
+    entry: EntryStatus
     members: list[MemberStatus]
 
 
@@ -212,6 +230,7 @@
             for name, route in routes.items()
         },
         _collect_budgets(node.dispatcher.budget),
+        _collect_entry(node.ingress),
         [
             _collect_member(member, now_s)
             for member in state.members.by_name.values()
@@ -297,6 +316,18 @@
     )
 
 
+def _collect_entry(ingress: Ingress) -> EntryStatus:
+    room = ingress.waiting_room
+    returns = ingress.returns
+    return EntryStatus(
+        len(room),
+        room.waiting_bytes,
+        {str(outcome): count for outcome, count in room.outcomes.items()},
+        {visit.name.lower(): count for visit, count in returns.visits.items()},
+        returns.count_appointments(),
+    )
+
+
 def _collect_budgets(budget: RetryBudget) -> list[BudgetStatus]:
     return [
         BudgetStatus(name, requests, retries)
--- a/tests/relay/test_status.py
+++ b/tests/relay/test_status.py
@@ -11,6 +11,7 @@
 from eelgrassmount.cmd.action import ExitCode
 from eelgrassmount.cmd.main import main
 from eelgrassmount.compose.relay import build_relay
+from eelgrassmount.policy.waiting import Visit
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
 from eelgrassmount.relay.status import collect_status
 from eelgrassmount.topics.subscriptions import Subscription
@@ -69,3 +70,11 @@
     assert "log            reachable, read for 0 nodes" in show()
     log = json.loads(show("--json"))["log"]
     assert (log["reading"], log["chosen"], log["next_offset"]) == (True, False, 0)
+
+
+def test_status_shows_the_waiting_requests_and_the_returns(node, show):
+    node.ingress.waiting_room.outcomes.update(["started", "expired", "started"])
+    node.ingress.returns.visits.update([Visit.RETURNING, Visit.NEW])
+    line = "0 waiting, 2 of 3 started after a wait, 1 returned, 0 expected"
+    assert f"entry          {line}" in show()
+    assert json.loads(show("--json"))["entry"]["visits"] == {"returning": 1, "new": 1}
