--- a/tests/relay/test_status.py
+++ b/tests/relay/test_status.py
@@ -12,6 +12,7 @@
 from eelgrassmount.cmd.main import main
 from eelgrassmount.compose.relay import build_relay
 from eelgrassmount.policy.shedding import RequestClass
+from eelgrassmount.policy.waiting import Visit
 from eelgrassmount.relay.heartbeats import Heartbeat, ServerIncarnation
 from eelgrassmount.relay.status import collect_status
 from eelgrassmount.relay.tallies import Tally
@@ -89,3 +90,11 @@
 def test_status_shows_services_that_reject_calls(node, show):
     node.rejections.shares["list"] = 0.55
     assert "rejecting      list: 0.55 of its calls" in show()
+
+
+def test_status_shows_the_waiting_requests_and_the_returns(node, show):
+    node.ingress.waiting_room.outcomes.update(["started", "expired", "started"])
+    node.ingress.returns.visits.update([Visit.RETURNING, Visit.NEW])
+    line = "0 waiting, 2 of 3 started after a wait, 1 returned, 0 expected"
+    assert f"entry          {line}" in show()
+    assert json.loads(show("--json"))["entry"]["visits"] == {"returning": 1, "new": 1}
