--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from eelgrassmount.compose.relay_node import RelayNode
+from eelgrassmount.entry.call_budget import CallBudget
 from eelgrassmount.http1.server import HttpListener
 from eelgrassmount.platform.headers import HEADER_CODEC
 from eelgrassmount.platform.store_client import StoreClient
@@ -42,6 +43,7 @@
 
 if TYPE_CHECKING:
     from eelgrassmount.relay.job import Job
+    from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
 
 INCARNATION_BYTES = 6
@@ -169,7 +171,14 @@
         lambda: state.cluster_counts.offered,
         lambda name: name in state.client_routes,
         rng,
+        lambda request_class: call_budget.covers(request_class),
     )
+    call_budget = CallBudget(state, lambda: admission.request_rates, rng)
+
+    def update_admission(table: RouteTable) -> None:
+        admission.update(table)
+        call_budget.update()
+
     events = LinkHandlers(
         state.make_hello,
         peer_updates.handle_hello,
@@ -182,7 +191,7 @@
         dispatcher,
         inbound,
         AdmittedFractions(state).update,
-        admission.update,
+        update_admission,
     )
     decisions = DecisionLog.create(clock)
     sender = Sender(
@@ -222,6 +231,7 @@
         call_attributor,
         readers.is_current,
         quotas.client,
+        call_budget,
     )
     learned = LearnedCalls(state, readers.ranking.count_readers)
     readers.epoch_tracker.on_advance.append(learned.forget_stored)
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -224,6 +224,7 @@
     that clients are known to use are limited. Where API keys separate clients from
     servers, a route whose calls are not known yet counts as a user of every overloaded
     service, so that urgent requests have precedence from the first seconds of a surge.
+    ``is_budgeted`` returns whether the call budgets of this node decide on a class.
     """
 
     graph: CallGraph
@@ -231,6 +232,7 @@
     find_offered_rates: Callable[[], dict[RequestClass, float]] = dict
     is_client_route: Callable[[str], bool] = lambda name: True
     rng: random.Random = field(factory=random.Random)
+    is_budgeted: Callable[[RequestClass], bool] = lambda request_class: False
     request_counts: dict[RequestClass, float] = field(factory=dict)
     request_rates: dict[RequestClass, float] = field(factory=dict)
     admitted_fractions: dict[RequestClass, float] = field(factory=dict)
@@ -248,6 +250,8 @@
         # for its request.
         if fraction >= 1.0 or not self.is_client_route(request_class.route_name):
             return True
+        if self.is_budgeted(request_class):
+            return True
         # A random start keeps nodes from all refusing their first request.
         credit = self._credits.get(request_class)
         credit = fraction + (self.rng.random() if credit is None else credit)
--- a/eelgrassmount/relay/ingress.py
+++ b/eelgrassmount/relay/ingress.py
@@ -16,6 +16,7 @@
     import random
     from collections.abc import Callable
 
+    from eelgrassmount.entry.call_budget import CallBudget
     from eelgrassmount.http1.exchange import Exchange
     from eelgrassmount.relay.admission import Admission
     from eelgrassmount.relay.call_attribution import CallAttributor, DownstreamCall
@@ -55,6 +56,7 @@
     call_attributor: CallAttributor
     is_current: Callable[[], bool]
     quotas: QuotaClient
+    call_budget: CallBudget
     table: RouteTable = field(factory=RouteTable)
     chooser: TargetChooser = field(factory=TargetChooser)
 
@@ -124,7 +126,7 @@
         call = self._create_call(exchange, head, route, team, deadline_s, origin)
         quota_team = team if team is not None and team.has_quota() else None
         pending = PendingRequest(exchange, call, downstream_call, quota_team)
-        if not origin.downstream and not self.admission.try_admit(call.request_class):
+        if not origin.downstream and not self._try_admit(call):
             self.responder.refuse(pending, Reason.OVERLOAD)
             return
         if call.is_quarantined(self.quarantine, call.arrived_s):
@@ -132,6 +134,11 @@
             return
         self.responder.start(pending)
 
+    def _try_admit(self, call: Call) -> bool:
+        return self.admission.try_admit(
+            call.request_class
+        ) and self.call_budget.try_take(call.request_class, self.clock())
+
     def _find_origin(
         self, route: Route, team: Team | None, downstream_call: DownstreamCall | None
     ) -> Origin:
