--- a/eelgrassmount/entry/call_budget.py
+++ b/eelgrassmount/entry/call_budget.py
@@ -90,7 +90,7 @@
     def take(self, request_class: RequestClass) -> None:
         """Take the tokens of a request, at most down to the lowest floor."""
         tokens = self.tokens - self.costs[request_class]
-        self.tokens = max(tokens, compute_floor_s(0, 1, self.rate, self.burst_s))
+        self.tokens = max(tokens, compute_floor_s(0, 2, self.rate, self.burst_s))
 
 
 @define(eq=False)
--- a/eelgrassmount/policy/call_budgets.py
+++ b/eelgrassmount/policy/call_budgets.py
@@ -1,9 +1,9 @@
 """Divides the capacity of an overloaded service among the nodes that admit requests.
 
 The load: demand for one service rises beyond its capacity and falls again within
-seconds. An admitted fraction, which follows load reports, admits too many requests while
-demand rises and refuses requests that servers could run while it falls. A rate for each
-node holds in both cases.
+seconds. An admitted fraction, which follows load reports, admits too many requests
+while demand rises and refuses requests that servers could run while it falls. A rate
+for each node holds in both cases.
 """
 
 from __future__ import annotations
@@ -113,13 +113,15 @@
 
     ``position`` is that of its rank among the ``ranks`` that need the service. The most
     urgent requests may overdraw the bucket, which holds back all others until it has
-    recovered.
+    recovered. Without others, there is nobody to take the calls from.
 
         >>> compute_floor_s(position=0, ranks=3, rate=0.01, burst_s=0.01)
         -0.01
         >>> compute_floor_s(position=2, ranks=3, rate=0.01, burst_s=0.01)
         0.005
     """
+    if ranks == 1:
+        return 0.0
     if position == 0:
         return -max(OVERDRAFT_PERIOD_S * rate, burst_s)
     return MAX_RESERVED_SHARE * burst_s * position / (ranks - 1)
