--- a/eelgrassmount/entry/call_budget.py
+++ b/eelgrassmount/entry/call_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
@@ -30,11 +31,12 @@
 
 # Utilization below which a service has no budget.
 MIN_BUDGETED_UTILIZATION = 0.4
-# Smoothing factors, per control step, of the demand of this node and of all nodes. The
-# latter arrives late, so that the former is smoothed more: during a surge a node would
-# otherwise compare its present demand with an earlier total.
-OWN_SMOOTHING = 0.065
-TOTAL_SMOOTHING = 0.125
+# Smoothing factor of demand per control step.
+DEMAND_SMOOTHING = 0.125
+# Control steps after which the demand of this node is part of the total that it learns.
+# Compared with a later demand, the shares of all nodes would not add up to 1 while
+# demand rises or falls.
+TOTAL_DELAY_STEPS = 6
 
 
 @frozen
@@ -62,8 +64,9 @@
     correction: float = 1.0
     enforced: bool = False
     held_back: bool = False
-    own_demand: float = -1.0
-    total_demand: float = -1.0
+    own_demand: float = 0.0
+    total_demand: float = 0.0
+    recent_demands: deque[float] = field(factory=deque)
     refilled_s: float = -math.inf
     costs: dict[RequestClass, float] = field(factory=dict)
     positions: dict[int, int] = field(factory=dict)
@@ -74,6 +77,20 @@
         self.tokens = min(self.burst_s, self.tokens + self.rate * elapsed_s)
         self.refilled_s = now_s
 
+    def record_demand(self, own_demand: float, total_demand: float) -> None:
+        """Update the smoothed demand of this node, as of the total's time, and of all.
+
+        Both are parts of the service.
+        """
+        recent = self.recent_demands
+        if not recent:
+            recent.extend([own_demand] * TOTAL_DELAY_STEPS)
+            self.own_demand = own_demand
+            self.total_demand = total_demand
+        recent.append(own_demand)
+        self.own_demand += DEMAND_SMOOTHING * (recent.popleft() - self.own_demand)
+        self.total_demand += DEMAND_SMOOTHING * (total_demand - self.total_demand)
+
     def find_floor_s(self, rank: int) -> float:
         """Return the tokens that a request of a rank must leave."""
         return compute_floor_s(
@@ -206,12 +223,8 @@
     ) -> None:
         own_demand = _add_costs(own, budget.costs)
         total_demand = _add_costs(offered, budget.costs)
-        is_new = budget.own_demand < 0.0
-        if is_new:
-            budget.own_demand = own_demand
-            budget.total_demand = total_demand
-        budget.own_demand += OWN_SMOOTHING * (own_demand - budget.own_demand)
-        budget.total_demand += TOTAL_SMOOTHING * (total_demand - budget.total_demand)
+        is_new = not budget.recent_demands
+        budget.record_demand(own_demand, total_demand)
         share = compute_share(
             budget.own_demand, budget.total_demand, len(self.state.members.by_name)
         )
--- a/eelgrassmount/policy/call_budgets.py
+++ b/eelgrassmount/policy/call_budgets.py
@@ -34,9 +34,9 @@
 # while servers are idle or calls wait too long.
 MIN_CORRECTION = 0.7
 MAX_CORRECTION = 1.4
-RAISE_FACTOR = 1.01
-LOWER_FACTOR = 0.98
-MAX_IDLE_UTILIZATION = 0.9
+RAISE_FACTOR = 1.03
+LOWER_FACTOR = 0.96
+MAX_IDLE_UTILIZATION = 0.93
 MAX_WAIT = 1.0
 
 
@@ -134,9 +134,9 @@
     ``wait`` the mean wait at the servers relative to its maximum.
 
         >>> adjust_correction(1.0, utilization=0.8, wait=0.1)
-        1.01
+        1.03
         >>> adjust_correction(1.0, utilization=1.0, wait=2.0)
-        0.98
+        0.96
     """
     if wait > MAX_WAIT:
         return max(MIN_CORRECTION, LOWER_FACTOR * correction)
