--- a/eelgrassmount/entry/call_budget.py
+++ b/eelgrassmount/entry/call_budget.py
@@ -83,6 +83,9 @@
         Both are parts of the service.
         """
         recent = self.recent_demands
+        if not total_demand:
+            # Nothing is known yet; the first known total must not be smoothed.
+            recent.clear()
         if not recent:
             recent.extend([own_demand] * TOTAL_DELAY_STEPS)
             self.own_demand = own_demand
@@ -223,7 +226,7 @@
     ) -> None:
         own_demand = _add_costs(own, budget.costs)
         total_demand = _add_costs(offered, budget.costs)
-        is_new = not budget.recent_demands
+        is_new = not budget.burst_s
         budget.record_demand(own_demand, total_demand)
         share = compute_share(
             budget.own_demand, budget.total_demand, len(self.state.members.by_name)
