--- a/eelgrassmount/entry/call_budget.py
+++ b/eelgrassmount/entry/call_budget.py
@@ -84,8 +84,9 @@
         """
         recent = self.recent_demands
         if not total_demand:
-            # Nothing is known yet; the first known total must not be smoothed.
+            # The first known total must not be smoothed.
             recent.clear()
+            return
         if not recent:
             recent.extend([own_demand] * TOTAL_DELAY_STEPS)
             self.own_demand = own_demand
