--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -173,7 +173,7 @@
         rng,
         lambda request_class: call_budget.covers(request_class),
     )
-    call_budget = CallBudget(state, lambda: admission.request_rates, rng)
+    call_budget = CallBudget(state, lambda: admission.request_rates)
 
     def update_admission(table: RouteTable) -> None:
         admission.update(table)
--- a/eelgrassmount/entry/call_budget.py
+++ b/eelgrassmount/entry/call_budget.py
@@ -22,7 +22,6 @@
 from eelgrassmount.relay.members import MAX_REPORT_AGE_S
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Callable, Collection, Mapping, Sequence
 
     from eelgrassmount.policy.shedding import RequestClass
@@ -30,7 +29,7 @@
     from eelgrassmount.relay.shared_state import SharedState
 
 # Utilization below which a service has no budget.
-MIN_BUDGETED_UTILIZATION = 0.4
+MIN_BUDGETED_UTILIZATION = 0.3
 # Smoothing factor of demand per control step.
 DEMAND_SMOOTHING = 0.125
 # Control steps after which the demand of this node is part of the total that it learns.
@@ -127,7 +126,6 @@
 
     state: SharedState
     get_request_rates: Callable[[], Mapping[RequestClass, float]]
-    rng: random.Random
     budgets: dict[str, ServiceBudget] = field(factory=dict)
     _by_class: dict[RequestClass, list[ServiceBudget]] = field(factory=dict)
 
@@ -237,8 +235,7 @@
             budget.rate, max(budget.costs.values(), default=0.0)
         )
         if is_new:
-            # Nodes must not all hold back their first request of a class.
-            budget.tokens = budget.burst_s * self.rng.random()
+            budget.tokens = budget.burst_s
 
     def _enforce(self, service: str, budget: ServiceBudget, load: ServiceLoad) -> None:
         enforced = load.utilization >= MIN_ENFORCED_UTILIZATION
--- a/tests/entry/test_call_budget.py
+++ b/tests/entry/test_call_budget.py
@@ -57,7 +57,7 @@
         for number in range(NODES):
             service = "part" if number < 2 else "desk"
             self.state.members.put(f"n{number}", f"127.0.0.1:{number}", "a", service)
-        self.budget = CallBudget(self.state, lambda: self.rates, random.Random(2))
+        self.budget = CallBudget(self.state, lambda: self.rates)
 
     def report(self, demand: float, wait: float = 0.0) -> None:
         """Let both servers report their load."""
