--- a/eelgrassmount/policy/call_budgets.py
+++ b/eelgrassmount/policy/call_budgets.py
@@ -15,9 +15,11 @@
 
     from eelgrassmount.relay.members import MemberLoad
 
-# Utilization of a service from which on its budget is enforced. Estimates of its
-# capacity that are too low must not limit a service with free capacity.
-MIN_ENFORCED_UTILIZATION = 0.7
+# Utilization of a service from which on its budget is enforced, and below which it no
+# longer is. Shares follow demand that moves between nodes with a delay, and must not
+# hold back requests while servers have free slots.
+MIN_ENFORCED_UTILIZATION = 0.93
+MIN_HELD_UTILIZATION = 0.87
 # Part of the capacity that client requests are admitted for.
 TARGET_UTILIZATION = 0.97
 # Period whose tokens a bucket holds, and whose tokens the most urgent requests may
@@ -127,6 +129,16 @@
     return MAX_RESERVED_SHARE * burst_s * position / (ranks - 1)
 
 
+def is_enforced(was_enforced: bool, utilization: float) -> bool:
+    """Return whether a budget holds back requests at this utilization of its service.
+
+    >>> is_enforced(False, 0.9), is_enforced(True, 0.9)
+    (False, True)
+    """
+    limit = MIN_HELD_UTILIZATION if was_enforced else MIN_ENFORCED_UTILIZATION
+    return utilization >= limit
+
+
 def adjust_correction(correction: float, utilization: float, wait: float) -> float:
     """Return the correction of the estimated capacity after one control step.
 
