--- a/eelgrassmount/entry/call_budget.py
+++ b/eelgrassmount/entry/call_budget.py
@@ -10,7 +10,6 @@
 from loguru import logger
 
 from eelgrassmount.policy.call_budgets import (
-    MIN_ENFORCED_UTILIZATION,
     TARGET_UTILIZATION,
     adjust_correction,
     compute_burst_s,
@@ -18,6 +17,7 @@
     compute_floor_s,
     compute_request_cost,
     compute_share,
+    is_enforced,
 )
 from eelgrassmount.relay.members import MAX_REPORT_AGE_S
 
@@ -30,12 +30,11 @@
 
 # Utilization below which a service has no budget.
 MIN_BUDGETED_UTILIZATION = 0.3
-# Smoothing factor of demand per control step.
-DEMAND_SMOOTHING = 0.125
-# Control steps after which the demand of this node is part of the total that it learns.
-# Compared with a later demand, the shares of all nodes would not add up to 1 while
-# demand rises or falls.
-TOTAL_DELAY_STEPS = 6
+# Smoothing factor of demand per control step, and the steps after which the demand of
+# this node is part of the total that it learns. Compared with a faster or later demand,
+# the shares of all nodes would not add up to 1 while demand rises or falls.
+DEMAND_SMOOTHING = 0.05
+TOTAL_DELAY_STEPS = 8
 
 
 @frozen
@@ -65,7 +64,6 @@
     held_back: bool = False
     own_demand: float = 0.0
     total_demand: float = 0.0
-    recent_demands: deque[float] = field(factory=deque)
     refilled_s: float = -math.inf
     costs: dict[RequestClass, float] = field(factory=dict)
     positions: dict[int, int] = field(factory=dict)
@@ -77,21 +75,12 @@
         self.refilled_s = now_s
 
     def record_demand(self, own_demand: float, total_demand: float) -> None:
-        """Update the smoothed demand of this node, as of the total's time, and of all.
-
-        Both are parts of the service.
-        """
-        recent = self.recent_demands
-        if not total_demand:
-            # The first known total must not be smoothed.
-            recent.clear()
-            return
-        if not recent:
-            recent.extend([own_demand] * TOTAL_DELAY_STEPS)
+        """Update the smoothed demand of this node and of all, as service shares."""
+        if not self.total_demand:
+            # The first known total is not smoothed.
             self.own_demand = own_demand
             self.total_demand = total_demand
-        recent.append(own_demand)
-        self.own_demand += DEMAND_SMOOTHING * (recent.popleft() - self.own_demand)
+        self.own_demand += DEMAND_SMOOTHING * (own_demand - self.own_demand)
         self.total_demand += DEMAND_SMOOTHING * (total_demand - self.total_demand)
 
     def find_floor_s(self, rank: int) -> float:
@@ -128,10 +117,14 @@
     get_request_rates: Callable[[], Mapping[RequestClass, float]]
     budgets: dict[str, ServiceBudget] = field(factory=dict)
     _by_class: dict[RequestClass, list[ServiceBudget]] = field(factory=dict)
+    _recent_rates: deque[dict[RequestClass, float]] = field(
+        factory=lambda: deque(maxlen=TOTAL_DELAY_STEPS)
+    )
 
     def update(self) -> None:
         """Recompute all budgets; called once each control interval."""
         self._by_class = {}
+        self._recent_rates.append(dict(self.get_request_rates()))
         if not self.state.table.features.budgets_calls:
             self.budgets = {}
             return
@@ -204,9 +197,11 @@
         now_s = self.state.clock()
         budget.refill(now_s)
         offered = self.state.cluster_counts.offered
-        own = self.get_request_rates()
+        own = self._recent_rates[0]
         scale = max(1.0, self._count_usable(service) / len(load.loads))
-        budget.costs = self._compute_costs(service, load.loads, {*own, *offered}, scale)
+        budget.costs = self._compute_costs(
+            service, load.loads, {*self._recent_rates[-1], *offered}, scale
+        )
         ranks = sorted({one.rank for one in budget.costs})
         budget.positions = {rank: position for position, rank in enumerate(ranks)}
         self._update_rate(budget, own, offered)
@@ -238,7 +233,7 @@
             budget.tokens = budget.burst_s
 
     def _enforce(self, service: str, budget: ServiceBudget, load: ServiceLoad) -> None:
-        enforced = load.utilization >= MIN_ENFORCED_UTILIZATION
+        enforced = is_enforced(budget.enforced, load.utilization)
         if enforced != budget.enforced:
             logger.info(
                 "call budget enforced" if enforced else "call budget lifted",
--- a/eelgrassmount/policy/call_budgets.py
+++ b/eelgrassmount/policy/call_budgets.py
@@ -34,12 +34,12 @@
 MIN_RELATIVE_SHARE = 0.25
 # Correction of the estimated capacity: its range, and the factors per control step
 # while servers are idle or calls wait too long.
-MIN_CORRECTION = 0.7
-MAX_CORRECTION = 1.4
+MIN_CORRECTION = 0.5
+MAX_CORRECTION = 2.0
 RAISE_FACTOR = 1.03
 LOWER_FACTOR = 0.96
 MAX_IDLE_UTILIZATION = 0.93
-MAX_WAIT = 1.0
+MAX_WAIT = 0.5
 
 
 def compute_capacities(
--- a/tests/entry/test_call_budget.py
+++ b/tests/entry/test_call_budget.py
@@ -140,7 +140,7 @@
 
 def test_idle_service_limits_nothing():
     entry = make_entry()
-    entry.report(demand=0.2)
+    entry.report(demand=0.8)
     entry.budget.update()
     assert all(entry.budget.try_take(LISTS, entry.now_s) for _ in range(100))
 
