--- a/eelgrassmount/policy/call_budgets.py
+++ b/eelgrassmount/policy/call_budgets.py
@@ -113,8 +113,8 @@
 def compute_floor_s(position: int, ranks: int, rate: float, burst_s: float) -> float:
     """Return the tokens that a request must leave in the bucket.
 
-    ``position`` is that of its rank among the ``ranks`` that need the service. The most
-    urgent requests may overdraw the bucket, which holds back all others until it has
+    ``position`` is that of its rank among the ``ranks`` that need the service. Urgent
+    requests may overdraw the bucket, which holds back less urgent ones until it has
     recovered. Without others, there is nobody to take the calls from.
 
         >>> compute_floor_s(position=0, ranks=3, rate=0.01, burst_s=0.01)
@@ -124,9 +124,9 @@
     """
     if ranks == 1:
         return 0.0
-    if position == 0:
-        return -max(OVERDRAFT_PERIOD_S * rate, burst_s)
-    return MAX_RESERVED_SHARE * burst_s * position / (ranks - 1)
+    lowest_s = -max(OVERDRAFT_PERIOD_S * rate, burst_s)
+    highest_s = MAX_RESERVED_SHARE * burst_s
+    return lowest_s + (highest_s - lowest_s) * position / (ranks - 1)
 
 
 def is_enforced(was_enforced: bool, utilization: float) -> bool:
