--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -8,11 +8,12 @@
 from typing import TYPE_CHECKING
 
 from eelgrassmount.compose.relay_node import RelayNode
+from eelgrassmount.entry.call_budget import CallBudget
 from eelgrassmount.entry.fair_shares import FairShares
 from eelgrassmount.entry.group_metrics import GroupMetrics
 from eelgrassmount.entry.path_times import PathTimes
 from eelgrassmount.entry.returning import ReturnTracker, make_delay_chooser
-from eelgrassmount.entry.waiting_room import UnlimitedBudget, WaitingRoom
+from eelgrassmount.entry.waiting_room import WaitingRoom
 from eelgrassmount.http1.server import HttpListener
 from eelgrassmount.platform.headers import HEADER_CODEC
 from eelgrassmount.platform.store_client import StoreClient
@@ -48,6 +49,7 @@
 
 if TYPE_CHECKING:
     from eelgrassmount.relay.job import Job
+    from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
 
 INCARNATION_BYTES = 6
@@ -176,8 +178,10 @@
         lambda member: links.open_link(member),
         metrics.count_quota,
     )
+    # Only teams are groups: a failure domain with more clients than others would get
+    # less for each of them.
     fair_shares = FairShares(
-        settings.failure_domain,
+        "",
         lambda: state.cluster_counts,
         group_metrics.count_decision,
     )
@@ -189,7 +193,15 @@
         rejections.find_begin_fraction,
         rng,
         fair_shares,
+        lambda request_class: call_budget.covers(request_class),
     )
+    call_budget = CallBudget(state, lambda: admission.request_rates)
+
+    def update_admission(table: RouteTable) -> None:
+        admission.update(table)
+        call_budget.update()
+        waiting_room.reconsider()
+
     events = LinkHandlers(
         state.make_hello,
         peer_updates.handle_hello,
@@ -208,7 +220,7 @@
         dispatcher,
         inbound,
         update_service_fractions,
-        admission.update,
+        update_admission,
         rejections.measure_local,
     )
     decisions = DecisionLog.create(clock)
@@ -223,7 +235,6 @@
         links.open_link,
         rejections.is_enabled,
     )
-    call_budget = UnlimitedBudget()
     path_times = PathTimes()
     waiting_room = WaitingRoom(
         call_budget,
--- a/eelgrassmount/relay/admission.py
+++ b/eelgrassmount/relay/admission.py
@@ -238,6 +238,8 @@
     reject calls whatever their load.
 
     ``fair_shares`` divides a class that is admitted in part among groups of callers.
+    ``is_budgeted`` returns whether the call budgets of this node limit a class in place
+    of its admitted fraction.
     """
 
     graph: CallGraph
@@ -247,6 +249,7 @@
     find_begin_fraction: Callable[[RequestClass], float] = lambda request_class: 1.0
     rng: random.Random = field(factory=random.Random)
     fair_shares: FairShares = field(factory=FairShares)
+    is_budgeted: Callable[[RequestClass], bool] = lambda request_class: False
     request_counts: dict[RequestClass, float] = field(factory=dict)
     request_rates: dict[RequestClass, float] = field(factory=dict)
     admitted_fractions: dict[RequestClass, float] = field(factory=dict)
@@ -264,12 +267,13 @@
         )
         self._new_requests[request_class] = self._new_requests.get(request_class, 0) + 1
         self.fair_shares.record(request_class, group)
-        fraction = self.admitted_fractions.get(request_class, 1.0)
         # Refusing an unrecognized downstream call would waste the work already done
         # for its request.
-        if fraction >= 1.0 or not self.is_client_route(request_class.route_name):
+        if not self.is_client_route(request_class.route_name):
+            return True
+        fraction = self._find_fraction(request_class, group)
+        if fraction >= 1.0:
             return True
-        fraction *= self.fair_shares.find_group_fraction(request_class, group)
         key = self.fair_shares.find_listed_key(request_class, group)
         if key is None:
             admitted = self._take_credit(self._credits, request_class, fraction)
@@ -278,6 +282,18 @@
         self.fair_shares.record_decision(request_class, group, admitted)
         return admitted
 
+    def _find_fraction(self, request_class: RequestClass, group: str) -> float:
+        """Return the fraction of the requests of a group to admit."""
+        fraction = self.admitted_fractions.get(request_class, 1.0)
+        if fraction >= 1.0:
+            return 1.0
+        group_fraction = self.fair_shares.find_group_fraction(request_class, group)
+        if self.is_budgeted(request_class):
+            # What heavy groups give up, the others get from the budget.
+            begin_fraction = self.find_begin_fraction(request_class)
+            return min(1.0, group_fraction) * begin_fraction
+        return fraction * group_fraction
+
     def _take_credit(self, credits: dict, key: tuple, fraction: float) -> bool:
         """Return whether the credit of earlier requests suffices for one more."""
         # A random start keeps nodes from all refusing their first request.
