--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -304,6 +304,8 @@
   8: i32 queued
   // of a call refused by a rate limit: when it could start; absent on other replies
   9: optional i32 wait_ms
+  // of a queued call that is moved: the node whose server has a free slot for it
+  10: optional string moved_to
 }
 
 struct RelayCancel {
@@ -475,6 +477,13 @@
   3: double amount
 }
 
+// Offers free slots of a server to a node with queued calls for the same service.
+struct RelaySlotOffer {
+  1: string node_name
+  2: string service_name
+  3: i32 slots
+}
+
 // The record of a node in the deployment's topic.
 struct NodeRecord {
   1: string node_name
--- /dev/null
+++ b/eelgrassmount/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Balancing of queued calls between the backend servers of a service."""
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from eelgrassmount.balancing.work_stealing import WorkStealing
 from eelgrassmount.compose.relay_node import RelayNode
 from eelgrassmount.http1.server import HttpListener
 from eelgrassmount.platform.headers import HEADER_CODEC
@@ -126,11 +127,13 @@
         claim_lost_call=call_attributor.claim_lost_call,
         on_crash=lambda ended, jobs: peer_updates.handle_crash(ended, jobs),
         on_change=lambda: control_loop.report_now(),
+        on_free_slots=lambda: work_stealing.offer_slots(),
         on_invalid_header=lambda server, name, text: rejected_messages.record(
             MessageKind.ANSWER, server, name, f"{name}: {text!r}"
         ),
         call_later=call_later,
     )
+    work_stealing = WorkStealing(state, dispatcher, metrics.count_moved)
     inbound = InboundLinks(
         incarnation,
         dispatcher,
@@ -155,6 +158,7 @@
         inbound.broadcast,
         readers,
         lambda kind, struct, send: quotas.handle_frame(kind, struct, send),
+        work_stealing.handle_offer,
     )
     quotas = QuotaExchange(
         state,
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -3164,11 +3164,12 @@
      - in_flight
      - queued
      - wait_ms
+     - moved_to
 
     """
 
 
-    def __init__(self, sequence=None, outcome=None, reason=None, status=None, head=None, body=None, in_flight=None, queued=None, wait_ms=None,):
+    def __init__(self, sequence=None, outcome=None, reason=None, status=None, head=None, body=None, in_flight=None, queued=None, wait_ms=None, moved_to=None,):
         self.sequence = sequence
         self.outcome = outcome
         self.reason = reason
@@ -3178,6 +3179,7 @@
         self.in_flight = in_flight
         self.queued = queued
         self.wait_ms = wait_ms
+        self.moved_to = moved_to
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3233,6 +3235,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.moved_to = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3279,6 +3286,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 9)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.moved_to is not None:
+            oprot.writeFieldBegin('moved_to', TType.STRING, 10)
+            oprot.writeString(self.moved_to.encode('utf-8') if sys.version_info[0] == 2 else self.moved_to)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5193,6 +5204,85 @@
         return not (self == other)
 
 
+class RelaySlotOffer(object):
+    """
+    Attributes:
+     - node_name
+     - service_name
+     - slots
+
+    """
+
+
+    def __init__(self, node_name=None, service_name=None, slots=None,):
+        self.node_name = node_name
+        self.service_name = service_name
+        self.slots = slots
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelaySlotOffer')
+        if self.node_name is not None:
+            oprot.writeFieldBegin('node_name', TType.STRING, 1)
+            oprot.writeString(self.node_name.encode('utf-8') if sys.version_info[0] == 2 else self.node_name)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 3)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class NodeRecord(object):
     """
     Attributes:
@@ -5621,6 +5711,7 @@
     (7, TType.I32, 'in_flight', None, None, ),  # 7
     (8, TType.I32, 'queued', None, None, ),  # 8
     (9, TType.I32, 'wait_ms', None, None, ),  # 9
+    (10, TType.STRING, 'moved_to', 'UTF8', None, ),  # 10
 )
 all_structs.append(RelayCancel)
 RelayCancel.thrift_spec = (
@@ -5780,6 +5871,13 @@
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.DOUBLE, 'amount', None, None, ),  # 3
 )
+all_structs.append(RelaySlotOffer)
+RelaySlotOffer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'slots', None, None, ),  # 3
+)
 all_structs.append(NodeRecord)
 NodeRecord.thrift_spec = (
     None,  # 0
--- a/eelgrassmount/policy/features.py
+++ b/eelgrassmount/policy/features.py
@@ -21,13 +21,15 @@
     ``expects_returns``: refused clients are told when to return, and those that do
     precede others of their rank. ``shares_fairly``: teams, or failure domains without
     teams, divide the calls of an overloaded service. ``plans_retries``: retries are
-    spent on the requests that they can finish.
+    spent on the requests that they can finish. ``moves_calls``: servers with free slots
+    take over calls that wait for other servers.
     """
 
     budgets_calls: bool = False
     expects_returns: bool = False
     shares_fairly: bool = False
     plans_retries: bool = False
+    moves_calls: bool = False
 
 
 def choose_features(routes: Iterable[Route]) -> Features:
@@ -49,4 +51,5 @@
         expects_returns=any(route.objective_s > route.timeout_s for route in found),
         shares_fairly=True,
         plans_retries=True,
+        moves_calls=True,
     )
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -147,6 +147,8 @@
     _check_ranges(reply, _REPLY_RANGES)
     if reply.wait_ms is not None:
         _check_ranges(reply, {"wait_ms": MAX_REMAINING_MS})
+    if reply.moved_to is not None:
+        _check_texts(reply, ("moved_to",), MAX_NAME_LENGTH)
     _check_head(reply)
 
 
@@ -266,6 +268,11 @@
     _check_ranges(loan, {"number": MAX_COUNTER, "amount": MAX_CALLS})
 
 
+def _check_slot_offer(offer: ttypes.RelaySlotOffer) -> None:
+    _check_texts(offer, ("node_name", "service_name"), MAX_NAME_LENGTH)
+    _check_ranges(offer, {"slots": MAX_CALLS})
+
+
 def _check_suspects(suspects: ttypes.RelaySuspects) -> None:
     _check_texts(suspects, ("crash_id",), MAX_ID_LENGTH)
     for digest in suspects.digests:
@@ -303,7 +310,7 @@
 }
 # Fields that may be missing. A reply with an answer has no reason.
 _OPTIONAL_FIELDS = {
-    ttypes.RelayReply: ("reason", "wait_ms"),
+    ttypes.RelayReply: ("reason", "wait_ms", "moved_to"),
     ttypes.RelayReport: ("usable_slots", "notice"),
     ttypes.RelayHello: ("notice",),
     ttypes.ServerNotice: ("rate_limit",),
@@ -323,4 +330,5 @@
     ttypes.RelayQuotaGrants: _check_quota_grants,
     ttypes.RelayQuotaBorrow: _check_quota_borrow,
     ttypes.RelayQuotaLoan: _check_quota_loan,
+    ttypes.RelaySlotOffer: _check_slot_offer,
 }
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -17,6 +17,7 @@
     compute_run_timeout_s,
     compute_slack_s,
 )
+from eelgrassmount.policy.work_stealing import count_kept_calls
 from eelgrassmount.relay.broken_connections import BrokenConnections
 from eelgrassmount.relay.call_queue import CallQueue
 from eelgrassmount.relay.measures import RunMeasures
@@ -74,7 +75,8 @@
     too long is refused at once, so that another server can run it; so is a retry beyond
     the retry budget. ``has_lost_call`` returns whether a downstream call of a run has
     failed or is still open, ``claim_lost_call`` whether a run failed because of such a
-    call. ``on_invalid_header`` is called with the server's identity and the name and
+    call. ``on_free_slots`` is called when slots are free and no call waits.
+    ``on_invalid_header`` is called with the server's identity and the name and
     value of a header that can't be parsed.
     """
 
@@ -93,6 +95,7 @@
     claim_lost_call: Callable[[Job], bool] = lambda job: False
     on_crash: Callable[[ServerIncarnation, list[Job]], None] = lambda ended, jobs: None
     on_change: Callable[[], None] = lambda: None
+    on_free_slots: Callable[[], None] = lambda: None
     on_invalid_header: Callable[[str, str, str], None] = lambda server, name, text: None
     call_later: CallLater = lambda delay_s, action: None
     measures: RunMeasures = field(factory=RunMeasures)
@@ -247,6 +250,26 @@
             if self._queue.remove(job):
                 self._refuse(job, Reason.DRAINING)
 
+    def move_queued(self, count: int, node: str) -> int:
+        """Give up queued calls for free slots of another node; return their number.
+
+        The calls that would wait longest go first. Calls that were moved or refused
+        before stay, so that no call moves to and fro, and retries stay with the budget
+        that they were charged to.
+        """
+        kept = count_kept_calls(
+            self.server.compute_concurrency_limit(), self.measures.mean_run_s
+        )
+        movable = [job for job in self._queue.list_jobs()[kept:] if _may_move(job.call)]
+        moved = movable[len(movable) - min(count, len(movable)) :]
+        self._update_queue_time(self.clock())
+        for job in moved:
+            # The reply to one call may have ended another.
+            if self._queue.remove(job):
+                job.ended = True
+                job.done(Reply(Outcome.NOT_RUN, Reason.MOVED, moved_to=node))
+        return len(moved)
+
     def handle_restart(self, ended: ServerIncarnation, restarted_s: float) -> None:
         """Finish the calls that were lost in a restart of the server.
 
@@ -399,6 +422,8 @@
         job.exchange = None
         self._update_measures(job, reply, now_s, failed, lost)
         self._start_queued()
+        if not self.queued:
+            self.on_free_slots()
         job.done(reply)
 
     def _create_reply(
@@ -535,3 +560,8 @@
         """Return why a queued call cannot run; draining servers still run it."""
         reason = self._find_refusal(call, now_s)
         return None if reason is Reason.DRAINING else reason
+
+
+def _may_move(call: Call) -> bool:
+    is_charged = call.is_retry or call.origin.within_retry
+    return not is_charged and not call.counted_as_demand
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -42,6 +42,7 @@
     QUOTA_GRANTS = 13
     QUOTA_BORROW = 14
     QUOTA_LOAN = 15
+    SLOT_OFFER = 16
 
 
 QUOTA_KINDS = frozenset(
@@ -68,6 +69,7 @@
     FrameKind.QUOTA_GRANTS: ttypes.RelayQuotaGrants,
     FrameKind.QUOTA_BORROW: ttypes.RelayQuotaBorrow,
     FrameKind.QUOTA_LOAN: ttypes.RelayQuotaLoan,
+    FrameKind.SLOT_OFFER: ttypes.RelaySlotOffer,
 }
 
 
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -317,5 +317,6 @@
                 dispatcher.in_flight,
                 dispatcher.queued,
                 round(reply.wait_s * MS_PER_S) if reply.wait_s else None,
+                reply.moved_to or None,
             ),
         )
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -431,7 +431,15 @@
             outcome = Outcome(reply.outcome)
             wait_s = (reply.wait_ms or 0) / MS_PER_S
             pending.done(
-                Reply(outcome, reason, reply.status, reply.head, reply.body, wait_s)
+                Reply(
+                    outcome,
+                    reason,
+                    reply.status,
+                    reply.head,
+                    reply.body,
+                    wait_s,
+                    reply.moved_to or "",
+                )
             )
         self._close_retired()
 
--- a/eelgrassmount/relay/messages.py
+++ b/eelgrassmount/relay/messages.py
@@ -46,7 +46,8 @@
 
     ``head`` holds whole header lines of the server's answer. ``reason`` is set if there
     is no answer. ``wait_s`` is the time in seconds until a call that was refused by a
-    rate limit could start, 0 for other replies.
+    rate limit could start, 0 for other replies. ``moved_to`` names the node with a free
+    slot for a call that was moved from a queue.
     """
 
     outcome: Outcome
@@ -55,6 +56,7 @@
     head: bytes = b""
     body: bytes = b""
     wait_s: float = 0.0
+    moved_to: str = ""
 
 
 @define(eq=False)
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -34,6 +34,7 @@
     runs: Counter = field(init=False)
     rejected_messages: Counter = field(init=False)
     quotas: Counter = field(init=False)
+    moved_calls: Counter = field(init=False)
     stalls: Counter = field(init=False)
     state: Gauge = field(init=False)
     admitted_fractions: Gauge = field(init=False)
@@ -102,6 +103,11 @@
             ["event"],
             registry=registry,
         )
+        self.moved_calls = Counter(
+            f"{PREFIX}_relay_moved_calls",
+            "Calls that left the queue of this node for free slots of other nodes.",
+            registry=registry,
+        )
         self.stalls = Counter(
             f"{PREFIX}_relay_stall_seconds",
             "Seconds for which the event loop was blocked, in stalls over 0.2 s.",
@@ -169,6 +175,10 @@
         """Count requests for a quota that this node allocates."""
         self.quotas.labels(event).inc(requests)
 
+    def count_moved(self, calls: int) -> None:
+        """Count calls that left the queue for free slots of other nodes."""
+        self.moved_calls.inc(calls)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/eelgrassmount/relay/peer_updates.py
+++ b/eelgrassmount/relay/peer_updates.py
@@ -41,6 +41,7 @@
     broadcast: Callable[[FrameKind, object], None]
     readers: LogReaders
     handle_quota_frame: FrameHandler
+    handle_slot_offer: Callable[[ttypes.RelaySlotOffer], None]
     _requested_version: int = 0
     _requested_s: float = -math.inf
 
@@ -142,6 +143,8 @@
         """Handle a frame that either end of a link may send; reply with ``send``."""
         if kind in QUOTA_KINDS:
             self.handle_quota_frame(kind, struct, send)
+        elif kind is FrameKind.SLOT_OFFER:
+            self.handle_slot_offer(struct)
         elif kind is FrameKind.SUSPECTS:
             self.record_suspects(struct)
         elif kind is FrameKind.SUBSCRIBE:
--- a/eelgrassmount/relay/routing.py
+++ b/eelgrassmount/relay/routing.py
@@ -126,6 +126,15 @@
                 return found
         return []
 
+    def find_usable(
+        self, service: str, name: str, excluded: Container[str]
+    ) -> Member | None:
+        """Return a node of a service by name, ``None`` if it may not get a call."""
+        member = self.members.by_name.get(name)
+        if member is None or member.service != service or name in excluded:
+            return None
+        return member if member.can_receive_calls(self.clock()) else None
+
     def list_other_nodes(self, service: str, names: Collection[str]) -> set[str]:
         """Return the names of the nodes of a service, except for ``names``."""
         known = self.members.list_service(service)
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -33,6 +33,8 @@
 MAX_BUDGET_REFUSALS = 2
 # Rejections by servers and attempts after which a call gets no further attempt.
 MAX_REJECTIONS = 8
+# Moves after which a call that is moved again counts as refused.
+MAX_MOVES = 2
 GATEWAY_TIMEOUT = 504
 # Calls with less time before their deadline are not retried.
 MIN_RETRY_TIME_S = 0.02
@@ -61,9 +63,10 @@
 
     ``attempts`` counts attempts that may have run at a server, ``refusals`` those that
     have not, ``rejections`` the refusals by backend servers, and ``budget_refusals``
-    those for lack of retry budget. ``rate_wait_s`` is the shortest wait until the rate
-    limit of a server allows the call. ``rejecting_nodes`` are the nodes whose servers
-    have read and rejected the call. ``tried`` lists all nodes in the order of the
+    those for lack of retry budget. ``moves`` counts the moves from one queue to
+    another. ``rate_wait_s`` is the shortest wait until the rate limit of a server allows
+    the call. ``rejecting_nodes`` are the nodes whose servers have read and rejected the
+    call. ``tried`` lists all nodes in the order of the
     attempts; nodes in ``excluded`` get no further attempt.
 
     ``silent_attempt`` is an earlier attempt without a reply while ``current_attempt``
@@ -81,6 +84,7 @@
     refusals: int = 0
     rejections: int = 0
     budget_refusals: int = 0
+    moves: int = 0
     rate_wait_s: float = math.inf
     may_have_run: bool = False
     ended: bool = False
@@ -180,6 +184,10 @@
         if member is None:
             self._give_up(pending)
             return
+        self._send_to(pending, member)
+
+    def _send_to(self, pending: PendingRequest, member: Member) -> None:
+        call = pending.call
         pending.tried.append(member.name)
         member.last_used_s = self.clock()
         member.sent_since_report += 1
@@ -231,6 +239,9 @@
         if reply.reason is Reason.RETRY_BUDGET:
             self._handle_budget_refusal(pending, member)
             return
+        if reply.reason is Reason.MOVED and pending.moves < MAX_MOVES:
+            self._handle_move(pending, reply)
+            return
         pending.last_reply = reply
         pending.server = member.name
         if reply.outcome is Outcome.ANSWERED:
@@ -281,6 +292,20 @@
             pending.call.counted_as_demand = True
         self._send(pending)
 
+    def _handle_move(self, pending: PendingRequest, reply: Reply) -> None:
+        """Send a call that has left a queue to the node that has a free slot for it."""
+        pending.moves += 1
+        # It has been counted where it was queued, and is not moved again.
+        pending.call.counted_as_demand = True
+        self.metrics.count_retry(Reason.MOVED)
+        member = self.router.find_usable(
+            pending.call.service, reply.moved_to, pending.excluded
+        )
+        if member is None:
+            self._send(pending)
+        else:
+            self._send_to(pending, member)
+
     def _handle_budget_refusal(self, pending: PendingRequest, member: Member) -> None:
         """Try another dispatcher, or finish with the previous reply."""
         pending.budget_refusals += 1
--- a/eelgrassmount/verdict.py
+++ b/eelgrassmount/verdict.py
@@ -39,6 +39,7 @@
     DRAINING = "draining"
     ATTEMPTS_SPENT = "attempts-spent"
     RETRY_BUDGET = "retry-budget"
+    MOVED = "moved"
     # idempotency keys
     KEY_MISSING = "key-missing"
     KEY_MALFORMED = "key-malformed"
--- /dev/null
+++ b/tests/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the balancing between backend servers."""
--- a/tests/policy/test_features.py
+++ b/tests/policy/test_features.py
@@ -18,7 +18,10 @@
 
 def test_bulk_route_turns_on_what_needs_no_other_condition():
     assert choose_features([LIST, SHEET]) == Features(
-        budgets_calls=True, shares_fairly=True, plans_retries=True
+        budgets_calls=True,
+        shares_fairly=True,
+        plans_retries=True,
+        moves_calls=True,
     )
 
 
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -51,6 +51,7 @@
 QUOTA_GRANTS = ttypes.RelayQuotaGrants("n1", 7, [GRANT])
 QUOTA_BORROW = ttypes.RelayQuotaBorrow("n1", 7, "press", 2.5)
 QUOTA_LOAN = ttypes.RelayQuotaLoan("n1", 7, 1.5)
+SLOT_OFFER = ttypes.RelaySlotOffer("n1", "list", 4)
 STRUCTS = (
     *(HELLO, CALL, REPLY, REFUSAL, REPORT, SUSPECTS, NODE, LEARNED),
     *(SUBSCRIBE, NEWS, QUOTA_REQUEST, QUOTA_GRANTS, QUOTA_BORROW, QUOTA_LOAN),
@@ -59,10 +60,12 @@
     ttypes.RelayReport(**{**vars(REPORT), "usable_slots": 0.5, "notice": NOTICE}),
     ttypes.RelayHello(**{**vars(HELLO), "notice": NOTICE}),
     ttypes.RelayReply(**{**vars(REFUSAL), "wait_ms": 250}),
+    ttypes.RelayReply(**{**vars(REFUSAL), "reason": "moved", "moved_to": "n2"}),
+    SLOT_OFFER,
 )
 # Fields that are absent for answers and for servers without limits.
 OPTIONAL_FIELDS = {
-    ttypes.RelayReply: ("reason", "wait_ms"),
+    ttypes.RelayReply: ("reason", "wait_ms", "moved_to"),
     ttypes.RelayReport: ("usable_slots", "notice"),
     ttypes.RelayHello: ("notice",),
 }
@@ -210,6 +213,11 @@
         (QUOTA_BORROW, {"team_name": ""}),
         (QUOTA_BORROW, {"wanted": math.inf}),
         (QUOTA_BORROW, {"wanted": -0.5}),
+        (SLOT_OFFER, {"node_name": ""}),
+        (SLOT_OFFER, {"service_name": LONG_TEXT}),
+        (SLOT_OFFER, {"slots": -1}),
+        (SLOT_OFFER, {"slots": 2**31 - 1}),
+        (REFUSAL, {"moved_to": LONG_TEXT}),
         (QUOTA_LOAN, {"amount": -0.5}),
         (QUOTA_LOAN, {"amount": math.nan}),
         (SUBSCRIBE, {"era": -2}),
