--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -64,10 +64,10 @@
     ``attempts`` counts attempts that may have run at a server, ``refusals`` those that
     have not, ``rejections`` the refusals by backend servers, and ``budget_refusals``
     those for lack of retry budget. ``moves`` counts the moves from one queue to
-    another. ``rate_wait_s`` is the shortest wait until the rate limit of a server allows
-    the call. ``rejecting_nodes`` are the nodes whose servers have read and rejected the
-    call. ``tried`` lists all nodes in the order of the
-    attempts; nodes in ``excluded`` get no further attempt.
+    another. ``rate_wait_s`` is the shortest wait until the rate limit of a server
+    allows the call. ``rejecting_nodes`` are the nodes whose servers have read and
+    rejected the call. ``tried`` lists all nodes in the order of the attempts; nodes in
+    ``excluded`` get no further attempt.
 
     ``silent_attempt`` is an earlier attempt without a reply while ``current_attempt``
     is sent elsewhere; the first answer of the two counts.
