--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from eelgrassmount.balancing.work_stealing import WorkStealing
 from eelgrassmount.compose.relay_node import RelayNode
 from eelgrassmount.entry.call_budget import CallBudget
 from eelgrassmount.entry.fair_shares import FairShares
@@ -140,12 +141,14 @@
         on_crash=lambda ended, jobs: peer_updates.handle_crash(ended, jobs),
         on_change=lambda: control_loop.report_now(),
         on_answer=lambda rejected: rejections.record_answer(rejected),
+        on_free_slots=lambda: work_stealing.offer_slots(),
         on_invalid_header=lambda server, name, text: rejected_messages.record(
             MessageKind.ANSWER, server, name, f"{name}: {text!r}"
         ),
         call_later=call_later,
     )
     rejections = ServiceRejections(state, RejectionMeter(clock), dispatcher.budget)
+    work_stealing = WorkStealing(state, dispatcher, metrics.count_moved)
     inbound = InboundLinks(
         incarnation,
         dispatcher,
@@ -170,6 +173,7 @@
         inbound.broadcast,
         readers,
         lambda kind, struct, send: quotas.handle_frame(kind, struct, send),
+        work_stealing.handle_offer,
     )
     quotas = QuotaExchange(
         state,
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -433,7 +433,15 @@
             outcome = _OUTCOMES[reply.outcome]
             wait_s = (reply.wait_ms or 0) / MS_PER_S
             pending.done(
-                Reply(outcome, reason, reply.status, reply.head, reply.body, wait_s)
+                Reply(
+                    outcome,
+                    reason,
+                    reply.status,
+                    reply.head,
+                    reply.body,
+                    wait_s,
+                    reply.moved_to or "",
+                )
             )
         if self.retired:
             self._close_retired()
