Count tokens against all requests that wait before

The estimate of a wait added the cost of the requests before to what was missing, also where the tokens sufficed for all of them, so that cheap requests waited behind others or were refused with tokens left.

--- a/eelgrassmount/entry/call_budget.py
+++ b/eelgrassmount/entry/call_budget.py
@@ -89,12 +89,15 @@
             self.positions[rank], len(self.positions), self.rate, self.burst_s
         )
 
-    def compute_missing(self, request_class: RequestClass) -> float:
-        """Return the tokens that a request lacks, 0 if it may start."""
+    def compute_missing(
+        self, request_class: RequestClass, waiting_before: Sequence[RequestClass] = ()
+    ) -> float:
+        """Return the tokens that a request lacks behind others, 0 if it may start."""
         if not self.enforced:
             return 0.0
-        floor_s = self.find_floor_s(request_class.rank)
-        return max(0.0, floor_s + self.costs[request_class] - self.tokens)
+        needed = self.find_floor_s(request_class.rank) + self.costs[request_class]
+        needed += sum([self.costs.get(one, 0.0) for one in waiting_before])
+        return max(0.0, needed - self.tokens)
 
     def take(self, request_class: RequestClass) -> None:
         """Take the tokens of a request, at most down to the lowest floor."""
@@ -162,10 +165,7 @@
         wait_s = 0.0
         for budget in self._by_class.get(request_class, ()):
             budget.refill(now_s)
-            if not budget.enforced:
-                continue
-            missing = budget.compute_missing(request_class)
-            missing += sum(budget.costs.get(one, 0.0) for one in waiting_before)
+            missing = budget.compute_missing(request_class, waiting_before)
             wait_s = max(wait_s, missing / max(budget.rate, 1e-9))
         return wait_s
 
--- a/tests/entry/test_call_budget.py
+++ b/tests/entry/test_call_budget.py
@@ -156,6 +156,11 @@
     assert behind_s == pytest.approx(alone_s + 1.0, rel=0.1)
 
 
+def test_those_that_wait_before_take_no_more_than_their_tokens():
+    entry = make_entry()
+    assert entry.budget.estimate_wait_s(LISTS, entry.now_s, [LISTS]) == 0.0
+
+
 def test_configuration_without_bulk_routes_has_no_budgets():
     entry = Entry(routes=(PARTS, BOOK, LIST))
     entry.offer({LISTS: 10.0}, total_factor=NODES)
