Look up the event loop and the kinds of frames once

Cause: each request looked up the running event loop, which is a system call in Python 3.11 (strace: one getpid per call at the entry node), and the kinds of frames were looked up as members of an enum, 0.10 us each by timeit.

Changed: the sender keeps its event loop, and the link modules name the kinds they use.

--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -32,6 +32,11 @@
 REJOIN_TIMEOUT_S = 0.3
 # A sender that has sent no frame for longer gets only the reports sent to all senders.
 ACTIVE_WINDOW_S = 3.0
+# Members of an enum are slow to look up.
+_CALL = FrameKind.CALL
+_CANCEL = FrameKind.CANCEL
+_HELLO = FrameKind.HELLO
+_REPLY = FrameKind.REPLY
 
 
 @define(eq=False)
@@ -198,11 +203,11 @@
     def handle_frame(self, kind: FrameKind, struct: Any) -> None:
         """Handle a frame from the peer."""
         self.last_received_s = self.inbound_links.clock()
-        if kind is FrameKind.CALL:
+        if kind is _CALL:
             self._handle_call(struct)
-        elif kind is FrameKind.CANCEL:
+        elif kind is _CANCEL:
             self._cancel(struct.sequence)
-        elif kind is FrameKind.HELLO:
+        elif kind is _HELLO:
             self.sender = f"{struct.node_name}/{struct.incarnation}"
             if self.inbound_links.register_peer(struct):
                 self.send(FrameKind.CONFIG_REQUEST, ttypes.RelayConfigRequest(0))
@@ -306,7 +311,7 @@
     def _send_reply(self, sequence: int, reply: Reply) -> None:
         dispatcher = self.inbound_links.dispatcher
         self.send(
-            FrameKind.REPLY,
+            _REPLY,
             ttypes.RelayReply(
                 sequence,
                 int(reply.outcome),
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -46,6 +46,11 @@
 # Minimum time between log lines on the silence of one peer.
 SILENCE_LOG_INTERVAL_S = 5.0
 _OUTCOMES = {int(outcome): outcome for outcome in Outcome}
+# Members of an enum are slow to look up.
+_CALL = FrameKind.CALL
+_REPLY = FrameKind.REPLY
+_REPORT = FrameKind.REPORT
+_HELLO = FrameKind.HELLO
 
 
 @define(eq=False)
@@ -359,7 +364,7 @@
         if not pending.resumes:
             frame.incarnation = self.incarnation
         pending.written = True
-        self._connection.send(FrameKind.CALL, frame)
+        self._connection.send(_CALL, frame)
 
     def handle_connection_lost(self, connection: LinkConnection) -> None:
         """Replace a lost connection if calls are pending."""
@@ -413,11 +418,11 @@
         self._dispatch_frame(kind, struct)
 
     def _dispatch_frame(self, kind: FrameKind, struct: Any) -> None:
-        if kind is FrameKind.REPLY:
+        if kind is _REPLY:
             self._handle_reply(struct)
-        elif kind is FrameKind.REPORT:
+        elif kind is _REPORT:
             self.handlers.handle_report(self.member, struct)
-        elif kind is FrameKind.HELLO:
+        elif kind is _HELLO:
             self._handle_hello(struct)
         else:
             self.handlers.handle_frame(kind, struct, self.send)
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -121,6 +121,7 @@
     clock: Callable[[], float]
     open_link: Callable[[Member], None]
     responder: Responder = field(init=False)
+    _loop: asyncio.AbstractEventLoop | None = field(default=None, init=False)
 
     def start(self, pending: PendingRequest) -> None:
         """Send a request to a server."""
@@ -136,7 +137,10 @@
     def _schedule_check(self, pending: PendingRequest, delay_s: float) -> None:
         """Check for a silent server after a delay, or time out at the deadline."""
         remaining_s = max(0.0, pending.call.deadline_s - self.clock())
-        loop = asyncio.get_running_loop()
+        loop = self._loop
+        if loop is None:
+            # Kept, as each look-up makes a system call.
+            loop = self._loop = asyncio.get_running_loop()
         if delay_s < remaining_s:
             pending.timer = loop.call_later(delay_s, self._retry_if_silent, pending)
         else:
