Leave a service that is fully open out of the control steps

Cause: each step ran the controller of each service, also while its whole history was fully open and its demand and forecast were below the target, where the step can only give 1 again.

Changed: such a step is left out, with the mean age of reports that it needs.

--- a/eelgrassmount/policy/admission_controller.py
+++ b/eelgrassmount/policy/admission_controller.py
@@ -116,6 +116,20 @@
             else self.admitted_fraction + FRACTION_SMOOTHING * difference
         )
 
+    def stays_open(self, demand: float, wait: float, forecast: float = 0.0) -> bool:
+        """Return whether `update` would change nothing, whatever the age of reports.
+
+        This holds if all load has been admitted for long, and there is room for it::
+
+            AdmissionController().stays_open(demand=0.5, wait=0.0)  # True
+        """
+        return (
+            self._steps_at_full >= len(self._history)
+            and wait <= 1.0
+            and demand <= TARGET_DEMAND
+            and forecast <= TARGET_DEMAND
+        )
+
     def _compute_applied_fraction(self, age_steps: int) -> float:
         """Return the mean fraction at which the reported demand was admitted."""
         if self._steps_at_full >= len(self._history):
--- a/eelgrassmount/relay/admitted_fractions.py
+++ b/eelgrassmount/relay/admitted_fractions.py
@@ -68,8 +68,9 @@
             if required:
                 usable = self._count_usable(members)
                 forecast = forecast_demand(required, recent, usable)
-            age = self._compute_report_age(recent)
-            controller.update(load.demand, load.wait, age, forecast)
+            if not controller.stays_open(load.demand, load.wait, forecast):
+                age = self._compute_report_age(recent)
+                controller.update(load.demand, load.wait, age, forecast)
         else:
             controller.increase_without_reports()
         log_overload_change(service, previous, controller.admitted_fraction, load)
--- a/tests/policy/test_admission_controller.py
+++ b/tests/policy/test_admission_controller.py
@@ -115,3 +115,25 @@
     assert max(surge[12:]) < 0.75
     assert sum(surge[12:]) / len(surge[12:]) > 0.3
     assert min(after[15:]) > 0.8
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_update_changes_nothing_while_a_service_stays_open(seed):
+    rng = random.Random(seed)
+    controller = AdmissionController()
+    for _ in range(200):
+        demand, wait, forecast = (rng.uniform(0.0, 1.2) for _ in range(3))
+        stays_open = controller.stays_open(demand, wait, forecast)
+        fraction = controller.update(demand, wait, rng.randrange(8), forecast)
+        assert fraction == 1.0 or not stays_open
+        if not stays_open and rng.random() < 0.5:
+            controller = AdmissionController()
+
+
+def test_service_does_not_stay_open_until_its_whole_history_was():
+    controller = AdmissionController()
+    controller.update(demand=2.0, wait=0.0)
+    while controller.admitted_fraction < 1.0:
+        assert not controller.stays_open(demand=0.1, wait=0.0)
+        controller.update(demand=0.1, wait=0.0)
+    assert not controller.stays_open(demand=0.1, wait=0.0)
