Attribute a call by age in one pass over the runs

Cause: a call whose deadline doesn't name its run was compared with up to 24 runs: three passes, a look-up of the call graph for each run, and logarithms of constants.

Changed: one pass, which asks the call graph once for each route of a run.

--- a/eelgrassmount/relay/call_attribution.py
+++ b/eelgrassmount/relay/call_attribution.py
@@ -46,6 +46,9 @@
 LATER_CALL_PENALTY_FACTOR = 20.0
 OPEN_CALL_PENALTY_FACTOR = 7.0
 ANSWERED_RUN_PENALTY_FACTOR = 2.0
+_LATER_CALL_PENALTY = math.log(LATER_CALL_PENALTY_FACTOR)
+_OPEN_CALL_PENALTY = math.log(OPEN_CALL_PENALTY_FACTOR)
+_ANSWERED_RUN_PENALTY = math.log(ANSWERED_RUN_PENALTY_FACTOR)
 MS_PER_S = 1000.0
 
 
@@ -319,22 +322,31 @@
 
     def _find_by_age(self, route_name: str, deadline_s: float) -> Run | None:
         """Return the likeliest run by its age, preferring runs without open calls."""
-        possible = [
-            run
-            for run in self.runs.values()
-            if run.deadline_s > deadline_s - MAX_LATER_DEADLINE_S
-            and self.may_call(run.call.route.name, route_name)
-        ]
-        idle = [run for run in possible if not run.open_calls]
         now_s = self.clock()
         first_call_delay_s = self._first_call_delay_s.get(
             route_name, DEFAULT_FIRST_CALL_DELAY_S
         )
-        return min(
-            idle or possible,
-            key=lambda run: measure_distance(run, now_s, first_call_delay_s),
-            default=None,
-        )
+        min_deadline_s = deadline_s - MAX_LATER_DEADLINE_S
+        callers: dict[str, bool] = {}
+        likeliest = None
+        shortest = math.inf
+        found_idle = False
+        for run in self.runs.values():
+            if run.deadline_s <= min_deadline_s or (found_idle and run.open_calls):
+                continue
+            name = run.call.route.name
+            may_call = callers.get(name)
+            if may_call is None:
+                may_call = callers[name] = self.may_call(name, route_name)
+            if not may_call:
+                continue
+            distance = measure_distance(run, now_s, first_call_delay_s)
+            is_first_idle = not (found_idle or run.open_calls)
+            if is_first_idle or likeliest is None or distance < shortest:
+                likeliest = run
+                shortest = distance
+                found_idle = found_idle or is_first_idle
+        return likeliest
 
     def _record_first_call(self, run: Run, route_name: str) -> None:
         """Adjust the expected time to the first call by that of this run."""
@@ -359,11 +371,11 @@
 def measure_distance(run: Run, now_s: float, first_call_delay_s: float) -> float:
     """Return how unlikely it is that a run makes a call now; 0 is the most likely."""
     if now_s - run.last_answer_s <= MAX_CONTINUATION_DELAY_S and not run.open_calls:
-        return math.log(ANSWERED_RUN_PENALTY_FACTOR)
+        return _ANSWERED_RUN_PENALTY
     age_s = max(MIN_RUN_AGE_S, now_s - run.started_s)
     distance = abs(math.log(age_s / first_call_delay_s))
     if run.call_count:
-        distance += math.log(LATER_CALL_PENALTY_FACTOR)
+        distance += _LATER_CALL_PENALTY
     if run.open_calls:
-        distance += math.log(OPEN_CALL_PENALTY_FACTOR)
+        distance += _OPEN_CALL_PENALTY
     return distance
