--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -300,6 +300,11 @@
     graph.set_calls(BOOK.name, {"shop/part/": 2.0, PRICE.name: 1.0, "shop/gone/": 1.0})
     assert graph.find_call_timeout(BOOK.name, table) == 0.7
     assert graph.find_call_timeout(PRICE.name, table) == math.inf
+    # Results are kept until the calls or the routes change.
+    graph.set_calls(BOOK.name, {PRICE.name: 1.0})
+    assert graph.find_call_timeout(BOOK.name, table) == PRICE.timeout_s
+    graph.clear_caches()
+    assert graph.find_call_timeout(BOOK.name, make_table(BOOK)) == math.inf
 
 
 def make_keyed_table() -> RouteTable:
--- a/tests/relay/test_routing.py
+++ b/tests/relay/test_routing.py
@@ -117,3 +117,18 @@
     setup.add("a")
     setup.add("b", "remote")
     assert setup.count(1000)["b"] > 0
+
+
+def test_sample_of_a_large_service_follows_the_member_table(setup):
+    for number in range(30):
+        setup.add(f"a{number}")
+        setup.add(f"b{number}", "remote", failure_share=1.0)
+    names = setup.count(2000)
+    # The failing nodes of the other failure domain are tried only now and then.
+    assert set(names) >= {f"a{number}" for number in range(30)}
+    assert max(names[f"a{number}"] for number in range(30)) < 3 * 2000 / 30
+    for number in range(1, 30):
+        setup.members.remove(f"a{number}")
+    setup.add("new")
+    names = setup.count(200)
+    assert {name for name in names if not name.startswith("b")} == {"a0", "new"}
