Cancel the expiry timer of a call that no longer waits

Cause: the timer that refuses a waiting call shortly before its deadline stayed after the call had started or ended. Each queued call woke the process up once more, and its body stayed in memory until then.

Changed: the timer is cancelled when the call starts, is refused or is cancelled. Not measured by itself; the test shows the timers cancelled.

--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -28,6 +28,7 @@
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Collection
 
     from eelgrassmount.relay.backend import BackendPool
@@ -40,7 +41,7 @@
     from eelgrassmount.relay.server import LocalServer
     from eelgrassmount.retry.quarantine import Quarantine
 
-CallLater = Callable[[float, Callable[[], None]], object]
+CallLater = Callable[[float, Callable[[], None]], "asyncio.Handle | None"]
 # Calls with less time before their deadline are not run.
 MIN_RUN_TIME_S = 0.005
 # Queued calls are refused this long before their deadline, so that the reply arrives
@@ -157,7 +158,7 @@
         self._queue.push(job, due_s)
         self._schedule_start(now_s)
         remaining_s = job.call.deadline_s - now_s - EXPIRY_MARGIN_S
-        self.call_later(max(0.0, remaining_s), lambda: self._expire(job))
+        job.expiry = self.call_later(max(0.0, remaining_s), lambda: self._expire(job))
 
     def _expire(self, job: Job) -> None:
         """Refuse a job that is still queued shortly before its deadline.
@@ -209,6 +210,7 @@
         if job.exchange is None:
             self._update_queue_time(self.clock())
             job.ended = True
+            job.cancel_expiry()
             self._queue.remove(job)
         elif job.call.route.idempotent:
             self._count_if_silent(job, self.clock())
@@ -336,6 +338,7 @@
 
     def _refuse(self, job: Job, reason: Reason) -> None:
         job.ended = True
+        job.cancel_expiry()
         reply = Reply(Outcome.NOT_RUN, reason)
         if reason is Reason.RATE_LIMIT:
             reply.wait_s = self._compute_rate_wait_s(job.call, self.clock())
@@ -351,6 +354,7 @@
         self._update_queue_time(now_s)
         self.server.rate_limit.take(now_s)
         self.running.add(job)
+        job.cancel_expiry()
         job.started_s = now_s
         job.incarnation = self.server.incarnation
         call = job.call
--- a/eelgrassmount/relay/job.py
+++ b/eelgrassmount/relay/job.py
@@ -7,6 +7,7 @@
 from attrs import define
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     from eelgrassmount.relay.backend import ServerExchange
@@ -20,7 +21,8 @@
 
     ``timeout_s`` is the time that the server was given for the call.
     ``incarnation`` is the server that the call was sent to. ``server_restarted`` is set
-    if that server has restarted since.
+    if that server has restarted since. ``expiry`` is the timer that refuses a waiting
+    call shortly before its deadline.
     """
 
     call: Call
@@ -33,6 +35,16 @@
     overdue: bool = False
     silent: bool = False
     server_restarted: bool = False
+    expiry: asyncio.Handle | None = None
+
+    def cancel_expiry(self) -> None:
+        """Cancel the timer of a call that no longer waits.
+
+        It would wake the process up, and keep the call in memory until then.
+        """
+        if self.expiry is not None:
+            self.expiry.cancel()
+            self.expiry = None
 
     def was_sent_before(self, now_s: float) -> bool:
         """Return whether the server could have read the call before a time."""
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -5,6 +5,7 @@
 import gc
 import random
 import weakref
+from unittest import mock
 
 import pytest
 
@@ -774,6 +775,20 @@
     assert len(setup.pool.sent) == 1
 
 
+def test_call_that_no_longer_waits_has_no_timer():
+    setup = Setup(slots=1)
+    timers = [mock.Mock(), mock.Mock()]
+    setup.dispatcher.call_later = mock.Mock(side_effect=timers)
+    setup.submit()
+    setup.submit()
+    cancelled = setup.submit()
+    setup.dispatcher.cancel(cancelled)
+    assert not timers[0].cancel.called
+    assert timers[1].cancel.called
+    setup.answer()
+    assert timers[0].cancel.called
+
+
 def test_call_that_has_started_continues_to_its_deadline():
     setup = Setup(slots=1)
     timers = []
