Cancel the timer of an answered quota request

Cause: the timer that tries another allocator after 60 ms stayed after the answer, and woke the process up once for each request for grants.

Changed: the answer cancels it; a local allocator, which answers at once, needs none. Not measured by itself; the test shows it cancelled.

--- a/eelgrassmount/teams/quota_client.py
+++ b/eelgrassmount/teams/quota_client.py
@@ -12,6 +12,7 @@
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     from eelgrassmount.teams.directory import Team
@@ -89,11 +90,15 @@
 
 @define(eq=False)
 class OpenRequest:
-    """A quota request without an answer, and the requests that wait for it."""
+    """A quota request without an answer, and the requests that wait for it.
+
+    ``timer`` tries another allocator.
+    """
 
     team: Team
     allocator: str
     waiting: list[WaitingRequest]
+    timer: asyncio.Handle | None = None
 
 
 @define(eq=False)
@@ -108,7 +113,7 @@
     """
 
     clock: Callable[[], float]
-    call_later: Callable[[float, Callable[[], None]], object]
+    call_later: Callable[[float, Callable[[], None]], asyncio.Handle]
     list_allocators: Callable[[str], list[str]]
     send_request: Callable[[str, int, Team, int, int], bool]
     ungranted_period_s: float
@@ -168,6 +173,9 @@
             quota.is_exhausted = grant.granted < grant.wanted
         request = self._open_requests.pop(number, None)
         if request is not None:
+            if request.timer is not None:
+                # It would wake the process up for each request.
+                request.timer.cancel()
             self._distribute_grant(quota, request, grant, now_s)
 
     def step(self) -> None:
@@ -239,14 +247,16 @@
             self._last_number += 1
             number = self._last_number
             # Stored before sending, since the local allocator answers at once.
-            self._open_requests[number] = OpenRequest(team, allocator, requests)
+            request = OpenRequest(team, allocator, requests)
+            self._open_requests[number] = request
             used = self.drain_unreported(team.name)
             if self.send_request(
                 allocator, number, team, used, len(requests) + prefetch
             ):
-                self.call_later(
-                    ANSWER_TIMEOUT_S, partial(self._try_next_allocator, number)
-                )
+                if number in self._open_requests:
+                    request.timer = self.call_later(
+                        ANSWER_TIMEOUT_S, partial(self._try_next_allocator, number)
+                    )
                 return
             del self._open_requests[number]
             quota.unreported += used
