--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -132,6 +132,13 @@
         f"rejecting      {name}: {share} of its calls"
         for name, share in state["rejecting"].items()
     ]
+    lines += [
+        f"call budget    {name}: {rate} of the service"
+        for name, rate in state["call_budgets"].items()
+    ]
+    moved = state["balancing"]["moved"]
+    if moved:
+        lines.append(f"balancing      {moved} queued calls moved to other servers")
     lines += [
         f"refused partly {one['route']} of rank {one['rank']}: {one['share']} admitted"
         for one in state["shares"]
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -317,5 +317,7 @@
         rejected_messages,
         group_metrics,
         rejections,
+        call_budget,
+        work_stealing,
     )
     return node
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -21,6 +21,8 @@
     import random
     from collections.abc import Callable
 
+    from eelgrassmount.balancing.work_stealing import WorkStealing
+    from eelgrassmount.entry.call_budget import CallBudget
     from eelgrassmount.entry.group_metrics import GroupMetrics
     from eelgrassmount.http1.exchange import Exchange
     from eelgrassmount.http1.server import HttpListener
@@ -77,6 +79,8 @@
     rejected_messages: RejectedMessages
     group_metrics: GroupMetrics
     rejections: ServiceRejections
+    call_budget: CallBudget
+    work_stealing: WorkStealing
     check_settings: Callable[[], None] = lambda: None
     listeners: list[HttpListener] = field(factory=list)
     has_node_records: bool = False
@@ -263,6 +267,7 @@
             allowed = budget.find_allowed_retries(service)
             if allowed is not None:
                 self.metrics.retry_use.labels(service).set(used / max(1.0, allowed))
+        self.metrics.show_call_budgets(self.call_budget.budgets)
         gauges.labels("members").set(len(self.state.members.by_name))
         gauges.labels("reads_log").set(self.readers.reading)
         gauges.labels("log_subscribers").set(len(self.readers.subscribers))
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -178,6 +178,8 @@
     timers.subscribe(CONTROL_INTERVAL_S, node.quotas.step)
     timers.subscribe(CONTROL_INTERVAL_S, node.control_loop.step)
     timers.subscribe(CONTROL_INTERVAL_S, node.dispatcher.sweep)
+    # A server that runs nothing has no other occasion to offer its slots.
+    timers.subscribe(LINK_CHECK_INTERVAL_S, node.work_stealing.offer_slots)
     timers.subscribe(
         REQUEST_COUNT_INTERVAL_S, lambda: update_request_counts(node.state)
     )
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -16,8 +16,9 @@
 from eelgrassmount.metrics import CALL_BUCKETS_S, PREFIX
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
+    from eelgrassmount.entry.call_budget import ServiceBudget
     from eelgrassmount.policy.waiting import Visit
 
 
@@ -39,6 +40,7 @@
     rejected_messages: Counter = field(init=False)
     quotas: Counter = field(init=False)
     moved_calls: Counter = field(init=False)
+    call_budgets: Gauge = field(init=False)
     stalls: Counter = field(init=False)
     waits: Counter = field(init=False)
     wait_seconds: Counter = field(init=False)
@@ -127,6 +129,12 @@
             ["event"],
             registry=registry,
         )
+        self.call_budgets = Gauge(
+            f"{PREFIX}_relay_call_budget",
+            "Part of a loaded service that this node may use, 0 while not enforced.",
+            ["service"],
+            registry=registry,
+        )
         self.moved_calls = Counter(
             f"{PREFIX}_relay_moved_calls",
             "Calls that left the queue of this node for free slots of other nodes.",
@@ -271,6 +279,13 @@
         """Count requests for a quota that this node allocates."""
         self.quotas.labels(event).inc(requests)
 
+    def show_call_budgets(self, budgets: Mapping[str, ServiceBudget]) -> None:
+        """Set the gauges of the call budgets by service."""
+        self.call_budgets.clear()
+        for service, budget in budgets.items():
+            rate = budget.rate if budget.enforced else 0.0
+            self.call_budgets.labels(service).set(rate)
+
     def count_moved(self, calls: int) -> None:
         """Count calls that left the queue for free slots of other nodes."""
         self.moved_calls.inc(calls)
--- a/eelgrassmount/relay/status.py
+++ b/eelgrassmount/relay/status.py
@@ -175,6 +175,14 @@
     expected_returns: int
 
 
+@frozen
+class BalancingStatus:
+    """Offers of free slots to other nodes, and queued calls that were given up."""
+
+    offers: int
+    moved: int
+
+
 @frozen
 class NodeStatus:
     """The whole status of a node.
@@ -182,10 +190,11 @@
     ``levels`` maps services to the admitted fraction of the work offered to them;
     ``shares`` lists the admitted fractions below 1 by route and rank, ``groups`` the
     groups of callers that get less than the others, and ``rejecting`` the share of
-    calls that the servers of a service reject. By route, ``vectors`` gives the calls
-    that one run makes and ``allowances`` the seconds that it may take. ``lost_topics``
-    are the topics of the log that can't be read now, and ``refused`` counts rejected
-    messages by kind.
+    calls that the servers of a service reject. ``call_budgets`` maps services to the
+    part of each that this node may use while its call budget is enforced. By route,
+    ``vectors`` gives the calls that one run makes and ``allowances`` the seconds that
+    it may take. ``lost_topics`` are the topics of the log that can't be read now, and
+    ``refused`` counts rejected messages by kind.
     """
 
     node: str
@@ -206,6 +215,8 @@
     shares: list[ShareStatus]
     groups: list[GroupStatus]
     rejecting: dict[str, float]
+    call_budgets: dict[str, float]
+    balancing: BalancingStatus
     vectors: dict[str, dict[str, float]]
     allowances: dict[str, float]
     budgets: list[BudgetStatus]
@@ -251,6 +262,12 @@
             name: round(share, 3)
             for name, share in sorted(node.rejections.shares.items())
         },
+        {
+            name: round(budget.rate, 5)
+            for name, budget in sorted(node.call_budget.budgets.items())
+            if budget.enforced
+        },
+        BalancingStatus(node.work_stealing.offers, node.work_stealing.moved),
         {
             name: {called: round(count, 2) for called, count in calls.items()}
             for name, calls in state.graph.calls_per_run.items()
