--- a/eelgrassmount/policy/admission_controller.py
+++ b/eelgrassmount/policy/admission_controller.py
@@ -24,10 +24,12 @@
 # Lower demand is too little to estimate the offered load.
 MIN_DEMAND = 0.02
 CONTROL_INTERVAL_S = 0.2
-# Range of control steps after which admitted requests show up in measured demand.
+# Range of control steps after which admitted requests show up in measured demand: their
+# calls follow each other for about a second, and mean demand is some steps old.
 MIN_EFFECT_DELAY_STEPS = 2
 MAX_EFFECT_DELAY_STEPS = 8
-# Smoothing factor of the admitted fraction, per control step.
+# Smoothing factor of the admitted fraction, per control step. With larger steps, the
+# fraction follows the random variation of the counts.
 FRACTION_SMOOTHING = 0.4
 # Smaller differences are applied at once, so that the fraction reaches its target.
 SNAP_DISTANCE = 0.01
--- a/eelgrassmount/policy/forecast.py
+++ b/eelgrassmount/policy/forecast.py
@@ -14,7 +14,8 @@
     from eelgrassmount.relay.members import MemberLoad
 
 # The weight of a forecast grows from 0 to 1 between these levels of arriving demand:
-# a forecast that is too high must not limit a service that has free capacity.
+# a forecast that is too high must not limit a service that has free capacity. The calls
+# per run are learned and may be wrong.
 MIN_FORECAST_DEMAND = 0.6
 FULL_FORECAST_DEMAND = 0.9
 
--- a/eelgrassmount/policy/placement.py
+++ b/eelgrassmount/policy/placement.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 # Cost of crossing failure domains for a call of typical size, as a share of the time
-# allowance.
+# allowance. Bytes between failure domains cost more than a few milliseconds.
 CROSS_DOMAIN_SHARE = 0.12
-# Size of a call with its answer, and the bounds of the cost for other sizes.
+# Size of a call with its answer, and the bounds of the cost for other sizes: calls with
+# large bodies stay in their failure domain.
 TYPICAL_CALL_BYTES = 4000.0
 MIN_SIZE_FACTOR = 0.5
 MAX_SIZE_FACTOR = 6.0
--- a/eelgrassmount/policy/quotas.py
+++ b/eelgrassmount/policy/quotas.py
@@ -21,10 +21,10 @@
 # Share of the permitted overrun that allocators may grant in advance. The rest covers
 # allocators that start and requests admitted without a grant while allocators change.
 DEBT_SHARE = 0.5
-# Share of its debt that a new allocator may grant at once.
+# Share of its debt that a new allocator may grant at once, for its first requests.
 INITIAL_DEBT_SHARE = 0.16
 # Nodes may admit requests without a grant from the first fill level of the bucket on,
-# and need grants again below the second.
+# and need grants again below the second. The first requests of a surge need not wait.
 MIN_FILL_WITHOUT_GRANT = 0.6
 GRANT_REQUIRED_FILL = 0.4
 NODES_WITHOUT_GRANT_PER_TOKEN = 0.25
--- a/eelgrassmount/policy/readers.py
+++ b/eelgrassmount/policy/readers.py
@@ -16,7 +16,8 @@
 
 # With two readers, a node notices nothing of the loss of one.
 SUBSCRIBED_READERS = 2
-# Each reader serves up to this number of nodes times `SUBSCRIBED_READERS`.
+# Each reader serves up to this number of nodes times `SUBSCRIBED_READERS`, which takes
+# little of its processor time.
 NODES_PER_READER = 32
 
 
--- a/eelgrassmount/policy/retries.py
+++ b/eelgrassmount/policy/retries.py
@@ -17,12 +17,14 @@
 # Share of the retry ratio that all nodes use together. The rest covers load that moves
 # between nodes within a window.
 RETRY_RATIO_SHARE = 0.75
-# Share of that for calls whose runs make calls, all of which a retry repeats.
+# Share of that for calls whose runs make calls, all of which a retry repeats. These
+# count as retries at the services that they reach.
 NON_LEAF_RATIO_SHARE = 0.11
 # Share of the slack that the nodes divide among them.
 RETRY_SLACK_SHARE = 0.4
 # Shares of the burst that are reserved: for requests with fewer remaining runs, per
-# remaining run, and for requests of the first priority.
+# remaining run, and for requests of the first priority. A request with one remaining
+# run is finished by one retry, one with many hardly ever.
 RESERVED_SHARE_PER_RUN = 0.03
 FIRST_PRIORITY_RESERVED_SHARE = 0.15
 MAX_RESERVED_SHARE = 0.8
--- a/eelgrassmount/policy/scheduling.py
+++ b/eelgrassmount/policy/scheduling.py
@@ -12,12 +12,14 @@
 if TYPE_CHECKING:
     from eelgrassmount.relay.messages import Origin
 
-# A call is due after this share of its slack, which grows with the priority number.
+# A call is due after this share of its slack, which grows with the priority number. The
+# step is small so that the least urgent requests, once begun, are still finished.
 BASE_DUE_FACTOR = 0.8
 DUE_FACTOR_PER_PRIORITY = 0.15
 MAX_DUE_FACTOR = 2.0
 # Remaining runs at which the due factor of a downstream call is half of its scale.
 # Requests with fewer remaining runs are due sooner, since their work would be lost.
+# With seven remaining runs, the scale makes up for the reduction.
 HALF_FACTOR_RUNS = 3.0
 REMAINING_RUNS_SCALE = 1.4
 
@@ -26,7 +28,8 @@
 # longer, since refusing one wastes the work done for its request.
 MAX_CLIENT_WAIT_SHARE = 0.5
 MAX_DOWNSTREAM_WAIT_SHARE = 1.0
-# Multiple of the mean run time that must remain after the wait.
+# Multiple of the mean run time that must remain after the wait. A request that would be
+# late is better offered to another server.
 RUN_TIME_MARGIN_FACTOR = 1.3
 # If less than this share of the objective remains for the wait, the request is late on
 # any server.
--- a/eelgrassmount/relay/call_attribution.py
+++ b/eelgrassmount/relay/call_attribution.py
@@ -29,8 +29,8 @@
 # The maximum decays by a share with each call.
 ROUTE_TIMEOUT_TOLERANCE_S = 0.008
 MAX_REMAINING_DECAY = 0.0001
-# With more runs in flight, runs are not compared by age: the comparison would find few
-# callers, at a cost that grows with each run.
+# With more runs in flight, runs are not compared by age: the comparison would find
+# hardly one caller in three, at a cost that grows with each run.
 MAX_COMPARED_RUNS = 24
 # How long a failed call without a known run can explain the failure of a run.
 FAILURE_MATCH_WINDOW_S = 1.0
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -137,7 +137,8 @@
         if self._queue:
             # Waiting calls precede this one if a slot or the rate limit allows a start.
             self._start_queued()
-        # Calls that several servers refuse count as demand only once.
+        # Calls that several servers refuse count as demand only once: demand for three
+        # overloaded servers seemed up to three times what it was.
         if not job.call.counted_as_demand:
             self.measures.arrivals += 1
             self.budget.count_request(job.call.service)
--- a/eelgrassmount/relay/estimates.py
+++ b/eelgrassmount/relay/estimates.py
@@ -13,7 +13,8 @@
 
 # Expectation-maximization steps of a first estimate.
 FIRST_ESTIMATE_STEPS = 25
-# Steps of a further estimate, which starts from the previous one.
+# Steps of a further estimate, which starts from the previous one. With fewer, more
+# routes are wrongly taken for callers.
 FURTHER_ESTIMATE_STEPS = 5
 # Exponent of the correction in all steps but the last: over-relaxation, which speeds up
 # convergence.
--- a/eelgrassmount/relay/inbound.py
+++ b/eelgrassmount/relay/inbound.py
@@ -29,6 +29,7 @@
 # timeout of every route, so that a resumed call is recognized.
 SENDER_RETENTION_S = 600.0
 # How long idempotent runs continue after their link broke, until the sender reconnects.
+# Runs that nobody waits for must end within half a second.
 REJOIN_TIMEOUT_S = 0.3
 # A sender that has sent no frame for longer gets only the reports sent to all senders.
 ACTIVE_WINDOW_S = 3.0
--- a/eelgrassmount/relay/internal_routes.py
+++ b/eelgrassmount/relay/internal_routes.py
@@ -14,7 +14,8 @@
 # Count below which a route that has left the configuration is dropped.
 MIN_COUNT = 0.01
 # A route counts as missing on the VMs of a service only if at least this many requests
-# are expected there.
+# are expected there. With as many, a route of clients is missing by chance less than
+# once in a million.
 MIN_REQUESTS = 15.0
 # On the VMs of each service, clients request a route at least at this share of its
 # highest rate on those of any service.
--- a/eelgrassmount/relay/link.py
+++ b/eelgrassmount/relay/link.py
@@ -41,7 +41,8 @@
 # A longer time between two checks means that this process was paused, so that silence
 # of its peers says nothing.
 LOCAL_PAUSE_S = 0.25
-# Number of times that a call is resent over a new connection before it fails.
+# Number of times that a call is resent over a new connection before it fails. Several
+# resets in a row must not give up reads while a server works on them.
 MAX_RESUMES = 5
 # Minimum time between log lines on the silence of one peer.
 SILENCE_LOG_INTERVAL_S = 5.0
--- a/eelgrassmount/relay/responder.py
+++ b/eelgrassmount/relay/responder.py
@@ -24,8 +24,8 @@
     from eelgrassmount.teams.directory import Team
     from eelgrassmount.teams.quota_client import QuotaVerdict
 
-# Retry-After of refused requests, as a random share of the route's objective. The
-# spread keeps clients from retrying all at once.
+# Retry-After of refused requests, as a random share of the route's objective: soon
+# enough to meet it. The spread keeps clients from retrying all at once.
 MIN_RETRY_AFTER_SHARE = 0.25
 MAX_RETRY_AFTER_SHARE = 0.6
 # Retry-After of a node that lacks the data for an admission decision.
--- a/eelgrassmount/relay/sender.py
+++ b/eelgrassmount/relay/sender.py
@@ -31,10 +31,12 @@
 
 # Refusals by nodes after which a call gets no further attempt.
 MAX_REFUSALS = 4
-# Refusals for lack of retry budget after which a call gets no further attempt.
+# Refusals for lack of retry budget after which a call gets no further attempt. Each
+# dispatcher has a part of the budget: if the first has none left, the next mostly has.
 MAX_BUDGET_REFUSALS = 2
-# Rejections by servers and attempts after which a call gets no further attempt. Planned
-# retries end where they cost more than the request is worth.
+# Rejections by servers and attempts after which a call gets no further attempt. Where
+# half of all calls are rejected, hardly one is rejected so often. Planned retries end
+# where they cost more than the request is worth.
 MAX_REJECTIONS = 8
 MAX_PLANNED_REJECTIONS = 16
 # Moves after which a call that is moved again counts as refused.
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -18,12 +18,15 @@
     from eelgrassmount.relay.server_notices import ServerNotice
     from eelgrassmount.util.addresses import Address
 
-# Share of the server's slots that the node fills: a nearly full server slows down.
+# Share of the server's slots that the node fills: a nearly full server slows down, and
+# new connections to it hold a slot for a moment.
 MAX_SLOT_SHARE = 0.93
 DEFAULT_SLOTS = 16
 # Delay before the next connection attempt after a refused one.
 RECONNECT_DELAY_S = 0.25
 # Ended identities whose late heartbeats are still recognized; the oldest are dropped.
+# Heartbeats come seconds late, and a crashed server is back after some seconds, so that
+# these are the identities of several minutes.
 MAX_ENDED_IDENTITIES = 50
 # Identities of which notices of other nodes are kept; the oldest are dropped.
 MAX_NOTICES = 8
--- a/eelgrassmount/relay/shutdown.py
+++ b/eelgrassmount/relay/shutdown.py
@@ -18,7 +18,8 @@
 # Time for clients to leave; covers two failed readiness probes at a 1 s interval.
 CLIENT_DRAIN_S = 2.6
 # Last part of the client drain, in which other nodes stop sending calls. Until then the
-# backend server still serves them.
+# backend server still serves them: a service of three servers whose nodes restarted a
+# second apart had none for two seconds when calls ended with the signal.
 PEER_DRAIN_S = 0.5
 # Margin before the process is killed.
 EXIT_MARGIN_S = 0.5
--- a/eelgrassmount/relay/vectors.py
+++ b/eelgrassmount/relay/vectors.py
@@ -56,7 +56,8 @@
 MAX_CALLED_ROUTES = 16
 # Smallest count of calls that is reported to other nodes.
 MIN_REPORTED_CALLS = 0.1
-# Calls in the counts of all nodes from which on a route counts as the caller.
+# Calls in the counts of all nodes from which on a route counts as the caller. The count
+# is then four times its standard error.
 MIN_POOLED_CALLS = 16.0
 
 
