Correct the rate of a budget also after estimated waits

Requests that wait or are refused by an estimate never asked for tokens, so that the rates were not corrected while servers were idle or calls waited too long.

--- a/eelgrassmount/entry/call_budget.py
+++ b/eelgrassmount/entry/call_budget.py
@@ -53,7 +53,8 @@
     ``rate`` is the part of the service that this node may use. ``costs`` holds the
     tokens that a request of each class takes, and ``positions`` the order of the ranks
     that need the service. While the budget is not ``enforced``, requests take tokens
-    without being held back.
+    without being held back. ``held_back`` is set once a request has lacked tokens since
+    the last control step.
     """
 
     tokens: float = 0.0
@@ -166,6 +167,7 @@
         for budget in self._by_class.get(request_class, ()):
             budget.refill(now_s)
             missing = budget.compute_missing(request_class, waiting_before)
+            budget.held_back = budget.held_back or missing > 0.0
             wait_s = max(wait_s, missing / max(budget.rate, 1e-9))
         return wait_s
 
--- a/tests/entry/test_call_budget.py
+++ b/tests/entry/test_call_budget.py
@@ -156,6 +156,20 @@
     assert behind_s == pytest.approx(alone_s + 1.0, rel=0.1)
 
 
+@pytest.mark.parametrize(("wait", "change"), [(0.0, 0), (2.0, -1)])
+def test_requests_that_lack_tokens_correct_the_rate(wait, change):
+    entry = make_entry()
+    while entry.budget.try_take(LISTS, entry.now_s):
+        pass
+    entry.budget.update()
+    before = entry.budget.budgets["part"].correction
+    entry.budget.estimate_wait_s(LISTS, entry.now_s)
+    entry.report(demand=1.2, wait=wait)
+    entry.budget.update()
+    after = entry.budget.budgets["part"].correction
+    assert (after > before) - (after < before) == change
+
+
 def test_those_that_wait_before_take_no_more_than_their_tokens():
     entry = make_entry()
     assert entry.budget.estimate_wait_s(LISTS, entry.now_s, [LISTS]) == 0.0
