--- a/eelgrassmount/policy/call_budgets.py
+++ b/eelgrassmount/policy/call_budgets.py
@@ -34,7 +34,7 @@
 MIN_RELATIVE_SHARE = 0.25
 # Correction of the estimated capacity: its range, and the factors per control step
 # while servers are idle or calls wait too long. In a wider range it would react to
-# demand that moves between nodes, and hold back urgent requests where demand is highest.
+# demand that moves between nodes, and hold back urgent requests where it is highest.
 MIN_CORRECTION = 0.8
 MAX_CORRECTION = 1.25
 RAISE_FACTOR = 1.03
