--- a/eelgrassmount/policy/features.py
+++ b/eelgrassmount/policy/features.py
@@ -19,10 +19,10 @@
     ``budgets_calls``: each node admits requests within its share of the calls that an
     overloaded service can run, and lets them wait briefly for it.
     ``expects_returns``: refused clients are told when to return, and those that do
-    precede others of their rank. ``shares_fairly``: teams, or failure domains without
-    teams, divide the calls of an overloaded service. ``plans_retries``: retries are
-    spent on the requests that they can finish. ``moves_calls``: servers with free slots
-    take over calls that wait for other servers.
+    precede others of their rank. ``shares_fairly``: teams divide the
+    requests of a class that is admitted in part. ``plans_retries``: retries are spent
+    on the requests that they can finish. ``moves_calls``: servers with free slots take
+    over calls that wait for other servers.
     """
 
     budgets_calls: bool = False
