Give each refused client one place to return to, whichever node it asks

Cause: the time to return followed from what the refusing node foresaw, so that every other node accepted whoever came after the shortest delay, with precedence, and refused at once whoever found no tokens.

Now all refused clients return in one interval that depends on the route alone, and get one place in line from its end on. Out of the interval, scarce tokens are for others.

One line of tests/entry/test_waiting_room.py changed: a returning request arrived 0.3 s after its first attempt, at which no client has ever counted as returning (0.47 s before, 0.69 s now); it arrives after 0.95 s, and must precede the same requests.

The estimate of a wait behind others no longer counts as held back: those before it are recorded on their own, and estimates with a reserve would raise the capacity.

--- a/eelgrassmount/entry/call_budget.py
+++ b/eelgrassmount/entry/call_budget.py
@@ -167,7 +167,9 @@
         for budget in self._by_class.get(request_class, ()):
             budget.refill(now_s)
             missing = budget.compute_missing(request_class, waiting_before)
-            budget.held_back = budget.held_back or missing > 0.0
+            # those before a request were recorded on their own
+            is_held_back = budget.compute_missing(request_class) > 0.0
+            budget.held_back = budget.held_back or is_held_back
             wait_s = max(wait_s, missing / max(budget.rate, 1e-9))
         return wait_s
 
--- a/eelgrassmount/entry/returning.py
+++ b/eelgrassmount/entry/returning.py
@@ -11,6 +11,7 @@
 
 from eelgrassmount.policy.returns import (
     FURTHER_WEIGHT,
+    MIN_ELAPSED_S,
     ReturnLimits,
     StatedTime,
     adjust_favored_share,
@@ -87,29 +88,43 @@
 
 @define(eq=False)
 class RepeatTable:
-    """The clients that repeated their requests too early, by target and deadline.
+    """Clients whose further attempts are recognized, by target and deadline.
 
-    All attempts of a client have the same deadline. The oldest entries are dropped
-    beyond `MAX_REPEATS`.
+    All attempts of a client have the same deadline. The times of first attempts are
+    stored in seconds. The oldest entries are dropped beyond `MAX_REPEATS`::
+
+        clients = RepeatTable()
+        clients.add("/list/1", deadline_s=105.0, first_s=100.0)
+        clients.find("/list/1", 105.001)  # 100.0
     """
 
-    _keys: dict[tuple[int, int], float] = field(factory=dict)
+    _clients: dict[tuple[int, int], tuple[float, float]] = field(factory=dict)
 
-    def add(self, target: str, deadline_s: float) -> None:
+    def add(self, target: str, deadline_s: float, first_s: float = 0.0) -> None:
         """Record a client."""
-        if len(self._keys) >= MAX_REPEATS:
-            del self._keys[next(iter(self._keys))]
-        self._keys[hash(target), _round_deadline(deadline_s)] = deadline_s
+        if len(self._clients) >= MAX_REPEATS:
+            del self._clients[next(iter(self._clients))]
+        key = hash(target), _round_deadline(deadline_s)
+        self._clients[key] = (deadline_s, first_s)
 
-    def has(self, target: str, deadline_s: float) -> bool:
-        """Return whether a client is recorded."""
+    def find(self, target: str, deadline_s: float) -> float | None:
+        """Return when a client made its first attempt, ``None`` if not recorded."""
         found = hash(target)
         tick = _round_deadline(deadline_s)
-        return any((found, one) in self._keys for one in range(tick - 1, tick + 2))
+        for key in ((found, one) for one in range(tick - 1, tick + 2)):
+            if key in self._clients:
+                return self._clients[key][1]
+        return None
+
+    def has(self, target: str, deadline_s: float) -> bool:
+        """Return whether a client is recorded."""
+        return self.find(target, deadline_s) is not None
 
     def expire(self, now_s: float) -> None:
         """Remove the clients whose deadline has passed."""
-        self._keys = {key: one for key, one in self._keys.items() if one > now_s}
+        self._clients = {
+            key: one for key, one in self._clients.items() if one[0] > now_s
+        }
 
 
 def _round_deadline(deadline_s: float) -> int:
@@ -120,10 +135,13 @@
 class ReturnTracker:
     """Recognizes returning clients and chooses the Retry-After of refused requests.
 
-    No client is identified: a request states how long its client will wait, and one
-    that states clearly less than nearly all others of its route has tried before, at
-    this node or another one. ``list_waiting`` returns the classes of the requests that
-    wait at this node. ``wall_clock`` returns the Unix time in seconds.
+    No client is identified. A request with the content and the deadline of one that
+    this node has refused is a further attempt of its client. Besides, a request states
+    how long its client will wait, and one that states clearly less than nearly all
+    others of its route has tried before, at this node or another one.
+
+    ``list_waiting`` returns the classes of the requests that wait at this node.
+    ``wall_clock`` returns the Unix time in seconds.
     """
 
     budget: CallBudget
@@ -135,6 +153,7 @@
     count_appointment: Callable[[AppointmentKind], None] = lambda kind: None
     visits: Counter[Visit] = field(factory=Counter)
     _routes: dict[str, StatedTimes] = field(factory=dict)
+    _refused: RepeatTable = field(factory=RepeatTable)
     _repeats: RepeatTable = field(factory=RepeatTable)
     _appointments: deque[tuple[float, RequestClass]] = field(
         factory=lambda: deque(maxlen=MAX_APPOINTMENTS)
@@ -150,11 +169,15 @@
     ) -> tuple[Visit, float]:
         """Return the kind of a request and the seconds since the first attempt.
 
+        ``target`` may be anything that is the same for all attempts of a client.
         ``path_s`` is what requests of the route usually take.
         """
         known = self._routes.setdefault(route.name, StatedTimes())
         elapsed_s = compute_elapsed_s(known.stated, remaining_s)
         deadline_s = arrived_s + remaining_s
+        first_s = self._refused.find(target, deadline_s)
+        if first_s is not None:
+            elapsed_s = max(MIN_ELAPSED_S, arrived_s - first_s)
         repeated = elapsed_s > 0 and self._repeats.has(target, deadline_s)
         if not repeated:
             # repeats must not outweigh the first attempts
@@ -163,7 +186,7 @@
         limits = ReturnLimits(route.objective_s, 0.0, path_s, full_s)
         deadline_unix_s = deadline_s + self.wall_clock() - self.clock()
         is_favored = draw_client(target, deadline_unix_s) < known.favored_share
-        visit = classify_visit(limits, elapsed_s, is_favored and not repeated)
+        visit = classify_visit(limits, elapsed_s, repeated, is_favored)
         if visit is Visit.EARLY:
             self._repeats.add(target, deadline_s)
         self.visits[visit] += 1
@@ -175,6 +198,11 @@
         known = self._routes.setdefault(route_name, StatedTimes())
         known.favored_share = adjust_favored_share(known.favored_share, succeeded)
 
+    def record_refusal(self, target: str, deadline_s: float, first_s: float) -> None:
+        """Record the first attempt of a client that is told to return."""
+        if math.isfinite(deadline_s):
+            self._refused.add(target, deadline_s, first_s)
+
     def choose_delay_s(
         self, request_class: RequestClass, limits: ReturnLimits, is_early: bool
     ) -> float:
@@ -203,6 +231,7 @@
         """Forget old statements; to be called once a second."""
         for known in self._routes.values():
             known.decay()
+        self._refused.expire(self.clock())
         self._repeats.expire(self.clock())
 
     def keep_routes(self, knows_route: Callable[[str], bool]) -> None:
@@ -250,6 +279,8 @@
             path_times.find(call.route),
             pending.client_deadline_s - now_s,
         )
+        first_s = call.arrived_s - pending.elapsed_s
+        returns.record_refusal(call.find_content(), pending.client_deadline_s, first_s)
         is_early = pending.visit is Visit.EARLY
         return returns.choose_delay_s(call.request_class, limits, is_early)
 
--- a/eelgrassmount/entry/waiting_room.py
+++ b/eelgrassmount/entry/waiting_room.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import functools
 import itertools
 import math
 from collections import Counter
@@ -29,6 +30,9 @@
 MAX_CHECK_S = 0.05
 # A request is refused before its wait ends if its tokens come later by more than this.
 ESTIMATE_TOLERANCE_S = 0.02
+# Further requests of its class for which a budget must suffice for it not to limit the
+# class.
+RESERVED_REQUESTS = 16
 
 
 class CallBudget(Protocol):
@@ -88,12 +92,14 @@
 class WaitingEntry:
     """A request that waits, until ``ends_s`` at the latest.
 
-    Entries are sorted by ``key``: rank, place within the rank, latest start, number.
+    While its class is limited, it does not start before ``begins_s``. Entries are
+    sorted by ``key``: rank, place within the rank, latest start, number.
     """
 
     pending: PendingRequest
     times: RequestTimes
     key: tuple[int, int, float, int]
+    begins_s: float
     ends_s: float
     ended: bool = False
 
@@ -146,8 +152,8 @@
 
     def handle(self, pending: PendingRequest, times: RequestTimes) -> None:
         """Start a request, let it wait or refuse it."""
-        if pending.visit is Visit.EARLY:
-            self._handle_early(pending)
+        if pending.visit in (Visit.EARLY, Visit.LATE):
+            self._handle_untimely(pending)
             return
         now_s = self.clock()
         key = (
@@ -156,10 +162,16 @@
             times.find_latest_start_s(),
             next(self._numbers),
         )
-        entry = WaitingEntry(pending, times, key, times.find_wait_end_s())
+        begins_s = times.find_return_start_s() if pending.visit.is_timely else now_s
+        ends_s = times.find_wait_end_s(pending.visit)
+        entry = WaitingEntry(pending, times, key, begins_s, ends_s)
         position = bisect.bisect(self._entries, key, key=lambda one: one.key)
         wait_s = self._estimate(entry, position, now_s)
-        if wait_s <= 0 and self.budget.try_take(entry.request_class, now_s):
+        if (
+            wait_s <= 0
+            and not (now_s < begins_s and self._is_limited(entry.request_class, now_s))
+            and self.budget.try_take(entry.request_class, now_s)
+        ):
             self.start(pending)
         elif not self._may_wait(entry, wait_s, now_s):
             self.refuse(pending, Reason.OVERLOAD)
@@ -169,14 +181,16 @@
             self._count(WaitOutcome.DISPLACED, 0.0)
             self.refuse(pending, Reason.OVERLOAD)
 
-    def _handle_early(self, pending: PendingRequest) -> None:
-        """Start a request that its client repeats too early, or refuse it.
+    def _handle_untimely(self, pending: PendingRequest) -> None:
+        """Start a request whose client returns too early or too late, or refuse it.
 
-        It only gets tokens that neither the waiting nor the expected clients need, so
-        that it gains nothing over those that return when they were told to.
+        It gets no tokens while its class is limited. Otherwise a client that repeats
+        its request at several nodes would find the one with tokens to spare.
         """
-        before = [*self.list_classes(), *self.list_expected()]
-        if self._try_take(pending.call.request_class, self.clock(), before):
+        now_s = self.clock()
+        request_class = pending.call.request_class
+        is_limited = self._is_limited(request_class, now_s)
+        if not is_limited and self.budget.try_take(request_class, now_s):
             self.start(pending)
         else:
             self.refuse(pending, Reason.OVERLOAD)
@@ -213,7 +227,9 @@
                 self._refuse(entry, WaitOutcome.UNROUTED, Reason.NO_ROUTE)
             elif route != entry.pending.call.route:
                 entry.times = adapt(entry.pending, route)
-                entry.ends_s = entry.times.find_wait_end_s()
+                entry.ends_s = entry.times.find_wait_end_s(entry.pending.visit)
+                if entry.pending.visit.is_timely:
+                    entry.begins_s = entry.times.find_return_start_s()
                 self._sort_again(entry)
         self.reconsider()
 
@@ -243,7 +259,17 @@
     def _may_wait(self, entry: WaitingEntry, wait_s: float, now_s: float) -> bool:
         if self.is_stopping() or entry.ends_s <= now_s:
             return False
-        return now_s + wait_s <= entry.ends_s
+        return entry.pending.visit.is_timely or now_s + wait_s <= entry.ends_s
+
+    def _is_limited(self, request_class: RequestClass, now_s: float) -> bool:
+        """Return whether tokens are scarce for a class.
+
+        They are unless they suffice for those who wait, the refused clients that are
+        expected back, and some further requests.
+        """
+        further = [request_class] * RESERVED_REQUESTS
+        before = [*self.list_classes(), *self.list_expected(), *further]
+        return self.budget.estimate_wait_s(request_class, now_s, before) > 0
 
     def _make_room(self, entry: WaitingEntry, position: int) -> bool:
         """Refuse the least urgent requests for a new one; return whether it fits."""
@@ -283,11 +309,16 @@
             self._refuse(entry, WaitOutcome.EXPIRED, Reason.OVERLOAD)
 
     def _refuse_hopeless(self, position: int, now_s: float) -> None:
-        """Refuse the requests from a position on whose tokens come too late."""
+        """Refuse the requests from a position on whose tokens come too late.
+
+        Returning clients keep their places: if they were refused before their wait
+        ends, those that repeat their requests would get another place at another node.
+        """
         while position < len(self._entries):
             entry = self._entries[position]
             ready_s = now_s + self._estimate(entry, position, now_s)
-            if ready_s > entry.ends_s + ESTIMATE_TOLERANCE_S:
+            is_hopeless = ready_s > entry.ends_s + ESTIMATE_TOLERANCE_S
+            if is_hopeless and not entry.pending.visit.is_timely:
                 self._refuse(entry, WaitOutcome.EXPIRED, Reason.OVERLOAD)
             else:
                 position += 1
@@ -298,12 +329,16 @@
         A class that has to wait for tokens holds back those behind it that need the
         same ones, but no others.
         """
+        # computed once for each class, as many of its requests may wait
+        is_limited = functools.cache(lambda one: self._is_limited(one, now_s))
         blocked: list[RequestClass] = []
         blocked_classes: set[RequestClass] = set()
         for entry in list(self._entries):
             if entry.ended:
                 continue
             request_class = entry.request_class
+            if now_s < entry.begins_s and is_limited(request_class):
+                continue
             if request_class not in blocked_classes and self._try_take(
                 request_class, now_s, blocked
             ):
@@ -365,8 +400,10 @@
         wait_s = math.inf
         seen: set[RequestClass] = set()
         for position, entry in enumerate(self._entries):
+            if entry.begins_s > now_s:
+                wait_s = min(wait_s, entry.begins_s - now_s)
             # the others of a class come later
-            if entry.request_class not in seen:
+            elif entry.request_class not in seen:
                 seen.add(entry.request_class)
                 wait_s = min(wait_s, self._estimate(entry, position, now_s))
         return wait_s
--- a/eelgrassmount/policy/returns.py
+++ b/eelgrassmount/policy/returns.py
@@ -37,11 +37,12 @@
 FURTHER_WEIGHT = 0.25
 # Clients wait for at most this share of the time that they have left.
 OBEYED_SHARE = 1.0 / 3.0
-# Shortest Retry-After as a share of the objective.
-MIN_RETURN_SHARE = 0.35
-# Retry-After of clients for which no tokens are foreseen, as a share of the longest
-# useful delay.
-MIN_LATEST_SHARE = 0.8
+# Shortest Retry-After as a share of the longest useful delay. Delays that lie closer
+# together would look like the deadline of another kind of client.
+MIN_RETURN_SHARE = 0.8
+# Part of the spread of delays by which clients without foreseen tokens, or with tokens
+# foreseen at the same time, differ.
+RANDOM_SPREAD_SHARE = 0.25
 # Attempts of one client have the same deadline up to this error in seconds.
 DEADLINE_RESOLUTION_S = 0.1
 # Change of the share of the returning clients that precede new ones, for each of them
@@ -49,10 +50,9 @@
 FAVORED_INCREASE = 0.002
 FAVORED_DECREASE = 0.95
 MIN_FAVORED_SHARE = 0.02
-# Nodes measure different path times; a client may be early by this share.
-EARLY_TOLERANCE = 0.1
-# Longest addition to a delay after which tokens are foreseen, as a share of it.
-FORESEEN_SPREAD_SHARE = 0.25
+# Nodes measure different path times; a client may be early by this share of the
+# objective.
+EARLY_TOLERANCE_SHARE = 0.03
 # Delay of a client that can't be in time, as a share of the objective: a late answer
 # is better than none.
 MIN_LATE_SHARE = 0.25
@@ -153,13 +153,12 @@
 
     def find_shortest_delay_s(self) -> float:
         """Return the shortest Retry-After that a client is told."""
-        shortest_s = MIN_RETURN_SHARE * self.objective_s
         longest_s = self.find_longest_delay_s()
         if longest_s <= 0:
             return min(
                 MIN_LATE_SHARE * self.objective_s, OBEYED_SHARE * self.remaining_s
             )
-        return min(shortest_s, MIN_LATEST_SHARE * longest_s)
+        return MIN_RETURN_SHARE * longest_s
 
 
 def draw_client(target: str, deadline_unix_s: float) -> float:
@@ -184,18 +183,29 @@
     return max(MIN_FAVORED_SHARE, FAVORED_DECREASE * share)
 
 
-def classify_visit(limits: ReturnLimits, elapsed_s: float, may_return: bool) -> Visit:
+def classify_visit(
+    limits: ReturnLimits, elapsed_s: float, is_repeating: bool, is_favored: bool
+) -> Visit:
     """Return what kind of attempt a request is, ``elapsed_s`` after the first one.
 
-    ``limits`` are those of the first attempt. ``may_return`` is set if the client has
-    not repeated its request too early and is among those that may precede new ones.
+    ``limits`` are those of the first attempt. ``is_repeating`` is set if the client is
+    known to have repeated its request too early, ``is_favored`` if it is among those
+    that may precede new ones. The interval in which clients return depends on nothing
+    that one node knows alone, so that all nodes recognize those of each other::
+
+        limits = ReturnLimits(1.6, 0.0, path_s=0.4, remaining_s=5.0)
+        classify_visit(limits, 0.5, is_repeating=False, is_favored=True)  # EARLY
+        classify_visit(limits, 0.9, is_repeating=False, is_favored=True)  # RETURNING
     """
     if elapsed_s <= 0:
         return Visit.NEW
-    shortest_s = (1.0 - EARLY_TOLERANCE) * limits.find_shortest_delay_s()
-    if may_return and elapsed_s >= shortest_s:
-        return Visit.RETURNING
-    return Visit.EARLY
+    tolerance_s = EARLY_TOLERANCE_SHARE * limits.objective_s
+    longest_s = limits.find_longest_delay_s()
+    if elapsed_s < limits.find_shortest_delay_s() - tolerance_s:
+        return Visit.EARLY
+    if elapsed_s > longest_s + MAX_ENTRY_WAIT_SHARE * limits.objective_s:
+        return Visit.LATE
+    return Visit.RETURNING if is_favored and not is_repeating else Visit.UNFAVORED
 
 
 def choose_return_delay_s(
@@ -203,11 +213,12 @@
 ) -> float:
     """Return after how many seconds a refused client should come back.
 
-    ``foreseen_s`` is when tokens are foreseen for it, infinite if none are. ``draw``,
-    from 0 to 1, spreads the clients that are refused together::
+    ``foreseen_s`` is when tokens are foreseen for it, infinite if none are. Those with
+    earlier tokens return earlier. ``draw``, from 0 to 1, spreads the clients that are
+    refused together::
 
         limits = ReturnLimits(1.6, 0.0, path_s=0.4, remaining_s=5.0)
-        choose_return_delay_s(limits, foreseen_s=0.7, draw=0.0)  # 0.7
+        choose_return_delay_s(limits, foreseen_s=0.0, draw=0.0)  # 0.8
         choose_return_delay_s(limits, foreseen_s=2.0, draw=1.0)  # 1.0
     """
     longest_s = limits.find_longest_delay_s()
@@ -215,8 +226,9 @@
         share = MIN_LATE_SHARE + draw * (MAX_LATE_SHARE - MIN_LATE_SHARE)
         late_s = share * limits.objective_s
         return max(0.0, min(late_s, OBEYED_SHARE * limits.remaining_s))
-    if foreseen_s > longest_s:
-        return longest_s * (MIN_LATEST_SHARE + draw * (1.0 - MIN_LATEST_SHARE))
-    delay_s = max(limits.find_shortest_delay_s(), foreseen_s)
-    spread_s = min(FORESEEN_SPREAD_SHARE * delay_s, longest_s - delay_s)
-    return delay_s + draw * spread_s
+    shortest_s = limits.find_shortest_delay_s()
+    position = draw
+    if foreseen_s <= longest_s:
+        position *= RANDOM_SPREAD_SHARE
+        position += (1.0 - RANDOM_SPREAD_SHARE) * foreseen_s / longest_s
+    return shortest_s + position * (longest_s - shortest_s)
--- a/eelgrassmount/policy/waiting.py
+++ b/eelgrassmount/policy/waiting.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum, IntEnum
 from typing import TYPE_CHECKING
 
@@ -25,11 +26,23 @@
 
 
 class Visit(Enum):
-    """Whether a client is new, returns as told, or repeats its request earlier."""
+    """Whether a client is new or returns, and when.
+
+    ``RETURNING`` and ``UNFAVORED`` clients return when refused ones are told to; the
+    latter are not among those that may precede new ones. ``EARLY`` and ``LATE`` clients
+    return before and after that time.
+    """
 
     NEW = 0
     RETURNING = 1
     EARLY = 2
+    UNFAVORED = 3
+    LATE = 4
+
+    @property
+    def is_timely(self) -> bool:
+        """Return whether a client returns when refused ones are told to."""
+        return self in (Visit.RETURNING, Visit.UNFAVORED)
 
 
 class Place(IntEnum):
@@ -37,6 +50,7 @@
 
     RETURNING = 0
     NEW = 1
+    UNFAVORED = 2
 
 
 @frozen
@@ -45,6 +59,8 @@
 
     ``elapsed_s`` is the time between the first attempt of its client and ``arrived_s``,
     ``path_s`` the time that a request of its route usually takes once it has started.
+    ``longest_return_s`` is the longest time after its first attempt at which a refused
+    client returns.
     """
 
     arrived_s: float
@@ -52,6 +68,7 @@
     deadline_s: float
     objective_s: float
     path_s: float
+    longest_return_s: float = math.inf
 
     def find_latest_start_s(self) -> float:
         """Return until when the request can start and be in time.
@@ -68,9 +85,23 @@
         """Return whether the request could be in time if it started on its arrival."""
         return self.find_latest_start_s() >= self.arrived_s
 
-    def find_wait_end_s(self) -> float:
+    def find_return_start_s(self) -> float:
+        """Return from when on the request may start if its client returns.
+
+        It does not depend on the arrival, so that a client gains nothing by returning
+        earlier than others that made their first attempt at the same time::
+
+            times = RequestTimes(100.8, 0.8, 105.0, objective_s=1.6, path_s=0.4)
+            times.find_return_start_s()  # 101.0
+        """
+        wait_s = MAX_ENTRY_WAIT_SHARE * self.objective_s
+        longest_s = self.arrived_s - self.elapsed_s + self.longest_return_s
+        return min(longest_s, self.find_latest_start_s() - wait_s)
+
+    def find_wait_end_s(self, visit: Visit = Visit.NEW) -> float:
         """Return when the longest useful wait of the request ends."""
-        wait_end_s = self.arrived_s + MAX_ENTRY_WAIT_SHARE * self.objective_s
+        start_s = self.find_return_start_s() if visit.is_timely else self.arrived_s
+        wait_end_s = start_s + MAX_ENTRY_WAIT_SHARE * self.objective_s
         return min(wait_end_s, self.find_latest_start_s())
 
 
@@ -81,7 +112,7 @@
     """
     if visit is Visit.RETURNING and times.can_be_in_time():
         return Place.RETURNING
-    return Place.NEW
+    return Place.UNFAVORED if visit is Visit.UNFAVORED else Place.NEW
 
 
 def choose_displaced(
--- a/eelgrassmount/relay/ingress.py
+++ b/eelgrassmount/relay/ingress.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from eelgrassmount.policy.returns import OBEYED_SHARE
 from eelgrassmount.policy.waiting import RequestTimes, Visit
 from eelgrassmount.relay.messages import Call, Origin
 from eelgrassmount.relay.routes import RouteTable, TargetChooser
@@ -181,17 +182,19 @@
         pending.client_deadline_s = call.arrived_s + remaining_s
         path_s = self.path_times.find(call.route)
         pending.visit, pending.elapsed_s = self.returns.record_request(
-            call.route, call.target, path_s, call.arrived_s, remaining_s
+            call.route, call.find_content(), path_s, call.arrived_s, remaining_s
         )
 
     def _find_times(self, pending: PendingRequest) -> RequestTimes:
         call = pending.call
+        full_s = pending.client_deadline_s - call.arrived_s + pending.elapsed_s
         return RequestTimes(
             call.arrived_s,
             pending.elapsed_s,
             call.deadline_s,
             call.route.objective_s,
             self.path_times.find(call.route),
+            OBEYED_SHARE * full_s,
         )
 
     def _change_route(self, pending: PendingRequest, route: Route) -> RequestTimes:
--- a/eelgrassmount/relay/messages.py
+++ b/eelgrassmount/relay/messages.py
@@ -96,6 +96,10 @@
             return False
         return quarantine.check(self.find_digest(), now_s) is not None
 
+    def find_content(self) -> str:
+        """Return what tells the content from that of most other requests."""
+        return self.find_digest() if self.body else self.target
+
     def find_digest(self) -> str:
         """Return a digest of the content, computed on first use."""
         if not self._digest:
--- a/tests/entry/test_call_budget.py
+++ b/tests/entry/test_call_budget.py
@@ -211,3 +211,11 @@
     entry.now_s += 60.0
     started = sum(entry.budget.try_take(LISTS, entry.now_s) for _ in range(100))
     assert started <= 5
+
+
+def test_an_estimate_behind_others_does_not_correct_the_capacity():
+    """Only requests that lack tokens themselves show that a budget holds back."""
+    entry = make_entry()
+    entry.now_s += 10.0
+    assert entry.budget.estimate_wait_s(LISTS, entry.now_s, [LISTS] * 100) > 0.0
+    assert not entry.budget.budgets["part"].held_back
--- a/tests/entry/test_returning.py
+++ b/tests/entry/test_returning.py
@@ -112,11 +112,11 @@
         return counts
 
 
-def sum_shares(nodes, rate, duration_s, eager_share):
+def sum_shares(nodes, rate, duration_s, eager_share, seeds=6):
     """Return the shares of eager and of other clients that were served in time."""
     served = {True: 0, False: 0}
     clients = {True: 0, False: 0}
-    for seed in range(6):
+    for seed in range(seeds):
         crowd = Crowd(nodes, seed)
         counts = crowd.run(nodes * rate, duration_s, eager_share)
         for eager in (True, False):
@@ -134,6 +134,56 @@
     assert eager <= patient
 
 
+@pytest.mark.parametrize(
+    ("nodes", "rate", "interval_s", "seeds"),
+    [
+        (14, 11.0, 0.1, 6),
+        (14, 30.0, 0.05, 6),
+        (40, 20.0, 0.02, 2),
+        (50, 13.0, 0.05, 2),
+        (106, 11.0, 0.005, 2),
+    ],
+)
+def test_repeats_gain_nothing_in_larger_fleets(
+    monkeypatch, nodes, rate, interval_s, seeds
+):
+    """Guards against a new chance for each repeat at a node that did not see others."""
+    monkeypatch.setattr(f"{__name__}.REPEAT_DELAY_S", interval_s)
+    eager, patient = sum_shares(nodes, rate, 8.0, 0.1, seeds)
+    assert eager <= patient
+    assert patient >= sum_shares(nodes, rate, 8.0, 0.0, seeds)[1]
+
+
+def test_repeats_within_milliseconds_gain_nothing(monkeypatch):
+    """Repeats within `MIN_ELAPSED_S` at other nodes are taken for first attempts."""
+    monkeypatch.setattr(f"{__name__}.REPEAT_DELAY_S", 0.005)
+    eager, patient = sum_shares(106, 40.0, 8.0, 0.1, seeds=1)
+    assert eager <= patient
+
+
+def test_a_node_recognizes_the_clients_that_it_refused():
+    """Most clients choose deadlines of their own, so that no time is dominant."""
+    tracker = make_tracker(EntryScenario(), [4.0 + 0.01 * one for one in range(100)])
+    for first_s, visit in ((0.001, Visit.EARLY), (0.8, Visit.RETURNING)):
+        target = f"/list/{first_s}"
+        tracker.record_refusal(target, 4.5, 0.0)
+        found, elapsed_s = tracker.record_request(
+            ROUTE, target, PATH_S, first_s, 4.5 - first_s
+        )
+        assert (found, elapsed_s) == (visit, pytest.approx(first_s, abs=0.03))
+        other = tracker.record_request(ROUTE, "/other", PATH_S, first_s, 4.5 - first_s)
+        assert other == (Visit.NEW, 0.0)
+
+
+def test_a_client_that_has_repeated_too_early_precedes_nobody():
+    tracker = make_tracker(EntryScenario())
+    visits = [
+        tracker.record_request(ROUTE, "/list/1", PATH_S, now_s, FULL_S - now_s)[0]
+        for now_s in (0.1, 0.8, 1.4)
+    ]
+    assert visits == [Visit.EARLY, Visit.UNFAVORED, Visit.LATE]
+
+
 def test_appointments_serve_more_clients_of_a_surge_than_random_delays(monkeypatch):
     """Clients of 3 times the budget arrive for 2 s."""
     _, appointed = sum_shares(1, 30.0, 2.0, 0.0)
--- a/tests/entry/test_waiting_room.py
+++ b/tests/entry/test_waiting_room.py
@@ -14,7 +14,13 @@
     MAX_WAITING_REQUESTS,
     Visit,
 )
-from tests.entry.entry_scenario import ROUTE, EntryScenario, FakeBudget, find_times
+from tests.entry.entry_scenario import (
+    PATH_S,
+    ROUTE,
+    EntryScenario,
+    FakeBudget,
+    find_times,
+)
 
 OTHER_ROUTE = evolve(ROUTE, name="shop/other/")
 LONGEST_WAIT_S = MAX_ENTRY_WAIT_SHARE * ROUTE.objective_s
@@ -76,7 +82,7 @@
     scenario.arrive("early", visit=Visit.EARLY)
     scenario.arrive("new")
     scenario.arrive("new, begun before", elapsed_s=0.5)
-    scenario.arrive("returning", visit=Visit.RETURNING, elapsed_s=0.3)
+    scenario.arrive("returning", visit=Visit.RETURNING, elapsed_s=0.95)
     scenario.arrive("urgent", rank=0)
     scenario.budget.unlimited.add(OTHER_ROUTE.name)
     scenario.arrive("of another service", rank=2, route=OTHER_ROUTE)
@@ -87,6 +93,41 @@
     assert list(scenario.refused) == ["early"]
 
 
+def test_a_returning_request_does_not_start_earlier_for_an_earlier_arrival(scenario):
+    """Otherwise a client that repeats its request would precede those that obey."""
+    scenario.budget.tokens = 1.0
+    begins_s = ROUTE.objective_s - PATH_S - LONGEST_WAIT_S
+    for elapsed_s in (0.7, 0.8, 0.9):
+        scenario.arrive(elapsed_s, visit=Visit.RETURNING, elapsed_s=elapsed_s)
+    scenario.timers.advance(0.5)
+    for elapsed_s, started_s in scenario.started.items():
+        assert started_s == pytest.approx(1000.0 + begins_s - elapsed_s, abs=0.01)
+    assert len(scenario.started) == 3
+
+
+def test_a_returning_request_keeps_its_place_until_it_is_too_late(scenario):
+    """Otherwise a client that repeats its request would get a place at each node."""
+    scenario.budget.rate = 0.1
+    for visit in (Visit.RETURNING, Visit.UNFAVORED):
+        scenario.arrive(visit, visit=visit, elapsed_s=0.95)
+    scenario.arrive("new")
+    assert list(scenario.refused) == ["new"]
+    scenario.timers.advance(1.0)
+    latest_start_s = 1000.0 + ROUTE.objective_s - PATH_S - 0.95
+    for visit in (Visit.RETURNING, Visit.UNFAVORED):
+        assert scenario.refused[visit][0] == pytest.approx(latest_start_s, abs=0.01)
+
+
+@pytest.mark.parametrize("visit", [Visit.EARLY, Visit.LATE])
+def test_untimely_requests_get_no_tokens_in_a_shortage(scenario, visit):
+    scenario.budget.tokens = 1.0
+    scenario.arrive("in a shortage", visit=visit)
+    scenario.budget.unlimited.add(ROUTE.name)
+    scenario.arrive("after it", visit=visit)
+    assert list(scenario.refused) == ["in a shortage"]
+    assert list(scenario.started) == ["after it"]
+
+
 def test_a_full_room_refuses_the_least_urgent(scenario):
     scenario.budget.rate = 1000.0
     for number in range(MAX_WAITING_REQUESTS):
