Ignore reload signals from the start of a node, and add a soak

Cause: SIGHUP was ignored only after the imports, which take most of a second. Ruled out: an error at the start, which writes a line.

The soak runs nodes as processes: clients keep using their connections, SIGTERM, SIGHUP and SIGKILL come in series while configurations change, ended processes are restarted.

--- a/eelgrassmount/cmd/relay.py
+++ b/eelgrassmount/cmd/relay.py
@@ -4,7 +4,6 @@
 
 import gc
 import os
-import signal
 import sys
 
 import anyio
@@ -22,8 +21,6 @@
 
 def run_relay() -> int:
     """Run a node with the platform's settings file until SIGTERM."""
-    # ignore reload signals until the settings file is watched
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     configure_logging("info", sys.stdout)
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import os
 import signal
 import subprocess
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
+from types import ModuleType
+from typing import IO, TYPE_CHECKING
 
 import anyio
 import pytest
 
+from eelgrassmount.__main__ import main
 from eelgrassmount.util.addresses import Address
 from standins.platform_log import PlatformLog
 from standins.platform_server import PlatformServer
@@ -48,13 +51,13 @@
 START_TIMEOUT_S = 10.0
 
 
-def start(path: Path) -> subprocess.Popen[bytes]:
+def start(path: Path, output: int | IO[bytes] = subprocess.PIPE) -> subprocess.Popen:
     return subprocess.Popen(
         [sys.executable, "-m", "eelgrassmount", "relay"],
         cwd=ROOT,
         env={**os.environ, "EELGRASSMOUNT_NODE_FILE": str(path)},
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
+        stdout=output,
+        stderr=output,
     )
 
 
@@ -98,6 +101,20 @@
     return path
 
 
+def test_reload_signals_are_ignored_while_the_program_starts(monkeypatch):
+    """Guards against a node that a reload signal ends during its imports."""
+    earlier = signal.getsignal(signal.SIGHUP)
+    module = ModuleType("eelgrassmount.cmd.relay")
+    module.run_relay = lambda: signal.getsignal(signal.SIGHUP)
+    monkeypatch.setitem(sys.modules, module.__name__, module)
+    monkeypatch.setattr(sys, "argv", ["eelgrassmount", "relay"])
+    try:
+        assert main() is signal.SIG_IGN
+    finally:
+        gc.enable()
+        signal.signal(signal.SIGHUP, earlier)
+
+
 def test_program_serves_reports_and_stops_in_order(settings):
     async def scenario(server: PlatformServer, process: subprocess.Popen) -> None:
         connection = await connect(Address(HOST, 8304))
--- /dev/null
+++ b/tests/relay/test_soak.py
@@ -0,0 +1,321 @@
+"""Nodes as separate processes while signals, kills and configurations overlap.
+
+``SOAK_SEEDS``, ``SOAK_S`` and ``SOAK_VMS`` in the environment set the number of runs,
+their duration in seconds and the number of nodes.
+"""
+
+from __future__ import annotations
+
+import itertools
+import os
+import random
+import signal
+import subprocess
+import time
+from collections import Counter
+from pathlib import Path
+from typing import NamedTuple
+
+import anyio
+import pytest
+from attrs import define, field
+
+from eelgrassmount.http1.client import ClientConnection, ExchangeFailure
+from eelgrassmount.relay.settings import RelaySettings
+from eelgrassmount.util.addresses import Address
+from standins.platform_log import PlatformLog
+from standins.platform_server import PlatformServer
+from tests.relay.deployment import (
+    LOOPBACK_PREFIX,
+    Vm,
+    connect,
+    make_document,
+    make_request,
+    make_rule,
+    send,
+)
+from tests.relay.test_program import HOST, SETTINGS, start
+
+SEEDS = range(int(os.environ.get("SOAK_SEEDS", "1")))
+DURATION_S = float(os.environ.get("SOAK_S", "30"))
+VMS = int(os.environ.get("SOAK_VMS", "6"))
+CLIENTS_PER_VM = 2
+OPERATORS = 3
+GRACE_S = 4.0
+# Time after the last operation within which all requests must be served again.
+RECOVERY_S = 15.0
+INTERPRETER_START_S = 1.0
+# Longest time for which a client waits.
+MAX_WAIT_S = 2.0
+NOT_RUN = (408, 421, 429, 503)
+LOG_HOST = f"{LOOPBACK_PREFIX}.4.250"
+
+
+@define(eq=False)
+class SoakVm(Vm):
+    """A VM whose node is a process; ``kills_s`` holds when it was killed."""
+
+    path: Path = field(kw_only=True)
+    process: subprocess.Popen[bytes] = field(kw_only=True)
+    started_s: float = field(factory=time.monotonic)
+    kills_s: list[float] = field(factory=list)
+    changing: bool = False
+
+
+class Outcome(NamedTuple):
+    """When a request was sent, and its status, ``None`` without an answer."""
+
+    vm: SoakVm
+    sent_s: float
+    status: int | None
+
+
+@define(eq=False)
+class Soak:
+    """The load and the operations of one run; ``faults`` are the broken promises."""
+
+    path: Path
+    rng: random.Random
+    log: PlatformLog = field(factory=PlatformLog)
+    vms: list[SoakVm] = field(factory=list)
+    faults: list[str] = field(factory=list)
+    outcomes: dict[str, Outcome] = field(factory=dict)
+    bookings: set[str] = field(factory=set)
+    ended: bool = False
+    ids: itertools.count = field(factory=itertools.count)
+    versions: itertools.count = field(factory=lambda: itertools.count(1))
+
+    async def start(self) -> None:
+        await self.log.start(LOG_HOST, 8309)
+        self.configure()
+        for number in range(VMS):
+            host = f"{LOOPBACK_PREFIX}.4.{number + 1}"
+            service = "list" if number % 2 else "front"
+            text = SETTINGS.replace("vm-1", f"vm-{number}")
+            text = text.replace('service = "list"', f'service = "{service}"')
+            text = text.replace(HOST, host)
+            text = text.replace(f"{host}:8309", f"{LOG_HOST}:8309")
+            path = self.path / f"vm-{number}.toml"
+            path.write_text(text)
+            server = PlatformServer(f"i-{number}", work_s=0.03)
+            await server.start(host, 8301)
+            names = ("caller", "peer", "ready", "announce", "server")
+            ports = (8304, 7620, 8302, 8306, 8301)
+            addresses = {
+                f"{name}_address": Address(host, port)
+                for name, port in zip(names, ports, strict=True)
+            }
+            settings = RelaySettings(
+                name=f"vm-{number}",
+                failure_domain="a",
+                service=service,
+                log_address=Address(LOG_HOST, 8309),
+                **addresses,
+            )
+            process = spawn(path)
+            self.vms.append(
+                SoakVm(None, server, settings, None, path=path, process=process)
+            )
+
+    def restart(self, vm: SoakVm) -> None:
+        vm.process = spawn(vm.path)
+        vm.started_s = time.monotonic()
+
+    def supervise(self, vm: SoakVm) -> None:
+        """Restart a process that has ended, as the platform does."""
+        code = vm.process.poll()
+        if vm.changing or code is None:
+            return
+        # before the interpreter runs the program, signals have their default effect
+        is_starting = time.monotonic() - vm.started_s < INTERPRETER_START_S
+        if not is_starting or code != -signal.SIGHUP:
+            self.faults.append(f"{vm.settings.name} ended with {code}")
+        self.restart(vm)
+
+    def configure(self) -> None:
+        """Publish a configuration with other time-outs."""
+        version = next(self.versions)
+        rules = [
+            make_rule(prefix, "list", kind=kind, action={"timeoutMs": timeout_ms})
+            for prefix, kind, timeout_ms in (
+                ("/list/", "idempotent", self.rng.randrange(800, 1200)),
+                ("/book/", "non_idempotent", self.rng.randrange(800, 1200)),
+            )
+        ]
+        self.log.put("keyed.op", "config", make_document(version, *rules))
+
+    async def announce(self) -> None:
+        """Send heartbeats and restart ended processes, twice a second."""
+        while not self.ended:
+            for vm in self.vms:
+                self.supervise(vm)
+                try:
+                    await vm.announce()
+                except OSError:
+                    continue
+            await anyio.sleep(0.5)
+
+    async def run_client(self, vm: SoakVm) -> None:
+        """Use each connection until it is closed."""
+        connection = None
+        while not self.ended:
+            await anyio.sleep(self.rng.expovariate(20.0))
+            if connection is None or connection.closed:
+                try:
+                    connection = await connect(vm.settings.caller_address)
+                except OSError:
+                    continue
+            if not connection.closed:
+                await self.request(vm, connection)
+        if connection is not None:
+            connection.close()
+
+    async def request(self, vm: SoakVm, connection: ClientConnection) -> str:
+        """Send a request, record its outcome and return its id."""
+        name = f"r{next(self.ids)}"
+        method, prefix = self.rng.choice((("GET", "list"), ("POST", "book")))
+        if prefix == "book":
+            self.bookings.add(name)
+        data = make_request(
+            method,
+            f"/{prefix}/{name}",
+            request_id=name,
+            eelgrassmount_deadline_ms=f"{MAX_WAIT_S * 1000:.0f}",
+        )
+        sent_s = time.monotonic()
+        answer = await send(connection, data)
+        failed = isinstance(answer, ExchangeFailure)
+        self.outcomes[name] = Outcome(vm, sent_s, None if failed else answer.status)
+        if failed or dict(answer.headers).get(b"connection") == b"close":
+            connection.close()
+        return name
+
+    async def operate(self, end_s: float) -> None:
+        """Change VMs one after the other, while other operators do the same."""
+        while time.monotonic() < end_s:
+            await anyio.sleep(self.rng.uniform(0.0, 1.5))
+            free = [vm for vm in self.vms if not vm.changing]
+            if not free:
+                continue
+            vm = self.rng.choice(free)
+            vm.changing = True
+            operation = self.rng.choice(
+                (self.stop, self.stop, self.kill, self.reload, self.change)
+            )
+            await operation(vm)
+            vm.changing = False
+
+    async def change(self, vm: SoakVm) -> None:
+        for _ in range(self.rng.randrange(1, 4)):
+            self.configure()
+            await anyio.sleep(self.rng.uniform(0.0, 0.3))
+
+    async def reload(self, vm: SoakVm) -> None:
+        for _ in range(self.rng.randrange(1, 4)):
+            vm.path.write_text(f"{vm.path.read_text()}\n")
+            vm.process.send_signal(signal.SIGHUP)
+            await anyio.sleep(self.rng.uniform(0.0, 0.2))
+
+    async def kill(self, vm: SoakVm) -> None:
+        vm.process.kill()
+        vm.process.wait()
+        vm.kills_s.append(time.monotonic())
+        await anyio.sleep(self.rng.uniform(0.1, 0.5))
+        self.restart(vm)
+
+    async def stop(self, vm: SoakVm) -> None:
+        """Stop a node, with further signals meanwhile, and start it again."""
+        stopped_s = time.monotonic()
+        vm.process.send_signal(signal.SIGTERM)
+        for _ in range(self.rng.randrange(3)):
+            await anyio.sleep(self.rng.uniform(0.0, 1.0))
+            vm.process.send_signal(
+                self.rng.choice((signal.SIGTERM, signal.SIGHUP, signal.SIGHUP))
+            )
+        while vm.process.poll() is None:
+            if time.monotonic() - stopped_s > GRACE_S:
+                self.faults.append(f"{vm.settings.name} runs after its grace")
+                vm.process.kill()
+                vm.kills_s.append(time.monotonic())
+            await anyio.sleep(0.02)
+        # a process that has not installed its handlers yet ends by the signal itself
+        if vm.process.returncode not in (0, -signal.SIGTERM, -signal.SIGKILL):
+            self.faults.append(f"{vm.settings.name} exited {vm.process.returncode}")
+        await anyio.sleep(self.rng.uniform(0.0, 0.5))
+        self.restart(vm)
+        # some processes are stopped again while they start
+        await anyio.sleep(self.rng.choice((0.0, 0.5, 1.0, 3.0)))
+
+    async def check_recovery(self) -> None:
+        """Wait until each node serves ten requests in a row."""
+        end_s = time.monotonic() + RECOVERY_S
+        for vm in self.vms:
+            served, status = 0, None
+            while served < 10 and time.monotonic() < end_s:
+                await anyio.sleep(0.02)
+                try:
+                    connection = await connect(vm.settings.caller_address)
+                except OSError:
+                    continue
+                name = await self.request(vm, connection)
+                connection.close()
+                status = self.outcomes[name].status
+                served = served + 1 if status == 200 else 0
+            if served < 10:
+                self.faults.append(f"{vm.settings.name} answers {status} at the end")
+
+    def check_outcomes(self) -> None:
+        runs = Counter(name for vm in self.vms for name in vm.server.runs)
+        self.faults += [
+            f"{name}: ran {count} times"
+            for name, count in runs.items()
+            if count > 1 and name in self.bookings
+        ]
+        for name, (vm, sent_s, status) in self.outcomes.items():
+            if status in NOT_RUN and name in runs:
+                self.faults.append(f"{name}: {status}, but has run")
+            killed = any(0 < one - sent_s < MAX_WAIT_S for one in vm.kills_s)
+            if status is None and name in runs and not killed:
+                self.faults.append(f"{name}: has run, no answer")
+
+    def end(self) -> None:
+        for vm in self.vms:
+            vm.process.kill()
+            vm.process.wait()
+            vm.server.listener.end()
+        self.log.listener.end()
+
+
+def spawn(path: Path) -> subprocess.Popen[bytes]:
+    with path.with_suffix(".log").open("ab") as output:
+        return start(path, output)
+
+
+async def run_soak(path: Path, seed: int) -> Soak:
+    soak = Soak(path, random.Random(seed))
+    await soak.start()
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(soak.announce)
+            for vm in soak.vms * CLIENTS_PER_VM:
+                group.start_soon(soak.run_client, vm)
+            end_s = time.monotonic() + DURATION_S
+            async with anyio.create_task_group() as operators:
+                for _ in range(OPERATORS):
+                    operators.start_soon(soak.operate, end_s)
+            await soak.check_recovery()
+            soak.ended = True
+        soak.check_outcomes()
+    finally:
+        soak.end()
+        await anyio.sleep(0.01)
+    return soak
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nodes_keep_their_promises_while_operations_overlap(tmp_path, seed):
+    soak = anyio.run(run_soak, tmp_path, seed, backend_options={"use_uvloop": True})
+    statuses = [status for _, _, status in soak.outcomes.values()]
+    print(f"seed {seed}: {len(statuses)} requests, {statuses.count(200)} served")
+    assert not soak.faults, soak.faults
+    assert statuses.count(200) > len(statuses) / 2
