--- a/eelgrassmount/entry/waiting_room.py
+++ b/eelgrassmount/entry/waiting_room.py
@@ -167,11 +167,9 @@
         entry = WaitingEntry(pending, times, key, begins_s, ends_s)
         position = bisect.bisect(self._entries, key, key=lambda one: one.key)
         wait_s = self._estimate(entry, position, now_s)
-        if (
-            wait_s <= 0
-            and not (now_s < begins_s and self._is_limited(entry.request_class, now_s))
-            and self.budget.try_take(entry.request_class, now_s)
-        ):
+        request_class = entry.request_class
+        may_start = now_s >= begins_s or not self._is_limited(request_class, now_s)
+        if may_start and wait_s <= 0 and self.budget.try_take(request_class, now_s):
             self.start(pending)
         elif not self._may_wait(entry, wait_s, now_s):
             self.refuse(pending, Reason.OVERLOAD)
--- a/tests/relay/test_soak.py
+++ b/tests/relay/test_soak.py
@@ -1,7 +1,7 @@
 """Nodes as separate processes while signals, kills and configurations overlap.
 
-``SOAK_SEEDS``, ``SOAK_S`` and ``SOAK_VMS`` in the environment set the number of runs,
-their duration in seconds and the number of nodes.
+The environment sets longer runs: ``SOAK_FIRST_SEED`` and ``SOAK_SEEDS`` the seeds,
+``SOAK_S`` the duration of each in seconds and ``SOAK_VMS`` the number of nodes.
 """
 
 from __future__ import annotations
@@ -36,14 +36,17 @@
 )
 from tests.relay.test_program import HOST, SETTINGS, start
 
-SEEDS = range(int(os.environ.get("SOAK_SEEDS", "1")))
+FIRST_SEED = int(os.environ.get("SOAK_FIRST_SEED", "0"))
+SEEDS = range(FIRST_SEED, FIRST_SEED + int(os.environ.get("SOAK_SEEDS", "1")))
 DURATION_S = float(os.environ.get("SOAK_S", "30"))
 VMS = int(os.environ.get("SOAK_VMS", "6"))
 CLIENTS_PER_VM = 2
 OPERATORS = 3
+# As in the settings of the nodes.
 GRACE_S = 4.0
 # Time after the last operation within which all requests must be served again.
 RECOVERY_S = 15.0
+# Longest start of an interpreter, in which signals have their default effect.
 INTERPRETER_START_S = 1.0
 # Longest time for which a client waits.
 MAX_WAIT_S = 2.0
@@ -89,33 +92,23 @@
         await self.log.start(LOG_HOST, 8309)
         self.configure()
         for number in range(VMS):
-            host = f"{LOOPBACK_PREFIX}.4.{number + 1}"
-            service = "list" if number % 2 else "front"
-            text = SETTINGS.replace("vm-1", f"vm-{number}")
-            text = text.replace('service = "list"', f'service = "{service}"')
-            text = text.replace(HOST, host)
-            text = text.replace(f"{host}:8309", f"{LOG_HOST}:8309")
-            path = self.path / f"vm-{number}.toml"
-            path.write_text(text)
-            server = PlatformServer(f"i-{number}", work_s=0.03)
-            await server.start(host, 8301)
-            names = ("caller", "peer", "ready", "announce", "server")
-            ports = (8304, 7620, 8302, 8306, 8301)
-            addresses = {
-                f"{name}_address": Address(host, port)
-                for name, port in zip(names, ports, strict=True)
-            }
-            settings = RelaySettings(
-                name=f"vm-{number}",
-                failure_domain="a",
-                service=service,
-                log_address=Address(LOG_HOST, 8309),
-                **addresses,
-            )
-            process = spawn(path)
-            self.vms.append(
-                SoakVm(None, server, settings, None, path=path, process=process)
-            )
+            await self.add_vm(number)
+
+    async def add_vm(self, number: int) -> None:
+        """Start a backend server and, as a process, its node."""
+        host = f"{LOOPBACK_PREFIX}.4.{number + 1}"
+        service = "list" if number % 2 else "front"
+        settings = make_settings(number, host, service)
+        text = SETTINGS.replace("vm-1", settings.name)
+        text = text.replace('service = "list"', f'service = "{service}"')
+        text = text.replace(HOST, host).replace(f"{host}:8309", f"{LOG_HOST}:8309")
+        path = self.path / f"{settings.name}.toml"
+        path.write_text(text)
+        server = PlatformServer(f"i-{number}", work_s=0.03)
+        await server.start(host, 8301)
+        self.vms.append(
+            SoakVm(None, server, settings, None, path=path, process=spawn(path))
+        )
 
     def restart(self, vm: SoakVm) -> None:
         vm.process = spawn(vm.path)
@@ -126,7 +119,6 @@
         code = vm.process.poll()
         if vm.changing or code is None:
             return
-        # before the interpreter runs the program, signals have their default effect
         is_starting = time.monotonic() - vm.started_s < INTERPRETER_START_S
         if not is_starting or code != -signal.SIGHUP:
             self.faults.append(f"{vm.settings.name} ended with {code}")
@@ -286,6 +278,21 @@
         self.log.listener.end()
 
 
+def make_settings(number: int, host: str, service: str) -> RelaySettings:
+    """Return the settings that a node reads from its file."""
+    return RelaySettings(
+        name=f"vm-{number}",
+        failure_domain="a",
+        service=service,
+        caller_address=Address(host, 8304),
+        peer_address=Address(host, 7620),
+        ready_address=Address(host, 8302),
+        announce_address=Address(host, 8306),
+        server_address=Address(host, 8301),
+        log_address=Address(LOG_HOST, 8309),
+    )
+
+
 def spawn(path: Path) -> subprocess.Popen[bytes]:
     with path.with_suffix(".log").open("ab") as output:
         return start(path, output)
