--- a/tests/entry/test_waiting_room.py
+++ b/tests/entry/test_waiting_room.py
@@ -81,7 +81,7 @@
     scenario.budget.rate = 40.0
     scenario.arrive("early", visit=Visit.EARLY)
     scenario.arrive("new")
-    scenario.arrive("new, begun before", elapsed_s=0.5)
+    scenario.arrive("new, begun before", elapsed_s=1.0)
     scenario.arrive("returning", visit=Visit.RETURNING, elapsed_s=0.95)
     scenario.arrive("urgent", rank=0)
     scenario.budget.unlimited.add(OTHER_ROUTE.name)
