--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,7 +23,7 @@
 
 BOUNDS = {"drainMs": 2000, "graceS": 6, "stableWindowMs": 3000}
 SEED = 1
-REQUESTS = 1200
+REQUESTS = 960
 CLIENTS = 6
 # Both servers reject the first attempt of one request in so many, and they
 # repeat that answer late.
--- a/review/harness.py
+++ b/review/harness.py
@@ -565,7 +565,8 @@
 
     try:
         held = asyncio.run(main())
-    except (CaseError, OSError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # a mistake of the case must not pass for a broken rule
         record.write("not run", cause=repr(error))
         sys.exit(EXIT_NOT_RUN)
     record.write("result", rule="held" if held else "broken")
