--- a/tools/results.py
+++ b/tools/results.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from collections import Counter
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -10,7 +12,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-MAX_KNOWN_RED = 3
+# Begins an entry for a command that this run does not include.
+NOT_RUN_PREFIX = "not run: "
+# Ends such a command, so that the failure can be reproduced.
+_SEED = re.compile(r"\((seed \d+|no seed)\)$")
 
 
 class Status(StrEnum):
@@ -32,19 +37,25 @@
 
 @frozen
 class KnownRed:
-    """A test that fails for a documented fault."""
+    """A test or command that fails for a documented fault.
+
+    ``id`` is the id of a test that this run includes, or the command and the seed of
+    one that it does not; ``in_run`` tells which.
+    """
 
     id: str
     cause: str
     issue: str
+    in_run: bool = True
 
 
 @frozen
 class Summary:
     """All results, with known failures separate from unexpected ones.
 
-    ``skipped`` holds ids, each with its reason if there is one.
-    ``known_red_errors`` are errors in the list of known failures; they count as
+    ``skipped`` holds ids, each with its reason if there is one. ``known_red`` holds the
+    listed tests that failed, ``known_red_not_run`` the listed commands outside of the
+    run. ``known_red_errors`` are errors in the list of known failures; they count as
     failures.
     """
 
@@ -52,6 +63,7 @@
     failed: tuple[str, ...]
     skipped: tuple[str, ...]
     known_red: tuple[KnownRed, ...]
+    known_red_not_run: tuple[KnownRed, ...]
     known_red_errors: tuple[str, ...]
 
     @property
@@ -70,26 +82,37 @@
 
 
 def parse_known_red(text: str) -> tuple[KnownRed, ...]:
-    """Parse the list of known failures, with lines ``test: cause: issue``."""
-    entries = []
-    for line in filter(None, map(str.strip, text.splitlines())):
-        parts = line.split(": ", 2)
-        parts += [""] * (3 - len(parts))
-        entries.append(KnownRed(*parts))
-    return tuple(entries)
+    """Parse the list of known failures, one entry a line.
+
+    An entry is ``test: cause: issue`` for a test of the run, and ``not run: command
+    (seed 1): cause: issue`` or ``not run: command (no seed): cause: issue`` for a
+    command outside of it.
+    """
+    lines = filter(None, map(str.strip, text.splitlines()))
+    return tuple(map(_parse_entry, lines))
+
+
+def _parse_entry(line: str) -> KnownRed:
+    in_run = not line.startswith(NOT_RUN_PREFIX)
+    parts = line.removeprefix(NOT_RUN_PREFIX).split(": ", 2)
+    parts += [""] * (3 - len(parts))
+    return KnownRed(*parts, in_run)
 
 
 def sum_up(results: Iterable[Result], known: tuple[KnownRed, ...]) -> Summary:
     """Return the summary of results, with known failures taken into account."""
     results = tuple(results)
     failed = [item.id for item in results if item.status is Status.FAILED]
-    known_ids = {entry.id for entry in known}
+    known_ids = {entry.id for entry in known if entry.in_run}
     return Summary(
         passed=sum(item.status is Status.PASSED for item in results),
         failed=tuple(id for id in failed if id not in known_ids),
         skipped=tuple(_list_skipped(results)),
-        known_red=tuple(entry for entry in known if entry.id in failed),
-        known_red_errors=tuple(_check_known_red(known, failed)),
+        known_red=tuple(
+            entry for entry in known if entry.in_run and entry.id in failed
+        ),
+        known_red_not_run=tuple(entry for entry in known if not entry.in_run),
+        known_red_errors=tuple(_check_known_red(known, results)),
     )
 
 
@@ -99,11 +122,27 @@
             yield f"{item.id}: {item.detail}" if item.detail else item.id
 
 
-def _check_known_red(known: tuple[KnownRed, ...], failed: list[str]) -> Iterable[str]:
-    if len(known) > MAX_KNOWN_RED:
-        yield f"{len(known)} known failures are listed, the maximum is {MAX_KNOWN_RED}"
+def _check_known_red(
+    known: tuple[KnownRed, ...], results: tuple[Result, ...]
+) -> Iterator[str]:
+    statuses = {item.id: item.status for item in results}
+    for id, count in Counter(entry.id for entry in known).items():
+        if count > 1:
+            yield f"{id}: {count} entries, one is allowed"
     for entry in known:
-        if not (entry.cause and entry.issue):
-            yield f"{entry.id}: the entry must be 'test: cause: issue'"
-        elif entry.id not in failed:
-            yield f"{entry.id}: did not fail in this run, remove it from the list"
+        error = _find_entry_error(entry, statuses)
+        if error:
+            yield f"{entry.id}: {error}"
+
+
+def _find_entry_error(entry: KnownRed, statuses: dict[str, Status]) -> str:
+    """Return what is wrong with an entry, an empty text if nothing is."""
+    if not (entry.cause and entry.issue):
+        return "the entry must be '[not run: ]test: cause: issue'"
+    if entry.in_run:
+        failed = statuses.get(entry.id) is Status.FAILED
+        return "" if failed else "did not fail in this run, remove it from the list"
+    if not _SEED.search(entry.id):
+        return "the command must end with its seed, as '(seed 1)' or '(no seed)'"
+    command = _SEED.sub("", entry.id).strip()
+    return f"is listed as not run, but ran ({command})" if command in statuses else ""
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -107,6 +107,8 @@
         print(f"skipped: {text}")
     for entry in summary.known_red:
         print(f"known red: {entry.id}: {entry.cause}: {entry.issue}")
+    for entry in summary.known_red_not_run:
+        print(f"known red, not run: {entry.id}: {entry.cause}: {entry.issue}")
     for text in (*summary.failed, *summary.known_red_errors):
         print(f"failed: {text}")
     print(summary.closing_line)
