Keep late copies of rejections away from later sendings

Cause: an answer was identified by its request id alone. A rejected request is sent again with the same id, mostly over the connection of the first sending, so a late copy of the rejection was reported as the answer to the second sending. Rejections without an id, as the platform's servers send them, fitted any request that came next on the connection, and so did answers to health checks.

Now a connection keeps the ids answered on it without success and is not used for them again, it is closed after an answer without an id, and health checks use connections of their own. This holds for any delay, number of copies and servers, as no id is ever open on a connection on which it was answered.

Ruled out: the product's own interface (a new call id for each attempt), links between nodes (numbered calls).

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -111,6 +111,7 @@
     pool = BackendPool(
         clock,
         lambda answer: HEADER_CODEC.read_idle_limit(answer.headers),
+        lambda answer: HEADER_CODEC.find_request_id(answer.headers),
         metrics.connections.inc,
     )
     dispatcher = Dispatcher(
--- a/eelgrassmount/http1/client.py
+++ b/eelgrassmount/http1/client.py
@@ -79,7 +79,8 @@
     """Sends requests one after the other and reports each outcome once.
 
     ``on_idle`` is called when the connection is ready for the next request, and
-    ``on_lost`` when it has closed.
+    ``on_lost`` when it has closed. ``unsuccessful_ids`` are kept by the owner of the
+    connection: the ids of requests that were answered on it without success.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         self.closed = False
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
+        self.unsuccessful_ids: set[bytes] = set()
         self._on_done: Callable[[ClientAnswer | ExchangeFailure], None] | None = None
         self._accepts: Callable[[ClientAnswer], bool] | None = None
         self._parser: httptools.HttpResponseParser | None = None
--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -32,6 +32,9 @@
 TRUSTED_IDLE_SHARE = 0.6
 # Factor by which the trusted idle time recovers at each sweep.
 TRUSTED_IDLE_GROWTH = 1.1
+# Requests with an unsuccessful answer after which a connection is not reused; their ids
+# are kept with the connection.
+MAX_UNSUCCESSFUL_IDS = 64
 
 
 @define(eq=False, repr=False)
@@ -39,6 +42,7 @@
     """A request to the server and its answer or failure, which is reported once."""
 
     on_done: Callable[[ClientAnswer | ExchangeFailure], None]
+    request_id: bytes
     connection: ClientConnection | None = None
     completed: bool = False
     head_only: bool = False
@@ -65,10 +69,21 @@
 
 @define(eq=False, repr=False)
 class BackendPool:
-    """Sends requests over pooled connections, the most recently used one first."""
+    """Sends requests over pooled connections, the most recently used one first.
+
+    A server may send an answer once more, at any later time. An answer with another
+    request id than the expected one is skipped, and two rules keep a late copy from
+    being taken for the answer to another sending:
+
+    * A request that was answered without success may be sent again, with the same id.
+      It then uses a connection on which that id has not been answered.
+    * A connection is closed after an answer without an id, as nothing would identify a
+      copy of it.
+    """
 
     clock: Callable[[], float]
     read_idle_limit: Callable[[ClientAnswer], float | None]
+    find_request_id: Callable[[ClientAnswer], bytes]
     on_open: Callable[[], None] = lambda: None
     _trusted_idle_s: float = DEFAULT_IDLE_TIMEOUT_S
     _idle: list[ClientConnection] = field(factory=list)
@@ -79,21 +94,23 @@
         address: Address,
         data: bytes,
         fresh_only: bool,
-        accepts: Callable[[ClientAnswer], bool],
+        request_id: bytes,
         done: Callable[[ClientAnswer | ExchangeFailure], None],
         head_only: bool = False,
     ) -> ServerExchange:
         """Send a whole request; ``fresh_only`` requires a recently used connection.
 
-        With ``head_only`` the answer has no body, whatever length it announces.
+        ``request_id`` is the id that the answer repeats, empty for a health check,
+        which uses a connection of its own. With ``head_only`` the answer has no body,
+        whatever length it announces.
         """
-        exchange = ServerExchange(done, head_only=head_only)
-        connection = self._take_idle(fresh_only)
+        exchange = ServerExchange(done, request_id, head_only=head_only)
+        connection = self._take_idle(fresh_only, request_id) if request_id else None
         if connection is not None:
-            self._send_on(connection, exchange, data, accepts)
+            self._send_on(connection, exchange, data)
             return exchange
         task = asyncio.get_running_loop().create_task(
-            self._connect_and_send(address, exchange, data, accepts)
+            self._connect_and_send(address, exchange, data)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -120,13 +137,17 @@
                 self._idle.remove(connection)
                 connection.close()
 
-    def _take_idle(self, fresh_only: bool) -> ClientConnection | None:
+    def _take_idle(
+        self, fresh_only: bool, request_id: bytes
+    ) -> ClientConnection | None:
         now_s = self.clock()
-        while self._idle:
-            connection = self._idle[-1]
+        for index in reversed(range(len(self._idle))):
+            connection = self._idle[index]
             if fresh_only and now_s - connection.idle_since_s > MAX_FRESH_IDLE_S:
                 return None
-            self._idle.pop()
+            if request_id in connection.unsuccessful_ids:
+                continue
+            del self._idle[index]
             if not connection.closed and self._is_usable(connection, now_s):
                 return connection
             connection.close()
@@ -144,12 +165,17 @@
         connection: ClientConnection,
         exchange: ServerExchange,
         data: bytes,
-        accepts: Callable[[ClientAnswer], bool],
     ) -> None:
         exchange.connection = connection
+        # The connection keeps ``accepts``, which must not refer back to it.
+        request_id = exchange.request_id
         sent_s = self.clock()
         idle_s = sent_s - connection.idle_since_s
 
+        def accepts(answer: ClientAnswer) -> bool:
+            found = self.find_request_id(answer)
+            return not found or found == request_id
+
         def complete(outcome: ClientAnswer | ExchangeFailure) -> None:
             closed_soon = self.clock() - sent_s < MAX_DROP_DETECTION_S
             if outcome is ExchangeFailure.CLOSED and closed_soon:
@@ -158,16 +184,31 @@
                 limit_s = self.read_idle_limit(outcome)
                 if limit_s is not None:
                     connection.idle_timeout_s = limit_s
+                # Must precede the report, which may lead to another sending.
+                self._limit_reuse(connection, exchange, outcome)
             exchange.complete(outcome)
 
         connection.send(data, complete, accepts, exchange.head_only)
 
+    def _limit_reuse(
+        self,
+        connection: ClientConnection,
+        exchange: ServerExchange,
+        answer: ClientAnswer,
+    ) -> None:
+        """Keep a late copy of an answer away from requests that it would fit."""
+        if not self.find_request_id(answer):
+            connection.close()
+        elif not 200 <= answer.status < 300:
+            connection.unsuccessful_ids.add(exchange.request_id)
+            if len(connection.unsuccessful_ids) >= MAX_UNSUCCESSFUL_IDS:
+                connection.close()
+
     async def _connect_and_send(
         self,
         address: Address,
         exchange: ServerExchange,
         data: bytes,
-        accepts: Callable[[ClientAnswer], bool],
     ) -> None:
         try:
             connection = await open_connection(
@@ -183,7 +224,7 @@
         elif exchange.completed:
             self._add_idle(connection)
         else:
-            self._send_on(connection, exchange, data, accepts)
+            self._send_on(connection, exchange, data)
 
     def _reduce_trusted_idle(self, idle_s: float) -> None:
         """Reuse idle connections for less time after the server dropped one."""
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -55,6 +55,8 @@
 MIN_START_DELAY_S = 0.001
 # How long calls may wait for a server that has announced its stop.
 MAX_LAST_WAIT_S = 1.0
+# Health checks have no request id.
+NO_REQUEST_ID = b""
 # Longest wait that a refusal names.
 MAX_WAIT_S = 600.0
 
@@ -77,7 +79,7 @@
     the retry budget. ``has_lost_call`` returns whether a downstream call of a run has
     failed or is still open, ``claim_lost_call`` whether a run failed because of such a
     call. ``on_answer`` is called with whether the server has rejected a call.
-    call. ``on_free_slots`` is called when slots are free and no call waits.
+    ``on_free_slots`` is called when slots are free and no call waits.
     ``on_invalid_header`` is called with the server's identity and the name and
     value of a header that can't be parsed.
     """
@@ -207,7 +209,7 @@
                     self.on_change()
 
         data = self.header_codec.write_probe(health_path)
-        self.pool.send(self.server.address, data, True, lambda answer: True, on_answer)
+        self.pool.send(self.server.address, data, True, NO_REQUEST_ID, on_answer)
 
     def cancel(self, job: Job) -> None:
         """Cancel a job; calls that have started run on if not idempotent."""
@@ -401,17 +403,11 @@
             call.caller_service,
             self.server.incarnation.identity,
         )
-        request_id = call.request_id.encode("latin-1")
-
-        def accepts(answer: ClientAnswer) -> bool:
-            found = self.header_codec.find_request_id(answer.headers)
-            return not found or found == request_id
-
         job.exchange = self.pool.send(
             self.server.address,
             data,
             not call.route.idempotent,
-            accepts,
+            call.request_id.encode("latin-1"),
             lambda result: self._finish(job, result),
             call.method == "HEAD",
         )
--- a/tests/relay/test_backend.py
+++ b/tests/relay/test_backend.py
@@ -5,25 +5,37 @@
 import asyncio
 
 import anyio
+import pytest
 from attrs import define, field
 
 from eelgrassmount.http1.client import ClientAnswer, ExchangeFailure
-from eelgrassmount.relay.backend import MAX_FRESH_IDLE_S, BackendPool
+from eelgrassmount.platform.headers import HEADER_CODEC
+from eelgrassmount.relay.backend import (
+    MAX_FRESH_IDLE_S,
+    MAX_UNSUCCESSFUL_IDS,
+    BackendPool,
+)
 from eelgrassmount.util.addresses import Address
 from tests.relay.deployment import LOOPBACK_PREFIX
 
 HOST = f"{LOOPBACK_PREFIX}.3.1"
 REQUEST = b"GET /list/1 HTTP/1.1\r\ncontent-length: 0\r\n\r\n"
-ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\neelgrassmount-attempt-id: a\r\ncontent-length: 0\r\n\r\n"
 # Idle timeout of the server in these tests.
 SERVER_IDLE_TIMEOUT_S = 0.1
 
 
 @define(eq=False)
 class Server:
-    """A server that resets connections used after its idle timeout."""
+    """A server that resets connections used after its idle timeout.
+
+    With ``repeating``, each request gets the previous answer on its connection again,
+    before its own one.
+    """
 
     clock: object
+    answers: list[bytes] = field(factory=list)
+    repeating: bool = False
     opened: int = 0
     holding: bool = False
     held_transports: list[asyncio.Transport] = field(factory=list)
@@ -43,6 +55,7 @@
 class ServerProtocol(asyncio.Protocol):
     server: Server
     used_s: float | None = None
+    previous: bytes = b""
     transport: asyncio.Transport = field(init=False)
 
     def connection_made(self, transport) -> None:
@@ -57,8 +70,12 @@
         self.used_s = now_s
         if self.server.holding:
             self.server.held_transports.append(self.transport)
-        else:
-            self.transport.write(ANSWER)
+            return
+        if self.server.repeating:
+            self.transport.write(self.previous)
+        answers = self.server.answers
+        self.previous = answers.pop(0) if answers else ANSWER
+        self.transport.write(self.previous)
 
 
 @define(eq=False)
@@ -69,15 +86,21 @@
 
     def __attrs_post_init__(self) -> None:
         self.server = Server(self.clock)
-        self.pool = BackendPool(self.clock, lambda answer: None)
+        self.pool = BackendPool(
+            self.clock,
+            lambda answer: None,
+            lambda answer: HEADER_CODEC.find_request_id(answer.headers),
+        )
 
     def clock(self) -> float:
         return self.now_s
 
-    async def send(self, fresh_only: bool) -> ClientAnswer | ExchangeFailure:
+    async def send(
+        self, fresh_only: bool, request_id: bytes = b"a"
+    ) -> ClientAnswer | ExchangeFailure:
         future = asyncio.get_running_loop().create_future()
         address = self.server.address
-        self.pool.send(address, REQUEST, fresh_only, lambda _: True, future.set_result)
+        self.pool.send(address, REQUEST, fresh_only, request_id, future.set_result)
         with anyio.fail_after(3):
             return await future
 
@@ -200,9 +223,7 @@
         setup.server.holding = True
         address = setup.server.address
         outcomes = []
-        pending = setup.pool.send(
-            address, REQUEST, False, lambda _: True, outcomes.append
-        )
+        pending = setup.pool.send(address, REQUEST, False, b"a", outcomes.append)
         assert not pending.is_written()
         with anyio.fail_after(3):
             while not setup.server.held_transports:
@@ -212,3 +233,64 @@
         assert outcomes == [ExchangeFailure.CANCELLED]
 
     run(scenario)
+
+
+def make_answer(status: int, request_id: bytes) -> bytes:
+    id = b"eelgrassmount-attempt-id: %s\r\n" % request_id if request_id else b""
+    return b"HTTP/1.1 %d -\r\n%scontent-length: 0\r\n\r\n" % (status, id)
+
+
+@pytest.mark.parametrize("next_id", [b"a", b"b", b""])
+@pytest.mark.parametrize("first_id", [b"a", b""])
+@pytest.mark.parametrize("status", [400, 421, 429, 500, 503])
+def test_repeated_answer_is_not_taken_for_the_next_one(status, first_id, next_id):
+    """A rejection was taken for the answer to a later sending of the same request."""
+
+    async def scenario(setup: Setup) -> None:
+        setup.server.repeating = True
+        setup.server.answers = [
+            make_answer(status, first_id),
+            make_answer(200, next_id),
+        ]
+        assert (await setup.send(True, b"a")).status == status
+        assert (await setup.send(True, next_id)).status == 200
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_repeated_health_answer_is_not_taken_for_that_to_a_request(status):
+    """The answer to a health check has no id, and fitted any request."""
+
+    async def scenario(setup: Setup) -> None:
+        setup.server.repeating = True
+        setup.server.answers = [make_answer(status, b""), make_answer(404, b"a")]
+        assert (await setup.send(True, b"")).status == status
+        assert (await setup.send(True, b"a")).status == 404
+
+    run(scenario)
+
+
+def test_rejected_request_leaves_its_connection_to_others():
+    async def scenario(setup: Setup) -> None:
+        setup.server.answers = [make_answer(503, b"a"), make_answer(200, b"b")]
+        await setup.send(True, b"a")
+        await setup.send(True, b"b")
+        assert setup.server.opened == 1
+        # The second sending opens a connection, although one is idle.
+        await setup.send(True, b"a")
+        assert setup.server.opened == 2
+
+    run(scenario)
+
+
+def test_connection_keeps_a_limited_number_of_ids():
+    async def scenario(setup: Setup) -> None:
+        for number in range(MAX_UNSUCCESSFUL_IDS + 1):
+            assert setup.server.opened == (1 if number else 0)
+            id = b"%d" % number
+            setup.server.answers = [make_answer(503, id)]
+            await setup.send(True, id)
+        assert setup.server.opened == 2
+
+    run(scenario)
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -59,7 +59,7 @@
         self.connecting: set[FakeExchange] = set()
         self.resets: list[int] = []
 
-    def send(self, address, data, fresh_only, accepts, done, head_only=False):
+    def send(self, address, data, fresh_only, request_id, done, head_only=False):
         exchange = FakeExchange(self, done)
         self.open.append(exchange)
         self.sent.append(data)
