Discard reads of the log that were sent before a restart

Cause: a later epoch makes both followers of a node forget their offsets and cancel their reads. asyncio.wait_for (Python 3.11) returns the answer of a finished call even if its task is cancelled, so a read whose answer had arrived went on and compared the forgotten offset with a number. A node that starts joined pages of two epochs.

Now a follower counts its restarts and discards the result of a read that was sent before the latest one, and a node that starts discards records that were read across a restoration. This does not depend on whether the cancellation comes in time.

Ruled out: appends (an offset of an earlier epoch is rejected by the epoch of its answer).

--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -263,8 +263,10 @@
     Return whether the log holds the record.
     """
     record_table = node.readers.record_table
+    resets = record_table.resets
     snapshot = await node.store.read_newest(NODES_TOPIC)
-    if isinstance(snapshot, StoreFailure):
+    # A restored log assigns offsets again, also between two pages of a snapshot.
+    if isinstance(snapshot, StoreFailure) or record_table.resets != resets:
         return False
     node.apply_node_records(snapshot.records)
     record_table.apply(snapshot.records, snapshot.end)
--- a/eelgrassmount/topics/follower.py
+++ b/eelgrassmount/topics/follower.py
@@ -24,6 +24,7 @@
 BATCH_DELAY_S = 0.2
 BASE_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.5
+_RESTARTED = StoreFailure(FailureKind.OUTDATED, "sent before a restart")
 
 
 @define(eq=False, repr=False)
@@ -35,7 +36,8 @@
     them. ``on_unreadable`` receives the number of records that could not be read.
     Failed reads are retried without end, with delays of up to ``retry_limit_s``. The
     first read after a failure does not wait for new records, as its answer may reveal
-    that the log was restored from an older copy.
+    that the log was restored from an older copy. The result of a read that was sent
+    before a `restart` is discarded, also if it arrives at the same time.
     """
 
     store: Store
@@ -53,6 +55,7 @@
     _is_wanted: bool = True
     _has_read: bool = False
     _skip_wait: bool = False
+    _restarts: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the backoff between failed reads."""
@@ -86,7 +89,9 @@
 
     def restart(self) -> None:
         """Read the newest records again after offsets have become invalid."""
+        self._restarts += 1
         self.next_offset = None
+        # Has no effect on a read whose answer has arrived.
         if self._scope is not None:
             self._scope.cancel()
 
@@ -117,10 +122,13 @@
         await anyio.sleep(self._backoff.fail())
 
     async def _read_next(self) -> StoreFailure | None:
+        restarts = self._restarts
         if self.next_offset is None:
             snapshot = await self.store.read_newest(self.topic)
             if isinstance(snapshot, StoreFailure):
                 return snapshot
+            if self._restarts != restarts:
+                return _RESTARTED
             self.next_offset = snapshot.end
             self._apply_batch(snapshot)
             self.on_read(snapshot.records, snapshot.end)
@@ -129,6 +137,8 @@
         batch = await self.store.read(self.topic, self.next_offset, wait_s)
         if isinstance(batch, StoreFailure):
             return batch
+        if self._restarts != restarts:
+            return _RESTARTED
         self._skip_wait = False
         self.next_offset = max(self.next_offset, batch.next_offset)
         if batch.records or batch.unreadable:
--- a/tests/topics/test_log_restore.py
+++ b/tests/topics/test_log_restore.py
@@ -111,6 +111,23 @@
     play(scenario)
 
 
+# Guards against a read of an earlier epoch that ends a node by a TypeError.
+def test_restoration_that_answers_both_reads_at_once_ends_no_node():
+    async def scenario(deployment: Deployment) -> None:
+        for version in (5, 6, 7):
+            copy = deployment.log.copy()
+            deployment.configure(version, LIST)
+            await anyio.sleep(MAX_APPLY_TIME_S)
+            deployment.log.restore(copy)
+            await anyio.sleep(MAX_APPLY_TIME_S)
+            assert list_versions(deployment) == {version}
+        for vm in deployment.vms:
+            assert vm.node.readers.is_current()
+            assert (await send_as_client(vm, "/list/1")).status == 200
+
+    play(scenario)
+
+
 def test_nodes_rewrite_their_records_and_remain_members():
     async def scenario(deployment: Deployment) -> None:
         names = {vm.settings.name for vm in deployment.vms}
--- a/tests/topics/test_records.py
+++ b/tests/topics/test_records.py
@@ -259,3 +259,34 @@
     node.followers.clear()
     anyio.run(main)
     assert log.appended == []
+
+
+class RestoredLog(MisplacedRecordLog):
+    """A log that is restored from an older copy while its records are read."""
+
+    def __init__(self, node, record: StoredRecord):
+        super().__init__(record)
+        self.node = node
+        self.epochs = [4, 4]
+
+    async def read_newest(self, topic: str) -> Snapshot:
+        snapshot = Snapshot((self.record,), 3 + 10 * len(self.epochs))
+        if self.epochs:
+            self.node.readers.epoch_tracker.advance_to(self.epochs.pop())
+        return snapshot
+
+
+# Guards against offsets of an earlier epoch, behind which later records are missed.
+def test_starting_node_discards_records_of_an_earlier_epoch(node):
+    node.readers.epoch_tracker.advance_to(3)
+    own = make_record(
+        SETTINGS.name, address=str(SETTINGS.peer_address), service_name="desk"
+    )
+    log = node.store = RestoredLog(node, own)
+    local_record = relay_run.make_local_record(node)
+    found = [
+        anyio.run(relay_run._ensure_local_record, node, local_record) for _ in range(2)
+    ]
+    assert found == [False, True]
+    assert node.readers.record_table.next_offset == 13
+    assert log.appended == []
