Keep the announced stop of a server that a late heartbeat displaces

Cause: a node takes an unknown identity for a new server, and the next request to it gets 421 from the server that is there. The node took the server named by the 421 for one that had just started and discarded its sequence, draining and leave. A stop that it announced meanwhile was acknowledged and ignored.

If a server that stops is found by an answer, waiting calls are refused as not run and all nodes are told at once.

Ruled out as the cure: an order by born. Heartbeats may have none, and one that is smaller may come of a clock that was set back.

--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -252,10 +252,15 @@
             self._leaving_since_s = now_s
         if now_s - self._leaving_since_s < MAX_LAST_WAIT_S:
             return
-        self._update_queue_time(now_s)
+        self._refuse_queued(Reason.DRAINING)
+
+    def _refuse_queued(self, reason: Reason) -> None:
+        """Refuse all waiting calls."""
+        self._update_queue_time(self.clock())
         for job in self._queue.list_jobs():
+            # A refusal may lead to another call, which may start waiting ones.
             if self._queue.remove(job):
-                self._refuse(job, Reason.DRAINING)
+                self._refuse(job, reason)
 
     def move_queued(self, count: int, node: str) -> int:
         """Give up queued calls for free slots of another node; return their number.
@@ -450,7 +455,7 @@
     ) -> Reply:
         head = self.header_codec.read_answer(answer.headers)
         if answer.status == 421:
-            self.server.apply_answer_identity(head.instance)
+            self._apply_other_identity(head.instance)
             return Reply(Outcome.NOT_RUN, Reason.NO_SERVER)
         self._apply_statements(job, head, now_s)
         self.on_answer(head.not_run)
@@ -463,6 +468,20 @@
             Outcome.ANSWERED, None, answer.status, head.forwarded_headers, answer.body
         )
 
+    def _apply_other_identity(self, identity: str) -> None:
+        """Apply the identity that a rejected call has found at the address."""
+        if not self.server.apply_answer_identity(identity):
+            return
+        logger.info(
+            "another server answers",
+            incarnation=str(self.server.incarnation),
+            leaving=self.server.is_leaving(),
+        )
+        if self.server.is_leaving():
+            # They have waited for the server that seemed to be there.
+            self._refuse_queued(Reason.DRAINING)
+        self.on_change()
+
     def _apply_statements(self, job: Job, head: AnswerHead, now_s: float) -> None:
         """Apply what an answer says about its server, unless that has been replaced."""
         current = self.server.incarnation
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -34,6 +34,29 @@
 ANY_START = math.inf
 
 
+@define(eq=False, repr=False)
+class EndedServer:
+    """What is known of an identity that another one has replaced.
+
+    ``started_ms`` is its latest known start; all starts up to that have ended.
+    """
+
+    started_ms: float
+    sequence: int = NO_SEQUENCE
+    draining: bool = False
+    has_left: bool = False
+    slots: int = DEFAULT_SLOTS
+
+    def apply_late_message(self, heartbeat: Heartbeat) -> None:
+        """Apply an announced stop, which stays valid if the identity returns."""
+        started_ms = heartbeat.incarnation.started_ms
+        known = started_ms != UNKNOWN_START and self.started_ms != ANY_START
+        if known and started_ms < self.started_ms:
+            return
+        self.draining = self.draining or heartbeat.draining
+        self.has_left = self.has_left or heartbeat.leaving
+
+
 @define(eq=False, repr=False)
 class LocalServer:
     """The backend server of this VM: its incarnation, slots and availability.
@@ -52,7 +75,9 @@
     this node. It applies as long as it concerns the current incarnation.
 
     An answer names an identity only. If it differs from the current one, it replaces
-    that, and the next heartbeat supplies its start.
+    that. A late heartbeat of a crashed server may have taken the place of one that
+    runs on, so that an identity returns with all that is known of it: an announced stop
+    remains. The start of an unknown one is supplied by its next heartbeat.
     """
 
     service: str
@@ -68,13 +93,14 @@
     rate_limit: ServerRateLimit = field(factory=ServerRateLimit)
     notices: dict[str, ServerNotice] = field(factory=dict)
     unreachable_until_s: float = 0.0
-    _ended: dict[str, float] = field(factory=dict)
+    _ended: dict[str, EndedServer] = field(factory=dict)
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Apply a heartbeat or leave message; return whether the state has changed."""
         reported = heartbeat.incarnation
         current = self.incarnation
         if self._has_ended(reported):
+            self._ended[reported.identity].apply_late_message(heartbeat)
             return False
         if current is None or current.identity != reported.identity:
             return self._apply_other_identity(heartbeat)
@@ -87,21 +113,28 @@
             return True
         return self._apply_current(heartbeat)
 
-    def apply_answer_identity(self, identity: str) -> None:
-        """Apply the identity that an answer of the server names."""
+    def apply_answer_identity(self, identity: str) -> bool:
+        """Apply the identity that an answer names; return whether it is another one."""
         current = self.incarnation
         if not identity or (current is not None and current.identity == identity):
-            return
+            return False
         if current is not None:
             self._mark_ended(current)
         # An answer proves that the identity is running, even if it was marked as ended.
-        self._ended.pop(identity, None)
-        self.incarnation = ServerIncarnation(identity)
-        self.sequence = NO_SEQUENCE
-        self.draining = False
-        self.has_left = False
+        known = self._ended.pop(identity, None)
+        if known is None:
+            known = EndedServer(ANY_START, slots=self.slots)
+        is_known_start = known.started_ms != ANY_START
+        self.incarnation = ServerIncarnation(
+            identity, int(known.started_ms) if is_known_start else UNKNOWN_START
+        )
+        self.sequence = known.sequence
+        self.draining = known.draining
+        self.has_left = known.has_left
+        self.slots = known.slots
         self.rate_limit.clear()
         self._restore_rate_limit()
+        return True
 
     def apply_notice(self, notice: ServerNotice) -> None:
         """Apply what another node remembers of this server or an earlier one."""
@@ -191,7 +224,10 @@
         """Apply a message of an identity that is not the current one."""
         current = self.incarnation
         if current is not None and heartbeat.leaving:
-            self._mark_ended(heartbeat.incarnation)
+            started_ms = _get_ended_ms(heartbeat.incarnation)
+            self._add_ended(
+                heartbeat.incarnation.identity, EndedServer(started_ms, has_left=True)
+            )
             return False
         if current is not None:
             self._mark_ended(current)
@@ -212,15 +248,29 @@
         self._restore_rate_limit()
         self.unreachable_until_s = 0.0
 
-    def _mark_ended(self, incarnation: ServerIncarnation) -> None:
-        started_ms = incarnation.started_ms
-        known = started_ms != UNKNOWN_START
-        self._ended.pop(incarnation.identity, None)
-        self._ended[incarnation.identity] = started_ms if known else ANY_START
+    def _mark_ended(self, current: ServerIncarnation) -> None:
+        ended = EndedServer(
+            _get_ended_ms(current),
+            self.sequence,
+            self.draining,
+            self.has_left,
+            self.slots,
+        )
+        self._add_ended(current.identity, ended)
+
+    def _add_ended(self, identity: str, ended: EndedServer) -> None:
+        self._ended.pop(identity, None)
+        self._ended[identity] = ended
         if len(self._ended) > MAX_ENDED_IDENTITIES:
             del self._ended[next(iter(self._ended))]
 
     def _has_ended(self, incarnation: ServerIncarnation) -> bool:
         """Return whether this start, or a later one of the identity, has ended."""
-        ended_ms = self._ended.get(incarnation.identity)
-        return ended_ms is not None and incarnation.started_ms <= ended_ms
+        ended = self._ended.get(incarnation.identity)
+        return ended is not None and incarnation.started_ms <= ended.started_ms
+
+
+def _get_ended_ms(incarnation: ServerIncarnation) -> float:
+    """Return the latest start that has ended with an incarnation."""
+    started_ms = incarnation.started_ms
+    return ANY_START if started_ms == UNKNOWN_START else started_ms
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -97,9 +97,16 @@
         self.sequence = 0
         self.started_ms = max(self.started_ms + 1, read_unix_ms())
 
-    async def announce(self, draining: bool = False) -> ClientAnswer | ExchangeFailure:
-        """Send a heartbeat of the server."""
+    async def announce(
+        self,
+        draining: bool = False,
+        identity: str = "",
+        started_ms: int | None = None,
+    ) -> ClientAnswer | ExchangeFailure:
+        """Send a heartbeat of this or another server; a start of 0 is omitted."""
         self.sequence += 1
+        if started_ms is None:
+            started_ms = self.started_ms
         body = {
             "address": str(self.settings.server_address),
             "info": {
@@ -113,12 +120,18 @@
                 "sequence": self.sequence,
                 "coldRemainingMs": 0,
             },
-            "born": self.started_ms,
         }
-        target = f"/instances/{self.server.incarnation}/heartbeat"
+        if started_ms:
+            body["born"] = started_ms
+        target = f"/instances/{identity or self.server.incarnation}/heartbeat"
         address = self.settings.announce_address
         return await request(address, "POST", target, json.dumps(body).encode())
 
+    async def announce_leave(self) -> ClientAnswer | ExchangeFailure:
+        """Send the leave message of the server."""
+        target = f"/instances/{self.server.incarnation}/leave"
+        return await request(self.settings.announce_address, "POST", target)
+
 
 @define(eq=False)
 class Deployment:
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -800,3 +800,23 @@
     assert len(setup.replies) == 1
     setup.answer()
     assert setup.replies[-1].outcome is Outcome.ANSWERED
+
+
+# Guards against calls that wait for a crashed server, and reach one that stops.
+@pytest.mark.parametrize("stopping", [True, False])
+def test_calls_that_wait_are_refused_if_a_server_that_stops_answers(stopping):
+    setup = Setup(slots=1)
+    changes = []
+    setup.dispatcher.on_change = lambda: changes.append(setup.server.is_leaving())
+    stop = Heartbeat(I1, service="list", slots=1, sequence=1, draining=stopping)
+    setup.server.apply_heartbeat(stop)
+    late = Heartbeat(ServerIncarnation("i0"), service="list", slots=1)
+    setup.server.apply_heartbeat(late)
+    setup.submit()
+    setup.submit()
+    setup.answer(421, [(b"eelgrassmount-instance-id", b"i1")])
+    assert changes == [stopping]
+    reasons = [reply.reason for reply in setup.replies]
+    refused = [Reason.DRAINING, Reason.NO_SERVER]
+    assert reasons == (refused if stopping else [Reason.NO_SERVER])
+    assert len(setup.pool.sent) == (1 if stopping else 2)
--- a/tests/relay/test_leaving_servers.py
+++ b/tests/relay/test_leaving_servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import anyio
 import pytest
 
@@ -13,6 +15,9 @@
     run_scenario,
 )
 
+if TYPE_CHECKING:
+    from tests.relay.deployment import Vm
+
 # Time after which a server that announced its stop must get no new requests.
 DRAIN_S = 2.0
 
@@ -77,3 +82,65 @@
         assert find_max_runs(server, 0.0) <= allowed
 
     run_scenario(scenario, servers=1)
+
+
+async def announce_stop(vm: Vm, kind: str) -> None:
+    """Announce the stop of a server, which goes on serving."""
+    answer = await (vm.announce_leave() if kind == "leave" else vm.announce(True))
+    assert answer.status == 200
+
+
+# Guards against a late heartbeat of a crashed server that undid the stop of the present
+# one, which was found again by its answers.
+@pytest.mark.parametrize("kind", ["leave", "draining"])
+@pytest.mark.parametrize("stop_first", [True, False])
+@pytest.mark.parametrize("age_ms", [None, -5_000, 5_000])
+def test_late_heartbeat_of_a_crashed_server_undoes_no_announced_stop(
+    kind, stop_first, age_ms
+):
+    async def scenario(setup: ServiceScenario) -> None:
+        vm = setup.server_vms[0]
+        late_ms = 0 if age_ms is None else vm.started_ms + age_ms
+        if age_ms is None:
+            vm.started_ms = 0
+        await vm.announce()
+        await setup.send_for(1.0)
+        if stop_first:
+            await announce_stop(vm, kind)
+            await anyio.sleep(DRAIN_S)
+        for number in range(3):
+            late = await vm.announce(identity=f"crashed-{number}", started_ms=late_ms)
+            assert late.status == 200
+            if not stop_first and not number:
+                await announce_stop(vm, kind)
+                await anyio.sleep(DRAIN_S)
+            vm.server.run_times_s.clear()
+            await setup.send_for(1.0)
+            assert vm.server.run_times_s == []
+            # A late heartbeat of the server itself.
+            await vm.announce()
+        assert setup.count_answers(200) == len(setup.answers)
+        # The next server at the address gets requests.
+        vm.server.incarnation = "next"
+        await vm.announce()
+        await setup.send_for(1.0)
+        assert vm.server.run_times_s != []
+
+    run_scenario(scenario, servers=3)
+
+
+def test_server_displaced_by_a_late_heartbeat_goes_on_with_its_requests():
+    async def scenario(setup: ServiceScenario) -> None:
+        vm = setup.server_vms[0]
+        vm.started_ms = 0
+        await vm.announce()
+        await vm.announce(identity="crashed")
+        await setup.send_for(0.5)
+        vm.server.run_times_s.clear()
+        await vm.announce()
+        await setup.send_for(1.0)
+        assert vm.server.run_times_s != []
+        assert vm.node.state.server.slots == 8
+        assert setup.count_answers(200) == len(setup.answers)
+
+    run_scenario(scenario)
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -291,6 +291,56 @@
     assert server.incarnation == ServerIncarnation("i1", THIRD_MS)
 
 
+# The following tests guard against a late heartbeat that displaces a server, which its
+# answers bring back: what it has announced must still hold.
+
+
+@pytest.mark.parametrize("displaced_first", [True, False])
+@pytest.mark.parametrize("started_ms", [UNKNOWN_START, FIRST_MS])
+@pytest.mark.parametrize(
+    ("leaving", "reason"), [(True, Reason.NO_SERVER), (False, Reason.DRAINING)]
+)
+def test_announced_stop_holds_for_an_identity_that_returns(
+    server, displaced_first, started_ms, leaving, reason
+):
+    stop = make_heartbeat("i2", 4, started_ms, draining=True)
+    if leaving:
+        stop = make_leave("i2", started_ms)
+    late = make_heartbeat("i1", 9, UNKNOWN_START, slots=7)
+    server.apply_heartbeat(make_heartbeat("i2", 3, started_ms))
+    for message in (late, stop) if displaced_first else (stop, late):
+        server.apply_heartbeat(message)
+    assert server.incarnation.identity == "i1"
+    assert server.apply_answer_identity("i2")
+    assert server.incarnation == ServerIncarnation("i2", started_ms)
+    assert server.slots == 100
+    assert server.find_refusal_reason(NOW_S) is reason
+    # The late heartbeat is known by now, and a later start is given work.
+    assert not server.apply_heartbeat(late)
+    server.apply_heartbeat(make_heartbeat("i2", 1, SECOND_MS))
+    if started_ms != UNKNOWN_START:
+        assert server.find_refusal_reason(NOW_S) is None
+
+
+def test_late_stop_of_an_earlier_start_does_not_hold_for_an_identity_that_returns(
+    server,
+):
+    server.apply_heartbeat(make_heartbeat("i2", 3, SECOND_MS))
+    server.apply_heartbeat(make_heartbeat("i1", 9))
+    server.apply_heartbeat(make_leave("i2", FIRST_MS))
+    server.apply_heartbeat(make_heartbeat("i2", 8, FIRST_MS, draining=True))
+    server.apply_answer_identity("i2")
+    assert server.find_refusal_reason(NOW_S) is None
+
+
+def test_leave_of_an_unknown_identity_holds_when_its_answer_names_it(server):
+    server.apply_heartbeat(make_heartbeat("i1"))
+    server.apply_heartbeat(make_leave("i2"))
+    assert server.find_refusal_reason(NOW_S) is None
+    server.apply_answer_identity("i2")
+    assert server.find_refusal_reason(NOW_S) is Reason.NO_SERVER
+
+
 # The following tests guard against a node that restarts and forgets what its server has
 # said in answers, which bind the nodes that have passed them on.
 
