Let a displaced server return while the present one stops

Found by reading, on the path of the late heartbeat. A node gives a server that stops no calls, and so gets no answer that could name the server that is there: after a late heartbeat with draining, or a 421 that was read after the heartbeat of the next server (both may wait in sockets of a paused node), the node ignored the heartbeats of the present server as late, without an end.

Now, while the present server stops, a new heartbeat of a replaced identity that did not stop is believed; if it is late, the next call gets 421 from the server that stops, whose stop holds. A 421 counts only for a call that expected the identity that is still the present one. What is known of replaced identities has a module of its own.

Evidence: unit tests of both in tests/relay/test_server.py and test_dispatcher.py, which fail without the change; no run with processes.

--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -455,7 +455,7 @@
     ) -> Reply:
         head = self.header_codec.read_answer(answer.headers)
         if answer.status == 421:
-            self._apply_other_identity(head.instance)
+            self._apply_other_identity(job, head.instance)
             return Reply(Outcome.NOT_RUN, Reason.NO_SERVER)
         self._apply_statements(job, head, now_s)
         self.on_answer(head.not_run)
@@ -468,9 +468,12 @@
             Outcome.ANSWERED, None, answer.status, head.forwarded_headers, answer.body
         )
 
-    def _apply_other_identity(self, identity: str) -> None:
+    def _apply_other_identity(self, job: Job, identity: str) -> None:
         """Apply the identity that a rejected call has found at the address."""
-        if not self.server.apply_answer_identity(identity):
+        current = self.server.incarnation
+        # The answer may be older than a heartbeat that has come since.
+        is_outdated = current.identity != job.incarnation.identity
+        if is_outdated or not self.server.apply_answer_identity(identity):
             return
         logger.info(
             "another server answers",
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from attrs import define, evolve, field
 
+from eelgrassmount.relay.ended_server import EndedServer
 from eelgrassmount.relay.heartbeats import NO_SEQUENCE, UNKNOWN_START, ServerIncarnation
 from eelgrassmount.relay.server_rate_limit import ServerRateLimit
 from eelgrassmount.verdict import Reason
@@ -30,31 +30,6 @@
 MAX_ENDED_IDENTITIES = 50
 # Identities of which notices of other nodes are kept; the oldest are dropped.
 MAX_NOTICES = 8
-# Later than any start: marks all starts of an identity as ended.
-ANY_START = math.inf
-
-
-@define(eq=False, repr=False)
-class EndedServer:
-    """What is known of an identity that another one has replaced.
-
-    ``started_ms`` is its latest known start; all starts up to that have ended.
-    """
-
-    started_ms: float
-    sequence: int = NO_SEQUENCE
-    draining: bool = False
-    has_left: bool = False
-    slots: int = DEFAULT_SLOTS
-
-    def apply_late_message(self, heartbeat: Heartbeat) -> None:
-        """Apply an announced stop, which stays valid if the identity returns."""
-        started_ms = heartbeat.incarnation.started_ms
-        known = started_ms != UNKNOWN_START and self.started_ms != ANY_START
-        if known and started_ms < self.started_ms:
-            return
-        self.draining = self.draining or heartbeat.draining
-        self.has_left = self.has_left or heartbeat.leaving
 
 
 @define(eq=False, repr=False)
@@ -69,7 +44,9 @@
       and ignored;
     - the current identity without a start: the message applies to the current start;
     - another identity: that incarnation replaces the current one, unless the message is
-      a leave or the identity is known to have ended at this start or a later one.
+      a leave or the identity is known to have ended at this start or a later one;
+    - an ended identity: the message is late, but an announced stop is kept. While the
+      current server stops, a new heartbeat brings the identity back.
 
     Other nodes may send a notice on what the server has said to an earlier process of
     this node. It applies as long as it concerns the current incarnation.
@@ -100,8 +77,7 @@
         reported = heartbeat.incarnation
         current = self.incarnation
         if self._has_ended(reported):
-            self._ended[reported.identity].apply_late_message(heartbeat)
-            return False
+            return self._apply_ended(heartbeat)
         if current is None or current.identity != reported.identity:
             return self._apply_other_identity(heartbeat)
         if current.is_after(reported):
@@ -118,22 +94,8 @@
         current = self.incarnation
         if not identity or (current is not None and current.identity == identity):
             return False
-        if current is not None:
-            self._mark_ended(current)
         # An answer proves that the identity is running, even if it was marked as ended.
-        known = self._ended.pop(identity, None)
-        if known is None:
-            known = EndedServer(ANY_START, slots=self.slots)
-        is_known_start = known.started_ms != ANY_START
-        self.incarnation = ServerIncarnation(
-            identity, int(known.started_ms) if is_known_start else UNKNOWN_START
-        )
-        self.sequence = known.sequence
-        self.draining = known.draining
-        self.has_left = known.has_left
-        self.slots = known.slots
-        self.rate_limit.clear()
-        self._restore_rate_limit()
+        self._restore(identity)
         return True
 
     def apply_notice(self, notice: ServerNotice) -> None:
@@ -220,13 +182,42 @@
         self.incarnation = reported
         return reported.started_ms != UNKNOWN_START
 
+    def _apply_ended(self, heartbeat: Heartbeat) -> bool:
+        """Apply a message of an identity that another one has replaced.
+
+        While the present server stops, it gets no calls whose answers could name the
+        server that is there. A new heartbeat is then believed; if it is late, the next
+        call is rejected by the server that stops.
+        """
+        identity = heartbeat.incarnation.identity
+        ended = self._ended[identity]
+        ended.apply_late_message(heartbeat)
+        if not self.is_leaving() or not ended.seems_alive(heartbeat):
+            return False
+        self._restore(identity)
+        self._apply_current(heartbeat)
+        return True
+
+    def _restore(self, identity: str) -> None:
+        """Make an identity the current one, with all that is known of it."""
+        if self.incarnation is not None:
+            self._mark_ended(self.incarnation)
+        unknown = ServerIncarnation(identity)
+        known = self._ended.pop(identity, None) or EndedServer(unknown, self.slots)
+        self.incarnation = known.incarnation
+        self.sequence = known.sequence
+        self.draining = known.draining
+        self.has_left = known.has_left
+        self.slots = known.slots
+        self.rate_limit.clear()
+        self._restore_rate_limit()
+
     def _apply_other_identity(self, heartbeat: Heartbeat) -> bool:
         """Apply a message of an identity that is not the current one."""
         current = self.incarnation
         if current is not None and heartbeat.leaving:
-            started_ms = _get_ended_ms(heartbeat.incarnation)
             self._add_ended(
-                heartbeat.incarnation.identity, EndedServer(started_ms, has_left=True)
+                EndedServer(heartbeat.incarnation, DEFAULT_SLOTS, has_left=True)
             )
             return False
         if current is not None:
@@ -249,16 +240,14 @@
         self.unreachable_until_s = 0.0
 
     def _mark_ended(self, current: ServerIncarnation) -> None:
-        ended = EndedServer(
-            _get_ended_ms(current),
-            self.sequence,
-            self.draining,
-            self.has_left,
-            self.slots,
+        self._add_ended(
+            EndedServer(
+                current, self.slots, self.sequence, self.draining, self.has_left
+            )
         )
-        self._add_ended(current.identity, ended)
 
-    def _add_ended(self, identity: str, ended: EndedServer) -> None:
+    def _add_ended(self, ended: EndedServer) -> None:
+        identity = ended.incarnation.identity
         self._ended.pop(identity, None)
         self._ended[identity] = ended
         if len(self._ended) > MAX_ENDED_IDENTITIES:
@@ -267,10 +256,4 @@
     def _has_ended(self, incarnation: ServerIncarnation) -> bool:
         """Return whether this start, or a later one of the identity, has ended."""
         ended = self._ended.get(incarnation.identity)
-        return ended is not None and incarnation.started_ms <= ended.started_ms
-
-
-def _get_ended_ms(incarnation: ServerIncarnation) -> float:
-    """Return the latest start that has ended with an incarnation."""
-    started_ms = incarnation.started_ms
-    return ANY_START if started_ms == UNKNOWN_START else started_ms
+        return ended is not None and ended.includes(incarnation)
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -820,3 +820,14 @@
     refused = [Reason.DRAINING, Reason.NO_SERVER]
     assert reasons == (refused if stopping else [Reason.NO_SERVER])
     assert len(setup.pool.sent) == (1 if stopping else 2)
+
+
+# Guards against an answer of before a restart that displaces the present server.
+def test_rejected_call_displaces_no_server_that_was_announced_after_its_start(setup):
+    setup.submit()
+    setup.server.apply_heartbeat(Heartbeat(ServerIncarnation("i2"), service="list"))
+    setup.answer(421, [(b"eelgrassmount-instance-id", b"i0")])
+    assert setup.server.incarnation == ServerIncarnation("i2")
+    setup.submit()
+    setup.answer(421, [(b"eelgrassmount-instance-id", b"i3")])
+    assert setup.server.incarnation == ServerIncarnation("i3")
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -341,6 +341,36 @@
     assert server.find_refusal_reason(NOW_S) is Reason.NO_SERVER
 
 
+# Guards against a server that stays unused after a late heartbeat that says draining.
+@pytest.mark.parametrize("started_ms", [UNKNOWN_START, FIRST_MS])
+def test_displaced_server_returns_by_a_new_heartbeat_while_the_present_one_stops(
+    server, started_ms
+):
+    server.apply_heartbeat(make_heartbeat("i2", 3, started_ms))
+    server.apply_heartbeat(make_heartbeat("i1", 9, UNKNOWN_START, draining=True))
+    assert server.find_refusal_reason(NOW_S) is Reason.DRAINING
+    assert not server.apply_heartbeat(make_heartbeat("i2", 3, started_ms))
+    if started_ms != UNKNOWN_START:
+        assert not server.apply_heartbeat(make_heartbeat("i2", 5, FIRST_MS - 1))
+    assert server.apply_heartbeat(make_heartbeat("i2", 4, started_ms, slots=8))
+    assert server.incarnation == ServerIncarnation("i2", started_ms)
+    assert (server.sequence, server.slots) == (4, 8)
+    assert server.find_refusal_reason(NOW_S) is None
+
+
+def test_late_heartbeat_that_is_believed_undoes_no_leave(server):
+    server.apply_heartbeat(make_heartbeat("i1", 3))
+    server.apply_heartbeat(make_heartbeat("i2", 1))
+    server.apply_heartbeat(make_leave("i2"))
+    assert server.apply_heartbeat(make_heartbeat("i1", 4))
+    server.apply_answer_identity("i2")
+    assert server.find_refusal_reason(NOW_S) is Reason.NO_SERVER
+    # A stop of the other identity is kept as well.
+    assert not server.apply_heartbeat(make_heartbeat("i1", 5, draining=True))
+    assert not server.apply_heartbeat(make_heartbeat("i1", 6))
+    assert server.incarnation.identity == "i2"
+
+
 # The following tests guard against a node that restarts and forgets what its server has
 # said in answers, which bind the nodes that have passed them on.
 
