--- a/tests/tools/test_results.py
+++ b/tests/tools/test_results.py
@@ -29,6 +29,13 @@
         ([PASSED, FAILED], "\n".join([ENTRY] * 4), "1 passed, 1 failed", False),
         ([PASSED, *FIVE_FAILED], FIVE_ENTRIES, "1 passed, 0 failed", True),
         ([PASSED, *FIVE_FAILED[1:]], FIVE_ENTRIES, "1 passed, 1 failed", False),
+        # One failure is enough, also if the id stands there twice.
+        (
+            [PASSED, FAILED, Result("b", Status.PASSED)],
+            ENTRY,
+            "2 passed, 0 failed",
+            True,
+        ),
         # Commands outside of the run, which name their seed.
         ([PASSED], NOT_RUN, "1 passed, 0 failed", True),
         ([PASSED], f"{NOT_RUN}\n{NOT_RUN}", "1 passed, 1 failed", False),
