Tell how recent a node's records of the log are, and from whom

Each node now knows the time before which it has all records that the log accepted. Reads confirm it; news carry its age to other nodes, measured from the request that they answer, so that a frame that was held up never makes records look more recent than they are. News of a node that has a later version or offset confirm nothing until this node has it too.

* metrics: log_age_s, configuration_age_s, configuration_source
* status: the same, with the source of both

The new fields of the frames are optional, so that nodes of two builds can talk. No decision uses the age yet.

--- a/eelgrassmount.thrift
+++ b/eelgrassmount.thrift
@@ -374,6 +374,8 @@
 struct RelayConfig {
   1: i64 version
   2: binary document
+  // of the sender
+  3: optional string node_name
 }
 
 // How often routes were asked for on the VMs of one service, on all together.
@@ -428,11 +430,15 @@
   5: bool with_counts
   // of the log, in which the offset counts; -1 if it is not known
   6: i64 era
+  // by the clock of the sender, for the answer
+  7: optional i64 sent_ms
 }
 
 // What a node that reads the log knows: whether it can read it, or hears from one
 // that can, the records from the offset that it was asked for, and the counts of all
 // nodes (to nodes of its failure domain) or those of its failure domain (to others).
+// ``request_ms`` is ``sent_ms`` of the latest request.  When the news are sent, the
+// sender knows all records that the log accepted more than ``log_age_ms`` ago.
 struct RelayNews {
   1: string node_name
   2: bool reads
@@ -442,6 +448,8 @@
   6: list<RelayRecord> records
   7: RelayTally tally
   8: i64 era
+  9: optional i64 request_ms
+  10: optional i64 log_age_ms
 }
 
 // Requests of one team that a node has let begin without asking, less those that it
--- a/eelgrassmount/cmd/status.py
+++ b/eelgrassmount/cmd/status.py
@@ -97,7 +97,11 @@
 def _format_relay(state: dict[str, Any]) -> list[str]:
     server = state["server"]
     work = f"no work: {server['refusal']}" if server["refusal"] else "takes work"
-    age = "" if state["version_age_s"] is None else f", {state['version_age_s']} s old"
+    age = (
+        ""
+        if state["version_age_s"] is None
+        else f" from {state['version_source']}, {state['version_age_s']} s old"
+    )
     lost = ", ".join(state["lost_topics"])
     lines = [
         f"node           {state['node']}, incarnation {state['incarnation']}",
@@ -174,6 +178,7 @@
 def _format_log(log: dict[str, Any], lost: str) -> str:
     """Describe the source of log records: local reads, or other nodes."""
     era = "" if log["era"] < 0 else f", era {log['era']}"
+    era += f", confirmed by {log['source']} {_format_age(log['age_s'])}"
     if log["reading"]:
         reach = f"lost: {lost}" if lost else "reachable"
         return f"{reach}, read for {log['subscribers']} nodes{era}"
--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -170,7 +170,7 @@
     peer_updates = PeerUpdates(
         state,
         quarantine,
-        lambda document: node.apply_document(document),
+        lambda document, source: node.apply_document(document, source),
         inbound.broadcast,
         readers,
         lambda kind, struct, send: quotas.handle_frame(kind, struct, send),
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -16,6 +16,7 @@
 from eelgrassmount.relay.announcements import check_server
 from eelgrassmount.relay.frames import decode_struct
 from eelgrassmount.relay.rejected_messages import MessageKind
+from eelgrassmount.topics.freshness import LOG_SOURCE
 
 if TYPE_CHECKING:
     import random
@@ -134,8 +135,11 @@
             quota_slack=settings.quota_slack,
         )
 
-    def apply_document(self, document: bytes) -> None:
-        """Apply a configuration that is newer than the current one."""
+    def apply_document(self, document: bytes, source: str = LOG_SOURCE) -> None:
+        """Apply a configuration that is newer than the current one.
+
+        ``source`` is ``log`` or the name of the node that sent it.
+        """
         try:
             table = read_configuration(document)
         except PlatformDocumentError as error:
@@ -150,11 +154,13 @@
             version=table.version,
             before=state.table.version,
             routes=table.count_routes(),
+            source=source,
         )
         if state.server.incarnation is None:
             self._identify_server(table)
         state.table = table
         state.table_since_s = state.clock()
+        state.table_source = source
         state.document = document
         state.graph.clear_caches()
         self.ingress.apply_table(table)
@@ -244,6 +250,11 @@
         """Set the gauges to the current state of the node."""
         gauges = self.metrics.state
         gauges.labels("configuration_version").set(self.state.table.version)
+        if self.state.table.version:
+            age_s = self.state.clock() - self.state.table_since_s
+            gauges.labels("configuration_age_s").set(age_s)
+            self.metrics.show_source(self.state.table_source, self.state.table.version)
+        gauges.labels("log_age_s").set(self.readers.freshness.compute_age_s())
         gauges.labels("in_flight").set(self.dispatcher.in_flight)
         gauges.labels("queued").set(self.dispatcher.queued)
         gauges.labels("limit").set(self.state.server.compute_concurrency_limit())
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -218,6 +218,7 @@
     follower = TopicFollower(
         node.store, topic, apply_records, node.rng, node.count_unreadable_records
     )
+    follower.clock = node.state.clock
     if topic == NODES_TOPIC:
         follower.on_read = node.readers.record_read
         follower.next_offset = node.readers.record_table.next_offset or None
--- a/eelgrassmount/gen/ttypes.py
+++ b/eelgrassmount/gen/ttypes.py
@@ -4034,13 +4034,15 @@
     Attributes:
      - version
      - document
+     - node_name
 
     """
 
 
-    def __init__(self, version=None, document=None,):
+    def __init__(self, version=None, document=None, node_name=None,):
         self.version = version
         self.document = document
+        self.node_name = node_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4061,6 +4063,11 @@
                     self.document = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.node_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4079,6 +4086,10 @@
             oprot.writeFieldBegin('document', TType.STRING, 2)
             oprot.writeBinary(self.document)
             oprot.writeFieldEnd()
+        if self.node_name is not None:
+            oprot.writeFieldBegin('node_name', TType.STRING, 3)
+            oprot.writeString(self.node_name.encode('utf-8') if sys.version_info[0] == 2 else self.node_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4599,17 +4610,19 @@
      - tally
      - with_counts
      - era
+     - sent_ms
 
     """
 
 
-    def __init__(self, node_name=None, failure_domain=None, next_offset=None, tally=None, with_counts=None, era=None,):
+    def __init__(self, node_name=None, failure_domain=None, next_offset=None, tally=None, with_counts=None, era=None, sent_ms=None,):
         self.node_name = node_name
         self.failure_domain = failure_domain
         self.next_offset = next_offset
         self.tally = tally
         self.with_counts = with_counts
         self.era = era
+        self.sent_ms = sent_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4651,6 +4664,11 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4685,6 +4703,10 @@
             oprot.writeFieldBegin('era', TType.I64, 6)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 7)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4714,11 +4736,13 @@
      - records
      - tally
      - era
+     - request_ms
+     - log_age_ms
 
     """
 
 
-    def __init__(self, node_name=None, reads=None, hears=None, config_version=None, next_offset=None, records=None, tally=None, era=None,):
+    def __init__(self, node_name=None, reads=None, hears=None, config_version=None, next_offset=None, records=None, tally=None, era=None, request_ms=None, log_age_ms=None,):
         self.node_name = node_name
         self.reads = reads
         self.hears = hears
@@ -4727,6 +4751,8 @@
         self.records = records
         self.tally = tally
         self.era = era
+        self.request_ms = request_ms
+        self.log_age_ms = log_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4784,6 +4810,16 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.request_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.log_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4829,6 +4865,14 @@
             oprot.writeFieldBegin('era', TType.I64, 8)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.request_ms is not None:
+            oprot.writeFieldBegin('request_ms', TType.I64, 9)
+            oprot.writeI64(self.request_ms)
+            oprot.writeFieldEnd()
+        if self.log_age_ms is not None:
+            oprot.writeFieldBegin('log_age_ms', TType.I64, 10)
+            oprot.writeI64(self.log_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5976,6 +6020,7 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.STRING, 'document', 'BINARY', None, ),  # 2
+    (3, TType.STRING, 'node_name', 'UTF8', None, ),  # 3
 )
 all_structs.append(ServiceCounts)
 ServiceCounts.thrift_spec = (
@@ -6025,6 +6070,7 @@
     (4, TType.STRUCT, 'tally', [RelayTally, None], None, ),  # 4
     (5, TType.BOOL, 'with_counts', None, None, ),  # 5
     (6, TType.I64, 'era', None, None, ),  # 6
+    (7, TType.I64, 'sent_ms', None, None, ),  # 7
 )
 all_structs.append(RelayNews)
 RelayNews.thrift_spec = (
@@ -6037,6 +6083,8 @@
     (6, TType.LIST, 'records', (TType.STRUCT, [RelayRecord, None], False), None, ),  # 6
     (7, TType.STRUCT, 'tally', [RelayTally, None], None, ),  # 7
     (8, TType.I64, 'era', None, None, ),  # 8
+    (9, TType.I64, 'request_ms', None, None, ),  # 9
+    (10, TType.I64, 'log_age_ms', None, None, ),  # 10
 )
 all_structs.append(QuotaUse)
 QuotaUse.thrift_spec = (
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -74,6 +74,16 @@
             _raise_invalid(struct, name, f"not between 0 and {maximum}")
 
 
+def _check_optional_ranges(struct: Any, maxima: dict[str, int]) -> None:
+    """Check the ranges of those fields that are present."""
+    present = {
+        name: maximum
+        for name, maximum in maxima.items()
+        if getattr(struct, name) is not None
+    }
+    _check_ranges(struct, present)
+
+
 def _check_texts(struct: Any, names: Iterable[str], max_length: int) -> None:
     for name in names:
         text = getattr(struct, name)
@@ -253,6 +263,7 @@
 def _check_subscribe(struct: ttypes.RelaySubscribe) -> None:
     _check_texts(struct, ("node_name", "failure_domain"), MAX_NAME_LENGTH)
     _check_ranges(struct, {"next_offset": MAX_COUNTER})
+    _check_optional_ranges(struct, {"sent_ms": MAX_COUNTER})
     _check_era(struct)
     _require_all(struct.tally)
     _check_tally(struct.tally)
@@ -266,6 +277,8 @@
 def _check_news(news: ttypes.RelayNews) -> None:
     _check_texts(news, ("node_name",), MAX_NAME_LENGTH)
     _check_ranges(news, {"config_version": MAX_COUNTER, "next_offset": MAX_COUNTER})
+    times = {"request_ms": MAX_COUNTER, "log_age_ms": MAX_COUNTER}
+    _check_optional_ranges(news, times)
     _check_era(news)
     _require_all(news.tally)
     _check_tally(news.tally)
@@ -323,6 +336,8 @@
 
 def _check_config(config: ttypes.RelayConfig) -> None:
     _check_ranges(config, {"version": MAX_COUNTER})
+    if config.node_name is not None:
+        _check_texts(config, ("node_name",), MAX_NAME_LENGTH)
 
 
 _CALL_NAMES = ("run_route", "called_route")
@@ -355,6 +370,9 @@
     ttypes.RelayReport: ("usable_slots", "notice", "rejections"),
     ttypes.RelayHello: ("notice",),
     ttypes.RelayTally: ("groups",),
+    ttypes.RelayConfig: ("node_name",),
+    ttypes.RelaySubscribe: ("sent_ms",),
+    ttypes.RelayNews: ("request_ms", "log_age_ms"),
     ttypes.ServerNotice: ("rate_limit",),
 }
 # Read all fields that must be present at once. A type that is missing here has no
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -47,6 +47,7 @@
     visits: Counter = field(init=False)
     appointments: Counter = field(init=False)
     state: Gauge = field(init=False)
+    configuration_sources: Gauge = field(init=False)
     admitted_fractions: Gauge = field(init=False)
     rejected_shares: Gauge = field(init=False)
     retry_use: Gauge = field(init=False)
@@ -168,6 +169,12 @@
             ["kind"],
             registry=registry,
         )
+        self.configuration_sources = Gauge(
+            f"{PREFIX}_relay_configuration_source",
+            "Version in force, by its source: the log or the node that sent it.",
+            ["source"],
+            registry=registry,
+        )
         self.state = Gauge(
             f"{PREFIX}_relay_state",
             "State of the node: version in force, calls, limit and demand.",
@@ -279,6 +286,11 @@
         """Count requests for a quota that this node allocates."""
         self.quotas.labels(event).inc(requests)
 
+    def show_source(self, source: str, version: int) -> None:
+        """Set the gauge of the configuration in force, by its source."""
+        self.configuration_sources.clear()
+        self.configuration_sources.labels(source).set(version)
+
     def show_call_budgets(self, budgets: Mapping[str, ServiceBudget]) -> None:
         """Set the gauges of the call budgets by service."""
         self.call_budgets.clear()
--- a/eelgrassmount/relay/peer_updates.py
+++ b/eelgrassmount/relay/peer_updates.py
@@ -30,6 +30,8 @@
 
 # Time before the same configuration version is requested from another node.
 CONFIG_REQUEST_TIMEOUT_S = 0.3
+# Source of a configuration from a node that does not give its name.
+UNKNOWN_SOURCE = "unknown"
 
 
 @define(eq=False, repr=False)
@@ -38,7 +40,7 @@
 
     state: SharedState
     quarantine: Quarantine
-    apply_document: Callable[[bytes], None]
+    apply_document: Callable[[bytes, str], None]
     broadcast: Callable[[FrameKind, object], None]
     readers: LogReaders
     handle_quota_frame: FrameHandler
@@ -164,14 +166,14 @@
     def handle_config(self, config: ttypes.RelayConfig) -> None:
         """Apply the configuration of another node if it is newer."""
         if config.version > self.state.table.version:
-            self.apply_document(config.document)
+            self.apply_document(config.document, config.node_name or UNKNOWN_SOURCE)
 
     def find_newer_config(self, known_version: int) -> ttypes.RelayConfig | None:
         """Return the configuration if it is newer than ``known_version``."""
         state = self.state
         if state.table.version <= known_version:
             return None
-        return ttypes.RelayConfig(state.table.version, state.document)
+        return ttypes.RelayConfig(state.table.version, state.document, state.name)
 
     def handle_crash(self, incarnation: ServerIncarnation, jobs: list[Job]) -> None:
         """Suspect the requests that ran when the server crashed, and notify all peers.
--- a/eelgrassmount/relay/shared_state.py
+++ b/eelgrassmount/relay/shared_state.py
@@ -34,7 +34,8 @@
     """State that the components of a node share.
 
     ``document`` is the current configuration as received, which other nodes may
-    request; ``table_since_s`` is the time of its arrival. ``new_requests`` counts the
+    request; ``table_since_s`` is the time of its arrival, and ``table_source`` is
+    ``log`` or the name of the node that it came from. ``new_requests`` counts the
     requests of the current interval by route, and ``request_counts`` is their decaying
     sum. ``admission_controllers`` are kept by service, ``cluster_counts`` is the tally
     that covers the most nodes, and ``client_routes`` are the routes that clients use.
@@ -54,6 +55,7 @@
     rng: random.Random
     table: RouteTable = field(factory=RouteTable)
     table_since_s: float = 0.0
+    table_source: str = ""
     document: bytes = b""
     learner: VectorLearner = field(init=False)
     completed: CompletedRuns = field(factory=CompletedRuns)
--- a/eelgrassmount/relay/status.py
+++ b/eelgrassmount/relay/status.py
@@ -147,7 +147,9 @@
     forwards records. ``era`` is the log epoch, the number of times that the log was
     restored from an older copy, -1 if the log does not report it. ``next_offset`` is
     the first offset of that epoch that the node has not received. ``counted_nodes`` is
-    the number of nodes whose request counts it has.
+    the number of nodes whose request counts it has. All records that the log accepted
+    more than ``age_s`` ago are known; ``source`` is ``log`` or the node that confirmed
+    it.
     """
 
     reading: bool
@@ -157,6 +159,8 @@
     next_offset: int
     counted_nodes: int
     readers: list[ReaderStatus]
+    age_s: float | None
+    source: str
 
 
 @frozen
@@ -205,6 +209,7 @@
     stopping: bool
     version: int
     version_age_s: float | None
+    version_source: str
     routes: int
     lost_topics: list[str]
     log: LogStatus
@@ -241,6 +246,7 @@
         state.stopping,
         state.table.version,
         version_age_s,
+        state.table_source,
         len(routes),
         [follower.topic for follower in node.followers if not follower.reachable],
         _collect_log(node.readers, now_s),
@@ -287,6 +293,7 @@
 
 
 def _collect_log(readers: LogReaders, now_s: float) -> LogStatus:
+    age_s = readers.freshness.compute_age_s()
     return LogStatus(
         readers.reading,
         readers.is_reader,
@@ -305,6 +312,8 @@
             )
             for name, subscription in sorted(readers.subscriptions.items())
         ],
+        None if math.isinf(age_s) else round(age_s, 3),
+        readers.freshness.find_source(),
     )
 
 
--- a/eelgrassmount/topics/follower.py
+++ b/eelgrassmount/topics/follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import time
 from typing import TYPE_CHECKING
 
 import anyio
@@ -38,6 +40,8 @@
     first read after a failure does not wait for new records, as its answer may reveal
     that the log was restored from an older copy. The result of a read that was sent
     before a `restart` is discarded, also if it arrives at the same time.
+
+    All records that the log accepted before ``confirmed_s`` have been applied.
     """
 
     store: Store
@@ -49,6 +53,8 @@
     reachable: bool = True
     retry_limit_s: float = MAX_RETRY_DELAY_S
     next_offset: int | None = None
+    clock: Callable[[], float] = time.monotonic
+    confirmed_s: float = -math.inf
     _backoff: Backoff = field(init=False)
     _resume: anyio.Event | None = None
     _scope: anyio.CancelScope | None = None
@@ -91,6 +97,7 @@
         """Read the newest records again after offsets have become invalid."""
         self._restarts += 1
         self.next_offset = None
+        self.confirmed_s = -math.inf
         # Has no effect on a read whose answer has arrived.
         if self._scope is not None:
             self._scope.cancel()
@@ -123,6 +130,7 @@
 
     async def _read_next(self) -> StoreFailure | None:
         restarts = self._restarts
+        sent_s = self.clock()
         if self.next_offset is None:
             snapshot = await self.store.read_newest(self.topic)
             if isinstance(snapshot, StoreFailure):
@@ -132,6 +140,7 @@
             self.next_offset = snapshot.end
             self._apply_batch(snapshot)
             self.on_read(snapshot.records, snapshot.end)
+            self.confirmed_s = sent_s
             return None
         wait_s = 0.0 if self._skip_wait else READ_WAIT_S
         batch = await self.store.read(self.topic, self.next_offset, wait_s)
@@ -141,7 +150,10 @@
             return _RESTARTED
         self._skip_wait = False
         self.next_offset = max(self.next_offset, batch.next_offset)
-        if batch.records or batch.unreadable:
+        is_empty = not batch.records and not batch.unreadable
+        # The log answers without records only after it has waited.
+        self.confirmed_s = sent_s + wait_s if is_empty else sent_s
+        if not is_empty:
             self._apply_batch(batch)
             self.on_read(batch.records, batch.next_offset)
             await anyio.sleep(BATCH_DELAY_S)
--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -17,6 +17,7 @@
 from eelgrassmount.policy.readers import SUBSCRIBED_READERS, choose_subscribed_readers
 from eelgrassmount.relay.frames import FrameKind
 from eelgrassmount.relay.tallies import Tally, add_tallies, read_tally, write_tally
+from eelgrassmount.topics.freshness import MS_PER_S, LogFreshness
 from eelgrassmount.topics.local_record import compute_write_spread_s
 from eelgrassmount.topics.log_epoch import EpochTracker
 from eelgrassmount.topics.ranking import ReaderRanking
@@ -83,6 +84,7 @@
     epoch_tracker: EpochTracker = field(factory=EpochTracker)
     record_table: RecordTable = field(factory=RecordTable)
     ranking: ReaderRanking = field(init=False)
+    freshness: LogFreshness = field(init=False)
     sums: CountSums = field(factory=CountSums)
     started: bool = False
     reading: bool = False
@@ -100,6 +102,7 @@
     def __attrs_post_init__(self) -> None:
         """Rank by the record table, and reset it on a new log epoch."""
         self.ranking = ReaderRanking(self.state.members, self.record_table)
+        self.freshness = LogFreshness(self.followers, self.state.clock)
         self.epoch_tracker.on_advance.append(self.reset)
 
     def reset(self) -> None:
@@ -109,6 +112,7 @@
         write them again.
         """
         self.record_table.reset()
+        self.freshness.reset()
         nodes = len(self.state.members.by_name)
         self._confirmation_due_s = (
             self.state.clock() + compute_write_spread_s(nodes) + CONFIRMATION_TIME_S
@@ -169,6 +173,7 @@
             self._subscribe_if_due(name, subscription, now_s)
         self._update_reading(now_s)
         self._update_cluster_counts(now_s)
+        self.freshness.report(self.state.table.version, self.reading)
 
     def _extend_timeouts(self, now_s: float) -> None:
         for one in self.subscriptions.values():
@@ -268,6 +273,7 @@
             write_tally(self.make_tally() if is_local and with_counts else Tally()),
             with_counts,
             self.epoch_tracker.current,
+            math.floor(now_s * MS_PER_S),
         )
         subscription.sent_s = now_s
         subscription.unanswered_since_s = min(subscription.unanswered_since_s, now_s)
@@ -373,6 +379,7 @@
             # An offset of another epoch is meaningless.
             struct.next_offset if struct.era == self.epoch_tracker.current else 0,
             tally,
+            struct.sent_ms,
         )
         is_first = not self.subscribers
         self.subscribers[struct.node_name] = subscriber
@@ -391,6 +398,7 @@
         counts = Tally()
         if with_counts:
             counts = self.sums.total if subscriber.is_local else self.sums.local
+        age_s = self.freshness.compute_age_s()
         news = ttypes.RelayNews(
             self.state.name,
             self.can_read_log(),
@@ -400,6 +408,8 @@
             records,
             write_tally(counts),
             self.epoch_tracker.current,
+            subscriber.request_ms,
+            None if math.isinf(age_s) else math.ceil(age_s * MS_PER_S),
         )
         subscriber.send(FrameKind.NEWS, news)
 
@@ -413,9 +423,13 @@
         subscription = self.subscriptions.get(news.node_name)
         if subscription is not None:
             self._update_subscription(news, subscription, now_s)
-        is_later = news.next_offset > self.record_table.next_offset
-        if news.era != self.epoch_tracker.current or not is_later:
+        if news.era != self.epoch_tracker.current:
             return
+        if news.next_offset > self.record_table.next_offset:
+            self._apply_news_records(news)
+        self._confirm_records(news)
+
+    def _apply_news_records(self, news: ttypes.RelayNews) -> None:
         records = tuple(
             StoredRecord(one.key, one.value, one.offset) for one in news.records
         )
@@ -425,6 +439,18 @@
                 follower.skip_to(news.next_offset)
         self.record_read(records, news.next_offset)
 
+    def _confirm_records(self, news: ttypes.RelayNews) -> None:
+        """Note how recent the records are if this node has all that the sender has."""
+        if news.request_ms is None or news.log_age_ms is None:
+            return
+        is_behind = (
+            news.config_version > self.state.table.version
+            or news.next_offset > self.record_table.next_offset
+        )
+        if not is_behind:
+            confirmed_s = (news.request_ms - news.log_age_ms) / MS_PER_S
+            self.freshness.receive(confirmed_s, news.node_name)
+
     def _update_subscription(
         self, news: ttypes.RelayNews, subscription: Subscription, now_s: float
     ) -> None:
--- a/eelgrassmount/topics/subscriptions.py
+++ b/eelgrassmount/topics/subscriptions.py
@@ -43,13 +43,17 @@
 
 @define(eq=False, repr=False)
 class Subscriber:
-    """A node that subscribes to this one; ``send`` sends it a frame."""
+    """A node that subscribes to this one; ``send`` sends it a frame.
+
+    ``request_ms`` is the time of its latest request, by its own clock.
+    """
 
     send: Callable[[FrameKind, Any], None]
     is_local: bool
     received_s: float
     next_offset: int
     tally: Tally
+    request_ms: int | None = None
 
 
 @define
--- a/tests/relay/test_checks.py
+++ b/tests/relay/test_checks.py
@@ -60,6 +60,9 @@
     *(SUBSCRIBE, NEWS, QUOTA_REQUEST, QUOTA_GRANTS, QUOTA_BORROW, QUOTA_LOAN),
     *(ttypes.RelayCancel(1), ttypes.RelayConfigRequest(0)),
     ttypes.RelayConfig(3, b"{}"),
+    ttypes.RelayConfig(3, b"{}", "n1"),
+    ttypes.RelaySubscribe(**{**vars(SUBSCRIBE), "sent_ms": 17}),
+    ttypes.RelayNews(**{**vars(NEWS), "request_ms": 17, "log_age_ms": 0}),
     ttypes.RelayReport(**{**vars(REPORT), "usable_slots": 0.5, "notice": NOTICE}),
     ttypes.RelayReport(**{**vars(REPORT), "rejections": REJECTIONS}),
     ttypes.RelayHello(**{**vars(HELLO), "notice": NOTICE}),
@@ -73,6 +76,9 @@
     ttypes.RelayReply: ("reason", "wait_ms", "moved_to"),
     ttypes.RelayReport: ("usable_slots", "notice", "rejections"),
     ttypes.RelayHello: ("notice",),
+    ttypes.RelayConfig: ("node_name",),
+    ttypes.RelaySubscribe: ("sent_ms",),
+    ttypes.RelayNews: ("request_ms", "log_age_ms"),
 }
 LONG_TEXT = "x" * 70_000
 
@@ -246,6 +252,10 @@
         (NEWS, {"node_name": LONG_TEXT}),
         (NEWS, {"config_version": -1}),
         (NEWS, {"next_offset": -1}),
+        (NEWS, {"log_age_ms": -1}),
+        (NEWS, {"request_ms": 2**62 + 1}),
+        (SUBSCRIBE, {"sent_ms": -1}),
+        (ttypes.RelayConfig(3, b"{}"), {"node_name": LONG_TEXT}),
         (NEWS, {"records": [ttypes.RelayRecord("n2", None, 3)]}),
         (NEWS, {"records": [ttypes.RelayRecord("n2", b"", -1)]}),
         (NEWS, {"tally": copy(TALLY, calls=[ttypes.RouteCalls("r", "s", 1e300)])}),
