--- a/standins/platform_log.py
+++ b/standins/platform_log.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, urlsplit
+from weakref import WeakSet
 
 from attrs import define, field
 
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from eelgrassmount.http1.exchange import Exchange
+    from eelgrassmount.http1.server import ServerConnection
 
 MAX_PAGE = 500
 OPERATOR_TOPIC = "keyed.op"
@@ -34,6 +36,13 @@
     LOST = "lost"  # stores appends, then closes the connection
 
 
+class AnswerLoss(Enum):
+    """How answers are lost; their connections stay open and return nothing further."""
+
+    WHOLE = "whole"
+    REST = "rest"  # all bytes but the first half
+
+
 @define(eq=False)
 class Topic:
     """Records of a keyed topic; those before ``first`` can't be read any more."""
@@ -47,7 +56,8 @@
 class PlatformLog:
     """Stores keyed topics in memory and serves them over HTTP.
 
-    Answers have a header with the log epoch, ``era``, unless it is ``None``.
+    Answers have a header with the log epoch, ``era``, unless it is ``None``. The log
+    may listen at several addresses; ``losses`` tells at which hosts answers are lost.
     """
 
     fault: LogFault = LogFault.NONE
@@ -56,6 +66,9 @@
     era: int | None = None
     topics: dict[str, Topic] = field(factory=dict)
     listener: HttpListener = field(init=False)
+    losses: dict[str, AnswerLoss] = field(factory=dict)
+    _hosts: dict[HttpListener, str] = field(factory=dict)
+    _silent: WeakSet[ServerConnection] = field(factory=WeakSet)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -66,6 +79,17 @@
         """Start to accept calls."""
         await self.listener.start(host, port)
 
+    async def listen(self, host: str, port: int) -> None:
+        """Accept calls at one more address."""
+        listener = HttpListener(self._handle, time.monotonic)
+        self._hosts[listener] = host
+        await listener.start(host, port)
+
+    def end(self) -> None:
+        """Stop at all addresses."""
+        for listener in (self.listener, *self._hosts):
+            listener.end()
+
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a record without a call, and return its offset."""
         found = self.find(topic)
@@ -129,7 +153,15 @@
     ) -> None:
         if self.era is not None:
             head += b"store-era: %d\r\n" % self.era
-        exchange.respond(status, head, body)
+        loss = self.losses.get(self._hosts.get(exchange.connection.listener, ""))
+        if loss is not None and exchange.connection not in self._silent:
+            self._silent.add(exchange.connection)
+            if loss is AnswerLoss.REST:
+                data = b"HTTP/1.1 %d -\r\n%s" % (status, head)
+                data += b"content-length: %d\r\n\r\n%s" % (len(body), body)
+                exchange.connection.transport.write(data[: len(data) // 2])
+        if exchange.connection not in self._silent:
+            exchange.respond(status, head, body)
 
     async def _serve(self, exchange: Exchange) -> None:
         parts = urlsplit(exchange.target)
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -152,7 +152,7 @@
         for vm in self.vms:
             vm.node.end()
             vm.server.listener.end()
-        self.log.listener.end()
+        self.log.end()
         await anyio.sleep(0.01)
 
     def configure(
