Check the log at short intervals, so that a lost answer is noticed in time

Cause: readers call the log with reads that wait 25 s for a record, and take an answer for lost after 27 s. If the answers that carry a record are lost while their connections stay open, nothing distinguishes such a read from one that waits; the readers go on telling all others that they read. The class: the absence of an answer was taken for a sign that nothing has changed.

The second hypothesis holds too, at a smaller scale: after a call that took its whole timeout of 2 s the delay before the next was added, up to 3.22 s in all.

Ruled out: a restored log leaves a warning, and the record has none; a single node behind its readers doesn't put two failure domains behind at once.

Change: the first reader of all failure domains waits 0.75 s for records, for both topics, and notices a lost answer 1 s later. The others wait for long and rely on it only while its confirmations, which news carry, are recent: 2 s, or 2.75 s through a further node; then they read at once on a new connection. So a first reader that ends, is cut off or is deaf is replaced without an election. Retry delays count from the start of the failed call, a node that becomes a reader ends its long delay, and others begin with longer delays.

--- a/eelgrassmount/platform/store_client.py
+++ b/eelgrassmount/platform/store_client.py
@@ -31,7 +31,6 @@
 
 LENGTH_PREFIX_BYTES = 4
 READ_HEADER_BYTES = 16
-CALL_TIMEOUT_S = 2.0
 MAX_READ_KB = 1024
 OFFSET_RANGE = (0, 2**62)
 EPOCH_HEADER = b"store-era"
@@ -69,7 +68,7 @@
         content = bytes([len(key)]) + key.encode() + value
         body = len(content).to_bytes(LENGTH_PREFIX_BYTES, "big") + content
         target = "/log-append?" + urlencode({"topic": topic, "part": 0})
-        answer = await self._call(topic + "+", "POST", target, body, CALL_TIMEOUT_S)
+        answer = await self._call(topic + "+", "POST", target, body)
         if isinstance(answer, StoreFailure):
             return answer
         try:
@@ -92,7 +91,7 @@
             if after:
                 query["after"] = after
             target = "/log-newest?" + urlencode(query)
-            answer = await self._call(topic, "GET", target, b"", CALL_TIMEOUT_S)
+            answer = await self._call(topic, "GET", target)
             if isinstance(answer, StoreFailure):
                 return answer
             try:
@@ -122,8 +121,7 @@
             "waitMs": round(wait_s * 1000),
         }
         target = "/log-read?" + urlencode(query)
-        timeout_s = wait_s + CALL_TIMEOUT_S
-        answer = await self._call(topic, "GET", target, b"", timeout_s)
+        answer = await self._call(topic, "GET", target, b"", wait_s)
         if isinstance(answer, StoreFailure):
             return answer
         return _parse_batch(answer, offset)
@@ -137,8 +135,8 @@
         connection_name: str,
         method: str,
         target: str,
-        body: bytes,
-        timeout_s: float,
+        body: bytes = b"",
+        wait_s: float | None = None,
     ) -> bytes | StoreFailure:
         head = (
             f"{method} {target} HTTP/1.1\r\nhost: {self.address}\r\n"
@@ -146,7 +144,7 @@
         )
         data = head.encode("latin-1") + body
         epoch_at_request = self.epochs.current
-        answer = await self._connections.call(connection_name, data, timeout_s)
+        answer = await self._connections.call(connection_name, data, wait_s)
         if isinstance(answer, StoreFailure):
             return answer
         epoch = _read_epoch(answer.headers)
--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -2,7 +2,9 @@
 
 In each failure domain a few nodes read the log and relay new records over their links;
 the other nodes subscribe to two of them. The readers are the first reachable nodes in
-the order of their records.
+the order of their records. The first one of all failure domains checks the log at
+short intervals. The others wait for longer and rely on it while they hear from it, as
+an answer to a waiting read may be lost without notice.
 """
 
 from __future__ import annotations
@@ -17,6 +19,7 @@
 from eelgrassmount.policy.readers import SUBSCRIBED_READERS, choose_subscribed_readers
 from eelgrassmount.relay.frames import FrameKind
 from eelgrassmount.relay.tallies import Tally, add_tallies, read_tally, write_tally
+from eelgrassmount.topics.follower import CHECK_WAIT_S, READ_WAIT_S
 from eelgrassmount.topics.freshness import MS_PER_S, LogFreshness
 from eelgrassmount.topics.local_record import compute_write_spread_s
 from eelgrassmount.topics.log_epoch import EpochTracker
@@ -58,6 +61,11 @@
 OUTAGE_WAIT_RANGE_S = (3.0, 6.0)
 MAX_OUTAGE_RETRY_DELAY_S = 8.0
 MAX_READER_RETRY_DELAY_S = 1.5
+# Age of the last confirmation from which a node that reads the log calls it instead of
+# waiting longer. Shorter where the node subscribes to the one that checks the log; news
+# through one more node are older.
+MAX_DIRECT_AGE_S = 2.0
+MAX_RELAYED_AGE_S = 2.75
 # Time for which a node reads on without subscribers or when it is no longer a reader.
 MIN_READING_TIME_S = 3.0
 # Grace time for records, after the time in which all nodes rewrite theirs.
@@ -96,6 +104,8 @@
     _reader_seen_s: float = -math.inf
     _news_received_s: float = -math.inf
     _read_until_s: float = -math.inf
+    _reading_since_s: float = math.inf
+    _first_reader: str = ""
     _outage_wait_s: float = OUTAGE_WAIT_RANGE_S[1]
     _confirmation_due_s: float = math.inf
 
@@ -172,6 +182,8 @@
         for name, subscription in self.subscriptions.items():
             self._subscribe_if_due(name, subscription, now_s)
         self._update_reading(now_s)
+        self._first_reader = self._find_first_reader()
+        self._check_log_if_due()
         self._update_cluster_counts(now_s)
         self.freshness.report(self.state.table.version, self.reading)
 
@@ -322,11 +334,12 @@
         for follower in self.followers:
             chosen = self.is_reader or self.subscribers
             limit_s = MAX_READER_RETRY_DELAY_S if chosen else MAX_OUTAGE_RETRY_DELAY_S
-            follower.retry_limit_s = limit_s
+            follower.set_retry_limit(limit_s)
             follower.set_wanted(reading)
         if reading == self.reading:
             return
         self.reading = reading
+        self._reading_since_s = now_s
         self._outage_wait_s = self.state.rng.uniform(*OUTAGE_WAIT_RANGE_S)
         logger.info(
             "reading the log" if reading else "log received from readers",
@@ -336,6 +349,40 @@
             unheard_s=None if math.isinf(without_news_s) else round(without_news_s, 3),
         )
 
+    def _find_first_reader(self) -> str:
+        """Return the first reader of all failure domains as this node sees them."""
+        for domain in sorted(self.ranking.list_domains()):
+            readers = self.ranking.list_readers(domain, self._is_usable)
+            if readers:
+                return readers[0]
+        return ""
+
+    @property
+    def checks_log(self) -> bool:
+        """Whether this node checks the log at short intervals for all others."""
+        return self._first_reader == self.state.name
+
+    def _find_max_age_s(self) -> float:
+        """Return the age from which this node itself has to check the log."""
+        first = self._first_reader
+        is_direct = self.checks_log or first in self.subscriptions
+        return MAX_DIRECT_AGE_S if is_direct else MAX_RELAYED_AGE_S
+
+    def find_read_wait_s(self) -> float:
+        """Return how long the next read of this node waits for records."""
+        max_age_s = self._find_max_age_s()
+        now_s = self.state.clock()
+        if now_s - self._reading_since_s <= max_age_s:
+            # A node that starts reads only until it knows the readers.
+            return READ_WAIT_S
+        hears = now_s - self.freshness.received_s <= max_age_s
+        return READ_WAIT_S if hears and not self.checks_log else CHECK_WAIT_S
+
+    def _check_log_if_due(self) -> None:
+        if self.reading and self.freshness.compute_age_s() > self._find_max_age_s():
+            for follower in self.followers:
+                follower.check_now()
+
     def can_read_log(self) -> bool:
         """Return whether this node reads the log itself, successfully."""
         return bool(self.followers) and all(one.is_current() for one in self.followers)
