Give up answers that are too long or have no end

What callers saw: nothing yet.

Cause: the client side of the connections to servers and to the log kept all bytes until an answer was complete.

Change: limits on the body, the head, the framing and the number of headers of an answer, and on all incomplete answers together; beyond that the longest is given up, so that other calls are completed. The outcome is bad-answer, the connection is closed, a line and a counter tell. Health checks end after 5 s. Frames without a body are refused from 8 MB on, and pieces of a frame are no longer copied for each further piece. The log client of the first path has a limit on bodies, too.

Bytes behind an answer that ends with such a part still close the connection.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -34,6 +34,7 @@
 from eelgrassmount.relay.links import LinkManager
 from eelgrassmount.relay.members import MemberTable
 from eelgrassmount.relay.metrics import RelayMetrics
+from eelgrassmount.relay.overlong_answers import OverlongAnswers
 from eelgrassmount.relay.peer_updates import PeerUpdates
 from eelgrassmount.relay.rejected_messages import MessageKind, RejectedMessages
 from eelgrassmount.relay.rejections import RejectionMeter, ServiceRejections
@@ -113,6 +114,7 @@
         lambda answer: HEADER_CODEC.read_idle_limit(answer.headers),
         lambda answer: HEADER_CODEC.find_request_id(answer.headers),
         metrics.connections.inc,
+        OverlongAnswers("server", clock, metrics.count_overlong).record,
     )
     dispatcher = Dispatcher(
         server,
@@ -308,7 +310,11 @@
         peer_updates,
         decisions,
         metrics,
-        StoreClient(settings.log_address, readers.epoch_tracker),
+        StoreClient(
+            settings.log_address,
+            readers.epoch_tracker,
+            OverlongAnswers("log", clock, metrics.count_overlong).record,
+        ),
         TimerService(MonotonicClock(), rng, grid_s=TIMER_RESOLUTION_S),
         HttpListener(ingress.handle, clock),
         learned,
--- a/eelgrassmount/http1/client.py
+++ b/eelgrassmount/http1/client.py
@@ -10,6 +10,8 @@
 import httptools
 from attrs import define
 
+from eelgrassmount.http1.answer_memory import AnswerMemory
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -21,6 +23,14 @@
 MAX_KEEP_ALIVE_PROBES = 2
 # Time without an acknowledgement of sent bytes after which the connection is closed.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
+MAX_ANSWER_BODY_BYTES = 8 * 1024 * 1024
+MAX_ANSWER_HEADERS = 256
+# Bytes before a body: status line, headers and interim answers.
+MAX_ANSWER_HEAD_BYTES = 64 * 1024
+# The same with chunk sizes and trailers.
+MAX_FRAMING_BYTES = 128 * 1024
+# The limits are checked after so many bytes, as short chunks take long to parse.
+PARSED_AT_ONCE_BYTES = 32 * 1024
 # An answer with one of them does not end with its connection.
 _LENGTH_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -32,6 +42,7 @@
     CLOSED = "closed"  # The server closed or reset the connection before an answer.
     TRUNCATED = "truncated"  # The answer is incomplete.
     MALFORMED = "malformed"  # The received bytes are not an HTTP answer.
+    OVERLONG = "overlong"  # The answer is too long, or its bytes have no end.
     CANCELLED = "cancelled"  # The client cancelled the request.
 
 
@@ -62,15 +73,19 @@
     timeout_s: float,
     on_idle: Callable[[ClientConnection], None] = lambda connection: None,
     on_lost: Callable[[ClientConnection], None] = lambda connection: None,
+    memory: AnswerMemory | None = None,
 ) -> ClientConnection:
     """Connect to an address within ``timeout_s`` seconds.
 
+    Connections that share ``memory`` share its limit on incomplete answers.
     Raises `OSError`, including `TimeoutError`, if this fails.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
         _, connection = await loop.create_connection(
-            lambda: ClientConnection(on_idle, on_lost), address.host, address.port
+            lambda: ClientConnection(on_idle, on_lost, memory),
+            address.host,
+            address.port,
         )
     return connection
 
@@ -87,10 +102,12 @@
         self,
         on_idle: Callable[[ClientConnection], None],
         on_lost: Callable[[ClientConnection], None],
+        memory: AnswerMemory | None = None,
     ):
         self.transport: asyncio.Transport | None = None
         self.on_idle = on_idle
         self.on_lost = on_lost
+        self.memory = memory or AnswerMemory()
         self.closed = False
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
@@ -102,6 +119,8 @@
         self._answer_started = False
         self._answer: ClientAnswer | None = None
         self._reusable = False
+        self._received_bytes = 0
+        self._body_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport (called by the event loop)."""
@@ -126,6 +145,8 @@
         self._answer_started = False
         self._reusable = True
         self._answer = None
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._reset_answer()
         self._parser = httptools.HttpResponseParser(self)
         self.transport.write(data)
@@ -144,11 +165,18 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
+        for start in range(0, len(data), PARSED_AT_ONCE_BYTES):
+            if not self.closed:
+                end = start + PARSED_AT_ONCE_BYTES
+                self._parse(data[start:end], end >= len(data))
+
+    def _parse(self, data: bytes, is_last: bool) -> None:
         if self._on_done is None:
             # No request is waiting for an answer.
             self.close()
             return
         self._answer_started = True
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -157,8 +185,29 @@
                 return
             # The answer before the malformed bytes is complete.
             self._reusable = False
-        if self._answer is not None:
+        if self._is_overlong():
+            self.give_up_answer()
+        elif self._answer is not None:
+            # Bytes that follow an answer are not the answer to a later request.
+            self._reusable = self._reusable and is_last
             self._finish(self._answer)
+        elif not self.closed:
+            self.memory.hold(self, self._received_bytes)
+
+    def _is_overlong(self) -> bool:
+        if len(self._headers) > MAX_ANSWER_HEADERS:
+            return True
+        if self._answer is not None:
+            # Bytes after a complete answer are not part of it.
+            return False
+        framing_bytes = self._received_bytes - self._body_bytes
+        max_bytes = MAX_FRAMING_BYTES if self._body_bytes else MAX_ANSWER_HEAD_BYTES
+        return framing_bytes > max_bytes or self._body_bytes > MAX_ANSWER_BODY_BYTES
+
+    def give_up_answer(self) -> None:
+        """Close the connection because its answer takes too much memory."""
+        self._reset_answer()
+        self._close_with(ExchangeFailure.OVERLONG)
 
     def eof_received(self) -> bool:
         """Complete an answer without a length."""
@@ -188,6 +237,7 @@
         self._report(outcome)
 
     def _report(self, outcome: ClientAnswer | ExchangeFailure) -> None:
+        self.memory.release(self)
         on_done = self._on_done
         if on_done is not None:
             self._on_done = None
@@ -198,13 +248,14 @@
         if not self._reusable:
             self._close_with(answer)
             return
+        self.memory.release(self)
         on_done = self._on_done
         self._on_done = None
         self.on_idle(self)
         on_done(answer)
 
     def _complete(self) -> None:
-        answer = ClientAnswer(self._status, self._headers, b"".join(self._body))
+        answer = ClientAnswer(self._status, self._headers, bytes(self._body))
         if self._accepts is not None and not self._accepts(answer):
             self._reusable = False
             self._reset_answer()
@@ -214,7 +265,8 @@
     def _reset_answer(self) -> None:
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        # Small parts would take far more memory as objects of their own.
+        self._body = bytearray()
         self._until_close = False
         self._has_length = False
 
@@ -228,6 +280,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header."""
         if self._answer is None:
+            if len(self._headers) > MAX_ANSWER_HEADERS:
+                return
             name = name.lower()
             self._headers.append((name, value))
             if name in _LENGTH_HEADERS:
@@ -250,7 +304,8 @@
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
         if self._answer is None:
-            self._body.append(body)
+            self._body_bytes += len(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Store the complete answer; skip an interim answer."""
--- a/eelgrassmount/log_client.py
+++ b/eelgrassmount/log_client.py
@@ -17,6 +17,7 @@
 
 MAX_CONNECTIONS = 4
 DEFAULT_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _CONNECT_TIMEOUT_S = 1.0
 _KEEP_ALIVE_S = 30.0
 _SEND_STARTED_EVENT = "http11.send_request_headers.started"
@@ -89,7 +90,7 @@
         attempt = _Attempt()
         try:
             with anyio.fail_after(self.timeout_s + wait_s):
-                response = await self._pool.request(
+                async with self._pool.stream(
                     method,
                     self.url + target,
                     headers=_make_headers(method),
@@ -98,14 +99,17 @@
                         "timeout": {"connect": min(_CONNECT_TIMEOUT_S, self.timeout_s)},
                         "trace": attempt.trace,
                     },
-                )
+                ) as response:
+                    body = await _read_body(response)
         except TimeoutError:
             return LogFailure(f"no answer within {self.timeout_s} s", attempt.sent)
         except (httpcore.TimeoutException, httpcore.NetworkError, OSError) as error:
             return LogFailure(f"{type(error).__name__}: {error}", attempt.sent)
         except httpcore.ProtocolError as error:
             return LogFailure(f"{type(error).__name__}: {error}", attempt.sent)
-        return _check_status(response)
+        if body is None:
+            return LogFailure("the log's answer is too long", attempt.sent)
+        return _check_status(response.status, body)
 
 
 def _make_headers(method: str) -> list[tuple[str, str]]:
@@ -114,12 +118,22 @@
     return []
 
 
-def _check_status(response: httpcore.Response) -> bytes | LogFailure:
-    if response.status == 200:
-        return response.content
+async def _read_body(response: httpcore.Response) -> bytes | None:
+    """Return the body of an answer, or ``None`` if it is too long or has no end."""
+    body = bytearray()
+    async for part in response.aiter_stream():
+        body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            return None
+    return bytes(body)
+
+
+def _check_status(status: int, body: bytes) -> bytes | LogFailure:
+    if status == 200:
+        return body
     # a server error may follow a write; a status below 500 means that nothing was done
-    may_have_written = response.status >= 500
-    return LogFailure(f"the log answered {response.status}", may_have_written)
+    may_have_written = status >= 500
+    return LogFailure(f"the log answered {status}", may_have_written)
 
 
 def _parse_page(content: bytes) -> Page:
--- a/eelgrassmount/platform/store_client.py
+++ b/eelgrassmount/platform/store_client.py
@@ -27,6 +27,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from eelgrassmount.util.addresses import Address
 
 LENGTH_PREFIX_BYTES = 4
@@ -57,11 +59,12 @@
 
     address: Address
     epochs: EpochTracker = field(factory=EpochTracker)
+    on_overlong: Callable[[], None] = lambda: None
     _connections: PersistentConnections = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Prepare the connections, which are opened on first use."""
-        self._connections = PersistentConnections(self.address)
+        self._connections = PersistentConnections(self.address, self.on_overlong)
 
     async def append(self, topic: str, key: str, value: bytes) -> int | StoreFailure:
         """Append a record to a keyed topic and return its offset."""
@@ -87,9 +90,7 @@
         end: int | None = None
         after = ""
         while True:
-            query = {"topic": topic, "part": 0}
-            if after:
-                query["after"] = after
+            query = {"topic": topic, "part": 0} | ({"after": after} if after else {})
             target = "/log-newest?" + urlencode(query)
             answer = await self._call(topic, "GET", target)
             if isinstance(answer, StoreFailure):
--- a/eelgrassmount/relay/backend.py
+++ b/eelgrassmount/relay/backend.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from loguru import logger
 
+from eelgrassmount.http1.answer_memory import AnswerMemory
 from eelgrassmount.http1.client import ClientAnswer, ExchangeFailure, open_connection
 
 if TYPE_CHECKING:
@@ -85,6 +86,8 @@
     read_idle_limit: Callable[[ClientAnswer], float | None]
     find_request_id: Callable[[ClientAnswer], bytes]
     on_open: Callable[[], None] = lambda: None
+    on_overlong: Callable[[bytes], None] = lambda request_id: None
+    memory: AnswerMemory = field(factory=AnswerMemory)
     _trusted_idle_s: float = DEFAULT_IDLE_TIMEOUT_S
     _idle: list[ClientConnection] = field(factory=list)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
@@ -180,6 +183,8 @@
             closed_soon = self.clock() - sent_s < MAX_DROP_DETECTION_S
             if outcome is ExchangeFailure.CLOSED and closed_soon:
                 self._reduce_trusted_idle(idle_s)
+            if outcome is ExchangeFailure.OVERLONG:
+                self.on_overlong(request_id)
             if isinstance(outcome, ClientAnswer):
                 limit_s = self.read_idle_limit(outcome)
                 if limit_s is not None:
@@ -212,7 +217,11 @@
     ) -> None:
         try:
             connection = await open_connection(
-                address, CONNECT_TIMEOUT_S, self._add_idle, self._remove_idle
+                address,
+                CONNECT_TIMEOUT_S,
+                self._add_idle,
+                self._remove_idle,
+                self.memory,
             )
         except OSError:
             # The caller counts this as an unreachable server.
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -57,6 +57,8 @@
 MAX_LAST_WAIT_S = 1.0
 # Health checks have no request id.
 NO_REQUEST_ID = b""
+# A health check waits for a slot of the server.
+HEALTH_CHECK_TIMEOUT_S = 5.0
 # Longest wait that a refusal names.
 MAX_WAIT_S = 600.0
 
@@ -65,6 +67,7 @@
     ExchangeFailure.CLOSED: (Outcome.MAY_HAVE_RUN, Reason.SERVER_CRASHED),
     ExchangeFailure.TRUNCATED: (Outcome.MAY_HAVE_RUN, Reason.BAD_ANSWER),
     ExchangeFailure.MALFORMED: (Outcome.MAY_HAVE_RUN, Reason.BAD_ANSWER),
+    ExchangeFailure.OVERLONG: (Outcome.MAY_HAVE_RUN, Reason.BAD_ANSWER),
     ExchangeFailure.CANCELLED: (Outcome.MAY_HAVE_RUN, Reason.CANCELLED),
 }
 
@@ -209,7 +212,10 @@
                     self.on_change()
 
         data = self.header_codec.write_probe(health_path)
-        self.pool.send(self.server.address, data, True, NO_REQUEST_ID, on_answer)
+        check = self.pool.send(
+            self.server.address, data, True, NO_REQUEST_ID, on_answer
+        )
+        self.call_later(HEALTH_CHECK_TIMEOUT_S, check.cancel)
 
     def cancel(self, job: Job) -> None:
         """Cancel a job; calls that have started run on if not idempotent."""
--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -23,6 +23,8 @@
 _HEADER = Struct(">IB")
 HEADER_BYTES = _HEADER.size
 MAX_FRAME_BYTES = 128 * 1024 * 1024
+# Limit of the frames without the body of a request or answer, or a configuration.
+MAX_SHORT_FRAME_BYTES = 8 * 1024 * 1024
 # Limits the memory for a decoded list, whose entries may be encoded in one byte each.
 MAX_LIST_ENTRIES = 50_000
 # The last report of a connection is kept up to this size.
@@ -78,6 +80,7 @@
 }
 
 
+_LONG_KINDS = frozenset((FrameKind.CALL, FrameKind.REPLY, FrameKind.CONFIG))
 # Members of an enum are slow to look up.
 _REPORT = FrameKind.REPORT
 _KINDS_AND_TYPES = {
@@ -133,13 +136,20 @@
     return _HEADER.pack(len(payload) + 1, kind) + payload
 
 
+def _get_max_bytes(kind: int) -> int:
+    """Return the longest length of a frame of a kind."""
+    return MAX_FRAME_BYTES if kind in _LONG_KINDS else MAX_SHORT_FRAME_BYTES
+
+
 class FrameConnection(asyncio.Protocol, ABC):
     """A connection that splits received bytes into frames; subclasses handle them."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.closed = False
-        self._buffer = b""
+        # An incomplete frame, and the size from which it is complete.
+        self._buffer = bytearray()
+        self._needed_bytes = 0
         self._last_report = b""
         self._last_report_struct: Any = None
 
@@ -176,16 +186,23 @@
 
     def data_received(self, data: bytes) -> None:
         """Split the bytes into frames and dispatch them (called by the event loop)."""
-        buffer = self._buffer + data if self._buffer else data
+        buffer = data
+        if self._buffer:
+            self._buffer += data
+            if len(self._buffer) < self._needed_bytes:
+                return
+            buffer = bytes(self._buffer)
         position = 0
+        self._needed_bytes = 0
         size = len(buffer)
         try:
             while size - position >= HEADER_BYTES:
                 length, kind = _HEADER.unpack_from(buffer, position)
-                if not 1 <= length <= MAX_FRAME_BYTES:
+                if not 1 <= length <= _get_max_bytes(kind):
                     raise OverlongFrameError(f"frame length {length} is out of range")
                 end = position + LENGTH_BYTES + length
                 if end > size:
+                    self._needed_bytes = end - position
                     break
                 self._dispatch_frame(kind, buffer[position + HEADER_BYTES : end])
                 position = end
@@ -193,7 +210,7 @@
             self.handle_bad_frame(error)
             self.abort()
             return
-        self._buffer = buffer[position:] if position else buffer
+        self._buffer = bytearray(buffer[position:])
 
     def _dispatch_frame(self, kind: int, payload: bytes) -> None:
         known = _KINDS_AND_TYPES.get(kind)
--- a/eelgrassmount/relay/metrics.py
+++ b/eelgrassmount/relay/metrics.py
@@ -48,6 +48,7 @@
     appointments: Counter = field(init=False)
     state: Gauge = field(init=False)
     configuration_sources: Gauge = field(init=False)
+    overlong_answers: Counter = field(init=False)
     admitted_fractions: Gauge = field(init=False)
     rejected_shares: Gauge = field(init=False)
     retry_use: Gauge = field(init=False)
@@ -169,6 +170,12 @@
             ["kind"],
             registry=registry,
         )
+        self.overlong_answers = Counter(
+            f"{PREFIX}_relay_overlong_answers",
+            "Answers given up as too long or without end, by their source.",
+            ["source"],
+            registry=registry,
+        )
         self.configuration_sources = Gauge(
             f"{PREFIX}_relay_configuration_source",
             "Version in force, by its source: the log or the node that sent it.",
@@ -286,6 +293,10 @@
         """Count requests for a quota that this node allocates."""
         self.quotas.labels(event).inc(requests)
 
+    def count_overlong(self, source: str) -> None:
+        """Count an answer that was given up because it is too long."""
+        self.overlong_answers.labels(source).inc()
+
     def show_source(self, source: str, version: int) -> None:
         """Set the gauge of the configuration in force, by its source."""
         self.configuration_sources.clear()
--- a/eelgrassmount/relay/persistent_connections.py
+++ b/eelgrassmount/relay/persistent_connections.py
@@ -7,10 +7,13 @@
 
 from attrs import define, field
 
+from eelgrassmount.http1.answer_memory import AnswerMemory
 from eelgrassmount.http1.client import ClientAnswer, ExchangeFailure, open_connection
 from eelgrassmount.topics.store import FailureKind, StoreFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from eelgrassmount.http1.client import ClientConnection
     from eelgrassmount.util.addresses import Address
 
@@ -30,6 +33,8 @@
     """
 
     address: Address
+    on_overlong: Callable[[], None] = lambda: None
+    memory: AnswerMemory = field(factory=AnswerMemory)
     _connections: dict[str, ClientConnection] = field(factory=dict)
     _slow_kinds: set[str] = field(factory=set)
 
@@ -45,7 +50,9 @@
         connection = self._connections.pop(kind, None)
         if connection is None or connection.closed:
             try:
-                connection = await open_connection(self.address, CONNECT_TIMEOUT_S)
+                connection = await open_connection(
+                    self.address, CONNECT_TIMEOUT_S, memory=self.memory
+                )
             except OSError as error:
                 return StoreFailure(FailureKind.UNREACHABLE, repr(error))
         outcome: asyncio.Future[ClientAnswer | ExchangeFailure] = (
@@ -72,6 +79,8 @@
                 connection.cancel()
         if loop.time() - started_s < (wait_s or 0.0) + FAST_ANSWER_S:
             self._slow_kinds.discard(kind)
+        if answer is ExchangeFailure.OVERLONG:
+            self.on_overlong()
         if isinstance(answer, ExchangeFailure):
             return StoreFailure(FailureKind.UNANSWERED, answer.value)
         if not connection.closed:
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from eelgrassmount.http1.client import ClientAnswer, ClientConnection, ExchangeFailure
+from eelgrassmount.http1.answer_memory import AnswerMemory
+from eelgrassmount.http1.client import (
+    MAX_ANSWER_BODY_BYTES,
+    MAX_ANSWER_HEADERS,
+    PARSED_AT_ONCE_BYTES,
+    ClientAnswer,
+    ClientConnection,
+    ExchangeFailure,
+)
 from tests.http1.transports import MemoryTransport
 
 OK = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nhi"
@@ -124,3 +132,62 @@
     assert setup.transport.closing
     setup.lose_connection(ConnectionResetError())
     assert setup.outcomes == [ExchangeFailure.CANCELLED]
+
+
+# Guards against bytes behind an answer that count as the answer to the next request.
+def test_bytes_after_an_answer_of_exactly_one_slice_close_the_connection(setup):
+    head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
+    size = PARSED_AT_ONCE_BYTES - len(head % 10_000)
+    answer = head % size + bytes(size)
+    assert len(answer) == PARSED_AT_ONCE_BYTES
+    setup.receive(answer + OK)
+    assert [len(one.body) for one in setup.outcomes] == [size]
+    assert setup.idle == []
+    assert setup.transport.closing
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 " + b"O" * 70_000,
+        b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 20_000,
+        b"HTTP/1.1 200 OK\r\na: " + b"b" * 70_000,
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 3_000,
+        b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n"
+        + bytes(MAX_ANSWER_BODY_BYTES + 1),
+        b"HTTP/1.1 200 OK\r\n\r\n" + bytes(MAX_ANSWER_BODY_BYTES + 1),
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        + b"1\r\nx\r\n" * 40_000,
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+        + b"a: b\r\n" * 300,
+    ],
+    ids=lambda data: data[:60].decode("latin-1"),
+)
+def test_answer_without_end_is_given_up(setup, data):
+    for start in range(0, len(data), 5_000):
+        if not setup.outcomes:
+            setup.receive(data[start : start + 5_000])
+    assert setup.outcomes == [ExchangeFailure.OVERLONG]
+    assert setup.transport.closing
+    assert setup.connection.memory.total_bytes == 0
+
+
+def test_answer_with_too_many_headers_is_not_delivered_without_some(setup):
+    headers = b"a: b\r\n" * (MAX_ANSWER_HEADERS + 1)
+    setup.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n" + headers + b"\r\n")
+    assert setup.outcomes == [ExchangeFailure.OVERLONG]
+
+
+def test_longest_of_many_incomplete_answers_is_given_up():
+    memory = AnswerMemory(max_bytes=100_000)
+    setups = [Setup() for _ in range(3)]
+    for size, setup in zip((10_000, 60_000, 20_000), setups, strict=True):
+        setup.connection.memory = memory
+        setup.send()
+        setup.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 80000\r\n\r\n" + bytes(size))
+    setups[0].receive(bytes(20_000))
+    assert [setup.outcomes for setup in setups] == [[], [ExchangeFailure.OVERLONG], []]
+    setups[0].receive(bytes(50_000))
+    assert len(setups[0].outcomes[0].body) == 80_000
+    setups[2].lose_connection(OSError())
+    assert memory.total_bytes == 0
--- a/tests/relay/test_frames.py
+++ b/tests/relay/test_frames.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from eelgrassmount.errors import BadFrameError
+from eelgrassmount.errors import BadFrameError, OverlongFrameError
 from eelgrassmount.gen import ttypes
 from eelgrassmount.relay import frames
 from eelgrassmount.relay.frames import FrameConnection, FrameKind, encode_frame
@@ -58,3 +58,22 @@
     report, *errors = connection.received
     assert report.in_flight == 3
     assert [type(error) for error in errors] == [BadFrameError, BadFrameError]
+
+
+def test_frames_in_pieces_of_any_size_are_decoded():
+    frame = make_report(3) + make_report(4, routes=50) + make_report(5)
+    for size in (1, 2, 7, 100, len(frame)):
+        connection = RecordingConnection()
+        for start in range(0, len(frame), size):
+            connection.data_received(frame[start : start + size])
+        assert [report.in_flight for report in connection.received] == [3, 4, 5]
+
+
+# Guards against a node that keeps what a peer announces as one huge frame.
+@pytest.mark.parametrize("kind", [FrameKind.REPORT, FrameKind.NEWS, 200])
+def test_frame_without_a_body_that_is_too_long_is_refused_at_once(kind):
+    connection = RecordingConnection()
+    length = frames.MAX_SHORT_FRAME_BYTES + 1
+    connection.data_received(length.to_bytes(4, "big") + bytes([kind]))
+    (error,) = connection.received
+    assert isinstance(error, OverlongFrameError)
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -102,3 +102,19 @@
     result = anyio.run(main)
     assert isinstance(result, LogFailure)
     assert not result.sent
+
+
+# Guards against a node that keeps an answer of the log that has no end.
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\na: ",
+    ],
+)
+def test_answer_without_end_is_a_failure(head: bytes, monkeypatch) -> None:
+    monkeypatch.setattr("eelgrassmount.log_client.MAX_ANSWER_BYTES", 50_000)
+    failure, _ = run_client(head + b"x" * 1_000_000, append)
+    assert isinstance(failure, LogFailure)
+    assert failure.sent
