Let the soak lose answers of the log and check the version at its end

Each node calls the log at an address of its own; answers at some of them or all are lost, whole or from their middle on, for 0.05 to 4 s while the operator writes. Three seconds after the last operation each node has the last version.

--- a/tests/relay/test_soak.py
+++ b/tests/relay/test_soak.py
@@ -9,6 +9,7 @@
 import itertools
 import os
 import random
+import re
 import signal
 import subprocess
 import time
@@ -20,10 +21,11 @@
 import pytest
 from attrs import define, field
 
+from eelgrassmount.compose.relay_run import METRICS_PORT
 from eelgrassmount.http1.client import ClientConnection, ExchangeFailure
 from eelgrassmount.relay.settings import RelaySettings
 from eelgrassmount.util.addresses import Address
-from standins.platform_log import PlatformLog
+from standins.platform_log import AnswerLoss, PlatformLog
 from standins.platform_server import PlatformServer
 from tests.relay.deployment import (
     LOOPBACK_PREFIX,
@@ -32,6 +34,7 @@
     make_document,
     make_request,
     make_rule,
+    request,
     send,
 )
 from tests.relay.test_program import HOST, SETTINGS, start
@@ -46,12 +49,14 @@
 GRACE_S = 4.0
 # Time after the last operation within which all requests must be served again.
 RECOVERY_S = 15.0
+# Time after the last operation within which all nodes have the last configuration.
+STABLE_WINDOW_S = 3.0
 # Longest start of an interpreter, in which signals have their default effect.
 INTERPRETER_START_S = 1.0
 # Longest time for which a client waits.
 MAX_WAIT_S = 2.0
 NOT_RUN = (408, 421, 429, 503)
-LOG_HOST = f"{LOOPBACK_PREFIX}.4.250"
+LOG_PREFIX = f"{LOOPBACK_PREFIX}.5"
 
 
 @define(eq=False)
@@ -86,10 +91,9 @@
     bookings: set[str] = field(factory=set)
     ended: bool = False
     ids: itertools.count = field(factory=itertools.count)
-    versions: itertools.count = field(factory=lambda: itertools.count(1))
+    version: int = 0
 
     async def start(self) -> None:
-        await self.log.start(LOG_HOST, 8309)
         self.configure()
         for number in range(VMS):
             await self.add_vm(number)
@@ -101,7 +105,9 @@
         settings = make_settings(number, host, service)
         text = SETTINGS.replace("vm-1", settings.name)
         text = text.replace('service = "list"', f'service = "{service}"')
-        text = text.replace(HOST, host).replace(f"{host}:8309", f"{LOG_HOST}:8309")
+        log_address = settings.log_address
+        await self.log.listen(log_address.host, log_address.port)
+        text = text.replace(HOST, host).replace(f"{host}:8309", str(log_address))
         path = self.path / f"{settings.name}.toml"
         path.write_text(text)
         server = PlatformServer(f"i-{number}", work_s=0.03)
@@ -126,7 +132,7 @@
 
     def configure(self) -> None:
         """Publish a configuration with other time-outs."""
-        version = next(self.versions)
+        self.version += 1
         rules = [
             make_rule(prefix, "list", kind=kind, action={"timeoutMs": timeout_ms})
             for prefix, kind, timeout_ms in (
@@ -134,7 +140,7 @@
                 ("/book/", "non_idempotent", self.rng.randrange(800, 1200)),
             )
         ]
-        self.log.put("keyed.op", "config", make_document(version, *rules))
+        self.log.put("keyed.op", "config", make_document(self.version, *rules))
 
     async def announce(self) -> None:
         """Send heartbeats and restart ended processes, twice a second."""
@@ -192,7 +198,7 @@
             vm = self.rng.choice(free)
             vm.changing = True
             operation = self.rng.choice(
-                (self.stop, self.stop, self.kill, self.reload, self.change)
+                (self.stop, self.stop, self.kill, self.reload, self.change, self.lose)
             )
             await operation(vm)
             vm.changing = False
@@ -202,6 +208,17 @@
             self.configure()
             await anyio.sleep(self.rng.uniform(0.0, 0.3))
 
+    async def lose(self, vm: SoakVm) -> None:
+        """Lose answers of the log at some nodes or all, while the operator writes."""
+        hosts = [one.settings.log_address.host for one in self.vms]
+        chosen = self.rng.choice((hosts, self.rng.sample(hosts, VMS // 2)))
+        loss = self.rng.choice(list(AnswerLoss))
+        self.log.losses.update(dict.fromkeys(chosen, loss))
+        self.configure()
+        await anyio.sleep(self.rng.choice((0.05, 0.05, self.rng.uniform(0.2, 4.0))))
+        for host in chosen:
+            self.log.losses.pop(host, None)
+
     async def reload(self, vm: SoakVm) -> None:
         for _ in range(self.rng.randrange(1, 4)):
             vm.path.write_text(f"{vm.path.read_text()}\n")
@@ -254,6 +271,14 @@
         if served < 10:
             self.faults.append(f"{vm.settings.name} answers {status} at the end")
 
+    async def check_version(self, vm: SoakVm) -> None:
+        """Check that a node has the last configuration."""
+        address = Address(vm.settings.caller_address.host, METRICS_PORT)
+        text = (await request(address, "GET", "/metrics")).body.decode()
+        version = re.search(r'\{name="configuration_version"\} (\S+)', text)
+        if version is None or float(version[1]) != self.version:
+            self.faults.append(f"{vm.settings.name} keeps an old configuration")
+
     def check_outcomes(self) -> None:
         runs = Counter(name for vm in self.vms for name in vm.server.runs)
         self.faults += [
@@ -273,7 +298,7 @@
             vm.process.kill()
             vm.process.wait()
             vm.server.listener.end()
-        self.log.listener.end()
+        self.log.end()
 
 
 def make_settings(number: int, host: str, service: str) -> RelaySettings:
@@ -287,7 +312,7 @@
         ready_address=Address(host, 8302),
         announce_address=Address(host, 8306),
         server_address=Address(host, 8301),
-        log_address=Address(LOG_HOST, 8309),
+        log_address=Address(f"{LOG_PREFIX}.{number + 1}", 8309),
     )
 
 
@@ -309,6 +334,10 @@
                 for _ in range(OPERATORS):
                     operators.start_soon(soak.operate, end_s)
             end_s = time.monotonic() + RECOVERY_S
+            await anyio.sleep(STABLE_WINDOW_S)
+            async with anyio.create_task_group() as checks:
+                for vm in soak.vms:
+                    checks.start_soon(soak.check_version, vm)
             async with anyio.create_task_group() as checks:
                 for vm in soak.vms:
                     checks.start_soon(soak.check_recovery, vm, end_s)
