--- a/eelgrassmount/relay/frames.py
+++ b/eelgrassmount/relay/frames.py
@@ -210,7 +210,7 @@
             self.handle_bad_frame(error)
             self.abort()
             return
-        self._buffer = bytearray(buffer[position:])
+        self._buffer = bytearray(buffer[position:]) if position < size else bytearray()
 
     def _dispatch_frame(self, kind: int, payload: bytes) -> None:
         known = _KINDS_AND_TYPES.get(kind)
--- a/eelgrassmount/topics/freshness.py
+++ b/eelgrassmount/topics/freshness.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define
 from loguru import logger
 
 if TYPE_CHECKING:
@@ -13,8 +13,9 @@
 
     from eelgrassmount.topics.follower import TopicFollower
 
-# Age from which a node reports that its records are not confirmed.
-MAX_REPORTED_AGE_S = 5.0
+# Age from which a node logs that its records are not confirmed. It also applies to the
+# time since the start while nothing has been confirmed.
+UNCONFIRMED_AGE_S = 5.0
 MS_PER_S = 1000
 # Source of what a node has read from the log itself.
 LOG_SOURCE = "log"
@@ -33,7 +34,12 @@
     clock: Callable[[], float]
     received_s: float = -math.inf
     sender: str = ""
-    _is_reported: bool = field(default=False)
+    _started_s: float = math.inf
+    _is_reported: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Record the start time."""
+        self._started_s = self.clock()
 
     def find_read_s(self) -> float:
         """Return the time that the reads of this node confirm."""
@@ -61,7 +67,7 @@
     def report(self, version: int, reading: bool) -> None:
         """Log when the records become too old and when they are confirmed again."""
         age_s = self.compute_age_s()
-        is_old = age_s > MAX_REPORTED_AGE_S
+        is_old = min(age_s, self.clock() - self._started_s) > UNCONFIRMED_AGE_S
         if is_old == self._is_reported:
             return
         self._is_reported = is_old
