Repeat the deletion of a node's record until the node ends

What callers saw: nothing. A node that stops after its server has left deletes its record on the log, so that others do not go on counting it.

Two new cases (no answer, 503, for 0.3 s) fail on the code before and pass now. The repetition ends with the node, so that its stop takes no longer.

--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -102,15 +102,19 @@
 async def _delete_local_record(node: RelayNode) -> None:
     """Delete the log record of this node if its server has left permanently.
 
-    Other nodes would otherwise keep counting it and reserve quotas for it.
+    Other nodes would otherwise keep counting it and reserve quotas for it. Failed calls
+    are repeated until cancelled.
     """
     if not node.state.server.has_left:
         return
-    offset = await node.store.append(NODES_TOPIC, node.settings.name, b"")
-    if isinstance(offset, StoreFailure):
+    backoff = Backoff(node.rng, MIN_RECORD_RETRY_DELAY_S, MAX_RECORD_RETRY_DELAY_S)
+    while True:
+        offset = await node.store.append(NODES_TOPIC, node.settings.name, b"")
+        if not isinstance(offset, StoreFailure):
+            logger.info("own record dropped", offset=offset)
+            return
         logger.warning("own record not dropped", kind=offset.kind)
-    else:
-        logger.info("own record dropped", offset=offset)
+        await anyio.sleep(backoff.fail())
 
 
 async def start_relay(node: RelayNode, group: TaskGroup) -> None:
--- a/tests/topics/test_log_restore.py
+++ b/tests/topics/test_log_restore.py
@@ -250,3 +250,22 @@
             assert "node-5" in vm.node.state.members.by_name
 
     play(scenario)
+
+
+# Guards against a node that others count for good because one call was lost.
+@pytest.mark.parametrize("fault", [LogFault.SILENT, LogFault.UNAVAILABLE])
+def test_node_deletes_its_record_although_the_first_call_fails(fault):
+    async def scenario(deployment: Deployment) -> None:
+        deployment.vms[5].node.state.server.has_left = True
+        async with anyio.create_task_group() as group:
+            deployment.log.fault = fault
+            group.start_soon(stop_node, deployment, 5)
+            await anyio.sleep(0.3)
+            deployment.log.fault = LogFault.NONE
+        await anyio.sleep(2.0)
+        newest = dict(deployment.log.find("keyed.nodes").records)
+        assert newest["node-6"] == b""
+        for vm in deployment.vms:
+            assert "node-6" not in vm.node.state.members.by_name
+
+    play(scenario)
