Let only one node check the log while all nodes start

Cause: all nodes that start together read the log themselves until they know each other, and confirm the configuration's topic at the same moment. Two seconds later the confirmation was too old for all of them at once, since the first reader waited as long as the others, and each began to check.

Change: the first reader checks after 1 s, so that the others hear from it in time, and a node that is neither a reader nor listened to checks only if it hears from no reader.

--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -63,7 +63,9 @@
 MAX_READER_RETRY_DELAY_S = 1.5
 # Age of the last confirmation from which a node that reads the log calls it instead of
 # waiting longer. Shorter where the node subscribes to the one that checks the log; news
-# through one more node are older.
+# through one more node are older. The node that checks the log is the first to call it,
+# also when all nodes start together.
+MAX_CHECK_AGE_S = 1.0
 MAX_DIRECT_AGE_S = 2.0
 MAX_RELAYED_AGE_S = 2.75
 # Time for which a node reads on without subscribers or when it is no longer a reader.
@@ -364,12 +366,15 @@
 
     def _find_max_age_s(self) -> float:
         """Return the age from which this node itself has to check the log."""
-        first = self._first_reader
-        is_direct = self.checks_log or first in self.subscriptions
+        if self.checks_log:
+            return MAX_CHECK_AGE_S
+        is_direct = self._first_reader in self.subscriptions
         return MAX_DIRECT_AGE_S if is_direct else MAX_RELAYED_AGE_S
 
     def find_read_wait_s(self) -> float:
         """Return how long the next read of this node waits for records."""
+        if not self._must_check_log():
+            return READ_WAIT_S
         max_age_s = self._find_max_age_s()
         now_s = self.state.clock()
         if now_s - self._reading_since_s <= max_age_s:
@@ -378,8 +383,15 @@
         hears = now_s - self.freshness.received_s <= max_age_s
         return READ_WAIT_S if hears and not self.checks_log else CHECK_WAIT_S
 
+    def _must_check_log(self) -> bool:
+        """Return whether no other node may notice a lost answer for this one."""
+        is_chosen = self.is_reader or bool(self.subscribers)
+        return is_chosen or not self.has_fresh_reader()
+
     def _check_log_if_due(self) -> None:
-        if self.reading and self.freshness.compute_age_s() > self._find_max_age_s():
+        if not self.reading or not self._must_check_log():
+            return
+        if self.freshness.compute_age_s() > self._find_max_age_s():
             for follower in self.followers:
                 follower.check_now()
 
