--- a/standins/platform_log.py
+++ b/standins/platform_log.py
@@ -57,7 +57,8 @@
     """Stores keyed topics in memory and serves them over HTTP.
 
     Answers have a header with the log epoch, ``era``, unless it is ``None``. The log
-    may listen at several addresses; ``losses`` tells at which hosts answers are lost.
+    may listen at several addresses; ``losses`` tells at which hosts answers are lost,
+    and ``faults`` has faults of single hosts.
     """
 
     fault: LogFault = LogFault.NONE
@@ -67,6 +68,7 @@
     topics: dict[str, Topic] = field(factory=dict)
     listener: HttpListener = field(init=False)
     losses: dict[str, AnswerLoss] = field(factory=dict)
+    faults: dict[str, LogFault] = field(factory=dict)
     _hosts: dict[HttpListener, str] = field(factory=dict)
     _silent: WeakSet[ServerConnection] = field(factory=WeakSet)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
@@ -139,21 +141,26 @@
         self.calls += 1
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
-        if self.fault is LogFault.UNAVAILABLE:
+        fault = self.faults.get(self._find_host(exchange), self.fault)
+        if fault is LogFault.UNAVAILABLE:
             self._respond(exchange, 503)
-        elif self.fault is LogFault.RATE_LIMITED:
+        elif fault is LogFault.RATE_LIMITED:
             self._respond(exchange, 429)
-        elif self.fault is LogFault.RESET:
+        elif fault is LogFault.RESET:
             exchange.connection.transport.abort()
-        elif self.fault is not LogFault.SILENT:
+        elif fault is not LogFault.SILENT:
             await self._serve(exchange)
 
+    def _find_host(self, exchange: Exchange) -> str:
+        """Return the host at which a call arrived, unless it is the first one."""
+        return self._hosts.get(exchange.connection.listener, "")
+
     def _respond(
         self, exchange: Exchange, status: int, head: bytes = b"", body: bytes = b""
     ) -> None:
         if self.era is not None:
             head += b"store-era: %d\r\n" % self.era
-        loss = self.losses.get(self._hosts.get(exchange.connection.listener, ""))
+        loss = self.losses.get(self._find_host(exchange))
         if loss is not None and exchange.connection not in self._silent:
             self._silent.add(exchange.connection)
             if loss is AnswerLoss.REST:
