Let other nodes read the log in time when the readers can't

Callers of nodes that the log answers got the old routes for up to 7.2 s longer than configApplyMs allows while all readers of a fleet were cut from the log, turned away or lost its answers.

Cause: nodes took a reader that waits for records for one that reads, until its read timed out 1.75 to 4.5 s later, and then waited another 3 to 6 s in case that the log was unreachable for all. A node that had read it once passed for a reader as soon as it began to read again.

Now a reader that loses the log says so at once, and the readers that rely on it check the log; only a read that was answered since then counts. Checks time out after 0.5 s instead of 1 s, unless the log has been slow.

--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -224,6 +224,7 @@
     )
     follower.clock = node.state.clock
     follower.find_wait_s = node.readers.find_read_wait_s
+    follower.on_change = node.readers.announce_change
     if topic == NODES_TOPIC:
         follower.on_read = node.readers.record_read
         follower.next_offset = node.readers.record_table.next_offset or None
--- a/eelgrassmount/relay/persistent_connections.py
+++ b/eelgrassmount/relay/persistent_connections.py
@@ -21,8 +21,8 @@
 CALL_TIMEOUT_S = 2.0
 # The same for a call that waits for records, apart from that wait. After a call without
 # an answer the other end may be slow: `CALL_TIMEOUT_S` applies until it is fast again.
-WAITING_CALL_TIMEOUT_S = 1.0
-FAST_ANSWER_S = 0.5
+WAITING_CALL_TIMEOUT_S = 0.5
+FAST_ANSWER_S = 0.25
 
 
 @define(eq=False, repr=False)
--- a/eelgrassmount/topics/follower.py
+++ b/eelgrassmount/topics/follower.py
@@ -43,7 +43,8 @@
     start to start. ``find_wait_s`` returns how long the next read waits. The first read
     after a failure does not wait for new records, as its answer may reveal that the log
     was restored from an older copy. The result of a read that was sent before a
-    `restart` is discarded, also if it arrives at the same time.
+    `restart` is discarded, also if it arrives at the same time. ``on_change`` is called
+    when `is_current` may have changed because of a read.
 
     All records that the log accepted before ``confirmed_s`` have been applied.
     """
@@ -55,6 +56,7 @@
     on_unreadable: Callable[[str, int], None] = lambda topic, count: None
     on_read: Callable[[tuple[StoredRecord, ...], int], None] = lambda records, end: None
     find_wait_s: Callable[[], float] = lambda: READ_WAIT_S
+    on_change: Callable[[], None] = lambda: None
     reachable: bool = True
     retry_limit_s: float = MAX_RETRY_DELAY_S
     next_offset: int | None = None
@@ -87,9 +89,11 @@
         if wanted == self._is_wanted:
             return
         self._is_wanted = wanted
-        if wanted and self._resume is not None:
-            self._resume.set()
-        elif not wanted and self._scope is not None:
+        if wanted:
+            self._require_read()
+            if self._resume is not None:
+                self._resume.set()
+        elif self._scope is not None:
             self._scope.cancel()
 
     def set_retry_limit(self, limit_s: float) -> None:
@@ -104,8 +108,14 @@
         A new connection is used, since the answer may have been lost.
         """
         if self._wait_s > CHECK_WAIT_S:
-            self._skip_wait = True
+            self._require_read()
             self._scope.cancel()
+            self.on_change()
+
+    def _require_read(self) -> None:
+        """Let only the next read show that the log answers; it does not wait."""
+        self._skip_wait = self._skip_wait or self._has_read
+        self._has_read = False
 
     def skip_to(self, offset: int) -> None:
         """Continue from an offset if all records before it are known from elsewhere.
@@ -209,11 +219,14 @@
             logger.exception("record not applied", topic=self.topic, key=record.key)
 
     def _record_success(self) -> None:
+        was_current = self.is_current()
         self._has_read = True
         self._backoff.reset()
         if not self.reachable:
             self.reachable = True
             logger.info("log regained", topic=self.topic)
+        if not was_current:
+            self.on_change()
 
     def _record_failure(self, failure: StoreFailure) -> None:
         if self.reachable:
@@ -221,3 +234,4 @@
             logger.warning(
                 "log lost", topic=self.topic, kind=failure.kind, detail=failure.detail
             )
+            self.on_change()
--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -23,6 +23,7 @@
 from eelgrassmount.topics.freshness import MS_PER_S, LogFreshness
 from eelgrassmount.topics.local_record import compute_write_spread_s
 from eelgrassmount.topics.log_epoch import EpochTracker
+from eelgrassmount.topics.outage import EARLY_NODES, ReaderOutage, compute_outage_wait_s
 from eelgrassmount.topics.ranking import ReaderRanking
 from eelgrassmount.topics.records import RecordTable
 from eelgrassmount.topics.store import StoredRecord
@@ -56,11 +57,11 @@
 # later. The second one leaves time to replace both readers.
 STARTUP_WAIT_S = 0.4
 NO_READER_TIMEOUT_S = 1.2
-# If readers answer but cannot read the log, it is probably unreachable for all nodes.
-# Nodes then try after random times and retry rarely, to limit calls in an outage.
-OUTAGE_WAIT_RANGE_S = (3.0, 6.0)
-MAX_OUTAGE_RETRY_DELAY_S = 8.0
+# Longest retry delays of readers, of the first nodes that read because no reader can,
+# and of all others, which limit the calls in an outage.
 MAX_READER_RETRY_DELAY_S = 1.5
+MAX_EARLY_RETRY_DELAY_S = 2.5
+MAX_OUTAGE_RETRY_DELAY_S = 8.0
 # Age of the last confirmation from which a node that reads the log calls it instead of
 # waiting longer. Shorter where the node subscribes to the one that checks the log; news
 # through one more node are older. The node that checks the log is the first to call it,
@@ -68,6 +69,9 @@
 MAX_CHECK_AGE_S = 1.0
 MAX_DIRECT_AGE_S = 2.0
 MAX_RELAYED_AGE_S = 2.75
+# Up to this number of readers, the first reader of each failure domain subscribes to
+# the one that checks the log, and else to any reader of its failure domain.
+MAX_DIRECT_READERS = 32
 # Time for which a node reads on without subscribers or when it is no longer a reader.
 MIN_READING_TIME_S = 3.0
 # Grace time for records, after the time in which all nodes rewrite theirs.
@@ -81,8 +85,10 @@
     """Decides whether this node reads the log, and relays new records.
 
     A node reads while it is a reader of its failure domain, while another node
-    subscribes to it, or while no reader answers. ``make_tally`` returns the counts of
-    this node; ``state.cluster_counts`` holds the sum over all nodes.
+    subscribes to it, or while no reader answers or can read. If it then succeeds, it
+    says so to the readers, which subscribe to it as a substitute until one of them
+    reads again. ``make_tally`` returns the counts of this node;
+    ``state.cluster_counts`` holds the sum over all nodes.
     """
 
     state: SharedState
@@ -101,20 +107,23 @@
     is_reader: bool = False
     subscriptions: dict[str, Subscription] = field(factory=dict)
     subscribers: dict[str, Subscriber] = field(factory=dict)
+    substitutes: list[str] = field(factory=list)
     _silent_until_s: dict[str, float] = field(factory=dict)
+    _announced: tuple[bool, bool] = (False, False)
+    _outage: ReaderOutage = field(init=False)
     _last_step_s: float = -math.inf
     _reader_seen_s: float = -math.inf
     _news_received_s: float = -math.inf
     _read_until_s: float = -math.inf
     _reading_since_s: float = math.inf
     _first_reader: str = ""
-    _outage_wait_s: float = OUTAGE_WAIT_RANGE_S[1]
     _confirmation_due_s: float = math.inf
 
     def __attrs_post_init__(self) -> None:
         """Rank by the record table, and reset it on a new log epoch."""
         self.ranking = ReaderRanking(self.state.members, self.record_table)
         self.freshness = LogFreshness(self.followers, self.state.clock)
+        self._outage = ReaderOutage(self._compute_outage_wait_s)
         self.epoch_tracker.on_advance.append(self.reset)
 
     def reset(self) -> None:
@@ -178,6 +187,8 @@
         subscribed = choose_subscribed_readers(self.state.name, readers)
         if self._subscribes_to_remote(readers):
             subscribed += self._choose_remote_readers(now_s)
+        self._dismiss_substitutes(subscribed, now_s)
+        subscribed += self.substitutes
         self.subscriptions = {
             name: self.subscriptions.get(name) or Subscription() for name in subscribed
         }
@@ -186,6 +197,8 @@
         self._update_reading(now_s)
         self._first_reader = self._find_first_reader()
         self._check_log_if_due()
+        self.announce_change()
+        self._offer_to_readers(now_s)
         self._update_cluster_counts(now_s)
         self.freshness.report(self.state.table.version, self.reading)
 
@@ -242,15 +255,42 @@
     def _choose_remote_readers(self, now_s: float) -> list[str]:
         """Return one reader of each other failure domain."""
         local_domain = self.state.failure_domain
-        return [
+        is_direct = self.ranking.count_readers() <= MAX_DIRECT_READERS
+        chosen = []
+        for domain in sorted(self.ranking.list_domains()):
+            if domain == local_domain:
+                continue
+            readers = self.list_readers(domain, now_s)
+            if is_direct and self._first_reader in readers:
+                chosen.append(self._first_reader)
+            else:
+                chosen += choose_subscribed_readers(self.state.name, readers, 1)
+        return chosen
+
+    def _dismiss_substitutes(self, readers: list[str], now_s: float) -> None:
+        """Forget substitutes that can't be used, and all when a reader reads."""
+        is_needed = self.is_reader and not self.can_read_log()
+        for name in readers:
+            one = self.subscriptions.get(name)
+            if one is not None and one.reads and one.is_fresh(now_s):
+                is_needed = False
+        self.substitutes = [
             name
-            for domain in sorted(self.ranking.list_domains())
-            if domain != local_domain
-            for name in choose_subscribed_readers(
-                self.state.name, self.list_readers(domain, now_s), 1
-            )
+            for name in self.substitutes
+            if is_needed and self._is_usable(name) and name not in readers
         ]
 
+    def _add_substitute(self, name: str) -> None:
+        """Subscribe to a node that reads the log although it is no reader."""
+        is_needed = self.is_reader and not self.is_current()
+        # A reader that starts has not read yet, but needs no substitute.
+        has_failed = any(not one.reachable for one in self.followers)
+        if not (is_needed and has_failed and self._is_usable(name)):
+            return
+        logger.info("log read by another node", node_name=name)
+        self.substitutes.append(name)
+        self.step()
+
     def _connect(self, name: str, now_s: float) -> None:
         member = self.state.members.by_name.get(name)
         if member is None or name == self.state.name or member.is_connected():
@@ -323,26 +363,42 @@
         if subscription is not None and member.is_connected():
             self._send_subscribe(member, subscription, self.state.clock())
 
+    def _must_read_unchosen(self, now_s: float) -> bool:
+        """Return whether this node has to read as no reader answers or can read."""
+        if now_s - self._reader_seen_s > NO_READER_TIMEOUT_S:
+            return now_s - self._news_received_s > NO_READER_TIMEOUT_S
+        return self._outage.has_lasted(now_s)
+
+    def _update_outage(self, now_s: float) -> None:
+        local = [
+            one for name, one in self.subscriptions.items() if self._is_local(name)
+        ]
+        served = any(one.is_fresh(now_s) and (one.reads or one.hears) for one in local)
+        self._outage.update(served, now_s)
+
+    def _is_local(self, name: str) -> bool:
+        member = self.state.members.by_name.get(name)
+        return member is not None and (
+            member.failure_domain == self.state.failure_domain
+        )
+
+    def _compute_outage_wait_s(self) -> float:
+        others = self._list_unpreferred()
+        return compute_outage_wait_s(self.state.name, others, self.state.rng)
+
     def _update_reading(self, now_s: float) -> None:
         without_news_s = now_s - self._news_received_s
-        max_without_news_s = (
-            NO_READER_TIMEOUT_S
-            if now_s - self._reader_seen_s > NO_READER_TIMEOUT_S
-            else self._outage_wait_s
-        )
-        if self.is_reader or self.subscribers or without_news_s > max_without_news_s:
+        if self.is_reader or self.subscribers or self._must_read_unchosen(now_s):
             self._read_until_s = now_s + MIN_READING_TIME_S
         reading = now_s < self._read_until_s
+        limit_s = self._find_max_retry_delay_s()
         for follower in self.followers:
-            chosen = self.is_reader or self.subscribers
-            limit_s = MAX_READER_RETRY_DELAY_S if chosen else MAX_OUTAGE_RETRY_DELAY_S
             follower.set_retry_limit(limit_s)
             follower.set_wanted(reading)
         if reading == self.reading:
             return
         self.reading = reading
         self._reading_since_s = now_s
-        self._outage_wait_s = self.state.rng.uniform(*OUTAGE_WAIT_RANGE_S)
         logger.info(
             "reading the log" if reading else "log received from readers",
             chosen=self.is_reader,
@@ -351,6 +407,19 @@
             unheard_s=None if math.isinf(without_news_s) else round(without_news_s, 3),
         )
 
+    def _find_max_retry_delay_s(self) -> float:
+        if self.is_reader or self.subscribers:
+            return MAX_READER_RETRY_DELAY_S
+        if self.state.name in self._list_unpreferred()[:EARLY_NODES]:
+            return MAX_EARLY_RETRY_DELAY_S
+        return MAX_OUTAGE_RETRY_DELAY_S
+
+    def _list_unpreferred(self) -> list[str]:
+        """Return the nodes of this failure domain that are not preferred as readers."""
+        domain = self.state.failure_domain
+        ranked = self.ranking.list_domains().get(domain, [])
+        return ranked[len(self.ranking.list_preferred(domain)) :]
+
     def _find_first_reader(self) -> str:
         """Return the first reader of all failure domains as this node sees them."""
         for domain in sorted(self.ranking.list_domains()):
@@ -383,6 +452,20 @@
         hears = now_s - self.freshness.received_s <= max_age_s
         return READ_WAIT_S if hears and not self.checks_log else CHECK_WAIT_S
 
+    def _is_preceded_by(self, name: str) -> bool:
+        """Return whether this reader checks the log when another reader loses it.
+
+        Readers follow those of higher rank only, so that no two of them make each other
+        check the log in turn.
+        """
+        if not self.is_reader or self.checks_log:
+            return False
+        if name == self._first_reader:
+            return True
+        names = self.ranking.list_domains().get(self.state.failure_domain, [])
+        rank = names.index(self.state.name) if self.state.name in names else 0
+        return name in names[:rank]
+
     def _must_check_log(self) -> bool:
         """Return whether no other node may notice a lost answer for this one."""
         is_chosen = self.is_reader or bool(self.subscribers)
@@ -392,8 +475,11 @@
         if not self.reading or not self._must_check_log():
             return
         if self.freshness.compute_age_s() > self._find_max_age_s():
-            for follower in self.followers:
-                follower.check_now()
+            self._check_log()
+
+    def _check_log(self) -> None:
+        for follower in self.followers:
+            follower.check_now()
 
     def can_read_log(self) -> bool:
         """Return whether this node reads the log itself, successfully."""
@@ -417,6 +503,23 @@
         if next_offset > before:
             self.publish()
 
+    def announce_change(self) -> None:
+        """Tell subscribers at once when this node gains or loses the log."""
+        state = (self.can_read_log(), self.has_fresh_reader())
+        if state != self._announced:
+            self._announced = state
+            self.publish()
+
+    def _offer_to_readers(self, now_s: float) -> None:
+        """Tell readers that can't read the log that this node reads it."""
+        if not self._outage.has_lasted(now_s) or not self.can_read_log():
+            return
+        news = self._make_news([], 0, Tally(), None)
+        for name in self.subscriptions:
+            member = self.state.members.by_name[name]
+            if member.is_connected():
+                member.link.send(FrameKind.NEWS, news)
+
     def publish(self) -> None:
         """Send new records, or the current version, to all subscribers."""
         for subscriber in self.subscribers.values():
@@ -457,20 +560,31 @@
         counts = Tally()
         if with_counts:
             counts = self.sums.total if subscriber.is_local else self.sums.local
+        news = self._make_news(
+            records, self.record_table.next_offset, counts, subscriber.request_ms
+        )
+        subscriber.send(FrameKind.NEWS, news)
+
+    def _make_news(
+        self,
+        records: list[ttypes.RelayRecord],
+        next_offset: int,
+        counts: Tally,
+        request_ms: int | None,
+    ) -> ttypes.RelayNews:
         age_s = self.freshness.compute_age_s()
-        news = ttypes.RelayNews(
+        return ttypes.RelayNews(
             self.state.name,
             self.can_read_log(),
             self.has_fresh_reader(),
             self.state.table.version,
-            self.record_table.next_offset,
+            next_offset,
             records,
             write_tally(counts),
             self.epoch_tracker.current,
-            subscriber.request_ms,
+            request_ms,
             None if math.isinf(age_s) else math.ceil(age_s * MS_PER_S),
         )
-        subscriber.send(FrameKind.NEWS, news)
 
     def handle_news(self, news: ttypes.RelayNews) -> None:
         """Apply the records and counts sent by a reader.
@@ -481,7 +595,14 @@
         self.epoch_tracker.advance_to(news.era)
         subscription = self.subscriptions.get(news.node_name)
         if subscription is not None:
+            lost = subscription.reads and not news.reads
             self._update_subscription(news, subscription, now_s)
+            if lost and self._is_preceded_by(news.node_name):
+                self._check_log()
+        elif news.reads:
+            self._add_substitute(news.node_name)
+        self._update_outage(now_s)
+        self.announce_change()
         if news.era != self.epoch_tracker.current:
             return
         if news.next_offset > self.record_table.next_offset:
@@ -519,8 +640,7 @@
         subscription.hears = news.hears
         if news.tally.nodes:
             subscription.tally = read_tally(news.tally)
-        member = self.state.members.by_name.get(news.node_name)
-        if member is None or member.failure_domain != self.state.failure_domain:
+        if not self._is_local(news.node_name):
             return
         self._reader_seen_s = now_s
         if news.reads or news.hears:
--- a/tests/topics/log_fleet.py
+++ b/tests/topics/log_fleet.py
@@ -79,6 +79,7 @@
     def end_losses(self) -> float:
         """Let the log answer again, and return the time."""
         self.deployment.log.losses.clear()
+        self.deployment.log.faults.clear()
         return anyio.current_time()
 
     def list_outdated(self, ignored: tuple[Vm, ...] | list[Vm] = ()) -> list[str]:
--- a/tests/topics/test_cut_readers.py
+++ b/tests/topics/test_cut_readers.py
@@ -5,6 +5,9 @@
 import anyio
 import pytest
 
+from eelgrassmount.topics.follower import CHECK_WAIT_S, MAX_RETRY_DELAY_S
+from eelgrassmount.topics.readers import MIN_READING_TIME_S
+from eelgrassmount.topics.subscriptions import MAX_NEWS_AGE_S
 from tests.topics.log_fleet import DOMAINS, MAX_APPLY_TIME_S, Fleet, play
 
 FOUR_DOMAINS = ("a", "b", "c", "d")
@@ -43,3 +46,36 @@
             assert fleet.list_outdated(readers) == []
 
     play(scenario)
+
+
+@pytest.mark.parametrize("fault", ["lose_answers", "turn_away"])
+def test_only_readers_read_again_once_they_can(fault):
+    """Guards against substitutes that read on for ever."""
+
+    async def scenario(fleet: Fleet) -> None:
+        readers = fleet.list_readers()
+        getattr(fleet, fault)(readers)
+        await anyio.sleep(5.0)
+        assert len(fleet.list_readers()) > len(readers)
+        fleet.end_losses()
+        await anyio.sleep(MAX_RETRY_DELAY_S + MAX_NEWS_AGE_S + MIN_READING_TIME_S + 1.0)
+        assert fleet.list_readers() == readers
+
+    play(scenario)
+
+
+def test_loss_of_the_first_reader_makes_the_others_check_at_their_usual_rate():
+    """Guards against readers that make each other check the log in turn."""
+
+    async def scenario(fleet: Fleet) -> None:
+        readers = fleet.list_readers()
+        fleet.turn_away([vm for vm in readers if vm.node.readers.checks_log])
+        before = fleet.deployment.log.calls
+        seconds = 6.0
+        await anyio.sleep(seconds)
+        checks_per_topic = 1 + seconds / CHECK_WAIT_S
+        calls = fleet.deployment.log.calls - before
+        assert calls <= 2 * len(readers) * checks_per_topic
+        assert fleet.list_readers() == readers
+
+    play(scenario)
--- a/tests/topics/test_follower.py
+++ b/tests/topics/test_follower.py
@@ -100,3 +100,22 @@
     log = ControlledLog(held_call="read")
     assert follow(log, "restart", "skip_to", next_offset=40) == []
     assert log.offsets == [40, 3]
+
+
+def test_follower_that_reads_again_claims_nothing_before_an_answer():
+    """Guards against a node that passes for a reader because it once read."""
+
+    async def main() -> None:
+        follower = TopicFollower(ControlledLog(), "keyed.x", lambda found: None, RNG)
+        async with anyio.create_task_group() as group:
+            group.start_soon(follower.run)
+            await anyio.sleep(0.01)
+            assert follower.is_current()
+            follower.set_wanted(False)
+            await anyio.sleep(0.01)
+            follower.set_wanted(True)
+            await anyio.sleep(0.01)
+            assert not follower.is_current()
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
--- a/tests/topics/test_readers.py
+++ b/tests/topics/test_readers.py
@@ -14,11 +14,11 @@
 from eelgrassmount.policy.shedding import RequestClass
 from eelgrassmount.relay.tallies import Tally
 from eelgrassmount.topics.follower import CHECK_WAIT_S, READ_WAIT_S
+from eelgrassmount.topics.outage import OUTAGE_WAIT_RANGE_S
 from eelgrassmount.topics.readers import (
     COUNTS_INTERVAL_S,
     LEARNING_INTERVAL_S,
     MIN_READING_TIME_S,
-    OUTAGE_WAIT_RANGE_S,
     SUBSCRIBE_INTERVAL_S,
     LogReaders,
 )
