Confirm records only for the time that a read has waited

A read that the log answers without records before it has waited counted as if it had waited: records passed for confirmed up to 25 s ahead. The negative age that followed made other nodes drop their links ("bad frame"), and the next read came at once.

Cause: the time to which a read confirms records was the time of the request plus the requested wait, whatever had passed. Now the wait counts only if it has passed, and an early answer is followed by a delay, so that reads are at least 0.75 s apart.

That the users' log answers early is not known. The new test failed before.

--- a/eelgrassmount/topics/follower.py
+++ b/eelgrassmount/topics/follower.py
@@ -189,13 +189,18 @@
             return _RESTARTED
         self._skip_wait = False
         self.next_offset = max(self.next_offset, batch.next_offset)
-        is_empty = not batch.records and not batch.unreadable
-        # The log answers without records only after it has waited.
-        self.confirmed_s = sent_s + wait_s if is_empty else sent_s
-        if not is_empty:
+        elapsed_s = self.clock() - sent_s
+        if batch.records or batch.unreadable:
+            self.confirmed_s = sent_s
             self._apply_batch(batch)
             self.on_read(batch.records, batch.next_offset)
             await anyio.sleep(BATCH_DELAY_S)
+        elif elapsed_s >= wait_s:
+            # The log has waited, and no record came.
+            self.confirmed_s = sent_s + wait_s
+        else:
+            self.confirmed_s = sent_s
+            await anyio.sleep(max(0.0, min(wait_s, CHECK_WAIT_S) - elapsed_s))
         return None
 
     def _apply_batch(self, read: Snapshot | Batch) -> None:
--- a/tests/topics/test_freshness.py
+++ b/tests/topics/test_freshness.py
@@ -10,7 +10,7 @@
 from attrs import define
 from loguru import logger
 
-from eelgrassmount.topics.follower import TopicFollower
+from eelgrassmount.topics.follower import CHECK_WAIT_S, TopicFollower
 from eelgrassmount.topics.freshness import LOG_SOURCE, LogFreshness
 from eelgrassmount.topics.store import Batch, Snapshot, StoredRecord
 from tests.relay.virtual import run_virtually
@@ -96,3 +96,38 @@
             group.cancel_scope.cancel()
 
     run_virtually(main)
+
+
+@define(eq=False)
+class HastyLog:
+    """A log whose reads return without records before they have waited."""
+
+    reads: int = 0
+
+    async def read_newest(self, topic: str) -> Snapshot:
+        return Snapshot((), 5)
+
+    async def read(self, topic: str, offset: int, wait_s: float) -> Batch:
+        self.reads += 1
+        await anyio.sleep(0.01)
+        return Batch((), offset)
+
+
+def test_read_that_returns_early_confirms_no_later_time():
+    """Guards against records that count as confirmed for a time to come."""
+
+    async def main(network: object) -> None:
+        log = HastyLog()
+        follower = TopicFollower(log, "keyed.x", lambda found: None, random.Random(1))
+        follower.clock = anyio.current_time
+        seconds = 3.0
+        async with anyio.create_task_group() as group:
+            group.start_soon(follower.run)
+            with anyio.move_on_after(seconds):
+                while True:
+                    await anyio.sleep(0.003)
+                    assert follower.confirmed_s <= anyio.current_time()
+            group.cancel_scope.cancel()
+        assert log.reads <= 1 + seconds / CHECK_WAIT_S
+
+    run_virtually(main)
