--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -282,6 +282,7 @@
         gauges.labels("members").set(len(self.state.members.by_name))
         gauges.labels("reads_log").set(self.readers.reading)
         gauges.labels("log_subscribers").set(len(self.readers.subscribers))
+        gauges.labels("log_substitutes").set(len(self.readers.substitutes))
         gauges.labels("log_era").set(self.readers.epoch_tracker.current)
         gauges.labels("log_next_offset").set(self.readers.record_table.next_offset)
         gauges.labels("counted_nodes").set(self.state.cluster_counts.nodes)
