--- a/eelgrassmount/topics/follower.py
+++ b/eelgrassmount/topics/follower.py
@@ -26,9 +26,8 @@
 CHECK_WAIT_S = 0.75
 # Delay after a batch, so that records in quick succession are read together.
 BATCH_DELAY_S = 0.2
+FIRST_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.5
-# The first retry delay is this part of the longest one.
-FIRST_DELAY_SHARE = 1 / 8
 _RESTARTED = StoreFailure(FailureKind.OUTDATED, "sent before a restart")
 
 
@@ -39,12 +38,12 @@
     It reads only while reading is requested with `set_wanted`. ``apply`` receives the
     records of a batch; ``on_read`` then receives the same records and the offset behind
     them. ``on_unreadable`` receives the number of records that could not be read.
-    Failed reads are retried without end, at intervals of up to ``retry_limit_s`` from
-    start to start. ``find_wait_s`` returns how long the next read waits. The first read
-    after a failure does not wait for new records, as its answer may reveal that the log
-    was restored from an older copy. The result of a read that was sent before a
-    `restart` is discarded, also if it arrives at the same time. ``on_change`` is called
-    when `is_current` may have changed because of a read.
+    Failed reads are retried without end, at intervals that grow from ``first_retry_s``
+    to ``retry_limit_s``, from start to start. ``find_wait_s`` returns how long the next
+    read waits. The first read after a failure does not wait for new records, as its
+    answer may reveal that the log was restored from an older copy. The result of a read
+    that was sent before a `restart` is discarded, also if it arrives at the same time.
+    ``on_change`` is called when `is_current` may have changed because of a read.
 
     All records that the log accepted before ``confirmed_s`` have been applied.
     """
@@ -58,6 +57,7 @@
     find_wait_s: Callable[[], float] = lambda: READ_WAIT_S
     on_change: Callable[[], None] = lambda: None
     reachable: bool = True
+    first_retry_s: float = FIRST_RETRY_DELAY_S
     retry_limit_s: float = MAX_RETRY_DELAY_S
     next_offset: int | None = None
     clock: Callable[[], float] = time.monotonic
@@ -96,10 +96,11 @@
         elif self._scope is not None:
             self._scope.cancel()
 
-    def set_retry_limit(self, limit_s: float) -> None:
-        """Set the longest retry interval; a shorter one also ends a delay."""
+    def set_retry_intervals(self, first_s: float, limit_s: float) -> None:
+        """Set the first and the longest retry interval; a shorter one ends a delay."""
         if limit_s < self.retry_limit_s and self._is_delaying:
             self._scope.cancel()
+        self.first_retry_s = first_s
         self.retry_limit_s = limit_s
 
     def check_now(self) -> None:
@@ -161,7 +162,7 @@
         else:
             self._record_failure(failure)
         self._backoff.limit_s = self.retry_limit_s
-        self._backoff.base_s = self.retry_limit_s * FIRST_DELAY_SHARE
+        self._backoff.base_s = self.first_retry_s
         elapsed_s = self.clock() - started_s
         self._is_delaying = True
         await anyio.sleep(max(0.0, self._backoff.fail() - elapsed_s))
--- a/eelgrassmount/topics/outage.py
+++ b/eelgrassmount/topics/outage.py
@@ -14,7 +14,7 @@
 # The log may be unreachable for all nodes. To limit calls in an outage, a few nodes
 # of a failure domain read soon, one after the other, and the rest after random times.
 # The first wait leaves time for another read by the readers.
-EARLY_NODES = 3
+EARLY_NODES = 6
 FIRST_EARLY_WAIT_S = 0.2
 EARLY_WAIT_STEP_S = 0.1
 OUTAGE_WAIT_RANGE_S = (3.0, 6.0)
--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -57,11 +57,11 @@
 # later. The second one leaves time to replace both readers.
 STARTUP_WAIT_S = 0.4
 NO_READER_TIMEOUT_S = 1.2
-# Longest retry delays of readers, of the first nodes that read because no reader can,
-# and of all others, which limit the calls in an outage.
-MAX_READER_RETRY_DELAY_S = 1.5
-MAX_EARLY_RETRY_DELAY_S = 2.5
-MAX_OUTAGE_RETRY_DELAY_S = 8.0
+# First and longest retry interval of readers, of the first nodes that read because no
+# reader can, and of all others, whose number would multiply the calls in an outage.
+READER_RETRY_INTERVALS_S = (0.2, 1.5)
+EARLY_RETRY_INTERVALS_S = (2.0, 2.8)
+OUTAGE_RETRY_INTERVALS_S = (1.0, 8.0)
 # Age of the last confirmation from which a node that reads the log calls it instead of
 # waiting longer. Shorter where the node subscribes to the one that checks the log; news
 # through one more node are older. The node that checks the log is the first to call it,
@@ -391,9 +391,9 @@
         if self.is_reader or self.subscribers or self._must_read_unchosen(now_s):
             self._read_until_s = now_s + MIN_READING_TIME_S
         reading = now_s < self._read_until_s
-        limit_s = self._find_max_retry_delay_s()
+        retry_intervals_s = self._find_retry_intervals_s()
         for follower in self.followers:
-            follower.set_retry_limit(limit_s)
+            follower.set_retry_intervals(*retry_intervals_s)
             follower.set_wanted(reading)
         if reading == self.reading:
             return
@@ -407,12 +407,12 @@
             unheard_s=None if math.isinf(without_news_s) else round(without_news_s, 3),
         )
 
-    def _find_max_retry_delay_s(self) -> float:
+    def _find_retry_intervals_s(self) -> tuple[float, float]:
         if self.is_reader or self.subscribers:
-            return MAX_READER_RETRY_DELAY_S
+            return READER_RETRY_INTERVALS_S
         if self.state.name in self._list_unpreferred()[:EARLY_NODES]:
-            return MAX_EARLY_RETRY_DELAY_S
-        return MAX_OUTAGE_RETRY_DELAY_S
+            return EARLY_RETRY_INTERVALS_S
+        return OUTAGE_RETRY_INTERVALS_S
 
     def _list_unpreferred(self) -> list[str]:
         """Return the nodes of this failure domain that are not preferred as readers."""
