--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -452,8 +452,8 @@
         hears = now_s - self.freshness.received_s <= max_age_s
         return READ_WAIT_S if hears and not self.checks_log else CHECK_WAIT_S
 
-    def _is_preceded_by(self, name: str) -> bool:
-        """Return whether this reader checks the log when another reader loses it.
+    def _follows(self, name: str) -> bool:
+        """Return whether this reader checks the log as soon as another one loses it.
 
         Readers follow those of higher rank only, so that no two of them make each other
         check the log in turn.
@@ -504,7 +504,7 @@
             self.publish()
 
     def announce_change(self) -> None:
-        """Tell subscribers at once when this node gains or loses the log."""
+        """Tell subscribers at once when this node begins or ceases to read or hear."""
         state = (self.can_read_log(), self.has_fresh_reader())
         if state != self._announced:
             self._announced = state
@@ -597,7 +597,7 @@
         if subscription is not None:
             lost = subscription.reads and not news.reads
             self._update_subscription(news, subscription, now_s)
-            if lost and self._is_preceded_by(news.node_name):
+            if lost and self._follows(news.node_name):
                 self._check_log()
         elif news.reads:
             self._add_substitute(news.node_name)
