Let only the loss of the log make other readers check it

A reader that checked the log merely because its records were old ceased to claim that it reads until the answer came, and the readers below it took that for a loss and checked too.

Now only readers that follow one which has lost the log claim nothing until they have an answer.

--- a/eelgrassmount/topics/follower.py
+++ b/eelgrassmount/topics/follower.py
@@ -108,6 +108,12 @@
 
         A new connection is used, since the answer may have been lost.
         """
+        if self._wait_s > CHECK_WAIT_S:
+            self._skip_wait = True
+            self._scope.cancel()
+
+    def verify(self) -> None:
+        """Do the same, and claim nothing until there is an answer."""
         if self._wait_s > CHECK_WAIT_S:
             self._require_read()
             self._scope.cancel()
--- a/eelgrassmount/topics/readers.py
+++ b/eelgrassmount/topics/readers.py
@@ -475,11 +475,8 @@
         if not self.reading or not self._must_check_log():
             return
         if self.freshness.compute_age_s() > self._find_max_age_s():
-            self._check_log()
-
-    def _check_log(self) -> None:
-        for follower in self.followers:
-            follower.check_now()
+            for follower in self.followers:
+                follower.check_now()
 
     def can_read_log(self) -> bool:
         """Return whether this node reads the log itself, successfully."""
@@ -598,7 +595,8 @@
             lost = subscription.reads and not news.reads
             self._update_subscription(news, subscription, now_s)
             if lost and self._follows(news.node_name):
-                self._check_log()
+                for follower in self.followers:
+                    follower.verify()
         elif news.reads:
             self._add_substitute(news.node_name)
         self._update_outage(now_s)
