--- a/tests/topics/test_cut_readers.py
+++ b/tests/topics/test_cut_readers.py
@@ -79,3 +79,22 @@
         assert fleet.list_readers() == readers
 
     play(scenario)
+
+
+def test_check_of_one_reader_makes_no_other_check_the_log():
+    """Guards against a check of old records that passes for a loss of the log."""
+
+    async def scenario(fleet: Fleet) -> None:
+        vm = next(
+            vm
+            for vm in fleet.list_readers(("b",))
+            if len(vm.node.readers.subscriptions) > 1
+        )
+        before = fleet.deployment.log.calls
+        for follower in vm.node.followers:
+            follower.check_now()
+        await anyio.sleep(0.1)
+        # It reads twice, and the node that checks the log at most once.
+        assert fleet.deployment.log.calls - before <= 2 * (2 + 1)
+
+    play(scenario)
