--- a/tests/relay/test_soak.py
+++ b/tests/relay/test_soak.py
@@ -42,7 +42,7 @@
 
 FIRST_SEED = int(os.environ.get("SOAK_FIRST_SEED", "0"))
 SEEDS = range(FIRST_SEED, FIRST_SEED + int(os.environ.get("SOAK_SEEDS", "2")))
-DURATION_S = float(os.environ.get("SOAK_S", "20"))
+DURATION_S = float(os.environ.get("SOAK_S", "30"))
 VMS = int(os.environ.get("SOAK_VMS", "6"))
 DOMAINS = int(os.environ.get("SOAK_DOMAINS", "1"))
 CLIENTS_PER_VM = 2
