--- a/review/5/case.py
+++ b/review/5/case.py
@@ -35,6 +35,7 @@
     gate, _ = await stage.add("gate")
     node, crashed = await stage.add("list")
     await stage.add("list")
+    await stage.add("list")
     await stage.add("pay")
     await stage.wait_until_ready()
     clients = asyncio.create_task(send_requests(stage, gate.ip))
@@ -86,6 +87,7 @@
     """Send one request for a list."""
     request_id = f"{number:016x}"
     data = make_request("GET", f"/list/{number}", request_id, 3000)
+    stage.record.add(f"client sends {request_id}")
     try:
         async with asyncio.timeout(4.0):
             answer = await call(ip, 8304, data)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -36,7 +36,8 @@
     await stage.configure(rules)
     gate, _ = await stage.add("gate")
     _, leaving = await stage.add("list")
-    await stage.add("list")
+    for _ in range(3):
+        await stage.add("list")
     await stage.wait_until_ready()
     clients = asyncio.create_task(send_requests(stage, gate.ip))
     await asyncio.sleep(1.0)
@@ -97,6 +98,7 @@
     """Send one request for a list."""
     request_id = f"{number:016x}"
     data = make_request("GET", f"/list/{number}", request_id, 3000)
+    stage.record.add(f"client sends {request_id}")
     try:
         async with asyncio.timeout(4.0):
             answer = await call(ip, 8304, data)
--- a/review/stage.py
+++ b/review/stage.py
@@ -153,7 +153,7 @@
 class Upstream:
     """An application upstream, as the platform's pages describe it.
 
-    ``answer`` returns the status and the body for a request. ``read_body_bytes_per_s``
+    ``sheds`` returns whether it rejects the next request. ``read_body_bytes_per_s``
     limits how fast it reads the bodies of requests.
     """
 
@@ -164,7 +164,7 @@
     work_s: float = 0.05
     slots: int = 49
     read_body_bytes_per_s: float | None = None
-    answer: Callable[[Message], tuple[int, bytes]] = lambda message: (200, b"done")
+    sheds: Callable[[], bool] = lambda: False
     state: str = "ready"
     leaving: bool = False
     runs: list[Run] = field(default_factory=list)
@@ -294,6 +294,11 @@
             healthy = self.state == "ready" and not self.leaving
             await self._respond(writer, 200 if healthy else 503, identity)
             return
+        if self.sheds():
+            self.record.add(f"server {self.identity} rejects {request_id}")
+            head = f"Eelgrassmount-Attempt-Id: {request_id}\r\n"
+            await self._respond(writer, 503, head + "Eelgrassmount-Not-Executed: 1\r\n")
+            return
         run = Run(request_id, self.identity, self.service, self.record.now(), message)
         self.runs.append(run)
         self.record.add(
@@ -301,10 +306,9 @@
             f"{message.start} body {len(message.body)} bytes"
         )
         await asyncio.sleep(self.work_s)
-        status, body = self.answer(message)
         head = f"Eelgrassmount-Attempt-Id: {request_id}\r\n"
         head += f"Eelgrassmount-Response-Signature: s.{self.identity}\r\n"
-        await self._respond(writer, status, head, body)
+        await self._respond(writer, 200, head, b"done")
 
     async def _respond(
         self, writer: asyncio.StreamWriter, status: int, head: str, body: bytes = b""
