Keep the body of a request that offers an upgrade

Cause: the callback of httptools for the end of a head reports an offered upgrade as accepted, so that the parser ends the message there, whatever its framing says, and raises HttpParserUpgrade. Both listeners took this for the end of the request.

The exception names the first byte that is not parsed. A new parser now reads the head again without the offer, and goes on with the body and the requests that follow, so that the framing alone decides where a request ends. CONNECT, after which the bytes belong to no request, is refused with 400 and nothing behind it is read; with a path as its target it was passed on before.

--- a/eelgrassmount/edge/protocol.py
+++ b/eelgrassmount/edge/protocol.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from eelgrassmount.edge import headers as names
@@ -13,6 +14,11 @@
     MAX_HEADERS,
     make_verdict_headers,
 )
+from eelgrassmount.http1.upgrades import (
+    CONNECT,
+    feed_without_upgrades,
+    write_head_without_offer,
+)
 from eelgrassmount.verdict import NotRun, Reason
 
 if TYPE_CHECKING:
@@ -23,6 +29,8 @@
 # Key of the ASGI scope for the function that registers a disconnect callback.
 ON_DISCONNECT = "eelgrassmount.gone"
 _TOO_LONG = "the head of the request is too long"
+_NO_TUNNELS = "the method CONNECT is not supported"
+_MALFORMED = "invalid HTTP request"
 
 
 class BoundedProtocol(HttpToolsProtocol):
@@ -59,10 +67,23 @@
             if self._head_bytes > 2 * MAX_HEADER_BYTES + len(data):
                 self.send_400_response(_TOO_LONG)
                 return
-        super().data_received(data)
+        self._unset_keepalive_if_required()
+        try:
+            feed_without_upgrades(data, self._feed, self._decline_upgrade)
+        except httptools.HttpParserError:
+            self.send_400_response(_MALFORMED)
         if self._in_head and self._head_bytes and self._timer is None:
             self._start_timer()
 
+    def _feed(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def _decline_upgrade(self) -> None:
+        """Continue the present request without its offer of another protocol."""
+        head = write_head_without_offer(self.parser, self.url, self.headers)
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.feed_data(head)
+
     def on_message_begin(self) -> None:
         """Start the head of a request."""
         super().on_message_begin()
@@ -86,12 +107,22 @@
             raise ValueError(_TOO_LONG)
 
     def on_headers_complete(self) -> None:
-        """Pass the request to the application."""
+        """Pass the request to the application, unless it offers an upgrade."""
+        if self.parser.get_method() == CONNECT:
+            raise ValueError(_NO_TUNNELS)
+        if self.parser.should_upgrade():
+            # It is parsed once more without the offer.
+            return
         self._in_head = False
         self._head_bytes = 0
         self._stop_timer()
         super().on_headers_complete()
 
+    def on_message_complete(self) -> None:
+        """End the body of a request, unless it offers an upgrade."""
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
+
     def on_response_complete(self) -> None:
         """Remove the disconnect callbacks of the answered request."""
         self._disconnect_callbacks.clear()
--- a/eelgrassmount/http1/server.py
+++ b/eelgrassmount/http1/server.py
@@ -11,6 +11,11 @@
 from loguru import logger
 
 from eelgrassmount.http1.exchange import Exchange
+from eelgrassmount.http1.upgrades import (
+    CONNECT,
+    feed_without_upgrades,
+    write_head_without_offer,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -133,14 +138,24 @@
             return
         self.last_active_s = self.listener.clock()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
+            feed_without_upgrades(data, self._feed, self._decline_upgrade)
         except httptools.HttpParserError as error:
             if not self._ignoring_input:
                 logger.info("malformed request", error=str(error))
                 self._refuse(400)
 
+    def _feed(self, data: bytes) -> None:
+        if not self._ignoring_input:
+            self._parser.feed_data(data)
+
+    def _decline_upgrade(self) -> None:
+        """Continue the present request without its offer of another protocol."""
+        if self._ignoring_input:
+            return
+        head = write_head_without_offer(self._parser, self._url, self._headers)
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
+
     def is_idle(self) -> bool:
         """Return whether there is no open or incomplete request."""
         return not self.pending and not self._reading
@@ -235,13 +250,16 @@
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
+        parser = self._parser
+        if parser.should_upgrade():
+            self._end_at_upgrade(parser.get_method())
+            return
         self._reading = False
         if self.pending and self.stopping:
             # The answer to an earlier request closes the connection.
             self._ignoring_input = True
         if self._ignoring_input or self.closed:
             return
-        parser = self._parser
         keep_alive = parser.should_keep_alive()
         exchange = Exchange(
             self,
@@ -264,3 +282,9 @@
             # The client gets an answer even if the handler fails.
             logger.exception("request handler failed")
             exchange.respond(500)
+
+    def _end_at_upgrade(self, method: bytes) -> None:
+        """Refuse a tunnel; the rest of any other request is still to be parsed."""
+        if method == CONNECT:
+            logger.info("tunnel refused", target=self._url.decode("latin-1"))
+            self._refuse(400)
--- a/tests/edge/test_listeners.py
+++ b/tests/edge/test_listeners.py
@@ -205,6 +205,8 @@
     "long header": (make_post(extra=f"X: {'x' * 20_000}\r\n"), *MALFORMED),
     "long target": (make_post("/" + "x" * 20_000), *MALFORMED),
     "many headers": (make_post(extra="X: y\r\n" * 300), *MALFORMED),
+    "tunnel": (b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\nhello", *MALFORMED),
+    "tunnel to a path": (make_post().replace(b"POST", b"CONNECT"), *MALFORMED),
 }
 
 
@@ -255,6 +257,30 @@
         assert fixture.ingress.requests[0].body == bytes(range(256)) * 300
 
 
+# Guards against a body that is lost, or runs as a request of its own, because the
+# parser ends a request at an offer of another protocol.
+@pytest.mark.parametrize("piece_bytes", [60, 1_000])
+@pytest.mark.parametrize("upgrade", ["h2c", "websocket"])
+async def test_request_that_offers_an_upgrade_keeps_its_body(
+    upgrade: str, piece_bytes: int
+) -> None:
+    body = make_post("/desk/smuggled")
+    offer = f"Connection: Upgrade, X\r\nUpgrade: {upgrade}\r\nX: y\r\n"
+    data = make_post(body=body, extra=offer)
+    data += make_post("/desk/y", body=b"2nd")
+    async with run_listener() as fixture, await fixture.connect() as stream:
+        for start in range(0, len(data), piece_bytes):
+            await stream.send(data[start : start + piece_bytes])
+            await anyio.sleep(0.01)
+        answers = ""
+        while not answers.endswith("2nd"):
+            with anyio.fail_after(TIMEOUT_S):
+                answers += (await stream.receive()).decode()
+        got = [(one.path, one.body) for one in fixture.ingress.requests]
+        assert got == [("/desk/x", body), ("/desk/y", b"2nd")]
+        assert answers.count("eelgrassmount-verdict") == 2
+
+
 async def test_disconnect_of_the_caller_cancels_its_request() -> None:
     async with run_listener() as fixture:
         async with await fixture.connect() as stream:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -204,3 +204,91 @@
     setup.listener.handle = fail
     setup.receive(GET + GET)
     assert setup.transport.written.count(b"HTTP/1.1 500 ") == 2
+
+
+# The following tests guard against requests that lose their body, or run it as another
+# request, because the parser ends a message at an offer of another protocol.
+
+OFFERS = (
+    b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AA\r\n",
+    b"Connection: keep-alive, upgrade\r\nUpgrade: websocket\r\n",
+    b"upgrade: TLS/1.0, HTTP/1.1\r\nconnection:UPGRADE\r\n",
+    b"Connection: upgrade\r\nUpgrade: a\r\nUpgrade: b\r\n",
+)
+BODY = b"GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+FRAMINGS = {
+    "length": b"Content-Length: %d\r\n\r\n%s" % (len(BODY), BODY),
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"".join(b"1\r\n%c\r\n" % byte for byte in BODY)
+    + b"0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 7, 100, 10_000])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("offer", OFFERS)
+def test_request_that_offers_an_upgrade_keeps_its_body(
+    setup, offer, framing, piece_bytes
+):
+    request = b"POST /p?q HTTP/1.1\r\nHost: x\r\n" + offer + FRAMINGS[framing]
+    data = request + GET + request + GET
+    for start in range(0, len(data), piece_bytes):
+        setup.receive(data[start : start + piece_bytes])
+    got = [(one.method, one.target, one.body) for one in setup.exchanges]
+    assert got == [("POST", "/p?q", BODY), ("GET", "/a", b"")] * 2
+    for exchange in setup.exchanges:
+        assert (b"host", b"x") in exchange.headers
+        exchange.respond(200)
+    assert setup.transport.written.count(b"HTTP/1.1 ") == 4
+    assert not setup.transport.closing
+
+
+@pytest.mark.parametrize("offer", OFFERS)
+def test_request_without_a_body_may_offer_an_upgrade(setup, offer):
+    setup.receive((b"GET /b HTTP/1.1\r\n" + offer + b"\r\n") * 40 + GET)
+    assert [one.target for one in setup.exchanges] == ["/b"] * 40 + ["/a"]
+
+
+def test_offer_of_an_upgrade_does_not_keep_a_connection_open(setup):
+    head = b"POST / HTTP/1.1\r\nConnection: close, upgrade\r\nUpgrade: h2c\r\n"
+    setup.receive(head + FRAMINGS["length"] + GET)
+    assert [one.body for one in setup.exchanges] == [BODY]
+    setup.exchanges[0].respond(200)
+    assert setup.transport.closing
+
+
+def test_limits_hold_for_a_request_that_offers_an_upgrade(setup):
+    setup.listener.limits = ServerLimits(max_body_bytes=20, header_timeout_s=3.0)
+    setup.receive(b"POST / HTTP/1.1\r\n" + OFFERS[0] + b"Content-Length: 30\r\n\r\n")
+    assert not setup.connection.is_idle()
+    setup.receive(BODY[:30])
+    assert setup.transport.written.startswith(b"HTTP/1.1 413 ")
+    assert setup.exchanges == []
+
+
+def test_slow_body_behind_an_offer_of_an_upgrade_is_timed_out(setup):
+    setup.listener.limits = ServerLimits(header_timeout_s=3.0)
+    setup.receive(b"POST / HTTP/1.1\r\n" + OFFERS[0] + b"Content-Length: 30\r\n\r\n")
+    setup.now_s += 3.5
+    setup.listener.sweep()
+    assert setup.transport.written.startswith(b"HTTP/1.1 408 ")
+
+
+# Guards against a tunnel whose bytes, or whose request itself, run at a server.
+@pytest.mark.parametrize("target", [b"h.example:80", b"/book/1"])
+@pytest.mark.parametrize("offer", [b"", *OFFERS])
+@pytest.mark.parametrize("framing", [b"\r\n" + BODY, FRAMINGS["length"]])
+def test_tunnel_is_refused_and_its_bytes_ignored(setup, target, offer, framing):
+    setup.receive(GET + b"CONNECT " + target + b" HTTP/1.1\r\n" + offer + framing)
+    setup.receive(GET)
+    assert [one.target for one in setup.exchanges] == ["/a"]
+    setup.exchanges[0].respond(200)
+    assert setup.transport.written.count(b"HTTP/1.1 ") == 2
+    assert setup.transport.written.count(b"HTTP/1.1 400 ") == 1
+    assert setup.transport.closing
+
+
+def test_connection_preface_of_http2_is_refused_once(setup):
+    setup.receive(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + GET)
+    assert setup.transport.written.count(b"HTTP/1.1 ") == 1
+    assert setup.exchanges == []
