Drop the trailers of requests

A trailer could replace the host, the request id or the deadline of its request, and was forwarded as a header (RFC 9110, section 6.5.1).

What follows the head is now kept apart. It counts for the limit of headers as before.

--- a/eelgrassmount/edge/protocol.py
+++ b/eelgrassmount/edge/protocol.py
@@ -97,8 +97,9 @@
         self._check_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        super().on_header(name, value)
+        """Add a header; trailers are neither read nor forwarded."""
+        if self._in_head:
+            super().on_header(name, value)
         self._check_head(len(name) + len(value))
 
     def _check_head(self, length: int) -> None:
--- a/eelgrassmount/http1/server.py
+++ b/eelgrassmount/http1/server.py
@@ -102,6 +102,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
+        self._fields = self._headers
         self._header_bytes = 0
         self._max_header_bytes = 0
         self._body: list[bytes] = []
@@ -220,7 +221,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self._url = b""
-        self._headers = []
+        self._headers = self._fields = []
         self._header_bytes = 0
         self._max_header_bytes = self.listener.limits.max_header_bytes
         self._body = []
@@ -232,14 +233,18 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name.lower(), value))
+        """Add a header or a trailer."""
+        self._fields.append((name.lower(), value))
         size = self._header_bytes + len(name) + len(value) + 4
         self._header_bytes = size
         if size > self._max_header_bytes:
             self._refuse(431)
             raise httptools.HttpParserCallbackError("the headers are too long")
 
+    def on_headers_complete(self) -> None:
+        """Keep trailers apart, which are neither read nor forwarded."""
+        self._fields = []
+
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
         self._body.append(body)
--- a/tests/edge/test_listeners.py
+++ b/tests/edge/test_listeners.py
@@ -281,6 +281,17 @@
         assert answers.count("eelgrassmount-verdict") == 2
 
 
+# Guards against trailers that name another class, deadline or key than the head.
+async def test_trailers_of_a_chunked_body_are_no_headers() -> None:
+    trailers = b"0\r\nX-Trailer: y\r\n\r\n"
+    async with run_listener() as fixture:
+        answer = await fixture.send(make_chunked_post(5) + trailers)
+        assert answer.startswith("HTTP/1.1 200 ")
+        names = [header.name for header in fixture.ingress.requests[0].headers]
+        assert "host" in names
+        assert "x-trailer" not in names
+
+
 async def test_disconnect_of_the_caller_cancels_its_request() -> None:
     async with run_listener() as fixture:
         async with await fixture.connect() as stream:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -292,3 +292,21 @@
     setup.receive(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + GET)
     assert setup.transport.written.count(b"HTTP/1.1 ") == 1
     assert setup.exchanges == []
+
+
+# Guards against trailers that name another request, deadline or key than the head.
+def test_trailers_of_a_chunked_body_are_no_headers(setup):
+    head = b"PUT / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    setup.receive(head + b"1\r\na\r\n0\r\nHost: y\r\nX-Id: 7\r\n\r\n" + GET)
+    first, second = setup.exchanges
+    assert first.headers == [(b"host", b"x"), (b"transfer-encoding", b"chunked")]
+    assert second.headers == [(b"host", b"x")]
+
+
+def test_trailers_count_for_the_limit_of_headers(setup):
+    setup.listener.limits = ServerLimits(max_header_bytes=100)
+    head = b"PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+    setup.receive(head + b"X: " + b"a" * 80)
+    setup.receive(b"\r\n\r\n")
+    assert setup.transport.written.startswith(b"HTTP/1.1 431 ")
+    assert setup.exchanges == []
