Tell all nodes that a node has another service

Callers saw: after an address had gone to another service, the nodes that knew it by its earlier service refused requests of the new one with 503 for want of a server, without end: the service of a node was said only in the first frame of a link, and its record on the log was compared with the one that it had written at its start.

A node whose service changes now sends that frame again on all its links, and its record is compared with what it would write now. Receivers handle the frame as at the start of a link: they replace the member and keep calls that are under way.

--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -13,7 +13,7 @@
 from eelgrassmount.gen import ttypes
 from eelgrassmount.platform.configuration import read_configuration
 from eelgrassmount.platform.topic_names import CONFIGURATION_KEY, LEARNED_KEY
-from eelgrassmount.relay.frames import decode_struct
+from eelgrassmount.relay.frames import FrameKind, decode_struct
 from eelgrassmount.relay.rejected_messages import MessageKind
 from eelgrassmount.topics.freshness import LOG_SOURCE
 
@@ -320,6 +320,16 @@
         local = self.state.members.by_name.get(self.settings.name)
         if local is not None and local.service != self.state.server.service:
             self.register_local_node()
+            self._announce_service()
+
+    def _announce_service(self) -> None:
+        """Introduce this node again to the nodes that know it by another service."""
+        hello = self.state.make_hello()
+        self.inbound.broadcast(FrameKind.HELLO, hello, only_active=False)
+        for member in list(self.state.members.by_name.values()):
+            if member.link is not None:
+                hello = self.state.make_hello(member.notice)
+                member.link.send(FrameKind.HELLO, hello)
 
     def register_local_node(self) -> None:
         """Add or update this node in the member table."""
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -259,7 +259,7 @@
         settings.name,
         str(settings.peer_address),
         settings.failure_domain,
-        settings.service,
+        node.state.server.service,
     )
     return StoredRecord(settings.name, encode_struct(record))
 
@@ -290,7 +290,7 @@
     """Write learned calls and this node's record to the log whenever due."""
     state = node.state
     local_record = LocalRecord(
-        make_local_record(node),
+        lambda: make_local_record(node),
         node.readers.record_table,
         lambda: len(state.members.by_name),
         state.clock,
@@ -300,7 +300,7 @@
         await anyio.sleep(RECORD_CHECK_INTERVAL_S)
         await _write_learned_calls(node)
         if node.readers.started and not state.stopping and local_record.is_due():
-            await _write_local_record(node, local_record.record)
+            await _write_local_record(node, make_local_record(node))
 
 
 async def _write_local_record(node: RelayNode, record: StoredRecord) -> None:
--- a/eelgrassmount/topics/local_record.py
+++ b/eelgrassmount/topics/local_record.py
@@ -36,10 +36,11 @@
     """Determines when the record of the local node has to be written again.
 
     The record is missing if the log was restored from a copy made before it was
-    written, or if another program has deleted or replaced it.
+    written, if another program has deleted or replaced it, or if what ``make_record``
+    returns has changed.
     """
 
-    record: StoredRecord
+    make_record: Callable[[], StoredRecord]
     record_table: RecordTable
     count_nodes: Callable[[], int]
     clock: Callable[[], float]
@@ -48,9 +49,10 @@
 
     def is_due(self) -> bool:
         """Return whether to write the record now."""
+        record = self.make_record()
         if (
             not self.record_table.next_offset
-            or self.record_table.find(self.record.key) == self.record
+            or self.record_table.find(record.key) == record
         ):
             self._due_s = math.inf
             return False
--- a/tests/relay/test_reused_addresses.py
+++ b/tests/relay/test_reused_addresses.py
@@ -7,10 +7,12 @@
 from attrs import evolve
 
 from standins.platform_server import PlatformServer
-from tests.relay.deployment import Vm, make_rule
+from tests.relay.deployment import Vm, make_rule, send_as_client
 from tests.relay.service_scenario import ServiceScenario, run_scenario
 
 REUSE_AFTER_S = 2.0
+# A configuration, and a change of a node's service, is in force after this time.
+APPLY_S = 2.0
 RULES = (make_rule("/list/", "list"), make_rule("/pay/", "pay"))
 
 
@@ -90,3 +92,27 @@
         assert setup.count_answers(200) == len(setup.answers)
 
     run_scenario(scenario)
+
+
+# Guards against nodes that know a node by its earlier service, and send it nothing.
+def test_requests_of_the_new_service_reach_the_address_at_once():
+    async def scenario(setup: ServiceScenario) -> None:
+        vm = setup.server_vms[0]
+        follower = await hand_over(setup, vm)
+        change_settings(vm)
+        await vm.announce()
+        await anyio.sleep(APPLY_S)
+        for number, entry in enumerate(setup.entry_vms):
+            answer = await send_as_client(entry, "/pay/1", request_id=f"p{number}")
+            assert answer.status == 200
+        await setup.send_for(1.0)
+        assert sorted(follower.runs) == ["p0", "p1", "p2"]
+        # A node that has no link learns it from the log.
+        late = await setup.deployment.add("front")
+        with anyio.fail_after(APPLY_S):
+            while late.node.state.members.by_name.get(vm.settings.name) is None:
+                await anyio.sleep(0.05)
+        member = late.node.state.members.by_name[vm.settings.name]
+        assert member.service == "pay"
+
+    run_scenario(scenario)
--- a/tests/topics/test_log_epoch.py
+++ b/tests/topics/test_log_epoch.py
@@ -61,7 +61,9 @@
 def make_local_record(
     table: RecordTable, now: list[float], nodes: int = 70
 ) -> LocalRecord:
-    return LocalRecord(LOCAL, table, lambda: nodes, lambda: now[0], random.Random(1))
+    return LocalRecord(
+        lambda: LOCAL, table, lambda: nodes, lambda: now[0], random.Random(1)
+    )
 
 
 def test_missing_local_record_is_written_again():
