Check the health of a server before a starting node uses it

Cause: what a server has announced is kept by its node and by the nodes that send it calls. After a restart of all of them nobody knows it, and a starting node took the first heartbeat for the present state of the server, though it was sent before the leave.

The health check shows the present state: a server that is leaving answers it with 503. A starting node now checks it once it has a configuration, gives the server no calls before the answer, and repeats a check that shows a server that stops or fails each second. Nothing is written to the log for it, so that no acknowledgement waits for the log, and a log that is away at the stop or at the restart changes nothing.

Health checks that can't be read don't keep a server without calls, as before.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -43,6 +43,7 @@
 from eelgrassmount.relay.sender import Sender
 from eelgrassmount.relay.server import LocalServer
 from eelgrassmount.relay.shared_state import SharedState
+from eelgrassmount.relay.startup_check import StartupCheck
 from eelgrassmount.retry.quarantine import Quarantine
 from eelgrassmount.teams.exchange import QuotaExchange, call_later
 from eelgrassmount.timers import MonotonicClock, TimerService
@@ -298,6 +299,20 @@
     )
     learned = LearnedCalls(state, readers.ranking.count_readers)
     readers.epoch_tracker.on_advance.append(learned.forget_stored)
+
+    def find_health_path() -> str | None:
+        service = state.table.services.get(server.service)
+        return None if service is None else service.health_path
+
+    startup_check = StartupCheck(
+        server,
+        pool,
+        HEADER_CODEC,
+        find_health_path,
+        lambda: node.check_settings(),
+        lambda: node.handle_server_change(),
+        call_later,
+    )
     node = RelayNode(
         settings,
         state,
@@ -326,5 +341,6 @@
         rejections,
         call_budget,
         work_stealing,
+        startup_check,
     )
     return node
--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -38,9 +38,9 @@
     from eelgrassmount.relay.peer_updates import PeerUpdates
     from eelgrassmount.relay.rejected_messages import RejectedMessages
     from eelgrassmount.relay.rejections import ServiceRejections
-    from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
     from eelgrassmount.relay.shared_state import SharedState
+    from eelgrassmount.relay.startup_check import StartupCheck
     from eelgrassmount.teams.exchange import QuotaExchange
     from eelgrassmount.timers import TimerService
     from eelgrassmount.topics.follower import TopicFollower
@@ -80,6 +80,7 @@
     rejections: ServiceRejections
     call_budget: CallBudget
     work_stealing: WorkStealing
+    startup_check: StartupCheck
     check_settings: Callable[[], None] = lambda: None
     listeners: list[HttpListener] = field(factory=list)
     has_node_records: bool = False
@@ -156,8 +157,6 @@
             routes=table.count_routes(),
             source=source,
         )
-        if state.server.incarnation is None:
-            self._identify_server(table)
         state.table = table
         state.table_since_s = state.clock()
         state.table_source = source
@@ -165,13 +164,9 @@
         state.graph.clear_caches()
         self.ingress.apply_table(table)
         self.callers.limits = table.limits
+        self.startup_check.start()
         self.readers.publish()
 
-    def _identify_server(self, table: RouteTable) -> None:
-        service = table.services.get(self.state.server.service)
-        if service is not None:
-            self.dispatcher.identify(service.health_path, lambda: self.check_settings())
-
     def apply_configuration_records(self, records: tuple[StoredRecord, ...]) -> None:
         """Apply records of the configuration topic."""
         for record in records:
--- a/eelgrassmount/compose/relay_run.py
+++ b/eelgrassmount/compose/relay_run.py
@@ -121,6 +121,7 @@
     """Start all parts of a node, the listener for clients last."""
     settings = node.settings
     node.register_local_node()
+    node.startup_check.enable()
     await _listen(node)
     subscribe_timers(node)
     group.start_soon(node.timers.run)
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -22,10 +22,7 @@
 from eelgrassmount.relay.call_queue import CallQueue
 from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.messages import Outcome, Reply
-from eelgrassmount.relay.server_statements import (
-    apply_health_statements,
-    apply_statements,
-)
+from eelgrassmount.relay.server_statements import apply_statements
 from eelgrassmount.verdict import Reason
 
 if TYPE_CHECKING:
@@ -55,10 +52,6 @@
 MIN_START_DELAY_S = 0.001
 # How long calls may wait for a server that has announced its stop.
 MAX_LAST_WAIT_S = 1.0
-# Health checks have no request id.
-NO_REQUEST_ID = b""
-# A health check waits for a slot of the server.
-HEALTH_CHECK_TIMEOUT_S = 5.0
 # Longest wait that a refusal names.
 MAX_WAIT_S = 600.0
 
@@ -194,33 +187,6 @@
             self.budget.count_inherited_retry(call.service)
         return True
 
-    def identify(
-        self, health_path: str, check_settings: Callable[[], None] = lambda: None
-    ) -> None:
-        """Query the incarnation of a server that has not announced itself.
-
-        Without it, a node that starts beside a running server refuses calls until the
-        next heartbeat. The answer names no service: ``check_settings`` reads the
-        settings again, which name that of the server at the address.
-        """
-
-        def on_answer(answer: ClientAnswer | ExchangeFailure) -> None:
-            if isinstance(answer, ClientAnswer) and answer.status == 200:
-                head = self.header_codec.read_answer(answer.headers)
-                check_settings()
-                if self.server.incarnation is None:
-                    self.server.apply_answer_identity(head.instance)
-                    apply_health_statements(self.server, head)
-                    incarnation = str(self.server.incarnation)
-                    logger.info("server identified", incarnation=incarnation)
-                    self.on_change()
-
-        data = self.header_codec.write_probe(health_path)
-        check = self.pool.send(
-            self.server.address, data, True, NO_REQUEST_ID, on_answer
-        )
-        self.call_later(HEALTH_CHECK_TIMEOUT_S, check.cancel)
-
     def cancel(self, job: Job) -> None:
         """Cancel a job; calls that have started run on if not idempotent."""
         if job.ended:
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -53,7 +53,8 @@
 
     ``service`` is the service of the present incarnation, and ``evidence`` what shows
     it. ``configured_service`` is the one in the settings, which heartbeats have to
-    name. Without evidence the server gets no calls.
+    name. Without evidence the server gets no calls, nor while it is ``unverified``, see
+    `StartupCheck`.
 
     Other nodes may send a notice on what the server has said to an earlier process of
     this node. It applies as long as it concerns the current incarnation.
@@ -73,6 +74,7 @@
     )
     incarnation: ServerIncarnation | None = None
     evidence: Evidence = Evidence.NONE
+    unverified: bool = False
     slots: int = DEFAULT_SLOTS
     draining: bool = False
     has_left: bool = False
@@ -95,13 +97,17 @@
             raise WrongServerError(*self.find_mismatch(heartbeat))
         return self._apply(effect, heartbeat)
 
-    def apply_answer_identity(self, identity: str) -> bool:
+    def apply_answer_identity(
+        self, identity: str, source: Source | None = None
+    ) -> bool:
         """Apply the identity that an answer names; return whether it is another one.
 
-        The first identity is that of a health check; later ones are of rejections.
+        Without a source, the first identity is that of a health check, and later ones
+        are of rejections.
         """
-        is_first = self.incarnation is None
-        source = Source.HEALTH_CHECK if is_first else Source.REJECTION
+        if source is None:
+            is_first = self.incarnation is None
+            source = Source.HEALTH_CHECK if is_first else Source.REJECTION
         said = Heartbeat(ServerIncarnation(identity))
         return self._apply(decide_effect(self, source, said), said)
 
@@ -212,7 +218,7 @@
 
     def find_refusal_reason(self, now_s: float) -> Reason | None:
         """Return why the server can't be given calls, ``None`` when it can."""
-        if self.incarnation is None:
+        if self.incarnation is None or self.unverified:
             return Reason.SERVER_STARTING
         if self.has_left or now_s < self.unreachable_until_s:
             return Reason.NO_SERVER
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -28,7 +28,8 @@
 
     ``runs`` holds the ids of the requests that started to run, and ``run_times_s`` when
     they did. ``answer``, when set, replaces the correct answer. ``rate_limit`` and
-    ``leaving`` are named in all answers, or in none to health checks.
+    ``leaving`` are named in all answers, or in none to health checks. A server that is
+    not ``healthy`` says so in health checks only.
     """
 
     incarnation: str
@@ -38,6 +39,7 @@
     rate_limit: str | None = None
     leaving: bool = False
     names_in_health: bool = True
+    healthy: bool = True
     seen: list[dict[bytes, bytes]] = field(factory=list)
     answer: Callable[[Exchange], None] | None = None
     listener: HttpListener = field(init=False)
@@ -63,7 +65,8 @@
             head = b"eelgrassmount-instance-id: %s\r\n" % instance
             if self.names_in_health:
                 head += self._make_statements()
-            exchange.respond(503 if self.leaving else 200, head)
+            takes_calls = self.healthy and not self.leaving
+            exchange.respond(200 if takes_calls else 503, head)
             return
         self.runs.append(names.get(REQUEST_ID, b"").decode())
         self.run_times_s.append(time.monotonic())
--- a/tests/relay/test_dispatcher.py
+++ b/tests/relay/test_dispatcher.py
@@ -271,17 +271,6 @@
     assert len(setup.pool.sent) == 1
 
 
-# Guards against a node that believes settings of before the answer.
-def test_settings_are_read_again_before_a_running_server_is_identified():
-    setup = Setup()
-    setup.server.incarnation = None
-    setup.dispatcher.identify("/health", lambda: setup.server.apply_settings("pay"))
-    setup.answer(200, [(b"eelgrassmount-instance-id", b"i7")])
-    assert (setup.server.service, setup.server.evidence) == ("pay", Evidence.SETTINGS)
-    setup.submit()
-    assert setup.replies[-1].reason is Reason.NO_SERVER
-
-
 def test_non_idempotent_call_uses_a_fresh_connection(setup):
     setup.submit(make_call(make_route(idempotent=False)))
     assert setup.pool.fresh_only == [True]
@@ -385,35 +374,6 @@
     assert setup.dispatcher.measures.load.wait == pytest.approx(run_s / MAX_MEAN_WAIT_S)
 
 
-def test_running_server_is_identified_by_its_health():
-    setup = Setup()
-    setup.server.incarnation = None
-    setup.dispatcher.identify("/health")
-    assert setup.pool.sent == [b"GET /health HTTP/1.1\r\nhost: server\r\n\r\n"]
-    setup.answer(200, [(b"eelgrassmount-instance-id", b"i7")])
-    assert setup.server.incarnation == ServerIncarnation("i7")
-    assert setup.dispatcher.in_flight == 0
-
-
-def test_health_of_a_server_names_its_rate_limit_and_its_stop():
-    setup = Setup()
-    setup.server.incarnation = None
-    setup.dispatcher.identify("/health")
-    instance = (b"eelgrassmount-instance-id", b"i7")
-    headers = [instance, (b"server-limit", b"3"), (b"server-leaving", b"1")]
-    setup.answer(200, headers)
-    assert setup.server.rate_limit.per_s == 3.0
-    assert setup.server.find_refusal_reason(setup.now_s) is Reason.DRAINING
-
-
-def test_unhealthy_server_is_not_identified_by_its_health():
-    setup = Setup()
-    setup.server.incarnation = None
-    setup.dispatcher.identify("/health")
-    setup.answer(503, [(b"eelgrassmount-instance-id", b"i7")])
-    assert setup.server.incarnation is None
-
-
 def test_finished_job_is_freed_without_garbage_collection(setup):
     gc.disable()
     try:
--- a/tests/relay/test_leaving_servers.py
+++ b/tests/relay/test_leaving_servers.py
@@ -144,3 +144,56 @@
         assert setup.count_answers(200) == len(setup.answers)
 
     run_scenario(scenario)
+
+
+# Guards against a node that forgets in a restart what it has acknowledged, and believes
+# a heartbeat from before.
+@pytest.mark.parametrize("kind", ["leave", "draining"])
+@pytest.mark.parametrize("restarted", ["one", "many", "all"])
+@pytest.mark.parametrize("restarts", [1, 3])
+def test_late_heartbeat_after_restarts_of_nodes_undoes_no_announced_stop(
+    kind, restarted, restarts
+):
+    async def scenario(setup: ServiceScenario) -> None:
+        vm = setup.server_vms[0]
+        others = [one for one in setup.deployment.vms if one is not vm]
+        counts = {"one": 0, "many": len(others) // 2, "all": len(others)}
+        await setup.send_for(1.0)
+        await announce_stop(vm, kind)
+        vm.server.healthy = False
+        await anyio.sleep(0.1)
+        for _ in range(restarts):
+            for one in (vm, *others[: counts[restarted]]):
+                await setup.deployment.restart_node(one)
+            await anyio.sleep(0.3)
+        for one in others[: counts[restarted]]:
+            await one.announce()
+        await anyio.sleep(DRAIN_S)
+        vm.server.run_times_s.clear()
+        for _ in range(3):
+            assert (await vm.announce()).status == 200
+            await setup.send_for(1.0)
+        assert vm.server.run_times_s == []
+        # The next server at the address gets requests.
+        vm.server.incarnation = "next"
+        vm.server.healthy = True
+        vm.mark_restarted()
+        await vm.announce()
+        await anyio.sleep(1.5)
+        await setup.send_for(1.0)
+        assert vm.server.run_times_s != []
+
+    run_scenario(scenario, servers=3)
+
+
+def test_healthy_server_goes_on_with_its_requests_after_a_restart_of_all_nodes():
+    async def scenario(setup: ServiceScenario) -> None:
+        for vm in setup.deployment.vms:
+            await setup.deployment.restart_node(vm)
+        await setup.deployment.wait_until_connected()
+        await anyio.sleep(0.2)
+        await setup.send_for(1.0)
+        assert all(server.run_times_s for server in setup.servers)
+        assert setup.count_answers(200) == len(setup.answers)
+
+    run_scenario(scenario)
