Fail a call at once that gets an answer without a real status

Callers saw: a booking whose server answered 000, 001 or 099 got 504 at its deadline, and a status from 600 to 999 reached the client as an answer. 000 itself reached none.

Cause: the parser passes on any three digits. Each status below 200 was taken for an interim answer, after which the call went on waiting, each other one for a final answer.

A status outside 100 to 599, or 101, is a malformed answer now, as other bytes that are no answer are: the connection is closed, the call may have run and fails or is repeated at once. The product's own client and the check of replies from other nodes do the same.

--- a/eelgrassmount/edge/exchange.py
+++ b/eelgrassmount/edge/exchange.py
@@ -12,11 +12,11 @@
 
 from eelgrassmount.edge import headers as names
 from eelgrassmount.edge.headers import (
-    FINAL_STATUSES,
     MAX_HEADER_BYTES,
     MAX_HEADERS,
     find_header,
 )
+from eelgrassmount.http1.statuses import FINAL_STATUSES, is_possible
 from eelgrassmount.metrics import DropReason
 from eelgrassmount.verdict import Header
 
@@ -98,13 +98,16 @@
     def on_headers_complete(self) -> None:
         """Check the status and that the end of the answer can be detected."""
         status = self.parser.get_status_code()
-        if self.done or status < FINAL_STATUSES.start:
+        if self.done:
+            return
+        if not is_possible(status):
+            self.fail(DropReason.MALFORMED)
+            return
+        if status not in FINAL_STATUSES:
             return
         self.status = status
         self.keep_alive = self.parser.should_keep_alive()
-        if status not in FINAL_STATUSES:
-            self.fail(DropReason.MALFORMED)
-        elif self.method == "HEAD":
+        if self.method == "HEAD":
             # The answer has no body, although it may have a Content-Length.
             self.done = True
         elif status not in _NO_BODY_STATUSES and not self._has_length():
--- a/eelgrassmount/edge/headers.py
+++ b/eelgrassmount/edge/headers.py
@@ -39,7 +39,6 @@
 CONTENT_LENGTH = "content-length"
 CONNECTION = "connection"
 
-FINAL_STATUSES = range(200, 600)
 HEADER_PREFIX = "eelgrassmount-"
 # Limit for one request or answer, path included, so that it fits into a frame.
 MAX_HEADER_BYTES = 16 * 1024
--- a/eelgrassmount/http1/client.py
+++ b/eelgrassmount/http1/client.py
@@ -11,6 +11,7 @@
 from attrs import define
 
 from eelgrassmount.http1.answer_memory import AnswerMemory
+from eelgrassmount.http1.statuses import FINAL_STATUSES, is_possible
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -211,7 +212,11 @@
 
     def eof_received(self) -> bool:
         """Complete an answer without a length."""
-        if self._on_done is not None and self._until_close and self._status >= 200:
+        if (
+            self._on_done is not None
+            and self._until_close
+            and self._status in FINAL_STATUSES
+        ):
             self._reusable = False
             self._complete()
             if self._answer is not None:
@@ -289,10 +294,13 @@
 
     def on_headers_complete(self) -> None:
         """Record the status and determine how the body ends."""
+        status = self._parser.get_status_code()
+        if not is_possible(status):
+            raise httptools.HttpParserCallbackError(f"status {status:03}")
         if self._answer is not None:
             return
-        self._status = self._parser.get_status_code()
-        if self._status < 200:
+        self._status = status
+        if self._status not in FINAL_STATUSES:
             return
         if not self._parser.should_keep_alive():
             self._reusable = False
@@ -311,7 +319,7 @@
         """Store the complete answer; skip an interim answer."""
         if self._answer is not None:
             return
-        if self._status < 200:
+        if self._status not in FINAL_STATUSES:
             self._reset_answer()
             return
         self._complete()
--- a/eelgrassmount/peer/codec.py
+++ b/eelgrassmount/peer/codec.py
@@ -7,9 +7,9 @@
 
 from eelgrassmount.calls.request import Call, Outcome, Request
 from eelgrassmount.context import MAX_DEPTH, PRIORITY_LEVELS, Context, Tier
-from eelgrassmount.edge.headers import FINAL_STATUSES
 from eelgrassmount.errors import BadFrameError
 from eelgrassmount.gen import ttypes
+from eelgrassmount.http1.statuses import FINAL_STATUSES
 from eelgrassmount.load.state import FULL_THRESHOLD, ServiceLoad
 from eelgrassmount.verdict import (
     Answered,
--- a/eelgrassmount/relay/checks.py
+++ b/eelgrassmount/relay/checks.py
@@ -11,6 +11,7 @@
 
 from eelgrassmount.errors import AddressError, BadFrameError
 from eelgrassmount.gen import ttypes
+from eelgrassmount.http1.statuses import FINAL_STATUSES
 from eelgrassmount.policy.retries import COUNTED_PARTS
 from eelgrassmount.relay.messages import Outcome
 from eelgrassmount.relay.routes import MAX_RANK
@@ -168,7 +169,7 @@
         _raise_invalid(reply, "outcome", "unknown")
     if reply.reason and reply.reason not in _REASONS:
         _raise_invalid(reply, "reason", "unknown")
-    if reply.outcome == Outcome.ANSWERED and not 100 <= reply.status <= 999:
+    if reply.outcome == Outcome.ANSWERED and reply.status not in FINAL_STATUSES:
         _raise_invalid(reply, "status", "not an HTTP status")
     if not (0 <= reply.in_flight <= MAX_CALLS and 0 <= reply.queued <= MAX_CALLS):
         _check_ranges(reply, _REPLY_RANGES)
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -164,6 +164,9 @@
     ),
     "garbage": (b"\x16\x03\x01 what?\r\n\r\n", BAD, "malformed", False),
     "impossible status": (make_answer(status="799 Odd"), BAD, "malformed", False),
+    "status 000": (make_answer(status="000 Odd"), BAD, "malformed", False),
+    "status 099": (make_answer(status="099 Odd"), BAD, "malformed", False),
+    "switch of protocols": (make_answer(status="101 Odd"), BAD, "malformed", False),
     "two lengths": (
         make_answer(extra="Content-Length: 9\r\n"),
         BAD,
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -191,3 +191,31 @@
     assert len(setups[0].outcomes[0].body) == 80_000
     setups[2].lose_connection(OSError())
     assert memory.total_bytes == 0
+
+
+# Guards against a call that waits for its deadline, or an answer that reaches a client,
+# when the server has answered without a real status.
+@pytest.mark.parametrize("status", ["000", "001", "099", "101", "600", "799", "999"])
+@pytest.mark.parametrize("framing", ["content-length: 2\r\n", ""])
+def test_answer_without_a_real_status_is_malformed(setup, status, framing):
+    setup.receive(f"HTTP/1.1 {status} X\r\n{framing}\r\nhi".encode() + OK)
+    assert setup.outcomes == [ExchangeFailure.MALFORMED]
+    assert setup.transport.closing
+    assert setup.idle == []
+
+
+@pytest.mark.parametrize("status", ["000", "101", "799"])
+def test_answer_without_a_real_status_behind_another_closes_the_connection(
+    setup, status
+):
+    setup.receive(OK + f"HTTP/1.1 {status} X\r\n\r\n".encode())
+    assert [answer.body for answer in setup.outcomes] == [b"hi"]
+    assert setup.idle == []
+
+
+@pytest.mark.parametrize("status", ["000", "799"])
+def test_late_answer_without_a_real_status_is_malformed(setup, status):
+    setup.receive(OK)
+    setup.send(lambda answer: (b"x-id", b"8") in answer.headers)
+    setup.receive(OK, f"HTTP/1.1 {status} X\r\nx-id: 8\r\n\r\n".encode())
+    assert setup.outcomes[1:] == [ExchangeFailure.MALFORMED]
--- a/tests/relay/test_deployment.py
+++ b/tests/relay/test_deployment.py
@@ -12,6 +12,7 @@
 from eelgrassmount.compose.relay_run import start_relay, stop_relay
 from eelgrassmount.gen import ttypes
 from eelgrassmount.http1.client import ExchangeFailure
+from eelgrassmount.http1.exchange import Exchange
 from eelgrassmount.platform.topic_names import LEARNED_KEY
 from eelgrassmount.relay.frames import encode_struct
 from eelgrassmount.relay.heartbeats import UNKNOWN_START
@@ -241,12 +242,45 @@
     run(scenario, make_rule("/list/", "list", kind=kind))
 
 
+def answer_without_status(exchange: Exchange, status: bytes = b"000") -> None:
+    """Answer with the signature of the server, but without a real status."""
+    head = b"HTTP/1.1 %s X\r\neelgrassmount-response-signature: s\r\n" % status
+    exchange.connection.transport.write(head + b"content-length: 2\r\n\r\nhi")
+
+
+# Guards against a call that waits for its deadline, or an answer that reaches a client,
+# when the server has answered without a real status.
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600"])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_answer_without_a_real_status_fails_at_once(status, method):
+    async def scenario(deployment: Deployment) -> None:
+        front = await deployment.add("front")
+        servers = [await deployment.add("list", retry_slack=100.0) for _ in range(2)]
+        await deployment.wait_until_connected()
+        servers[0].server.answer = lambda exchange: answer_without_status(
+            exchange, status
+        )
+        statuses = set()
+        started_s = anyio.current_time()
+        for number in range(6):
+            target = "/list/1" if method == "GET" else "/book/1"
+            answer = await send_as_client(
+                front, target, method, request_id=f"r{number}"
+            )
+            statuses.add(answer.status)
+        assert anyio.current_time() - started_s < 0.5
+        assert statuses <= ({200} if method == "GET" else {200, 502})
+
+    run(scenario, LIST, BOOK)
+
+
 @pytest.mark.parametrize(
     "answer",
     [
         lambda exchange: exchange.respond(200, b"", b"unsigned"),
         lambda exchange: exchange.connection.transport.abort(),
         lambda exchange: exchange.connection.transport.write(b"junk\r\n\r\n"),
+        lambda exchange: answer_without_status(exchange),
     ],
 )
 def test_non_idempotent_request_that_may_have_run_is_not_retried(answer):
