Refuse requests that can't be answered before a node exits

Callers would see (a report from elsewhere, shown here by a test): a request that is complete late in the grace time of a planned stop is passed on, and its connection closed without an answer when the node exits; also one that may not be repeated.

Cause: a stopping node closes connections without an open request. One that has begun to arrive keeps its connection open, and was taken at any time before the exit.

The node now compares a request with its exit: it is taken if its deadline lies before, or if twice its usual time fits, but only with certainty once idle connections are closed and it may not be repeated or its usual time isn't known. Others get 503, which is true.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -19,6 +19,7 @@
 from eelgrassmount.platform.headers import HEADER_CODEC
 from eelgrassmount.platform.store_client import StoreClient
 from eelgrassmount.platform.topic_names import NODES_TOPIC
+from eelgrassmount.policy.stopping import may_finish
 from eelgrassmount.relay.admission import Admission, CallGraph
 from eelgrassmount.relay.admitted_fractions import AdmittedFractions
 from eelgrassmount.relay.backend import BackendPool
@@ -52,6 +53,7 @@
 
 if TYPE_CHECKING:
     from eelgrassmount.relay.job import Job
+    from eelgrassmount.relay.messages import Call
     from eelgrassmount.relay.routes import RouteTable
     from eelgrassmount.relay.settings import RelaySettings
 
@@ -264,6 +266,15 @@
         metrics.count_visit,
         metrics.count_appointment,
     )
+
+    def will_finish(call: Call) -> bool:
+        may_repeat = call.route.idempotent and path_times.is_known(call.route)
+        needs_certainty = state.drained and not may_repeat
+        path_s = path_times.find(call.route)
+        return may_finish(
+            clock(), call.deadline_s, state.exit_s, path_s, needs_certainty
+        )
+
     answers = Responder(
         HEADER_CODEC,
         sender,
@@ -296,6 +307,7 @@
         waiting_room,
         returns,
         path_times,
+        will_finish,
     )
     learned = LearnedCalls(state, readers.ranking.count_readers)
     readers.epoch_tracker.on_advance.append(learned.forget_stored)
--- a/eelgrassmount/entry/path_times.py
+++ b/eelgrassmount/entry/path_times.py
@@ -35,6 +35,10 @@
         found = self._mean_s.get(route.name)
         return UNKNOWN_PATH_SHARE * route.objective_s if found is None else found
 
+    def is_known(self, route: Route) -> bool:
+        """Return whether a request of a route has been answered."""
+        return route.name in self._mean_s
+
     def keep_routes(self, knows_route: Callable[[str], bool]) -> None:
         """Remove the times of all other routes."""
         for name in [name for name in self._mean_s if not knows_route(name)]:
--- a/eelgrassmount/relay/ingress.py
+++ b/eelgrassmount/relay/ingress.py
@@ -43,7 +43,8 @@
     ``record_request`` for all others. ``is_called_by_servers`` returns whether running
     servers call a route; such calls are not subject to admission control.
     ``is_client_route`` returns whether clients are known to use a route. ``is_current``
-    returns whether this node has read the log up to its end.
+    returns whether this node has read the log up to its end, ``will_finish`` whether a
+    call will have its answer before the node exits.
     """
 
     get_local_service: Callable[[], str]
@@ -63,6 +64,7 @@
     waiting_room: WaitingRoom
     returns: ReturnTracker
     path_times: PathTimes
+    will_finish: Callable[[Call], bool] = lambda call: True
     table: RouteTable = field(factory=RouteTable)
     chooser: TargetChooser = field(factory=TargetChooser)
 
@@ -140,6 +142,9 @@
         call = self._create_call(exchange, head, route, team, deadline_s, origin)
         quota_team = team if team is not None and team.has_quota() else None
         pending = PendingRequest(exchange, call, downstream_call, quota_team)
+        if not self.will_finish(call):
+            self.responder.refuse(pending, Reason.DRAINING)
+            return
         self._record_visit(pending, head)
         group = "" if team is None else team.name
         if not origin.downstream and not self.admission.try_admit(
--- a/eelgrassmount/relay/shared_state.py
+++ b/eelgrassmount/relay/shared_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -41,7 +42,8 @@
     that covers the most nodes, and ``client_routes`` are the routes that clients use.
     ``unreachable`` holds the services to none of whose servers this node can send a
     call. A ``stopping`` node accepts no new clients, a ``closing`` one no calls of
-    other nodes.
+    other nodes, and a ``drained`` one has closed the connections of clients without an
+    open request. It exits at ``exit_s``.
     """
 
     name: str
@@ -69,6 +71,8 @@
     unreachable: set[str] = field(factory=set)
     stopping: bool = False
     closing: bool = False
+    drained: bool = False
+    exit_s: float = math.inf
     _last_configured_s: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
--- a/eelgrassmount/relay/shutdown.py
+++ b/eelgrassmount/relay/shutdown.py
@@ -42,6 +42,7 @@
         loop = asyncio.get_running_loop()
         exit_deadline_s = loop.time() + self.grace_s - EXIT_MARGIN_S
         self.state.stopping = True
+        self.state.exit_s = self.state.clock() + self.grace_s - EXIT_MARGIN_S
         logger.info("stopping", open=self.count_open())
         # Clients may still send requests over their connections during the drain.
         self.client_listener.stopping = True
@@ -53,6 +54,7 @@
         await asyncio.sleep(min(drain_s, PEER_DRAIN_S))
         self.client_listener.stop_listening()
         self.client_listener.close_idle()
+        self.state.drained = True
         while self.count_open() and loop.time() < exit_deadline_s:
             await asyncio.sleep(POLL_INTERVAL_S)
             self.client_listener.close_idle()
