Write log lines on a thread, from a bounded queue

Cause: each line was written and flushed in the event loop, to a pipe that blocks when it is full.

A thread now writes whole lines in order. The process waits 0.25 s at most for its last lines, also where it skips the cleanup of the interpreter.

--- a/eelgrassmount/cmd/relay.py
+++ b/eelgrassmount/cmd/relay.py
@@ -11,7 +11,7 @@
 from eelgrassmount.cmd.action import ExitCode
 from eelgrassmount.compose.relay_run import serve_relay
 from eelgrassmount.errors import EelgrassmountError
-from eelgrassmount.logging_setup import configure_logging
+from eelgrassmount.logging_setup import configure_logging, flush_logs
 from eelgrassmount.platform.settings import find_settings_file
 
 # collection thresholds of the young, middle and old generation: collector pauses add
@@ -45,5 +45,5 @@
     the rest of the grace period.
     """
     await serve_relay(path)
-    sys.stdout.flush()
+    flush_logs()
     os._exit(ExitCode.DONE)
--- a/eelgrassmount/logging_setup.py
+++ b/eelgrassmount/logging_setup.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+import atexit
+import io
 import json
 import sys
+from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any, TextIO
 
 from loguru import logger
 
+from eelgrassmount.log_writer import LogWriter
+
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loguru import Message
 
+# Time for writing the last lines when the process ends.
+FLUSH_TIMEOUT_S = 0.25
+
 _TERMINAL_FORMAT = (
     "<green>{time:HH:mm:ss.SSS}</green> <level>{level: <7}</level> {message} "
     "<dim>{extra}</dim>"
@@ -25,15 +35,14 @@
 
         logger.info("configuration in force", version=7)
 
-    If the stream fails, the line is lost and the caller gets no exception.
+    If the stream fails, the line is lost and the caller gets no exception. If nobody
+    reads it, lines wait, see `LogWriter`, and no caller does.
     """
     stream = sys.stderr if stream is None else stream
     logger.remove()
     if stream is None:
         return
-    sink: Any = _make_json_sink(stream)
-    if _is_terminal(stream):
-        sink = stream
+    sink: Any = stream if _is_terminal(stream) else _make_sink(stream)
     logger.add(
         sink,
         level=level.upper(),
@@ -51,18 +60,65 @@
         return False
 
 
-def _make_json_sink(stream: TextIO) -> Any:
+def flush_logs() -> None:
+    """Write the lines that wait, for `FLUSH_TIMEOUT_S` at most.
+
+    To be called before a process exits without its cleanup.
+    """
+    for writer in _WRITERS:
+        writer.flush(FLUSH_TIMEOUT_S)
+
+
+# The writers of the streams that were configured in this process.
+_WRITERS: list[LogWriter] = []
+
+
+def _make_sink(stream: TextIO) -> Callable[[Message], None]:
+    try:
+        descriptor = stream.fileno()
+    except (AttributeError, OSError, ValueError, io.UnsupportedOperation):
+        return _make_direct_sink(stream)
+    # Of the line before, so that the loss names its node, too.
+    fields: dict[str, Any] = {}
+    writer = LogWriter(descriptor, lambda lines: _format_loss(lines, fields))
+    if not _WRITERS:
+        atexit.register(flush_logs)
+    _WRITERS.append(writer)
+
+    def write(message: Message) -> None:
+        if "node" in message.record["extra"]:
+            fields["node"] = message.record["extra"]["node"]
+        writer.write(_format_json(message).encode() + b"\n")
+
+    return write
+
+
+def _make_direct_sink(stream: TextIO) -> Callable[[Message], None]:
+    """Return a sink for a stream in memory."""
+
     def write(message: Message) -> None:
         try:
             stream.write(_format_json(message) + "\n")
             stream.flush()
         except (OSError, ValueError):
-            # a closed or full pipe must not make a request fail
             return
 
     return write
 
 
+def _format_loss(lines: int, fields: dict[str, Any]) -> bytes:
+    """Return the line that follows lost ones."""
+    line = {
+        "time": datetime.now(UTC).isoformat(timespec="milliseconds"),
+        "level": "warning",
+        "module": __name__,
+        "message": "log lines lost",
+        **fields,
+        "lines": lines,
+    }
+    return json.dumps(line, default=str).encode() + b"\n"
+
+
 def _format_json(message: Message) -> str:
     record = message.record
     line = {
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import json
 import os
@@ -49,6 +50,7 @@
 address = "{HOST}:8309"
 """
 START_TIMEOUT_S = 10.0
+GRACE_S = 4.0
 
 
 def start(path: Path, output: int | IO[bytes] = subprocess.PIPE) -> subprocess.Popen:
@@ -61,14 +63,16 @@
     )
 
 
-def run(path: Path, scenario: Callable) -> None:
+def run(
+    path: Path, scenario: Callable, output: int | IO[bytes] = subprocess.PIPE
+) -> None:
     async def main() -> None:
         log = PlatformLog()
         await log.start(HOST, 8309)
         log.put("keyed.op", "config", make_document(1, make_rule("/list/", "list")))
         server = PlatformServer("i-1")
         await server.start(HOST, 8301)
-        process = start(path)
+        process = start(path, output)
         try:
             with anyio.fail_after(START_TIMEOUT_S):
                 while await read_ready_status() != 200:
@@ -218,3 +222,30 @@
     )
     assert result.returncode == 2
     assert b"none: can't be read" in result.stderr
+
+
+# Guards against a node that stands still, or doesn't end, while nobody reads its log.
+def test_node_serves_and_ends_although_nobody_reads_its_log(settings):
+    read_end, write_end = os.pipe()
+    os.set_blocking(write_end, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(write_end, bytes(4096))
+    os.set_blocking(write_end, True)
+
+    async def scenario(server: PlatformServer, process: subprocess.Popen) -> None:
+        connection = await connect(Address(HOST, 8304))
+        for number in range(20):
+            request = make_request("GET", "/list/1", b"", f"r{number}")
+            assert (await send(connection, request)).status == 200
+        process.send_signal(signal.SIGTERM)
+        with anyio.fail_after(GRACE_S):
+            while process.poll() is None:
+                await anyio.sleep(0.05)
+        assert process.returncode == 0
+
+    try:
+        run(settings, scenario, write_end)
+    finally:
+        os.close(read_end)
+        os.close(write_end)
