End the health checks with their node, and name their sources

The dispatcher says that an identity comes from a rejection, instead of leaving it to be guessed from what is known. A node that has ended sends no further health checks. Loggers that are configured again flush and drop the writer before.

--- a/eelgrassmount/compose/relay_node.py
+++ b/eelgrassmount/compose/relay_node.py
@@ -92,6 +92,7 @@
 
     def end(self) -> None:
         """Close every listener and connection."""
+        self.startup_check.end()
         for listener in self.listeners:
             listener.end()
         self.inbound.end()
--- a/eelgrassmount/logging_setup.py
+++ b/eelgrassmount/logging_setup.py
@@ -20,6 +20,8 @@
 
 # Time for writing the last lines when the process ends.
 FLUSH_TIMEOUT_S = 0.25
+# The writer of the stream in use, if lines for it are queued.
+_WRITERS: list[LogWriter] = []
 
 _TERMINAL_FORMAT = (
     "<green>{time:HH:mm:ss.SSS}</green> <level>{level: <7}</level> {message} "
@@ -40,6 +42,8 @@
     """
     stream = sys.stderr if stream is None else stream
     logger.remove()
+    flush_logs()
+    _WRITERS.clear()
     if stream is None:
         return
     sink: Any = stream if _is_terminal(stream) else _make_sink(stream)
@@ -69,10 +73,6 @@
         writer.flush(FLUSH_TIMEOUT_S)
 
 
-# The writers of the streams that were configured in this process.
-_WRITERS: list[LogWriter] = []
-
-
 def _make_sink(stream: TextIO) -> Callable[[Message], None]:
     try:
         descriptor = stream.fileno()
@@ -81,9 +81,10 @@
     # Of the line before, so that the loss names its node, too.
     fields: dict[str, Any] = {}
     writer = LogWriter(descriptor, lambda lines: _format_loss(lines, fields))
-    if not _WRITERS:
-        atexit.register(flush_logs)
     _WRITERS.append(writer)
+    # Registered anew, a function is called once for each registration.
+    atexit.unregister(flush_logs)
+    atexit.register(flush_logs)
 
     def write(message: Message) -> None:
         if "node" in message.record["extra"]:
--- a/eelgrassmount/relay/dispatcher.py
+++ b/eelgrassmount/relay/dispatcher.py
@@ -22,6 +22,7 @@
 from eelgrassmount.relay.call_queue import CallQueue
 from eelgrassmount.relay.measures import RunMeasures
 from eelgrassmount.relay.messages import Outcome, Reply
+from eelgrassmount.relay.server_identity import Source
 from eelgrassmount.relay.server_statements import apply_statements
 from eelgrassmount.verdict import Reason
 
@@ -449,7 +450,9 @@
         current = self.server.incarnation
         # The answer may be older than a heartbeat that has come since.
         is_outdated = current.identity != job.incarnation.identity
-        if is_outdated or not self.server.apply_answer_identity(identity):
+        if is_outdated:
+            return
+        if not self.server.apply_answer_identity(identity, Source.REJECTION):
             return
         logger.info(
             "another server answers",
--- a/eelgrassmount/relay/startup_check.py
+++ b/eelgrassmount/relay/startup_check.py
@@ -73,6 +73,10 @@
         """Allow checks, which need a running event loop."""
         self._is_enabled = True
 
+    def end(self) -> None:
+        """Send no further checks."""
+        self._is_enabled = False
+
     def start(self) -> None:
         """Begin with the checks, once they are allowed and their path is known."""
         if self._is_started or not self._is_enabled or self.find_path() is None:
@@ -82,6 +86,8 @@
         self._check()
 
     def _check(self) -> None:
+        if not self._is_enabled:
+            return
         path = self.find_path()
         if path is None:
             self._set_unverified(False)
