Let a server whose clock was set back drain

Cause: which of two starts of an identity is the later one went by their start times alone, and what the seemingly earlier one said was acknowledged without an effect.

A smaller start that goes on sending while the present one is silent for 3 s is taken for the later one, by the same function and table as all others. Until then a stop that it announces is refused with 409, as the node doesn't keep it.

--- a/eelgrassmount/compose/relay.py
+++ b/eelgrassmount/compose/relay.py
@@ -78,6 +78,7 @@
         on_restart=lambda ended, started: dispatcher.handle_restart(
             ended, started.compute_start_s(clock(), time.time())
         ),
+        clock=clock,
     )
     members = MemberTable()
     graph = CallGraph()
--- a/eelgrassmount/http1/exchange.py
+++ b/eelgrassmount/http1/exchange.py
@@ -17,6 +17,7 @@
     401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     421: b"Misdirected Request",
     429: b"Too Many Requests",
--- a/eelgrassmount/relay/announcements.py
+++ b/eelgrassmount/relay/announcements.py
@@ -70,6 +70,10 @@
                 slots=self.server.slots,
             )
             self.on_change()
+        if not self.server.keeps_stop(heartbeat):
+            started = f"{heartbeat.incarnation} is not {self.server.incarnation}"
+            self._refuse(exchange, 409, "earlier start", f"stop: {started}")
+            return
         exchange.respond(200, ACCEPTED, b"{}")
 
     def _refuse(self, exchange: Exchange, status: int, cause: str, detail: str) -> None:
--- a/eelgrassmount/relay/server.py
+++ b/eelgrassmount/relay/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import time
 from typing import TYPE_CHECKING
 
 from attrs import Factory, define, evolve, field
@@ -39,6 +41,8 @@
 # Heartbeats come seconds late, and a crashed server is back after some seconds, so that
 # these are the identities of several minutes.
 MAX_ENDED_IDENTITIES = 50
+# A start that has sent nothing for two intervals of heartbeats may have ended.
+SILENT_START_S = 3.0
 # Identities of which notices of other nodes are kept; the oldest are dropped.
 MAX_NOTICES = 8
 
@@ -59,6 +63,10 @@
     Other nodes may send a notice on what the server has said to an earlier process of
     this node. It applies as long as it concerns the current incarnation.
 
+    A server whose clock was set back starts again with a smaller start time.
+    ``earlier_start`` is the last heartbeat that seemed to be of an earlier start, and
+    ``heard_s`` the time of the last message of the present one.
+
     An identity that another one has replaced may return, as a late heartbeat of a
     crashed server may have taken the place of one that runs on. All that is known of
     it then holds again: its service and an announced stop above all.
@@ -82,6 +90,9 @@
     rate_limit: ServerRateLimit = field(factory=ServerRateLimit)
     notices: dict[str, ServerNotice] = field(factory=dict)
     unreachable_until_s: float = 0.0
+    clock: Callable[[], float] = time.monotonic
+    heard_s: float = -math.inf
+    earlier_start: Heartbeat | None = None
     _ended: dict[str, EndedServer] = field(factory=dict)
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> bool:
@@ -95,8 +106,19 @@
             if effect is Effect.WITHDRAW:
                 self.evidence = Evidence.NONE
             raise WrongServerError(*self.find_mismatch(heartbeat))
+        if effect is Effect.IGNORE:
+            self._remember_earlier_start(heartbeat)
         return self._apply(effect, heartbeat)
 
+    def keeps_stop(self, heartbeat: Heartbeat) -> bool:
+        """Return whether a stop that an applied message announces is kept.
+
+        That of an earlier start is not. If the start is in fact a later one, an
+        acknowledgement would promise what the node doesn't do.
+        """
+        stops = heartbeat.draining or heartbeat.leaving
+        return not (stops and self.incarnation.is_after(heartbeat.incarnation))
+
     def apply_answer_identity(
         self, identity: str, source: Source | None = None
     ) -> bool:
@@ -137,6 +159,20 @@
         ended = self._ended.get(incarnation.identity)
         return ended is not None and ended.includes(incarnation)
 
+    def seems_set_back(self, heartbeat: Heartbeat) -> bool:
+        """Return whether an earlier start is in fact the later one.
+
+        Its clock was then set back. It goes on sending while the present start is
+        silent; heartbeats of a crashed start stop arriving.
+        """
+        known = self.earlier_start
+        return (
+            known is not None
+            and known.incarnation == heartbeat.incarnation
+            and known.sequence < heartbeat.sequence
+            and self.clock() - self.heard_s > SILENT_START_S
+        )
+
     def find_ended(self, identity: str) -> EndedServer | None:
         """Return what is known of an identity that another one has replaced."""
         return self._ended.get(identity)
@@ -149,6 +185,7 @@
                 self._record_displaced(said)
                 return False
             case Effect.UPDATE:
+                self.heard_s = self.clock()
                 return self._apply_current(said)
             case Effect.RESTART:
                 self._restart(said)
@@ -264,6 +301,19 @@
         self.evidence = Evidence.HEARTBEAT
         return before != (self.service, False)
 
+    def _remember_earlier_start(self, heartbeat: Heartbeat) -> None:
+        """Keep the newest heartbeat of the latest of the earlier starts."""
+        known = self.earlier_start
+        if heartbeat.leaving:
+            return
+        if (
+            known is None
+            or heartbeat.incarnation.identity != known.incarnation.identity
+            or heartbeat.incarnation.is_after(known.incarnation)
+            or heartbeat.sequence > known.sequence
+        ):
+            self.earlier_start = heartbeat
+
     def _restart(self, heartbeat: Heartbeat) -> None:
         """Apply the first message of a later start of the current identity."""
         earlier = self.incarnation
@@ -296,6 +346,8 @@
     def _start_incarnation(self, heartbeat: Heartbeat) -> None:
         """Replace the current incarnation and discard all state of the old one."""
         self.incarnation = heartbeat.incarnation
+        self.heard_s = self.clock()
+        self.earlier_start = None
         # Later messages are compared with the start of the current incarnation.
         self._ended.pop(heartbeat.incarnation.identity, None)
         self.sequence = heartbeat.sequence
--- a/eelgrassmount/relay/server_identity.py
+++ b/eelgrassmount/relay/server_identity.py
@@ -63,7 +63,8 @@
         is_displaced_leave = current is not None and said.leaving
         return Effect.RECORD if is_displaced_leave else Effect.REPLACE
     if current.is_after(reported):
-        return Effect.IGNORE
+        is_later = server.seems_set_back(said)
+        return Effect.RESTART if is_later else Effect.IGNORE
     return Effect.RESTART if reported.is_after(current) else Effect.UPDATE
 
 
--- a/tests/relay/deployment.py
+++ b/tests/relay/deployment.py
@@ -127,10 +127,13 @@
         address = self.settings.announce_address
         return await request(address, "POST", target, json.dumps(body).encode())
 
-    async def announce_leave(self) -> ClientAnswer | ExchangeFailure:
-        """Send the leave message of the server."""
+    async def announce_leave(
+        self, started_ms: int = 0
+    ) -> ClientAnswer | ExchangeFailure:
+        """Send the leave message of the server; a start of 0 is omitted."""
         target = f"/instances/{self.server.incarnation}/leave"
-        return await request(self.settings.announce_address, "POST", target)
+        body = json.dumps({"born": started_ms}).encode() if started_ms else b""
+        return await request(self.settings.announce_address, "POST", target, body)
 
 
 @define(eq=False)
--- a/tests/relay/test_leaving_servers.py
+++ b/tests/relay/test_leaving_servers.py
@@ -197,3 +197,36 @@
         assert setup.count_answers(200) == len(setup.answers)
 
     run_scenario(scenario)
+
+
+# Guards against a server that stops after its clock was set back, and gets requests.
+@pytest.mark.parametrize("kind", ["leave", "draining"])
+@pytest.mark.parametrize("heartbeats", [1, 2, 3, 6])
+def test_stop_holds_for_a_server_whose_clock_was_set_back(kind, heartbeats):
+    async def scenario(setup: ServiceScenario) -> None:
+        vm = setup.server_vms[0]
+        await setup.send_for(1.0)
+        await vm.announce()
+        vm.started_ms -= 1_000
+        vm.sequence = 0
+        for _ in range(heartbeats):
+            await setup.send_for(1.5)
+            await vm.announce()
+        is_acknowledged = False
+        while not is_acknowledged:
+            await setup.send_for(0.5)
+            answer = await (
+                vm.announce_leave(vm.started_ms)
+                if kind == "leave"
+                else vm.announce(True)
+            )
+            is_acknowledged = answer.status == 200
+            if kind == "leave" and not is_acknowledged:
+                await vm.announce()
+        await anyio.sleep(DRAIN_S)
+        vm.server.run_times_s.clear()
+        await setup.send_for(2.0)
+        assert vm.server.run_times_s == []
+        assert setup.count_answers(200) == len(setup.answers)
+
+    run_scenario(scenario)
--- a/tests/relay/test_server_identity.py
+++ b/tests/relay/test_server_identity.py
@@ -10,7 +10,7 @@
     Heartbeat,
     ServerIncarnation,
 )
-from eelgrassmount.relay.server import LocalServer
+from eelgrassmount.relay.server import SILENT_START_S, LocalServer
 from eelgrassmount.relay.server_identity import (
     Effect,
     Evidence,
@@ -47,17 +47,22 @@
     return Heartbeat(ServerIncarnation(identity))
 
 
-def make_server(*statements: Heartbeat | str) -> LocalServer:
-    """Return a server after messages, and after answers, given as identities."""
-    server = LocalServer("list", ADDRESS)
+def make_server(*statements: Heartbeat | str | float) -> LocalServer:
+    """Return a server after messages, identities in answers, and seconds."""
+    now_s = [NOW_S]
+    server = LocalServer("list", ADDRESS, clock=lambda: now_s[0])
     for said in statements:
-        if isinstance(said, str):
+        if isinstance(said, float):
+            now_s[0] += said
+        elif isinstance(said, str):
             server.apply_answer_identity(said)
         else:
             server.apply_heartbeat(said)
     return server
 
 
+# Between two messages, the present start sends nothing for some time.
+SILENCE = SILENT_START_S + 0.1
 EARLIER_MS = START_MS - 5_000
 LATER_MS = START_MS + 5_000
 DRAINING = say("i1", 2, draining=True)
@@ -96,6 +101,26 @@
         (Source.MESSAGE, leave("i1", EARLIER_MS)),
         (Effect.IGNORE, "i1", None),
     ),
+    "same identity, earlier start goes on while the present one is silent": (
+        (say("i1"), say("i1", 1, EARLIER_MS), SILENCE),
+        (Source.MESSAGE, say("i1", 2, EARLIER_MS, draining=True)),
+        (Effect.RESTART, "i1", Reason.DRAINING),
+    ),
+    "same identity, earlier start, the present one is heard": (
+        (say("i1"), say("i1", 1, EARLIER_MS), SILENCE, say("i1", 2)),
+        (Source.MESSAGE, say("i1", 2, EARLIER_MS, draining=True)),
+        (Effect.IGNORE, "i1", None),
+    ),
+    "same identity, one heartbeat of an earlier start": (
+        (say("i1"), SILENCE),
+        (Source.MESSAGE, say("i1", 2, EARLIER_MS, draining=True)),
+        (Effect.IGNORE, "i1", None),
+    ),
+    "same identity, the same heartbeat of an earlier start again": (
+        (say("i1"), say("i1", 2, EARLIER_MS), SILENCE),
+        (Source.MESSAGE, say("i1", 2, EARLIER_MS, draining=True)),
+        (Effect.IGNORE, "i1", None),
+    ),
     "same identity, later start": (
         (DRAINING,),
         (Source.MESSAGE, say("i1", 1, LATER_MS)),
