Let calls wait for the first health check for a second at most

A health check waits for a slot of the server, up to 5 s where nothing is free. A server beside which a node starts would get no calls for so long, though its heartbeats say that it is ready; before the checks were introduced the next heartbeat was enough.

After a second without an answer the server now gets calls, unless a check has shown that it stops or fails. A node is not in touch before 3 s after its start, so that no promise depends on that second.

--- a/eelgrassmount/relay/startup_check.py
+++ b/eelgrassmount/relay/startup_check.py
@@ -24,6 +24,8 @@
 NO_REQUEST_ID = b""
 # A health check waits for a slot of the server.
 HEALTH_CHECK_TIMEOUT_S = 5.0
+# Longest time for which calls wait for the first answer.
+MAX_FIRST_WAIT_S = 1.0
 # Delays before the next check of a server that stops or fails, and after a check that
 # shows nothing.
 UNHEALTHY_DELAY_S = 1.0
@@ -53,8 +55,9 @@
     no service: ``check_settings`` reads the settings again, which name that of the
     server at the address. ``on_change`` is called when calls become possible or stop.
 
-    Before the first answer the server gets no calls. A check that shows nothing is
-    repeated, but doesn't keep calls from a server whose health can't be read.
+    Before the first answer the server gets no calls, for `MAX_FIRST_WAIT_S` at most. A
+    check that shows nothing is repeated, but doesn't keep calls from a server whose
+    health can't be read.
     """
 
     server: LocalServer
@@ -83,6 +86,7 @@
             return
         self._is_started = True
         self.server.unverified = True
+        self.call_later(MAX_FIRST_WAIT_S, self._open_unless_unhealthy)
         self._check()
 
     def _check(self) -> None:
@@ -129,14 +133,17 @@
 
     def _handle_unclear(self) -> None:
         self._unclear += 1
-        if not self._is_unhealthy:
-            self._set_unverified(False)
+        self._open_unless_unhealthy()
         if self._unclear < MAX_UNCLEAR_CHECKS:
             self.call_later(UNCLEAR_DELAY_S, self._check)
             return
         logger.warning("health of the server unknown")
         self._set_unverified(False)
 
+    def _open_unless_unhealthy(self) -> None:
+        if not self._is_unhealthy:
+            self._set_unverified(False)
+
     def _identify(self, head: AnswerHead) -> None:
         """Apply the answer of a healthy server."""
         self.check_settings()
