--- a/tests/relay/test_late_answers.py
+++ b/tests/relay/test_late_answers.py
@@ -120,7 +120,18 @@
     count, status, names_id, copies
 ):
     """Bookings ran twice, or were refused although they ran."""
-    seed = 100 * count + copies
+    check_answers(count, status, names_id, copies, 100 * count + copies)
+
+
+# Guards against copies that take a booking's place at a server, with another seed.
+@pytest.mark.parametrize("seed", [302])
+def test_late_copies_cost_no_booking_its_answer(seed):
+    check_answers(3, 421, True, 3, seed)
+
+
+def check_answers(
+    count: int, status: int, names_id: bool, copies: int, seed: int
+) -> None:
     servers = RepeatingServers(status, names_id, copies, random.Random(seed))
     statuses = play(servers, count, seed)
     for id, answered in statuses.items():
